--- /dev/null
+++ b/crates/bilberryctl/src/commands/data.rs
@@ -0,0 +1,84 @@
+//! `bilberryctl data`: the data folder of a control host that is not running.
+
+use std::path::PathBuf;
+
+use bilberryloft_state::machine::Machine;
+use bilberryloft_state::storage::Recovered;
+use bilberryloft_state::storage::inspect;
+use bilberryloft_state::wal::Payload;
+use clap::Subcommand;
+use serde_json::json;
+
+use crate::failure::Failure;
+use crate::table::print_json;
+
+/// Commands for data folders.
+#[derive(Subcommand)]
+pub enum DataCommand {
+    /// Reads the whole folder and tells whether it is sound.
+    Check {
+        /// The folder.
+        folder: PathBuf,
+    },
+    /// Prints the state that the folder holds, as far as the log goes, as JSON.
+    Export {
+        /// The folder.
+        folder: PathBuf,
+    },
+}
+
+impl DataCommand {
+    /// Runs the command.
+    pub fn run(self, json: bool) -> Result<(), Failure> {
+        match self {
+            DataCommand::Check { folder } => check(&inspect(&folder)?, json),
+            DataCommand::Export { folder } => export(&inspect(&folder)?),
+        }
+    }
+}
+
+fn check(recovered: &Recovered, json: bool) -> Result<(), Failure> {
+    let snapshot_index = recovered.snapshot.as_ref().map_or(0, |it| it.last_index);
+    let last_index = recovered
+        .entries
+        .last()
+        .map_or(snapshot_index, |it| it.index);
+    let report = json!({
+        "term": recovered.hard_state.term,
+        "snapshot_index": snapshot_index,
+        "last_index": last_index,
+        "may_vote": recovered.may_vote,
+        "torn_bytes": recovered.torn_bytes,
+    });
+    if json {
+        return print_json(&report);
+    }
+    println!(
+        "sound: snapshot {snapshot_index}, log up to {last_index}, term {}",
+        recovered.hard_state.term
+    );
+    if recovered.torn_bytes > 0 {
+        println!(
+            "a torn tail of {} bytes will be cut at the next start",
+            recovered.torn_bytes
+        );
+    }
+    Ok(())
+}
+
+/// Entries at the end of the log may not be committed; the export says which is the last.
+fn export(recovered: &Recovered) -> Result<(), Failure> {
+    let mut machine = match &recovered.snapshot {
+        Some(snapshot) => serde_json::from_slice(&snapshot.data)
+            .map_err(|it| Failure::Invalid(format!("the snapshot's state can't be read: {it}")))?,
+        None => Machine::default(),
+    };
+    let mut last_index = recovered.snapshot.as_ref().map_or(0, |it| it.last_index);
+    for entry in &recovered.entries {
+        last_index = entry.index;
+        if let Payload::Command(bytes) = &entry.payload {
+            machine.apply_bytes(bytes);
+        }
+    }
+    print_json(&json!({"last_index": last_index, "state": machine}))
+}
--- /dev/null
+++ b/crates/bilberryctl/src/commands/mod.rs
@@ -0,0 +1,11 @@
+//! The commands, one a file.
+
+pub mod config;
+pub mod data;
+pub mod explain;
+pub mod members;
+pub mod report;
+pub mod settings;
+pub mod target;
+pub mod team;
+pub mod template;
--- /dev/null
+++ b/crates/bilberryctl/src/commands/report.rs
@@ -0,0 +1,46 @@
+//! `bilberryctl report`: service levels.
+
+use bilberryloft_protocol::api::BurnRow;
+use clap::Subcommand;
+
+use crate::client::AdminClient;
+use crate::failure::Failure;
+use crate::table::print_json;
+use crate::table::print_table;
+
+/// Commands for reports.
+#[derive(Subcommand)]
+pub enum ReportCommand {
+    /// Rates at which teams spend their error budgets at one entry; above 1 the budget does not last.
+    Burn,
+}
+
+impl ReportCommand {
+    /// Runs the command.
+    pub fn run(self, client: &AdminClient, json: bool) -> Result<(), Failure> {
+        match self {
+            ReportCommand::Burn => burn(client, json),
+        }
+    }
+}
+
+fn burn(client: &AdminClient, json: bool) -> Result<(), Failure> {
+    let report: Vec<BurnRow> = client.get("/operator/burn")?;
+    if json {
+        return print_json(&report);
+    }
+    let mut rows = Vec::new();
+    for row in &report {
+        let mut cells = vec![row.team.clone()];
+        for window in &row.windows {
+            cells.push(format!(
+                "{:.2} ({}/{})",
+                window.burn_rate, window.bad, window.total
+            ));
+        }
+        cells.push(format!("{:.0}%", row.budget_left * 100.0));
+        rows.push(cells);
+    }
+    print_table(&["TEAM", "5M", "1H", "6H", "3D", "BUDGET_LEFT"], &rows);
+    Ok(())
+}
--- /dev/null
+++ b/crates/bilberryloft-coordination/src/admission.rs
@@ -0,0 +1,243 @@
+//! Admission at an agent: which request goes to the target next, and which is refused at once.
+//!
+//! Order is start-time fair queueing (Goyal, Vin and Cheng, 1996) by tokens of work among teams, as the
+//! virtual token counter does for language models (Sheng et al., OSDI 2024).
+
+use std::collections::BTreeMap;
+
+/// Tokens by which each class of urgency stands behind the one before it.
+pub const CLASS_STEP_TOKENS: u64 = 2_000;
+/// Fixed-point factor of virtual time.
+const VIRTUAL_SCALE: u64 = 1_000;
+/// Share of a new measurement in the smoothed service time.
+const SERVICE_TIME_GAIN: f64 = 0.1;
+
+/// One request that asks for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Number that the caller gave it.
+    pub id: u64,
+    /// Team.
+    pub team: String,
+    /// Weight of the team.
+    pub weight: u32,
+    /// Class of urgency, 0 is most urgent.
+    pub priority: u8,
+    /// Estimated work in tokens.
+    pub work_tokens: u64,
+    /// Time by which it must be answered, in milliseconds.
+    pub deadline_ms: u64,
+    /// Time of arrival in milliseconds.
+    pub arrived_ms: u64,
+}
+
+/// Answer to an ask.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may go to the target now.
+    Run,
+    /// It waits; `evicted` had to make room and is refused.
+    Wait {
+        /// Request that lost its place.
+        evicted: Option<u64>,
+    },
+    /// The queue is full.
+    Busy,
+    /// It would be too late.
+    TooLate,
+}
+
+/// Slots and queue of one target.
+#[derive(Debug)]
+pub struct Admission {
+    slots: u32,
+    queue_max: usize,
+    running: BTreeMap<u64, u64>,
+    queue: BTreeMap<(u64, u64), Ask>,
+    tag_of: BTreeMap<u64, u64>,
+    finish_of_team: BTreeMap<String, u64>,
+    virtual_time: u64,
+    queued_tokens: u64,
+    service_ms: f64,
+}
+
+impl Admission {
+    /// Starts with free slots.
+    pub fn new(slots: u32, queue_max: usize) -> Admission {
+        Admission {
+            slots,
+            queue_max,
+            running: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            tag_of: BTreeMap::new(),
+            finish_of_team: BTreeMap::new(),
+            virtual_time: 0,
+            queued_tokens: 0,
+            service_ms: 0.0,
+        }
+    }
+
+    /// Requests that may be at the target.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Changes how many requests may be at the target.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// Number of requests at the target.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Number of requests that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Work that waits, in tokens.
+    pub fn queued_tokens(&self) -> u64 {
+        self.queued_tokens
+    }
+
+    /// Expected time until a new request would start, in milliseconds.
+    pub fn expected_wait_ms(&self) -> u64 {
+        if self.running.len() < self.slots as usize {
+            return 0;
+        }
+        let ahead = self.queue.len() + 1;
+        (ahead as f64 * self.service_ms / f64::from(self.slots.max(1))) as u64
+    }
+
+    /// Takes a new request.
+    pub fn ask(&mut self, ask: Ask) -> Verdict {
+        if self.running.len() < self.slots as usize {
+            let tag = self.charge(&ask);
+            self.start(ask.id, tag, ask.arrived_ms);
+            return Verdict::Run;
+        }
+        if ask.arrived_ms + self.expected_wait_ms() >= ask.deadline_ms {
+            return Verdict::TooLate;
+        }
+        let tag = self.start_tag(&ask);
+        if self.queue.len() < self.queue_max {
+            self.enqueue(tag, ask);
+            return Verdict::Wait { evicted: None };
+        }
+        match self.queue.last_key_value() {
+            // The queue is full of requests, most of them from the team that is furthest ahead of its share.
+            Some((last, _)) if last.0 > tag => {
+                let (_, evicted) = self.pop_last();
+                self.enqueue(tag, ask);
+                Verdict::Wait {
+                    evicted: Some(evicted),
+                }
+            }
+            Some(_) | None => Verdict::Busy,
+        }
+    }
+
+    fn start_tag(&self, ask: &Ask) -> u64 {
+        let behind = self.finish_of_team.get(&ask.team).copied().unwrap_or(0);
+        let class = u64::from(ask.priority) * CLASS_STEP_TOKENS * VIRTUAL_SCALE;
+        self.virtual_time.max(behind) + class
+    }
+
+    fn charge(&mut self, ask: &Ask) -> u64 {
+        let tag = self.start_tag(ask);
+        let behind = self.finish_of_team.get(&ask.team).copied().unwrap_or(0);
+        let cost = ask.work_tokens.max(1) * VIRTUAL_SCALE / u64::from(ask.weight.max(1));
+        self.finish_of_team
+            .insert(ask.team.clone(), self.virtual_time.max(behind) + cost);
+        tag
+    }
+
+    fn enqueue(&mut self, tag: u64, ask: Ask) {
+        self.charge(&ask);
+        self.queued_tokens += ask.work_tokens;
+        self.tag_of.insert(ask.id, tag);
+        self.queue.insert((tag, ask.id), ask);
+    }
+
+    fn pop_last(&mut self) -> (u64, u64) {
+        let Some(((tag, id), ask)) = self.queue.pop_last() else {
+            return (0, 0);
+        };
+        self.refund(&ask);
+        self.tag_of.remove(&id);
+        (tag, id)
+    }
+
+    fn refund(&mut self, ask: &Ask) {
+        self.queued_tokens -= ask.work_tokens;
+        let cost = ask.work_tokens.max(1) * VIRTUAL_SCALE / u64::from(ask.weight.max(1));
+        if let Some(finish) = self.finish_of_team.get_mut(&ask.team) {
+            *finish = finish.saturating_sub(cost);
+        }
+    }
+
+    fn start(&mut self, id: u64, tag: u64, now_ms: u64) {
+        self.virtual_time = self.virtual_time.max(tag);
+        self.running.insert(id, now_ms);
+    }
+
+    /// Frees the slot of a request and returns those that may start now.
+    pub fn finish(&mut self, id: u64, now_ms: u64) -> Vec<u64> {
+        if let Some(started_ms) = self.running.remove(&id) {
+            let took_ms = now_ms.saturating_sub(started_ms) as f64;
+            self.service_ms += SERVICE_TIME_GAIN * (took_ms - self.service_ms);
+        }
+        self.start_waiting(now_ms)
+    }
+
+    fn start_waiting(&mut self, now_ms: u64) -> Vec<u64> {
+        let mut started = Vec::new();
+        while self.running.len() < self.slots as usize {
+            let Some(((tag, id), ask)) = self.queue.pop_first() else {
+                break;
+            };
+            self.queued_tokens -= ask.work_tokens;
+            self.tag_of.remove(&id);
+            self.start(id, tag, now_ms);
+            started.push(id);
+        }
+        self.drop_idle_teams();
+        started
+    }
+
+    /// Teams whose share has caught up with everybody's need no state.
+    fn drop_idle_teams(&mut self) {
+        let virtual_time = self.virtual_time;
+        if self.queue.is_empty() {
+            self.finish_of_team
+                .retain(|_, finish| *finish > virtual_time);
+        }
+    }
+
+    /// Takes a waiting request out; returns whether it was waiting.
+    pub fn withdraw(&mut self, id: u64) -> bool {
+        let Some(tag) = self.tag_of.remove(&id) else {
+            return false;
+        };
+        if let Some(ask) = self.queue.remove(&(tag, id)) {
+            self.refund(&ask);
+        }
+        true
+    }
+
+    /// Takes out the waiting requests whose deadline has passed.
+    pub fn take_expired(&mut self, now_ms: u64) -> Vec<u64> {
+        let expired: Vec<u64> = self
+            .queue
+            .values()
+            .filter(|it| it.deadline_ms <= now_ms)
+            .map(|it| it.id)
+            .collect();
+        for id in &expired {
+            self.withdraw(*id);
+        }
+        expired
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-coordination/src/pick.rs
@@ -0,0 +1,318 @@
+//! Picking a target at an entry, from late loads corrected by the entry's own dispatches.
+//!
+//! Candidates are sampled, as in Prequal (Wydrowski et al., NSDI 2024); the score is expected work a slot.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use bilberryloft_state::key::Arena;
+use bilberryloft_state::key::TargetKey;
+use bilberryloft_state::record::CandidateSeen;
+
+/// Candidates drawn at random for one pick.
+pub const SAMPLED_CANDIDATES: usize = 3;
+/// Age after which a reported load no longer counts, in milliseconds.
+pub const REPORT_MAX_AGE_MS: u64 = 2_000;
+/// Load a slot that a warm prefix cache is worth.
+pub const PREFIX_BONUS: f64 = 0.35;
+/// Load a slot from which another data centre is considered.
+pub const SPILL_LOAD: f64 = 0.9;
+/// Prefixes remembered by one entry.
+pub const PREFIXES_MAX: usize = 65_536;
+/// Time for which a target that could not be reached is left alone, in milliseconds.
+pub const PENALTY_MS: u64 = 500;
+
+/// What an entry knows of one target.
+#[derive(Clone, Debug)]
+pub struct TargetView {
+    /// Name.
+    pub name: String,
+    /// Address of the agent.
+    pub agent_address: String,
+    /// Life of the agent.
+    pub incarnation: u64,
+    /// Whether it is in the entry's own data centre.
+    pub is_local: bool,
+    /// Slots.
+    pub slots: u32,
+    /// Whether new work may go there.
+    pub is_eligible: bool,
+    /// Requests running and queued in the latest report.
+    pub reported: u32,
+    /// Time of that report in milliseconds.
+    pub reported_ms: u64,
+    /// Own dispatches that no report covers yet.
+    pub unacknowledged: u32,
+    /// Own requests that have not ended.
+    pub own_open: u32,
+    /// Time until which it is left alone, in milliseconds.
+    pub penalty_until_ms: u64,
+}
+
+/// A picked target, with everything that was compared.
+#[derive(Clone, Debug)]
+pub struct Pick {
+    /// The target.
+    pub key: TargetKey,
+    /// All candidates as seen.
+    pub candidates: Vec<CandidateSeen>,
+    /// Rule that decided.
+    pub rule: &'static str,
+}
+
+/// All targets of one entry.
+#[derive(Debug)]
+pub struct Picker {
+    targets: Arena<TargetView>,
+    key_of: BTreeMap<String, TargetKey>,
+    by_offer: BTreeMap<String, Vec<TargetKey>>,
+    warm: BTreeMap<u64, TargetKey>,
+    warm_order: VecDeque<u64>,
+    random: fastrand::Rng,
+}
+
+impl Picker {
+    /// Starts without targets.
+    pub fn new(seed: u64) -> Picker {
+        Picker {
+            targets: Arena::default(),
+            key_of: BTreeMap::new(),
+            by_offer: BTreeMap::new(),
+            warm: BTreeMap::new(),
+            warm_order: VecDeque::new(),
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Adds a target or renews what is known of it; loads survive unless the incarnation changed.
+    pub fn upsert(&mut self, view: TargetView, offers: &[String]) -> TargetKey {
+        let key = match self.key_of.get(&view.name).copied() {
+            Some(key) => {
+                self.renew(key, view);
+                key
+            }
+            None => {
+                let name = view.name.clone();
+                let key = self.targets.insert(view);
+                self.key_of.insert(name, key);
+                key
+            }
+        };
+        for keys in self.by_offer.values_mut() {
+            keys.retain(|it| *it != key);
+        }
+        for offer in offers {
+            self.by_offer.entry(offer.clone()).or_default().push(key);
+        }
+        key
+    }
+
+    fn renew(&mut self, key: TargetKey, view: TargetView) {
+        let known = self.targets.get_mut(key);
+        if known.incarnation != view.incarnation {
+            *known = view;
+            return;
+        }
+        known.agent_address = view.agent_address;
+        known.slots = view.slots;
+        known.is_local = view.is_local;
+        known.is_eligible = view.is_eligible;
+    }
+
+    /// Changes whether new work may go to a target.
+    pub fn set_eligible(&mut self, name: &str, is_eligible: bool) {
+        if let Some(key) = self.key_of.get(name) {
+            self.targets.get_mut(*key).is_eligible = is_eligible;
+        }
+    }
+
+    /// What is known of a target.
+    pub fn view(&self, key: TargetKey) -> &TargetView {
+        self.targets.get(key)
+    }
+
+    /// Key of a target by its name.
+    pub fn key(&self, name: &str) -> Option<TargetKey> {
+        self.key_of.get(name).copied()
+    }
+
+    /// Whether any known target offers a model or service, eligible or not.
+    pub fn is_offered(&self, offer: &str) -> bool {
+        self.by_offer.get(offer).is_some_and(|it| !it.is_empty())
+    }
+
+    /// Names of everything that is offered.
+    pub fn offers(&self) -> Vec<String> {
+        self.by_offer
+            .iter()
+            .filter(|(_, keys)| !keys.is_empty())
+            .map(|(offer, _)| offer.clone())
+            .collect()
+    }
+
+    /// Picks a target for an offer, leaving out those already tried.
+    pub fn pick(
+        &mut self,
+        offer: &str,
+        prefix: u64,
+        tried: &[TargetKey],
+        now_ms: u64,
+    ) -> Option<Pick> {
+        let near = self.sample(offer, tried, now_ms, true);
+        let warm = self
+            .warm
+            .get(&prefix)
+            .copied()
+            .filter(|it| self.may_take(*it, offer, tried, now_ms));
+        let mut keys = near;
+        let local_best = keys
+            .iter()
+            .map(|it| self.load(*it, now_ms))
+            .fold(f64::INFINITY, f64::min);
+        if local_best >= SPILL_LOAD {
+            keys.extend(self.sample(offer, tried, now_ms, false));
+        }
+        if let Some(warm) = warm
+            && !keys.contains(&warm)
+        {
+            keys.push(warm);
+        }
+        self.choose(&keys, warm, prefix, now_ms)
+    }
+
+    fn may_take(&self, key: TargetKey, offer: &str, tried: &[TargetKey], now_ms: u64) -> bool {
+        let view = self.targets.get(key);
+        let offers = self.by_offer.get(offer).is_some_and(|it| it.contains(&key));
+        offers && view.is_eligible && view.penalty_until_ms <= now_ms && !tried.contains(&key)
+    }
+
+    /// Draws candidates; a few random probes first, and a full scan only when they all fail.
+    fn sample(
+        &mut self,
+        offer: &str,
+        tried: &[TargetKey],
+        now_ms: u64,
+        local: bool,
+    ) -> Vec<TargetKey> {
+        let Some(keys) = self.by_offer.get(offer) else {
+            return Vec::new();
+        };
+        let targets = &self.targets;
+        let usable = |key: &TargetKey| {
+            let view = targets.get(*key);
+            let rested = view.penalty_until_ms <= now_ms;
+            view.is_eligible && rested && view.is_local == local && !tried.contains(key)
+        };
+        let mut drawn = Vec::new();
+        for _ in 0..4 * SAMPLED_CANDIDATES {
+            if keys.is_empty() || drawn.len() == SAMPLED_CANDIDATES {
+                break;
+            }
+            let key = keys[self.random.usize(0..keys.len())];
+            if usable(&key) && !drawn.contains(&key) {
+                drawn.push(key);
+            }
+        }
+        if drawn.is_empty() {
+            drawn.extend(keys.iter().copied().filter(usable).take(SAMPLED_CANDIDATES));
+        }
+        drawn
+    }
+
+    fn load(&self, key: TargetKey, now_ms: u64) -> f64 {
+        let view = self.targets.get(key);
+        let fresh = view.reported_ms + REPORT_MAX_AGE_MS > now_ms;
+        let expected = match fresh {
+            true => view.reported + view.unacknowledged,
+            false => view.own_open,
+        };
+        f64::from(expected) / f64::from(view.slots.max(1))
+    }
+
+    fn choose(
+        &mut self,
+        keys: &[TargetKey],
+        warm: Option<TargetKey>,
+        prefix: u64,
+        now_ms: u64,
+    ) -> Option<Pick> {
+        let mut candidates = Vec::new();
+        let mut best: Option<(f64, TargetKey)> = None;
+        for key in keys {
+            let bonus = if Some(*key) == warm {
+                PREFIX_BONUS
+            } else {
+                0.0
+            };
+            let score = self.load(*key, now_ms) - bonus;
+            let view = self.targets.get(*key);
+            candidates.push(CandidateSeen {
+                target: view.name.clone(),
+                reported: view.reported,
+                own_since: view.unacknowledged,
+                report_age_ms: now_ms.saturating_sub(view.reported_ms),
+                score,
+            });
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, *key));
+            }
+        }
+        let (_, key) = best?;
+        let rule = match warm {
+            Some(warm) if warm == key => "warm_prefix",
+            Some(_) => "least_load_over_warm_prefix",
+            None => "least_load_of_sample",
+        };
+        self.remember_prefix(prefix, key);
+        Some(Pick {
+            key,
+            candidates,
+            rule,
+        })
+    }
+
+    fn remember_prefix(&mut self, prefix: u64, key: TargetKey) {
+        if prefix == 0 {
+            return;
+        }
+        if self.warm.insert(prefix, key).is_none() {
+            self.warm_order.push_back(prefix);
+        }
+        if self.warm_order.len() > PREFIXES_MAX
+            && let Some(oldest) = self.warm_order.pop_front()
+        {
+            self.warm.remove(&oldest);
+        }
+    }
+
+    /// Counts a dispatch.
+    pub fn note_dispatch(&mut self, key: TargetKey) {
+        let view = self.targets.get_mut(key);
+        view.unacknowledged += 1;
+        view.own_open += 1;
+    }
+
+    /// Counts the first answer to a dispatch, which covers it from now on.
+    pub fn note_acknowledged(&mut self, key: TargetKey) {
+        let view = self.targets.get_mut(key);
+        view.unacknowledged = view.unacknowledged.saturating_sub(1);
+    }
+
+    /// Counts the end of a request.
+    pub fn note_end(&mut self, key: TargetKey) {
+        let view = self.targets.get_mut(key);
+        view.own_open = view.own_open.saturating_sub(1);
+    }
+
+    /// Takes a load that came with an answer.
+    pub fn note_load(&mut self, key: TargetKey, running_and_queued: u32, now_ms: u64) {
+        let view = self.targets.get_mut(key);
+        view.reported = running_and_queued;
+        view.reported_ms = now_ms;
+    }
+
+    /// Leaves a target alone for a short while.
+    pub fn penalize(&mut self, key: TargetKey, now_ms: u64) {
+        self.targets.get_mut(key).penalty_until_ms = now_ms + PENALTY_MS;
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-coordination/src/raft/election.rs
@@ -0,0 +1,178 @@
+//! Elections: pre-votes, votes, and who may give one.
+
+use bilberryloft_state::wal::HardState;
+use bilberryloft_state::wal::LogEntry;
+use bilberryloft_state::wal::Payload;
+use bilberryloft_state::wal::WalRecord;
+
+use crate::raft::Message;
+use crate::raft::Raft;
+use crate::raft::Role;
+use crate::raft::VoteReply;
+use crate::raft::VoteRequest;
+
+impl Raft {
+    pub(super) fn tick_waiting(&mut self) {
+        if self.now_ms < self.election_due_ms {
+            return;
+        }
+        self.reset_election_timer();
+        let votes = self.members().voters.contains_key(&self.member);
+        if !votes || !(self.may_vote || self.is_founding()) {
+            return;
+        }
+        match self.options.pre_vote {
+            true => self.start_pre_vote(),
+            false => self.start_election(),
+        }
+    }
+
+    fn is_founding(&self) -> bool {
+        self.log.last_index() == 0
+    }
+
+    fn start_pre_vote(&mut self) {
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes = [self.member].into();
+        self.ask_for_votes(self.hard_state.term + 1, true);
+        self.count_votes();
+    }
+
+    fn start_election(&mut self) {
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.votes = [self.member].into();
+        self.hard_state = HardState {
+            term: self.hard_state.term + 1,
+            vote: Some(self.member),
+        };
+        self.save_hard_state();
+        self.ask_for_votes(self.hard_state.term, false);
+        self.count_votes();
+    }
+
+    fn ask_for_votes(&mut self, term: u64, pre_vote: bool) {
+        let member = self.member;
+        let voters: Vec<u32> = self
+            .members()
+            .voters
+            .keys()
+            .copied()
+            .filter(|it| *it != member)
+            .collect();
+        for voter in voters {
+            let request = Message::VoteRequest(VoteRequest {
+                term,
+                candidate: self.member,
+                last_index: self.log.last_index(),
+                last_term: self.log.last_term(),
+                pre_vote,
+            });
+            // An own vote must be durable before it can count with the others.
+            match pre_vote {
+                true => self.send_now(voter, request),
+                false => self.send_after_sync(voter, request),
+            }
+        }
+    }
+
+    pub(super) fn on_vote_request(&mut self, request: VoteRequest) {
+        let granted = self.would_vote(&request);
+        if granted && !request.pre_vote {
+            self.hard_state.vote = Some(request.candidate);
+            self.save_hard_state();
+            self.reset_election_timer();
+        }
+        let term = if granted {
+            request.term
+        } else {
+            self.hard_state.term
+        };
+        let reply = Message::VoteReply(VoteReply {
+            term,
+            voter: self.member,
+            granted,
+            pre_vote: request.pre_vote,
+        });
+        self.send_after_sync(request.candidate, reply);
+    }
+
+    fn would_vote(&self, request: &VoteRequest) -> bool {
+        if self.hears_a_leader()
+            || !self
+                .log
+                .is_up_to_date(request.last_index, request.last_term)
+        {
+            return false;
+        }
+        // A member that lost its disk must not help elect anyone who may lack what it once acknowledged.
+        let both_are_new = self.is_founding() && request.last_index == 0;
+        if !self.may_vote && !both_are_new {
+            return false;
+        }
+        match request.pre_vote {
+            true => request.term > self.hard_state.term,
+            false => {
+                let free = self
+                    .hard_state
+                    .vote
+                    .is_none_or(|it| it == request.candidate);
+                request.term == self.hard_state.term && free
+            }
+        }
+    }
+
+    pub(super) fn on_vote_reply(&mut self, reply: VoteReply) {
+        let awaited = match self.role {
+            Role::PreCandidate => reply.pre_vote && reply.term == self.hard_state.term + 1,
+            Role::Candidate => !reply.pre_vote && reply.term == self.hard_state.term,
+            Role::Follower | Role::Leader => false,
+        };
+        if awaited && reply.granted {
+            self.votes.insert(reply.voter);
+            self.count_votes();
+        }
+    }
+
+    fn count_votes(&mut self) {
+        let members = self.members();
+        let count = self
+            .votes
+            .iter()
+            .filter(|it| members.voters.contains_key(it))
+            .count();
+        if count < members.majority() {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.start_election(),
+            Role::Candidate => self.become_leader(),
+            Role::Follower | Role::Leader => {}
+        }
+    }
+
+    fn become_leader(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.member);
+        self.progress.clear();
+        self.refresh_progress();
+        if !self.may_vote {
+            self.may_vote = true;
+            self.output.records.push(WalRecord::MayVote);
+        }
+        let index = self.log.last_index() + 1;
+        // The first entry writes the members into the log, so that later members need no settings.
+        let payload = match index {
+            1 => Payload::Members(self.members().clone()),
+            _ => Payload::Command(Vec::new()),
+        };
+        self.append_entry(LogEntry {
+            term: self.hard_state.term,
+            index,
+            payload,
+        });
+        self.heartbeat_due_ms = self.now_ms;
+        self.tick_leader();
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-coordination/src/raft/leader.rs
@@ -0,0 +1,246 @@
+//! What a leader does: heartbeats, replication, commitment, and confirmed reads.
+
+use bilberryloft_state::wal::LogEntry;
+
+use crate::raft::Append;
+use crate::raft::AppendReply;
+use crate::raft::InstallSnapshot;
+use crate::raft::Message;
+use crate::raft::Raft;
+use crate::raft::Role;
+
+/// Entries in one message at most.
+const APPEND_ENTRIES_MAX: usize = 4_096;
+/// Payload bytes in one message, about.
+const APPEND_BYTES_MAX: usize = 1 << 20;
+/// Entries that may be on their way to one follower.
+const IN_FLIGHT_ENTRIES_MAX: u64 = 16_384;
+
+/// What a leader knows of one other member.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Progress {
+    match_index: u64,
+    next_index: u64,
+    acked_round: u64,
+    heard_ms: u64,
+    snapshot_sent_ms: Option<u64>,
+}
+
+impl Raft {
+    pub(super) fn refresh_progress(&mut self) {
+        let others = self.members().others(self.member);
+        self.progress.retain(|it, _| others.contains(it));
+        for member in others {
+            self.progress.entry(member).or_insert(Progress {
+                match_index: 0,
+                next_index: self.log.last_index() + 1,
+                acked_round: 0,
+                heard_ms: self.now_ms,
+                snapshot_sent_ms: None,
+            });
+        }
+    }
+
+    pub(super) fn tick_leader(&mut self) {
+        if !self.hears_a_quorum() {
+            self.become_follower(self.hard_state.term, None);
+            return;
+        }
+        let read_waits = self.pending_reads.iter().any(|it| it.round > self.round);
+        if self.now_ms >= self.heartbeat_due_ms || read_waits {
+            self.heartbeat_due_ms = self.now_ms + self.options.heartbeat_ms;
+            self.broadcast_heartbeat();
+            self.confirm_reads();
+        }
+    }
+
+    fn hears_a_quorum(&self) -> bool {
+        let members = self.members();
+        let lease_ms = 2 * self.options.election_ms;
+        let heard = |it: &&u32| match self.progress.get(it) {
+            Some(progress) => progress.heard_ms + lease_ms > self.now_ms,
+            None => **it == self.member,
+        };
+        members.voters.keys().filter(heard).count() >= members.majority()
+    }
+
+    fn broadcast_heartbeat(&mut self) {
+        self.round += 1;
+        let members: Vec<u32> = self.progress.keys().copied().collect();
+        for member in members {
+            let Some(progress) = self.progress.get(&member).copied() else {
+                continue;
+            };
+            let next = progress.next_index.saturating_sub(1);
+            let previous_index = next.clamp(self.log.snapshot_index(), self.log.last_index());
+            if let Some(term) = self.log.term_at(previous_index) {
+                self.send_append(member, previous_index, term, Vec::new());
+            }
+        }
+    }
+
+    fn send_append(
+        &mut self,
+        to: u32,
+        previous_index: u64,
+        previous_term: u64,
+        entries: Vec<LogEntry>,
+    ) {
+        let append = Message::Append(Append {
+            term: self.hard_state.term,
+            leader: self.member,
+            previous_index,
+            previous_term,
+            entries,
+            commit_index: self.commit_index,
+            last_index: self.log.last_index(),
+            round: self.round,
+        });
+        self.send_now(to, append);
+    }
+
+    /// Sends each member what it has not been sent yet.
+    pub(super) fn replicate(&mut self) {
+        let members: Vec<u32> = self.progress.keys().copied().collect();
+        for member in members {
+            while self.replicate_batch(member) {}
+        }
+    }
+
+    fn replicate_batch(&mut self, member: u32) -> bool {
+        let Some(progress) = self.progress.get(&member).copied() else {
+            return false;
+        };
+        let in_flight = progress.next_index.saturating_sub(progress.match_index + 1);
+        if progress.next_index > self.log.last_index() || in_flight >= IN_FLIGHT_ENTRIES_MAX {
+            return false;
+        }
+        let previous_index = progress.next_index - 1;
+        let Some(term) = self.log.term_at(previous_index) else {
+            self.send_snapshot(member);
+            return false;
+        };
+        let entries = self
+            .log
+            .slice(progress.next_index, APPEND_ENTRIES_MAX, APPEND_BYTES_MAX);
+        let sent = entries.len() as u64;
+        self.send_append(member, previous_index, term, entries);
+        if let Some(progress) = self.progress.get_mut(&member) {
+            progress.next_index += sent;
+        }
+        sent > 0
+    }
+
+    fn send_snapshot(&mut self, member: u32) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let retry_ms = 4 * self.options.election_ms;
+        let now_ms = self.now_ms;
+        let Some(progress) = self.progress.get_mut(&member) else {
+            return;
+        };
+        if progress
+            .snapshot_sent_ms
+            .is_some_and(|it| it + retry_ms > now_ms)
+        {
+            return;
+        }
+        progress.snapshot_sent_ms = Some(now_ms);
+        let install = Message::InstallSnapshot(InstallSnapshot {
+            term: self.hard_state.term,
+            leader: self.member,
+            snapshot,
+            last_index: self.log.last_index(),
+            round: self.round,
+        });
+        self.send_now(member, install);
+    }
+
+    pub(super) fn on_append_reply(&mut self, reply: AppendReply) {
+        if self.role != Role::Leader || reply.term != self.hard_state.term {
+            return;
+        }
+        let last_index = self.log.last_index();
+        let now_ms = self.now_ms;
+        let Some(progress) = self.progress.get_mut(&reply.follower) else {
+            return;
+        };
+        progress.heard_ms = now_ms;
+        progress.acked_round = progress.acked_round.max(reply.round);
+        if reply.success {
+            progress.match_index = progress.match_index.max(reply.match_index.min(last_index));
+            progress.next_index = progress.next_index.max(progress.match_index + 1);
+            progress.snapshot_sent_ms = None;
+        } else {
+            // A follower that lost its disk has less than it once acknowledged.
+            progress.match_index = progress.match_index.min(reply.match_index);
+            progress.next_index = (reply.match_index + 1).min(last_index + 1);
+        }
+        self.advance_commit();
+        self.confirm_reads();
+    }
+
+    pub(super) fn advance_commit(&mut self) {
+        let mut matches = Vec::new();
+        for voter in self.members().voters.keys() {
+            match self.progress.get(voter) {
+                Some(progress) => matches.push(progress.match_index),
+                None if *voter == self.member => matches.push(self.durable_index),
+                None => matches.push(0),
+            }
+        }
+        matches.sort_unstable();
+        let index = matches[matches.len() - self.members().majority()];
+        // Only an entry of the own term commits by counting; it carries the earlier ones with it.
+        if index > self.commit_index && self.log.term_at(index) == Some(self.hard_state.term) {
+            self.commit_index = index;
+            self.confirm_reads();
+            self.leave_if_removed();
+        }
+    }
+
+    fn leave_if_removed(&mut self) {
+        let (members, index) = self.log.members();
+        if index <= self.commit_index && !members.voters.contains_key(&self.member) {
+            self.replicate();
+            self.become_follower(self.hard_state.term, None);
+        }
+    }
+
+    pub(super) fn has_committed_in_term(&self) -> bool {
+        self.log.term_at(self.commit_index) == Some(self.hard_state.term)
+    }
+
+    fn confirm_reads(&mut self) {
+        if self.pending_reads.is_empty() || !self.has_committed_in_term() {
+            return;
+        }
+        let round = self.quorum_round();
+        let commit_index = self.commit_index;
+        for read in &mut self.pending_reads {
+            read.index = read.index.max(commit_index);
+        }
+        let (done, waiting) = self
+            .pending_reads
+            .drain(..)
+            .partition(|it| it.round <= round);
+        self.pending_reads = waiting;
+        for read in done {
+            self.output.confirmed_reads.push((read.ticket, read.index));
+        }
+    }
+
+    fn quorum_round(&self) -> u64 {
+        let mut rounds = Vec::new();
+        for voter in self.members().voters.keys() {
+            match self.progress.get(voter) {
+                Some(progress) => rounds.push(progress.acked_round),
+                None if *voter == self.member => rounds.push(self.round),
+                None => rounds.push(0),
+            }
+        }
+        rounds.sort_unstable();
+        rounds[rounds.len() - self.members().majority()]
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-coordination/src/raft/mod.rs
@@ -0,0 +1,28 @@
+//! Replicated log by the Raft algorithm, with pre-vote, check-quorum and reads confirmed by a quorum.
+//!
+//! Source: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014), and
+//! Ongaro's dissertation for pre-vote, single-server membership changes and read indexes.
+
+mod election;
+mod follower;
+mod leader;
+mod log;
+mod message;
+mod node;
+mod output;
+
+pub use log::Log;
+pub use message::Append;
+pub use message::AppendReply;
+pub use message::InstallSnapshot;
+pub use message::Message;
+pub use message::VoteReply;
+pub use message::VoteRequest;
+pub use node::NotLeader;
+pub use node::Options;
+pub use node::Raft;
+pub use node::Role;
+pub use node::Start;
+pub use output::Outbound;
+pub use output::Output;
+pub use output::ReadTicket;
--- /dev/null
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -0,0 +1,420 @@
+//! One member of the quorum: its state, its inputs, and what it hands to the driver.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use bilberryloft_state::member_set::MemberSet;
+use bilberryloft_state::snapshot::Snapshot;
+use bilberryloft_state::wal::HardState;
+use bilberryloft_state::wal::LogEntry;
+use bilberryloft_state::wal::Payload;
+use bilberryloft_state::wal::WalRecord;
+
+use crate::raft::Log;
+use crate::raft::Message;
+use crate::raft::Outbound;
+use crate::raft::Output;
+use crate::raft::ReadTicket;
+use crate::raft::leader::Progress;
+
+/// Timing and safety switches. The switches exist so that tests can show what each safeguard prevents.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Time between heartbeats of a leader in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Shortest election timeout in milliseconds; the longest is twice that.
+    pub election_ms: u64,
+    /// Whether a member asks before it starts an election.
+    pub pre_vote: bool,
+    /// Whether reads wait for a quorum to confirm the leader.
+    pub confirm_reads: bool,
+    /// Whether a member with an empty folder abstains until it has caught up.
+    pub abstain_when_empty: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            heartbeat_ms: 100,
+            election_ms: 500,
+            pre_vote: true,
+            confirm_reads: true,
+            abstain_when_empty: true,
+        }
+    }
+}
+
+/// What a member starts from.
+#[derive(Debug, Default)]
+pub struct Start {
+    /// Number of the member.
+    pub member: u32,
+    /// Members when the log names none.
+    pub members: MemberSet,
+    /// Durable term and vote.
+    pub hard_state: HardState,
+    /// Whether the member may vote.
+    pub may_vote: bool,
+    /// Durable snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Durable entries after it.
+    pub entries: Vec<LogEntry>,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+    /// Current time in milliseconds.
+    pub now_ms: u64,
+}
+
+/// Role of a member in its term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Follows a leader or waits for one.
+    Follower,
+    /// Asks whether it could win.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads the term.
+    Leader,
+}
+
+/// The member does not lead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotLeader {
+    /// Who does, as far as the member knows.
+    pub leader: Option<u32>,
+}
+
+#[derive(Debug)]
+pub(super) struct PendingPersist {
+    pub number: u64,
+    pub last_index: u64,
+    pub last_term: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct PendingRead {
+    pub ticket: ReadTicket,
+    pub round: u64,
+    pub index: u64,
+}
+
+/// One member.
+#[derive(Debug)]
+pub struct Raft {
+    pub(super) options: Options,
+    pub(super) member: u32,
+    pub(super) role: Role,
+    pub(super) hard_state: HardState,
+    pub(super) may_vote: bool,
+    pub(super) catch_up_index: Option<u64>,
+    pub(super) log: Log,
+    pub(super) commit_index: u64,
+    handed_index: u64,
+    pub(super) durable_index: u64,
+    pub(super) leader: Option<u32>,
+    pub(super) now_ms: u64,
+    pub(super) election_due_ms: u64,
+    pub(super) leader_heard_ms: Option<u64>,
+    pub(super) votes: BTreeSet<u32>,
+    pub(super) progress: BTreeMap<u32, Progress>,
+    pub(super) round: u64,
+    pub(super) heartbeat_due_ms: u64,
+    pub(super) pending_reads: Vec<PendingRead>,
+    pub(super) snapshot: Option<Snapshot>,
+    pending_persists: VecDeque<PendingPersist>,
+    persist_number: u64,
+    random: fastrand::Rng,
+    pub(super) output: Output,
+}
+
+impl Raft {
+    /// Starts a member as a follower.
+    pub fn new(options: Options, start: Start) -> Raft {
+        let (index, term, members) = match &start.snapshot {
+            Some(it) => (it.last_index, it.last_term, it.members.clone()),
+            None => (0, 0, start.members),
+        };
+        let log = Log::new(index, term, members, start.entries);
+        let mut raft = Raft {
+            options,
+            member: start.member,
+            role: Role::Follower,
+            hard_state: start.hard_state,
+            may_vote: start.may_vote || !options.abstain_when_empty,
+            catch_up_index: None,
+            durable_index: log.last_index(),
+            log,
+            commit_index: index,
+            handed_index: index,
+            leader: None,
+            now_ms: start.now_ms,
+            election_due_ms: 0,
+            leader_heard_ms: None,
+            votes: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            round: 0,
+            heartbeat_due_ms: 0,
+            pending_reads: Vec::new(),
+            snapshot: start.snapshot,
+            pending_persists: VecDeque::new(),
+            persist_number: 0,
+            random: fastrand::Rng::with_seed(start.seed),
+            output: Output::default(),
+        };
+        raft.reset_election_timer();
+        raft
+    }
+
+    /// Role in the current term.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Current term.
+    pub fn term(&self) -> u64 {
+        self.hard_state.term
+    }
+
+    /// Durable term and vote, as far as the driver has made them so.
+    pub fn hard_state(&self) -> HardState {
+        self.hard_state
+    }
+
+    /// Whether the member may vote.
+    pub fn may_vote(&self) -> bool {
+        self.may_vote
+    }
+
+    /// Leader of the term, as far as known.
+    pub fn leader(&self) -> Option<u32> {
+        self.leader
+    }
+
+    /// Index up to which entries are committed.
+    pub fn commit_index(&self) -> u64 {
+        self.commit_index
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Members in force.
+    pub fn members(&self) -> &MemberSet {
+        self.log.members().0
+    }
+
+    /// Takes the passing of time.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        match self.role {
+            Role::Leader => self.tick_leader(),
+            Role::Follower | Role::PreCandidate | Role::Candidate => self.tick_waiting(),
+        }
+    }
+
+    /// Takes a message from another member.
+    pub fn receive(&mut self, message: Message, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.adopt_higher_term(&message);
+        match message {
+            Message::VoteRequest(it) => self.on_vote_request(it),
+            Message::VoteReply(it) => self.on_vote_reply(it),
+            Message::Append(it) => self.on_append(it),
+            Message::InstallSnapshot(it) => self.on_install_snapshot(it),
+            Message::AppendReply(it) => self.on_append_reply(it),
+        }
+    }
+
+    fn adopt_higher_term(&mut self, message: &Message) {
+        let binds_nobody = match message {
+            Message::VoteRequest(it) => it.pre_vote,
+            Message::VoteReply(it) => it.pre_vote && it.granted,
+            Message::Append(_) | Message::AppendReply(_) | Message::InstallSnapshot(_) => false,
+        };
+        if binds_nobody || message.term() <= self.hard_state.term {
+            return;
+        }
+        // A vote request from a cut-off member must not depose a leader that a quorum still hears.
+        if let Message::VoteRequest(_) = message
+            && self.hears_a_leader()
+        {
+            return;
+        }
+        self.become_follower(message.term(), None);
+    }
+
+    /// Proposes a command; its position is returned, its commitment comes with a later output.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<(u64, u64), NotLeader> {
+        self.propose_payload(Payload::Command(command))
+    }
+
+    /// Proposes another member set; it may differ in at most one voter, and the last change must be committed.
+    pub fn propose_members(&mut self, members: MemberSet) -> Result<Option<(u64, u64)>, NotLeader> {
+        self.check_leads()?;
+        let (current, index) = self.log.members();
+        let settled = index <= self.commit_index && self.has_committed_in_term();
+        if !settled || current.voters_that_differ(&members) > 1 || members.voters.is_empty() {
+            return Ok(None);
+        }
+        let position = self.propose_payload(Payload::Members(members))?;
+        self.refresh_progress();
+        Ok(Some(position))
+    }
+
+    fn propose_payload(&mut self, payload: Payload) -> Result<(u64, u64), NotLeader> {
+        self.check_leads()?;
+        let entry = LogEntry {
+            term: self.hard_state.term,
+            index: self.log.last_index() + 1,
+            payload,
+        };
+        let position = (entry.term, entry.index);
+        self.append_entry(entry);
+        Ok(position)
+    }
+
+    fn check_leads(&self) -> Result<(), NotLeader> {
+        match self.role {
+            Role::Leader => Ok(()),
+            Role::Follower | Role::PreCandidate | Role::Candidate => Err(NotLeader {
+                leader: self.leader,
+            }),
+        }
+    }
+
+    /// Asks for an index such that a machine that has applied it has seen all that was committed before.
+    pub fn read(&mut self, ticket: ReadTicket) -> Result<(), NotLeader> {
+        self.check_leads()?;
+        if !self.options.confirm_reads {
+            self.output
+                .confirmed_reads
+                .push((ticket, self.commit_index));
+            return Ok(());
+        }
+        self.pending_reads.push(PendingRead {
+            ticket,
+            round: self.round + 1,
+            index: 0,
+        });
+        Ok(())
+    }
+
+    /// Takes the driver's word that everything up to an output's `persist_number` is durable.
+    pub fn persisted(&mut self, number: u64) {
+        while let Some(first) = self.pending_persists.front() {
+            if first.number > number {
+                break;
+            }
+            let (last_index, last_term) = (first.last_index, first.last_term);
+            self.pending_persists.pop_front();
+            if self.log.term_at(last_index) == Some(last_term) {
+                self.durable_index = self.durable_index.max(last_index);
+            }
+        }
+        if self.role == Role::Leader {
+            self.advance_commit();
+        }
+    }
+
+    /// Drops entries that a snapshot of the driver's machine covers; the driver makes both durable.
+    pub fn compact(&mut self, snapshot: Snapshot) {
+        self.log.compact(snapshot.last_index);
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Hands over everything that the driver must do since the last call.
+    pub fn take_output(&mut self) -> Output {
+        if self.role == Role::Leader {
+            self.replicate();
+        }
+        self.hand_over_committed();
+        if self.output.install.is_some() {
+            // The driver writes term, vote and all entries anew together with the snapshot.
+            self.output.records.clear();
+        }
+        let has_records = !self.output.records.is_empty() || self.output.install.is_some();
+        if has_records {
+            self.persist_number += 1;
+            self.output.persist_number = self.persist_number;
+            self.pending_persists.push_back(PendingPersist {
+                number: self.persist_number,
+                last_index: self.log.last_index(),
+                last_term: self.log.last_term(),
+            });
+        }
+        std::mem::take(&mut self.output)
+    }
+
+    fn hand_over_committed(&mut self) {
+        while self.handed_index < self.commit_index {
+            let Some(entry) = self.log.entry(self.handed_index + 1) else {
+                break;
+            };
+            self.output.committed.push(entry.clone());
+            self.handed_index += 1;
+        }
+    }
+
+    pub(super) fn skip_committed_to(&mut self, index: u64) {
+        self.commit_index = self.commit_index.max(index);
+        self.handed_index = self.handed_index.max(index);
+        self.durable_index = self.durable_index.max(index);
+    }
+
+    pub(super) fn nothing_to_persist(&self) -> bool {
+        self.output.records.is_empty()
+            && self.output.install.is_none()
+            && self.pending_persists.is_empty()
+    }
+
+    pub(super) fn append_entry(&mut self, entry: LogEntry) {
+        self.output.records.push(WalRecord::Entry(entry.clone()));
+        self.log.push(entry);
+    }
+
+    pub(super) fn save_hard_state(&mut self) {
+        self.output
+            .records
+            .push(WalRecord::HardState(self.hard_state));
+    }
+
+    pub(super) fn send_now(&mut self, to: u32, message: Message) {
+        self.output.now.push(Outbound { to, message });
+    }
+
+    pub(super) fn send_after_sync(&mut self, to: u32, message: Message) {
+        self.output.after_sync.push(Outbound { to, message });
+    }
+
+    pub(super) fn become_follower(&mut self, term: u64, leader: Option<u32>) {
+        if term > self.hard_state.term {
+            // Counting the leader as voted for keeps a member from voting twice in the term.
+            self.hard_state = HardState { term, vote: leader };
+            self.save_hard_state();
+        }
+        if self.role == Role::Leader {
+            let failed = self.pending_reads.drain(..).map(|it| it.ticket);
+            self.output.failed_reads.extend(failed);
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election_timer();
+    }
+
+    pub(super) fn hears_a_leader(&self) -> bool {
+        let led = self.role == Role::Leader;
+        let heard = self
+            .leader_heard_ms
+            .is_some_and(|it| it + self.options.election_ms > self.now_ms);
+        self.options.pre_vote && (led || (self.leader.is_some() && heard))
+    }
+
+    pub(super) fn reset_election_timer(&mut self) {
+        let spread = self.random.u64(0..self.options.election_ms.max(1));
+        self.election_due_ms = self.now_ms + self.options.election_ms + spread;
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/agent/crash.rs
@@ -0,0 +1,118 @@
+//! Telling a crash of the target from the failure of one request, and naming what was in flight.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_state::machine::Command;
+use bilberryloft_transport::clock::monotonic_ms;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use serde::Deserialize;
+use tokio::sync::watch;
+
+use crate::agent::Agent;
+use crate::events::Event;
+use crate::log_event;
+
+/// Time for the target to answer a health question.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for control to record the suspects.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// One crash, shared by all requests that it hit.
+#[derive(Debug)]
+pub struct CrashReport {
+    number: u64,
+    fingerprints: Vec<i64>,
+    began_ms: u64,
+    is_recorded: watch::Sender<bool>,
+}
+
+#[derive(Deserialize)]
+struct Health {
+    incarnation: u64,
+}
+
+impl Agent {
+    /// Returns once it is clear whether the target crashed, and the suspects are recorded if it did.
+    ///
+    /// `began_ms` is the time at which the failed request went to the target.
+    pub(super) async fn settle_failure(&self, began_ms: u64) -> bool {
+        if let Some(report) = self.crash_since(began_ms) {
+            return self.wait_until_recorded(&report).await;
+        }
+        if self.is_target_alive().await {
+            return false;
+        }
+        let (report, is_first) = self.open_report(began_ms);
+        if is_first {
+            self.record(&report).await;
+        }
+        self.wait_until_recorded(&report).await
+    }
+
+    fn crash_since(&self, began_ms: u64) -> Option<Arc<CrashReport>> {
+        self.lock()
+            .crash
+            .clone()
+            .filter(|it| it.began_ms >= began_ms)
+    }
+
+    async fn is_target_alive(&self) -> bool {
+        let Some(target) = self.lock().target.clone() else {
+            return false;
+        };
+        let Ok(request) =
+            Request::get(format!("{}/health", target.url)).body(Full::<Bytes>::default())
+        else {
+            return false;
+        };
+        match tokio::time::timeout(HEALTH_TIMEOUT, self.http.fetch(request)).await {
+            Ok(Ok((200, body))) => serde_json::from_slice::<Health>(&body)
+                .is_ok_and(|it| it.incarnation == target.incarnation),
+            Ok(_) | Err(_) => false,
+        }
+    }
+
+    fn open_report(&self, began_ms: u64) -> (Arc<CrashReport>, bool) {
+        let mut inner = self.lock();
+        if let Some(report) = inner.crash.clone().filter(|it| it.began_ms >= began_ms) {
+            return (report, false);
+        }
+        inner.crashes += 1;
+        inner.target_is_down = true;
+        let report = Arc::new(CrashReport {
+            number: inner.crashes,
+            fingerprints: inner.at_target.values().copied().collect(),
+            began_ms: monotonic_ms(),
+            is_recorded: watch::channel(false).0,
+        });
+        inner.crash = Some(report.clone());
+        (report, true)
+    }
+
+    async fn record(&self, report: &CrashReport) {
+        let target = self.settings.target.clone();
+        log_event!(
+            error,
+            Event::TargetCrashed,
+            target,
+            in_flight = report.fingerprints.len()
+        );
+        self.metrics.target_crashes.inc();
+        let command = Command::ReportCrash {
+            target,
+            crash_number: (self.incarnation() << 16) + report.number,
+            fingerprints: report.fingerprints.clone(),
+        };
+        let _ = self.control.propose(&command, REPORT_TIMEOUT).await;
+        report.is_recorded.send_replace(true);
+    }
+
+    async fn wait_until_recorded(&self, report: &CrashReport) -> bool {
+        let mut recorded = report.is_recorded.subscribe();
+        let _ = tokio::time::timeout(REPORT_TIMEOUT, recorded.wait_for(|it| *it)).await;
+        true
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/agent/held.rs
@@ -0,0 +1,254 @@
+//! The answer of one attempt: written once by the target, read by any number of listeners.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use bilberryloft_protocol::wire::Header;
+use bilberryloft_state::refusal::Reason;
+use bilberryloft_state::refusal::RunState;
+use bytes::Bytes;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The answer is whole.
+    Complete,
+    /// There is no whole answer.
+    Refused {
+        /// Why.
+        reason: Reason,
+        /// Whether it ran.
+        run: RunState,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+        /// What happened.
+        detail: String,
+    },
+}
+
+/// Status line and headers of the target's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers that callers get.
+    pub headers: Vec<Header>,
+}
+
+/// What a listener gets next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// The head.
+    Head(AnswerHead),
+    /// A piece with its number.
+    Piece(u32, Bytes),
+    /// The end, with the number of pieces and bytes of the body.
+    End(Ending, u32, u64),
+    /// The wanted piece is no longer held.
+    Gone,
+    /// Nothing new yet.
+    Wait,
+}
+
+/// Position of a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cursor {
+    /// Number of the listener.
+    pub listener: u64,
+    /// Whether it has had the head.
+    pub has_head: bool,
+    /// Number of the piece that it wants next.
+    pub sequence: u32,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    head: Option<AnswerHead>,
+    pieces: VecDeque<Bytes>,
+    first_sequence: u32,
+    held_bytes: usize,
+    body_bytes: u64,
+    ending: Option<Ending>,
+    ended_ms: u64,
+    listeners: BTreeMap<u64, u32>,
+    next_listener: u64,
+    abandoned_ms: Option<u64>,
+}
+
+/// The answer of one attempt.
+#[derive(Debug)]
+pub struct Held {
+    /// Team that may read it.
+    pub team: String,
+    /// Whether the attempt must run to its end even when nobody listens.
+    pub non_idempotent: bool,
+    max_bytes: usize,
+    inner: Mutex<Inner>,
+    changed: watch::Sender<()>,
+    consumed: Notify,
+    cancelled: watch::Sender<bool>,
+}
+
+impl Held {
+    /// Starts an answer that holds about `max_bytes` of its body.
+    pub fn new(team: &str, non_idempotent: bool, max_bytes: usize) -> Held {
+        Held {
+            team: team.to_string(),
+            non_idempotent,
+            max_bytes,
+            inner: Mutex::default(),
+            changed: watch::channel(()).0,
+            consumed: Notify::new(),
+            cancelled: watch::channel(false).0,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes the head.
+    pub fn set_head(&self, head: AnswerHead) {
+        self.lock().head = Some(head);
+        self.changed.send_replace(());
+    }
+
+    /// Adds a piece, waiting while a listener is so far behind that it would lose its place.
+    pub async fn push(&self, piece: Bytes) {
+        loop {
+            let consumed = self.consumed.notified();
+            if self.try_push(&piece) {
+                self.changed.send_replace(());
+                return;
+            }
+            consumed.await;
+        }
+    }
+
+    fn try_push(&self, piece: &Bytes) -> bool {
+        let mut inner = self.lock();
+        while inner.held_bytes + piece.len() > self.max_bytes && !inner.pieces.is_empty() {
+            let first = inner.first_sequence;
+            if inner.listeners.values().any(|it| *it <= first) {
+                return false;
+            }
+            if let Some(dropped) = inner.pieces.pop_front() {
+                inner.held_bytes -= dropped.len();
+                inner.first_sequence += 1;
+            }
+        }
+        inner.held_bytes += piece.len();
+        inner.body_bytes += piece.len() as u64;
+        inner.pieces.push_back(piece.clone());
+        true
+    }
+
+    /// Writes the end; the first one stays.
+    pub fn end(&self, ending: Ending, now_ms: u64) {
+        let mut inner = self.lock();
+        if inner.ending.is_none() {
+            inner.ending = Some(ending);
+            inner.ended_ms = now_ms;
+        }
+        drop(inner);
+        self.changed.send_replace(());
+    }
+
+    /// How the attempt ended, if it has.
+    pub fn ending(&self) -> Option<Ending> {
+        self.lock().ending.clone()
+    }
+
+    /// Time of the end, if it has come.
+    pub fn ended_ms(&self) -> Option<u64> {
+        let inner = self.lock();
+        inner.ending.as_ref().map(|_| inner.ended_ms)
+    }
+
+    /// Bytes of the body that are held.
+    pub fn held_bytes(&self) -> usize {
+        self.lock().held_bytes
+    }
+
+    /// Adds a listener that wants pieces from a number on.
+    pub fn listen(&self, from_sequence: u32) -> Cursor {
+        let mut inner = self.lock();
+        inner.next_listener += 1;
+        let listener = inner.next_listener;
+        inner.listeners.insert(listener, from_sequence);
+        inner.abandoned_ms = None;
+        Cursor {
+            listener,
+            has_head: false,
+            sequence: from_sequence,
+        }
+    }
+
+    /// Removes a listener.
+    pub fn leave(&self, cursor: Cursor, now_ms: u64) {
+        let mut inner = self.lock();
+        inner.listeners.remove(&cursor.listener);
+        if inner.listeners.is_empty() {
+            inner.abandoned_ms = Some(now_ms);
+        }
+        drop(inner);
+        self.consumed.notify_one();
+    }
+
+    /// Time since which nobody listens, if so.
+    pub fn abandoned_ms(&self) -> Option<u64> {
+        self.lock().abandoned_ms
+    }
+
+    /// Signals each change; subscribe before reading.
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    /// Returns what comes next and moves the cursor past it.
+    pub fn next(&self, cursor: &mut Cursor) -> Next {
+        let mut inner = self.lock();
+        if !cursor.has_head {
+            if let Some(head) = inner.head.clone() {
+                cursor.has_head = true;
+                return Next::Head(head);
+            }
+            return match inner.ending.clone() {
+                Some(ending) => Next::End(ending, 0, 0),
+                None => Next::Wait,
+            };
+        }
+        if cursor.sequence < inner.first_sequence {
+            return Next::Gone;
+        }
+        let offset = (cursor.sequence - inner.first_sequence) as usize;
+        if let Some(piece) = inner.pieces.get(offset).cloned() {
+            let sequence = cursor.sequence;
+            cursor.sequence += 1;
+            inner.listeners.insert(cursor.listener, cursor.sequence);
+            drop(inner);
+            self.consumed.notify_one();
+            return Next::Piece(sequence, piece);
+        }
+        let pieces = inner.first_sequence + inner.pieces.len() as u32;
+        match inner.ending.clone() {
+            Some(ending) => Next::End(ending, pieces, inner.body_bytes),
+            None => Next::Wait,
+        }
+    }
+
+    /// Asks the attempt to stop; work that must not be repeated heeds this only until it starts.
+    pub fn cancel(&self) {
+        self.cancelled.send_replace(true);
+    }
+
+    /// Signals the wish to stop.
+    pub fn cancellation(&self) -> watch::Receiver<bool> {
+        self.cancelled.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/agent/listener.rs
@@ -0,0 +1,177 @@
+//! Sending a held answer to one entry.
+
+use bilberryloft_protocol::wire;
+use bilberryloft_protocol::wire::Body;
+use bilberryloft_state::refusal::Reason;
+use bilberryloft_state::refusal::RunState;
+use bilberryloft_transport::clock::monotonic_ms;
+use bilberryloft_transport::server::Responder;
+
+use crate::agent::Agent;
+use crate::agent::held::Cursor;
+use crate::agent::held::Ending;
+use crate::agent::held::Held;
+use crate::agent::held::Next;
+
+/// A refusal on its way to an entry.
+#[derive(Clone, Debug)]
+pub(super) struct Refusal {
+    pub reason: Reason,
+    pub run: RunState,
+    pub retry_after_ms: u64,
+    pub detail: String,
+}
+
+impl Refusal {
+    pub fn not_run(reason: Reason, retry_after_ms: u64, detail: impl Into<String>) -> Refusal {
+        Refusal {
+            reason,
+            run: RunState::NotRun,
+            retry_after_ms,
+            detail: detail.into(),
+        }
+    }
+
+    pub fn into_ending(self) -> Ending {
+        let Refusal {
+            reason,
+            run,
+            retry_after_ms,
+            detail,
+        } = self;
+        Ending::Refused {
+            reason,
+            run,
+            retry_after_ms,
+            detail,
+        }
+    }
+}
+
+impl Agent {
+    /// Sends the answer from a piece on until its end, or until the entry has gone.
+    pub(super) async fn send_held(
+        &self,
+        request_id: &str,
+        attempt: u32,
+        held: &Held,
+        from_sequence: u32,
+        responder: &Responder,
+    ) {
+        let mut changes = held.changes();
+        let mut cursor = held.listen(from_sequence);
+        loop {
+            changes.mark_unchanged();
+            if !self
+                .send_available(request_id, attempt, held, &mut cursor, responder)
+                .await
+            {
+                break;
+            }
+            tokio::select! {
+                changed = changes.changed() => if changed.is_err() { break },
+                () = responder.closed() => break,
+            }
+        }
+        held.leave(cursor, monotonic_ms());
+    }
+
+    /// Returns whether there may be more to come.
+    async fn send_available(
+        &self,
+        request_id: &str,
+        attempt: u32,
+        held: &Held,
+        cursor: &mut Cursor,
+        responder: &Responder,
+    ) -> bool {
+        loop {
+            let body = match held.next(cursor) {
+                Next::Wait => return true,
+                Next::Head(head) => Body::Head(wire::Head {
+                    request_id: request_id.to_string(),
+                    attempt: attempt as i32,
+                    status: i32::from(head.status),
+                    headers: head.headers,
+                    load: self.load(),
+                }),
+                Next::Piece(sequence, piece) => Body::Piece(wire::Piece::new(
+                    attempt as i32,
+                    sequence as i32,
+                    piece.to_vec(),
+                )),
+                Next::Gone => {
+                    let refusal = Refusal {
+                        reason: Reason::AnswerGone,
+                        run: RunState::Ran,
+                        retry_after_ms: 0,
+                        detail: "the wanted part of the answer is no longer held".to_string(),
+                    };
+                    self.refuse(attempt, refusal, responder).await;
+                    return false;
+                }
+                Next::End(ending, pieces, body_bytes) => {
+                    self.send_ending(attempt, ending, pieces, body_bytes, responder)
+                        .await;
+                    return false;
+                }
+            };
+            if responder.send(body).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    async fn send_ending(
+        &self,
+        attempt: u32,
+        ending: Ending,
+        pieces: u32,
+        body_bytes: u64,
+        responder: &Responder,
+    ) {
+        match ending {
+            Ending::Complete => {
+                let complete = wire::Complete {
+                    attempt: attempt as i32,
+                    pieces: pieces as i32,
+                    body_bytes: body_bytes as i64,
+                    load: self.load(),
+                };
+                let _ = responder.send(Body::Complete(complete)).await;
+            }
+            Ending::Refused {
+                reason,
+                run,
+                retry_after_ms,
+                detail,
+            } => {
+                self.refuse(
+                    attempt,
+                    Refusal {
+                        reason,
+                        run,
+                        retry_after_ms,
+                        detail,
+                    },
+                    responder,
+                )
+                .await;
+            }
+        }
+    }
+
+    pub(super) async fn refuse(&self, attempt: u32, refusal: Refusal, responder: &Responder) {
+        self.metrics.count_agent_refusal(refusal.reason);
+        let refused = wire::Refused {
+            attempt: attempt as i32,
+            reason: refusal.reason.wire_number(),
+            run: refusal.run.wire_number(),
+            retry_after_ms: refusal.retry_after_ms as i64,
+            configuration_version: self.view.configuration().version() as i64,
+            detail: refusal.detail,
+            load: self.load(),
+        };
+        let _ = responder.send(Body::Refused(refused)).await;
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/agent/run.rs
@@ -0,0 +1,251 @@
+//! Running one attempt at the target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_coordination::attempts::AttemptState;
+use bilberryloft_protocol::wire::Dispatch;
+use bilberryloft_protocol::wire::Header;
+use bilberryloft_state::refusal::Reason;
+use bilberryloft_state::refusal::RunState;
+use bilberryloft_transport::clock::monotonic_ms;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::agent::Agent;
+use crate::agent::SseSplitter;
+use crate::agent::dispatch::Slot;
+use crate::agent::held::AnswerHead;
+use crate::agent::held::Ending;
+use crate::agent::held::Held;
+use crate::events::Event;
+use crate::log_event;
+
+/// Time for which an idempotent attempt goes on when its entry has gone and nobody joined it.
+const ABANDONED_AFTER_MS: u64 = 10_000;
+/// Time between looks for abandonment.
+const ABANDONED_LOOK: Duration = Duration::from_millis(500);
+/// Headers of an answer that belong to one connection and are not passed on.
+const CONNECTION_HEADERS: [&str; 4] = [
+    "connection",
+    "transfer-encoding",
+    "content-length",
+    "keep-alive",
+];
+
+impl Agent {
+    pub(super) async fn run(
+        self: Arc<Self>,
+        dispatch: Dispatch,
+        slot: Slot,
+        due: Instant,
+        held: Arc<Held>,
+    ) {
+        let began_ms = monotonic_ms();
+        self.lock().at_target.insert(slot.id, dispatch.fingerprint);
+        self.metrics.attempts_started.inc();
+        let mut cancellation = held.cancellation();
+        let ending = tokio::select! {
+            ending = self.exchange(&dispatch, &slot, &held, began_ms) => ending,
+            () = tokio::time::sleep_until(due) => {
+                ran(Reason::Deadline, 0, "the deadline passed while the target was at work")
+            }
+            _ = cancellation.wait_for(|it| *it), if !held.non_idempotent => ran(Reason::Cancelled, 0, "the caller went away"),
+            () = wait_until_abandoned(&held, ABANDONED_AFTER_MS), if !held.non_idempotent => ran(Reason::Cancelled, 0, "nobody waits for the answer"),
+        };
+        self.finish(&dispatch, &slot, &held, ending);
+    }
+
+    fn finish(&self, dispatch: &Dispatch, slot: &Slot, held: &Held, ending: Ending) {
+        let now_ms = monotonic_ms();
+        let state = match &ending {
+            Ending::Complete => AttemptState::Finished,
+            Ending::Refused {
+                run: RunState::NotRun,
+                ..
+            } => AttemptState::NotStarted,
+            Ending::Refused {
+                reason: Reason::Cancelled,
+                ..
+            } => {
+                log_event!(
+                    info,
+                    Event::AttemptCancelled,
+                    request_id = dispatch.request_id
+                );
+                AttemptState::Failed
+            }
+            Ending::Refused { .. } => AttemptState::Failed,
+        };
+        {
+            let mut inner = self.lock();
+            inner.at_target.remove(&slot.id);
+            inner
+                .attempts
+                .end(&dispatch.request_id, dispatch.attempt as u32, state, now_ms);
+        }
+        self.free_slot(slot.id);
+        held.end(ending, now_ms);
+        self.drop_old_answers(now_ms);
+    }
+
+    /// Answers are kept for resends and resumption, for a bounded time and in bounded memory.
+    fn drop_old_answers(&self, now_ms: u64) {
+        let hold_ms = self.settings.hold_ms;
+        let mut inner = self.lock();
+        inner
+            .held
+            .retain(|_, it| it.ended_ms().is_none_or(|ended| ended + hold_ms > now_ms));
+        let mut total_bytes: usize = inner.held.values().map(|it| it.held_bytes()).sum();
+        while total_bytes > self.settings.hold_total_max_bytes {
+            let oldest = inner
+                .held
+                .iter()
+                .filter_map(|(key, it)| Some((it.ended_ms()?, key)))
+                .min();
+            let Some((_, key)) = oldest else { break };
+            let key = key.clone();
+            total_bytes -= inner.held.remove(&key).map_or(0, |it| it.held_bytes());
+        }
+    }
+
+    async fn exchange(
+        &self,
+        dispatch: &Dispatch,
+        slot: &Slot,
+        held: &Held,
+        began_ms: u64,
+    ) -> Ending {
+        let request = match build_request(dispatch, &slot.target.url) {
+            Ok(request) => request,
+            Err(detail) => return not_run(Reason::BadRequest, detail),
+        };
+        let response = match self.http.send(request).await {
+            Ok(response) => response,
+            Err(failure) if failure.is_connect => {
+                self.lock().target_is_down = true;
+                return not_run(Reason::TargetUnreachable, failure.detail);
+            }
+            Err(failure) => {
+                return self
+                    .failed(began_ms, RunState::Unknown, failure.detail)
+                    .await;
+            }
+        };
+        let head = head_of(&response);
+        let is_stream = is_event_stream(&response);
+        held.set_head(head);
+        match relay(response, is_stream, held).await {
+            Ok(()) => Ending::Complete,
+            Err(detail) => self.failed(began_ms, RunState::Ran, detail).await,
+        }
+    }
+
+    async fn failed(&self, began_ms: u64, run: RunState, detail: String) -> Ending {
+        let has_crashed = self.settle_failure(began_ms).await;
+        let detail = match has_crashed {
+            true => format!("the target crashed: {detail}"),
+            false => format!("the target broke off: {detail}"),
+        };
+        Ending::Refused {
+            reason: Reason::TargetFailed,
+            run,
+            retry_after_ms: 0,
+            detail,
+        }
+    }
+}
+
+async fn relay(response: Response<Incoming>, is_stream: bool, held: &Held) -> Result<(), String> {
+    let mut body = response.into_body();
+    let mut splitter = SseSplitter::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|it| it.to_string())?;
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        if !is_stream {
+            held.push(chunk).await;
+            continue;
+        }
+        for event in splitter.push(&chunk) {
+            held.push(event).await;
+        }
+    }
+    if let Some(rest) = splitter.finish() {
+        held.push(rest).await;
+    }
+    Ok(())
+}
+
+/// Returns when nobody has listened for a time.
+pub(super) async fn wait_until_abandoned(held: &Held, after_ms: u64) {
+    loop {
+        tokio::time::sleep(ABANDONED_LOOK).await;
+        if held
+            .abandoned_ms()
+            .is_some_and(|since| since + after_ms < monotonic_ms())
+        {
+            return;
+        }
+    }
+}
+
+fn build_request(dispatch: &Dispatch, url: &str) -> Result<Request<Full<Bytes>>, String> {
+    let mut request = Request::builder()
+        .method(dispatch.method.as_str())
+        .uri(format!("{url}{}", dispatch.path));
+    for header in &dispatch.headers {
+        request = request.header(&header.name, &header.value);
+    }
+    request
+        .header("x-request-id", &dispatch.request_id)
+        .header("x-priority", dispatch.priority.to_string())
+        .body(Full::new(Bytes::from(dispatch.body.clone())))
+        .map_err(|it| it.to_string())
+}
+
+fn head_of(response: &Response<Incoming>) -> AnswerHead {
+    let mut headers = Vec::new();
+    for (name, value) in response.headers() {
+        let Ok(value) = value.to_str() else { continue };
+        if !CONNECTION_HEADERS.contains(&name.as_str()) {
+            headers.push(Header::new(name.to_string(), value.to_string()));
+        }
+    }
+    AnswerHead {
+        status: response.status().as_u16(),
+        headers,
+    }
+}
+
+fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let kind = response
+        .headers()
+        .get("content-type")
+        .and_then(|it| it.to_str().ok());
+    kind.is_some_and(|it| it.starts_with("text/event-stream"))
+}
+
+fn not_run(reason: Reason, detail: impl Into<String>) -> Ending {
+    Ending::Refused {
+        reason,
+        run: RunState::NotRun,
+        retry_after_ms: 50,
+        detail: detail.into(),
+    }
+}
+
+fn ran(reason: Reason, retry_after_ms: u64, detail: &str) -> Ending {
+    Ending::Refused {
+        reason,
+        run: RunState::Ran,
+        retry_after_ms,
+        detail: detail.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/agent/target.rs
@@ -0,0 +1,86 @@
+//! What the target says of itself to the agent beside it.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::post;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use bilberryloft_transport::clock::monotonic_ms;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+use crate::agent::Agent;
+use crate::events::Event;
+use crate::log_event;
+
+/// Announcement of a target, repeated about once a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Base address of the target, such as `http://10.0.0.1:8000`.
+    pub url: String,
+    /// Life of the target's process.
+    pub incarnation: u64,
+    /// Models that it serves.
+    #[serde(default)]
+    pub models: Vec<String>,
+    /// Plain services that it serves.
+    #[serde(default)]
+    pub services: Vec<String>,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// Ranks of its group.
+    #[serde(default = "one_rank")]
+    pub ranks: u32,
+    /// Whether it refuses orders with an old fencing token.
+    #[serde(default)]
+    pub checks_fencing: bool,
+}
+
+fn one_rank() -> u32 {
+    1
+}
+
+/// Listens for announcements until the process ends.
+pub async fn serve_announcements(agent: Arc<Agent>) -> Result<()> {
+    let address = agent.settings.announce_address.clone();
+    let listener = TcpListener::bind(&address)
+        .await
+        .map_err(|it| Error::network("listen", &address, it))?;
+    let router = Router::new()
+        .route("/announce", post(announce))
+        .with_state(agent);
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    Ok(())
+}
+
+async fn announce(
+    State(agent): State<Arc<Agent>>,
+    body: std::result::Result<Json<Announcement>, axum::extract::rejection::JsonRejection>,
+) -> (StatusCode, String) {
+    let Json(announcement) = match body {
+        Ok(body) => body,
+        Err(error) => return (StatusCode::BAD_REQUEST, error.body_text()),
+    };
+    if announcement.slots == 0 {
+        return (
+            StatusCode::BAD_REQUEST,
+            "slots: 0 is not allowed, it must be at least 1".to_string(),
+        );
+    }
+    let is_new = agent.note_announcement(announcement.clone(), monotonic_ms());
+    if is_new {
+        log_event!(
+            info,
+            Event::TargetAnnounced,
+            target = agent.settings.target,
+            ?announcement
+        );
+    }
+    (StatusCode::NO_CONTENT, String::new())
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -0,0 +1,289 @@
+//! What a control host answers to other daemons.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bilberryloft_protocol::api::WatcherRow;
+use bilberryloft_protocol::convert::raft_from_wire;
+use bilberryloft_protocol::wire;
+use bilberryloft_protocol::wire::Body;
+use bilberryloft_state::machine::Machine;
+use bilberryloft_state::record::DecisionRecord;
+use bilberryloft_state::record::RecordRing;
+use bilberryloft_transport::client::Client;
+use bilberryloft_transport::clock::monotonic_ms;
+use bilberryloft_transport::server::Responder;
+
+use crate::control::handle::Applied;
+use crate::control::handle::ControlHandle;
+use crate::control::handle::ProposeError;
+use crate::control::watchers::Watchers;
+
+/// Time for which a follower waits for the leader's answer.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for which a watch is held open.
+const WATCH_MAX_MS: i64 = 10_000;
+/// Decision records that entries hand over for safekeeping, kept in memory.
+const STORED_RECORDS_MAX: usize = 65_536;
+
+/// Serves the calls that only a control host can.
+pub struct ControlService {
+    node: ControlHandle,
+    daemon: String,
+    incarnation: u64,
+    leaders: Mutex<BTreeMap<String, Client>>,
+    watchers: Mutex<Watchers>,
+    records: Mutex<RecordRing>,
+}
+
+impl ControlService {
+    /// Makes the service of a running node.
+    pub fn new(node: ControlHandle, daemon: &str, incarnation: u64) -> ControlService {
+        ControlService {
+            node,
+            daemon: daemon.to_string(),
+            incarnation,
+            leaders: Mutex::default(),
+            watchers: Mutex::default(),
+            records: Mutex::new(RecordRing::with_capacity(STORED_RECORDS_MAX)),
+        }
+    }
+
+    /// The node.
+    pub fn node(&self) -> &ControlHandle {
+        &self.node
+    }
+
+    /// Daemons that watch this host.
+    pub fn watcher_rows(&self) -> Vec<WatcherRow> {
+        lock(&self.watchers).rows(monotonic_ms())
+    }
+
+    /// Peer address of a daemon that watches this host.
+    pub fn peer_address(&self, daemon: &str) -> Option<String> {
+        lock(&self.watchers).peer_address(daemon)
+    }
+
+    /// Records of a request that were handed over.
+    pub fn stored_records(&self, request_id: &str) -> Vec<DecisionRecord> {
+        lock(&self.records).find(request_id)
+    }
+
+    /// Keeps records that an entry hands over.
+    pub fn store_records(&self, records: &[Vec<u8>]) {
+        let mut ring = lock(&self.records);
+        for record in records
+            .iter()
+            .filter_map(|it| serde_json::from_slice(it).ok())
+        {
+            ring.push(record);
+        }
+    }
+
+    /// Hands a message of the quorum to the node.
+    pub async fn receive(&self, message: wire::RaftMessage) {
+        if let Some(message) = raft_from_wire(message) {
+            self.node.receive(message).await;
+        }
+    }
+
+    /// Serves a proposal.
+    pub async fn propose(&self, propose: wire::Propose, responder: &Responder) {
+        let command = match serde_json::from_slice(&propose.command) {
+            Ok(command) => command,
+            Err(error) => return responder.fail("propose", error.to_string()).await,
+        };
+        match self.node.propose(command).await {
+            Ok(outcome) => {
+                let bytes = serde_json::to_vec(&outcome).unwrap_or_default();
+                let _ = responder
+                    .send(Body::ProposeReply(wire::ProposeReply::new(bytes)))
+                    .await;
+            }
+            Err(error) => {
+                let again = Body::Propose(wire::Propose {
+                    forwarded: true,
+                    ..propose.clone()
+                });
+                self.forward(error, propose.forwarded, again, "propose", responder)
+                    .await;
+            }
+        }
+    }
+
+    /// Serves an announcement.
+    pub async fn announce(&self, announce: wire::Announce, lease_ms: u64, responder: &Responder) {
+        let description = match serde_json::from_slice(&announce.description) {
+            Ok(description) => description,
+            Err(error) => return responder.fail("announce", error.to_string()).await,
+        };
+        let incarnation = announce.incarnation as u64;
+        let known = self
+            .node
+            .announce(
+                announce.target.clone(),
+                incarnation,
+                description,
+                announce.leaving,
+            )
+            .await;
+        match known {
+            Ok(known) => {
+                let reply = wire::AnnounceReply::new(lease_ms as i64, known as i64);
+                let _ = responder.send(Body::AnnounceReply(reply)).await;
+            }
+            Err(error) => {
+                let again = Body::Announce(wire::Announce {
+                    forwarded: true,
+                    ..announce.clone()
+                });
+                self.forward(error, announce.forwarded, again, "announce", responder)
+                    .await;
+            }
+        }
+    }
+
+    /// Serves a question for a confirmed index.
+    pub async fn read_index(&self, question: wire::ReadIndex, responder: &Responder) {
+        match self.node.read_index().await {
+            Ok(index) => {
+                let _ = responder
+                    .send(Body::ReadIndexReply(wire::ReadIndexReply::new(
+                        index as i64,
+                    )))
+                    .await;
+            }
+            Err(error) => {
+                let again = Body::ReadIndex(wire::ReadIndex::new(true));
+                self.forward(error, question.forwarded, again, "read_index", responder)
+                    .await;
+            }
+        }
+    }
+
+    /// Hands a call on to the leader, once.
+    async fn forward(
+        &self,
+        error: ProposeError,
+        was_forwarded: bool,
+        body: Body,
+        step: &str,
+        responder: &Responder,
+    ) {
+        let leader = match error {
+            ProposeError::NotLeader {
+                leader_address: Some(address),
+            } if !was_forwarded => address,
+            other => return responder.fail(step, format!("{other:?}")).await,
+        };
+        match self
+            .leader_client(&leader)
+            .call(body, FORWARD_TIMEOUT)
+            .await
+        {
+            Ok(answer) => drop(responder.send(answer).await),
+            Err(error) => responder.fail(step, error.to_string()).await,
+        }
+    }
+
+    fn leader_client(&self, address: &str) -> Client {
+        let mut leaders = lock(&self.leaders);
+        let client = leaders.entry(address.to_string());
+        client
+            .or_insert_with(|| Client::new(address, &self.daemon, self.incarnation))
+            .clone()
+    }
+
+    /// Serves a watch: confirms with a quorum first, then waits for a change.
+    pub async fn watch(&self, watch: wire::Watch, responder: &Responder) {
+        lock(&self.watchers).note(&watch, monotonic_ms());
+        let wait = Duration::from_millis(watch.wait_ms.clamp(0, WATCH_MAX_MS) as u64);
+        let until = tokio::time::Instant::now() + wait;
+        let confirmed = self.confirm().await;
+        let mut applied = self.node.applied();
+        let has_news = |it: &Applied| {
+            it.configuration > watch.configuration_version as u64
+                || it.membership != watch.membership_version as u64
+                || it.suspects != watch.suspects_version as u64
+        };
+        tokio::select! {
+            _ = tokio::time::timeout_at(until, applied.wait_for(has_news)) => {}
+            () = responder.closed() => return,
+        }
+        let update = self.build_update(&watch, confirmed);
+        let _ = responder.send(Body::Update(update)).await;
+    }
+
+    /// Whether a quorum confirmed, after this call began, everything that this host has applied.
+    async fn confirm(&self) -> bool {
+        let index = match self.node.read_index().await {
+            Ok(index) => Some(index),
+            Err(ProposeError::NotLeader {
+                leader_address: Some(address),
+            }) => {
+                let question = Body::ReadIndex(wire::ReadIndex::new(true));
+                match self
+                    .leader_client(&address)
+                    .call(question, FORWARD_TIMEOUT)
+                    .await
+                {
+                    Ok(Body::ReadIndexReply(reply)) => Some(reply.index as u64),
+                    _ => None,
+                }
+            }
+            Err(_) => None,
+        };
+        let Some(index) = index else { return false };
+        let mut applied = self.node.applied();
+        let reached = applied.wait_for(|it| it.index >= index);
+        matches!(
+            tokio::time::timeout(FORWARD_TIMEOUT, reached).await,
+            Ok(Ok(_))
+        )
+    }
+
+    fn build_update(&self, watch: &wire::Watch, confirmed: bool) -> wire::Update {
+        let machine = self.node.machine();
+        let (snapshot, changes) = configuration_after(&machine, watch.configuration_version as u64);
+        let delta = machine
+            .membership
+            .delta_after(watch.membership_version as u64);
+        let suspects_version = machine.suspects_version();
+        let suspects = match suspects_version == watch.suspects_version as u64 {
+            true => Vec::new(),
+            false => machine.suspects.list(),
+        };
+        wire::Update {
+            confirmed,
+            configuration_version: machine.configuration.version() as i64,
+            configuration_snapshot: snapshot,
+            configuration_changes: changes,
+            membership_version: delta.version as i64,
+            membership_whole: delta.whole,
+            targets: encode_all(&delta.targets),
+            suspects_version: suspects_version as i64,
+            suspects: encode_all(&suspects),
+        }
+    }
+}
+
+fn configuration_after(machine: &Machine, version: u64) -> (Option<Vec<u8>>, Vec<Vec<u8>>) {
+    match machine.configuration.changes_after(version) {
+        Some(changes) => (None, encode_all(&changes)),
+        None => (serde_json::to_vec(&machine.configuration).ok(), Vec::new()),
+    }
+}
+
+fn encode_all<T: serde::Serialize>(values: &[T]) -> Vec<Vec<u8>> {
+    values
+        .iter()
+        .filter_map(|it| serde_json::to_vec(it).ok())
+        .collect()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/control/target_leases.rs
@@ -0,0 +1,96 @@
+//! Leases of targets at the member that leads.
+
+use bilberryloft_coordination::raft::Role;
+use bilberryloft_state::machine::Command;
+use bilberryloft_state::membership::TargetDescription;
+use bilberryloft_transport::clock::monotonic_ms;
+
+use crate::control::handle::PendingReply;
+use crate::control::handle::ProposeError;
+use crate::control::handle::Reply;
+use crate::control::node::ControlNode;
+use crate::events::Event;
+use crate::log_event;
+
+impl ControlNode {
+    pub(super) fn announce(
+        &mut self,
+        name: String,
+        incarnation: u64,
+        description: TargetDescription,
+        leaving: bool,
+        reply: Reply<u64>,
+    ) {
+        if self.raft.role() != Role::Leader {
+            return self.reject(PendingReply::Announce(reply, 0));
+        }
+        let (known, is_news) = {
+            let machine = self.lock_machine();
+            let known = machine
+                .membership
+                .targets()
+                .get(&name)
+                .map_or(0, |it| it.incarnation);
+            (
+                known,
+                machine.membership.is_news(&name, incarnation, &description),
+            )
+        };
+        if leaving {
+            let command = Command::Lose {
+                targets: vec![(name, incarnation)],
+            };
+            return self.propose(command, PendingReply::Announce(reply, incarnation));
+        }
+        if known > incarnation {
+            return drop(reply.send(Ok(known)));
+        }
+        self.leases.renew(&name, incarnation, monotonic_ms());
+        if !is_news {
+            return drop(reply.send(Ok(incarnation)));
+        }
+        log_event!(info, Event::TargetRegistered, target = name, incarnation);
+        let command = Command::Register {
+            name,
+            incarnation,
+            description,
+        };
+        self.propose(command, PendingReply::Announce(reply, incarnation));
+    }
+
+    pub(super) fn watch_role(&mut self) {
+        let leads = self.raft.role() == Role::Leader;
+        if leads && !self.was_leader {
+            log_event!(info, Event::LeaderElected, term = self.raft.term());
+            let known: Vec<(String, u64)> = {
+                let machine = self.lock_machine();
+                let targets = machine.membership.targets().values();
+                targets
+                    .filter(|it| it.reachable)
+                    .map(|it| (it.name.clone(), it.incarnation))
+                    .collect()
+            };
+            self.leases.start_term(known, monotonic_ms());
+        }
+        if !leads && self.was_leader {
+            log_event!(warn, Event::LeaderSteppedDown, term = self.raft.term());
+            // Whether these were committed is for the next leader to tell; their askers must ask again.
+            for (_, pending) in std::mem::take(&mut self.pending) {
+                pending.reply.finish(Err(ProposeError::Lost));
+            }
+        }
+        self.was_leader = leads;
+    }
+
+    pub(super) fn expire_leases(&mut self) {
+        if self.raft.role() != Role::Leader {
+            return;
+        }
+        let targets = self.leases.take_expired(monotonic_ms());
+        if targets.is_empty() {
+            return;
+        }
+        log_event!(warn, Event::TargetsLost, count = targets.len(), ?targets);
+        self.propose(Command::Lose { targets }, PendingReply::Nobody);
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -0,0 +1,392 @@
+//! A running daemon: one thread for control state, others for traffic.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bilberryloft_protocol::api::DaemonStatus;
+use bilberryloft_protocol::api::WatcherRow;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use bilberryloft_state::record::DecisionRecord;
+use bilberryloft_transport::clock::epoch_ms;
+use bilberryloft_transport::clock::monotonic_ms;
+use bilberryloft_transport::server::Server;
+use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
+
+use crate::admin::serve_admin;
+use crate::agent::Agent;
+use crate::agent::AgentService;
+use crate::agent::serve_announcements;
+use crate::agent::spawn_announcer;
+use crate::control::ControlNode;
+use crate::control::ControlService;
+use crate::control::QuorumStatus;
+use crate::control_client::ControlClient;
+use crate::entry::CallerServer;
+use crate::entry::Entry;
+use crate::events::Event;
+use crate::follow::spawn_follower;
+use crate::log_event;
+use crate::metrics::Metrics;
+use crate::peer_service::PeerService;
+use crate::settings::ControlSettings;
+use crate::settings::RoleName;
+use crate::settings::Settings;
+use crate::view::View;
+
+/// Time between looks at the work in flight while the daemon stops.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+/// Time for a stopping agent to tell control that its target leaves.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for the last frames to leave through the sockets.
+const FLUSH_PAUSE: Duration = Duration::from_millis(50);
+/// Target lease that agents are told when the daemon is no control host, in milliseconds.
+const NO_TARGET_LEASE_MS: u64 = 0;
+
+/// What all parts of a daemon share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Life of the daemon.
+    pub incarnation: u64,
+    /// Local copy of the replicated state.
+    pub view: Arc<View>,
+    /// Calls to control.
+    pub control: ControlClient,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Entry role, if played.
+    pub entry: Option<Arc<Entry>>,
+    /// Agent role, if played.
+    pub agent: Option<Arc<Agent>>,
+    is_stopping: AtomicBool,
+}
+
+impl Shared {
+    /// Whether the daemon stops.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::SeqCst)
+    }
+
+    /// Decision records of a request that this daemon keeps itself.
+    pub fn local_records(&self, request_id: &str) -> Vec<DecisionRecord> {
+        let mut records = Vec::new();
+        if let Some(entry) = &self.entry {
+            records.extend(entry.records_of(request_id));
+        }
+        if let Some(agent) = &self.agent {
+            let encoded = agent.records_of(request_id);
+            records.extend(
+                encoded
+                    .iter()
+                    .filter_map(|it| serde_json::from_slice(it).ok()),
+            );
+        }
+        records
+    }
+
+    /// What the daemon says of itself.
+    pub fn status(&self, quorum: Option<QuorumStatus>, watchers: Vec<WatcherRow>) -> DaemonStatus {
+        let role_name = |role: RoleName| format!("{role:?}").to_lowercase();
+        DaemonStatus {
+            daemon: self.settings.daemon.clone(),
+            roles: self.settings.roles().into_iter().map(role_name).collect(),
+            configuration_version: self.view.configuration().version(),
+            confirmed_age_ms: self.view.confirmed_age_ms(),
+            serving: self.view.may_serve() && !self.is_stopping(),
+            leader: quorum.as_ref().and_then(|it| it.leader_address.clone()),
+            term: quorum.as_ref().map(|it| it.term),
+            commit_index: quorum.as_ref().map(|it| it.commit_index),
+            watchers,
+        }
+    }
+}
+
+/// Listeners of the traffic threads.
+#[derive(Default)]
+struct Listeners {
+    dispatch: Option<Server>,
+    callers: Option<CallerServer>,
+}
+
+/// A running daemon.
+pub struct Daemon {
+    shared: Arc<Shared>,
+    listeners: Listeners,
+    traffic: Option<Runtime>,
+    control_thread: Option<std::thread::JoinHandle<()>>,
+    stop_control: Option<oneshot::Sender<()>>,
+}
+
+impl Daemon {
+    /// Starts all roles; returns once every address is bound.
+    pub fn spawn(settings: Settings) -> Result<Daemon> {
+        let incarnation = epoch_ms();
+        let shared = Arc::new(build_shared(settings, incarnation)?);
+        let (stop_control, stopped) = oneshot::channel();
+        let (started, control_thread) = spawn_control_thread(shared.clone(), stopped)?;
+        let traffic = build_traffic_runtime(shared.settings.traffic_threads)?;
+        let mut daemon = Daemon {
+            shared: shared.clone(),
+            listeners: Listeners::default(),
+            traffic: None,
+            control_thread: Some(control_thread),
+            stop_control: Some(stop_control),
+        };
+        let closed = || Error::Closed {
+            step: "start",
+            peer: "the control thread".to_string(),
+        };
+        started.blocking_recv().map_err(|_| closed())??;
+        daemon.listeners = traffic.block_on(start_traffic(shared.clone()))?;
+        daemon.traffic = Some(traffic);
+        log_event!(
+            info,
+            Event::DaemonStarted,
+            daemon = shared.settings.daemon,
+            incarnation
+        );
+        Ok(daemon)
+    }
+
+    /// What the parts share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// The runtime for traffic.
+    pub fn traffic(&self) -> Option<&Runtime> {
+        self.traffic.as_ref()
+    }
+
+    /// Stops gracefully: no new work, then the end of all work in flight, then the end.
+    pub fn shutdown(mut self) {
+        let settings = &self.shared.settings;
+        log_event!(info, Event::ShutdownBegan, daemon = settings.daemon);
+        self.shared.is_stopping.store(true, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(settings.shutdown_notice_ms));
+        let until_ms = monotonic_ms() + settings.shutdown_max_ms;
+        self.stop_entry(until_ms);
+        self.stop_agent(until_ms);
+        log_event!(
+            info,
+            Event::ShutdownEnded,
+            daemon = self.shared.settings.daemon
+        );
+        self.stop();
+    }
+
+    /// Callers come first: their requests still need the agents.
+    fn stop_entry(&mut self, until_ms: u64) {
+        let (Some(callers), Some(traffic)) = (self.listeners.callers.take(), &self.traffic) else {
+            return;
+        };
+        if let Some(entry) = &self.shared.entry {
+            entry.begin_stop();
+        }
+        let left = Duration::from_millis(until_ms.saturating_sub(monotonic_ms()));
+        let finished =
+            traffic.block_on(async { tokio::time::timeout(left, callers.finish()).await });
+        if finished.is_err() {
+            log_event!(error, Event::ShutdownCutOff, role = "entry");
+        }
+    }
+
+    fn stop_agent(&self, until_ms: u64) {
+        let (Some(agent), Some(traffic)) = (&self.shared.agent, &self.traffic) else {
+            return;
+        };
+        agent.begin_stop();
+        while agent.open_requests() > 0 && monotonic_ms() < until_ms {
+            std::thread::sleep(STOP_LOOK);
+        }
+        if agent.open_requests() > 0 {
+            log_event!(
+                error,
+                Event::ShutdownCutOff,
+                role = "agent",
+                open = agent.open_requests()
+            );
+        }
+        traffic.block_on(async {
+            let _ = tokio::time::timeout(LEAVE_TIMEOUT, agent.announce_leaving()).await;
+            // The last frames may still be on their way to the entries.
+            tokio::time::sleep(FLUSH_PAUSE).await;
+        });
+    }
+
+    fn stop(&mut self) {
+        if let Some(stop) = self.stop_control.take() {
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.control_thread.take() {
+            let _ = thread.join();
+        }
+        if let Some(traffic) = self.traffic.take() {
+            traffic.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn build_shared(settings: Settings, incarnation: u64) -> Result<Shared> {
+    let view = Arc::new(View::new(
+        settings.configuration_lease_ms,
+        settings.on_lost_control,
+    ));
+    let control = ControlClient::new(&settings.control_addresses, &settings.daemon, incarnation);
+    let metrics = Metrics::new().map_err(|it| Error::Json {
+        step: "set up metrics",
+        detail: it.to_string(),
+    })?;
+    let metrics = Arc::new(metrics);
+    let entry = settings.entry.clone().map(|it| {
+        Arc::new(Entry::new(
+            it,
+            &settings,
+            incarnation,
+            view.clone(),
+            control.clone(),
+            metrics.clone(),
+        ))
+    });
+    let agent = settings.agent.clone().map(|it| {
+        let (daemon, data_center) = (&settings.daemon, &settings.data_center);
+        Arc::new(Agent::new(
+            it,
+            daemon,
+            data_center,
+            incarnation,
+            view.clone(),
+            control.clone(),
+            metrics.clone(),
+        ))
+    });
+    Ok(Shared {
+        settings,
+        incarnation,
+        view,
+        control,
+        metrics,
+        entry,
+        agent,
+        is_stopping: AtomicBool::new(false),
+    })
+}
+
+type Started = oneshot::Receiver<Result<()>>;
+
+fn spawn_control_thread(
+    shared: Arc<Shared>,
+    stopped: oneshot::Receiver<()>,
+) -> Result<(Started, std::thread::JoinHandle<()>)> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|it| Error::disk("start the runtime of", "the control thread", it))?;
+    let (report, started) = oneshot::channel();
+    let thread = std::thread::Builder::new()
+        .name("control".to_string())
+        .spawn(move || {
+            runtime.block_on(async move {
+                let parts = start_control(shared).await;
+                let (parts, result) = match parts {
+                    Ok(parts) => (Some(parts), Ok(())),
+                    Err(error) => (None, Err(error)),
+                };
+                let has_failed = result.is_err();
+                let _ = report.send(result);
+                if !has_failed {
+                    let _ = stopped.await;
+                }
+                drop(parts);
+            });
+        })
+        .map_err(|it| Error::disk("start", "the control thread", it))?;
+    Ok((started, thread))
+}
+
+/// Starts everything that must go on even when all threads for traffic are busy.
+async fn start_control(shared: Arc<Shared>) -> Result<Server> {
+    let settings = &shared.settings;
+    let lease_ms = settings
+        .control
+        .as_ref()
+        .map_or(NO_TARGET_LEASE_MS, |it| it.target_lease_ms);
+    let service = Arc::new(PeerService::new(shared.clone(), lease_ms));
+    let control = match &settings.control {
+        Some(control) => Some(start_node(control, &shared)?),
+        None => None,
+    };
+    if let Some(control) = &control {
+        service.add_control(control.clone());
+    }
+    let server = Server::bind(
+        &settings.peer_address,
+        &settings.daemon,
+        shared.incarnation,
+        service,
+    )
+    .await?;
+    serve_admin(shared.clone(), control).await?;
+    let follower = (shared.view.clone(), shared.control.clone());
+    spawn_follower(
+        follower.0,
+        follower.1,
+        settings.daemon.clone(),
+        settings.peer_address.clone(),
+    );
+    if let Some(agent) = &shared.agent {
+        spawn_announcer(agent.clone());
+    }
+    Ok(server)
+}
+
+fn start_node(control: &ControlSettings, shared: &Shared) -> Result<Arc<ControlService>> {
+    let daemon = &shared.settings.daemon;
+    let node = ControlNode::spawn(control, daemon, shared.incarnation)?;
+    Ok(Arc::new(ControlService::new(
+        node,
+        daemon,
+        shared.incarnation,
+    )))
+}
+
+fn build_traffic_runtime(threads: usize) -> Result<Runtime> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if threads > 0 {
+        builder.worker_threads(threads);
+    }
+    let runtime = builder.thread_name("traffic").enable_all().build();
+    runtime.map_err(|it| Error::disk("start the runtime of", "the traffic threads", it))
+}
+
+async fn start_traffic(shared: Arc<Shared>) -> Result<Listeners> {
+    let mut listeners = Listeners::default();
+    if let Some(agent) = &shared.agent {
+        let service = Arc::new(AgentService::new(agent.clone()));
+        let address = &agent.settings.dispatch_address;
+        let server = Server::bind(
+            address,
+            &shared.settings.daemon,
+            shared.incarnation,
+            service,
+        )
+        .await?;
+        serve_announcements(agent.clone()).await?;
+        listeners.dispatch = Some(server);
+    }
+    if let Some(entry) = &shared.entry {
+        listeners.callers = Some(CallerServer::bind(entry.clone()).await?);
+    }
+    Ok(listeners)
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/entry/state.rs
@@ -0,0 +1,220 @@
+//! State of an entry, shared by its requests.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bilberryloft_coordination::pick::Picker;
+use bilberryloft_coordination::pick::TargetView;
+use bilberryloft_coordination::retry::RetryBudget;
+use bilberryloft_protocol::api::BurnRow;
+use bilberryloft_protocol::wire::Load;
+use bilberryloft_state::configuration::TeamPolicy;
+use bilberryloft_state::key::TargetKey;
+use bilberryloft_state::record::RecordRing;
+use bilberryloft_transport::client::Client;
+use bilberryloft_transport::clock::epoch_ms;
+use bilberryloft_transport::clock::monotonic_ms;
+
+use crate::burn::BurnTracker;
+use crate::control_client::ControlClient;
+use crate::metrics::Metrics;
+use crate::settings::EntrySettings;
+use crate::settings::Settings;
+use crate::view::View;
+use crate::view::ViewVersions;
+
+/// State that requests change together.
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub picker: Picker,
+    pub budget: RetryBudget,
+    pub records: RecordRing,
+    pub burn: BurnTracker,
+    /// Records that wait to be handed to a control host.
+    pub to_store: Vec<Vec<u8>>,
+    open_of_team: BTreeMap<String, u32>,
+    clients: BTreeMap<String, Client>,
+    synced: Option<ViewVersions>,
+}
+
+/// An entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// Settings of the role.
+    pub settings: EntrySettings,
+    /// Name of the daemon.
+    pub daemon: String,
+    /// Data centre of the host.
+    pub data_center: String,
+    /// Local copy of the replicated state.
+    pub view: Arc<View>,
+    /// Calls to control.
+    pub control: ControlClient,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    incarnation: u64,
+    next_request: AtomicU64,
+    open: AtomicUsize,
+    is_stopping: AtomicBool,
+    inner: Mutex<Inner>,
+}
+
+impl Entry {
+    /// Starts an entry.
+    pub fn new(
+        entry: EntrySettings,
+        settings: &Settings,
+        incarnation: u64,
+        view: Arc<View>,
+        control: ControlClient,
+        metrics: Arc<Metrics>,
+    ) -> Entry {
+        let inner = Inner {
+            picker: Picker::new(incarnation),
+            budget: RetryBudget::default(),
+            records: RecordRing::with_capacity(entry.records_max),
+            burn: BurnTracker::default(),
+            to_store: Vec::new(),
+            open_of_team: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            synced: None,
+        };
+        Entry {
+            settings: entry,
+            daemon: settings.daemon.clone(),
+            data_center: settings.data_center.clone(),
+            view,
+            control,
+            metrics,
+            incarnation,
+            next_request: AtomicU64::new(1),
+            open: AtomicUsize::new(0),
+            is_stopping: AtomicBool::new(false),
+            inner: Mutex::new(inner),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes a request id; its first part names this life of the entry.
+    pub(super) fn next_request_id(&self) -> String {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number:x}", self.daemon, self.incarnation)
+    }
+
+    /// Whether the entry takes no new requests.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::SeqCst)
+    }
+
+    /// Takes no new requests from now on.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Requests that callers have open.
+    pub fn open_requests(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Rates at which teams spend their error budgets at this entry.
+    pub fn burn_report(&self) -> Vec<BurnRow> {
+        self.lock().burn.report(epoch_ms())
+    }
+
+    /// Counts a request in, unless its team has as many open as it may.
+    pub(super) fn open_request(self: &Arc<Self>, policy: &TeamPolicy) -> Option<OpenRequest> {
+        let mut inner = self.lock();
+        let open = inner.open_of_team.entry(policy.team.clone()).or_default();
+        if *open >= policy.in_flight_max {
+            return None;
+        }
+        *open += 1;
+        self.open.fetch_add(1, Ordering::SeqCst);
+        self.metrics.open_requests.inc();
+        Some(OpenRequest {
+            entry: self.clone(),
+            team: policy.team.clone(),
+        })
+    }
+
+    /// Client for an agent's address.
+    pub(super) fn client(&self, address: &str) -> Client {
+        let mut inner = self.lock();
+        let client = inner.clients.entry(address.to_string());
+        client
+            .or_insert_with(|| Client::new(address, &self.daemon, self.incarnation))
+            .clone()
+    }
+
+    /// Brings the picker up to the view, if the view has changed.
+    pub(super) fn sync_targets(&self) {
+        let versions = *self.view.versions().borrow();
+        let mut inner = self.lock();
+        if inner.synced == Some(versions) {
+            return;
+        }
+        let membership = self.view.membership();
+        let configuration = self.view.configuration();
+        for record in membership.targets().values() {
+            let description = &record.description;
+            let view = TargetView {
+                name: record.name.clone(),
+                agent_address: description.agent_address.clone(),
+                incarnation: record.incarnation,
+                is_local: description.data_center == self.data_center,
+                slots: description.slots,
+                is_eligible: record.reachable && !configuration.is_draining(&record.name),
+                reported: 0,
+                reported_ms: 0,
+                unacknowledged: 0,
+                own_open: 0,
+                penalty_until_ms: 0,
+            };
+            let mut offers = description.models.clone();
+            offers.extend(description.services.iter().map(|it| service_offer(it)));
+            inner.picker.upsert(view, &offers);
+        }
+        inner.synced = Some(versions);
+    }
+
+    pub(super) fn note_load(&self, key: TargetKey, load: &Load) {
+        let total = (load.running + load.queued).max(0) as u32;
+        self.lock().picker.note_load(key, total, monotonic_ms());
+    }
+}
+
+/// Name under which a plain service is offered.
+pub(super) fn service_offer(service: &str) -> String {
+    format!("service/{service}")
+}
+
+/// A request that counts as open until the value is dropped.
+#[derive(Debug)]
+pub(super) struct OpenRequest {
+    entry: Arc<Entry>,
+    team: String,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        let mut inner = self.entry.lock();
+        if let Some(open) = inner.open_of_team.get_mut(&self.team) {
+            *open -= 1;
+            if *open == 0 {
+                inner.open_of_team.remove(&self.team);
+            }
+        }
+        self.entry.open.fetch_sub(1, Ordering::SeqCst);
+        self.entry.metrics.open_requests.dec();
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -0,0 +1,105 @@
+//! Numbered log events; `docs/EVENTS.md` is their catalogue.
+
+/// An event with its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u16)]
+pub enum Event {
+    /// The daemon has started.
+    DaemonStarted = 100,
+    /// The daemon was asked to stop.
+    ShutdownBegan = 101,
+    /// The daemon has finished its work and stops.
+    ShutdownEnded = 102,
+    /// Work in flight was left behind when the longest wait ended.
+    ShutdownCutOff = 103,
+    /// The configuration reached a newer version.
+    ConfigurationApplied = 110,
+    /// No control host has confirmed the configuration within the lease.
+    ConfigurationUnconfirmed = 111,
+    /// A control host confirms the configuration again.
+    ConfigurationConfirmed = 112,
+    /// A change could not be applied in order, and a snapshot is asked for.
+    ConfigurationGap = 113,
+    /// The member became the leader.
+    LeaderElected = 200,
+    /// The member no longer leads.
+    LeaderSteppedDown = 201,
+    /// The data folder had a torn tail that was cut off.
+    TornTailCut = 202,
+    /// A write or sync failed; the member acknowledges nothing any more.
+    DiskFailed = 203,
+    /// A snapshot was written.
+    SnapshotWritten = 204,
+    /// A snapshot from the leader replaced the member's state.
+    SnapshotInstalled = 205,
+    /// Targets lost their leases.
+    TargetsLost = 210,
+    /// A target was recorded.
+    TargetRegistered = 211,
+    /// The members of the quorum changed.
+    MembersChanged = 212,
+    /// The target announced itself.
+    TargetAnnounced = 300,
+    /// The target stopped announcing itself.
+    TargetSilent = 301,
+    /// The target failed with requests in flight.
+    TargetCrashed = 302,
+    /// The target gets no new work.
+    TargetDraining = 303,
+    /// The target gets new work again.
+    TargetResumed = 304,
+    /// A request was refused.
+    RequestRefused = 400,
+    /// A request goes to another target.
+    RequestRetried = 401,
+    /// Contact was lost and the attempt was joined again.
+    AttemptRejoined = 402,
+    /// The caller went away and the attempt was cancelled.
+    AttemptCancelled = 403,
+}
+
+impl Event {
+    /// Number of the event.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+/// All events in the order of their numbers.
+pub const EVENTS: [Event; 26] = [
+    Event::DaemonStarted,
+    Event::ShutdownBegan,
+    Event::ShutdownEnded,
+    Event::ShutdownCutOff,
+    Event::ConfigurationApplied,
+    Event::ConfigurationUnconfirmed,
+    Event::ConfigurationConfirmed,
+    Event::ConfigurationGap,
+    Event::LeaderElected,
+    Event::LeaderSteppedDown,
+    Event::TornTailCut,
+    Event::DiskFailed,
+    Event::SnapshotWritten,
+    Event::SnapshotInstalled,
+    Event::TargetsLost,
+    Event::TargetRegistered,
+    Event::MembersChanged,
+    Event::TargetAnnounced,
+    Event::TargetSilent,
+    Event::TargetCrashed,
+    Event::TargetDraining,
+    Event::TargetResumed,
+    Event::RequestRefused,
+    Event::RequestRetried,
+    Event::AttemptRejoined,
+    Event::AttemptCancelled,
+];
+
+/// Logs an event at the given level with its number and fields.
+#[macro_export]
+macro_rules! log_event {
+    ($level:ident, $event:expr, $($fields:tt)*) => {{
+        let event: $crate::events::Event = $event;
+        tracing::$level!(event = event.number(), name = ?event, $($fields)*)
+    }};
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/follow.rs
@@ -0,0 +1,73 @@
+//! Following the replicated state: one long question to a control host after another.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_protocol::wire::Body;
+use bilberryloft_protocol::wire::Watch;
+use bilberryloft_transport::clock::monotonic_ms;
+
+use crate::control_client::ControlClient;
+use crate::events::Event;
+use crate::log_event;
+use crate::view::View;
+
+/// Time for which a control host holds a question open when nothing changes, in milliseconds.
+pub const WATCH_WAIT_MS: u64 = 1_000;
+/// Time for a control host to answer beyond that.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(WATCH_WAIT_MS + 1_200);
+/// Shortest pause after a failed question, in milliseconds.
+const PAUSE_MS: u64 = 30;
+
+/// Starts following on the current runtime.
+pub fn spawn_follower(
+    view: Arc<View>,
+    control: ControlClient,
+    daemon: String,
+    peer_address: String,
+) {
+    tokio::spawn(async move {
+        let mut was_serving = false;
+        loop {
+            let asked_ms = monotonic_ms();
+            let versions = view.versions_to_ask();
+            let watch = Watch {
+                daemon: daemon.clone(),
+                configuration_version: versions.configuration as i64,
+                membership_version: versions.membership as i64,
+                wait_ms: WATCH_WAIT_MS as i64,
+                suspects_version: versions.suspects as i64,
+                peer_address: peer_address.clone(),
+            };
+            let is_confirmed = match control
+                .preferred()
+                .call(Body::Watch(watch), ANSWER_TIMEOUT)
+                .await
+            {
+                Ok(Body::Update(update)) => {
+                    let confirmed = update.confirmed;
+                    view.apply(update, asked_ms);
+                    confirmed
+                }
+                Ok(_) | Err(_) => false,
+            };
+            if !is_confirmed {
+                // Another host may still reach a quorum.
+                control.rotate();
+                tokio::time::sleep(Duration::from_millis(fastrand::u64(
+                    PAUSE_MS..=3 * PAUSE_MS,
+                )))
+                .await;
+            }
+            let serves = view.may_serve();
+            if was_serving && !serves {
+                log_event!(
+                    error,
+                    Event::ConfigurationUnconfirmed,
+                    age_ms = view.confirmed_age_ms()
+                );
+            }
+            was_serving = serves;
+        }
+    });
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/lib.rs
@@ -0,0 +1,17 @@
+//! The daemon: roles entry, agent and control in one process, chosen by its settings.
+#![warn(missing_docs)]
+
+pub mod admin;
+pub mod agent;
+pub mod burn;
+pub mod control;
+pub mod control_client;
+pub mod daemon;
+pub mod entry;
+pub mod events;
+pub mod follow;
+pub mod logging;
+pub mod metrics;
+pub mod peer_service;
+pub mod settings;
+pub mod view;
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -0,0 +1,124 @@
+//! Counters and gauges of a daemon, in the text form that Prometheus reads.
+
+use bilberryloft_state::refusal::Reason;
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds of the buckets for the time to the first byte, in seconds.
+const FIRST_BYTE_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.43, 1.0, 3.0, 10.0];
+
+/// All metrics of a daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests taken from callers.
+    pub requests: IntCounter,
+    /// Requests answered whole.
+    pub answers: IntCounter,
+    /// Attempts after the first.
+    pub retries: IntCounter,
+    /// Requests that callers have open.
+    pub open_requests: IntGauge,
+    /// Pieces of streams passed on to callers.
+    pub pieces: IntCounter,
+    /// Time from a request's arrival to the first byte of its answer.
+    pub first_byte_s: Histogram,
+    /// Attempts that went to the target.
+    pub attempts_started: IntCounter,
+    /// Crashes of the target.
+    pub target_crashes: IntCounter,
+    /// Configuration version in force.
+    pub configuration_version: IntGauge,
+    refusals: IntCounterVec,
+    agent_refusals: IntCounterVec,
+}
+
+impl Metrics {
+    /// Makes all metrics; fails only when two have the same name.
+    pub fn new() -> prometheus::Result<Metrics> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<IntCounter, prometheus::Error>(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<IntGauge, prometheus::Error>(gauge)
+        };
+        let by_reason = |name: &str, help: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &["reason"])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<IntCounterVec, prometheus::Error>(counters)
+        };
+        let buckets = FIRST_BYTE_BUCKETS_S.to_vec();
+        let first_byte =
+            HistogramOpts::new("bilberryloft_first_byte_seconds", "Time to the first byte.");
+        let first_byte_s = Histogram::with_opts(first_byte.buckets(buckets))?;
+        registry.register(Box::new(first_byte_s.clone()))?;
+        Ok(Metrics {
+            requests: counter(
+                "bilberryloft_requests_total",
+                "Requests taken from callers.",
+            )?,
+            answers: counter("bilberryloft_answers_total", "Requests answered whole.")?,
+            retries: counter("bilberryloft_retries_total", "Attempts after the first.")?,
+            open_requests: gauge(
+                "bilberryloft_open_requests",
+                "Requests that callers have open.",
+            )?,
+            pieces: counter("bilberryloft_pieces_total", "Pieces of streams passed on.")?,
+            first_byte_s,
+            attempts_started: counter(
+                "bilberryloft_attempts_started_total",
+                "Attempts sent to the target.",
+            )?,
+            target_crashes: counter(
+                "bilberryloft_target_crashes_total",
+                "Crashes of the target.",
+            )?,
+            configuration_version: gauge(
+                "bilberryloft_configuration_version",
+                "Configuration in force.",
+            )?,
+            refusals: by_reason(
+                "bilberryloft_refusals_total",
+                "Requests refused to callers.",
+            )?,
+            agent_refusals: by_reason(
+                "bilberryloft_agent_refusals_total",
+                "Dispatches refused to entries.",
+            )?,
+            registry,
+        })
+    }
+
+    /// Counts a refusal to a caller.
+    pub fn count_refusal(&self, reason: Reason) {
+        self.refusals.with_label_values(&[&reason.name()]).inc();
+    }
+
+    /// Counts a refusal to an entry.
+    pub fn count_agent_refusal(&self, reason: Reason) {
+        self.agent_refusals
+            .with_label_values(&[&reason.name()])
+            .inc();
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => String::from_utf8_lossy(&text).to_string(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/settings.rs
@@ -0,0 +1,355 @@
+//! Settings of one daemon: one JSON file, checked whole at start.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use bilberryloft_coordination::freshness::OnLostControl;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Part that a daemon plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RoleName {
+    /// Takes requests from callers.
+    Entry,
+    /// Stands beside one target.
+    Agent,
+    /// Is a member of the quorum.
+    Control,
+}
+
+/// Form of the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// Plain text.
+    Text,
+}
+
+/// All settings of a daemon.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Unique name of the daemon.
+    pub daemon: String,
+    /// Data centre of the host.
+    pub data_center: String,
+    /// Address for calls from other daemons on the control thread.
+    pub peer_address: String,
+    /// Address for operators, metrics and the platform's checks.
+    pub admin_address: String,
+    /// Peer addresses of the control hosts.
+    pub control_addresses: Vec<String>,
+    /// Form of the log.
+    #[serde(default)]
+    pub log_format: LogFormat,
+    /// Time for which a daemon may act on a configuration that it could not confirm, in milliseconds.
+    #[serde(default = "default_configuration_lease_ms")]
+    pub configuration_lease_ms: u64,
+    /// What the daemon does after that.
+    #[serde(default)]
+    pub on_lost_control: OnLostControl,
+    /// Time for which a stopping daemon still takes new work, in milliseconds.
+    #[serde(default)]
+    pub shutdown_notice_ms: u64,
+    /// Longest time for which a stopping daemon waits for work in flight, in milliseconds.
+    #[serde(default = "default_shutdown_max_ms")]
+    pub shutdown_max_ms: u64,
+    /// Threads for traffic; 0 means one a processor.
+    #[serde(default)]
+    pub traffic_threads: usize,
+    /// Settings of the entry role, if the daemon plays it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entry: Option<EntrySettings>,
+    /// Settings of the agent role, if the daemon plays it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub agent: Option<AgentSettings>,
+    /// Settings of the control role, if the daemon plays it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub control: Option<ControlSettings>,
+}
+
+/// Settings of the entry role.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Address for callers.
+    pub listen_address: String,
+    /// Largest request body in bytes.
+    #[serde(default = "default_body_max_bytes")]
+    pub body_max_bytes: usize,
+    /// Largest answer that is not streamed, in bytes.
+    #[serde(default = "default_answer_max_bytes")]
+    pub answer_max_bytes: usize,
+    /// Decision records kept in memory.
+    #[serde(default = "default_records_max")]
+    pub records_max: usize,
+    /// Objective for the time to the first byte of an answer, in milliseconds.
+    #[serde(default = "default_first_token_objective_ms")]
+    pub first_token_objective_ms: u64,
+}
+
+/// Settings of the agent role.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// Unique name of the target.
+    pub target: String,
+    /// Address for dispatches from entries.
+    pub dispatch_address: String,
+    /// Address on which the target announces itself.
+    pub announce_address: String,
+    /// Requests that may wait for a slot.
+    #[serde(default = "default_queue_max")]
+    pub queue_max: usize,
+    /// Time for which a whole answer is held for a resend, in milliseconds.
+    #[serde(default = "default_hold_ms")]
+    pub hold_ms: u64,
+    /// Bytes of one answer that are held at most.
+    #[serde(default = "default_hold_max_bytes")]
+    pub hold_max_bytes: usize,
+    /// Bytes of all answers that are held at most.
+    #[serde(default = "default_hold_total_max_bytes")]
+    pub hold_total_max_bytes: usize,
+    /// Decision records kept in memory.
+    #[serde(default = "default_records_max")]
+    pub records_max: usize,
+}
+
+/// Settings of the control role.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Number of this member.
+    pub member: u32,
+    /// Peer addresses of the first members by number; ignored once the log names members.
+    pub members: BTreeMap<u32, String>,
+    /// Folder for the log and snapshots.
+    pub data_folder: PathBuf,
+    /// Time between heartbeats in milliseconds.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
+    /// Shortest election timeout in milliseconds.
+    #[serde(default = "default_election_ms")]
+    pub election_ms: u64,
+    /// Entries after which a snapshot is made.
+    #[serde(default = "default_snapshot_entries")]
+    pub snapshot_entries: u64,
+    /// Time without an announcement after which a target is unreachable, in milliseconds.
+    #[serde(default = "default_target_lease_ms")]
+    pub target_lease_ms: u64,
+}
+
+fn default_configuration_lease_ms() -> u64 {
+    4_000
+}
+fn default_shutdown_max_ms() -> u64 {
+    600_000
+}
+fn default_body_max_bytes() -> usize {
+    8 << 20
+}
+fn default_answer_max_bytes() -> usize {
+    64 << 20
+}
+fn default_records_max() -> usize {
+    4_096
+}
+fn default_first_token_objective_ms() -> u64 {
+    430
+}
+fn default_queue_max() -> usize {
+    64
+}
+fn default_hold_ms() -> u64 {
+    300_000
+}
+fn default_hold_max_bytes() -> usize {
+    512 << 10
+}
+fn default_hold_total_max_bytes() -> usize {
+    64 << 20
+}
+fn default_heartbeat_ms() -> u64 {
+    100
+}
+fn default_election_ms() -> u64 {
+    500
+}
+fn default_snapshot_entries() -> u64 {
+    20_000
+}
+fn default_target_lease_ms() -> u64 {
+    3_000
+}
+
+impl Settings {
+    /// Reads and checks a file; every fault is named at once.
+    pub fn open(path: &Path) -> Result<Settings> {
+        let text = std::fs::read_to_string(path).map_err(|it| Error::disk("read", path, it))?;
+        Settings::parse(&text, path)
+    }
+
+    /// Checks the text of a file.
+    pub fn parse(text: &str, path: &Path) -> Result<Settings> {
+        let faulty = |faults: Vec<String>| Error::Settings {
+            path: path.to_path_buf(),
+            faults,
+        };
+        let settings: Settings =
+            serde_json::from_str(text).map_err(|it| faulty(vec![it.to_string()]))?;
+        let faults = settings.find_faults();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(faulty(faults))
+        }
+    }
+
+    /// Roles that the daemon plays.
+    pub fn roles(&self) -> Vec<RoleName> {
+        let mut roles = Vec::new();
+        if self.entry.is_some() {
+            roles.push(RoleName::Entry);
+        }
+        if self.agent.is_some() {
+            roles.push(RoleName::Agent);
+        }
+        if self.control.is_some() {
+            roles.push(RoleName::Control);
+        }
+        roles
+    }
+
+    fn find_faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        check_name(&mut faults, "daemon", &self.daemon);
+        check_name(&mut faults, "data_center", &self.data_center);
+        check_address(&mut faults, "peer_address", &self.peer_address);
+        check_address(&mut faults, "admin_address", &self.admin_address);
+        if self.control_addresses.is_empty() {
+            faults.push(
+                "control_addresses: [] is empty, at least one control host is needed".to_string(),
+            );
+        }
+        for address in &self.control_addresses {
+            check_address(&mut faults, "control_addresses", address);
+        }
+        check_range(
+            &mut faults,
+            "configuration_lease_ms",
+            self.configuration_lease_ms,
+            1_500,
+            3_600_000,
+        );
+        if self.roles().is_empty() {
+            faults.push(
+                "entry, agent, control: none is set, at least one role is needed".to_string(),
+            );
+        }
+        if let Some(entry) = &self.entry {
+            check_address(&mut faults, "entry.listen_address", &entry.listen_address);
+            check_range(
+                &mut faults,
+                "entry.body_max_bytes",
+                entry.body_max_bytes as u64,
+                1_024,
+                32 << 20,
+            );
+        }
+        if let Some(agent) = &self.agent {
+            check_name(&mut faults, "agent.target", &agent.target);
+            check_address(
+                &mut faults,
+                "agent.dispatch_address",
+                &agent.dispatch_address,
+            );
+            check_address(
+                &mut faults,
+                "agent.announce_address",
+                &agent.announce_address,
+            );
+            check_range(
+                &mut faults,
+                "agent.queue_max",
+                agent.queue_max as u64,
+                1,
+                65_536,
+            );
+        }
+        if let Some(control) = &self.control {
+            control.find_faults(&mut faults);
+        }
+        faults
+    }
+}
+
+impl ControlSettings {
+    fn find_faults(&self, faults: &mut Vec<String>) {
+        for (member, address) in &self.members {
+            check_address(faults, &format!("control.members.{member}"), address);
+        }
+        if self.members.is_empty() {
+            faults.push("control.members: {} is empty, at least one member is needed".to_string());
+        }
+        check_range(
+            faults,
+            "control.heartbeat_ms",
+            self.heartbeat_ms,
+            10,
+            10_000,
+        );
+        check_range(
+            faults,
+            "control.election_ms",
+            self.election_ms,
+            3 * self.heartbeat_ms,
+            60_000,
+        );
+        check_range(
+            faults,
+            "control.snapshot_entries",
+            self.snapshot_entries,
+            16,
+            10_000_000,
+        );
+        check_range(
+            faults,
+            "control.target_lease_ms",
+            self.target_lease_ms,
+            1_000,
+            60_000,
+        );
+    }
+}
+
+fn check_name(faults: &mut Vec<String>, field: &str, value: &str) {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if value.is_empty() || value.len() > 64 || !value.bytes().all(allowed) {
+        faults.push(format!(
+            "{field}: {value:?} must be 1 to 64 of a-z, A-Z, 0-9, '-', '_' and '.'"
+        ));
+    }
+}
+
+fn check_address(faults: &mut Vec<String>, field: &str, value: &str) {
+    if value.parse::<SocketAddr>().is_err() {
+        faults.push(format!(
+            "{field}: {value:?} must be an IP number and a port, such as 10.0.0.1:7400"
+        ));
+    }
+}
+
+fn check_range(faults: &mut Vec<String>, field: &str, value: u64, least: u64, most: u64) {
+    if value < least || value > most {
+        faults.push(format!("{field}: {value} is not in {least}..={most}"));
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-protocol/src/codec.rs
@@ -0,0 +1,77 @@
+//! Encoding of envelopes in the compact protocol, one a frame.
+
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use thrift::TConfiguration;
+use thrift::protocol::TCompactInputProtocol;
+use thrift::protocol::TCompactOutputProtocol;
+use thrift::protocol::TSerializable;
+
+use crate::wire::Body;
+use crate::wire::Envelope;
+
+/// Bytes of a frame's length in front of the envelope.
+pub const FRAME_HEADER_BYTES: usize = 4;
+/// Largest envelope; a snapshot of the target's size fits.
+pub const FRAME_MAX_BYTES: usize = 64 << 20;
+
+/// Encodes an envelope with its length in front.
+pub fn encode_frame(call_id: i64, body: Body) -> Vec<u8> {
+    let mut frame = vec![0; FRAME_HEADER_BYTES];
+    let envelope = Envelope::new(call_id, body);
+    let mut protocol = TCompactOutputProtocol::new(&mut frame);
+    // Writing to memory can fail only for lack of it.
+    if envelope.write_to_out_protocol(&mut protocol).is_err() {
+        return Vec::new();
+    }
+    drop(protocol);
+    let length = (frame.len() - FRAME_HEADER_BYTES) as u32;
+    frame[..FRAME_HEADER_BYTES].copy_from_slice(&length.to_be_bytes());
+    frame
+}
+
+/// Decodes an envelope without its length.
+pub fn decode_envelope(bytes: &[u8], peer: &str) -> Result<Envelope> {
+    let limits = TConfiguration::builder()
+        .max_message_size(Some(FRAME_MAX_BYTES))
+        .max_frame_size(Some(FRAME_MAX_BYTES))
+        .max_string_size(Some(bytes.len()))
+        .max_container_size(Some(bytes.len()))
+        .build()
+        .map_err(|it| Error::protocol("decode", peer, it.to_string()))?;
+    let mut protocol = TCompactInputProtocol::with_config(bytes, limits);
+    Envelope::read_from_in_protocol(&mut protocol)
+        .map_err(|it| Error::protocol("decode", peer, it.to_string()))
+}
+
+/// Name of a body's kind, for logs and errors.
+pub fn body_name(body: &Body) -> &'static str {
+    match body {
+        Body::Hello(_) => "hello",
+        Body::Dispatch(_) => "dispatch",
+        Body::Head(_) => "head",
+        Body::Piece(_) => "piece",
+        Body::Complete(_) => "complete",
+        Body::Refused(_) => "refused",
+        Body::Cancel(_) => "cancel",
+        Body::Attach(_) => "attach",
+        Body::VoidAttempt(_) => "void",
+        Body::VoidReply(_) => "void_reply",
+        Body::Explain(_) => "explain",
+        Body::Records(_) => "records",
+        Body::StoreRecords(_) => "store_records",
+        Body::Watch(_) => "watch",
+        Body::Update(_) => "update",
+        Body::Announce(_) => "announce",
+        Body::AnnounceReply(_) => "announce_reply",
+        Body::Propose(_) => "propose",
+        Body::ProposeReply(_) => "propose_reply",
+        Body::ReadIndex(_) => "read_index",
+        Body::ReadIndexReply(_) => "read_index_reply",
+        Body::Raft(_) => "raft",
+        Body::Fault(_) => "fault",
+        Body::Done(_) => "done",
+        Body::Status(_) => "status",
+        Body::StatusReply(_) => "status_reply",
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-protocol/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages between processes and towards callers and operators; no I/O.
+#![warn(missing_docs)]
+
+pub mod api;
+pub mod codec;
+pub mod convert;
+pub mod problem;
+
+/// Thrift messages, generated from `idl/wire.thrift`.
+#[rustfmt::skip]
+#[allow(clippy::all, clippy::unwrap_used, missing_docs)]
+pub mod wire;
+
+/// Version of the protocol between processes; both sides of a connection must have the same.
+pub const PROTOCOL_VERSION: i32 = 1;
--- /dev/null
+++ b/crates/bilberryloft-state/src/configuration.rs
@@ -0,0 +1,453 @@
+//! Templates, teams and intents for targets, changed only by numbered changes.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Number of recent changes kept for deltas and for the history.
+pub const RECENT_CHANGES: usize = 4_096;
+/// Number of change ids whose outcome is remembered for resends.
+pub const REMEMBERED_CHANGE_IDS: usize = 16_384;
+/// Largest weight of a team.
+pub const WEIGHT_MAX: u32 = 1_000;
+/// Largest deadline that a template may set.
+pub const DEADLINE_MAX_MS: u64 = 3_600_000;
+
+/// Defaults from which teams are made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Template {
+    /// Unique name.
+    pub name: String,
+    /// Models that the teams may call.
+    #[serde(default)]
+    pub models: Vec<String>,
+    /// Plain services that the teams may call.
+    #[serde(default)]
+    pub services: Vec<String>,
+    /// Share of each team under contention, 1 to [`WEIGHT_MAX`].
+    pub weight: u32,
+    /// Class of urgency, 0 (most urgent) to 9.
+    pub priority: u8,
+    /// Whether requests run at most once unless they say otherwise.
+    #[serde(default)]
+    pub non_idempotent: bool,
+    /// Deadline of a request that names none, in milliseconds.
+    pub deadline_ms: u64,
+    /// Requests that a team may have open at one entry.
+    pub in_flight_max: u32,
+}
+
+/// One team and what it sets differently from its template.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Unique name.
+    pub name: String,
+    /// Template that the team was made from.
+    pub template: String,
+    /// Hexadecimal SHA-256 digests of the tokens that name the team.
+    pub token_sha256: Vec<String>,
+    /// Weight in place of the template's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight: Option<u32>,
+    /// Models in place of the template's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub models: Option<Vec<String>>,
+    /// Bound on open requests in place of the template's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub in_flight_max: Option<u32>,
+}
+
+/// What one change does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum ChangeKind {
+    /// Creates or replaces a template.
+    ApplyTemplate(Template),
+    /// Creates or replaces a team.
+    SetTeam(Team),
+    /// Removes a team.
+    RemoveTeam {
+        /// Name of the team.
+        name: String,
+    },
+    /// Drains a target, or takes it back into use.
+    SetTarget {
+        /// Name of the target.
+        name: String,
+        /// Whether the target gets no new work.
+        draining: bool,
+    },
+}
+
+impl ChangeKind {
+    /// Name of the object that the change touches; two changes race when it is equal.
+    pub fn object(&self) -> String {
+        match self {
+            ChangeKind::ApplyTemplate(it) => format!("template/{}", it.name),
+            ChangeKind::SetTeam(it) => format!("team/{}", it.name),
+            ChangeKind::RemoveTeam { name } => format!("team/{name}"),
+            ChangeKind::SetTarget { name, .. } => format!("target/{name}"),
+        }
+    }
+}
+
+/// A change as an operator sends it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeRequest {
+    /// Operator's own id of the change; a resend with the same id gets the first outcome.
+    pub change_id: String,
+    /// Configuration version that the operator looked at; absent means "whatever it is now".
+    #[serde(default)]
+    pub base_version: Option<u64>,
+    /// Who asks.
+    pub author: String,
+    /// Why.
+    #[serde(default)]
+    pub reason: String,
+    /// What to do.
+    pub kind: ChangeKind,
+}
+
+/// An accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeRecord {
+    /// Version that the change made.
+    pub version: u64,
+    /// Id given by the operator.
+    pub change_id: String,
+    /// Who asked.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// Leader's time of the change, in milliseconds since the epoch.
+    pub at_ms: u64,
+    /// What was done.
+    pub kind: ChangeKind,
+}
+
+/// Answer to a [`ChangeRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeOutcome {
+    /// The change is committed.
+    Accepted {
+        /// Version that the change made.
+        version: u64,
+    },
+    /// The object changed after the base version.
+    Conflict {
+        /// Version at which the object last changed.
+        object_version: u64,
+        /// Change id that won.
+        winner_change_id: String,
+        /// Author of the change that won.
+        winner_author: String,
+    },
+    /// The change breaks a rule.
+    Invalid {
+        /// Which field, which value, and what is allowed.
+        detail: String,
+    },
+}
+
+/// What a team may do, after its template and its own settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TeamPolicy {
+    /// Name of the team.
+    pub team: String,
+    /// Models that it may call.
+    pub models: Vec<String>,
+    /// Plain services that it may call.
+    pub services: Vec<String>,
+    /// Share under contention.
+    pub weight: u32,
+    /// Class of urgency, 0 is most urgent.
+    pub priority: u8,
+    /// Whether requests run at most once unless they say otherwise.
+    pub non_idempotent: bool,
+    /// Default deadline in milliseconds.
+    pub deadline_ms: u64,
+    /// Requests that may be open at one entry.
+    pub in_flight_max: u32,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ObjectVersion {
+    version: u64,
+    change_id: String,
+    author: String,
+}
+
+/// The whole configuration at one version.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Configuration {
+    version: u64,
+    templates: BTreeMap<String, Template>,
+    teams: BTreeMap<String, Team>,
+    team_of_token: BTreeMap<String, String>,
+    draining: BTreeMap<String, bool>,
+    object_versions: BTreeMap<String, ObjectVersion>,
+    outcomes: BTreeMap<String, ChangeOutcome>,
+    outcome_order: VecDeque<String>,
+    recent: VecDeque<ChangeRecord>,
+}
+
+/// Hexadecimal SHA-256 digest of a caller's token.
+pub fn token_digest(token: &str) -> String {
+    let digest = Sha256::digest(token.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+impl Configuration {
+    /// Number of accepted changes.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// All templates by name.
+    pub fn templates(&self) -> &BTreeMap<String, Template> {
+        &self.templates
+    }
+
+    /// All teams by name.
+    pub fn teams(&self) -> &BTreeMap<String, Team> {
+        &self.teams
+    }
+
+    /// Recent accepted changes, oldest first.
+    pub fn history(&self) -> &VecDeque<ChangeRecord> {
+        &self.recent
+    }
+
+    /// Whether operators want the target to get no new work.
+    pub fn is_draining(&self, target: &str) -> bool {
+        self.draining.get(target).copied().unwrap_or(false)
+    }
+
+    /// Policy of the team that a token digest names.
+    pub fn policy_of_digest(&self, digest: &str) -> Option<TeamPolicy> {
+        let name = self.team_of_token.get(digest)?;
+        self.policy(name)
+    }
+
+    /// Policy of a team.
+    pub fn policy(&self, name: &str) -> Option<TeamPolicy> {
+        let team = self.teams.get(name)?;
+        let template = self.templates.get(&team.template)?;
+        Some(TeamPolicy {
+            team: team.name.clone(),
+            models: team
+                .models
+                .clone()
+                .unwrap_or_else(|| template.models.clone()),
+            services: template.services.clone(),
+            weight: team.weight.unwrap_or(template.weight),
+            priority: template.priority,
+            non_idempotent: template.non_idempotent,
+            deadline_ms: template.deadline_ms,
+            in_flight_max: team.in_flight_max.unwrap_or(template.in_flight_max),
+        })
+    }
+
+    /// Decides a change; a known change id gets its first outcome again and changes nothing.
+    pub fn decide(&mut self, request: &ChangeRequest, at_ms: u64) -> ChangeOutcome {
+        if let Some(first) = self.outcomes.get(&request.change_id) {
+            return first.clone();
+        }
+        let outcome = self.decide_new(request, at_ms);
+        self.remember_outcome(&request.change_id, outcome.clone());
+        outcome
+    }
+
+    fn decide_new(&mut self, request: &ChangeRequest, at_ms: u64) -> ChangeOutcome {
+        if let Some(conflict) = self.find_conflict(request) {
+            return conflict;
+        }
+        if let Err(detail) = self.validate(&request.kind) {
+            return ChangeOutcome::Invalid { detail };
+        }
+        let record = ChangeRecord {
+            version: self.version + 1,
+            change_id: request.change_id.clone(),
+            author: request.author.clone(),
+            reason: request.reason.clone(),
+            at_ms,
+            kind: request.kind.clone(),
+        };
+        self.apply(record);
+        ChangeOutcome::Accepted {
+            version: self.version,
+        }
+    }
+
+    fn find_conflict(&self, request: &ChangeRequest) -> Option<ChangeOutcome> {
+        let base = request.base_version?;
+        let last = self.object_versions.get(&request.kind.object())?;
+        (last.version > base).then(|| ChangeOutcome::Conflict {
+            object_version: last.version,
+            winner_change_id: last.change_id.clone(),
+            winner_author: last.author.clone(),
+        })
+    }
+
+    fn remember_outcome(&mut self, change_id: &str, outcome: ChangeOutcome) {
+        self.outcomes.insert(change_id.to_string(), outcome);
+        self.outcome_order.push_back(change_id.to_string());
+        if self.outcome_order.len() > REMEMBERED_CHANGE_IDS
+            && let Some(oldest) = self.outcome_order.pop_front()
+        {
+            self.outcomes.remove(&oldest);
+        }
+    }
+
+    fn validate(&self, kind: &ChangeKind) -> Result<(), String> {
+        match kind {
+            ChangeKind::ApplyTemplate(template) => validate_template(template),
+            ChangeKind::SetTeam(team) => self.validate_team(team),
+            ChangeKind::RemoveTeam { name } if !self.teams.contains_key(name) => {
+                Err(format!("name: {name:?} is not a team"))
+            }
+            ChangeKind::RemoveTeam { .. } => Ok(()),
+            ChangeKind::SetTarget { name, .. } => validate_name(name),
+        }
+    }
+
+    fn validate_team(&self, team: &Team) -> Result<(), String> {
+        validate_name(&team.name)?;
+        if !self.templates.contains_key(&team.template) {
+            return Err(format!("template: {:?} does not exist", team.template));
+        }
+        if let Some(weight) = team.weight {
+            validate_weight(weight)?;
+        }
+        for digest in &team.token_sha256 {
+            if digest.len() != 64 || !digest.bytes().all(|it| it.is_ascii_hexdigit()) {
+                return Err(format!(
+                    "token_sha256: {digest:?} is not 64 hexadecimal digits"
+                ));
+            }
+            if let Some(owner) = self.team_of_token.get(digest)
+                && *owner != team.name
+            {
+                return Err(format!(
+                    "token_sha256: the token already names team {owner:?}"
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// Applies an accepted change; records must come in the order of their versions.
+    ///
+    /// Returns whether the record was the next one.
+    pub fn apply(&mut self, record: ChangeRecord) -> bool {
+        if record.version != self.version + 1 {
+            return false;
+        }
+        self.version = record.version;
+        let seen = ObjectVersion {
+            version: record.version,
+            change_id: record.change_id.clone(),
+            author: record.author.clone(),
+        };
+        self.object_versions.insert(record.kind.object(), seen);
+        self.apply_kind(&record.kind);
+        self.recent.push_back(record);
+        if self.recent.len() > RECENT_CHANGES {
+            self.recent.pop_front();
+        }
+        true
+    }
+
+    fn apply_kind(&mut self, kind: &ChangeKind) {
+        match kind {
+            ChangeKind::ApplyTemplate(template) => {
+                self.templates
+                    .insert(template.name.clone(), template.clone());
+            }
+            ChangeKind::SetTeam(team) => {
+                self.forget_tokens(&team.name);
+                for digest in &team.token_sha256 {
+                    self.team_of_token.insert(digest.clone(), team.name.clone());
+                }
+                self.teams.insert(team.name.clone(), team.clone());
+            }
+            ChangeKind::RemoveTeam { name } => {
+                self.forget_tokens(name);
+                self.teams.remove(name);
+            }
+            ChangeKind::SetTarget { name, draining } => {
+                self.draining.insert(name.clone(), *draining);
+            }
+        }
+    }
+
+    fn forget_tokens(&mut self, team: &str) {
+        let Some(team) = self.teams.get(team) else {
+            return;
+        };
+        for digest in &team.token_sha256 {
+            self.team_of_token.remove(digest);
+        }
+    }
+
+    /// Changes after a version, or `None` when some of them are no longer kept.
+    pub fn changes_after(&self, version: u64) -> Option<Vec<ChangeRecord>> {
+        if version >= self.version {
+            return Some(Vec::new());
+        }
+        let oldest = self.recent.front()?.version;
+        if oldest > version + 1 {
+            return None;
+        }
+        Some(
+            self.recent
+                .iter()
+                .filter(|it| it.version > version)
+                .cloned()
+                .collect(),
+        )
+    }
+}
+
+fn validate_template(template: &Template) -> Result<(), String> {
+    validate_name(&template.name)?;
+    validate_weight(template.weight)?;
+    if template.priority > 9 {
+        return Err(format!("priority: {} is not in 0..=9", template.priority));
+    }
+    if template.deadline_ms == 0 || template.deadline_ms > DEADLINE_MAX_MS {
+        return Err(format!(
+            "deadline_ms: {} is not in 1..={DEADLINE_MAX_MS}",
+            template.deadline_ms
+        ));
+    }
+    if template.in_flight_max == 0 {
+        return Err("in_flight_max: 0 is not allowed, it must be at least 1".to_string());
+    }
+    Ok(())
+}
+
+fn validate_weight(weight: u32) -> Result<(), String> {
+    if weight == 0 || weight > WEIGHT_MAX {
+        return Err(format!("weight: {weight} is not in 1..={WEIGHT_MAX}"));
+    }
+    Ok(())
+}
+
+fn validate_name(name: &str) -> Result<(), String> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if name.is_empty() || name.len() > 64 || !name.bytes().all(allowed) {
+        return Err(format!(
+            "name: {name:?} must be 1 to 64 of a-z, A-Z, 0-9, '-', '_' and '.'"
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bilberryloft-state/src/folder.rs
@@ -0,0 +1,98 @@
+//! The data folder: one process at a time, files made durable before they count.
+
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use crate::error::Error;
+use crate::error::Result;
+
+/// A locked data folder; the lock ends with the value.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    _lock: File,
+}
+
+impl Folder {
+    /// Creates the folder if needed and takes its lock.
+    ///
+    /// Fails with [`Error::FolderInUse`] while another process holds it.
+    pub fn open(path: &Path) -> Result<Folder> {
+        std::fs::create_dir_all(path).map_err(|it| Error::disk("create", path, it))?;
+        let lock_path = path.join("lock");
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(&lock_path)
+            .map_err(|it| Error::disk("open", &lock_path, it))?;
+        match lock.try_lock() {
+            Ok(()) => Ok(Folder {
+                path: path.to_path_buf(),
+                _lock: lock,
+            }),
+            Err(std::fs::TryLockError::WouldBlock) => Err(Error::FolderInUse {
+                path: path.to_path_buf(),
+            }),
+            Err(std::fs::TryLockError::Error(source)) => {
+                Err(Error::disk("lock", lock_path, source))
+            }
+        }
+    }
+
+    /// Path of the folder.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Writes a file whole under a temporary name, syncs it, and renames it into place.
+    pub fn write_atomic(&self, name: &str, bytes: &[u8]) -> Result<()> {
+        let temporary = self.path.join(format!("{name}.tmp"));
+        let mut file =
+            File::create(&temporary).map_err(|it| Error::disk("create", &temporary, it))?;
+        file.write_all(bytes)
+            .map_err(|it| Error::disk("write", &temporary, it))?;
+        file.sync_all()
+            .map_err(|it| Error::disk("sync", &temporary, it))?;
+        let place = self.path.join(name);
+        std::fs::rename(&temporary, &place).map_err(|it| Error::disk("rename", &place, it))?;
+        self.sync()
+    }
+
+    /// Makes the names in the folder durable.
+    pub fn sync(&self) -> Result<()> {
+        let folder = File::open(&self.path).map_err(|it| Error::disk("open", &self.path, it))?;
+        folder
+            .sync_all()
+            .map_err(|it| Error::disk("sync", &self.path, it))
+    }
+
+    /// Names of the files whose name has the given start and end, in order.
+    pub fn names(&self, start: &str, end: &str) -> Result<Vec<String>> {
+        names_in(&self.path, start, end)
+    }
+
+    /// Removes a file that is no longer needed.
+    pub fn remove(&self, name: &str) -> Result<()> {
+        let path = self.path.join(name);
+        std::fs::remove_file(&path).map_err(|it| Error::disk("remove", path, it))
+    }
+}
+
+/// Names of the files in a folder with the given start and end, in order; needs no lock.
+pub fn names_in(path: &Path, start: &str, end: &str) -> Result<Vec<String>> {
+    let entries = std::fs::read_dir(path).map_err(|it| Error::disk("list", path, it))?;
+    let mut names = Vec::new();
+    for entry in entries {
+        let entry = entry.map_err(|it| Error::disk("list", path, it))?;
+        let name = entry.file_name().to_string_lossy().to_string();
+        if name.starts_with(start) && name.ends_with(end) {
+            names.push(name);
+        }
+    }
+    names.sort();
+    Ok(names)
+}
--- /dev/null
+++ b/crates/bilberryloft-state/src/key.rs
@@ -0,0 +1,68 @@
+//! Small copyable keys into arenas, and digests that name pieces of work.
+
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Key of one target in an [`Arena`]; valid only for the arena that gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TargetKey(u32);
+
+impl TargetKey {
+    /// Position of the key's slot in its arena.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Values stored side by side and named by [`TargetKey`]s; slots are never reused.
+#[derive(Debug, Clone)]
+pub struct Arena<T> {
+    slots: Vec<T>,
+}
+
+impl<T> Default for Arena<T> {
+    fn default() -> Self {
+        Arena { slots: Vec::new() }
+    }
+}
+
+impl<T> Arena<T> {
+    /// Stores a value and returns its key.
+    pub fn insert(&mut self, value: T) -> TargetKey {
+        let key = TargetKey(self.slots.len() as u32);
+        self.slots.push(value);
+        key
+    }
+
+    /// Returns the value of a key.
+    pub fn get(&self, key: TargetKey) -> &T {
+        &self.slots[key.index()]
+    }
+
+    /// Returns the value of a key for change.
+    pub fn get_mut(&mut self, key: TargetKey) -> &mut T {
+        &mut self.slots[key.index()]
+    }
+
+    /// Number of values.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Whether the arena holds nothing.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+}
+
+/// Digest of several byte strings, the first 8 bytes of a SHA-256 over them and their lengths.
+pub fn digest(parts: &[&[u8]]) -> i64 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize()[..8]);
+    i64::from_le_bytes(first)
+}
--- /dev/null
+++ b/crates/bilberryloft-state/src/lib.rs
@@ -0,0 +1,17 @@
+//! Durable and replicated state: configuration, membership, claims, suspects, and the log that keeps them.
+#![warn(missing_docs)]
+
+pub mod claim;
+pub mod configuration;
+pub mod error;
+pub mod folder;
+pub mod key;
+pub mod machine;
+pub mod member_set;
+pub mod membership;
+pub mod record;
+pub mod refusal;
+pub mod snapshot;
+pub mod storage;
+pub mod suspect;
+pub mod wal;
--- /dev/null
+++ b/crates/bilberryloft-state/src/membership.rs
@@ -0,0 +1,166 @@
+//! Facts about targets that a quorum has agreed on; heartbeats are not among them.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Time after which an unreachable target is forgotten, in milliseconds.
+pub const FORGET_AFTER_MS: u64 = 24 * 3_600_000;
+
+/// What a target says of itself when it announces.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetDescription {
+    /// Address on which the agent takes dispatches, as `ip:port`.
+    pub agent_address: String,
+    /// Data centre of the host.
+    pub data_center: String,
+    /// Models that it serves.
+    pub models: Vec<String>,
+    /// Plain services that it serves.
+    pub services: Vec<String>,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// Ranks of its group.
+    pub ranks: u32,
+    /// Whether it refuses orders with an old fencing token.
+    pub checks_fencing: bool,
+}
+
+/// One target as the quorum knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRecord {
+    /// Unique name.
+    pub name: String,
+    /// Life of its agent; grows with each restart.
+    pub incarnation: u64,
+    /// What the target said of itself.
+    pub description: TargetDescription,
+    /// Whether its lease is in force.
+    pub reachable: bool,
+    /// Membership version of the last change.
+    pub changed_version: u64,
+    /// Leader's time of the last change, in milliseconds since the epoch.
+    pub changed_at_ms: u64,
+}
+
+/// All known targets.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Membership {
+    version: u64,
+    forgotten_version: u64,
+    targets: BTreeMap<String, TargetRecord>,
+}
+
+/// Targets that changed after a version.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MembershipDelta {
+    /// Version that the receiver has after applying.
+    pub version: u64,
+    /// Whether `targets` is the whole list and all others are to be dropped.
+    pub whole: bool,
+    /// The changed targets.
+    pub targets: Vec<TargetRecord>,
+}
+
+impl Membership {
+    /// Number of changes so far.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Targets by name.
+    pub fn targets(&self) -> &BTreeMap<String, TargetRecord> {
+        &self.targets
+    }
+
+    /// Whether an announcement says anything that is not recorded yet.
+    pub fn is_news(&self, name: &str, incarnation: u64, description: &TargetDescription) -> bool {
+        match self.targets.get(name) {
+            None => true,
+            Some(known) if known.incarnation > incarnation => false,
+            Some(known) => {
+                !known.reachable
+                    || known.incarnation != incarnation
+                    || known.description != *description
+            }
+        }
+    }
+
+    /// Records a target; an earlier incarnation than the known one changes nothing.
+    pub fn register(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+        description: TargetDescription,
+        at_ms: u64,
+    ) {
+        if !self.is_news(name, incarnation, &description) {
+            return;
+        }
+        self.version += 1;
+        let record = TargetRecord {
+            name: name.to_string(),
+            incarnation,
+            description,
+            reachable: true,
+            changed_version: self.version,
+            changed_at_ms: at_ms,
+        };
+        self.targets.insert(name.to_string(), record);
+    }
+
+    /// Marks targets whose lease ran out, all in one version, and forgets those gone for long.
+    pub fn lose(&mut self, lost: &[(String, u64)], at_ms: u64) {
+        self.version += 1;
+        for (name, incarnation) in lost {
+            let Some(record) = self.targets.get_mut(name) else {
+                continue;
+            };
+            if record.incarnation != *incarnation || !record.reachable {
+                continue;
+            }
+            record.reachable = false;
+            record.changed_version = self.version;
+            record.changed_at_ms = at_ms;
+        }
+        self.forget(at_ms);
+    }
+
+    fn forget(&mut self, at_ms: u64) {
+        let before = self.targets.len();
+        self.targets
+            .retain(|_, it| it.reachable || it.changed_at_ms + FORGET_AFTER_MS > at_ms);
+        if self.targets.len() != before {
+            self.forgotten_version = self.version;
+        }
+    }
+
+    /// Targets that changed after a version; the whole list when some were forgotten since.
+    pub fn delta_after(&self, version: u64) -> MembershipDelta {
+        let whole = version < self.forgotten_version || version > self.version;
+        let changed = |it: &&TargetRecord| whole || it.changed_version > version;
+        let targets = self.targets.values().filter(changed).cloned().collect();
+        MembershipDelta {
+            version: self.version,
+            whole,
+            targets,
+        }
+    }
+
+    /// Applies a delta; an older one changes nothing.
+    pub fn apply_delta(&mut self, delta: MembershipDelta) {
+        if delta.version < self.version {
+            return;
+        }
+        if delta.whole {
+            self.targets.clear();
+            self.forgotten_version = delta.version;
+        }
+        for target in delta.targets {
+            self.targets.insert(target.name.clone(), target);
+        }
+        self.version = delta.version;
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -0,0 +1,241 @@
+//! Durable storage of one member of a quorum: log, term and vote, and the latest snapshot.
+
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::folder::Folder;
+use crate::folder::names_in;
+use crate::snapshot;
+use crate::snapshot::Snapshot;
+use crate::wal;
+use crate::wal::HardState;
+use crate::wal::LogEntry;
+use crate::wal::WalContent;
+use crate::wal::WalRecord;
+
+/// What was read back at start.
+#[derive(Debug, Default)]
+pub struct Recovered {
+    /// Latest term and vote.
+    pub hard_state: HardState,
+    /// Latest snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Entries after the snapshot.
+    pub entries: Vec<LogEntry>,
+    /// Whether the member has caught up since its folder was empty.
+    pub may_vote: bool,
+    /// Bytes of a torn tail that were cut off.
+    pub torn_bytes: u64,
+}
+
+/// Open storage. After a failed write or sync every further call fails.
+#[derive(Debug)]
+pub struct Storage {
+    folder: Folder,
+    file: File,
+    file_path: PathBuf,
+    sequence: u64,
+    failed: bool,
+}
+
+impl Storage {
+    /// Opens the folder, reads everything back, and cuts a torn tail.
+    pub fn open(path: &Path) -> Result<(Storage, Recovered)> {
+        let folder = Folder::open(path)?;
+        let sequence = match latest_wal(path)? {
+            Some(sequence) => sequence,
+            None => {
+                folder.write_atomic(&wal_name(1), &wal::encode_file_header(0))?;
+                1
+            }
+        };
+        let file_path = path.join(wal_name(sequence));
+        let (recovered, sound_bytes) = recover(path, &file_path)?;
+        let file = OpenOptions::new()
+            .append(true)
+            .open(&file_path)
+            .map_err(|it| Error::disk("open", &file_path, it))?;
+        if recovered.torn_bytes > 0 {
+            file.set_len(sound_bytes)
+                .map_err(|it| Error::disk("truncate", &file_path, it))?;
+            file.sync_all()
+                .map_err(|it| Error::disk("sync", &file_path, it))?;
+        }
+        let storage = Storage {
+            folder,
+            file,
+            file_path,
+            sequence,
+            failed: false,
+        };
+        storage.remove_leftovers(recovered.snapshot.as_ref().map(|it| it.last_index))?;
+        Ok((storage, recovered))
+    }
+
+    /// Writes records without making them durable.
+    pub fn append(&mut self, records: &[WalRecord]) -> Result<()> {
+        let mut bytes = Vec::new();
+        for record in records {
+            wal::encode_record(record, &mut bytes);
+        }
+        self.guarded("write", |file| file.write_all(&bytes))
+    }
+
+    /// Makes everything written so far durable.
+    pub fn sync(&mut self) -> Result<()> {
+        self.guarded("sync", |file| file.sync_data())
+    }
+
+    fn guarded(
+        &mut self,
+        step: &'static str,
+        action: impl FnOnce(&mut File) -> std::io::Result<()>,
+    ) -> Result<()> {
+        if self.failed {
+            let source = std::io::Error::other("an earlier write or sync failed");
+            return Err(Error::disk(step, &self.file_path, source));
+        }
+        let done = action(&mut self.file);
+        self.failed = done.is_err();
+        done.map_err(|it| Error::disk(step, &self.file_path, it))
+    }
+
+    /// Replaces the log by a snapshot and the entries after it.
+    pub fn install(
+        &mut self,
+        snapshot: &Snapshot,
+        hard_state: HardState,
+        may_vote: bool,
+        entries: &[LogEntry],
+    ) -> Result<()> {
+        let done = self.try_install(snapshot, hard_state, may_vote, entries);
+        self.failed |= done.is_err();
+        done
+    }
+
+    fn try_install(
+        &mut self,
+        snapshot: &Snapshot,
+        hard_state: HardState,
+        may_vote: bool,
+        entries: &[LogEntry],
+    ) -> Result<()> {
+        self.folder.write_atomic(
+            &snapshot_name(snapshot.last_index),
+            &snapshot::encode(snapshot),
+        )?;
+        let mut bytes = wal::encode_file_header(snapshot.last_index);
+        wal::encode_record(&WalRecord::HardState(hard_state), &mut bytes);
+        if may_vote {
+            wal::encode_record(&WalRecord::MayVote, &mut bytes);
+        }
+        for entry in entries {
+            wal::encode_record(&WalRecord::Entry(entry.clone()), &mut bytes);
+        }
+        let sequence = self.sequence + 1;
+        self.folder.write_atomic(&wal_name(sequence), &bytes)?;
+        let file_path = self.folder.path().join(wal_name(sequence));
+        let file = OpenOptions::new()
+            .append(true)
+            .open(&file_path)
+            .map_err(|it| Error::disk("open", &file_path, it))?;
+        self.file = file;
+        self.file_path = file_path;
+        self.sequence = sequence;
+        self.remove_leftovers(Some(snapshot.last_index))
+    }
+
+    fn remove_leftovers(&self, snapshot_index: Option<u64>) -> Result<()> {
+        let wal_kept = wal_name(self.sequence);
+        let snapshot_kept = snapshot_index.map(snapshot_name);
+        for name in self.folder.names("wal-", "")? {
+            if name != wal_kept {
+                self.folder.remove(&name)?;
+            }
+        }
+        for name in self.folder.names("snapshot-", "")? {
+            if Some(&name) != snapshot_kept.as_ref() {
+                self.folder.remove(&name)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Reads a data folder without its lock and without changing it.
+pub fn inspect(path: &Path) -> Result<Recovered> {
+    match latest_wal(path)? {
+        Some(sequence) => Ok(recover(path, &path.join(wal_name(sequence)))?.0),
+        None => Ok(Recovered::default()),
+    }
+}
+
+fn latest_wal(path: &Path) -> Result<Option<u64>> {
+    let names = names_in(path, "wal-", ".log")?;
+    let number = |name: &String| {
+        name.strip_prefix("wal-")?
+            .strip_suffix(".log")?
+            .parse()
+            .ok()
+    };
+    Ok(names.iter().filter_map(number).max())
+}
+
+fn recover(folder: &Path, file_path: &Path) -> Result<(Recovered, u64)> {
+    let bytes = std::fs::read(file_path).map_err(|it| Error::disk("read", file_path, it))?;
+    let content = wal::decode_file(file_path, &bytes)?;
+    let sound_bytes = content.sound_bytes;
+    let snapshot = match content.snapshot_index {
+        0 => None,
+        index => {
+            let path = folder.join(snapshot_name(index));
+            let bytes = std::fs::read(&path).map_err(|it| Error::disk("read", &path, it))?;
+            Some(snapshot::decode(&path, &bytes)?)
+        }
+    };
+    let recovered = replay(content, snapshot, file_path)?;
+    Ok((recovered, sound_bytes))
+}
+
+fn replay(content: WalContent, snapshot: Option<Snapshot>, path: &Path) -> Result<Recovered> {
+    let base = snapshot.as_ref().map_or(0, |it| it.last_index);
+    let mut recovered = Recovered {
+        snapshot,
+        torn_bytes: content.torn_bytes,
+        ..Recovered::default()
+    };
+    for record in content.records {
+        match record {
+            WalRecord::HardState(state) => recovered.hard_state = state,
+            WalRecord::MayVote => recovered.may_vote = true,
+            WalRecord::Truncate { from_index } => {
+                recovered.entries.retain(|it| it.index < from_index)
+            }
+            WalRecord::Entry(entry) => {
+                let expected = base + recovered.entries.len() as u64 + 1;
+                if entry.index != expected {
+                    return Err(Error::Damaged {
+                        path: path.to_path_buf(),
+                        offset: 0,
+                        detail: format!("entry {} stands where {expected} is due", entry.index),
+                    });
+                }
+                recovered.entries.push(entry);
+            }
+        }
+    }
+    Ok(recovered)
+}
+
+fn wal_name(sequence: u64) -> String {
+    format!("wal-{sequence:020}.log")
+}
+
+fn snapshot_name(index: u64) -> String {
+    format!("snapshot-{index:020}.bin")
+}
--- /dev/null
+++ b/crates/bilberryloft-testing/src/caller.rs
@@ -0,0 +1,238 @@
+//! A caller: sends requests and checks what comes back.
+
+use std::time::Duration;
+
+use bilberryloft_protocol::problem::Problem;
+use bilberryloft_transport::http::HttpClient;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+
+/// A caller with its token.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    http: HttpClient,
+    token: String,
+    headers: Vec<(String, String)>,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status; 0 when there was no answer.
+    pub status: u16,
+    /// Id of the request.
+    pub request_id: String,
+    /// Text of the answer.
+    pub text: String,
+    /// Refusal, if it was one.
+    pub problem: Option<Problem>,
+    /// Whether a stream ended with its true end.
+    pub is_whole: bool,
+    /// Id of the last event of a stream.
+    pub last_event_id: Option<String>,
+    /// The caller's own error, if contact was lost.
+    pub error: Option<String>,
+}
+
+impl Caller {
+    /// Makes a caller.
+    pub fn new(token: &str) -> Caller {
+        Caller {
+            http: HttpClient::new(),
+            token: token.to_string(),
+            headers: Vec::new(),
+        }
+    }
+
+    /// Adds a header to all requests of the returned caller.
+    pub fn with(&self, name: &str, value: &str) -> Caller {
+        let mut caller = self.clone();
+        caller.headers.push((name.to_string(), value.to_string()));
+        caller
+    }
+
+    /// Asks for a completion.
+    pub async fn complete(&self, entry: &str, prompt: &str, is_streamed: bool) -> Reply {
+        let body = json!({"model": "forecast-writer", "prompt": prompt, "stream": is_streamed});
+        self.send(entry, "POST", "/v1/completions", &body.to_string())
+            .await
+    }
+
+    /// Sends any request and reads the whole answer.
+    pub async fn send(&self, entry: &str, method: &str, path: &str, body: &str) -> Reply {
+        match self.open(entry, method, path, body).await {
+            Ok(stream) => stream.finish().await,
+            Err(error) => Reply::failed(error),
+        }
+    }
+
+    /// Sends a request and leaves the answer to be read.
+    pub async fn open(
+        &self,
+        entry: &str,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Result<ReplyStream, String> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{entry}{path}"))
+            .header("authorization", format!("Bearer {}", self.token))
+            .header("content-type", "application/json");
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        let request = request
+            .body(Full::new(Bytes::from(body.to_string())))
+            .map_err(|it| it.to_string())?;
+        let response = self.http.send(request).await.map_err(|it| it.detail)?;
+        let header = |name: &str| {
+            let value = response.headers().get(name).and_then(|it| it.to_str().ok());
+            value.unwrap_or_default().to_string()
+        };
+        let reply = Reply {
+            status: response.status().as_u16(),
+            request_id: header("bilberryloft-request-id"),
+            text: String::new(),
+            problem: None,
+            is_whole: false,
+            last_event_id: None,
+            error: None,
+        };
+        let kind = header("content-type");
+        Ok(ReplyStream {
+            reply,
+            kind,
+            body: response.into_body(),
+            buffer: String::new(),
+        })
+    }
+}
+
+/// An answer on its way.
+pub struct ReplyStream {
+    /// What has been read so far.
+    pub reply: Reply,
+    kind: String,
+    body: Incoming,
+    buffer: String,
+}
+
+impl ReplyStream {
+    /// Reads until at least a number of events has come; false at the end.
+    pub async fn read_events(&mut self, count: usize) -> bool {
+        let mut seen = 0;
+        while seen < count {
+            match self.read_chunk().await {
+                Some(events) => seen += events,
+                None => return false,
+            }
+        }
+        true
+    }
+
+    /// Reads to the end.
+    pub async fn finish(mut self) -> Reply {
+        while self.read_chunk().await.is_some() {}
+        if self.kind.starts_with("text/event-stream") {
+            return self.reply;
+        }
+        self.reply.text = std::mem::take(&mut self.buffer);
+        if self.kind.starts_with("application/problem+json") {
+            self.reply.problem = serde_json::from_str(&self.reply.text).ok();
+        } else if self.reply.error.is_none() {
+            self.reply.is_whole = true;
+            if let Some(content) = content_of(&self.reply.text) {
+                self.reply.text = content;
+            }
+        }
+        self.reply
+    }
+
+    async fn read_chunk(&mut self) -> Option<usize> {
+        match tokio::time::timeout(Duration::from_secs(60), self.body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                let data = frame.into_data().unwrap_or_default();
+                self.buffer.push_str(&String::from_utf8_lossy(&data));
+                Some(self.take_events())
+            }
+            Ok(Some(Err(error))) => {
+                self.reply.error = Some(error.to_string());
+                None
+            }
+            Ok(None) => None,
+            Err(_) => {
+                self.reply.error = Some("no bytes for a minute".to_string());
+                None
+            }
+        }
+    }
+
+    fn take_events(&mut self) -> usize {
+        if !self.kind.starts_with("text/event-stream") {
+            return 0;
+        }
+        let mut count = 0;
+        while let Some(end) = self.buffer.find("\n\n") {
+            let event = self.buffer[..end].to_string();
+            self.buffer.drain(..end + 2);
+            self.take_event(&event);
+            count += 1;
+        }
+        count
+    }
+
+    fn take_event(&mut self, event: &str) {
+        let is_error = event.lines().any(|it| it == "event: error");
+        for line in event.lines() {
+            if let Some(id) = line.strip_prefix("id: ") {
+                self.reply.last_event_id = Some(id.to_string());
+            }
+            let Some(data) = line.strip_prefix("data: ") else {
+                continue;
+            };
+            if is_error {
+                self.reply.problem = serde_json::from_str(data).ok();
+            } else if data == "[DONE]" {
+                self.reply.is_whole = true;
+            } else if let Some(text) = delta_of(data) {
+                self.reply.text.push_str(&text);
+            }
+        }
+    }
+}
+
+impl Reply {
+    fn failed(error: String) -> Reply {
+        Reply {
+            status: 0,
+            request_id: String::new(),
+            text: String::new(),
+            problem: None,
+            is_whole: false,
+            last_event_id: None,
+            error: Some(error),
+        }
+    }
+}
+
+fn content_of(text: &str) -> Option<String> {
+    let value: Value = serde_json::from_str(text).ok()?;
+    value
+        .pointer("/choices/0/message/content")?
+        .as_str()
+        .map(str::to_string)
+}
+
+fn delta_of(text: &str) -> Option<String> {
+    let value: Value = serde_json::from_str(text).ok()?;
+    value
+        .pointer("/choices/0/delta/content")?
+        .as_str()
+        .map(str::to_string)
+}
--- /dev/null
+++ b/crates/bilberryloft-testing/src/engine.rs
@@ -0,0 +1,328 @@
+//! A stand-in for a model engine and for a plain service: small, and ready to misbehave on command.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io::Write;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::Json;
+use axum::Router;
+use axum::body::Body;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::any;
+use axum::routing::get;
+use axum::routing::post;
+use bilberryloft_daemon::agent::Announcement;
+use bilberryloft_transport::clock::epoch_ms;
+use bilberryloft_transport::http::HttpClient;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Text in a prompt that makes a misbehaving engine end its process.
+pub const CRASH_MARK: &str = "CRASH-ENGINE";
+/// Time between announcements.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(400);
+
+/// How an engine is started.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EngineSettings {
+    /// Address to listen on.
+    pub listen_address: String,
+    /// Announce address of the agent beside it.
+    pub announce_address: String,
+    /// Models that it serves.
+    pub models: Vec<String>,
+    /// Plain services that it serves.
+    pub services: Vec<String>,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// Tokens of each answer when the request names no bound.
+    pub tokens: u64,
+    /// Time between tokens in milliseconds.
+    pub token_ms: u64,
+    /// Time to the first token in milliseconds.
+    pub first_token_ms: u64,
+    /// File to which a line is written for each request that starts to run.
+    pub runs_file: Option<PathBuf>,
+}
+
+impl EngineSettings {
+    /// Settings of a fast engine with one model.
+    pub fn new(listen_address: String, announce_address: String) -> EngineSettings {
+        EngineSettings {
+            listen_address,
+            announce_address,
+            models: vec!["forecast-writer".to_string()],
+            services: Vec::new(),
+            slots: 8,
+            tokens: 8,
+            token_ms: 1,
+            first_token_ms: 1,
+            runs_file: None,
+        }
+    }
+}
+
+/// A running engine; it ends with the value.
+#[derive(Debug)]
+pub struct Engine {
+    shared: Arc<Shared>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: EngineSettings,
+    incarnation: u64,
+    runs: Mutex<BTreeMap<String, u64>>,
+    running: AtomicUsize,
+    most_running: AtomicUsize,
+    cancelled: AtomicU64,
+}
+
+impl Engine {
+    /// Starts an engine on the current runtime.
+    pub async fn spawn(settings: EngineSettings) -> std::io::Result<Engine> {
+        let listener = TcpListener::bind(&settings.listen_address).await?;
+        let shared = Arc::new(Shared {
+            settings,
+            incarnation: epoch_ms(),
+            runs: Mutex::default(),
+            running: AtomicUsize::new(0),
+            most_running: AtomicUsize::new(0),
+            cancelled: AtomicU64::new(0),
+        });
+        let router = Router::new()
+            .route("/health", get(health))
+            .route("/v1/chat/completions", post(complete))
+            .route("/v1/completions", post(complete))
+            .fallback(any(serve_plainly))
+            .with_state(shared.clone());
+        let server = tokio::spawn(async move {
+            let _ = axum::serve(listener, router).await;
+        });
+        let announcer = tokio::spawn(announce(shared.clone()));
+        Ok(Engine {
+            shared,
+            tasks: vec![server, announcer],
+        })
+    }
+
+    /// How often each prompt or plain call was run.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.shared
+            .runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Most requests that ran side by side.
+    pub fn most_running(&self) -> usize {
+        self.shared.most_running.load(Ordering::SeqCst)
+    }
+
+    /// Requests that were cut off by the agent.
+    pub fn cancelled(&self) -> u64 {
+        self.shared.cancelled.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn announce(shared: Arc<Shared>) {
+    let http = HttpClient::new();
+    let settings = &shared.settings;
+    let announcement = Announcement {
+        url: format!("http://{}", settings.listen_address),
+        incarnation: shared.incarnation,
+        models: settings.models.clone(),
+        services: settings.services.clone(),
+        slots: settings.slots,
+        ranks: 4,
+        checks_fencing: false,
+    };
+    let body = Bytes::from(serde_json::to_vec(&announcement).unwrap_or_default());
+    loop {
+        let request =
+            hyper::Request::post(format!("http://{}/announce", settings.announce_address))
+                .header("content-type", "application/json")
+                .body(Full::new(body.clone()));
+        let is_heard = match request {
+            Ok(request) => http
+                .fetch(request)
+                .await
+                .is_ok_and(|(status, _)| status == 204),
+            Err(_) => false,
+        };
+        tokio::time::sleep(if is_heard {
+            ANNOUNCE_EVERY
+        } else {
+            ANNOUNCE_EVERY / 10
+        })
+        .await;
+    }
+}
+
+async fn health(State(shared): State<Arc<Shared>>) -> Json<Value> {
+    Json(json!({"incarnation": shared.incarnation}))
+}
+
+/// Counts a run from its start to its end, and a cut-off when it is dropped before its end.
+struct Running {
+    shared: Arc<Shared>,
+    is_whole: bool,
+}
+
+impl Running {
+    fn start(shared: &Arc<Shared>, name: &str) -> Running {
+        let running = shared.running.fetch_add(1, Ordering::SeqCst) + 1;
+        shared.most_running.fetch_max(running, Ordering::SeqCst);
+        *shared
+            .runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .entry(name.to_string())
+            .or_default() += 1;
+        if let Some(path) = &shared.settings.runs_file
+            && let Ok(mut file) = std::fs::OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(path)
+        {
+            let _ = file.write_all(format!("{name}\n").as_bytes());
+        }
+        Running {
+            shared: shared.clone(),
+            is_whole: false,
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.shared.running.fetch_sub(1, Ordering::SeqCst);
+        if !self.is_whole {
+            self.shared.cancelled.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+}
+
+fn prompt_of(body: &Value) -> String {
+    if let Some(prompt) = body.get("prompt").and_then(Value::as_str) {
+        return prompt.to_string();
+    }
+    let messages = body.get("messages").and_then(Value::as_array);
+    let last = messages
+        .and_then(|it| it.last())
+        .and_then(|it| it.get("content"))
+        .and_then(Value::as_str);
+    last.unwrap_or_default().to_string()
+}
+
+async fn complete(State(shared): State<Arc<Shared>>, Json(body): Json<Value>) -> Response {
+    let prompt = prompt_of(&body);
+    let running = Running::start(&shared, &prompt);
+    if prompt.contains(CRASH_MARK) {
+        std::process::exit(134);
+    }
+    let tokens = body
+        .get("max_tokens")
+        .and_then(Value::as_u64)
+        .unwrap_or(shared.settings.tokens);
+    let is_streamed = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
+    match is_streamed {
+        true => stream(shared, running, prompt, tokens),
+        false => whole(shared, running, prompt, tokens).await,
+    }
+}
+
+fn stream(shared: Arc<Shared>, running: Running, prompt: String, tokens: u64) -> Response {
+    let state = (shared, running, prompt, 0);
+    let events =
+        futures_util::stream::unfold(state, move |(shared, mut running, prompt, at)| async move {
+            if at > tokens {
+                return None;
+            }
+            let pause_ms = if at == 0 {
+                shared.settings.first_token_ms
+            } else {
+                shared.settings.token_ms
+            };
+            if pause_ms > 0 {
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+            let event = if at == tokens {
+                running.is_whole = true;
+                "data: [DONE]\n\n".to_string()
+            } else {
+                let chunk =
+                    json!({"choices": [{"index": 0, "delta": {"content": token(&prompt, at)}}]});
+                format!("data: {chunk}\n\n")
+            };
+            Some((
+                Ok::<Bytes, Infallible>(Bytes::from(event)),
+                (shared, running, prompt, at + 1),
+            ))
+        });
+    let response = Response::builder().header("content-type", "text/event-stream");
+    response.body(Body::from_stream(events)).unwrap_or_default()
+}
+
+async fn whole(shared: Arc<Shared>, mut running: Running, prompt: String, tokens: u64) -> Response {
+    let pause_ms =
+        shared.settings.first_token_ms + tokens.saturating_sub(1) * shared.settings.token_ms;
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    running.is_whole = true;
+    Json(json!({"choices": [{"index": 0, "message": {"content": expected_answer(&prompt, tokens)}}]})).into_response()
+}
+
+/// The text of one token; it carries the prompt, so that a mixed-up answer shows.
+pub fn token(prompt: &str, at: u64) -> String {
+    format!("{prompt}#{at} ")
+}
+
+/// The whole text that an engine answers to a prompt.
+pub fn expected_answer(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|it| token(prompt, it)).collect()
+}
+
+async fn serve_plainly(State(shared): State<Arc<Shared>>, request: Request) -> Response {
+    let (parts, body) = request.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map(|it| it.to_bytes())
+        .unwrap_or_default();
+    let name = format!("{} {}", parts.method, parts.uri);
+    let mut running = Running::start(
+        &shared,
+        &format!("{name} {}", String::from_utf8_lossy(&body)),
+    );
+    tokio::time::sleep(Duration::from_millis(shared.settings.first_token_ms)).await;
+    running.is_whole = true;
+    Json(json!({"call": name, "body_bytes": body.len()})).into_response()
+}
