--- /dev/null
+++ b/idl/wire.thrift
@@ -0,0 +1,288 @@
+// Messages between the processes of bilberryloft.
+// One envelope a frame: a 4-byte big-endian length, then the envelope in the compact protocol.
+// Regenerate: thrift -r --gen rs -out crates/bilberryloft-protocol/src idl/wire.thrift
+namespace rs wire
+
+// First frame in each direction of a connection.
+struct Hello {
+  1: required i32 protocol_version
+  2: required string daemon
+  3: required i64 incarnation
+  4: required i64 configuration_version
+}
+
+struct Header {
+  1: required string name
+  2: required string value
+}
+
+// Load of one target as its agent knows it at the time of the message.
+struct Load {
+  1: required i32 running
+  2: required i32 queued
+  3: required i32 slots
+  4: required i64 queued_tokens
+}
+
+// One attempt of one request, from an entry to the agent of the chosen target.
+struct Dispatch {
+  1: required string request_id
+  2: required i32 attempt
+  3: required string target
+  4: required i64 agent_incarnation
+  5: required i64 configuration_version
+  6: required string team
+  7: required i32 weight
+  8: required i32 priority
+  9: required i64 deadline_ms
+  10: required bool non_idempotent
+  11: required i64 fingerprint
+  12: required i64 work_tokens
+  13: required string method
+  14: required string path
+  15: required list<Header> headers
+  16: required binary body
+  17: required binary decision
+  18: required bool trial
+  19: required bool streamed
+}
+
+// First frame of an answer: status line and headers of the back end.
+struct Head {
+  1: required string request_id
+  2: required i32 attempt
+  3: required i32 status
+  4: required list<Header> headers
+  5: required Load load
+}
+
+// One numbered piece of the answer body; numbers start at 0 and have no gaps.
+struct Piece {
+  1: required i32 attempt
+  2: required i32 sequence
+  3: required binary data
+}
+
+// Last frame of a whole answer, with what must have arrived before it.
+struct Complete {
+  1: required i32 attempt
+  2: required i32 pieces
+  3: required i64 body_bytes
+  4: required Load load
+}
+
+// Last frame of an attempt that gave no whole answer.
+struct Refused {
+  1: required i32 attempt
+  2: required i32 reason
+  3: required i32 run
+  4: required i64 retry_after_ms
+  5: required i64 configuration_version
+  6: required string detail
+  7: required Load load
+}
+
+// The caller has gone: stop the attempt at the target.
+struct Cancel {
+  1: required string request_id
+  2: required i32 attempt
+}
+
+// Join an attempt that runs or is held, from a given piece on.
+struct Attach {
+  1: required string request_id
+  2: required i32 attempt
+  3: required i32 from_sequence
+  4: required string team
+}
+
+// Ask an agent never to start an attempt that it has not started yet.
+struct Void {
+  1: required string request_id
+  2: required i32 attempt
+  3: required i64 agent_incarnation
+}
+
+struct VoidReply {
+  1: required i32 attempt_state
+  2: required i64 agent_incarnation
+}
+
+struct Explain {
+  1: required string request_id
+}
+
+struct Records {
+  1: required list<binary> records
+}
+
+// Refusal records that an entry hands to a control host for safekeeping.
+struct StoreRecords {
+  1: required list<binary> records
+}
+
+// Ask for what changed since the given versions; held open until something does.
+struct Watch {
+  1: required string daemon
+  2: required i64 configuration_version
+  3: required i64 membership_version
+  4: required i64 wait_ms
+  5: required i64 suspects_version
+  6: required string peer_address
+}
+
+struct Update {
+  1: required bool confirmed
+  2: required i64 configuration_version
+  3: optional binary configuration_snapshot
+  4: required list<binary> configuration_changes
+  5: required i64 membership_version
+  6: required bool membership_whole
+  7: required list<binary> targets
+  8: required i64 suspects_version
+  9: required list<binary> suspects
+}
+
+// Lease renewal of one target by its agent.
+struct Announce {
+  1: required string target
+  2: required i64 incarnation
+  3: required binary description
+  4: required bool leaving
+  5: required bool forwarded
+}
+
+struct AnnounceReply {
+  1: required i64 lease_ms
+  2: required i64 known_incarnation
+}
+
+// A command for the replicated state; followers hand it to the leader.
+struct Propose {
+  1: required binary command
+  2: required bool forwarded
+}
+
+struct ProposeReply {
+  1: required binary outcome
+}
+
+// Asks the leader for an index that a quorum has confirmed.
+struct ReadIndex {
+  1: required bool forwarded
+}
+
+struct ReadIndexReply {
+  1: required i64 index
+}
+
+
+struct LogEntry {
+  1: required i64 term
+  2: required i64 index
+  3: required binary command
+  4: optional binary members
+}
+
+struct VoteRequest {
+  1: required i64 term
+  2: required i32 candidate
+  3: required i64 last_index
+  4: required i64 last_term
+  5: required bool pre_vote
+}
+
+struct VoteReply {
+  1: required i64 term
+  2: required i32 voter
+  3: required bool granted
+  4: required bool pre_vote
+}
+
+struct Append {
+  1: required i64 term
+  2: required i32 leader
+  3: required i64 previous_index
+  4: required i64 previous_term
+  5: required list<LogEntry> entries
+  6: required i64 commit_index
+  7: required i64 round
+  8: required i64 last_index
+}
+
+struct AppendReply {
+  1: required i64 term
+  2: required i32 follower
+  3: required bool success
+  4: required i64 match_index
+  5: required i64 round
+}
+
+struct InstallSnapshot {
+  1: required i64 term
+  2: required i32 leader
+  3: required i64 last_index
+  4: required i64 last_term
+  5: required binary members
+  6: required binary data
+  7: required i64 round
+  8: required i64 leader_last_index
+}
+
+union RaftMessage {
+  1: VoteRequest vote_request
+  2: VoteReply vote_reply
+  3: Append append
+  4: AppendReply append_reply
+  5: InstallSnapshot install_snapshot
+}
+
+struct Status {
+}
+
+struct StatusReply {
+  1: required binary status
+}
+
+struct Fault {
+  1: required string step
+  2: required string detail
+}
+
+struct Done {
+}
+
+union Body {
+  1: Hello hello
+  2: Dispatch dispatch
+  3: Head head
+  4: Piece piece
+  5: Complete complete
+  6: Refused refused
+  7: Cancel cancel
+  8: Attach attach
+  9: Void void_attempt
+  10: VoidReply void_reply
+  11: Explain explain
+  12: Records records
+  13: StoreRecords store_records
+  14: Watch watch
+  15: Update update
+  16: Announce announce
+  17: AnnounceReply announce_reply
+  18: Propose propose
+  19: ProposeReply propose_reply
+  20: ReadIndex read_index
+  21: ReadIndexReply read_index_reply
+  22: RaftMessage raft
+  23: Fault fault
+  24: Done done
+  25: Status status
+  26: StatusReply status_reply
+}
+
+// One frame. A call and all frames that answer it carry the same call number.
+struct Envelope {
+  1: required i64 call_id
+  2: required Body body
+}
