Quorum and decisions: random runs, single cases, and broken variants that must be caught

Cause: nothing yet showed that the quorum keeps its promises. Change: a world of misbehaving network, disks and clocks driven by quickcheck from fixed seeds; cases for disruption, replacement, lost disks; cases for admission, attempts, retries, leases, freshness. One test failed first: the class step was written in tokens but applied a unit of weight, so the least urgent class waited behind 180,000 tokens. The step is now stated and set a unit of weight (18,000 tokens).

--- a/crates/bilberryloft-coordination/src/admission.rs
+++ b/crates/bilberryloft-coordination/src/admission.rs
@@ -5,8 +5,9 @@
 
 use std::collections::BTreeMap;
 
-/// Tokens by which each class of urgency stands behind the one before it.
-pub const CLASS_STEP_TOKENS: u64 = 2_000;
+/// Tokens a unit of weight by which each class of urgency stands behind the one before it: a team of
+/// weight 10 gets at most 2,000 tokens of work served before a class that is one step less urgent.
+pub const CLASS_STEP_TOKENS_PER_WEIGHT: u64 = 200;
 /// Fixed-point factor of virtual time.
 const VIRTUAL_SCALE: u64 = 1_000;
 /// Share of a new measurement in the smoothed service time.
@@ -141,7 +142,7 @@
 
     fn start_tag(&self, ask: &Ask) -> u64 {
         let behind = self.finish_of_team.get(&ask.team).copied().unwrap_or(0);
-        let class = u64::from(ask.priority) * CLASS_STEP_TOKENS * VIRTUAL_SCALE;
+        let class = u64::from(ask.priority) * CLASS_STEP_TOKENS_PER_WEIGHT * VIRTUAL_SCALE;
         self.virtual_time.max(behind) + class
     }
 
--- /dev/null
+++ b/crates/bilberryloft-coordination/tests/decisions.rs
@@ -0,0 +1,341 @@
+//! Admission, attempts, picking, retries, leases and freshness, case by case.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use bilberryloft_coordination::admission::Admission;
+use bilberryloft_coordination::admission::Ask;
+use bilberryloft_coordination::admission::Verdict;
+use bilberryloft_coordination::attempts::AttemptState;
+use bilberryloft_coordination::attempts::AttemptTable;
+use bilberryloft_coordination::attempts::Begin;
+use bilberryloft_coordination::attempts::REMEMBER_MS;
+use bilberryloft_coordination::attempts::VoidAnswer;
+use bilberryloft_coordination::freshness::Freshness;
+use bilberryloft_coordination::freshness::OnLostControl;
+use bilberryloft_coordination::leases::GATHER_MS;
+use bilberryloft_coordination::leases::LeaseTable;
+use bilberryloft_coordination::retry::Failure;
+use bilberryloft_coordination::retry::NextStep;
+use bilberryloft_coordination::retry::RetryBudget;
+use bilberryloft_coordination::retry::decide_next_step;
+use bilberryloft_state::refusal::Reason;
+use bilberryloft_state::refusal::RunState;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+fn ask(id: u64, team: &str, work_tokens: u64) -> Ask {
+    Ask {
+        id,
+        team: team.to_string(),
+        weight: 10,
+        priority: 0,
+        work_tokens,
+        deadline_ms: 1_000_000,
+        arrived_ms: 0,
+    }
+}
+
+/// Serves backlogged teams one request at a time and returns the tokens that each got.
+fn serve_backlog(asks_of_team: &[(&str, u32, u64)], rounds: usize) -> BTreeMap<String, u64> {
+    let mut admission = Admission::new(1, 100_000);
+    let mut asks = BTreeMap::new();
+    let mut id = 0;
+    for (team, weight, work_tokens) in asks_of_team {
+        for _ in 0..rounds {
+            id += 1;
+            let ask = Ask {
+                weight: *weight,
+                ..ask(id, team, *work_tokens)
+            };
+            asks.insert(id, ask.clone());
+            admission.ask(ask);
+        }
+    }
+    let mut served = BTreeMap::new();
+    let mut running = 1;
+    for _ in 0..rounds {
+        let ask: &Ask = &asks[&running];
+        *served.entry(ask.team.clone()).or_insert(0) += ask.work_tokens;
+        running = admission.finish(running, 0)[0];
+    }
+    served
+}
+
+#[test]
+fn admission_shares_by_tokens_not_requests() {
+    let served = serve_backlog(&[("large", 10, 1_000), ("small", 10, 100)], 1_000);
+    let ratio = served["large"] as f64 / served["small"] as f64;
+    assert!((0.95..1.05).contains(&ratio), "{served:?}");
+}
+
+#[test]
+fn admission_shares_by_weight() {
+    let served = serve_backlog(&[("heavy", 30, 100), ("light", 10, 100)], 1_000);
+    let ratio = served["heavy"] as f64 / served["light"] as f64;
+    assert!((2.85..3.15).contains(&ratio), "{served:?}");
+}
+
+#[test]
+fn admission_puts_urgent_first_and_starves_nobody() {
+    let mut admission = Admission::new(1, 10_000);
+    admission.ask(ask(0, "running", 100));
+    admission.ask(Ask {
+        priority: 9,
+        ..ask(1, "patient", 100)
+    });
+    for id in 2..1_000 {
+        admission.ask(ask(id, "urgent", 100));
+    }
+    let mut order = Vec::new();
+    let mut running = 0;
+    for _ in 0..900 {
+        running = admission.finish(running, 0)[0];
+        order.push(running);
+    }
+    let place = order.iter().position(|it| *it == 1).unwrap();
+    assert!(place > 10, "the urgent team goes first");
+    assert!(
+        place < 300,
+        "the patient one is served while urgent work still waits: {place}"
+    );
+}
+
+#[test]
+fn admission_full_queue_makes_room_for_a_team_below_its_share() {
+    let mut admission = Admission::new(1, 10);
+    for id in 0..11 {
+        admission.ask(ask(id, "flood", 100));
+    }
+    assert_eq!(admission.ask(ask(20, "flood", 100)), Verdict::Busy);
+    assert_eq!(
+        admission.ask(ask(21, "quiet", 100)),
+        Verdict::Wait { evicted: Some(10) }
+    );
+}
+
+#[test]
+fn admission_refuses_what_would_be_too_late() {
+    let mut admission = Admission::new(1, 10);
+    admission.ask(ask(0, "a", 100));
+    admission.ask(ask(1, "a", 100));
+    assert_eq!(admission.finish(0, 10_000), [1]);
+    let late = Ask {
+        deadline_ms: 10_001,
+        arrived_ms: 10_000,
+        ..ask(2, "a", 100)
+    };
+    assert_eq!(admission.ask(late), Verdict::TooLate);
+}
+
+#[test]
+fn admission_never_exceeds_its_slots() {
+    fn property(operations: Vec<u8>) -> bool {
+        let mut admission = Admission::new(3, 5);
+        let mut running: Vec<u64> = Vec::new();
+        let mut waiting: Vec<u64> = Vec::new();
+        for (id, operation) in (0..).zip(operations) {
+            let team = format!("team-{}", operation % 4);
+            match operation % 3 {
+                0 | 1 => match admission.ask(ask(id, &team, u64::from(operation) + 1)) {
+                    Verdict::Run => running.push(id),
+                    Verdict::Wait { evicted } => {
+                        waiting.retain(|it| Some(*it) != evicted);
+                        waiting.push(id);
+                    }
+                    Verdict::Busy | Verdict::TooLate => {}
+                },
+                _ if !running.is_empty() => {
+                    let ended = running.remove(usize::from(operation) % running.len());
+                    for next in admission.finish(ended, id) {
+                        waiting.retain(|it| *it != next);
+                        running.push(next);
+                    }
+                }
+                _ => {}
+            }
+            let counts_agree =
+                admission.running() == running.len() && admission.queued() == waiting.len();
+            let keeps_busy = running.len() == 3 || waiting.is_empty();
+            if running.len() > 3 || waiting.len() > 5 || !counts_agree || !keeps_busy {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 11))
+        .tests(500)
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn attempt_starts_once() {
+    let mut table = AttemptTable::new(5);
+    assert_eq!(table.begin("e-1-1", 1, 5), Begin::Start);
+    assert_eq!(
+        table.begin("e-1-1", 1, 5),
+        Begin::Duplicate(AttemptState::Running)
+    );
+    table.end("e-1-1", 1, AttemptState::Finished, 0);
+    assert_eq!(
+        table.begin("e-1-1", 1, 5),
+        Begin::Duplicate(AttemptState::Finished)
+    );
+    assert_eq!(table.begin("e-1-1", 2, 5), Begin::Start);
+}
+
+#[test]
+fn attempt_of_an_earlier_life_never_starts() {
+    let mut table = AttemptTable::new(5);
+    assert_eq!(table.begin("e-1-1", 1, 4), Begin::WrongIncarnation);
+    assert_eq!(table.void("e-1-1", 1, 4, 0), VoidAnswer::OtherIncarnation);
+}
+
+#[test]
+fn attempt_voided_before_its_start_never_starts() {
+    let mut table = AttemptTable::new(5);
+    assert_eq!(table.void("e-1-1", 1, 5, 0), VoidAnswer::NotStarted);
+    assert_eq!(table.begin("e-1-1", 1, 5), Begin::Voided);
+}
+
+#[test]
+fn attempt_under_way_is_not_voided() {
+    let mut table = AttemptTable::new(5);
+    table.begin("e-1-1", 1, 5);
+    assert_eq!(table.void("e-1-1", 1, 5, 0), VoidAnswer::Running);
+    table.end("e-1-1", 1, AttemptState::Failed, 0);
+    assert_eq!(table.void("e-1-1", 1, 5, 0), VoidAnswer::Failed);
+}
+
+#[test]
+fn attempt_forgotten_never_starts_again() {
+    let mut table = AttemptTable::new(5);
+    table.begin("e-1-10", 1, 5);
+    table.end("e-1-10", 1, AttemptState::NotStarted, 0);
+    table.begin("e-1-11", 1, 5);
+    table.end("e-1-11", 1, AttemptState::Finished, REMEMBER_MS + 1);
+    assert_eq!(table.len(), 1, "the older one is forgotten");
+    assert_eq!(table.begin("e-1-10", 1, 5), Begin::Forgotten);
+    assert_eq!(table.begin("e-1-12", 1, 5), Begin::Start);
+    assert_eq!(
+        table.begin("f-1-3", 1, 5),
+        Begin::Start,
+        "another entry's numbers are its own"
+    );
+}
+
+fn failure(run: RunState, idempotent: bool) -> Failure {
+    Failure {
+        reason: Reason::ContactLost,
+        run,
+        answer_started: false,
+        idempotent,
+        attempts: 1,
+        time_left_ms: 1_000,
+    }
+}
+
+#[test]
+fn retry_of_work_that_must_not_repeat_needs_certainty() {
+    let mut budget = RetryBudget::default();
+    assert_eq!(
+        decide_next_step(failure(RunState::NotRun, false), &mut budget),
+        NextStep::TryElsewhere
+    );
+    assert_eq!(
+        decide_next_step(failure(RunState::Unknown, false), &mut budget),
+        NextStep::GiveUp
+    );
+    assert_eq!(
+        decide_next_step(failure(RunState::Ran, false), &mut budget),
+        NextStep::GiveUp
+    );
+    assert_eq!(
+        decide_next_step(failure(RunState::Unknown, true), &mut budget),
+        NextStep::TryElsewhere
+    );
+}
+
+#[test]
+fn retry_after_the_answer_began_is_never_made() {
+    let begun = Failure {
+        answer_started: true,
+        ..failure(RunState::Ran, true)
+    };
+    assert_eq!(
+        decide_next_step(begun, &mut RetryBudget::default()),
+        NextStep::GiveUp
+    );
+}
+
+#[test]
+fn retry_budget_bounds_added_load() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        if decide_next_step(failure(RunState::NotRun, true), &mut budget) == NextStep::TryElsewhere
+        {
+            retries += 1;
+        }
+    }
+    assert!(retries <= 2_051, "{retries}");
+}
+
+#[test]
+fn freshness_counts_from_the_question() {
+    let mut freshness = Freshness::new(1_000, OnLostControl::StandDown);
+    assert!(!freshness.may_serve(0));
+    freshness.confirm(100);
+    assert!(freshness.may_serve(1_100));
+    assert!(!freshness.may_serve(1_101));
+    freshness.confirm(50);
+    assert!(
+        !freshness.may_serve(1_101),
+        "a late answer to an old question proves nothing"
+    );
+}
+
+#[test]
+fn freshness_can_be_told_to_serve_on() {
+    let mut freshness = Freshness::new(1_000, OnLostControl::Serve);
+    assert!(
+        !freshness.may_serve(0),
+        "without any configuration there is nothing to serve on"
+    );
+    freshness.confirm(0);
+    assert!(freshness.may_serve(1_000_000));
+}
+
+#[test]
+fn leases_of_a_rack_expire_as_one_event() {
+    let mut leases = LeaseTable::new(1_000);
+    for number in 0..40 {
+        leases.renew(&format!("target-{number}"), 1, number * 5);
+    }
+    leases.renew("other", 1, 5_000);
+    assert!(leases.take_expired(1_010).is_empty());
+    assert_eq!(leases.take_expired(1_010 + GATHER_MS).len(), 40);
+    assert_eq!(leases.len(), 1);
+}
+
+#[test]
+fn leases_renewed_within_the_window_do_not_expire() {
+    let mut leases = LeaseTable::new(1_000);
+    leases.renew("slow", 1, 0);
+    assert!(leases.take_expired(1_000).is_empty());
+    leases.renew("slow", 1, 1_100);
+    assert!(leases.take_expired(1_000 + GATHER_MS).is_empty());
+}
+
+#[test]
+fn leases_of_a_new_leader_are_full() {
+    let mut leases = LeaseTable::new(1_000);
+    leases.start_term([("a".to_string(), 1)], 50_000);
+    assert!(leases.take_expired(50_500).is_empty());
+    assert!(
+        !leases.renew("a", 0, 50_600),
+        "an earlier life renews nothing"
+    );
+}
--- /dev/null
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -0,0 +1,610 @@
+//! A quorum in one process with a network and disks that misbehave, and checks of what must always hold.
+#![allow(clippy::unwrap_used, dead_code)]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use bilberryloft_coordination::raft::Message;
+use bilberryloft_coordination::raft::Options;
+use bilberryloft_coordination::raft::Outbound;
+use bilberryloft_coordination::raft::Raft;
+use bilberryloft_coordination::raft::Role;
+use bilberryloft_coordination::raft::Start;
+use bilberryloft_state::member_set::MemberSet;
+use bilberryloft_state::snapshot::Snapshot;
+use bilberryloft_state::wal::HardState;
+use bilberryloft_state::wal::LogEntry;
+use bilberryloft_state::wal::Payload;
+use bilberryloft_state::wal::WalRecord;
+
+/// How the world around the quorum is built.
+#[derive(Clone, Copy, Debug)]
+pub struct World {
+    /// Number of members.
+    pub members: u32,
+    /// Options of every member.
+    pub options: Options,
+    /// Whether records are reported durable before they are.
+    pub skips_sync: bool,
+    /// Whether disks may be lost.
+    pub loses_disks: bool,
+}
+
+impl Default for World {
+    fn default() -> Self {
+        let options = Options {
+            heartbeat_ms: 20,
+            election_ms: 100,
+            ..Options::default()
+        };
+        World {
+            members: 3,
+            options,
+            skips_sync: false,
+            loses_disks: true,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Disk {
+    hard_state: HardState,
+    may_vote: bool,
+    snapshot: Option<Snapshot>,
+    entries: Vec<LogEntry>,
+}
+
+impl Disk {
+    fn write(&mut self, record: &WalRecord) {
+        match record {
+            WalRecord::HardState(state) => self.hard_state = *state,
+            WalRecord::Entry(entry) => self.entries.push(entry.clone()),
+            WalRecord::Truncate { from_index } => self.entries.retain(|it| it.index < *from_index),
+            WalRecord::MayVote => self.may_vote = true,
+        }
+    }
+}
+
+enum Job {
+    Append {
+        number: u64,
+        records: Vec<WalRecord>,
+        messages: Vec<Outbound>,
+    },
+    Replace {
+        number: u64,
+        disk: Disk,
+        messages: Vec<Outbound>,
+    },
+}
+
+struct Member {
+    raft: Option<Raft>,
+    disk: Disk,
+    jobs: Vec<Job>,
+    applied_index: u64,
+    clock_skew_ms: u64,
+}
+
+/// The quorum, its network and everything that was seen.
+pub struct Cluster {
+    world: World,
+    members: BTreeMap<u32, Member>,
+    network: Vec<(u32, Outbound)>,
+    cut: BTreeSet<(u32, u32)>,
+    now_ms: u64,
+    next_command: u64,
+    next_ticket: u64,
+    committed: BTreeMap<u64, (u64, Payload)>,
+    leaders: BTreeMap<u64, u32>,
+    reads: BTreeMap<u64, u64>,
+    seed: u64,
+    lost_disk: Option<u32>,
+    /// Reads that were confirmed.
+    pub reads_done: u64,
+    /// First broken promise, if any.
+    pub violation: Option<String>,
+}
+
+impl Cluster {
+    pub fn new(world: World, seed: u64) -> Cluster {
+        let mut cluster = Cluster {
+            world,
+            members: BTreeMap::new(),
+            network: Vec::new(),
+            cut: BTreeSet::new(),
+            now_ms: 0,
+            next_command: 0,
+            next_ticket: 0,
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            seed,
+            lost_disk: None,
+            reads_done: 0,
+            violation: None,
+        };
+        for member in 1..=world.members {
+            let disk = Disk::default();
+            let state = Member {
+                raft: None,
+                disk,
+                jobs: Vec::new(),
+                applied_index: 0,
+                clock_skew_ms: 0,
+            };
+            cluster.members.insert(member, state);
+            cluster.start(member);
+        }
+        cluster
+    }
+
+    fn first_members(&self) -> MemberSet {
+        MemberSet::of_voters(
+            (1..=self.world.members)
+                .map(|it| (it, format!("member-{it}")))
+                .collect(),
+        )
+    }
+
+    fn violate(&mut self, text: String) {
+        self.violation.get_or_insert(text);
+    }
+
+    pub fn start(&mut self, member: u32) {
+        self.seed += 1;
+        let members = self.first_members();
+        let (options, seed, now_ms) = (self.world.options, self.seed, self.now_ms);
+        let state = self.members.get_mut(&member).unwrap();
+        if state.raft.is_some() {
+            return;
+        }
+        state.applied_index = state.disk.snapshot.as_ref().map_or(0, |it| it.last_index);
+        let start = Start {
+            member,
+            members,
+            hard_state: state.disk.hard_state,
+            may_vote: state.disk.may_vote,
+            snapshot: state.disk.snapshot.clone(),
+            entries: state.disk.entries.clone(),
+            seed,
+            now_ms: now_ms + state.clock_skew_ms,
+        };
+        state.raft = Some(Raft::new(options, start));
+    }
+
+    /// Ends a member at once; what it has not synced is gone.
+    pub fn crash(&mut self, member: u32) {
+        let state = self.members.get_mut(&member).unwrap();
+        state.raft = None;
+        state.jobs.clear();
+    }
+
+    /// Ends a member and empties its disk, unless another one has not recovered from that yet.
+    pub fn lose_disk(&mut self, member: u32) {
+        let has_recovered = self
+            .lost_disk
+            .is_none_or(|it| self.members[&it].disk.may_vote);
+        let all_others_have = self
+            .members
+            .iter()
+            .all(|(it, state)| *it == member || state.disk.may_vote);
+        if !self.world.loses_disks || !has_recovered || !all_others_have {
+            return;
+        }
+        self.crash(member);
+        self.members.get_mut(&member).unwrap().disk = Disk::default();
+        self.lost_disk = Some(member);
+    }
+
+    pub fn cut(&mut self, from: u32, to: u32) {
+        self.cut.insert((from, to));
+    }
+
+    pub fn isolate(&mut self, member: u32) {
+        for other in 1..=self.world.members {
+            self.cut.insert((member, other));
+            self.cut.insert((other, member));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    pub fn pass_time(&mut self, time_ms: u64) {
+        self.now_ms += time_ms;
+        for member in self.running() {
+            let now_ms = self.clock_of(member);
+            self.raft_mut(member).tick(now_ms);
+            self.collect(member);
+        }
+    }
+
+    /// Lets one member's clock run ahead.
+    pub fn skew(&mut self, member: u32, by_ms: u64) {
+        self.members.get_mut(&member).unwrap().clock_skew_ms += by_ms;
+    }
+
+    fn clock_of(&self, member: u32) -> u64 {
+        self.now_ms + self.members[&member].clock_skew_ms
+    }
+
+    fn running(&self) -> Vec<u32> {
+        self.members
+            .iter()
+            .filter(|(_, it)| it.raft.is_some())
+            .map(|(it, _)| *it)
+            .collect()
+    }
+
+    fn raft_mut(&mut self, member: u32) -> &mut Raft {
+        self.members
+            .get_mut(&member)
+            .unwrap()
+            .raft
+            .as_mut()
+            .unwrap()
+    }
+
+    pub fn raft(&self, member: u32) -> Option<&Raft> {
+        self.members[&member].raft.as_ref()
+    }
+
+    pub fn leader(&self) -> Option<u32> {
+        let leads = |it: &&u32| {
+            self.raft(**it)
+                .is_some_and(|raft| raft.role() == Role::Leader)
+        };
+        let running = self.running();
+        running
+            .iter()
+            .filter(leads)
+            .max_by_key(|it| self.raft(**it).unwrap().term())
+            .copied()
+    }
+
+    pub fn propose(&mut self, member: u32) -> bool {
+        if self.raft(member).is_none() {
+            return false;
+        }
+        self.next_command += 1;
+        let command = self.next_command.to_le_bytes().to_vec();
+        let is_taken = self.raft_mut(member).propose(command).is_ok();
+        self.collect(member);
+        is_taken
+    }
+
+    pub fn read(&mut self, member: u32) {
+        if self.raft(member).is_none() {
+            return;
+        }
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let committed = self
+            .committed
+            .last_key_value()
+            .map_or(0, |(index, _)| *index);
+        if self.raft_mut(member).read(ticket).is_ok() {
+            self.reads.insert(ticket, committed);
+        }
+        self.collect(member);
+    }
+
+    pub fn propose_members(&mut self, member: u32, members: MemberSet) -> bool {
+        let is_taken = matches!(self.raft_mut(member).propose_members(members), Ok(Some(_)));
+        self.collect(member);
+        is_taken
+    }
+
+    /// Adds a member with an empty disk that does not know any members yet.
+    pub fn add_empty_member(&mut self, member: u32) {
+        let disk = Disk::default();
+        let state = Member {
+            raft: None,
+            disk,
+            jobs: Vec::new(),
+            applied_index: 0,
+            clock_skew_ms: 0,
+        };
+        self.members.insert(member, state);
+        self.start(member);
+    }
+
+    pub fn deliver(&mut self, at: usize) {
+        if self.network.is_empty() {
+            return;
+        }
+        let at = at % self.network.len();
+        let (from, outbound) = self.network.swap_remove(at);
+        self.arrive(from, outbound);
+    }
+
+    pub fn deliver_copy(&mut self, at: usize) {
+        if self.network.is_empty() {
+            return;
+        }
+        let (from, outbound) = self.network[at % self.network.len()].clone();
+        self.arrive(from, outbound);
+    }
+
+    pub fn drop_message(&mut self, at: usize) {
+        if !self.network.is_empty() {
+            let at = at % self.network.len();
+            self.network.swap_remove(at);
+        }
+    }
+
+    fn arrive(&mut self, from: u32, outbound: Outbound) {
+        let is_cut = self.cut.contains(&(from, outbound.to));
+        let runs = self
+            .members
+            .get(&outbound.to)
+            .is_some_and(|it| it.raft.is_some());
+        if is_cut || !runs {
+            return;
+        }
+        let now_ms = self.clock_of(outbound.to);
+        self.raft_mut(outbound.to).receive(outbound.message, now_ms);
+        self.collect(outbound.to);
+    }
+
+    /// Syncs the oldest job of a member's disk.
+    pub fn sync(&mut self, member: u32) {
+        let state = self.members.get_mut(&member).unwrap();
+        if state.raft.is_none() || state.jobs.is_empty() {
+            return;
+        }
+        let (number, messages) = match state.jobs.remove(0) {
+            Job::Append {
+                number,
+                records,
+                messages,
+            } => {
+                records.iter().for_each(|it| state.disk.write(it));
+                (number, messages)
+            }
+            Job::Replace {
+                number,
+                disk,
+                messages,
+            } => {
+                state.disk = disk;
+                (number, messages)
+            }
+        };
+        self.report_durable(member, number, messages);
+    }
+
+    fn report_durable(&mut self, member: u32, number: u64, messages: Vec<Outbound>) {
+        self.network
+            .extend(messages.into_iter().map(|it| (member, it)));
+        if number > 0 {
+            self.raft_mut(member).persisted(number);
+            self.collect(member);
+        }
+    }
+
+    fn collect(&mut self, member: u32) {
+        loop {
+            let output = self.raft_mut(member).take_output();
+            if output.is_empty() {
+                break;
+            }
+            let raft = self.members[&member].raft.as_ref().unwrap();
+            let job = match output.install {
+                Some(snapshot) => {
+                    let disk = Disk {
+                        hard_state: raft.hard_state(),
+                        may_vote: raft.may_vote(),
+                        entries: raft.log().entries().to_vec(),
+                        snapshot: Some(snapshot.clone()),
+                    };
+                    self.check_install(member, &snapshot);
+                    Job::Replace {
+                        number: output.persist_number,
+                        disk,
+                        messages: output.after_sync,
+                    }
+                }
+                None => Job::Append {
+                    number: output.persist_number,
+                    records: output.records,
+                    messages: output.after_sync,
+                },
+            };
+            self.network
+                .extend(output.now.into_iter().map(|it| (member, it)));
+            for entry in output.committed {
+                self.check_applied(member, entry);
+            }
+            for (ticket, index) in output.confirmed_reads {
+                self.check_read(ticket, index);
+            }
+            for ticket in output.failed_reads {
+                self.reads.remove(&ticket);
+            }
+            self.queue_job(member, job);
+            self.check_leader(member);
+        }
+    }
+
+    fn queue_job(&mut self, member: u32, job: Job) {
+        let skips_sync = self.world.skips_sync;
+        let state = self.members.get_mut(&member).unwrap();
+        match job {
+            Job::Append {
+                number,
+                records,
+                messages,
+            } if skips_sync => {
+                // The records wait in memory while the world is told that they are durable.
+                state.jobs.push(Job::Append {
+                    number: 0,
+                    records,
+                    messages: Vec::new(),
+                });
+                self.report_durable(member, number, messages);
+            }
+            Job::Append {
+                number: 0,
+                messages,
+                ..
+            } if state.jobs.is_empty() => {
+                self.network
+                    .extend(messages.into_iter().map(|it| (member, it)));
+            }
+            job => state.jobs.push(job),
+        }
+    }
+
+    fn check_leader(&mut self, member: u32) {
+        let raft = self.members[&member].raft.as_ref().unwrap();
+        if raft.role() != Role::Leader {
+            return;
+        }
+        let term = raft.term();
+        let first = *self.leaders.entry(term).or_insert(member);
+        if first != member {
+            self.violate(format!(
+                "members {first} and {member} both lead term {term}"
+            ));
+        }
+    }
+
+    fn check_applied(&mut self, member: u32, entry: LogEntry) {
+        let state = self.members.get_mut(&member).unwrap();
+        let expected = state.applied_index + 1;
+        state.applied_index = entry.index;
+        if entry.index != expected {
+            self.violate(format!(
+                "member {member} applied {} where {expected} was due",
+                entry.index
+            ));
+        }
+        let value = (entry.term, entry.payload);
+        match self.committed.get(&entry.index) {
+            Some(first) if *first != value => {
+                self.violate(format!(
+                    "entry {} was committed twice with different content",
+                    entry.index
+                ));
+            }
+            Some(_) => {}
+            None => drop(self.committed.insert(entry.index, value)),
+        }
+    }
+
+    fn check_install(&mut self, member: u32, snapshot: &Snapshot) {
+        self.members.get_mut(&member).unwrap().applied_index = snapshot.last_index;
+        match self.committed.get(&snapshot.last_index) {
+            Some((term, _)) if *term == snapshot.last_term => {}
+            _ => self.violate(format!(
+                "a snapshot ends at {}, which was not committed so",
+                snapshot.last_index
+            )),
+        }
+    }
+
+    fn check_read(&mut self, ticket: u64, index: u64) {
+        let Some(committed) = self.reads.remove(&ticket) else {
+            return;
+        };
+        self.reads_done += 1;
+        if index < committed {
+            self.violate(format!(
+                "a read saw {index} though {committed} had been committed before it"
+            ));
+        }
+    }
+
+    /// Replaces a member's applied entries by a snapshot.
+    pub fn compact(&mut self, member: u32) {
+        let state = self.members.get_mut(&member).unwrap();
+        let applied_index = state.applied_index;
+        let Some(raft) = state.raft.as_mut() else {
+            return;
+        };
+        if applied_index <= raft.log().snapshot_index() {
+            return;
+        }
+        let snapshot = Snapshot {
+            last_index: applied_index,
+            last_term: raft.log().term_at(applied_index).unwrap(),
+            members: raft.log().members_up_to(applied_index).0.clone(),
+            data: Vec::new(),
+        };
+        raft.compact(snapshot.clone());
+        let disk = Disk {
+            hard_state: raft.hard_state(),
+            may_vote: raft.may_vote(),
+            entries: raft.log().entries().to_vec(),
+            snapshot: Some(snapshot),
+        };
+        state.jobs.push(Job::Replace {
+            number: 0,
+            disk,
+            messages: Vec::new(),
+        });
+    }
+
+    /// Lets a quiet time pass in which everything is delivered and synced.
+    pub fn settle(&mut self, time_ms: u64) {
+        let until_ms = self.now_ms + time_ms;
+        while self.now_ms < until_ms {
+            self.pass_time(10);
+            for _ in 0..4 {
+                for member in self.running() {
+                    while !self.members[&member].jobs.is_empty() {
+                        self.sync(member);
+                    }
+                }
+                for (from, outbound) in std::mem::take(&mut self.network) {
+                    self.arrive(from, outbound);
+                }
+            }
+        }
+    }
+
+    /// Number of entries that were committed so far.
+    pub fn committed_count(&self) -> usize {
+        self.committed.len()
+    }
+
+    /// Checks that a healed quorum makes progress and that no committed entry is missing anywhere.
+    pub fn check_recovery(&mut self) {
+        self.heal();
+        for member in 1..=self.world.members {
+            self.start(member);
+        }
+        self.settle(6_000);
+        let Some(leader) = self.leader() else {
+            return self.violate("no leader after healing".to_string());
+        };
+        let before = self.committed_count();
+        self.propose(leader);
+        self.settle(500);
+        if self.committed_count() <= before {
+            self.violate("a proposal is not committed after healing".to_string());
+        }
+        let last = *self.committed.last_key_value().unwrap().0;
+        for member in 1..=self.world.members {
+            let applied = self.members[&member].applied_index;
+            if applied != last {
+                self.violate(format!(
+                    "member {member} has applied {applied} of {last} after healing"
+                ));
+            }
+        }
+    }
+
+    /// Messages on their way.
+    pub fn in_flight(&self) -> usize {
+        self.network.len()
+    }
+
+    /// Sends a message as if a member had sent it now.
+    pub fn inject(&mut self, from: u32, to: u32, message: Message) {
+        self.network.push((from, Outbound { to, message }));
+    }
+}
