--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -105,6 +105,12 @@
         done.map_err(|it| Error::disk(step, &self.file_path, it))
     }
 
+    /// Writes to another file from now on, so that tests can bring about failures of the disk.
+    #[doc(hidden)]
+    pub fn swap_file_for_test(&mut self, file: File) {
+        self.file = file;
+    }
+
     /// Replaces the log by a snapshot and the entries after it.
     pub fn install(
         &mut self,
--- /dev/null
+++ b/crates/bilberryloft-state/tests/machine.rs
@@ -0,0 +1,348 @@
+//! Configuration, claims, suspects and membership as the quorum applies them.
+#![allow(clippy::unwrap_used)]
+
+use bilberryloft_state::claim::CLAIM_RETENTION_MS;
+use bilberryloft_state::claim::ClaimOutcome;
+use bilberryloft_state::claim::ClaimSite;
+use bilberryloft_state::claim::Claims;
+use bilberryloft_state::configuration::ChangeKind;
+use bilberryloft_state::configuration::ChangeOutcome;
+use bilberryloft_state::configuration::ChangeRequest;
+use bilberryloft_state::configuration::Configuration;
+use bilberryloft_state::configuration::RECENT_CHANGES;
+use bilberryloft_state::configuration::Team;
+use bilberryloft_state::configuration::Template;
+use bilberryloft_state::configuration::token_digest;
+use bilberryloft_state::machine::Command;
+use bilberryloft_state::machine::Machine;
+use bilberryloft_state::machine::StampedCommand;
+use bilberryloft_state::membership::FORGET_AFTER_MS;
+use bilberryloft_state::membership::Membership;
+use bilberryloft_state::membership::TargetDescription;
+use bilberryloft_state::suspect::Suspects;
+use bilberryloft_state::suspect::TrialOutcome;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+fn template() -> Template {
+    Template {
+        name: "depots".to_string(),
+        models: vec!["forecast-writer".to_string()],
+        services: Vec::new(),
+        weight: 10,
+        priority: 1,
+        non_idempotent: false,
+        deadline_ms: 1_000,
+        in_flight_max: 10,
+    }
+}
+
+fn team(name: &str, token: &str) -> Team {
+    Team {
+        name: name.to_string(),
+        template: "depots".to_string(),
+        token_sha256: vec![token_digest(token)],
+        weight: None,
+        models: None,
+        in_flight_max: None,
+    }
+}
+
+fn change(id: &str, base_version: Option<u64>, kind: ChangeKind) -> ChangeRequest {
+    ChangeRequest {
+        change_id: id.to_string(),
+        base_version,
+        author: format!("author of {id}"),
+        reason: String::new(),
+        kind,
+    }
+}
+
+fn drain(name: &str, draining: bool) -> ChangeKind {
+    ChangeKind::SetTarget {
+        name: name.to_string(),
+        draining,
+    }
+}
+
+fn with_template() -> Configuration {
+    let mut configuration = Configuration::default();
+    configuration.decide(&change("t", None, ChangeKind::ApplyTemplate(template())), 0);
+    configuration
+}
+
+#[test]
+fn change_resent_gets_its_first_outcome() {
+    let mut configuration = Configuration::default();
+    let request = change("a", None, drain("x", true));
+    let first = configuration.decide(&request, 1);
+    configuration.decide(&change("b", None, drain("x", false)), 2);
+    assert_eq!(configuration.decide(&request, 3), first);
+    assert_eq!(
+        (configuration.version(), configuration.is_draining("x")),
+        (2, false)
+    );
+}
+
+#[test]
+fn change_racing_with_equal_base_has_one_winner() {
+    let mut configuration = Configuration::default();
+    let base = Some(configuration.version());
+    let first = configuration.decide(&change("a", base, drain("x", true)), 1);
+    let second = configuration.decide(&change("b", base, drain("x", false)), 2);
+    assert_eq!(first, ChangeOutcome::Accepted { version: 1 });
+    let winner = ("a".to_string(), "author of a".to_string());
+    let conflict = ChangeOutcome::Conflict {
+        object_version: 1,
+        winner_change_id: winner.0,
+        winner_author: winner.1,
+    };
+    assert_eq!(second, conflict);
+    let other = configuration.decide(&change("c", base, drain("y", true)), 3);
+    assert_eq!(
+        other,
+        ChangeOutcome::Accepted { version: 2 },
+        "another object is no race"
+    );
+}
+
+#[test]
+fn change_that_breaks_a_rule_names_the_field() {
+    let mut configuration = with_template();
+    let wrong = Template {
+        weight: 0,
+        ..template()
+    };
+    let outcome = configuration.decide(&change("w", None, ChangeKind::ApplyTemplate(wrong)), 0);
+    assert!(matches!(outcome, ChangeOutcome::Invalid { detail } if detail.contains("weight: 0")));
+    configuration.decide(
+        &change("a", None, ChangeKind::SetTeam(team("asahikawa", "token"))),
+        0,
+    );
+    let stolen = configuration.decide(
+        &change("b", None, ChangeKind::SetTeam(team("kamikawa", "token"))),
+        0,
+    );
+    assert!(matches!(stolen, ChangeOutcome::Invalid { detail } if detail.contains("asahikawa")));
+}
+
+#[test]
+fn team_takes_new_tokens_and_loses_old_ones() {
+    let mut configuration = with_template();
+    configuration.decide(
+        &change("a", None, ChangeKind::SetTeam(team("asahikawa", "old"))),
+        0,
+    );
+    configuration.decide(
+        &change("b", None, ChangeKind::SetTeam(team("asahikawa", "new"))),
+        0,
+    );
+    assert!(
+        configuration
+            .policy_of_digest(&token_digest("old"))
+            .is_none()
+    );
+    assert_eq!(
+        configuration
+            .policy_of_digest(&token_digest("new"))
+            .unwrap()
+            .weight,
+        10
+    );
+}
+
+#[test]
+fn configuration_from_deltas_equals_the_original() {
+    fn property(steps: Vec<u8>) -> bool {
+        let mut original = with_template();
+        let mut copy = Configuration::default();
+        for (number, step) in steps.iter().enumerate() {
+            let name = format!("object-{}", step % 5);
+            let kind = match step % 3 {
+                0 => drain(&name, step % 2 == 0),
+                1 => ChangeKind::SetTeam(team(&name, &name)),
+                _ => ChangeKind::RemoveTeam { name },
+            };
+            original.decide(&change(&number.to_string(), None, kind), 0);
+            if step % 4 == 0 {
+                for record in original.changes_after(copy.version()).unwrap() {
+                    copy.apply(record.clone());
+                    copy.apply(record);
+                }
+            }
+        }
+        for record in original.changes_after(copy.version()).unwrap() {
+            copy.apply(record);
+        }
+        copy.version() == original.version() && copy.teams() == original.teams()
+    }
+    let random = Gen::from_size_and_seed(100, 29);
+    QuickCheck::new()
+        .rng(random)
+        .tests(200)
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn configuration_too_far_behind_needs_a_snapshot() {
+    let mut configuration = Configuration::default();
+    for number in 0..RECENT_CHANGES + 10 {
+        configuration.decide(&change(&number.to_string(), None, drain("x", true)), 0);
+    }
+    assert!(configuration.changes_after(5).is_none());
+    assert_eq!(
+        configuration
+            .changes_after(configuration.version() - 3)
+            .unwrap()
+            .len(),
+        3
+    );
+}
+
+fn site(target: &str) -> ClaimSite {
+    ClaimSite {
+        target: target.to_string(),
+        agent_address: "127.0.0.1:1".to_string(),
+        agent_incarnation: 1,
+    }
+}
+
+#[test]
+fn claim_is_granted_once() {
+    let mut claims = Claims::default();
+    assert_eq!(
+        claims.claim("k", "r1", 7, &site("a"), 0),
+        ClaimOutcome::Granted { attempt: 1 }
+    );
+    assert_eq!(
+        claims.claim("k", "r1", 7, &site("a"), 0),
+        ClaimOutcome::Granted { attempt: 1 }
+    );
+    assert!(
+        matches!(claims.claim("k", "r2", 7, &site("b"), 0), ClaimOutcome::Held(held) if held.request_id == "r1")
+    );
+    assert_eq!(
+        claims.claim("k", "r3", 8, &site("b"), 0),
+        ClaimOutcome::KeyReused
+    );
+}
+
+#[test]
+fn claim_moves_only_from_the_attempt_that_holds_it() {
+    let mut claims = Claims::default();
+    claims.claim("k", "r1", 7, &site("a"), 0);
+    assert_eq!(
+        claims.move_claim("k", "r1", 1, "r2", &site("b")),
+        ClaimOutcome::Granted { attempt: 2 }
+    );
+    assert!(matches!(
+        claims.move_claim("k", "r1", 1, "r3", &site("c")),
+        ClaimOutcome::Held(_)
+    ));
+    claims.release("k", "r1", 1);
+    assert_eq!(
+        claims.get("k").unwrap().request_id,
+        "r2",
+        "a late release of an old attempt does nothing"
+    );
+}
+
+#[test]
+fn claim_is_kept_for_its_retention() {
+    let mut claims = Claims::default();
+    claims.claim("k", "r1", 7, &site("a"), 1_000);
+    let last = 1_000 + CLAIM_RETENTION_MS - 1;
+    assert!(matches!(
+        claims.claim("k", "r2", 7, &site("b"), last),
+        ClaimOutcome::Held(_)
+    ));
+    assert_eq!(
+        claims.claim("k", "r3", 7, &site("b"), last + 1),
+        ClaimOutcome::Granted { attempt: 1 }
+    );
+}
+
+#[test]
+fn machine_time_never_goes_back() {
+    let mut machine = Machine::default();
+    let claim = |key: &str| Command::Claim {
+        key: key.to_string(),
+        request_id: "r".to_string(),
+        fingerprint: 1,
+        site: site("a"),
+    };
+    machine.apply(StampedCommand {
+        at_ms: 50_000,
+        command: claim("a"),
+    });
+    machine.apply(StampedCommand {
+        at_ms: 10,
+        command: claim("b"),
+    });
+    assert_eq!(machine.claims.get("b").unwrap().granted_at_ms, 50_000);
+}
+
+#[test]
+fn suspect_runs_alone_and_is_cleared_or_quarantined() {
+    let mut suspects = Suspects::default();
+    suspects.report_crash("t1", 1, &[7, 8], 0);
+    suspects.report_crash("t1", 1, &[7, 8], 0);
+    assert_eq!(suspects.get(7).unwrap().crashes, 1, "one crash counts once");
+    assert_eq!(suspects.begin_trial(9, "r0", 0), TrialOutcome::Clear);
+    assert_eq!(suspects.begin_trial(7, "r1", 0), TrialOutcome::Granted);
+    assert_eq!(suspects.begin_trial(7, "r2", 0), TrialOutcome::Running);
+    suspects.report_crash("t2", 1, &[7], 0);
+    assert_eq!(suspects.begin_trial(7, "r3", 0), TrialOutcome::Quarantined);
+    assert_eq!(suspects.begin_trial(8, "r4", 0), TrialOutcome::Granted);
+    suspects.end_trial(8, "r4", true);
+    assert_eq!(
+        suspects.begin_trial(8, "r5", 0),
+        TrialOutcome::Clear,
+        "a clean run clears the innocent"
+    );
+}
+
+fn description() -> TargetDescription {
+    TargetDescription {
+        agent_address: "127.0.0.1:1".to_string(),
+        data_center: "a".to_string(),
+        models: vec!["m".to_string()],
+        services: Vec::new(),
+        slots: 4,
+        ranks: 4,
+        checks_fencing: false,
+    }
+}
+
+#[test]
+fn membership_delta_carries_only_what_changed() {
+    let mut membership = Membership::default();
+    membership.register("a", 1, description(), 0);
+    membership.register("b", 1, description(), 0);
+    let version = membership.version();
+    membership.register("b", 1, description(), 0);
+    assert_eq!(membership.version(), version, "a renewal is no news");
+    membership.lose(&[("a".to_string(), 1), ("b".to_string(), 0)], 0);
+    let delta = membership.delta_after(version);
+    assert_eq!(
+        delta.targets.len(),
+        1,
+        "an expiry of an earlier life changes nothing"
+    );
+    let mut copy = Membership::default();
+    copy.apply_delta(membership.delta_after(0));
+    assert_eq!(copy.targets(), membership.targets());
+}
+
+#[test]
+fn membership_forgets_and_tells_so() {
+    let mut membership = Membership::default();
+    membership.register("a", 1, description(), 0);
+    membership.register("b", 1, description(), 0);
+    let mut copy = Membership::default();
+    copy.apply_delta(membership.delta_after(0));
+    membership.lose(&[("a".to_string(), 1)], 0);
+    membership.lose(&[("b".to_string(), 1)], FORGET_AFTER_MS + 1);
+    copy.apply_delta(membership.delta_after(copy.version()));
+    assert_eq!(copy.targets().keys().collect::<Vec<_>>(), ["b"]);
+}
