--- a/crates/bilberryloft-daemon/src/agent/state.rs
+++ b/crates/bilberryloft-daemon/src/agent/state.rs
@@ -186,8 +186,14 @@
 
     /// What the agent announces to control for its target.
     pub fn description(&self, target: &Announcement) -> TargetDescription {
+        let listens_on = &self.settings.dispatch_address;
         TargetDescription {
-            agent_address: self.settings.dispatch_address.clone(),
+            agent_address: self
+                .settings
+                .advertised_address
+                .as_ref()
+                .unwrap_or(listens_on)
+                .clone(),
             data_center: self.data_center.clone(),
             models: target.models.clone(),
             services: target.services.clone(),
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -127,7 +127,12 @@
             machine,
             applied_index,
             disk: Disk::spawn(storage, report_sender)?,
-            peers: Peers::new(daemon, incarnation, settings.member),
+            peers: Peers::new(
+                daemon,
+                incarnation,
+                settings.member,
+                settings.routes.clone(),
+            ),
             leases: LeaseTable::new(settings.target_lease_ms),
             snapshot_entries: settings.snapshot_entries,
             was_leader: false,
@@ -247,7 +252,7 @@
     }
 
     fn leader_address(&self) -> Option<String> {
-        self.raft.members().address(self.raft.leader()?).cloned()
+        self.peers.address(self.raft.members(), self.raft.leader()?)
     }
 
     fn change_members(&mut self, members: MemberSet, reply: Reply<bool>) {
--- a/crates/bilberryloft-daemon/src/control/peers.rs
+++ b/crates/bilberryloft-daemon/src/control/peers.rs
@@ -24,26 +24,36 @@
     daemon: String,
     incarnation: u64,
     member: u32,
+    routes: BTreeMap<u32, String>,
     links: BTreeMap<u32, Link>,
 }
 
 impl Peers {
     /// Starts without links.
-    pub fn new(daemon: &str, incarnation: u64, member: u32) -> Peers {
+    pub fn new(
+        daemon: &str,
+        incarnation: u64,
+        member: u32,
+        routes: BTreeMap<u32, String>,
+    ) -> Peers {
         Peers {
             daemon: daemon.to_string(),
             incarnation,
             member,
+            routes,
             links: BTreeMap::new(),
         }
     }
 
     /// Makes the links match the members in force.
     pub fn update(&mut self, members: &MemberSet) {
-        self.links
-            .retain(|member, link| members.address(*member) == Some(&link.address));
+        let routes = &self.routes;
+        let address_of = |member: u32| routes.get(&member).or_else(|| members.address(member));
+        self.links.retain(|member, link| {
+            members.address(*member).is_some() && address_of(*member) == Some(&link.address)
+        });
         for member in members.others(self.member) {
-            let Some(address) = members.address(member) else {
+            let Some(address) = address_of(member) else {
                 continue;
             };
             if !self.links.contains_key(&member) {
@@ -61,6 +71,14 @@
         }
     }
 
+    /// Address of a member from this host.
+    pub fn address(&self, members: &MemberSet, member: u32) -> Option<String> {
+        self.routes
+            .get(&member)
+            .or_else(|| members.address(member))
+            .cloned()
+    }
+
     /// Queues a message.
     pub fn send(&self, to: u32, message: Message) {
         if let Some(link) = self.links.get(&to) {
--- a/crates/bilberryloft-daemon/src/settings.rs
+++ b/crates/bilberryloft-daemon/src/settings.rs
@@ -105,6 +105,9 @@
     pub target: String,
     /// Address for dispatches from entries.
     pub dispatch_address: String,
+    /// Address that entries use for dispatches, when it is not the one that the agent listens on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertised_address: Option<String>,
     /// Address on which the target announces itself.
     pub announce_address: String,
     /// Requests that may wait for a slot.
@@ -132,6 +135,9 @@
     pub member: u32,
     /// Peer addresses of the first members by number; ignored once the log names members.
     pub members: BTreeMap<u32, String>,
+    /// Addresses that this host uses for members in place of those that the log names.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub routes: BTreeMap<u32, String>,
     /// Folder for the log and snapshots.
     pub data_folder: PathBuf,
     /// Time between heartbeats in milliseconds.
@@ -297,6 +303,9 @@
         for (member, address) in &self.members {
             check_address(faults, &format!("control.members.{member}"), address);
         }
+        for (member, address) in &self.routes {
+            check_address(faults, &format!("control.routes.{member}"), address);
+        }
         if self.members.is_empty() {
             faults.push("control.members: {} is empty, at least one member is needed".to_string());
         }
--- a/crates/bilberryloft-testing/src/fleet.rs
+++ b/crates/bilberryloft-testing/src/fleet.rs
@@ -119,6 +119,7 @@
     ControlSettings {
         member,
         members: members.clone(),
+        routes: BTreeMap::new(),
         data_folder,
         heartbeat_ms: 50,
         election_ms: 300,
@@ -232,6 +233,11 @@
         self.engines.get_mut(name).expect("a planned engine")
     }
 
+    /// Names of all planned daemons.
+    pub fn daemon_names(&self) -> Vec<String> {
+        self.settings.keys().cloned().collect()
+    }
+
     /// Names of all planned daemons and engines.
     pub fn names(&self) -> Vec<String> {
         self.settings
--- a/crates/bilberryloft-testing/src/lib.rs
+++ b/crates/bilberryloft-testing/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod caller;
 pub mod engine;
 pub mod fleet;
+pub mod links;
 pub mod process;
 pub mod proxy;
--- /dev/null
+++ b/crates/bilberryloft-testing/src/links.rs
@@ -0,0 +1,86 @@
+//! Proxies on every link of a fleet, so that tests can cut any of them in either direction.
+
+use std::collections::BTreeMap;
+
+use crate::address::unique_ip;
+use crate::fleet::DISPATCH_PORT;
+use crate::fleet::Fleet;
+use crate::fleet::PEER_PORT;
+use crate::proxy::Fault;
+use crate::proxy::Proxy;
+
+/// Running proxies by the names of the daemons on both sides; dispatches go `entries` to an agent.
+#[derive(Debug, Default)]
+pub struct Links {
+    proxies: BTreeMap<(String, String), Proxy>,
+}
+
+impl Links {
+    /// Puts a proxy on every link of a planned fleet that has not started yet.
+    pub async fn interpose(fleet: &mut Fleet) -> Links {
+        let mut links = Links::default();
+        let controls: Vec<(u32, String)> = (1..).zip(fleet.control_ips.clone()).collect();
+        for name in fleet.daemon_names() {
+            let mut addresses = Vec::new();
+            let mut routes = BTreeMap::new();
+            for (number, ip) in &controls {
+                let own = format!("control-{number}");
+                let address = match own == name {
+                    true => format!("{ip}:{PEER_PORT}"),
+                    false => {
+                        links
+                            .add(&name, &own, &format!("{ip}:{PEER_PORT}"), PEER_PORT)
+                            .await
+                    }
+                };
+                addresses.push(address.clone());
+                routes.insert(*number, address);
+            }
+            let settings = fleet.settings_mut(&name);
+            settings.control_addresses = addresses;
+            if let Some(control) = &mut settings.control {
+                control.routes = routes;
+            }
+        }
+        for (number, ip) in (1..).zip(fleet.target_ips.clone()) {
+            let name = format!("agent-{number}");
+            let server = format!("{ip}:{DISPATCH_PORT}");
+            let address = links.add("entries", &name, &server, DISPATCH_PORT).await;
+            if let Some(agent) = &mut fleet.settings_mut(&name).agent {
+                agent.advertised_address = Some(address);
+            }
+        }
+        links
+    }
+
+    async fn add(&mut self, from: &str, to: &str, server: &str, port: u16) -> String {
+        let address = format!("{}:{port}", unique_ip());
+        let proxy = Proxy::bind(&address, server).await.expect("a proxy");
+        self.proxies
+            .insert((from.to_string(), to.to_string()), proxy);
+        address
+    }
+
+    /// Sets the fault of one link.
+    pub fn set(&self, from: &str, to: &str, fault: Fault) {
+        if let Some(proxy) = self.proxies.get(&(from.to_string(), to.to_string())) {
+            proxy.set(fault);
+        }
+    }
+
+    /// Sets the fault of every link to or from a daemon.
+    pub fn set_around(&self, daemon: &str, fault: Fault) {
+        for ((from, to), proxy) in &self.proxies {
+            if from == daemon || to == daemon {
+                proxy.set(fault);
+            }
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&self) {
+        for proxy in self.proxies.values() {
+            proxy.set(Fault::Pass);
+        }
+    }
+}
