--- a/crates/bilberryloft-coordination/src/admission.rs
+++ b/crates/bilberryloft-coordination/src/admission.rs
@@ -30,6 +30,8 @@
     pub deadline_ms: u64,
     /// Time of arrival in milliseconds.
     pub arrived_ms: u64,
+    /// Whether it must be alone at the target, as a suspect on trial must.
+    pub is_exclusive: bool,
 }
 
 /// Answer to an ask.
@@ -54,6 +56,7 @@
     slots: u32,
     queue_max: usize,
     running: BTreeMap<u64, u64>,
+    exclusive: Option<u64>,
     queue: BTreeMap<(u64, u64), Ask>,
     tag_of: BTreeMap<u64, u64>,
     finish_of_team: BTreeMap<String, u64>,
@@ -69,6 +72,7 @@
             slots,
             queue_max,
             running: BTreeMap::new(),
+            exclusive: None,
             queue: BTreeMap::new(),
             tag_of: BTreeMap::new(),
             finish_of_team: BTreeMap::new(),
@@ -114,9 +118,10 @@
 
     /// Takes a new request.
     pub fn ask(&mut self, ask: Ask) -> Verdict {
-        if self.running.len() < self.slots as usize {
+        if self.queue.is_empty() && self.has_room_for(&ask) {
             let tag = self.charge(&ask);
-            self.start(ask.id, tag, ask.arrived_ms);
+            let arrived_ms = ask.arrived_ms;
+            self.start(&ask, tag, arrived_ms);
             return Verdict::Run;
         }
         if ask.arrived_ms + self.expected_wait_ms() >= ask.deadline_ms {
@@ -140,6 +145,11 @@
         }
     }
 
+    fn has_room_for(&self, ask: &Ask) -> bool {
+        let is_free = self.running.len() < self.slots as usize && self.exclusive.is_none();
+        is_free && (!ask.is_exclusive || self.running.is_empty())
+    }
+
     fn start_tag(&self, ask: &Ask) -> u64 {
         let behind = self.finish_of_team.get(&ask.team).copied().unwrap_or(0);
         let class = u64::from(ask.priority) * CLASS_STEP_TOKENS_PER_WEIGHT * VIRTUAL_SCALE;
@@ -179,9 +189,12 @@
         }
     }
 
-    fn start(&mut self, id: u64, tag: u64, now_ms: u64) {
+    fn start(&mut self, ask: &Ask, tag: u64, now_ms: u64) {
         self.virtual_time = self.virtual_time.max(tag);
-        self.running.insert(id, now_ms);
+        self.running.insert(ask.id, now_ms);
+        if ask.is_exclusive {
+            self.exclusive = Some(ask.id);
+        }
     }
 
     /// Frees the slot of a request and returns those that may start now.
@@ -190,19 +203,25 @@
             let took_ms = now_ms.saturating_sub(started_ms) as f64;
             self.service_ms += SERVICE_TIME_GAIN * (took_ms - self.service_ms);
         }
+        if self.exclusive == Some(id) {
+            self.exclusive = None;
+        }
         self.start_waiting(now_ms)
     }
 
-    fn start_waiting(&mut self, now_ms: u64) -> Vec<u64> {
+    /// Starts those that may go now and returns them.
+    pub fn start_waiting(&mut self, now_ms: u64) -> Vec<u64> {
         let mut started = Vec::new();
-        while self.running.len() < self.slots as usize {
-            let Some(((tag, id), ask)) = self.queue.pop_first() else {
+        // An exclusive request at the head holds up those behind it, or it would never find the target empty.
+        while let Some((key, ask)) = self.queue.pop_first() {
+            if !self.has_room_for(&ask) {
+                self.queue.insert(key, ask);
                 break;
-            };
+            }
             self.queued_tokens -= ask.work_tokens;
-            self.tag_of.remove(&id);
-            self.start(id, tag, now_ms);
-            started.push(id);
+            self.tag_of.remove(&ask.id);
+            self.start(&ask, key.0, now_ms);
+            started.push(ask.id);
         }
         self.drop_idle_teams();
         started
@@ -217,7 +236,8 @@
         }
     }
 
-    /// Takes a waiting request out; returns whether it was waiting.
+    /// Takes a waiting request out; returns whether it was waiting. Those behind it may start with the next
+    /// call of [`Admission::start_waiting`].
     pub fn withdraw(&mut self, id: u64) -> bool {
         let Some(tag) = self.tag_of.remove(&id) else {
             return false;
--- a/crates/bilberryloft-coordination/tests/decisions.rs
+++ b/crates/bilberryloft-coordination/tests/decisions.rs
@@ -33,6 +33,7 @@
         work_tokens,
         deadline_ms: 1_000_000,
         arrived_ms: 0,
+        is_exclusive: false,
     }
 }
 
@@ -169,6 +170,42 @@
         .quickcheck(property as fn(Vec<u8>) -> bool);
 }
 
+#[test]
+fn admission_runs_a_suspect_alone() {
+    let mut admission = Admission::new(3, 10);
+    assert_eq!(admission.ask(ask(0, "a", 10)), Verdict::Run);
+    let suspect = Ask {
+        is_exclusive: true,
+        ..ask(1, "a", 10)
+    };
+    assert_eq!(admission.ask(suspect), Verdict::Wait { evicted: None });
+    assert_eq!(
+        admission.ask(ask(2, "a", 10)),
+        Verdict::Wait { evicted: None },
+        "nobody overtakes it for ever"
+    );
+    assert_eq!(admission.finish(0, 0), [1]);
+    assert_eq!(
+        admission.ask(ask(3, "b", 10)),
+        Verdict::Wait { evicted: None }
+    );
+    assert_eq!(admission.running(), 1);
+    assert_eq!(admission.finish(1, 0).len(), 2);
+}
+
+#[test]
+fn admission_goes_on_when_a_waiting_suspect_is_withdrawn() {
+    let mut admission = Admission::new(3, 10);
+    admission.ask(ask(0, "a", 10));
+    admission.ask(Ask {
+        is_exclusive: true,
+        ..ask(1, "a", 10)
+    });
+    admission.ask(ask(2, "a", 10));
+    assert!(admission.withdraw(1));
+    assert_eq!(admission.start_waiting(0), [2]);
+}
+
 #[test]
 fn attempt_starts_once() {
     let mut table = AttemptTable::new(5);
--- a/crates/bilberryloft-daemon/src/agent/dispatch.rs
+++ b/crates/bilberryloft-daemon/src/agent/dispatch.rs
@@ -251,6 +251,7 @@
             work_tokens: dispatch.work_tokens.max(1) as u64,
             deadline_ms: now_ms + left_ms,
             arrived_ms: now_ms,
+            is_exclusive: dispatch.trial,
         };
         let verdict = inner.admission.ask(ask);
         match verdict {
@@ -291,11 +292,20 @@
     /// Frees a slot and lets the next requests go.
     pub(super) fn free_slot(&self, id: u64) {
         let mut inner = self.lock();
-        for next in inner.admission.finish(id, monotonic_ms()) {
-            if let Some(waiting) = inner.waiting.remove(&next) {
-                let _ = waiting.send(Grant::Run);
-            }
+        let started = inner.admission.finish(id, monotonic_ms());
+        inner.grant(&started);
+    }
+
+    /// Takes a request out of the queue, or gives its slot back when the grant came in the same moment.
+    fn leave_queue(&self, id: u64) {
+        let mut inner = self.lock();
+        inner.waiting.remove(&id);
+        if !inner.admission.withdraw(id) {
+            drop(inner);
+            return self.free_slot(id);
         }
+        let started = inner.admission.start_waiting(monotonic_ms());
+        inner.grant(&started);
     }
 }
 
@@ -311,14 +321,6 @@
         if self.is_settled {
             return;
         }
-        let was_waiting = {
-            let mut inner = self.agent.lock();
-            inner.waiting.remove(&self.id);
-            inner.admission.withdraw(self.id)
-        };
-        // The grant may have come in the same moment; then the slot must be given back.
-        if !was_waiting {
-            self.agent.free_slot(self.id);
-        }
+        self.agent.leave_queue(self.id);
     }
 }
--- a/crates/bilberryloft-daemon/src/agent/run.rs
+++ b/crates/bilberryloft-daemon/src/agent/run.rs
@@ -73,6 +73,7 @@
                 reason: Reason::Cancelled,
                 ..
             } => {
+                self.metrics.attempts_cancelled.inc();
                 log_event!(
                     info,
                     Event::AttemptCancelled,
--- a/crates/bilberryloft-daemon/src/agent/state.rs
+++ b/crates/bilberryloft-daemon/src/agent/state.rs
@@ -54,6 +54,17 @@
     pub crashes: u64,
 }
 
+impl Inner {
+    /// Tells waiting requests that they may go to the target.
+    pub fn grant(&mut self, started: &[u64]) {
+        for id in started {
+            if let Some(waiting) = self.waiting.remove(id) {
+                let _ = waiting.send(Grant::Run);
+            }
+        }
+    }
+}
+
 /// An agent beside one target.
 #[derive(Debug)]
 pub struct Agent {
--- a/crates/bilberryloft-daemon/src/entry/claims.rs
+++ b/crates/bilberryloft-daemon/src/entry/claims.rs
@@ -57,7 +57,7 @@
             None => Command::Claim {
                 key: key.to_string(),
                 request_id: work.request_id.clone(),
-                fingerprint: work.fingerprint,
+                fingerprint: work.body_digest,
                 site: site.clone(),
             },
             Some(held) => Command::MoveClaim {
--- a/crates/bilberryloft-daemon/src/entry/request.rs
+++ b/crates/bilberryloft-daemon/src/entry/request.rs
@@ -59,6 +59,9 @@
     pub is_idempotent: bool,
     /// Key of the claim, for work that must not run twice.
     pub claim_key: Option<String>,
+    /// Digest of the body to the letter; a resend under the same key must have the same.
+    pub body_digest: i64,
+    /// Digest of what the work is, however it is sent; names suspects.
     pub fingerprint: i64,
     pub prefix: u64,
     pub work_tokens: u64,
@@ -192,12 +195,13 @@
             Some(key) => format!("{}/key/{key}", policy.team),
             None => format!("{}/request/{}", policy.team, raw.request_id),
         });
-        let fingerprint = digest(&[
+        let place: [&[u8]; 3] = [
             policy.team.as_bytes(),
             raw.method.as_str().as_bytes(),
             raw.path.as_bytes(),
-            &raw.body,
-        ]);
+        ];
+        let body_digest = digest(&[place[0], place[1], place[2], &raw.body]);
+        let fingerprint = digest(&[place[0], place[1], place[2], &content_of(&raw.body)]);
         let prefix_end = raw.body.len().min(PREFIX_BYTES);
         let prefix = digest(&[offer.as_bytes(), &raw.body[..prefix_end]]) as u64;
         Ok(Work {
@@ -210,16 +214,29 @@
             is_streamed,
             is_idempotent,
             claim_key,
+            body_digest,
             fingerprint,
             prefix,
             work_tokens,
-
             due: arrived + Duration::from_millis(deadline_ms),
             policy,
         })
     }
 }
 
+/// Returns a body without the members that only say how its answer is sent, and with the rest in a fixed
+/// order; a body that is no JSON object is returned as it is.
+fn content_of(body: &[u8]) -> Vec<u8> {
+    match serde_json::from_slice::<serde_json::Value>(body) {
+        Ok(serde_json::Value::Object(mut members)) => {
+            members.remove("stream");
+            members.remove("stream_options");
+            serde_json::to_vec(&members).unwrap_or_else(|_| body.to_vec())
+        }
+        Ok(_) | Err(_) => body.to_vec(),
+    }
+}
+
 fn headers_to_pass(headers: &HeaderMap) -> Vec<Header> {
     let mut passed = Vec::new();
     for (name, value) in headers {
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -32,6 +32,8 @@
     pub first_byte_s: Histogram,
     /// Attempts that went to the target.
     pub attempts_started: IntCounter,
+    /// Attempts that were stopped because nobody waits for them.
+    pub attempts_cancelled: IntCounter,
     /// Crashes of the target.
     pub target_crashes: IntCounter,
     /// Configuration version in force.
@@ -81,6 +83,10 @@
                 "bilberryloft_attempts_started_total",
                 "Attempts sent to the target.",
             )?,
+            attempts_cancelled: counter(
+                "bilberryloft_attempts_cancelled_total",
+                "Attempts that were stopped.",
+            )?,
             target_crashes: counter(
                 "bilberryloft_target_crashes_total",
                 "Crashes of the target.",
--- a/crates/bilberryloft-testing/tests/at_most_once.rs
+++ b/crates/bilberryloft-testing/tests/at_most_once.rs
@@ -59,7 +59,9 @@
     let mut replies = Vec::new();
     for send in 0..SENDS_MAX {
         let entry = &entries[(number + send) % entries.len()];
-        let reply = caller.complete(entry, &prompt, number % 2 == 0).await;
+        let reply = caller
+            .complete(entry, &prompt, number.is_multiple_of(2))
+            .await;
         let is_final = reply.is_whole
             || reply.problem.as_ref().is_some_and(|it| {
                 matches!(
--- /dev/null
+++ b/crates/bilberryloft-testing/tests/poison.rs
@@ -0,0 +1,85 @@
+//! A request that crashes targets crashes at most two, and its neighbours go on.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use bilberryloft_state::refusal::Reason;
+use bilberryloft_testing::caller::Caller;
+use bilberryloft_testing::engine::CRASH_MARK;
+use bilberryloft_testing::fleet::Fleet;
+
+#[tokio::test]
+async fn poison_crashes_at_most_two_targets_across_entries_and_resends() {
+    let mut fleet = Fleet::plan("poison", 1, 2, 4);
+    fleet.start_all();
+    fleet.make_team().await;
+    fleet.wait_until_ready().await;
+    let poison = format!("{CRASH_MARK} offer");
+    let mut last = None;
+    for send in 0..8 {
+        let reply = Caller::new("depot-token")
+            .complete(&fleet.entry(send % 2), &poison, send % 2 == 0)
+            .await;
+        assert!(!reply.is_whole);
+        last = reply.problem;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    assert_eq!(last.unwrap().reason, Reason::Quarantined);
+    assert!(fleet.runs()[&poison] <= 2, "{:?}", fleet.runs());
+    let reply = Caller::new("depot-token")
+        .complete(&fleet.entry(0), "a neighbour", false)
+        .await;
+    assert!(reply.is_whole, "{reply:?}");
+}
+
+#[tokio::test]
+async fn neighbour_of_a_crash_is_cleared_by_a_clean_run() {
+    let mut fleet = Fleet::plan("neighbour", 1, 1, 2);
+    for number in 1..=2 {
+        fleet.engine_mut(&format!("engine-{number}")).tokens = 60;
+        fleet.engine_mut(&format!("engine-{number}")).token_ms = 20;
+    }
+    fleet.start_all();
+    fleet.make_team().await;
+    fleet.wait_until_ready().await;
+    let entry = fleet.entry(0);
+    let mut neighbours = tokio::task::JoinSet::new();
+    for number in 0..6 {
+        let entry = entry.clone();
+        neighbours.spawn(async move {
+            let prompt = format!("neighbour {number}");
+            Caller::new("depot-token")
+                .complete(&entry, &prompt, false)
+                .await
+        });
+    }
+    fleet
+        .wait_for("all neighbours to run", async || fleet.runs().len() == 6)
+        .await;
+    let poison = format!("{CRASH_MARK} advisory");
+    Caller::new("depot-token")
+        .complete(&entry, &poison, false)
+        .await;
+    for number in 1..=2 {
+        if !fleet
+            .processes
+            .get_mut(&format!("engine-{number}"))
+            .unwrap()
+            .is_running()
+        {
+            fleet.start(&format!("engine-{number}"));
+        }
+    }
+    while neighbours.join_next().await.is_some() {}
+    for number in 0..6 {
+        let prompt = format!("neighbour {number}");
+        fleet
+            .wait_for(&format!("{prompt} to run clean"), async || {
+                Caller::new("depot-token")
+                    .complete(&entry, &prompt, false)
+                    .await
+                    .is_whole
+            })
+            .await;
+    }
+}
