Quorum: find the members in force without reading the log

Measured: the seven cases of the quorum, one of which writes 20,500 entries, took 13.28 s before and 2.56 s after, in the same build.

--- a/crates/bilberryloft-coordination/src/raft/log.rs
+++ b/crates/bilberryloft-coordination/src/raft/log.rs
@@ -11,6 +11,8 @@
     snapshot_term: u64,
     snapshot_members: MemberSet,
     entries: Vec<LogEntry>,
+    /// Indexes of the entries that name members, so that nobody has to search for them.
+    member_indexes: Vec<u64>,
 }
 
 impl Log {
@@ -21,11 +23,18 @@
         members: MemberSet,
         entries: Vec<LogEntry>,
     ) -> Log {
+        let names_members = |it: &&LogEntry| matches!(it.payload, Payload::Members(_));
+        let member_indexes = entries
+            .iter()
+            .filter(names_members)
+            .map(|it| it.index)
+            .collect();
         Log {
             snapshot_index,
             snapshot_term,
             snapshot_members: members,
             entries,
+            member_indexes,
         }
     }
 
@@ -78,6 +87,9 @@
     /// Adds an entry; its index must be the next one.
     pub fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        if let Payload::Members(_) = entry.payload {
+            self.member_indexes.push(entry.index);
+        }
         self.entries.push(entry);
     }
 
@@ -85,6 +97,7 @@
     pub fn truncate(&mut self, from_index: u64) {
         let keep = from_index.saturating_sub(self.snapshot_index + 1);
         self.entries.truncate(keep as usize);
+        self.member_indexes.retain(|it| *it < from_index);
     }
 
     /// Members by the latest entry that names them, and that entry's index.
@@ -94,13 +107,15 @@
 
     /// Members by the latest entry up to an index.
     pub fn members_up_to(&self, index: u64) -> (&MemberSet, u64) {
-        let count = index.saturating_sub(self.snapshot_index) as usize;
-        for entry in self.entries.iter().take(count).rev() {
-            if let Payload::Members(members) = &entry.payload {
-                return (members, entry.index);
-            }
+        let latest = self.member_indexes.iter().rev().find(|it| **it <= index);
+        match latest.and_then(|it| self.entry(*it)) {
+            Some(LogEntry {
+                payload: Payload::Members(members),
+                index,
+                ..
+            }) => (members, *index),
+            Some(_) | None => (&self.snapshot_members, self.snapshot_index),
         }
-        (&self.snapshot_members, self.snapshot_index)
     }
 
     /// Drops entries that a snapshot covers.
@@ -111,6 +126,7 @@
         let members = self.members_up_to(index).0.clone();
         let covered = index.saturating_sub(self.snapshot_index) as usize;
         self.entries.drain(..covered);
+        self.member_indexes.retain(|it| *it > index);
         self.snapshot_index = index;
         self.snapshot_term = term;
         self.snapshot_members = members;
@@ -123,6 +139,7 @@
             self.compact(index);
         } else {
             self.entries.clear();
+            self.member_indexes.clear();
         }
         self.snapshot_index = index;
         self.snapshot_term = term;
