--- /dev/null
+++ b/crates/bilberryloft-bench/src/commands/commits.rs
@@ -0,0 +1,134 @@
+//! `commits`: small commits on three members, beside bare writes and syncs of the same bytes.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bilberryloft_daemon::control_client::ControlClient;
+use bilberryloft_state::claim::ClaimSite;
+use bilberryloft_state::machine::Command;
+use bilberryloft_testing::fleet::Fleet;
+use bilberryloft_testing::fleet::Folder;
+use bilberryloft_testing::fleet::PEER_PORT;
+use clap::Args;
+use tokio::task::JoinSet;
+
+use crate::usage::ms;
+use crate::usage::percentile;
+use crate::usage::processor_time;
+
+/// The command.
+#[derive(Args)]
+pub struct CommitsCommand {
+    /// Numbers of concurrent proposers.
+    #[arg(long, value_delimiter = ',', default_value = "1,16,256,2048")]
+    concurrency: Vec<usize>,
+    /// Time of each measurement in milliseconds.
+    #[arg(long, default_value_t = 3_000)]
+    time_ms: u64,
+}
+
+impl CommitsCommand {
+    /// Runs the command.
+    pub fn run(self) -> eyre::Result<()> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(3)
+            .enable_all()
+            .build()?;
+        runtime.block_on(self.measure())
+    }
+
+    async fn measure(self) -> eyre::Result<()> {
+        let mut fleet = Fleet::plan("bench-commits", 3, 0, 0);
+        fleet.start_all();
+        let leader = fleet.leader().await;
+        let process = fleet.processes[&format!("control-{}", leader + 1)].id();
+        let address = format!("{}:{PEER_PORT}", fleet.control_ips[leader]);
+        println!(
+            "proposers | commits/s | p50 ms | p99 ms | bare sync p50 ms | p99 ms | leader CPU us a commit"
+        );
+        for (round, concurrency) in self.concurrency.iter().enumerate() {
+            let mut bare = bare_syncs(Duration::from_millis(self.time_ms / 3))?;
+            let before = processor_time(process);
+            let began = Instant::now();
+            let mut times = self.propose(&address, *concurrency, round).await;
+            let elapsed = began.elapsed().as_secs_f64();
+            let used = (processor_time(process) - before).as_secs_f64();
+            let count = times.len();
+            println!(
+                "{concurrency} | {:.0} | {} | {} | {} | {} | {:.1}",
+                count as f64 / elapsed,
+                ms(percentile(&mut times, 0.5)),
+                ms(percentile(&mut times, 0.99)),
+                ms(percentile(&mut bare, 0.5)),
+                ms(percentile(&mut bare, 0.99)),
+                used * 1e6 / count as f64,
+            );
+        }
+        Ok(())
+    }
+
+    async fn propose(&self, address: &str, concurrency: usize, round: usize) -> Vec<Duration> {
+        let until = Instant::now() + Duration::from_millis(self.time_ms);
+        let clients: Vec<ControlClient> = (0..8)
+            .map(|it| ControlClient::new(&[address.to_string()], &format!("bench-{it}"), 1))
+            .collect();
+        let next = Arc::new(AtomicU64::new(0));
+        let mut tasks = JoinSet::new();
+        for number in 0..concurrency {
+            let (client, next) = (clients[number % clients.len()].clone(), next.clone());
+            tasks.spawn(async move {
+                let mut times = Vec::new();
+                while Instant::now() < until {
+                    let command = claim(round, next.fetch_add(1, Ordering::Relaxed));
+                    let began = Instant::now();
+                    if client
+                        .propose(&command, Duration::from_secs(5))
+                        .await
+                        .is_ok()
+                    {
+                        times.push(began.elapsed());
+                    }
+                }
+                times
+            });
+        }
+        let mut times = Vec::new();
+        while let Some(Ok(own)) = tasks.join_next().await {
+            times.extend(own);
+        }
+        times
+    }
+}
+
+fn claim(round: usize, number: u64) -> Command {
+    Command::Claim {
+        key: format!("asahikawa/key/{round}-{number}"),
+        request_id: format!("entry-1-1a23dab28f5-{number:x}"),
+        fingerprint: number as i64,
+        site: ClaimSite {
+            target: "forecast-writer-1".to_string(),
+            agent_address: "10.0.0.1:7402".to_string(),
+            agent_incarnation: 1_796_330_957_045,
+        },
+    }
+}
+
+/// Writes and syncs records of the size of one claim, one after another.
+fn bare_syncs(time: Duration) -> eyre::Result<Vec<Duration>> {
+    let folder = Folder::create("bench-sync");
+    let mut file = std::fs::File::create(folder.path.join("bare"))?;
+    let bytes = serde_json::to_vec(&claim(0, 1_000_000))?;
+    let until = Instant::now() + time;
+    let mut times = Vec::new();
+    while Instant::now() < until {
+        let began = Instant::now();
+        file.write_all(&bytes)?;
+        file.sync_data()?;
+        times.push(began.elapsed());
+    }
+    Ok(times)
+}
--- /dev/null
+++ b/crates/bilberryloft-bench/src/commands/failover.rs
@@ -0,0 +1,81 @@
+//! `failover`: time from the leader's death to the next committed change.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bilberryloft_state::configuration::ChangeKind;
+use bilberryloft_testing::fleet::Fleet;
+use bilberryloft_testing::fleet::change_request;
+use clap::Args;
+
+use crate::usage::ms;
+use crate::usage::percentile;
+
+/// The command.
+#[derive(Args)]
+pub struct FailoverCommand {
+    /// Kills.
+    #[arg(long, default_value_t = 50)]
+    kills: usize,
+    /// Whether members use the default timing rather than the shorter one of the tests.
+    #[arg(long, default_value_t = true)]
+    default_timing: bool,
+}
+
+impl FailoverCommand {
+    /// Runs the command.
+    pub fn run(self) -> eyre::Result<()> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()?;
+        runtime.block_on(self.measure())
+    }
+
+    async fn measure(self) -> eyre::Result<()> {
+        let mut fleet = Fleet::plan("bench-failover", 3, 0, 0);
+        for number in 1..=3 {
+            if let Some(control) = &mut fleet.settings_mut(&format!("control-{number}")).control
+                && self.default_timing
+            {
+                control.heartbeat_ms = 100;
+                control.election_ms = 500;
+            }
+        }
+        fleet.start_all();
+        let mut times = Vec::new();
+        for kill in 0..self.kills {
+            let leader = fleet.leader().await;
+            let name = format!("control-{}", leader + 1);
+            fleet.kill(&name);
+            let began = Instant::now();
+            let kind = ChangeKind::SetTarget {
+                name: format!("kill-{kill}"),
+                draining: true,
+            };
+            let request = change_request(kind);
+            'written: loop {
+                for number in (0..3).filter(|it| *it != leader) {
+                    if fleet
+                        .change(&fleet.control_ips[number], &request)
+                        .await
+                        .is_some()
+                    {
+                        break 'written;
+                    }
+                }
+            }
+            times.push(began.elapsed());
+            fleet.start(&name);
+            tokio::time::sleep(Duration::from_millis(700)).await;
+        }
+        println!(
+            "{} kills: p50 {} ms, p90 {} ms, most {} ms",
+            self.kills,
+            ms(percentile(&mut times, 0.5)),
+            ms(percentile(&mut times, 0.9)),
+            ms(percentile(&mut times, 1.0)),
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-bench/src/commands/mod.rs
@@ -0,0 +1,8 @@
+//! The commands, one a file.
+
+pub mod commits;
+pub mod failover;
+pub mod fleet;
+pub mod pick;
+pub mod relay;
+pub mod state;
--- /dev/null
+++ b/crates/bilberryloft-bench/src/commands/relay.rs
@@ -0,0 +1,151 @@
+//! `relay`: what entry and agent add to a direct call of the engine.
+
+use std::time::Duration;
+
+use bilberryloft_state::configuration::ChangeKind;
+use bilberryloft_state::configuration::ChangeOutcome;
+use bilberryloft_state::configuration::Team;
+use bilberryloft_testing::fleet::ENGINE_PORT;
+use bilberryloft_testing::fleet::Fleet;
+use bilberryloft_testing::fleet::depot_team;
+use clap::Args;
+
+use crate::load::Load;
+use crate::load::Measured;
+use crate::usage::ms;
+use crate::usage::percentile;
+use crate::usage::processor_time;
+use crate::usage::resident_kib;
+
+/// The command.
+#[derive(Args)]
+pub struct RelayCommand {
+    /// Numbers of concurrent streams.
+    #[arg(long, value_delimiter = ',', default_value = "1,64,1024")]
+    concurrency: Vec<usize>,
+    /// Tokens of each stream.
+    #[arg(long, default_value_t = 64)]
+    tokens: u64,
+    /// Time between tokens in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    token_ms: u64,
+}
+
+impl RelayCommand {
+    /// Runs the command.
+    pub fn run(self) -> eyre::Result<()> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()?;
+        runtime.block_on(self.measure())
+    }
+
+    async fn measure(self) -> eyre::Result<()> {
+        let mut fleet = Fleet::plan("bench-relay", 1, 1, 1);
+        let engine = fleet.engine_mut("engine-1");
+        engine.slots = 4_096;
+        engine.token_ms = self.token_ms;
+        engine.first_token_ms = 1;
+        engine.runs_file = None;
+        fleet.start_all();
+        fleet.make_team().await;
+        let team = Team {
+            in_flight_max: Some(100_000),
+            ..depot_team()
+        };
+        let outcome = fleet.change_surely(ChangeKind::SetTeam(team)).await;
+        if let ChangeOutcome::Accepted { version } = outcome {
+            fleet.wait_for_version(version).await;
+        }
+        fleet.wait_until_ready().await;
+        let entry = fleet.processes["entry-1"].id();
+        let agent = fleet.processes["agent-1"].id();
+        let engine = fleet.processes["engine-1"].id();
+        println!(
+            "streams | first p50 direct/through/added ms | first p99 direct/through/added ms | CPU us a token entry/agent/engine | failed"
+        );
+        for concurrency in self.concurrency.clone() {
+            let direct = self
+                .load(
+                    format!("{}:{ENGINE_PORT}", fleet.target_ips[0]),
+                    concurrency,
+                )
+                .run()
+                .await;
+            let before = [entry, agent, engine].map(processor_time);
+            let through = self.load(fleet.entry(0), concurrency).run().await;
+            let after = [entry, agent, engine].map(processor_time);
+            let used = [
+                after[0] - before[0],
+                after[1] - before[1],
+                after[2] - before[2],
+            ];
+            print_row(concurrency, direct, through, used);
+        }
+        self.measure_memory(&fleet, entry, agent).await;
+        Ok(())
+    }
+
+    fn load(&self, address: String, concurrency: usize) -> Load {
+        let rounds = (256 / concurrency).clamp(2, 64);
+        Load {
+            address,
+            concurrency,
+            rounds,
+            tokens: self.tokens,
+        }
+    }
+
+    /// Holds streams open and reads the memory while they last.
+    async fn measure_memory(&self, fleet: &Fleet, entry: u32, agent: u32) {
+        println!("open streams | entry KiB | agent KiB");
+        let mut rows = Vec::new();
+        for concurrency in [64, 512, 1_024] {
+            let load = Load {
+                rounds: 0,
+                tokens: 400,
+                ..self.load(fleet.entry(0), concurrency)
+            };
+            let running = tokio::spawn(async move { load.run().await });
+            tokio::time::sleep(Duration::from_millis(1_200)).await;
+            let row = (concurrency, resident_kib(entry), resident_kib(agent));
+            println!("{} | {} | {}", row.0, row.1, row.2);
+            rows.push(row);
+            let _ = running.await;
+        }
+        let (first, last) = (rows[0], rows[rows.len() - 1]);
+        let per_stream =
+            |from: u64, to: u64| to.saturating_sub(from) as f64 / (last.0 - first.0) as f64;
+        println!(
+            "KiB an open stream: entry {:.1}, agent {:.1}",
+            per_stream(first.1, last.1),
+            per_stream(first.2, last.2)
+        );
+    }
+}
+
+fn print_row(concurrency: usize, mut direct: Measured, mut through: Measured, used: [Duration; 3]) {
+    let mut cells = Vec::new();
+    for share in [0.5, 0.99] {
+        let (before, after) = (
+            percentile(&mut direct.first, share),
+            percentile(&mut through.first, share),
+        );
+        cells.push(format!(
+            "{} {} {}",
+            ms(before),
+            ms(after),
+            ms(after.saturating_sub(before))
+        ));
+    }
+    let a_token = used.map(|it| format!("{:.2}", it.as_secs_f64() * 1e6 / through.events as f64));
+    println!(
+        "{concurrency} | {} | {} | {} | {} {}",
+        cells[0],
+        cells[1],
+        a_token.join(" "),
+        direct.failed,
+        through.failed
+    );
+}
--- /dev/null
+++ b/crates/bilberryloft-bench/src/commands/state.rs
@@ -0,0 +1,195 @@
+//! `state`: memory of a control host by what it keeps, and the time of its restart.
+
+use std::time::Instant;
+
+use bilberryloft_state::claim::ClaimSite;
+use bilberryloft_state::configuration::ChangeKind;
+use bilberryloft_state::configuration::Team;
+use bilberryloft_state::configuration::token_digest;
+use bilberryloft_state::machine::Command;
+use bilberryloft_state::machine::Machine;
+use bilberryloft_state::machine::StampedCommand;
+use bilberryloft_state::member_set::MemberSet;
+use bilberryloft_state::membership::TargetDescription;
+use bilberryloft_state::snapshot::Snapshot;
+use bilberryloft_state::storage::Storage;
+use bilberryloft_state::wal::HardState;
+use bilberryloft_state::wal::LogEntry;
+use bilberryloft_state::wal::Payload;
+use bilberryloft_state::wal::WalRecord;
+use bilberryloft_testing::fleet::Folder;
+use bilberryloft_testing::fleet::change_request;
+use bilberryloft_testing::fleet::depot_template;
+use clap::Args;
+
+use crate::usage::resident_kib;
+
+/// The command.
+#[derive(Args)]
+pub struct StateCommand {
+    /// Numbers of teams.
+    #[arg(long, value_delimiter = ',', default_value = "2900,29000")]
+    teams: Vec<usize>,
+    /// Numbers of targets.
+    #[arg(long, value_delimiter = ',', default_value = "260,2600")]
+    targets: Vec<usize>,
+    /// Numbers of claims.
+    #[arg(long, value_delimiter = ',', default_value = "10000,100000")]
+    claims: Vec<usize>,
+    /// Changes in the log for the restart.
+    #[arg(long, default_value_t = 100_000)]
+    changes: usize,
+}
+
+impl StateCommand {
+    /// Runs the command.
+    pub fn run(self) -> eyre::Result<()> {
+        println!(
+            "what | count | resident KiB added | bytes each | snapshot bytes | encode ms | decode ms"
+        );
+        for count in &self.teams {
+            measure("teams", *count, team_command)?;
+        }
+        for count in &self.targets {
+            measure("targets", *count, target_command)?;
+        }
+        for count in &self.claims {
+            measure("claims", *count, claim_command)?;
+        }
+        self.measure_restart()
+    }
+
+    fn measure_restart(&self) -> eyre::Result<()> {
+        println!(
+            "restart with {} changes | log read ms | applied ms",
+            self.changes
+        );
+        let folder = Folder::create("bench-restart");
+        let (mut storage, _) = Storage::open(&folder.path)?;
+        let mut machine = Machine::default();
+        let mut records = vec![WalRecord::MayVote];
+        for number in 0..self.changes {
+            let kind = ChangeKind::SetTarget {
+                name: format!("target-{}", number % 2_600),
+                draining: true,
+            };
+            let stamped = StampedCommand {
+                at_ms: 1,
+                command: Command::Change(change_request(kind)),
+            };
+            let command = serde_json::to_vec(&stamped)?;
+            machine.apply_bytes(&command);
+            let entry = LogEntry {
+                term: 1,
+                index: number as u64 + 1,
+                payload: Payload::Command(command),
+            };
+            records.push(WalRecord::Entry(entry));
+        }
+        storage.append(&records)?;
+        storage.sync()?;
+        drop(storage);
+        let mut storage = self.restart("without snapshot", &folder)?;
+        let snapshot = Snapshot {
+            last_index: self.changes as u64,
+            last_term: 1,
+            members: MemberSet::default(),
+            data: serde_json::to_vec(&machine)?,
+        };
+        storage.install(&snapshot, HardState::default(), true, &[])?;
+        drop(storage);
+        self.restart("with snapshot", &folder)?;
+        Ok(())
+    }
+
+    fn restart(&self, what: &str, folder: &Folder) -> eyre::Result<Storage> {
+        let began = Instant::now();
+        let (storage, recovered) = Storage::open(&folder.path)?;
+        let read_ms = began.elapsed().as_millis();
+        let began = Instant::now();
+        let mut machine = match &recovered.snapshot {
+            Some(snapshot) => serde_json::from_slice(&snapshot.data)?,
+            None => Machine::default(),
+        };
+        for entry in &recovered.entries {
+            if let Payload::Command(command) = &entry.payload {
+                machine.apply_bytes(command);
+            }
+        }
+        println!("{what} | {read_ms} | {}", began.elapsed().as_millis());
+        Ok(storage)
+    }
+}
+
+fn measure(what: &str, count: usize, command_of: fn(usize) -> Command) -> eyre::Result<()> {
+    let process = std::process::id();
+    let mut machine = Machine::default();
+    let template = Command::Change(change_request(ChangeKind::ApplyTemplate(depot_template())));
+    machine.apply(StampedCommand {
+        at_ms: 1,
+        command: template,
+    });
+    let before = resident_kib(process);
+    for number in 0..count {
+        machine.apply(StampedCommand {
+            at_ms: 1,
+            command: command_of(number),
+        });
+    }
+    let added = resident_kib(process).saturating_sub(before);
+    let began = Instant::now();
+    let bytes = serde_json::to_vec(&machine)?;
+    let encode_ms = began.elapsed().as_millis();
+    let began = Instant::now();
+    let copy: Machine = serde_json::from_slice(&bytes)?;
+    let decode_ms = began.elapsed().as_millis();
+    println!(
+        "{what} | {count} | {added} | {} | {} | {encode_ms} | {decode_ms}",
+        added * 1_024 / count as u64,
+        bytes.len()
+    );
+    // Kept, so that the next measurement does not reuse this one's memory.
+    std::mem::forget((machine, copy, bytes));
+    Ok(())
+}
+
+fn team_command(number: usize) -> Command {
+    let team = Team {
+        name: format!("team-{number}"),
+        template: "depots".to_string(),
+        token_sha256: vec![token_digest(&format!("token-{number}"))],
+        weight: None,
+        models: None,
+        in_flight_max: None,
+    };
+    Command::Change(change_request(ChangeKind::SetTeam(team)))
+}
+
+fn target_command(number: usize) -> Command {
+    Command::Register {
+        name: format!("target-{number}"),
+        incarnation: 1_796_330_957_045,
+        description: TargetDescription {
+            agent_address: "10.100.100.100:7402".to_string(),
+            data_center: "dc-1".to_string(),
+            models: vec!["forecast-writer".to_string()],
+            services: Vec::new(),
+            slots: 16,
+            ranks: 32,
+            checks_fencing: true,
+        },
+    }
+}
+
+fn claim_command(number: usize) -> Command {
+    Command::Claim {
+        key: format!("asahikawa/key/advisory-{number}"),
+        request_id: format!("entry-1-1a23dab28f5-{number:x}"),
+        fingerprint: number as i64,
+        site: ClaimSite {
+            target: format!("target-{}", number % 2_600),
+            agent_address: "10.100.100.100:7402".to_string(),
+            agent_incarnation: 1_796_330_957_045,
+        },
+    }
+}
--- a/crates/bilberryloft-daemon/src/entry/server.rs
+++ b/crates/bilberryloft-daemon/src/entry/server.rs
@@ -19,6 +19,7 @@
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::refusal::Reason;
+use bilberryloft_transport::http::without_delay;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -65,7 +66,7 @@
             let stopped = async move {
                 let _ = stopped.await;
             };
-            let _ = axum::serve(listener, router)
+            let _ = axum::serve(without_delay(listener), router)
                 .with_graceful_shutdown(stopped)
                 .await;
         });
--- a/crates/bilberryloft-testing/src/engine.rs
+++ b/crates/bilberryloft-testing/src/engine.rs
@@ -25,6 +25,7 @@
 use bilberryloft_daemon::agent::Announcement;
 use bilberryloft_transport::clock::epoch_ms;
 use bilberryloft_transport::http::HttpClient;
+use bilberryloft_transport::http::without_delay;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -116,7 +117,7 @@
             .fallback(any(serve_plainly))
             .with_state(shared.clone());
         let server = tokio::spawn(async move {
-            let _ = axum::serve(listener, router).await;
+            let _ = axum::serve(without_delay(listener), router).await;
         });
         let announcer = tokio::spawn(announce(shared.clone()));
         Ok(Engine {
--- a/crates/bilberryloft-transport/src/http.rs
+++ b/crates/bilberryloft-transport/src/http.rs
@@ -1,5 +1,7 @@
 //! HTTP to targets: one pooled client a process.
 
+use axum::serve::ListenerExt;
+use axum::serve::TapIo;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bytes::Bytes;
@@ -11,6 +13,8 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 /// A pooled HTTP client; clones share the pool.
 #[derive(Clone, Debug)]
@@ -72,6 +76,14 @@
     }
 }
 
+/// Makes a listener whose connections send small pieces at once rather than wait for larger ones.
+pub fn without_delay(listener: TcpListener) -> TapIo<TcpListener, fn(&mut TcpStream)> {
+    listener.tap_io(|stream| {
+        // A connection that can't be set so is slower and still works.
+        let _ = stream.set_nodelay(true);
+    })
+}
+
 /// An HTTP request got no answer.
 #[derive(Clone, Debug)]
 pub struct HttpFailure {
