--- a/crates/bilberryloft-daemon/src/control/disk.rs
+++ b/crates/bilberryloft-daemon/src/control/disk.rs
@@ -24,6 +24,17 @@
         /// Messages that wait for them.
         messages: Vec<Outbound>,
     },
+    /// Start a new log after a snapshot that is durable already.
+    Rotate {
+        /// Index of the last entry that the snapshot covers.
+        snapshot_index: u64,
+        /// Term and vote.
+        hard_state: HardState,
+        /// Whether the member may vote.
+        may_vote: bool,
+        /// Entries after the snapshot.
+        entries: Vec<LogEntry>,
+    },
     /// Replace the log by a snapshot and the entries after it, then let the messages go.
     Install {
         /// Number to report, 0 for none.
@@ -130,6 +141,15 @@
                 highest = highest.max(number);
                 waiting.extend(messages);
             }
+            DiskJob::Rotate {
+                snapshot_index,
+                hard_state,
+                may_vote,
+                entries,
+            } => {
+                storage.rotate(snapshot_index, hard_state, may_vote, &entries)?;
+                needs_sync = false;
+            }
             DiskJob::Install {
                 number,
                 snapshot,
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -6,11 +6,13 @@
 use std::sync::PoisonError;
 
 use bilberryloft_coordination::raft::Message;
+use bilberryloft_state::error::Result;
 use bilberryloft_state::machine::Command;
 use bilberryloft_state::machine::Machine;
 use bilberryloft_state::machine::Outcome;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::membership::TargetDescription;
+use bilberryloft_state::snapshot::Snapshot;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -32,6 +34,7 @@
 pub(super) type Reply<T> = oneshot::Sender<std::result::Result<T, ProposeError>>;
 
 pub(super) enum Input {
+    SnapshotWritten(Result<Snapshot>),
     Peer(Message),
     Propose {
         command: Command,
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -24,6 +25,7 @@
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::snapshot::Snapshot;
 use bilberryloft_state::storage::Storage;
+use bilberryloft_state::storage::write_snapshot;
 use bilberryloft_state::wal::LogEntry;
 use bilberryloft_state::wal::Payload;
 use bilberryloft_transport::clock::epoch_ms;
@@ -52,6 +54,8 @@
 const INPUTS_PER_TURN: usize = 1_024;
 /// Inputs that may wait; more make their senders wait.
 const INPUT_QUEUE_MAX: usize = 8_192;
+/// Bytes that the log must have grown by since the last snapshot, as a multiple of its size.
+const SNAPSHOT_GROWTH: usize = 4;
 
 pub(super) struct Pending {
     term: u64,
@@ -67,6 +71,12 @@
     peers: Peers,
     pub(super) leases: LeaseTable,
     snapshot_entries: u64,
+    data_folder: PathBuf,
+    own_inputs: mpsc::Sender<Input>,
+    is_snapshotting: bool,
+    /// Bytes of commands applied since the last snapshot.
+    log_bytes: usize,
+    snapshot_bytes: usize,
     pub(super) was_leader: bool,
     pub(super) pending: BTreeMap<u64, Pending>,
     reads: BTreeMap<u64, Reply<u64>>,
@@ -92,6 +102,7 @@
             Some(snapshot) => decode_machine(&settings.data_folder, &snapshot.data)?,
             None => Machine::default(),
         };
+        let snapshot_bytes = recovered.snapshot.as_ref().map_or(0, |it| it.data.len());
         let options = Options {
             heartbeat_ms: settings.heartbeat_ms,
             election_ms: settings.election_ms,
@@ -117,7 +128,7 @@
         let (status, status_receiver) = watch::channel(QuorumStatus::default());
         let machine = Arc::new(Mutex::new(machine));
         let handle = ControlHandle {
-            inputs: input_sender,
+            inputs: input_sender.clone(),
             machine: machine.clone(),
             applied: applied_receiver,
             status: status_receiver,
@@ -135,6 +146,11 @@
             ),
             leases: LeaseTable::new(settings.target_lease_ms),
             snapshot_entries: settings.snapshot_entries,
+            data_folder: settings.data_folder.clone(),
+            own_inputs: input_sender.clone(),
+            is_snapshotting: false,
+            log_bytes: 0,
+            snapshot_bytes,
             was_leader: false,
             pending: BTreeMap::new(),
             reads: BTreeMap::new(),
@@ -213,6 +229,7 @@
             }
             Input::ChangeMembers { members, reply } => self.change_members(members, reply),
             Input::Read { reply } => self.read(reply),
+            Input::SnapshotWritten(written) => self.take_snapshot(written),
             Input::Announce {
                 name,
                 incarnation,
@@ -339,6 +356,7 @@
 
     fn apply(&mut self, entry: LogEntry) {
         self.applied_index = entry.index;
+        self.log_bytes += entry.payload_bytes();
         let outcome = match &entry.payload {
             Payload::Command(bytes) => self.lock_machine().apply_bytes(bytes),
             Payload::Members(members) => {
@@ -358,31 +376,62 @@
         });
     }
 
+    /// Starts a snapshot when the log has grown well beyond the last one, so that its cost stays a small
+    /// share of the writes. A copy of the machine is encoded and written beside the loop.
     fn snapshot_if_due(&mut self) {
-        if self.applied_index < self.raft.log().snapshot_index() + self.snapshot_entries {
+        let log = self.raft.log();
+        let is_due = self.applied_index >= log.snapshot_index() + self.snapshot_entries
+            && self.log_bytes >= SNAPSHOT_GROWTH * self.snapshot_bytes;
+        if !is_due || self.is_snapshotting {
             return;
         }
-        let Some(last_term) = self.raft.log().term_at(self.applied_index) else {
-            return;
-        };
-        let members = self.raft.log().members_up_to(self.applied_index).0.clone();
-        let Ok(data) = serde_json::to_vec(&*self.lock_machine()) else {
+        let Some(last_term) = log.term_at(self.applied_index) else {
             return;
         };
+        let members = log.members_up_to(self.applied_index).0.clone();
+        let machine = self.lock_machine().clone();
         let snapshot = Snapshot {
             last_index: self.applied_index,
             last_term,
             members,
-            data,
+            data: Vec::new(),
         };
-        log_event!(
-            info,
-            Event::SnapshotWritten,
-            index = snapshot.last_index,
-            bytes = snapshot.data.len()
-        );
-        self.raft.compact(snapshot.clone());
-        self.submit_install(snapshot, 0, Vec::new());
+        let folder = self.data_folder.clone();
+        let inputs = self.own_inputs.clone();
+        self.is_snapshotting = true;
+        self.log_bytes = 0;
+        tokio::task::spawn_blocking(move || {
+            let written = write_machine(&folder, snapshot, &machine);
+            let _ = inputs.blocking_send(Input::SnapshotWritten(written));
+        });
+    }
+
+    fn take_snapshot(&mut self, written: Result<Snapshot>) {
+        self.is_snapshotting = false;
+        let snapshot = match written {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                // The log goes on without it, and the next one is tried when the log has grown further.
+                log_event!(error, Event::SnapshotFailed, %error);
+                return;
+            }
+        };
+        if snapshot.last_index <= self.raft.log().snapshot_index() {
+            return;
+        }
+        let (snapshot_index, bytes) = (snapshot.last_index, snapshot.data.len());
+        log_event!(info, Event::SnapshotWritten, index = snapshot_index, bytes);
+        self.snapshot_bytes = bytes;
+        // Records that the algorithm has not handed over yet must not be written twice.
+        let output = self.raft.take_output();
+        self.perform(output);
+        self.raft.compact(snapshot);
+        self.disk.submit(DiskJob::Rotate {
+            snapshot_index,
+            hard_state: self.raft.hard_state(),
+            may_vote: self.raft.may_vote(),
+            entries: self.raft.log().entries().to_vec(),
+        });
     }
 
     fn publish(&mut self) {
@@ -430,3 +479,12 @@
         detail: format!("the snapshot's state can't be read: {error}"),
     })
 }
+
+fn write_machine(folder: &Path, mut snapshot: Snapshot, machine: &Machine) -> Result<Snapshot> {
+    snapshot.data = serde_json::to_vec(machine).map_err(|it| Error::Json {
+        step: "encode a snapshot",
+        detail: it.to_string(),
+    })?;
+    write_snapshot(folder, &snapshot)?;
+    Ok(snapshot)
+}
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -32,6 +32,8 @@
     SnapshotWritten = 204,
     /// A snapshot from the leader replaced the member's state.
     SnapshotInstalled = 205,
+    /// A snapshot could not be written; the log goes on.
+    SnapshotFailed = 206,
     /// Targets lost their leases.
     TargetsLost = 210,
     /// A target was recorded.
@@ -66,7 +68,7 @@
 }
 
 /// All events in the order of their numbers.
-pub const EVENTS: [Event; 26] = [
+pub const EVENTS: [Event; 27] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -81,6 +83,7 @@
     Event::DiskFailed,
     Event::SnapshotWritten,
     Event::SnapshotInstalled,
+    Event::SnapshotFailed,
     Event::TargetsLost,
     Event::TargetRegistered,
     Event::MembersChanged,
--- a/crates/bilberryloft-state/src/folder.rs
+++ b/crates/bilberryloft-state/src/folder.rs
@@ -50,24 +50,7 @@
 
     /// Writes a file whole under a temporary name, syncs it, and renames it into place.
     pub fn write_atomic(&self, name: &str, bytes: &[u8]) -> Result<()> {
-        let temporary = self.path.join(format!("{name}.tmp"));
-        let mut file =
-            File::create(&temporary).map_err(|it| Error::disk("create", &temporary, it))?;
-        file.write_all(bytes)
-            .map_err(|it| Error::disk("write", &temporary, it))?;
-        file.sync_all()
-            .map_err(|it| Error::disk("sync", &temporary, it))?;
-        let place = self.path.join(name);
-        std::fs::rename(&temporary, &place).map_err(|it| Error::disk("rename", &place, it))?;
-        self.sync()
-    }
-
-    /// Makes the names in the folder durable.
-    pub fn sync(&self) -> Result<()> {
-        let folder = File::open(&self.path).map_err(|it| Error::disk("open", &self.path, it))?;
-        folder
-            .sync_all()
-            .map_err(|it| Error::disk("sync", &self.path, it))
+        write_atomic(&self.path, name, bytes)
     }
 
     /// Names of the files whose name has the given start and end, in order.
@@ -82,6 +65,23 @@
     }
 }
 
+/// Writes a file whole under a temporary name, syncs it, and renames it into place; needs no lock.
+pub fn write_atomic(folder: &Path, name: &str, bytes: &[u8]) -> Result<()> {
+    let temporary = folder.join(format!("{name}.tmp"));
+    let mut file = File::create(&temporary).map_err(|it| Error::disk("create", &temporary, it))?;
+    file.write_all(bytes)
+        .map_err(|it| Error::disk("write", &temporary, it))?;
+    file.sync_all()
+        .map_err(|it| Error::disk("sync", &temporary, it))?;
+    let place = folder.join(name);
+    std::fs::rename(&temporary, &place).map_err(|it| Error::disk("rename", &place, it))?;
+    // The new name itself must last, too.
+    let opened = File::open(folder).map_err(|it| Error::disk("open", folder, it))?;
+    opened
+        .sync_all()
+        .map_err(|it| Error::disk("sync", folder, it))
+}
+
 /// Names of the files in a folder with the given start and end, in order; needs no lock.
 pub fn names_in(path: &Path, start: &str, end: &str) -> Result<Vec<String>> {
     let entries = std::fs::read_dir(path).map_err(|it| Error::disk("list", path, it))?;
--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -10,6 +10,7 @@
 use crate::error::Result;
 use crate::folder::Folder;
 use crate::folder::names_in;
+use crate::folder::write_atomic;
 use crate::snapshot;
 use crate::snapshot::Snapshot;
 use crate::wal;
@@ -131,11 +132,31 @@
         may_vote: bool,
         entries: &[LogEntry],
     ) -> Result<()> {
-        self.folder.write_atomic(
-            &snapshot_name(snapshot.last_index),
-            &snapshot::encode(snapshot),
-        )?;
-        let mut bytes = wal::encode_file_header(snapshot.last_index);
+        write_snapshot(self.folder.path(), snapshot)?;
+        self.try_rotate(snapshot.last_index, hard_state, may_vote, entries)
+    }
+
+    /// Starts a new log after a snapshot that [`write_snapshot`] has made durable.
+    pub fn rotate(
+        &mut self,
+        snapshot_index: u64,
+        hard_state: HardState,
+        may_vote: bool,
+        entries: &[LogEntry],
+    ) -> Result<()> {
+        let done = self.try_rotate(snapshot_index, hard_state, may_vote, entries);
+        self.failed |= done.is_err();
+        done
+    }
+
+    fn try_rotate(
+        &mut self,
+        snapshot_index: u64,
+        hard_state: HardState,
+        may_vote: bool,
+        entries: &[LogEntry],
+    ) -> Result<()> {
+        let mut bytes = wal::encode_file_header(snapshot_index);
         wal::encode_record(&WalRecord::HardState(hard_state), &mut bytes);
         if may_vote {
             wal::encode_record(&WalRecord::MayVote, &mut bytes);
@@ -153,7 +174,7 @@
         self.file = file;
         self.file_path = file_path;
         self.sequence = sequence;
-        self.remove_leftovers(Some(snapshot.last_index))
+        self.remove_leftovers(Some(snapshot_index))
     }
 
     fn remove_leftovers(&self, snapshot_index: Option<u64>) -> Result<()> {
@@ -173,6 +194,16 @@
     }
 }
 
+/// Makes a snapshot durable under its own name; it counts only once a log names it, so this may run beside
+/// appends from another thread.
+pub fn write_snapshot(folder: &Path, snapshot: &Snapshot) -> Result<()> {
+    write_atomic(
+        folder,
+        &snapshot_name(snapshot.last_index),
+        &snapshot::encode(snapshot),
+    )
+}
+
 /// Reads a data folder without its lock and without changing it.
 pub fn inspect(path: &Path) -> Result<Recovered> {
     match latest_wal(path)? {
