--- a/crates/bilberryloft-coordination/src/expert_map/plan.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/plan.rs
@@ -57,8 +57,8 @@
                 stall_ms,
                 horizon_ms: 600_000.0,
                 store_weight: 0.05,
-                begin_skew: 1.045,
-                aim_skew: 1.02,
+                begin_skew: 1.03,
+                aim_skew: 1.015,
             },
             Preset::Cost => Costs {
                 load_ms,
--- /dev/null
+++ b/crates/bilberryloft-experiment/src/commands/mod.rs
@@ -0,0 +1,5 @@
+//! The commands, one a file.
+
+pub mod balance;
+pub mod expert_map;
+pub mod overload;
