Admission: refuse what would end too late, not only what would start too late

Change: the smoothed time a token takes gives an expected end; a request whose end would be late is refused when it asks, and dropped from the queue at once when it has become late while it waited.

--- a/crates/bilberryloft-coordination/src/admission.rs
+++ b/crates/bilberryloft-coordination/src/admission.rs
@@ -10,7 +10,7 @@
 pub const CLASS_STEP_TOKENS_PER_WEIGHT: u64 = 200;
 /// Fixed-point factor of virtual time.
 const VIRTUAL_SCALE: u64 = 1_000;
-/// Share of a new measurement in the smoothed service time.
+/// Share of a new measurement in the smoothed time for a token.
 const SERVICE_TIME_GAIN: f64 = 0.1;
 
 /// One request that asks for a slot.
@@ -55,14 +55,30 @@
 pub struct Admission {
     slots: u32,
     queue_max: usize,
-    running: BTreeMap<u64, u64>,
+    running: BTreeMap<u64, Running>,
     exclusive: Option<u64>,
     queue: BTreeMap<(u64, u64), Ask>,
     tag_of: BTreeMap<u64, u64>,
     finish_of_team: BTreeMap<String, u64>,
     virtual_time: u64,
     queued_tokens: u64,
-    service_ms: f64,
+    /// Smoothed time at the target for each token of work, in milliseconds.
+    token_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    started_ms: u64,
+    work_tokens: u64,
+}
+
+/// Requests whose wait is over.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Next {
+    /// Those that go to the target now.
+    pub start: Vec<u64>,
+    /// Those that could no longer be answered in time, and are refused.
+    pub late: Vec<u64>,
 }
 
 impl Admission {
@@ -78,7 +94,7 @@
             finish_of_team: BTreeMap::new(),
             virtual_time: 0,
             queued_tokens: 0,
-            service_ms: 0.0,
+            token_ms: 0.0,
         }
     }
 
@@ -107,13 +123,24 @@
         self.queued_tokens
     }
 
-    /// Expected time until a new request would start, in milliseconds.
+    /// Expected time until a request of a team with its full share would start, in milliseconds.
     pub fn expected_wait_ms(&self) -> u64 {
+        self.wait_behind_ms(self.queued_tokens)
+    }
+
+    /// Expected time until the target is free after the given queued work.
+    fn wait_behind_ms(&self, tokens_ahead: u64) -> u64 {
         if self.running.len() < self.slots as usize {
             return 0;
         }
-        let ahead = self.queue.len() + 1;
-        (ahead as f64 * self.service_ms / f64::from(self.slots.max(1))) as u64
+        let running_tokens: u64 = self.running.values().map(|it| it.work_tokens).sum();
+        // What runs is half done on average.
+        let tokens = tokens_ahead as f64 + running_tokens as f64 / 2.0;
+        (tokens * self.token_ms / f64::from(self.slots.max(1))) as u64
+    }
+
+    fn expected_service_ms(&self, ask: &Ask) -> u64 {
+        (ask.work_tokens as f64 * self.token_ms) as u64
     }
 
     /// Takes a new request.
@@ -124,10 +151,16 @@
             self.start(&ask, tag, arrived_ms);
             return Verdict::Run;
         }
-        if ask.arrived_ms + self.expected_wait_ms() >= ask.deadline_ms {
+        let tag = self.start_tag(&ask);
+        let tokens_ahead = self
+            .queue
+            .range(..(tag, ask.id))
+            .map(|(_, it)| it.work_tokens)
+            .sum();
+        let wait_ms = self.wait_behind_ms(tokens_ahead) + self.expected_service_ms(&ask);
+        if ask.arrived_ms + wait_ms >= ask.deadline_ms {
             return Verdict::TooLate;
         }
-        let tag = self.start_tag(&ask);
         if self.queue.len() < self.queue_max {
             self.enqueue(tag, ask);
             return Verdict::Wait { evicted: None };
@@ -191,17 +224,22 @@
 
     fn start(&mut self, ask: &Ask, tag: u64, now_ms: u64) {
         self.virtual_time = self.virtual_time.max(tag);
-        self.running.insert(ask.id, now_ms);
+        let running = Running {
+            started_ms: now_ms,
+            work_tokens: ask.work_tokens,
+        };
+        self.running.insert(ask.id, running);
         if ask.is_exclusive {
             self.exclusive = Some(ask.id);
         }
     }
 
-    /// Frees the slot of a request and returns those that may start now.
-    pub fn finish(&mut self, id: u64, now_ms: u64) -> Vec<u64> {
-        if let Some(started_ms) = self.running.remove(&id) {
-            let took_ms = now_ms.saturating_sub(started_ms) as f64;
-            self.service_ms += SERVICE_TIME_GAIN * (took_ms - self.service_ms);
+    /// Frees the slot of a request and returns those whose wait is over.
+    pub fn finish(&mut self, id: u64, now_ms: u64) -> Next {
+        if let Some(running) = self.running.remove(&id) {
+            let took_ms = now_ms.saturating_sub(running.started_ms) as f64;
+            let token_ms = took_ms / running.work_tokens.max(1) as f64;
+            self.token_ms += SERVICE_TIME_GAIN * (token_ms - self.token_ms);
         }
         if self.exclusive == Some(id) {
             self.exclusive = None;
@@ -209,22 +247,28 @@
         self.start_waiting(now_ms)
     }
 
-    /// Starts those that may go now and returns them.
-    pub fn start_waiting(&mut self, now_ms: u64) -> Vec<u64> {
-        let mut started = Vec::new();
+    /// Returns those that may go now, and those for which it is too late to be answered in time.
+    pub fn start_waiting(&mut self, now_ms: u64) -> Next {
+        let mut next = Next::default();
         // An exclusive request at the head holds up those behind it, or it would never find the target empty.
         while let Some((key, ask)) = self.queue.pop_first() {
-            if !self.has_room_for(&ask) {
+            let is_late = now_ms + self.expected_service_ms(&ask) >= ask.deadline_ms;
+            if !is_late && !self.has_room_for(&ask) {
                 self.queue.insert(key, ask);
                 break;
             }
-            self.queued_tokens -= ask.work_tokens;
             self.tag_of.remove(&ask.id);
-            self.start(&ask, key.0, now_ms);
-            started.push(ask.id);
+            if is_late {
+                self.refund(&ask);
+                next.late.push(ask.id);
+            } else {
+                self.queued_tokens -= ask.work_tokens;
+                self.start(&ask, key.0, now_ms);
+                next.start.push(ask.id);
+            }
         }
         self.drop_idle_teams();
-        started
+        next
     }
 
     /// Teams whose share has caught up with everybody's need no state.
--- a/crates/bilberryloft-daemon/src/agent/dispatch.rs
+++ b/crates/bilberryloft-daemon/src/agent/dispatch.rs
@@ -142,6 +142,12 @@
                 self.recheck(dispatch, id)?;
                 Ok(Slot { id, target })
             }
+            Ok(Ok(Grant::Late)) => {
+                guard.is_settled = true;
+                let wait_ms = self.lock().admission.expected_wait_ms();
+                let detail = "the answer would come after the deadline";
+                Err(Refusal::not_run(Reason::Deadline, wait_ms, detail))
+            }
             Ok(Ok(Grant::Evicted) | Err(_)) => {
                 guard.is_settled = true;
                 Err(self.busy("a request of a team with less than its share took the place"))
@@ -292,8 +298,8 @@
     /// Frees a slot and lets the next requests go.
     pub(super) fn free_slot(&self, id: u64) {
         let mut inner = self.lock();
-        let started = inner.admission.finish(id, monotonic_ms());
-        inner.grant(&started);
+        let next = inner.admission.finish(id, monotonic_ms());
+        inner.grant(&next);
     }
 
     /// Takes a request out of the queue, or gives its slot back when the grant came in the same moment.
@@ -304,8 +310,8 @@
             drop(inner);
             return self.free_slot(id);
         }
-        let started = inner.admission.start_waiting(monotonic_ms());
-        inner.grant(&started);
+        let next = inner.admission.start_waiting(monotonic_ms());
+        inner.grant(&next);
     }
 }
 
--- a/crates/bilberryloft-daemon/src/agent/state.rs
+++ b/crates/bilberryloft-daemon/src/agent/state.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 
 use bilberryloft_coordination::admission::Admission;
+use bilberryloft_coordination::admission::Next;
 use bilberryloft_coordination::attempts::AttemptTable;
 use bilberryloft_protocol::wire::Load;
 use bilberryloft_state::membership::TargetDescription;
@@ -33,6 +34,8 @@
 pub(super) enum Grant {
     /// It may go to the target.
     Run,
+    /// It could no longer be answered in time.
+    Late,
     /// It lost its place to a request of a team that had less than its share.
     Evicted,
 }
@@ -55,11 +58,11 @@
 }
 
 impl Inner {
-    /// Tells waiting requests that they may go to the target.
-    pub fn grant(&mut self, started: &[u64]) {
-        for id in started {
-            if let Some(waiting) = self.waiting.remove(id) {
-                let _ = waiting.send(Grant::Run);
+    /// Tells waiting requests that their wait is over.
+    pub fn grant(&mut self, next: &Next) {
+        for (ids, is_late) in [(&next.start, false), (&next.late, true)] {
+            for waiting in ids.iter().filter_map(|it| self.waiting.remove(it)) {
+                let _ = waiting.send(if is_late { Grant::Late } else { Grant::Run });
             }
         }
     }
--- a/crates/bilberryloft-experiment/src/commands/overload.rs
+++ b/crates/bilberryloft-experiment/src/commands/overload.rs
@@ -110,7 +110,7 @@
             },
             Queue::Admission(admission) => {
                 admission.take_expired(now_ms);
-                admission.finish(id, now_ms)
+                admission.finish(id, now_ms).start
             }
         }
     }
@@ -133,7 +133,7 @@
     let rate = load * capacity / TOKENS;
     let mut requests: BTreeMap<u64, Request> = BTreeMap::new();
     let mut ends: BTreeMap<(u64, u64), ()> = BTreeMap::new();
-    let mut good = vec![0.0; TEAMS + 1];
+    let mut good = [0.0; TEAMS + 1];
     let (mut due_ms, mut id) = (0.0, 0);
     for now_ms in 0..RUN_MS {
         while let Some(((at_ms, ended), ())) = ends.first_key_value().map(|(key, ())| (*key, ())) {
