--- a/crates/bilberryloft-bench/src/commands/state.rs
+++ b/crates/bilberryloft-bench/src/commands/state.rs
@@ -148,6 +148,10 @@
         added * 1_024 / count as u64,
         bytes.len()
     );
+    if what == "teams" {
+        let follower_bytes = serde_json::to_vec(&machine.configuration.for_followers())?.len();
+        println!("  of these, sent to a daemon that starts anew: {follower_bytes} bytes");
+    }
     // Kept, so that the next measurement does not reuse this one's memory.
     std::mem::forget((machine, copy, bytes));
     Ok(())
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -354,11 +354,9 @@
 fn start_node(control: &ControlSettings, shared: &Shared) -> Result<Arc<ControlService>> {
     let daemon = &shared.settings.daemon;
     let node = ControlNode::spawn(control, daemon, shared.incarnation)?;
-    Ok(Arc::new(ControlService::new(
-        node,
-        daemon,
-        shared.incarnation,
-    )))
+    let service = Arc::new(ControlService::new(node, daemon, shared.incarnation));
+    service.spawn_confirmer();
+    Ok(service)
 }
 
 fn build_traffic_runtime(threads: usize) -> Result<Runtime> {
--- a/crates/bilberryloft-state/src/configuration.rs
+++ b/crates/bilberryloft-state/src/configuration.rs
@@ -12,6 +12,8 @@
 pub const RECENT_CHANGES: usize = 4_096;
 /// Number of change ids whose outcome is remembered for resends.
 pub const REMEMBERED_CHANGE_IDS: usize = 16_384;
+/// Recent changes that a daemon gets with a snapshot.
+pub const FOLLOWER_HISTORY: usize = 64;
 /// Largest weight of a team.
 pub const WEIGHT_MAX: u32 = 1_000;
 /// Largest deadline that a template may set.
@@ -398,6 +400,22 @@
         }
     }
 
+    /// Copy for a daemon that only follows: without the outcomes for resends, and with little history.
+    pub fn for_followers(&self) -> Configuration {
+        let skipped = self.recent.len().saturating_sub(FOLLOWER_HISTORY);
+        Configuration {
+            version: self.version,
+            templates: self.templates.clone(),
+            teams: self.teams.clone(),
+            team_of_token: self.team_of_token.clone(),
+            draining: self.draining.clone(),
+            object_versions: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            outcome_order: VecDeque::new(),
+            recent: self.recent.iter().skip(skipped).cloned().collect(),
+        }
+    }
+
     /// Changes after a version, or `None` when some of them are no longer kept.
     pub fn changes_after(&self, version: u64) -> Option<Vec<ChangeRecord>> {
         if version >= self.version {
