--- a/crates/bilberryloft-daemon/src/control/mod.rs
+++ b/crates/bilberryloft-daemon/src/control/mod.rs
@@ -1,6 +1,5 @@
 //! The control role: a member of the quorum that keeps all durable state.
 
-mod confirm;
 mod disk;
 mod handle;
 mod node;
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -1,7 +1,6 @@
 //! What a control host answers to other daemons.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -18,7 +17,6 @@
 use bilberryloft_transport::clock::monotonic_ms;
 use bilberryloft_transport::server::Responder;
 
-use crate::control::confirm::ConfirmQueue;
 use crate::control::handle::Applied;
 use crate::control::handle::ControlHandle;
 use crate::control::handle::ProposeError;
@@ -39,7 +37,6 @@
     leaders: Mutex<BTreeMap<String, Client>>,
     watchers: Mutex<Watchers>,
     records: Mutex<RecordRing>,
-    confirmations: ConfirmQueue,
 }
 
 impl ControlService {
@@ -52,25 +49,9 @@
             leaders: Mutex::default(),
             watchers: Mutex::default(),
             records: Mutex::new(RecordRing::with_capacity(STORED_RECORDS_MAX)),
-            confirmations: ConfirmQueue::default(),
         }
     }
 
-    /// Serves watches that wait for a confirmation, on the current runtime.
-    pub fn spawn_confirmer(self: &Arc<Self>) {
-        let service = self.clone();
-        tokio::spawn(async move {
-            loop {
-                let waiting = service.confirmations.take_waiting().await;
-                let is_confirmed = service.confirm().await;
-                for sender in waiting {
-                    // A watch whose daemon has gone needs no answer.
-                    let _ = sender.send(is_confirmed);
-                }
-            }
-        });
-    }
-
     /// The node.
     pub fn node(&self) -> &ControlHandle {
         &self.node
@@ -221,7 +202,7 @@
         lock(&self.watchers).note(&watch, monotonic_ms());
         let wait = Duration::from_millis(watch.wait_ms.clamp(0, WATCH_MAX_MS) as u64);
         let until = tokio::time::Instant::now() + wait;
-        let confirmed = self.confirmations.wait().await;
+        let confirmed = self.confirm().await;
         let mut applied = self.node.applied();
         let has_news = |it: &Applied| {
             it.configuration > watch.configuration_version as u64
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -354,9 +354,11 @@
 fn start_node(control: &ControlSettings, shared: &Shared) -> Result<Arc<ControlService>> {
     let daemon = &shared.settings.daemon;
     let node = ControlNode::spawn(control, daemon, shared.incarnation)?;
-    let service = Arc::new(ControlService::new(node, daemon, shared.incarnation));
-    service.spawn_confirmer();
-    Ok(service)
+    Ok(Arc::new(ControlService::new(
+        node,
+        daemon,
+        shared.incarnation,
+    )))
 }
 
 fn build_traffic_runtime(threads: usize) -> Result<Runtime> {
