--- /dev/null
+++ b/crates/bilberryctl/tests/commands.rs
@@ -0,0 +1,165 @@
+//! The command-line tool against real daemons, with its exit codes.
+#![allow(clippy::unwrap_used)]
+
+use std::process::Command;
+use std::process::Output;
+
+use bilberryloft_testing::caller::Caller;
+use bilberryloft_testing::fleet::Fleet;
+
+fn bilberryctl(admin: &str, arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_bilberryctl"))
+        .args(["--admin", admin])
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn text(output: &Output) -> String {
+    format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
+}
+
+fn expect(admin: &str, arguments: &[&str], code: i32, words: &[&str]) -> String {
+    let output = bilberryctl(admin, arguments);
+    let text = text(&output);
+    assert_eq!(output.status.code(), Some(code), "{arguments:?}: {text}");
+    for word in words {
+        assert!(text.contains(word), "{arguments:?} lacks {word:?}: {text}");
+    }
+    text
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn commands_operate_a_fleet() {
+    let mut fleet = Fleet::plan("ctl", 1, 1, 1);
+    fleet.start_all();
+    fleet.leader().await;
+    let admin = fleet.admin(&fleet.control_ips[0]);
+    let entry_admin = fleet.admin(&fleet.entry_ips[0]);
+    let template = fleet.folder.path.join("template.json");
+    let depots = bilberryloft_testing::fleet::depot_template();
+    std::fs::write(&template, serde_json::to_string(&depots).unwrap()).unwrap();
+    let file = template.to_str().unwrap();
+
+    expect(
+        &admin,
+        &["template", "apply", file, "--change-id", "c1"],
+        0,
+        &["version 1"],
+    );
+    expect(
+        &admin,
+        &["template", "apply", file, "--change-id", "c1"],
+        0,
+        &["version 1"],
+    );
+    expect(
+        &admin,
+        &["team", "set", "asahikawa", "--template", "none"],
+        4,
+        &["template"],
+    );
+    expect(
+        &admin,
+        &[
+            "team",
+            "set",
+            "asahikawa",
+            "--template",
+            "depots",
+            "--token",
+            "depot-token",
+            "--reason",
+            "winter",
+        ],
+        0,
+        &["version 2"],
+    );
+    fleet.wait_for_version(2).await;
+    fleet.wait_until_ready().await;
+    expect(&admin, &["team", "list"], 0, &["asahikawa", "depots"]);
+    expect(&admin, &["team", "show", "nobody"], 5, &["nobody"]);
+    expect(&admin, &["target", "list"], 0, &["target-1", "in use"]);
+    expect(
+        &admin,
+        &["config", "history"],
+        0,
+        &["winter", "team/asahikawa"],
+    );
+    expect(&admin, &["config", "diff", "1"], 0, &["asahikawa"]);
+    expect(
+        &admin,
+        &["config", "status"],
+        0,
+        &["entry-1", "agent-1", "yes"],
+    );
+
+    let reply = Caller::new("depot-token")
+        .complete(&fleet.entry(0), "brief", false)
+        .await;
+    assert!(reply.is_whole);
+    expect(
+        &admin,
+        &["explain", &reply.request_id],
+        0,
+        &["pick", "target-1", "least_load"],
+    );
+    expect(&admin, &["explain", "entry-1-0-ffff"], 5, &["no record"]);
+    expect(
+        &entry_admin,
+        &["report", "burn"],
+        0,
+        &["asahikawa", "BUDGET_LEFT"],
+    );
+    expect(&admin, &["report", "burn"], 5, &["no entry"]);
+
+    expect(
+        &admin,
+        &["target", "drain", "target-1", "--base-version", "2"],
+        0,
+        &["version 3"],
+    );
+    expect(
+        &admin,
+        &["target", "resume", "target-1", "--base-version", "2"],
+        3,
+        &["conflict"],
+    );
+    expect(&admin, &["--json", "members", "list"], 0, &["voters"]);
+    expect("127.0.0.1:1", &["target", "list"], 1, &["127.0.0.1:1"]);
+    expect("127.0.0.1:1", &["target"], 2, &["Usage"]);
+
+    let folder = fleet.folder.path.join("control-1");
+    fleet.kill("control-1");
+    let folder = folder.to_str().unwrap();
+    expect("", &["data", "check", folder], 0, &["sound"]);
+    expect(
+        "",
+        &["data", "export", folder],
+        0,
+        &["asahikawa", "last_index"],
+    );
+}
+
+#[test]
+fn settings_check_names_the_fault() {
+    let path =
+        std::env::temp_dir().join(format!("bilberryctl-settings-{}.json", std::process::id()));
+    std::fs::write(&path, "{\"daemon\": \"x\"}").unwrap();
+    expect(
+        "",
+        &["settings", "check", path.to_str().unwrap()],
+        1,
+        &["data_center", "help"],
+    );
+    std::fs::remove_file(path).unwrap();
+}
+
+#[test]
+fn completions_name_the_commands() {
+    expect("", &["completions", "bash"], 0, &["bilberryctl", "explain"]);
+}
--- a/crates/bilberryloft-daemon/src/agent/announce.rs
+++ b/crates/bilberryloft-daemon/src/agent/announce.rs
@@ -24,7 +24,9 @@
 pub fn spawn_announcer(agent: Arc<Agent>) {
     tokio::spawn(async move {
         let mut announced: Option<Announcement> = None;
+        let mut was_draining = false;
         loop {
+            was_draining = agent.log_drain(was_draining);
             let target = agent.present_target(monotonic_ms());
             if target.is_none() && announced.is_some() {
                 log_event!(warn, Event::TargetSilent, target = agent.settings.target);
@@ -67,6 +69,18 @@
 }
 
 impl Agent {
+    /// Logs when operators take the target out of use or back into it; returns which it is.
+    fn log_drain(&self, was_draining: bool) -> bool {
+        let target = &self.settings.target;
+        let is_draining = self.view.configuration().is_draining(target);
+        match (was_draining, is_draining) {
+            (false, true) => log_event!(info, Event::TargetDraining, target),
+            (true, false) => log_event!(info, Event::TargetResumed, target),
+            (false, false) | (true, true) => {}
+        }
+        is_draining
+    }
+
     /// Tells control that the target leaves, so that nobody waits for its lease to run out.
     pub async fn announce_leaving(&self) {
         let target = self.lock().target.clone();
