Expert maps switch in real processes: agents plan, ranks hold, the quorum decides

Cause: the promise that all ranks use the same map in every step was proved for the library only. Change: the register of decisions is part of the replicated state; an agent plans from its target's counts, stages, arms and has the switch decided; a restarted rank settles through its agent; the stand-in engine has ranks that step together.

--- a/crates/bilberryloft-coordination/examples/expert_map.rs
+++ b/crates/bilberryloft-coordination/examples/expert_map.rs
@@ -1,7 +1,6 @@
 //! A layer becomes uneven, a plan moves a few weights, and four ranks switch at one step.
 
 use bilberryloft_coordination::expert_map::Costs;
-use bilberryloft_coordination::expert_map::DecisionRegister;
 use bilberryloft_coordination::expert_map::Preset;
 use bilberryloft_coordination::expert_map::RankMessage;
 use bilberryloft_coordination::expert_map::RankSwitch;
@@ -9,6 +8,7 @@
 use bilberryloft_coordination::expert_map::SwitchPlanner;
 use bilberryloft_coordination::expert_map::pack;
 use bilberryloft_coordination::expert_map::plan_moves;
+use bilberryloft_state::expert_register::DecisionRegister;
 
 pub fn main() {
     let shape = Shape {
@@ -18,7 +18,7 @@
     };
     let mut popularity: Vec<f64> = (1..=64).map(|it| 1.0 / f64::from(it)).collect();
     let current = pack(shape, &popularity);
-    popularity.swap(3, 40);
+    popularity.swap(0, 40);
     let costs = Costs::of(Preset::Skew, 50.0, 30.0);
     let plan = plan_moves(&current, &popularity, &costs).expect("a plan that pays");
     println!(
--- a/crates/bilberryloft-coordination/src/expert_map/mod.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/mod.rs
@@ -19,8 +19,6 @@
 pub use plan::Preset;
 pub use plan::plan_moves;
 pub use popularity::Popularity;
-pub use switch::Decision;
-pub use switch::DecisionRegister;
 pub use switch::PlannerState;
 pub use switch::RankMessage;
 pub use switch::RankReply;
--- a/crates/bilberryloft-coordination/src/expert_map/switch.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/switch.rs
@@ -7,88 +7,14 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-/// Outcome of a switch; the first one written for a version stays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// All ranks were armed; the map is in force from its step on.
-    Commit {
-        /// First step with the map.
-        step: u64,
-    },
-    /// The map never comes into force.
-    Abort,
-}
-
-/// Decisions as the quorum keeps them, by version. Each version follows the one before it.
-#[derive(Clone, Debug, Default)]
-pub struct DecisionRegister {
-    decisions: BTreeMap<u64, Decision>,
-    token: u64,
-}
-
-impl DecisionRegister {
-    /// Gives a new planner its fencing token.
-    pub fn next_token(&mut self) -> u64 {
-        self.token += 1;
-        self.token
-    }
-
-    /// Writes a decision unless there is one; a planner with an old token may only abort.
-    pub fn decide(&mut self, version: u64, decision: Decision, token: u64) -> Decision {
-        if let Some(first) = self.decisions.get(&version) {
-            return *first;
-        }
-        let decision = if token < self.token {
-            Decision::Abort
-        } else {
-            decision
-        };
-        self.decisions.insert(version, decision);
-        decision
-    }
-
-    /// Decision of a version, if there is one.
-    pub fn get(&self, version: u64) -> Option<Decision> {
-        self.decisions.get(&version).copied()
-    }
-
-    /// Highest version that was decided, whatever the outcome.
-    pub fn last_version(&self) -> u64 {
-        self.decisions
-            .last_key_value()
-            .map_or(0, |(version, _)| *version)
-    }
-
-    /// Version in force at a step; 0 is the map that the group started with.
-    pub fn version_at(&self, step: u64) -> u64 {
-        let in_force = |(version, decision): (&u64, &Decision)| match decision {
-            Decision::Commit { step: from } if *from <= step => Some(*version),
-            Decision::Commit { .. } | Decision::Abort => None,
-        };
-        self.decisions
-            .iter()
-            .filter_map(in_force)
-            .max()
-            .unwrap_or(0)
-    }
-}
-
-impl DecisionRegister {
-    /// Committed switch that comes into force after a step.
-    fn upcoming(&self, next_step: u64) -> Option<Armed> {
-        let after = |(version, decision): (&u64, &Decision)| match decision {
-            Decision::Commit { step } if *step > next_step => Some(Armed {
-                version: *version,
-                step: *step,
-            }),
-            Decision::Commit { .. } | Decision::Abort => None,
-        };
-        self.decisions.iter().find_map(after)
-    }
-}
+use bilberryloft_state::expert_register::Decision;
+use bilberryloft_state::expert_register::Settled;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Message from a planner to a rank.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RankMessage {
     /// Load the weights of a map.
     Stage {
@@ -116,7 +42,8 @@
 }
 
 /// Answer of a rank to a planner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RankReply {
     /// The weights are loaded.
     Staged {
@@ -183,21 +110,18 @@
 
     /// Starts a later life of a rank, while its group stands still for it.
     ///
-    /// What an earlier life was armed for is settled first: it is aborted, or its commitment is learnt.
-    pub fn restart(
-        incarnation: u64,
-        next_step: u64,
-        register: &mut DecisionRegister,
-    ) -> RankSwitch {
-        register.decide(register.last_version() + 1, Decision::Abort, 0);
+    /// What an earlier life was armed for must be settled first, by [`DecisionRegister::settle`].
+    pub fn restart(incarnation: u64, next_step: u64, settled: Settled) -> RankSwitch {
         RankSwitch {
             incarnation,
-            version: register.version_at(next_step),
+            version: settled.version,
             next_step,
-            token: register.token,
+            token: settled.token,
             staged: None,
             armed: None,
-            committed: register.upcoming(next_step),
+            committed: settled
+                .upcoming
+                .map(|(version, step)| Armed { version, step }),
         }
     }
 
--- a/crates/bilberryloft-coordination/tests/expert_map.rs
+++ b/crates/bilberryloft-coordination/tests/expert_map.rs
@@ -4,8 +4,6 @@
 use std::collections::BTreeMap;
 
 use bilberryloft_coordination::expert_map::Costs;
-use bilberryloft_coordination::expert_map::Decision;
-use bilberryloft_coordination::expert_map::DecisionRegister;
 use bilberryloft_coordination::expert_map::Placement;
 use bilberryloft_coordination::expert_map::Popularity;
 use bilberryloft_coordination::expert_map::Preset;
@@ -17,6 +15,8 @@
 use bilberryloft_coordination::expert_map::align;
 use bilberryloft_coordination::expert_map::pack;
 use bilberryloft_coordination::expert_map::plan_moves;
+use bilberryloft_state::expert_register::Decision;
+use bilberryloft_state::expert_register::DecisionRegister;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 
@@ -164,7 +164,8 @@
         } else {
             &mut scratch
         };
-        self.ranks[rank] = RankSwitch::restart(self.incarnation, next_step, register);
+        self.ranks[rank] =
+            RankSwitch::restart(self.incarnation, next_step, register.settle(next_step));
     }
 }
 
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/agent/expert_maps.rs
@@ -0,0 +1,270 @@
+//! Planning and switching the expert map of the ranks beside the agent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_coordination::expert_map::Costs;
+use bilberryloft_coordination::expert_map::Placement;
+use bilberryloft_coordination::expert_map::Plan;
+use bilberryloft_coordination::expert_map::Popularity;
+use bilberryloft_coordination::expert_map::RankMessage;
+use bilberryloft_coordination::expert_map::Shape;
+use bilberryloft_coordination::expert_map::SwitchPlanner;
+use bilberryloft_coordination::expert_map::plan_moves;
+use bilberryloft_protocol::ranks::GroupStatus;
+use bilberryloft_protocol::ranks::RankAnswer;
+use bilberryloft_protocol::ranks::RankOrder;
+use bilberryloft_state::expert_register::Decision;
+use bilberryloft_state::expert_register::Settled;
+use bilberryloft_state::machine::Command;
+use bilberryloft_state::machine::Outcome;
+use bilberryloft_transport::clock::monotonic_ms;
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http_body_util::Full;
+use hyper::Request;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::agent::Agent;
+use crate::events::Event;
+use crate::log_event;
+use crate::settings::ExpertMapSettings;
+
+/// Time for the quorum to answer.
+const QUORUM_LIMIT: Duration = Duration::from_millis(3_000);
+/// Time for a rank to answer, loading of weights included.
+const RANK_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Time for one switch from its first message to its decision.
+const SWITCH_LIMIT: Duration = Duration::from_millis(20_000);
+/// Pause between rounds of messages.
+const ROUND_PAUSE: Duration = Duration::from_millis(20);
+/// Half-life of the counts of tokens in milliseconds.
+const HALF_LIFE_MS: u64 = 30_000;
+
+/// Starts planning on the current runtime, if the settings ask for it.
+pub fn spawn_expert_map_planner(agent: Arc<Agent>) {
+    let Some(settings) = agent.settings.expert_map.clone() else {
+        return;
+    };
+    tokio::spawn(async move {
+        let mut planner = GroupPlanner {
+            agent,
+            settings,
+            popularity: None,
+        };
+        loop {
+            tokio::time::sleep(Duration::from_millis(planner.settings.interval_ms)).await;
+            planner.look().await;
+        }
+    });
+}
+
+struct GroupPlanner {
+    agent: Arc<Agent>,
+    settings: ExpertMapSettings,
+    /// Counts of the group's life with the given incarnation.
+    popularity: Option<(u64, Popularity)>,
+}
+
+impl GroupPlanner {
+    async fn look(&mut self) {
+        let Some(target) = self.agent.present_target(monotonic_ms()) else {
+            return;
+        };
+        let Some(status) = self
+            .agent
+            .get_from_target::<GroupStatus>(&target.url, "/expert_map")
+            .await
+        else {
+            return;
+        };
+        let group = self.agent.group_name(status.incarnation);
+        if let Some(version) = status.undecided {
+            // An earlier planner armed ranks and went away; they hold until somebody decides.
+            self.decide(
+                &target.url,
+                &group,
+                status.ranks,
+                version,
+                Decision::Abort,
+                0,
+            )
+            .await;
+            return;
+        }
+        if let Some(plan) = self.plan(&status) {
+            self.switch(&target.url, &group, &status, plan).await;
+        }
+    }
+
+    fn plan(&mut self, status: &GroupStatus) -> Option<Plan> {
+        let is_same_life = self
+            .popularity
+            .as_ref()
+            .is_some_and(|it| it.0 == status.incarnation);
+        if !is_same_life {
+            self.popularity = Some((
+                status.incarnation,
+                Popularity::new(status.experts, HALF_LIFE_MS),
+            ));
+        }
+        let (_, popularity) = self.popularity.as_mut()?;
+        popularity.add(&status.tokens, monotonic_ms());
+        let shape = Shape {
+            experts: status.experts,
+            ranks: status.ranks,
+            slots: status.slots,
+        };
+        let current = Placement::from_slots(shape, status.map.clone())?;
+        let costs = Costs::of(
+            self.settings.preset,
+            self.settings.load_ms,
+            self.settings.stall_ms,
+        );
+        plan_moves(&current, &popularity.shares(), &costs)
+    }
+
+    async fn switch(&self, url: &str, group: &str, status: &GroupStatus, plan: Plan) {
+        let command = Command::ExpertMapToken {
+            group: group.to_string(),
+        };
+        let outcome = self.agent.control.propose(&command, QUORUM_LIMIT).await;
+        let Ok(Outcome::ExpertMapToken {
+            token,
+            next_version,
+        }) = outcome
+        else {
+            return;
+        };
+        let ranks = status.ranks as u64;
+        let mut planner =
+            SwitchPlanner::new(next_version, token, ranks, self.settings.margin_steps);
+        let map: Vec<u16> = (0..status.ranks)
+            .flat_map(|it| plan.placement.rank(it).to_vec())
+            .collect();
+        let until = tokio::time::Instant::now() + SWITCH_LIMIT;
+        while planner.decision().is_none() {
+            if tokio::time::Instant::now() > until {
+                planner.give_up();
+                break;
+            }
+            let orders = planner.messages().into_iter().map(|(rank, message)| {
+                let is_stage = matches!(message, RankMessage::Stage { .. });
+                self.order(url, rank, message, is_stage.then(|| map.clone()))
+            });
+            for (rank, answer) in join_all(orders).await {
+                if let Some(reply) = answer.and_then(|it| it.reply) {
+                    planner.take(rank, reply);
+                }
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+        let Some(decision) = planner.decision() else {
+            return;
+        };
+        let decided = self
+            .decide(url, group, status.ranks, next_version, decision, token)
+            .await;
+        let (before, after) = (plan.skew_before, plan.skew_after);
+        log_event!(
+            info,
+            Event::ExpertMapDecided,
+            group,
+            version = next_version,
+            ?decided,
+            moves = plan.moves.len(),
+            before,
+            after
+        );
+    }
+
+    /// Has a switch decided and tells all ranks what was decided.
+    async fn decide(
+        &self,
+        url: &str,
+        group: &str,
+        ranks: usize,
+        version: u64,
+        decision: Decision,
+        token: u64,
+    ) -> Option<Decision> {
+        let command = Command::ExpertMapDecide {
+            group: group.to_string(),
+            version,
+            decision,
+            token,
+        };
+        let outcome = self.agent.control.propose(&command, QUORUM_LIMIT).await;
+        // Without an outcome the ranks hold, and the next look asks again.
+        let Ok(Outcome::ExpertMapDecision(decision)) = outcome else {
+            return None;
+        };
+        let message = RankMessage::Decided { version, decision };
+        join_all((0..ranks as u64).map(|rank| self.order(url, rank, message, None))).await;
+        Some(decision)
+    }
+
+    async fn order(
+        &self,
+        url: &str,
+        rank: u64,
+        message: RankMessage,
+        map: Option<Vec<u16>>,
+    ) -> (u64, Option<RankAnswer>) {
+        let path = format!("/ranks/{rank}/expert_map");
+        (
+            rank,
+            self.agent
+                .post_to_target(url, &path, &RankOrder { message, map })
+                .await,
+        )
+    }
+}
+
+impl Agent {
+    /// Name of the ranks' group in the quorum.
+    pub(super) fn group_name(&self, incarnation: u64) -> String {
+        format!("{}/{incarnation}", self.settings.target)
+    }
+
+    /// Settles what a restarted rank may have been armed for; `None` when the quorum can't be asked.
+    pub(super) async fn settle_rank(&self, incarnation: u64, next_step: u64) -> Option<Settled> {
+        let command = Command::ExpertMapSettle {
+            group: self.group_name(incarnation),
+            next_step,
+        };
+        match self.control.propose(&command, QUORUM_LIMIT).await {
+            Ok(Outcome::ExpertMapSettled(settled)) => Some(settled),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    async fn get_from_target<T: DeserializeOwned>(&self, url: &str, path: &str) -> Option<T> {
+        let request = Request::get(format!("{url}{path}"))
+            .body(Full::<Bytes>::default())
+            .ok()?;
+        self.fetch_json(request).await
+    }
+
+    async fn post_to_target<T: DeserializeOwned>(
+        &self,
+        url: &str,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Option<T> {
+        let body = serde_json::to_vec(body).ok()?;
+        let request =
+            Request::post(format!("{url}{path}")).header("content-type", "application/json");
+        self.fetch_json(request.body(Full::new(Bytes::from(body))).ok()?)
+            .await
+    }
+
+    async fn fetch_json<T: DeserializeOwned>(&self, request: Request<Full<Bytes>>) -> Option<T> {
+        let fetched = tokio::time::timeout(RANK_TIMEOUT, self.http.fetch(request)).await;
+        match fetched {
+            Ok(Ok((200, body))) => serde_json::from_slice(&body).ok(),
+            Ok(_) | Err(_) => None,
+        }
+    }
+}
--- a/crates/bilberryloft-daemon/src/agent/mod.rs
+++ b/crates/bilberryloft-daemon/src/agent/mod.rs
@@ -3,6 +3,7 @@
 mod announce;
 mod crash;
 mod dispatch;
+mod expert_maps;
 mod held;
 mod listener;
 mod run;
@@ -12,6 +13,7 @@
 mod target;
 
 pub use announce::spawn_announcer;
+pub use expert_maps::spawn_expert_map_planner;
 pub use held::Held;
 pub use service::AgentService;
 pub use service::void_answer_from_number;
--- a/crates/bilberryloft-daemon/src/agent/target.rs
+++ b/crates/bilberryloft-daemon/src/agent/target.rs
@@ -7,6 +7,8 @@
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::post;
+use bilberryloft_protocol::ranks::SettleAnswer;
+use bilberryloft_protocol::ranks::SettleQuestion;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_transport::clock::monotonic_ms;
@@ -54,6 +56,7 @@
         .map_err(|it| Error::network("listen", &address, it))?;
     let router = Router::new()
         .route("/announce", post(announce))
+        .route("/ranks/settle", post(settle))
         .with_state(agent);
     tokio::spawn(async move { axum::serve(listener, router).await });
     Ok(())
@@ -84,3 +87,16 @@
     }
     (StatusCode::NO_CONTENT, String::new())
 }
+
+async fn settle(
+    State(agent): State<Arc<Agent>>,
+    Json(question): Json<SettleQuestion>,
+) -> std::result::Result<Json<SettleAnswer>, StatusCode> {
+    match agent
+        .settle_rank(question.incarnation, question.next_step)
+        .await
+    {
+        Some(settled) => Ok(Json(SettleAnswer { settled })),
+        None => Err(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::agent::AgentService;
 use crate::agent::serve_announcements;
 use crate::agent::spawn_announcer;
+use crate::agent::spawn_expert_map_planner;
 use crate::control::ControlNode;
 use crate::control::ControlService;
 use crate::control::QuorumStatus;
@@ -383,6 +384,7 @@
         )
         .await?;
         serve_announcements(agent.clone()).await?;
+        spawn_expert_map_planner(agent.clone());
         listeners.dispatch = Some(server);
     }
     if let Some(entry) = &shared.entry {
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -50,6 +50,8 @@
     TargetDraining = 303,
     /// The target gets new work again.
     TargetResumed = 304,
+    /// A switch of the expert map was decided.
+    ExpertMapDecided = 305,
     /// A request was refused.
     RequestRefused = 400,
     /// A request goes to another target.
@@ -68,7 +70,7 @@
 }
 
 /// All events in the order of their numbers.
-pub const EVENTS: [Event; 27] = [
+pub const EVENTS: [Event; 28] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -92,6 +94,7 @@
     Event::TargetCrashed,
     Event::TargetDraining,
     Event::TargetResumed,
+    Event::ExpertMapDecided,
     Event::RequestRefused,
     Event::RequestRetried,
     Event::AttemptRejoined,
--- a/crates/bilberryloft-daemon/src/settings.rs
+++ b/crates/bilberryloft-daemon/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use bilberryloft_coordination::expert_map::Preset;
 use bilberryloft_coordination::freshness::OnLostControl;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
@@ -125,6 +126,25 @@
     /// Decision records kept in memory.
     #[serde(default = "default_records_max")]
     pub records_max: usize,
+    /// Planning of expert maps, for a target whose ranks take them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expert_map: Option<ExpertMapSettings>,
+}
+
+/// Settings of the planning of expert maps.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExpertMapSettings {
+    /// What weighs more.
+    pub preset: Preset,
+    /// Time to load one expert's weights from the weight store, in milliseconds.
+    pub load_ms: f64,
+    /// Stall of all ranks at a switch, in milliseconds.
+    pub stall_ms: f64,
+    /// Time between looks at the counts, in milliseconds.
+    pub interval_ms: u64,
+    /// Steps between the arming of the ranks and the switch.
+    pub margin_steps: u64,
 }
 
 /// Settings of the control role.
@@ -283,6 +303,22 @@
                 "agent.announce_address",
                 &agent.announce_address,
             );
+            if let Some(map) = &agent.expert_map {
+                check_range(
+                    &mut faults,
+                    "agent.expert_map.interval_ms",
+                    map.interval_ms,
+                    50,
+                    3_600_000,
+                );
+                check_range(
+                    &mut faults,
+                    "agent.expert_map.margin_steps",
+                    map.margin_steps,
+                    1,
+                    1_000_000,
+                );
+            }
             check_range(
                 &mut faults,
                 "agent.queue_max",
--- a/crates/bilberryloft-protocol/src/lib.rs
+++ b/crates/bilberryloft-protocol/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod codec;
 pub mod convert;
 pub mod problem;
+pub mod ranks;
 
 /// Thrift messages, generated from `idl/wire.thrift`.
 #[rustfmt::skip]
--- /dev/null
+++ b/crates/bilberryloft-state/src/expert_register.rs
@@ -0,0 +1,158 @@
+//! Decisions on expert maps, as the quorum keeps them.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Decisions kept of one group, beside its latest commitment.
+const DECISIONS_MAX: usize = 16;
+/// Time after which the register of an unused group is dropped, in milliseconds.
+const GROUP_RETENTION_MS: u64 = 24 * 3_600_000;
+
+/// Outcome of a switch; the first one written for a version stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Decision {
+    /// All ranks were armed; the map is in force from its step on.
+    Commit {
+        /// First step with the map.
+        step: u64,
+    },
+    /// The map never comes into force.
+    Abort,
+}
+
+/// Decisions as the quorum keeps them, by version. Each version follows the one before it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct DecisionRegister {
+    decisions: BTreeMap<u64, Decision>,
+    token: u64,
+}
+
+impl DecisionRegister {
+    /// Gives a new planner its fencing token.
+    pub fn next_token(&mut self) -> u64 {
+        self.token += 1;
+        self.token
+    }
+
+    /// Writes a decision unless there is one; a planner with an old token may only abort.
+    pub fn decide(&mut self, version: u64, decision: Decision, token: u64) -> Decision {
+        if let Some(first) = self.decisions.get(&version) {
+            return *first;
+        }
+        // What is older than the latest decision and no longer kept can only have been aborted.
+        if version < self.last_version() {
+            return Decision::Abort;
+        }
+        let decision = if token < self.token {
+            Decision::Abort
+        } else {
+            decision
+        };
+        self.decisions.insert(version, decision);
+        self.forget();
+        decision
+    }
+
+    /// Decision of a version, if there is one.
+    pub fn get(&self, version: u64) -> Option<Decision> {
+        self.decisions.get(&version).copied()
+    }
+
+    /// Highest version that was decided, whatever the outcome.
+    pub fn last_version(&self) -> u64 {
+        self.decisions
+            .last_key_value()
+            .map_or(0, |(version, _)| *version)
+    }
+
+    /// Version in force at a step; 0 is the map that the group started with.
+    pub fn version_at(&self, step: u64) -> u64 {
+        let in_force = |(version, decision): (&u64, &Decision)| match decision {
+            Decision::Commit { step: from } if *from <= step => Some(*version),
+            Decision::Commit { .. } | Decision::Abort => None,
+        };
+        self.decisions
+            .iter()
+            .filter_map(in_force)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Settles what a rank may have been armed for before it restarted: an undecided switch is aborted.
+    pub fn settle(&mut self, next_step: u64) -> Settled {
+        self.decide(self.last_version() + 1, Decision::Abort, 0);
+        Settled {
+            version: self.version_at(next_step),
+            upcoming: self.upcoming(next_step),
+            token: self.token,
+        }
+    }
+
+    /// Committed switch that comes into force after a step.
+    fn upcoming(&self, next_step: u64) -> Option<(u64, u64)> {
+        let after = |(version, decision): (&u64, &Decision)| match decision {
+            Decision::Commit { step } if *step > next_step => Some((*version, *step)),
+            Decision::Commit { .. } | Decision::Abort => None,
+        };
+        self.decisions.iter().find_map(after)
+    }
+
+    /// Drops all but the latest decisions and the latest commitments, which is all that anybody can ask about.
+    fn forget(&mut self) {
+        while self.decisions.len() > DECISIONS_MAX {
+            let is_commit = |decision: &Decision| matches!(decision, Decision::Commit { .. });
+            let last_commit = self
+                .decisions
+                .iter()
+                .rev()
+                .find(|it| is_commit(it.1))
+                .map(|it| *it.0);
+            let oldest = self
+                .decisions
+                .keys()
+                .find(|it| Some(**it) != last_commit)
+                .copied();
+            let Some(oldest) = oldest else { return };
+            self.decisions.remove(&oldest);
+        }
+    }
+}
+
+/// What a restarting rank learns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settled {
+    /// Version in force at its next step.
+    pub version: u64,
+    /// Version and first step of a committed switch that comes later.
+    pub upcoming: Option<(u64, u64)>,
+    /// Latest fencing token.
+    pub token: u64,
+}
+
+/// Registers of all groups; a group is one life of one target's engine.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ExpertRegisters {
+    groups: BTreeMap<String, Group>,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Group {
+    register: DecisionRegister,
+    used_ms: u64,
+}
+
+impl ExpertRegisters {
+    /// Register of a group; those unused for long are dropped.
+    pub fn group(&mut self, name: &str, now_ms: u64) -> &mut DecisionRegister {
+        if !self.groups.contains_key(name) {
+            self.groups
+                .retain(|_, it| it.used_ms + GROUP_RETENTION_MS > now_ms);
+        }
+        let group = self.groups.entry(name.to_string()).or_default();
+        group.used_ms = now_ms;
+        &mut group.register
+    }
+}
--- a/crates/bilberryloft-state/src/lib.rs
+++ b/crates/bilberryloft-state/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod claim;
 pub mod configuration;
 pub mod error;
+pub mod expert_register;
 pub mod folder;
 pub mod key;
 pub mod machine;
--- a/crates/bilberryloft-state/src/machine.rs
+++ b/crates/bilberryloft-state/src/machine.rs
@@ -9,6 +9,9 @@
 use crate::configuration::ChangeOutcome;
 use crate::configuration::ChangeRequest;
 use crate::configuration::Configuration;
+use crate::expert_register::Decision;
+use crate::expert_register::ExpertRegisters;
+use crate::expert_register::Settled;
 use crate::membership::Membership;
 use crate::membership::TargetDescription;
 use crate::suspect::Suspects;
@@ -83,6 +86,29 @@
         /// Request that asks.
         request_id: String,
     },
+    /// Gives a planner of expert maps its fencing token.
+    ExpertMapToken {
+        /// Group of ranks.
+        group: String,
+    },
+    /// Decides a switch of expert maps, unless it is decided already.
+    ExpertMapDecide {
+        /// Group of ranks.
+        group: String,
+        /// Version of the map.
+        version: u64,
+        /// What to decide.
+        decision: Decision,
+        /// Token of the planner.
+        token: u64,
+    },
+    /// Settles what a rank may have been armed for before it restarted.
+    ExpertMapSettle {
+        /// Group of ranks.
+        group: String,
+        /// Next step of the group.
+        next_step: u64,
+    },
     /// Ends a suspect's trial.
     EndTrial {
         /// Digest of the work.
@@ -113,6 +139,17 @@
     Claim(ClaimOutcome),
     /// Answer to the wish for a trial.
     Trial(TrialOutcome),
+    /// Token of a planner, and the version that it may plan.
+    ExpertMapToken {
+        /// Fencing token.
+        token: u64,
+        /// Version after the last decided one.
+        next_version: u64,
+    },
+    /// Decision on a switch of expert maps.
+    ExpertMapDecision(Decision),
+    /// What a restarting rank learns.
+    ExpertMapSettled(Settled),
     /// The command is applied.
     Applied,
     /// The command could not be read.
@@ -130,6 +167,9 @@
     pub claims: Claims,
     /// Work that was near a crash.
     pub suspects: Suspects,
+    /// Decisions on expert maps.
+    #[serde(default)]
+    pub expert_maps: ExpertRegisters,
     now_ms: u64,
     suspects_version: u64,
 }
@@ -215,6 +255,26 @@
                 self.suspects_version += 1;
                 Outcome::Applied
             }
+            Command::ExpertMapToken { group } => {
+                let register = self.expert_maps.group(&group, now_ms);
+                let token = register.next_token();
+                Outcome::ExpertMapToken {
+                    token,
+                    next_version: register.last_version() + 1,
+                }
+            }
+            Command::ExpertMapDecide {
+                group,
+                version,
+                decision,
+                token,
+            } => {
+                let register = self.expert_maps.group(&group, now_ms);
+                Outcome::ExpertMapDecision(register.decide(version, decision, token))
+            }
+            Command::ExpertMapSettle { group, next_step } => {
+                Outcome::ExpertMapSettled(self.expert_maps.group(&group, now_ms).settle(next_step))
+            }
             Command::BeginTrial {
                 fingerprint,
                 request_id,
--- a/crates/bilberryloft-testing/src/engine.rs
+++ b/crates/bilberryloft-testing/src/engine.rs
@@ -36,6 +36,9 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::ranks::RankGroup;
+use crate::ranks::RankSettings;
+
 /// Text in a prompt that makes a misbehaving engine end its process.
 pub const CRASH_MARK: &str = "CRASH-ENGINE";
 /// Time between announcements.
@@ -62,6 +65,8 @@
     pub first_token_ms: u64,
     /// File to which a line is written for each request that starts to run.
     pub runs_file: Option<PathBuf>,
+    /// Ranks that step together, if the engine has any to show.
+    pub ranks: Option<RankSettings>,
 }
 
 impl EngineSettings {
@@ -77,6 +82,7 @@
             token_ms: 1,
             first_token_ms: 1,
             runs_file: None,
+            ranks: None,
         }
     }
 }
@@ -110,12 +116,17 @@
             most_running: AtomicUsize::new(0),
             cancelled: AtomicU64::new(0),
         });
-        let router = Router::new()
+        let mut router = Router::new()
             .route("/health", get(health))
             .route("/v1/chat/completions", post(complete))
             .route("/v1/completions", post(complete))
             .fallback(any(serve_plainly))
             .with_state(shared.clone());
+        if let Some(ranks) = shared.settings.ranks {
+            let group =
+                RankGroup::spawn(ranks, shared.incarnation, &shared.settings.announce_address);
+            router = router.merge(group.router());
+        }
         let server = tokio::spawn(async move {
             let _ = axum::serve(without_delay(listener), router).await;
         });
--- a/crates/bilberryloft-testing/src/lib.rs
+++ b/crates/bilberryloft-testing/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod links;
 pub mod process;
 pub mod proxy;
+pub mod ranks;
