--- a/crates/bilberryloft-state/src/claim.rs
+++ b/crates/bilberryloft-state/src/claim.rs
@@ -1,15 +1,19 @@
 //! Claims that let a non-idempotent request run at most once.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::intern::InternKey;
+use crate::intern::Interner;
+use crate::key::digest_pair;
+
 /// Time for which a claim is kept, in milliseconds.
 pub const CLAIM_RETENTION_MS: u64 = 24 * 3_600_000;
 /// Number of claims kept at most; more are refused, never forgotten early.
-pub const CLAIMS_MAX: usize = 1_000_000;
+pub const CLAIMS_MAX: usize = 320_000;
 
 /// The right to run one piece of work, given to one attempt at one life of one agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,7 +35,7 @@
 }
 
 /// Where an attempt shall run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ClaimSite {
     /// Target.
     pub target: String,
@@ -60,11 +64,64 @@
     Absent,
 }
 
-/// All claims in force.
+/// Digest of a claim's key.
+type KeyDigest = (u64, u64);
+
+/// A claim as it is kept: names stand once, whatever the number of claims that use them.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct KeptClaim {
+    issuer: InternKey,
+    number: u64,
+    attempt: u32,
+    site: InternKey,
+    fingerprint: i64,
+    granted_at_ms: u64,
+}
+
+/// All claims in force. A key is kept as a digest; two keys of one digest are taken for one.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(from = "StoredClaims", into = "StoredClaims")]
 pub struct Claims {
-    by_key: BTreeMap<String, Claim>,
-    by_time: BTreeSet<(u64, String)>,
+    by_key: BTreeMap<KeyDigest, KeptClaim>,
+    /// Grants in the order of their times; some may have been released since.
+    by_time: VecDeque<(u64, KeyDigest)>,
+    sites: Interner<ClaimSite>,
+    issuers: Interner<String>,
+}
+
+/// Claims as a snapshot has them.
+#[derive(Serialize, Deserialize)]
+struct StoredClaims {
+    claims: Vec<(KeyDigest, KeptClaim)>,
+    sites: Interner<ClaimSite>,
+    issuers: Interner<String>,
+}
+
+impl From<Claims> for StoredClaims {
+    fn from(claims: Claims) -> Self {
+        StoredClaims {
+            claims: claims.by_key.into_iter().collect(),
+            sites: claims.sites,
+            issuers: claims.issuers,
+        }
+    }
+}
+
+impl From<StoredClaims> for Claims {
+    fn from(stored: StoredClaims) -> Self {
+        let by_key: BTreeMap<KeyDigest, KeptClaim> = stored.claims.into_iter().collect();
+        let mut by_time: Vec<(u64, KeyDigest)> = by_key
+            .iter()
+            .map(|(key, claim)| (claim.granted_at_ms, *key))
+            .collect();
+        by_time.sort_unstable();
+        Claims {
+            by_key,
+            by_time: by_time.into(),
+            sites: stored.sites,
+            issuers: stored.issuers,
+        }
+    }
 }
 
 impl Claims {
@@ -79,8 +136,24 @@
     }
 
     /// Claim of a key.
-    pub fn get(&self, key: &str) -> Option<&Claim> {
-        self.by_key.get(key)
+    pub fn get(&self, key: &str) -> Option<Claim> {
+        self.by_key
+            .get(&digest_pair(key))
+            .and_then(|it| self.expand(it))
+    }
+
+    fn expand(&self, kept: &KeptClaim) -> Option<Claim> {
+        let site = self.sites.get(kept.site)?;
+        let issuer = self.issuers.get(kept.issuer)?;
+        Some(Claim {
+            request_id: join_request_id(issuer, kept.number),
+            fingerprint: kept.fingerprint,
+            attempt: kept.attempt,
+            target: site.target.clone(),
+            agent_address: site.agent_address.clone(),
+            agent_incarnation: site.agent_incarnation,
+            granted_at_ms: kept.granted_at_ms,
+        })
     }
 
     /// Grants a new claim, unless the key is held.
@@ -93,29 +166,30 @@
         now_ms: u64,
     ) -> ClaimOutcome {
         self.expire(now_ms);
-        if let Some(held) = self.by_key.get(key) {
+        let digest = digest_pair(key);
+        if let Some(held) = self.get(key) {
             return match held.fingerprint == fingerprint {
                 true if held.request_id == request_id && held.attempt == 1 => {
                     ClaimOutcome::Granted { attempt: 1 }
                 }
-                true => ClaimOutcome::Held(held.clone()),
+                true => ClaimOutcome::Held(held),
                 false => ClaimOutcome::KeyReused,
             };
         }
         if self.by_key.len() >= CLAIMS_MAX {
             return ClaimOutcome::Full;
         }
-        let claim = Claim {
-            request_id: request_id.to_string(),
-            fingerprint,
+        let (issuer, number) = split_request_id(request_id);
+        let kept = KeptClaim {
+            issuer: self.issuers.take(&issuer.to_string()),
+            number,
             attempt: 1,
-            target: site.target.clone(),
-            agent_address: site.agent_address.clone(),
-            agent_incarnation: site.agent_incarnation,
+            site: self.sites.take(site),
+            fingerprint,
             granted_at_ms: now_ms,
         };
-        self.by_key.insert(key.to_string(), claim);
-        self.by_time.insert((now_ms, key.to_string()));
+        self.by_key.insert(digest, kept);
+        self.by_time.push_back((now_ms, digest));
         ClaimOutcome::Granted { attempt: 1 }
     }
 
@@ -128,38 +202,84 @@
         request_id: &str,
         site: &ClaimSite,
     ) -> ClaimOutcome {
-        let Some(held) = self.by_key.get_mut(key) else {
+        let Some(held) = self.get(key) else {
             return ClaimOutcome::Absent;
         };
         if held.request_id != expected_request_id || held.attempt != expected_attempt {
-            return ClaimOutcome::Held(held.clone());
-        }
-        held.request_id = request_id.to_string();
-        held.attempt += 1;
-        held.target = site.target.clone();
-        held.agent_address = site.agent_address.clone();
-        held.agent_incarnation = site.agent_incarnation;
-        ClaimOutcome::Granted {
-            attempt: held.attempt,
+            return ClaimOutcome::Held(held);
         }
+        let (issuer, number) = split_request_id(request_id);
+        let issuer = self.issuers.take(&issuer.to_string());
+        let site = self.sites.take(site);
+        let Some(kept) = self.by_key.get_mut(&digest_pair(key)) else {
+            return ClaimOutcome::Absent;
+        };
+        let before = *kept;
+        *kept = KeptClaim {
+            issuer,
+            number,
+            site,
+            attempt: before.attempt + 1,
+            ..before
+        };
+        let attempt = kept.attempt;
+        self.forget_names(&before);
+        ClaimOutcome::Granted { attempt }
     }
 
     /// Gives a claim back whose attempt is known never to start.
     pub fn release(&mut self, key: &str, request_id: &str, attempt: u32) {
         let matches = |it: &Claim| it.request_id == request_id && it.attempt == attempt;
-        if let Some(held) = self.by_key.get(key).filter(|it| matches(it)) {
-            self.by_time.remove(&(held.granted_at_ms, key.to_string()));
-            self.by_key.remove(key);
+        if self.get(key).is_some_and(|it| matches(&it)) {
+            self.remove(&digest_pair(key));
+        }
+    }
+
+    fn remove(&mut self, digest: &KeyDigest) {
+        if let Some(kept) = self.by_key.remove(digest) {
+            self.forget_names(&kept);
         }
     }
 
+    fn forget_names(&mut self, kept: &KeptClaim) {
+        self.issuers.give_back(kept.issuer);
+        self.sites.give_back(kept.site);
+    }
+
     fn expire(&mut self, now_ms: u64) {
-        while let Some((granted_at_ms, key)) = self.by_time.first().cloned() {
+        while let Some((granted_at_ms, digest)) = self.by_time.front().copied() {
             if granted_at_ms + CLAIM_RETENTION_MS > now_ms {
                 break;
             }
-            self.by_time.pop_first();
-            self.by_key.remove(&key);
+            self.by_time.pop_front();
+            // The key may have been released and granted again since.
+            if self
+                .by_key
+                .get(&digest)
+                .is_some_and(|it| it.granted_at_ms == granted_at_ms)
+            {
+                self.remove(&digest);
+            }
         }
     }
 }
+
+/// Number that stands for a request id without a running number.
+const NO_NUMBER: u64 = u64::MAX;
+
+/// Splits a request id into its issuer and the issuer's running number.
+fn split_request_id(request_id: &str) -> (&str, u64) {
+    let split = request_id.rsplit_once('-').and_then(|(issuer, text)| {
+        let number = u64::from_str_radix(text, 16).ok()?;
+        // Only a number that is written back the same way may be kept as one.
+        (number != NO_NUMBER && format!("{number:x}") == text).then_some((issuer, number))
+    });
+    split.unwrap_or((request_id, NO_NUMBER))
+}
+
+fn join_request_id(issuer: &str, number: u64) -> String {
+    match number {
+        NO_NUMBER => issuer.to_string(),
+        number => format!("{issuer}-{number:x}"),
+    }
+}
--- a/crates/bilberryloft-state/src/key.rs
+++ b/crates/bilberryloft-state/src/key.rs
@@ -55,6 +55,17 @@
     }
 }
 
+/// Digest of one string in two numbers, the first 16 bytes of its SHA-256.
+pub fn digest_pair(text: &str) -> (u64, u64) {
+    let digest = Sha256::digest(text.as_bytes());
+    let number = |at: usize| {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&digest[at..at + 8]);
+        u64::from_be_bytes(bytes)
+    };
+    (number(0), number(8))
+}
+
 /// Digest of several byte strings, the first 8 bytes of a SHA-256 over them and their lengths.
 pub fn digest(parts: &[&[u8]]) -> i64 {
     let mut hasher = Sha256::new();
--- a/crates/bilberryloft-state/src/lib.rs
+++ b/crates/bilberryloft-state/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod expert_register;
 pub mod folder;
+pub mod intern;
 pub mod key;
 pub mod machine;
 pub mod member_set;
--- a/crates/bilberryloft-state/tests/machine.rs
+++ b/crates/bilberryloft-state/tests/machine.rs
@@ -262,6 +262,86 @@
     );
 }
 
+#[test]
+fn claims_survive_a_snapshot_and_expire_after_it() {
+    let mut claims = Claims::default();
+    claims.claim("k", "entry-1-1a2b-f", 7, &site("a"), 1_000);
+    claims.claim("odd", "entry-1-1a2b-0f", 7, &site("b"), 2_000);
+    claims.claim("gone", "entry-1-1a2b-10", 7, &site("c"), 2_500);
+    claims.release("gone", "entry-1-1a2b-10", 1);
+    let mut copy: Claims = serde_json::from_str(&serde_json::to_string(&claims).unwrap()).unwrap();
+    for key in ["k", "odd", "gone"] {
+        assert_eq!(copy.get(key), claims.get(key));
+    }
+    assert_eq!(
+        copy.get("odd").unwrap().request_id,
+        "entry-1-1a2b-0f",
+        "to the letter"
+    );
+    copy.claim(
+        "new",
+        "entry-2-3c-1",
+        8,
+        &site("a"),
+        1_000 + CLAIM_RETENTION_MS,
+    );
+    assert!(copy.get("k").is_none());
+    assert!(copy.get("odd").is_some());
+}
+
+#[test]
+fn claims_agree_with_a_plain_table() {
+    fn property(steps: Vec<(u8, u8)>) -> bool {
+        let mut claims = Claims::default();
+        let mut plain: std::collections::BTreeMap<String, (String, u32)> =
+            std::collections::BTreeMap::new();
+        for (number, (step, choice)) in steps.iter().enumerate() {
+            let key = format!("key-{}", choice % 5);
+            let request = format!("entry-{}-{number:x}", choice % 3);
+            let target = site(&format!("target-{}", step % 4));
+            match step % 3 {
+                0 => {
+                    let granted = claims.claim(&key, &request, 1, &target, number as u64);
+                    let is_new = !plain.contains_key(&key);
+                    if is_new {
+                        plain.insert(key, (request, 1));
+                    }
+                    if matches!(granted, ClaimOutcome::Granted { .. }) != is_new {
+                        return false;
+                    }
+                }
+                1 => {
+                    let Some((held, attempt)) = plain.get(&key).cloned() else {
+                        continue;
+                    };
+                    claims.move_claim(&key, &held, attempt, &request, &target);
+                    plain.insert(key, (request, attempt + 1));
+                }
+                _ => {
+                    let Some((held, attempt)) = plain.remove(&key) else {
+                        continue;
+                    };
+                    claims.release(&key, &held, attempt);
+                }
+            }
+            if step % 7 == 0 {
+                claims = serde_json::from_str(&serde_json::to_string(&claims).unwrap()).unwrap();
+            }
+        }
+        let same = |(key, held): (&String, &(String, u32))| {
+            claims
+                .get(key)
+                .is_some_and(|it| (it.request_id, it.attempt) == *held)
+        };
+        plain.len() == claims.len() && plain.iter().all(same)
+    }
+    let random = Gen::from_size_and_seed(120, 31);
+    QuickCheck::new()
+        .rng(random)
+        .tests(300)
+        .quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
+}
+
 #[test]
 fn machine_time_never_goes_back() {
     let mut machine = Machine::default();
