--- a/crates/bilberryctl/src/change.rs
+++ b/crates/bilberryctl/src/change.rs
@@ -49,10 +49,7 @@
         other => other,
     })?;
     if !matches!(status, 200 | 409 | 422) {
-        return Err(Failure::Daemon(format!(
-            "{} (change id {change_id})",
-            error_text(&body)
-        )));
+        return Err(Failure::Daemon(format!("{} (change id {change_id})", error_text(&body))));
     }
     let outcome: ChangeOutcome = client.parse(&body)?;
     match outcome {
@@ -63,13 +60,11 @@
             println!("accepted as version {version} (change id {change_id})");
             Ok(())
         }
-        ChangeOutcome::Conflict {
-            object_version,
-            winner_change_id,
-            winner_author,
-        } => Err(Failure::Conflict(format!(
-            "the object changed in version {object_version}, by {winner_author} (change id {winner_change_id})"
-        ))),
+        ChangeOutcome::Conflict { object_version, winner_change_id, winner_author } => {
+            Err(Failure::Conflict(format!(
+                "the object changed in version {object_version}, by {winner_author} (change id {winner_change_id})"
+            )))
+        }
         ChangeOutcome::Invalid { detail } => Err(Failure::Invalid(detail)),
     }
 }
--- a/crates/bilberryctl/src/client.rs
+++ b/crates/bilberryctl/src/client.rs
@@ -26,15 +26,9 @@
 impl AdminClient {
     /// Makes a client; nothing is connected yet.
     pub fn new(admin: &str) -> Result<AdminClient, Failure> {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|it| Failure::Daemon(it.to_string()))?;
-        Ok(AdminClient {
-            admin: admin.to_string(),
-            runtime,
-            http: HttpClient::new(),
-        })
+        Ok(AdminClient { admin: admin.to_string(), runtime, http: HttpClient::new() })
     }
 
     /// Gets a value.
@@ -84,9 +78,6 @@
 /// Text of an error body.
 pub fn error_text(body: &[u8]) -> String {
     let value: Option<serde_json::Value> = serde_json::from_slice(body).ok();
-    let text = value
-        .as_ref()
-        .and_then(|it| it.get("error"))
-        .and_then(|it| it.as_str());
+    let text = value.as_ref().and_then(|it| it.get("error")).and_then(|it| it.as_str());
     text.map_or_else(|| String::from_utf8_lossy(body).to_string(), str::to_string)
 }
--- a/crates/bilberryctl/src/commands/config.rs
+++ b/crates/bilberryctl/src/commands/config.rs
@@ -53,37 +53,21 @@
             change.reason.clone(),
         ]);
     }
-    print_table(
-        &[
-            "VERSION",
-            "AT_MS",
-            "AUTHOR",
-            "OBJECT",
-            "CHANGE_ID",
-            "REASON",
-        ],
-        &rows,
-    );
+    print_table(&["VERSION", "AT_MS", "AUTHOR", "OBJECT", "CHANGE_ID", "REASON"], &rows);
     Ok(())
 }
 
 fn diff(client: &AdminClient, from: u64, to: Option<u64>) -> Result<(), Failure> {
     let history: History = client.get("/operator/history")?;
     let to = to.unwrap_or(history.version);
-    let oldest = history
-        .changes
-        .first()
-        .map_or(history.version, |it| it.version);
+    let oldest = history.changes.first().map_or(history.version, |it| it.version);
     if from + 1 < oldest {
         return Err(Failure::NotFound(format!(
             "changes before version {oldest} are no longer kept"
         )));
     }
-    let changes: Vec<_> = history
-        .changes
-        .iter()
-        .filter(|it| it.version > from && it.version <= to)
-        .collect();
+    let changes: Vec<_> =
+        history.changes.iter().filter(|it| it.version > from && it.version <= to).collect();
     print_json(&changes)
 }
 
@@ -92,12 +76,7 @@
     if json {
         return print_json(&json!(hosts));
     }
-    let latest = hosts
-        .iter()
-        .flatten()
-        .map(|it| it.configuration_version)
-        .max()
-        .unwrap_or(0);
+    let latest = hosts.iter().flatten().map(|it| it.configuration_version).max().unwrap_or(0);
     let mut rows = Vec::new();
     for host in hosts.iter().flatten() {
         rows.push(status_row(
@@ -120,10 +99,7 @@
     }
     rows.sort();
     rows.dedup_by(|left, right| left[0] == right[0]);
-    print_table(
-        &["DAEMON", "VERSION", "IN_FORCE", "LAST_HEARD_MS", "THROUGH"],
-        &rows,
-    );
+    print_table(&["DAEMON", "VERSION", "IN_FORCE", "LAST_HEARD_MS", "THROUGH"], &rows);
     for error in hosts.iter().filter_map(|it| it.as_ref().err()) {
         println!("not reached: {error}");
     }
--- a/crates/bilberryctl/src/commands/data.rs
+++ b/crates/bilberryctl/src/commands/data.rs
@@ -39,10 +39,7 @@
 
 fn check(recovered: &Recovered, json: bool) -> Result<(), Failure> {
     let snapshot_index = recovered.snapshot.as_ref().map_or(0, |it| it.last_index);
-    let last_index = recovered
-        .entries
-        .last()
-        .map_or(snapshot_index, |it| it.index);
+    let last_index = recovered.entries.last().map_or(snapshot_index, |it| it.index);
     let report = json!({
         "term": recovered.hard_state.term,
         "snapshot_index": snapshot_index,
@@ -58,10 +55,7 @@
         recovered.hard_state.term
     );
     if recovered.torn_bytes > 0 {
-        println!(
-            "a torn tail of {} bytes will be cut at the next start",
-            recovered.torn_bytes
-        );
+        println!("a torn tail of {} bytes will be cut at the next start", recovered.torn_bytes);
     }
     Ok(())
 }
--- a/crates/bilberryctl/src/commands/explain.rs
+++ b/crates/bilberryctl/src/commands/explain.rs
@@ -30,10 +30,8 @@
             eprintln!("not asked: {daemon}");
         }
         if explanation.records.is_empty() {
-            let text = format!(
-                "no record of {} is kept by any daemon that answered",
-                self.request_id
-            );
+            let text =
+                format!("no record of {} is kept by any daemon that answered", self.request_id);
             return Err(Failure::NotFound(text));
         }
         Ok(())
@@ -41,14 +39,8 @@
 }
 
 fn print_record(record: &DecisionRecord) {
-    println!(
-        "{} at {} ms by {}",
-        record.step, record.at_ms, record.daemon
-    );
-    println!(
-        "  request {} of team {}, attempt {}",
-        record.request_id, record.team, record.attempt
-    );
+    println!("{} at {} ms by {}", record.step, record.at_ms, record.daemon);
+    println!("  request {} of team {}, attempt {}", record.request_id, record.team, record.attempt);
     println!(
         "  configuration {}, membership {}",
         record.configuration_version, record.membership_version
@@ -68,14 +60,5 @@
             format!("{:.3}", candidate.score),
         ]);
     }
-    print_table(
-        &[
-            "  CANDIDATE",
-            "REPORTED",
-            "OWN_SINCE",
-            "REPORT_AGE_MS",
-            "SCORE",
-        ],
-        &rows,
-    );
+    print_table(&["  CANDIDATE", "REPORTED", "OWN_SINCE", "REPORT_AGE_MS", "SCORE"], &rows);
 }
--- a/crates/bilberryctl/src/commands/report.rs
+++ b/crates/bilberryctl/src/commands/report.rs
@@ -33,10 +33,7 @@
     for row in &report {
         let mut cells = vec![row.team.clone()];
         for window in &row.windows {
-            cells.push(format!(
-                "{:.2} ({}/{})",
-                window.burn_rate, window.bad, window.total
-            ));
+            cells.push(format!("{:.2} ({}/{})", window.burn_rate, window.bad, window.total));
         }
         cells.push(format!("{:.0}%", row.budget_left * 100.0));
         rows.push(cells);
--- a/crates/bilberryctl/src/commands/target.rs
+++ b/crates/bilberryctl/src/commands/target.rs
@@ -37,24 +37,12 @@
     pub fn run(self, client: &AdminClient, json: bool) -> Result<(), Failure> {
         match self {
             TargetCommand::List => list(client, json),
-            TargetCommand::Drain { name, change } => send_change(
-                client,
-                json,
-                &change,
-                ChangeKind::SetTarget {
-                    name,
-                    draining: true,
-                },
-            ),
-            TargetCommand::Resume { name, change } => send_change(
-                client,
-                json,
-                &change,
-                ChangeKind::SetTarget {
-                    name,
-                    draining: false,
-                },
-            ),
+            TargetCommand::Drain { name, change } => {
+                send_change(client, json, &change, ChangeKind::SetTarget { name, draining: true })
+            }
+            TargetCommand::Resume { name, change } => {
+                send_change(client, json, &change, ChangeKind::SetTarget { name, draining: false })
+            }
         }
     }
 }
@@ -83,15 +71,7 @@
         ]);
     }
     print_table(
-        &[
-            "TARGET",
-            "STATE",
-            "DATA_CENTRE",
-            "MODELS",
-            "SERVICES",
-            "SLOTS",
-            "INCARNATION",
-        ],
+        &["TARGET", "STATE", "DATA_CENTRE", "MODELS", "SERVICES", "SLOTS", "INCARNATION"],
         &rows,
     );
     Ok(())
--- a/crates/bilberryctl/src/commands/team.rs
+++ b/crates/bilberryctl/src/commands/team.rs
@@ -118,24 +118,12 @@
             team.template.clone(),
             team.token_sha256.len().to_string(),
             own(team.weight),
-            team.models
-                .as_ref()
-                .map_or("template".to_string(), |it| it.join(",")),
+            team.models.as_ref().map_or("template".to_string(), |it| it.join(",")),
             own(team.in_flight_max),
         ]);
     }
     println!("configuration version {}", list.version);
-    print_table(
-        &[
-            "TEAM",
-            "TEMPLATE",
-            "TOKENS",
-            "WEIGHT",
-            "MODELS",
-            "IN_FLIGHT_MAX",
-        ],
-        &rows,
-    );
+    print_table(&["TEAM", "TEMPLATE", "TOKENS", "WEIGHT", "MODELS", "IN_FLIGHT_MAX"], &rows);
     Ok(())
 }
 
--- a/crates/bilberryctl/src/commands/template.rs
+++ b/crates/bilberryctl/src/commands/template.rs
@@ -58,25 +58,12 @@
             template.services.join(","),
             template.weight.to_string(),
             template.priority.to_string(),
-            if template.non_idempotent {
-                "at most once"
-            } else {
-                "repeatable"
-            }
-            .to_string(),
+            if template.non_idempotent { "at most once" } else { "repeatable" }.to_string(),
             template.deadline_ms.to_string(),
         ]);
     }
     print_table(
-        &[
-            "TEMPLATE",
-            "MODELS",
-            "SERVICES",
-            "WEIGHT",
-            "PRIORITY",
-            "RUNS",
-            "DEADLINE_MS",
-        ],
+        &["TEMPLATE", "MODELS", "SERVICES", "WEIGHT", "PRIORITY", "RUNS", "DEADLINE_MS"],
         &rows,
     );
     Ok(())
--- a/crates/bilberryctl/src/main.rs
+++ b/crates/bilberryctl/src/main.rs
@@ -20,12 +20,7 @@
 #[command(version)]
 struct Arguments {
     /// Admin address of a daemon.
-    #[arg(
-        long,
-        global = true,
-        env = "BILBERRYLOFT_ADMIN",
-        default_value = "127.0.0.1:7401"
-    )]
+    #[arg(long, global = true, env = "BILBERRYLOFT_ADMIN", default_value = "127.0.0.1:7401")]
     admin: String,
     /// Prints JSON in place of tables.
     #[arg(long, global = true)]
--- a/crates/bilberryctl/tests/commands.rs
+++ b/crates/bilberryctl/tests/commands.rs
@@ -45,24 +45,9 @@
     std::fs::write(&template, serde_json::to_string(&depots).unwrap()).unwrap();
     let file = template.to_str().unwrap();
 
-    expect(
-        &admin,
-        &["template", "apply", file, "--change-id", "c1"],
-        0,
-        &["version 1"],
-    );
-    expect(
-        &admin,
-        &["template", "apply", file, "--change-id", "c1"],
-        0,
-        &["version 1"],
-    );
-    expect(
-        &admin,
-        &["team", "set", "asahikawa", "--template", "none"],
-        4,
-        &["template"],
-    );
+    expect(&admin, &["template", "apply", file, "--change-id", "c1"], 0, &["version 1"]);
+    expect(&admin, &["template", "apply", file, "--change-id", "c1"], 0, &["version 1"]);
+    expect(&admin, &["team", "set", "asahikawa", "--template", "none"], 4, &["template"]);
     expect(
         &admin,
         &[
@@ -84,51 +69,19 @@
     expect(&admin, &["team", "list"], 0, &["asahikawa", "depots"]);
     expect(&admin, &["team", "show", "nobody"], 5, &["nobody"]);
     expect(&admin, &["target", "list"], 0, &["target-1", "in use"]);
-    expect(
-        &admin,
-        &["config", "history"],
-        0,
-        &["winter", "team/asahikawa"],
-    );
+    expect(&admin, &["config", "history"], 0, &["winter", "team/asahikawa"]);
     expect(&admin, &["config", "diff", "1"], 0, &["asahikawa"]);
-    expect(
-        &admin,
-        &["config", "status"],
-        0,
-        &["entry-1", "agent-1", "yes"],
-    );
+    expect(&admin, &["config", "status"], 0, &["entry-1", "agent-1", "yes"]);
 
-    let reply = Caller::new("depot-token")
-        .complete(&fleet.entry(0), "brief", false)
-        .await;
+    let reply = Caller::new("depot-token").complete(&fleet.entry(0), "brief", false).await;
     assert!(reply.is_whole);
-    expect(
-        &admin,
-        &["explain", &reply.request_id],
-        0,
-        &["pick", "target-1", "least_load"],
-    );
+    expect(&admin, &["explain", &reply.request_id], 0, &["pick", "target-1", "least_load"]);
     expect(&admin, &["explain", "entry-1-0-ffff"], 5, &["no record"]);
-    expect(
-        &entry_admin,
-        &["report", "burn"],
-        0,
-        &["asahikawa", "BUDGET_LEFT"],
-    );
+    expect(&entry_admin, &["report", "burn"], 0, &["asahikawa", "BUDGET_LEFT"]);
     expect(&admin, &["report", "burn"], 5, &["no entry"]);
 
-    expect(
-        &admin,
-        &["target", "drain", "target-1", "--base-version", "2"],
-        0,
-        &["version 3"],
-    );
-    expect(
-        &admin,
-        &["target", "resume", "target-1", "--base-version", "2"],
-        3,
-        &["conflict"],
-    );
+    expect(&admin, &["target", "drain", "target-1", "--base-version", "2"], 0, &["version 3"]);
+    expect(&admin, &["target", "resume", "target-1", "--base-version", "2"], 3, &["conflict"]);
     expect(&admin, &["--json", "members", "list"], 0, &["voters"]);
     expect("127.0.0.1:1", &["target", "list"], 1, &["127.0.0.1:1"]);
     expect("127.0.0.1:1", &["target"], 2, &["Usage"]);
@@ -137,12 +90,7 @@
     fleet.kill("control-1");
     let folder = folder.to_str().unwrap();
     expect("", &["data", "check", folder], 0, &["sound"]);
-    expect(
-        "",
-        &["data", "export", folder],
-        0,
-        &["asahikawa", "last_index"],
-    );
+    expect("", &["data", "export", folder], 0, &["asahikawa", "last_index"]);
 }
 
 #[test]
@@ -150,12 +98,7 @@
     let path =
         std::env::temp_dir().join(format!("bilberryctl-settings-{}.json", std::process::id()));
     std::fs::write(&path, "{\"daemon\": \"x\"}").unwrap();
-    expect(
-        "",
-        &["settings", "check", path.to_str().unwrap()],
-        1,
-        &["data_center", "help"],
-    );
+    expect("", &["settings", "check", path.to_str().unwrap()], 1, &["data_center", "help"]);
     std::fs::remove_file(path).unwrap();
 }
 
--- a/crates/bilberryloft-bench/src/commands/commits.rs
+++ b/crates/bilberryloft-bench/src/commands/commits.rs
@@ -16,6 +16,7 @@
 use clap::Args;
 use tokio::task::JoinSet;
 
+use crate::block_on;
 use crate::usage::ms;
 use crate::usage::percentile;
 use crate::usage::processor_time;
@@ -34,11 +35,7 @@
 impl CommitsCommand {
     /// Runs the command.
     pub fn run(self) -> eyre::Result<()> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(3)
-            .enable_all()
-            .build()?;
-        runtime.block_on(self.measure())
+        block_on(3, self.measure())
     }
 
     async fn measure(self) -> eyre::Result<()> {
@@ -85,11 +82,7 @@
                 while Instant::now() < until {
                     let command = claim(round, next.fetch_add(1, Ordering::Relaxed));
                     let began = Instant::now();
-                    if client
-                        .propose(&command, Duration::from_secs(5))
-                        .await
-                        .is_ok()
-                    {
+                    if client.propose(&command, Duration::from_secs(5)).await.is_ok() {
                         times.push(began.elapsed());
                     }
                 }
--- a/crates/bilberryloft-bench/src/commands/failover.rs
+++ b/crates/bilberryloft-bench/src/commands/failover.rs
@@ -8,6 +8,7 @@
 use bilberryloft_testing::fleet::change_request;
 use clap::Args;
 
+use crate::block_on;
 use crate::usage::ms;
 use crate::usage::percentile;
 
@@ -25,11 +26,7 @@
 impl FailoverCommand {
     /// Runs the command.
     pub fn run(self) -> eyre::Result<()> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
-            .enable_all()
-            .build()?;
-        runtime.block_on(self.measure())
+        block_on(2, self.measure())
     }
 
     async fn measure(self) -> eyre::Result<()> {
@@ -49,18 +46,11 @@
             let name = format!("control-{}", leader + 1);
             fleet.kill(&name);
             let began = Instant::now();
-            let kind = ChangeKind::SetTarget {
-                name: format!("kill-{kill}"),
-                draining: true,
-            };
+            let kind = ChangeKind::SetTarget { name: format!("kill-{kill}"), draining: true };
             let request = change_request(kind);
             'written: loop {
                 for number in (0..3).filter(|it| *it != leader) {
-                    if fleet
-                        .change(&fleet.control_ips[number], &request)
-                        .await
-                        .is_some()
-                    {
+                    if fleet.change(&fleet.control_ips[number], &request).await.is_some() {
                         break 'written;
                     }
                 }
--- a/crates/bilberryloft-bench/src/commands/fleet.rs
+++ b/crates/bilberryloft-bench/src/commands/fleet.rs
@@ -17,6 +17,7 @@
 use bilberryloft_testing::fleet::PEER_PORT;
 use clap::Args;
 
+use crate::block_on;
 use crate::usage::ms;
 use crate::usage::percentile;
 use crate::usage::processor_time;
@@ -48,12 +49,7 @@
             "daemons | spread p50/most ms | rest: control CPU us/s a daemon (leader, others) | daemon CPU us/s | bytes/s a daemon | control KiB"
         );
         for daemons in &self.daemons {
-            let runtime = tokio::runtime::Builder::new_multi_thread()
-                .worker_threads(3)
-                .enable_all()
-                .build()?;
-            runtime.block_on(self.measure(*daemons))?;
-            runtime.shutdown_background();
+            block_on(3, self.measure(*daemons))?;
         }
         Ok(())
     }
@@ -67,9 +63,8 @@
         self.wait_for(&views, 2).await;
         tokio::time::sleep(Duration::from_secs(2)).await;
 
-        let processes: Vec<u32> = (1..=3)
-            .map(|it| fleet.processes[&format!("control-{it}")].id())
-            .collect();
+        let processes: Vec<u32> =
+            (1..=3).map(|it| fleet.processes[&format!("control-{it}")].id()).collect();
         let before: Vec<Duration> = processes.iter().map(|it| processor_time(*it)).collect();
         let own_before = processor_time(std::process::id());
         let bytes_before = loopback_bytes();
@@ -86,10 +81,7 @@
 
         let mut spreads = Vec::new();
         for number in 0..self.changes {
-            let kind = ChangeKind::SetTarget {
-                name: format!("change-{number}"),
-                draining: true,
-            };
+            let kind = ChangeKind::SetTarget { name: format!("change-{number}"), draining: true };
             let ChangeOutcome::Accepted { version } = fleet.change_surely(kind).await else {
                 continue;
             };
@@ -99,12 +91,8 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         let a_daemon = |seconds: f64| seconds * 1e6 / daemons as f64;
-        let others: f64 = used
-            .iter()
-            .enumerate()
-            .filter(|(it, _)| *it != leader)
-            .map(|(_, used)| used)
-            .sum();
+        let others: f64 =
+            used.iter().enumerate().filter(|(it, _)| *it != leader).map(|(_, used)| used).sum();
         println!(
             "{daemons} | {} {} | {:.0} {:.0} | {:.0} | {:.0} | {:?}",
             ms(percentile(&mut spreads, 0.5)),
@@ -113,10 +101,7 @@
             a_daemon(others),
             a_daemon(own.as_secs_f64() / REST.as_secs_f64()),
             bytes as f64 / REST.as_secs_f64() / daemons as f64,
-            processes
-                .iter()
-                .map(|it| resident_kib(*it))
-                .collect::<Vec<u64>>(),
+            processes.iter().map(|it| resident_kib(*it)).collect::<Vec<u64>>(),
         );
         Ok(())
     }
@@ -124,26 +109,15 @@
     fn spawn_daemons(&self, fleet: &Fleet, daemons: usize) -> Vec<Arc<View>> {
         let mut views = Vec::new();
         for number in 0..daemons {
-            let mut addresses: Vec<String> = fleet
-                .control_ips
-                .iter()
-                .map(|it| format!("{it}:{PEER_PORT}"))
-                .collect();
+            let mut addresses: Vec<String> =
+                fleet.control_ips.iter().map(|it| format!("{it}:{PEER_PORT}")).collect();
             addresses.rotate_left(number % 3);
             let name = format!("stand-in-{number}");
             let control = ControlClient::new(&addresses, &name, 1);
             let view = Arc::new(View::new(4_000, OnLostControl::StandDown));
-            spawn_follower(
-                view.clone(),
-                control.clone(),
-                name,
-                "127.0.0.1:1".to_string(),
-            );
+            spawn_follower(view.clone(), control.clone(), name, "127.0.0.1:1".to_string());
             for target in 0..self.targets {
-                tokio::spawn(announce(
-                    control.clone(),
-                    format!("target-{number}-{target}"),
-                ));
+                tokio::spawn(announce(control.clone(), format!("target-{number}-{target}")));
             }
             views.push(view);
         }
@@ -152,8 +126,7 @@
 
     async fn wait_for(&self, views: &[Arc<View>], version: u64) {
         for view in views {
-            view.wait_for_configuration(version, Duration::from_secs(30))
-                .await;
+            view.wait_for_configuration(version, Duration::from_secs(30)).await;
         }
     }
 }
@@ -171,9 +144,7 @@
     let description = serde_json::to_vec(&description).unwrap_or_default();
     loop {
         let announce = Announce::new(target.clone(), 1, description.clone(), false, false);
-        let _ = control
-            .call(Body::Announce(announce), Duration::from_secs(2))
-            .await;
+        let _ = control.call(Body::Announce(announce), Duration::from_secs(2)).await;
         tokio::time::sleep(ANNOUNCE_EVERY).await;
     }
 }
@@ -181,12 +152,6 @@
 /// Bytes received on the loopback interface so far, headers included.
 fn loopback_bytes() -> u64 {
     let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
-    let line = text
-        .lines()
-        .find(|it| it.trim_start().starts_with("lo:"))
-        .unwrap_or_default();
-    line.split_whitespace()
-        .nth(1)
-        .and_then(|it| it.parse().ok())
-        .unwrap_or(0)
+    let line = text.lines().find(|it| it.trim_start().starts_with("lo:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|it| it.parse().ok()).unwrap_or(0)
 }
--- a/crates/bilberryloft-bench/src/commands/pick.rs
+++ b/crates/bilberryloft-bench/src/commands/pick.rs
@@ -7,12 +7,13 @@
 use bilberryloft_coordination::pick::TargetView;
 use bilberryloft_state::configuration::ChangeKind;
 use bilberryloft_state::configuration::Configuration;
-use bilberryloft_state::configuration::Team;
 use bilberryloft_state::configuration::token_digest;
 use bilberryloft_testing::fleet::change_request;
 use bilberryloft_testing::fleet::depot_template;
 use clap::Args;
 
+use crate::sample::team_change;
+
 /// Operations of each measurement.
 const OPERATIONS: u64 = 200_000;
 
@@ -35,12 +36,7 @@
             let mut picker = build_picker(*targets);
             let cold = time_ns(|_| drop(black_box(picker.pick("forecast-writer", 0, &[], 10_000))));
             let warm = time_ns(|it| {
-                drop(black_box(picker.pick(
-                    "forecast-writer",
-                    1 + it % 1_000,
-                    &[],
-                    10_000,
-                )))
+                drop(black_box(picker.pick("forecast-writer", 1 + it % 1_000, &[], 10_000)))
             });
             println!("{targets} | {cold} | {warm}");
         }
@@ -90,20 +86,9 @@
 
 fn build_configuration(teams: usize) -> Configuration {
     let mut configuration = Configuration::default();
-    configuration.decide(
-        &change_request(ChangeKind::ApplyTemplate(depot_template())),
-        0,
-    );
+    configuration.decide(&change_request(ChangeKind::ApplyTemplate(depot_template())), 0);
     for number in 0..teams {
-        let team = Team {
-            name: format!("team-{number}"),
-            template: "depots".to_string(),
-            token_sha256: vec![token_digest(&format!("token-{number}"))],
-            weight: None,
-            models: None,
-            in_flight_max: None,
-        };
-        configuration.decide(&change_request(ChangeKind::SetTeam(team)), 0);
+        configuration.decide(&team_change(number), 0);
     }
     configuration
 }
--- a/crates/bilberryloft-bench/src/commands/relay.rs
+++ b/crates/bilberryloft-bench/src/commands/relay.rs
@@ -11,6 +11,7 @@
 use bilberryloft_testing::fleet::depot_team;
 use clap::Args;
 
+use crate::block_on;
 use crate::load::Load;
 use crate::load::Measured;
 use crate::usage::ms;
@@ -35,11 +36,7 @@
 impl RelayCommand {
     /// Runs the command.
     pub fn run(self) -> eyre::Result<()> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
-            .enable_all()
-            .build()?;
-        runtime.block_on(self.measure())
+        block_on(2, self.measure())
     }
 
     async fn measure(self) -> eyre::Result<()> {
@@ -51,10 +48,7 @@
         engine.runs_file = None;
         fleet.start_all();
         fleet.make_team().await;
-        let team = Team {
-            in_flight_max: Some(100_000),
-            ..depot_team()
-        };
+        let team = Team { in_flight_max: Some(100_000), ..depot_team() };
         let outcome = fleet.change_surely(ChangeKind::SetTeam(team)).await;
         if let ChangeOutcome::Accepted { version } = outcome {
             fleet.wait_for_version(version).await;
@@ -68,20 +62,13 @@
         );
         for concurrency in self.concurrency.clone() {
             let direct = self
-                .load(
-                    format!("{}:{ENGINE_PORT}", fleet.target_ips[0]),
-                    concurrency,
-                )
+                .load(format!("{}:{ENGINE_PORT}", fleet.target_ips[0]), concurrency)
                 .run()
                 .await;
             let before = [entry, agent, engine].map(processor_time);
             let through = self.load(fleet.entry(0), concurrency).run().await;
             let after = [entry, agent, engine].map(processor_time);
-            let used = [
-                after[0] - before[0],
-                after[1] - before[1],
-                after[2] - before[2],
-            ];
+            let used = [after[0] - before[0], after[1] - before[1], after[2] - before[2]];
             print_row(concurrency, direct, through, used);
             print_refusals(&fleet).await;
         }
@@ -91,12 +78,7 @@
 
     fn load(&self, address: String, concurrency: usize) -> Load {
         let rounds = (256 / concurrency).clamp(2, 12);
-        Load {
-            address,
-            concurrency,
-            rounds,
-            tokens: self.tokens,
-        }
+        Load { address, concurrency, rounds, tokens: self.tokens }
     }
 
     /// Holds streams open and reads the memory while they last.
@@ -104,11 +86,7 @@
         println!("open streams | entry KiB | agent KiB");
         let mut rows = Vec::new();
         for concurrency in [64, 512, 1_024] {
-            let load = Load {
-                rounds: 0,
-                tokens: 100,
-                ..self.load(fleet.entry(0), concurrency)
-            };
+            let load = Load { rounds: 0, tokens: 100, ..self.load(fleet.entry(0), concurrency) };
             let running = tokio::spawn(async move { load.run().await });
             tokio::time::sleep(Duration::from_millis(3_000)).await;
             let row = (concurrency, resident_kib(entry), resident_kib(agent));
@@ -130,10 +108,7 @@
 /// Prints why requests were refused so far, at the entry and at the agent.
 async fn print_refusals(fleet: &Fleet) {
     for ip in [&fleet.entry_ips[0], &fleet.target_ips[0]] {
-        let metrics = Caller::new("")
-            .send(&fleet.admin(ip), "GET", "/metrics", "")
-            .await
-            .text;
+        let metrics = Caller::new("").send(&fleet.admin(ip), "GET", "/metrics", "").await.text;
         for line in metrics.lines().filter(|it| it.contains("refusals_total{")) {
             println!("  {line}");
         }
@@ -143,16 +118,9 @@
 fn print_row(concurrency: usize, mut direct: Measured, mut through: Measured, used: [Duration; 3]) {
     let mut cells = Vec::new();
     for share in [0.5, 0.99] {
-        let (before, after) = (
-            percentile(&mut direct.first, share),
-            percentile(&mut through.first, share),
-        );
-        cells.push(format!(
-            "{} {} {}",
-            ms(before),
-            ms(after),
-            ms(after.saturating_sub(before))
-        ));
+        let (before, after) =
+            (percentile(&mut direct.first, share), percentile(&mut through.first, share));
+        cells.push(format!("{} {} {}", ms(before), ms(after), ms(after.saturating_sub(before))));
     }
     let a_token = used.map(|it| format!("{:.2}", it.as_secs_f64() * 1e6 / through.events as f64));
     println!(
--- a/crates/bilberryloft-bench/src/commands/state.rs
+++ b/crates/bilberryloft-bench/src/commands/state.rs
@@ -4,8 +4,6 @@
 
 use bilberryloft_state::claim::ClaimSite;
 use bilberryloft_state::configuration::ChangeKind;
-use bilberryloft_state::configuration::Team;
-use bilberryloft_state::configuration::token_digest;
 use bilberryloft_state::machine::Command;
 use bilberryloft_state::machine::Machine;
 use bilberryloft_state::machine::StampedCommand;
@@ -22,6 +20,7 @@
 use bilberryloft_testing::fleet::depot_template;
 use clap::Args;
 
+use crate::sample::team_change;
 use crate::usage::resident_kib;
 
 /// The command.
@@ -48,7 +47,7 @@
             "what | count | resident KiB added | bytes each | snapshot bytes | encode ms | decode ms"
         );
         for count in &self.teams {
-            measure("teams", *count, team_command)?;
+            measure("teams", *count, |it| Command::Change(team_change(it)))?;
         }
         for count in &self.targets {
             measure("targets", *count, target_command)?;
@@ -60,10 +59,7 @@
     }
 
     fn measure_restart(&self) -> eyre::Result<()> {
-        println!(
-            "restart with {} changes | log read ms | applied ms",
-            self.changes
-        );
+        println!("restart with {} changes | log read ms | applied ms", self.changes);
         let folder = Folder::create("bench-restart");
         let (mut storage, _) = Storage::open(&folder.path)?;
         let mut machine = Machine::default();
@@ -73,17 +69,12 @@
                 name: format!("target-{}", number % 2_600),
                 draining: true,
             };
-            let stamped = StampedCommand {
-                at_ms: 1,
-                command: Command::Change(change_request(kind)),
-            };
+            let stamped =
+                StampedCommand { at_ms: 1, command: Command::Change(change_request(kind)) };
             let command = serde_json::to_vec(&stamped)?;
             machine.apply_bytes(&command);
-            let entry = LogEntry {
-                term: 1,
-                index: number as u64 + 1,
-                payload: Payload::Command(command),
-            };
+            let entry =
+                LogEntry { term: 1, index: number as u64 + 1, payload: Payload::Command(command) };
             records.push(WalRecord::Entry(entry));
         }
         storage.append(&records)?;
@@ -125,16 +116,10 @@
     let process = std::process::id();
     let mut machine = Machine::default();
     let template = Command::Change(change_request(ChangeKind::ApplyTemplate(depot_template())));
-    machine.apply(StampedCommand {
-        at_ms: 1,
-        command: template,
-    });
+    machine.apply(StampedCommand { at_ms: 1, command: template });
     let before = resident_kib(process);
     for number in 0..count {
-        machine.apply(StampedCommand {
-            at_ms: 1,
-            command: command_of(number),
-        });
+        machine.apply(StampedCommand { at_ms: 1, command: command_of(number) });
     }
     let added = resident_kib(process).saturating_sub(before);
     let began = Instant::now();
@@ -157,18 +142,6 @@
     Ok(())
 }
 
-fn team_command(number: usize) -> Command {
-    let team = Team {
-        name: format!("team-{number}"),
-        template: "depots".to_string(),
-        token_sha256: vec![token_digest(&format!("token-{number}"))],
-        weight: None,
-        models: None,
-        in_flight_max: None,
-    };
-    Command::Change(change_request(ChangeKind::SetTeam(team)))
-}
-
 fn target_command(number: usize) -> Command {
     Command::Register {
         name: format!("target-{number}"),
--- a/crates/bilberryloft-bench/src/main.rs
+++ b/crates/bilberryloft-bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod load;
+mod sample;
 mod usage;
 
 use clap::Parser;
@@ -40,3 +41,15 @@
         Command::Pick(command) => command.run(),
     }
 }
+
+/// Runs a measurement on a runtime with some threads, which leaves the rest of the machine to the processes.
+fn block_on<T>(
+    threads: usize,
+    measurement: impl Future<Output = eyre::Result<T>>,
+) -> eyre::Result<T> {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build()?;
+    let result = runtime.block_on(measurement);
+    runtime.shutdown_background();
+    result
+}
--- a/crates/bilberryloft-bench/src/usage.rs
+++ b/crates/bilberryloft-bench/src/usage.rs
@@ -17,24 +17,15 @@
 /// Resident memory of a process in KiB.
 pub fn resident_kib(process: u32) -> u64 {
     let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = text
-        .lines()
-        .find(|it| it.starts_with("VmRSS:"))
-        .unwrap_or_default();
-    line.split_whitespace()
-        .nth(1)
-        .and_then(|it| it.parse().ok())
-        .unwrap_or(0)
+    let line = text.lines().find(|it| it.starts_with("VmRSS:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|it| it.parse().ok()).unwrap_or(0)
 }
 
 /// The value below which a share of the sorted values lies.
 pub fn percentile(values: &mut [Duration], share: f64) -> Duration {
     values.sort_unstable();
     let last = values.len().saturating_sub(1);
-    values
-        .get((last as f64 * share).round() as usize)
-        .copied()
-        .unwrap_or_default()
+    values.get((last as f64 * share).round() as usize).copied().unwrap_or_default()
 }
 
 /// Milliseconds with three digits behind the point.
--- a/crates/bilberryloft-coordination/examples/expert_map.rs
+++ b/crates/bilberryloft-coordination/examples/expert_map.rs
@@ -11,11 +11,7 @@
 use bilberryloft_state::expert_register::DecisionRegister;
 
 pub fn main() {
-    let shape = Shape {
-        experts: 64,
-        ranks: 4,
-        slots: 17,
-    };
+    let shape = Shape { experts: 64, ranks: 4, slots: 17 };
     let mut popularity: Vec<f64> = (1..=64).map(|it| 1.0 / f64::from(it)).collect();
     let current = pack(shape, &popularity);
     popularity.swap(0, 40);
@@ -41,16 +37,11 @@
     let decision = planner.decision().expect("all ranks are armed");
     let decision = register.decide(planner.version, decision, planner.token);
     for rank in &mut ranks {
-        rank.take(RankMessage::Decided {
-            version: planner.version,
-            decision,
-        });
+        rank.take(RankMessage::Decided { version: planner.version, decision });
     }
     for step in 0..4 {
-        let versions: Vec<Option<u64>> = ranks
-            .iter()
-            .map(RankSwitch::version_for_next_step)
-            .collect();
+        let versions: Vec<Option<u64>> =
+            ranks.iter().map(RankSwitch::version_for_next_step).collect();
         println!("step {step}: maps {versions:?}");
         assert!(versions.iter().all(|it| *it == versions[0]));
         ranks.iter_mut().for_each(RankSwitch::do_step);
--- a/crates/bilberryloft-coordination/examples/picker.rs
+++ b/crates/bilberryloft-coordination/examples/picker.rs
@@ -5,11 +5,7 @@
 
 pub fn main() {
     let mut picker = Picker::new(1);
-    for name in [
-        "forecast-writer-1",
-        "forecast-writer-2",
-        "forecast-writer-3",
-    ] {
+    for name in ["forecast-writer-1", "forecast-writer-2", "forecast-writer-3"] {
         let view = TargetView {
             name: name.to_string(),
             agent_address: "10.0.0.1:7402".to_string(),
@@ -27,15 +23,9 @@
     }
     picker.set_eligible("forecast-writer-3", false);
     for number in 0..8 {
-        let pick = picker
-            .pick("forecast-writer", 0, &[], 1_000)
-            .expect("two targets are in use");
+        let pick = picker.pick("forecast-writer", 0, &[], 1_000).expect("two targets are in use");
         picker.note_dispatch(pick.key);
-        println!(
-            "request {number} goes to {} ({})",
-            picker.view(pick.key).name,
-            pick.rule
-        );
+        println!("request {number} goes to {} ({})", picker.view(pick.key).name, pick.rule);
     }
     for name in ["forecast-writer-1", "forecast-writer-2"] {
         let key = picker.key(name).expect("it is known");
--- a/crates/bilberryloft-coordination/examples/quorum.rs
+++ b/crates/bilberryloft-coordination/examples/quorum.rs
@@ -11,28 +11,18 @@
 use bilberryloft_state::wal::Payload;
 
 pub fn main() {
-    let names = BTreeMap::from([
-        (1, "a".to_string()),
-        (2, "b".to_string()),
-        (3, "c".to_string()),
-    ]);
+    let names = BTreeMap::from([(1, "a".to_string()), (2, "b".to_string()), (3, "c".to_string())]);
     let members = MemberSet::of_voters(names);
     let mut rafts: BTreeMap<u32, Raft> = BTreeMap::new();
     for member in 1..=3 {
-        let start = Start {
-            member,
-            members: members.clone(),
-            seed: u64::from(member),
-            ..Start::default()
-        };
+        let start =
+            Start { member, members: members.clone(), seed: u64::from(member), ..Start::default() };
         rafts.insert(member, Raft::new(Options::default(), start));
     }
     let mut now_ms = 0;
     run(&mut rafts, &mut now_ms, 2_000);
-    let leader = rafts
-        .iter()
-        .find(|(_, raft)| raft.role() == Role::Leader)
-        .map(|(member, _)| *member);
+    let leader =
+        rafts.iter().find(|(_, raft)| raft.role() == Role::Leader).map(|(member, _)| *member);
     let leader = leader.expect("a leader after two seconds");
     propose(&mut rafts, leader, "open the road");
     run(&mut rafts, &mut now_ms, 200);
@@ -82,11 +72,7 @@
         raft.persisted(output.persist_number);
         for entry in output.committed {
             if let Payload::Command(command) = entry.payload {
-                println!(
-                    "applied {}: {}",
-                    entry.index,
-                    String::from_utf8_lossy(&command)
-                );
+                println!("applied {}: {}", entry.index, String::from_utf8_lossy(&command));
             }
         }
     }
--- a/crates/bilberryloft-coordination/src/admission.rs
+++ b/crates/bilberryloft-coordination/src/admission.rs
@@ -152,11 +152,7 @@
             return Verdict::Run;
         }
         let tag = self.start_tag(&ask);
-        let tokens_ahead = self
-            .queue
-            .range(..(tag, ask.id))
-            .map(|(_, it)| it.work_tokens)
-            .sum();
+        let tokens_ahead = self.queue.range(..(tag, ask.id)).map(|(_, it)| it.work_tokens).sum();
         let wait_ms = self.wait_behind_ms(tokens_ahead) + self.expected_service_ms(&ask);
         if ask.arrived_ms + wait_ms >= ask.deadline_ms {
             return Verdict::TooLate;
@@ -170,9 +166,7 @@
             Some((last, _)) if last.0 > tag => {
                 let (_, evicted) = self.pop_last();
                 self.enqueue(tag, ask);
-                Verdict::Wait {
-                    evicted: Some(evicted),
-                }
+                Verdict::Wait { evicted: Some(evicted) }
             }
             Some(_) | None => Verdict::Busy,
         }
@@ -193,8 +187,7 @@
         let tag = self.start_tag(ask);
         let behind = self.finish_of_team.get(&ask.team).copied().unwrap_or(0);
         let cost = ask.work_tokens.max(1) * VIRTUAL_SCALE / u64::from(ask.weight.max(1));
-        self.finish_of_team
-            .insert(ask.team.clone(), self.virtual_time.max(behind) + cost);
+        self.finish_of_team.insert(ask.team.clone(), self.virtual_time.max(behind) + cost);
         tag
     }
 
@@ -224,10 +217,7 @@
 
     fn start(&mut self, ask: &Ask, tag: u64, now_ms: u64) {
         self.virtual_time = self.virtual_time.max(tag);
-        let running = Running {
-            started_ms: now_ms,
-            work_tokens: ask.work_tokens,
-        };
+        let running = Running { started_ms: now_ms, work_tokens: ask.work_tokens };
         self.running.insert(ask.id, running);
         if ask.is_exclusive {
             self.exclusive = Some(ask.id);
@@ -275,8 +265,7 @@
     fn drop_idle_teams(&mut self) {
         let virtual_time = self.virtual_time;
         if self.queue.is_empty() {
-            self.finish_of_team
-                .retain(|_, finish| *finish > virtual_time);
+            self.finish_of_team.retain(|_, finish| *finish > virtual_time);
         }
     }
 
@@ -294,12 +283,8 @@
 
     /// Takes out the waiting requests whose deadline has passed.
     pub fn take_expired(&mut self, now_ms: u64) -> Vec<u64> {
-        let expired: Vec<u64> = self
-            .queue
-            .values()
-            .filter(|it| it.deadline_ms <= now_ms)
-            .map(|it| it.id)
-            .collect();
+        let expired: Vec<u64> =
+            self.queue.values().filter(|it| it.deadline_ms <= now_ms).map(|it| it.id).collect();
         for id in &expired {
             self.withdraw(*id);
         }
--- a/crates/bilberryloft-coordination/src/attempts.rs
+++ b/crates/bilberryloft-coordination/src/attempts.rs
@@ -142,9 +142,7 @@
         let Some((issuer, number)) = split_request_id(request_id) else {
             return false;
         };
-        self.floors
-            .get(issuer)
-            .is_some_and(|floor| number <= *floor)
+        self.floors.get(issuer).is_some_and(|floor| number <= *floor)
     }
 
     fn forget(&mut self, now_ms: u64) {
--- a/crates/bilberryloft-coordination/src/expert_map/pack.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/pack.rs
@@ -63,11 +63,7 @@
     let mut pairs = Vec::new();
     for from in 0..shape.ranks {
         for to in 0..shape.ranks {
-            let common = map
-                .rank(from)
-                .iter()
-                .filter(|it| earlier.has(to, **it))
-                .count();
+            let common = map.rank(from).iter().filter(|it| earlier.has(to, **it)).count();
             pairs.push((common, from, to));
         }
     }
@@ -80,9 +76,6 @@
             taken[from] = true;
         }
     }
-    let slots = place_of
-        .iter()
-        .flat_map(|from| map.rank(from.unwrap_or(0)).to_vec())
-        .collect();
+    let slots = place_of.iter().flat_map(|from| map.rank(from.unwrap_or(0)).to_vec()).collect();
     Placement::from_slots(shape, slots).unwrap_or_else(|| map.clone())
 }
--- a/crates/bilberryloft-coordination/src/expert_map/placement.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/placement.rs
@@ -37,28 +37,18 @@
             *replicas.get_mut(usize::from(*expert))? += 1;
         }
         let is_whole = replicas.iter().all(|it| *it > 0);
-        is_whole.then_some(Placement {
-            shape,
-            slots,
-            replicas,
-        })
+        is_whole.then_some(Placement { shape, slots, replicas })
     }
 
     /// The map without any knowledge of popularity: experts in order, spare slots filled from the start.
     pub fn in_order(shape: Shape) -> Placement {
         let count = shape.ranks * shape.slots;
-        let slots: Vec<ExpertId> = (0..count)
-            .map(|it| (it % shape.experts) as ExpertId)
-            .collect();
+        let slots: Vec<ExpertId> = (0..count).map(|it| (it % shape.experts) as ExpertId).collect();
         let mut replicas = vec![0; shape.experts];
         for expert in &slots {
             replicas[usize::from(*expert)] += 1;
         }
-        Placement {
-            shape,
-            slots,
-            replicas,
-        }
+        Placement { shape, slots, replicas }
     }
 
     /// Size of the layer.
@@ -88,12 +78,7 @@
 
     /// Load of each rank.
     pub fn loads(&self, popularity: &[f64]) -> Vec<f64> {
-        let load = |rank: usize| {
-            self.rank(rank)
-                .iter()
-                .map(|it| self.share(*it, popularity))
-                .sum()
-        };
+        let load = |rank: usize| self.rank(rank).iter().map(|it| self.share(*it, popularity)).sum();
         (0..self.shape.ranks).map(load).collect()
     }
 
@@ -114,12 +99,8 @@
 
     /// Number of weights that ranks must load to get from an earlier map to this one.
     pub fn loads_from(&self, earlier: &Placement) -> usize {
-        let new_at = |rank: usize| {
-            self.rank(rank)
-                .iter()
-                .filter(|it| !earlier.has(rank, **it))
-                .count()
-        };
+        let new_at =
+            |rank: usize| self.rank(rank).iter().filter(|it| !earlier.has(rank, **it)).count();
         (0..self.shape.ranks).map(new_at).sum()
     }
 }
--- a/crates/bilberryloft-coordination/src/expert_map/plan.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/plan.rs
@@ -121,19 +121,14 @@
     let is_enough = searched.skew_after <= costs.aim_skew;
     let candidates = match is_enough {
         true => vec![searched],
-        false => vec![
-            searched,
-            plan_from_scratch(current, popularity, skew_before),
-        ],
+        false => vec![searched, plan_from_scratch(current, popularity, skew_before)],
     };
     let value = |plan: &Plan| {
         let saved_ms = (plan.skew_before - plan.skew_after) * costs.horizon_ms;
         let loading_ms = plan.moves.len() as f64 * costs.load_ms * costs.store_weight;
         saved_ms - loading_ms - costs.stall_ms
     };
-    let best = candidates
-        .into_iter()
-        .max_by(|left, right| value(left).total_cmp(&value(right)))?;
+    let best = candidates.into_iter().max_by(|left, right| value(left).total_cmp(&value(right)))?;
     let pays = !best.moves.is_empty() && value(&best) > 0.0;
     pays.then_some(best)
 }
@@ -141,12 +136,7 @@
 fn plan_from_scratch(current: &Placement, popularity: &[f64], skew_before: f64) -> Plan {
     let target = align(&pack(current.shape(), popularity), current);
     let (placement, moves) = moves_between(current, &target);
-    Plan {
-        skew_before,
-        skew_after: placement.skew(popularity),
-        placement,
-        moves,
-    }
+    Plan { skew_before, skew_after: placement.skew(popularity), placement, moves }
 }
 
 /// Loads what each rank lacks into the slots that it no longer needs.
@@ -164,12 +154,7 @@
         }
         for ((slot, replaces), expert) in free.into_iter().zip(wanted) {
             placement.set(rank, slot, expert);
-            moves.push(Move {
-                rank: rank as RankId,
-                slot: slot as u16,
-                expert,
-                replaces,
-            });
+            moves.push(Move { rank: rank as RankId, slot: slot as u16, expert, replaces });
         }
     }
     (placement, moves)
@@ -179,16 +164,9 @@
 #[derive(Clone, Copy, Debug)]
 enum Change {
     /// A replica of `hot` replaces an expert that has another replica elsewhere.
-    Replicate {
-        hot: ExpertId,
-        rank: usize,
-        slot: usize,
-    },
+    Replicate { hot: ExpertId, rank: usize, slot: usize },
     /// Two ranks exchange experts.
-    Swap {
-        left: (usize, usize),
-        right: (usize, usize),
-    },
+    Swap { left: (usize, usize), right: (usize, usize) },
 }
 
 struct Search<'a> {
@@ -203,13 +181,7 @@
     fn new(placement: Placement, popularity: &'a [f64]) -> Search<'a> {
         let loads = placement.loads(popularity);
         let mean = loads.iter().sum::<f64>() / loads.len() as f64;
-        Search {
-            placement,
-            popularity,
-            loads,
-            mean,
-            moves: Vec::new(),
-        }
+        Search { placement, popularity, loads, mean, moves: Vec::new() }
     }
 
     fn skew(&self) -> f64 {
@@ -221,9 +193,7 @@
     fn spread_hottest(&mut self) -> bool {
         let experts = 0..self.placement.shape().experts as ExpertId;
         let share = |it: &ExpertId| self.placement.share(*it, self.popularity);
-        let Some(hot) = experts
-            .clone()
-            .max_by(|left, right| share(left).total_cmp(&share(right)))
+        let Some(hot) = experts.clone().max_by(|left, right| share(left).total_cmp(&share(right)))
         else {
             return false;
         };
@@ -252,11 +222,7 @@
     fn slot_to_give_up(&self, victim: ExpertId, hot: ExpertId) -> Option<(usize, usize)> {
         let mut best: Option<(f64, usize, usize)> = None;
         for (rank, load) in self.loads.iter().enumerate() {
-            let slot = self
-                .placement
-                .rank(rank)
-                .iter()
-                .position(|it| *it == victim);
+            let slot = self.placement.rank(rank).iter().position(|it| *it == victim);
             let Some(slot) = slot.filter(|_| !self.placement.has(rank, hot)) else {
                 continue;
             };
@@ -340,11 +306,7 @@
                 after += hot.2 - hot.1;
             }
             if experts.contains(&victim.0) {
-                after += if rank == at {
-                    -victim.1
-                } else {
-                    victim.2 - victim.1
-                };
+                after += if rank == at { -victim.1 } else { victim.2 - victim.1 };
             }
             if rank == at {
                 after += hot.2;
@@ -370,10 +332,7 @@
                 let before = self.excess(self.loads[busiest]) + self.excess(self.loads[rank]);
                 let after = self.excess(self.loads[busiest] - difference)
                     + self.excess(self.loads[rank] + difference);
-                let change = Change::Swap {
-                    left: (busiest, slot),
-                    right: (rank, other_slot),
-                };
+                let change = Change::Swap { left: (busiest, slot), right: (rank, other_slot) };
                 Self::keep(best, (before - after) / 2.0, change);
             }
         }
@@ -383,10 +342,8 @@
         match change {
             Change::Replicate { hot, rank, slot } => self.set(rank, slot, hot),
             Change::Swap { left, right } => {
-                let experts = (
-                    self.placement.rank(left.0)[left.1],
-                    self.placement.rank(right.0)[right.1],
-                );
+                let experts =
+                    (self.placement.rank(left.0)[left.1], self.placement.rank(right.0)[right.1]);
                 self.set(left.0, left.1, experts.1);
                 self.set(right.0, right.1, experts.0);
             }
@@ -397,11 +354,6 @@
     fn set(&mut self, rank: usize, slot: usize, expert: ExpertId) {
         let replaces = self.placement.rank(rank)[slot];
         self.placement.set(rank, slot, expert);
-        self.moves.push(Move {
-            rank: rank as RankId,
-            slot: slot as u16,
-            expert,
-            replaces,
-        });
+        self.moves.push(Move { rank: rank as RankId, slot: slot as u16, expert, replaces });
     }
 }
--- a/crates/bilberryloft-coordination/src/expert_map/popularity.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/popularity.rs
@@ -11,11 +11,7 @@
 impl Popularity {
     /// Starts without knowledge: all experts alike.
     pub fn new(experts: usize, half_life_ms: u64) -> Popularity {
-        Popularity {
-            counts: vec![0.0; experts],
-            half_life_ms,
-            updated_ms: 0,
-        }
+        Popularity { counts: vec![0.0; experts], half_life_ms, updated_ms: 0 }
     }
 
     /// Adds counts of one report; reports may come late, but not out of order.
--- a/crates/bilberryloft-coordination/src/expert_map/switch.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/switch.rs
@@ -119,9 +119,7 @@
             token: settled.token,
             staged: None,
             armed: None,
-            committed: settled
-                .upcoming
-                .map(|(version, step)| Armed { version, step }),
+            committed: settled.upcoming.map(|(version, step)| Armed { version, step }),
         }
     }
 
@@ -161,11 +159,7 @@
     pub fn take(&mut self, message: RankMessage) -> Option<RankReply> {
         match message {
             RankMessage::Stage { version, token } => Some(self.stage(version, token)),
-            RankMessage::Arm {
-                version,
-                step,
-                token,
-            } => Some(self.arm(version, step, token)),
+            RankMessage::Arm { version, step, token } => Some(self.arm(version, step, token)),
             RankMessage::Decided { version, decision } => {
                 self.decided(version, decision);
                 None
@@ -183,23 +177,12 @@
         }
         self.token = token;
         self.staged = Some(version);
-        RankReply::Staged {
-            version,
-            next_step: self.next_step,
-            incarnation: self.incarnation,
-        }
+        RankReply::Staged { version, next_step: self.next_step, incarnation: self.incarnation }
     }
 
     fn arm(&mut self, version: u64, step: u64, token: u64) -> RankReply {
-        let armed = RankReply::Armed {
-            version,
-            step,
-            incarnation: self.incarnation,
-        };
-        if self
-            .armed
-            .is_some_and(|it| it.version == version && it.step == step)
-        {
+        let armed = RankReply::Armed { version, step, incarnation: self.incarnation };
+        if self.armed.is_some_and(|it| it.version == version && it.step == step) {
             return armed;
         }
         let is_late = step <= self.next_step;
@@ -287,16 +270,7 @@
                 .collect(),
             PlannerState::Arming => ranks
                 .filter(|it| !self.armed.contains(it))
-                .map(|it| {
-                    (
-                        it,
-                        RankMessage::Arm {
-                            version,
-                            step,
-                            token,
-                        },
-                    )
-                })
+                .map(|it| (it, RankMessage::Arm { version, step, token }))
                 .collect(),
             PlannerState::ReadyToCommit | PlannerState::MustAbort => Vec::new(),
         }
@@ -305,18 +279,12 @@
     /// Takes a rank's answer.
     pub fn take(&mut self, rank: u64, reply: RankReply) {
         match reply {
-            RankReply::Staged {
-                version,
-                next_step,
-                incarnation,
-            } if version == self.version => {
+            RankReply::Staged { version, next_step, incarnation } if version == self.version => {
                 self.note_staged(rank, next_step, incarnation);
             }
-            RankReply::Armed {
-                version,
-                step,
-                incarnation,
-            } if version == self.version && step == self.step => {
+            RankReply::Armed { version, step, incarnation }
+                if version == self.version && step == self.step =>
+            {
                 self.note_armed(rank, incarnation);
             }
             RankReply::Refused { version } if version == self.version => {
--- a/crates/bilberryloft-coordination/src/freshness.rs
+++ b/crates/bilberryloft-coordination/src/freshness.rs
@@ -25,11 +25,7 @@
 impl Freshness {
     /// Starts unconfirmed.
     pub fn new(lease_ms: u64, on_lost_control: OnLostControl) -> Freshness {
-        Freshness {
-            confirmed_ms: None,
-            lease_ms,
-            on_lost_control,
-        }
+        Freshness { confirmed_ms: None, lease_ms, on_lost_control }
     }
 
     /// Takes a confirmation whose question was sent at the given time.
--- a/crates/bilberryloft-coordination/src/leases.rs
+++ b/crates/bilberryloft-coordination/src/leases.rs
@@ -22,11 +22,7 @@
 impl LeaseTable {
     /// Starts empty.
     pub fn new(lease_ms: u64) -> LeaseTable {
-        LeaseTable {
-            lease_ms,
-            leases: BTreeMap::new(),
-            gather_until_ms: None,
-        }
+        LeaseTable { lease_ms, leases: BTreeMap::new(), gather_until_ms: None }
     }
 
     /// Gives every known target a full lease, since a new leader has heard none of them yet.
@@ -34,32 +30,16 @@
         self.leases.clear();
         self.gather_until_ms = None;
         for (name, incarnation) in known {
-            self.leases.insert(
-                name,
-                Lease {
-                    incarnation,
-                    due_ms: now_ms + self.lease_ms,
-                },
-            );
+            self.leases.insert(name, Lease { incarnation, due_ms: now_ms + self.lease_ms });
         }
     }
 
     /// Renews a lease; an earlier incarnation than the known one renews nothing.
     pub fn renew(&mut self, name: &str, incarnation: u64, now_ms: u64) -> bool {
-        if self
-            .leases
-            .get(name)
-            .is_some_and(|it| it.incarnation > incarnation)
-        {
+        if self.leases.get(name).is_some_and(|it| it.incarnation > incarnation) {
             return false;
         }
-        self.leases.insert(
-            name.to_string(),
-            Lease {
-                incarnation,
-                due_ms: now_ms + self.lease_ms,
-            },
-        );
+        self.leases.insert(name.to_string(), Lease { incarnation, due_ms: now_ms + self.lease_ms });
         true
     }
 
--- a/crates/bilberryloft-coordination/src/pick.rs
+++ b/crates/bilberryloft-coordination/src/pick.rs
@@ -159,16 +159,10 @@
         now_ms: u64,
     ) -> Option<Pick> {
         let near = self.sample(offer, tried, now_ms, true);
-        let warm = self
-            .warm
-            .get(&prefix)
-            .copied()
-            .filter(|it| self.may_take(*it, offer, tried, now_ms));
+        let warm =
+            self.warm.get(&prefix).copied().filter(|it| self.may_take(*it, offer, tried, now_ms));
         let mut keys = near;
-        let local_best = keys
-            .iter()
-            .map(|it| self.load(*it, now_ms))
-            .fold(f64::INFINITY, f64::min);
+        let local_best = keys.iter().map(|it| self.load(*it, now_ms)).fold(f64::INFINITY, f64::min);
         if local_best >= SPILL_LOAD {
             keys.extend(self.sample(offer, tried, now_ms, false));
         }
@@ -239,11 +233,7 @@
         let mut candidates = Vec::new();
         let mut best: Option<(f64, TargetKey)> = None;
         for key in keys {
-            let bonus = if Some(*key) == warm {
-                PREFIX_BONUS
-            } else {
-                0.0
-            };
+            let bonus = if Some(*key) == warm { PREFIX_BONUS } else { 0.0 };
             let score = self.load(*key, now_ms) - bonus;
             let view = self.targets.get(*key);
             candidates.push(CandidateSeen {
@@ -264,11 +254,7 @@
             None => "least_load_of_sample",
         };
         self.remember_prefix(prefix, key);
-        Some(Pick {
-            key,
-            candidates,
-            rule,
-        })
+        Some(Pick { key, candidates, rule })
     }
 
     fn remember_prefix(&mut self, prefix: u64, key: TargetKey) {
--- a/crates/bilberryloft-coordination/src/raft/election.rs
+++ b/crates/bilberryloft-coordination/src/raft/election.rs
@@ -43,10 +43,7 @@
         self.role = Role::Candidate;
         self.leader = None;
         self.votes = [self.member].into();
-        self.hard_state = HardState {
-            term: self.hard_state.term + 1,
-            vote: Some(self.member),
-        };
+        self.hard_state = HardState { term: self.hard_state.term + 1, vote: Some(self.member) };
         self.save_hard_state();
         self.ask_for_votes(self.hard_state.term, false);
         self.count_votes();
@@ -54,13 +51,8 @@
 
     fn ask_for_votes(&mut self, term: u64, pre_vote: bool) {
         let member = self.member;
-        let voters: Vec<u32> = self
-            .members()
-            .voters
-            .keys()
-            .copied()
-            .filter(|it| *it != member)
-            .collect();
+        let voters: Vec<u32> =
+            self.members().voters.keys().copied().filter(|it| *it != member).collect();
         for voter in voters {
             let request = Message::VoteRequest(VoteRequest {
                 term,
@@ -84,11 +76,7 @@
             self.save_hard_state();
             self.reset_election_timer();
         }
-        let term = if granted {
-            request.term
-        } else {
-            self.hard_state.term
-        };
+        let term = if granted { request.term } else { self.hard_state.term };
         let reply = Message::VoteReply(VoteReply {
             term,
             voter: self.member,
@@ -99,11 +87,7 @@
     }
 
     fn would_vote(&self, request: &VoteRequest) -> bool {
-        if self.hears_a_leader()
-            || !self
-                .log
-                .is_up_to_date(request.last_index, request.last_term)
-        {
+        if self.hears_a_leader() || !self.log.is_up_to_date(request.last_index, request.last_term) {
             return false;
         }
         // A member that lost its disk must not help elect anyone who may lack what it once acknowledged.
@@ -114,10 +98,7 @@
         match request.pre_vote {
             true => request.term > self.hard_state.term,
             false => {
-                let free = self
-                    .hard_state
-                    .vote
-                    .is_none_or(|it| it == request.candidate);
+                let free = self.hard_state.vote.is_none_or(|it| it == request.candidate);
                 request.term == self.hard_state.term && free
             }
         }
@@ -137,11 +118,7 @@
 
     fn count_votes(&mut self) {
         let members = self.members();
-        let count = self
-            .votes
-            .iter()
-            .filter(|it| members.voters.contains_key(it))
-            .count();
+        let count = self.votes.iter().filter(|it| members.voters.contains_key(it)).count();
         if count < members.majority() {
             return;
         }
@@ -167,11 +144,7 @@
             1 => Payload::Members(self.members().clone()),
             _ => Payload::Command(Vec::new()),
         };
-        self.append_entry(LogEntry {
-            term: self.hard_state.term,
-            index,
-            payload,
-        });
+        self.append_entry(LogEntry { term: self.hard_state.term, index, payload });
         self.heartbeat_due_ms = self.now_ms;
         self.tick_leader();
     }
--- a/crates/bilberryloft-coordination/src/raft/follower.rs
+++ b/crates/bilberryloft-coordination/src/raft/follower.rs
@@ -37,9 +37,7 @@
     }
 
     fn end_catch_up(&mut self) {
-        let reached = self
-            .catch_up_index
-            .is_some_and(|it| self.log.last_index() >= it);
+        let reached = self.catch_up_index.is_some_and(|it| self.log.last_index() >= it);
         if !self.may_vote && reached {
             self.may_vote = true;
             self.output.records.push(WalRecord::MayVote);
@@ -79,10 +77,7 @@
     }
 
     fn truncate(&mut self, from_index: u64) {
-        assert!(
-            from_index > self.commit_index,
-            "a committed entry must never be replaced"
-        );
+        assert!(from_index > self.commit_index, "a committed entry must never be replaced");
         self.output.records.push(WalRecord::Truncate { from_index });
         self.log.truncate(from_index);
         self.durable_index = self.durable_index.min(from_index - 1);
@@ -96,11 +91,7 @@
         self.follow(install.term, install.leader, install.last_index);
         let index = install.snapshot.last_index;
         if index > self.commit_index {
-            self.log.install(
-                index,
-                install.snapshot.last_term,
-                install.snapshot.members.clone(),
-            );
+            self.log.install(index, install.snapshot.last_term, install.snapshot.members.clone());
             self.skip_committed_to(index);
             self.output.install = Some(install.snapshot.clone());
             self.snapshot = Some(install.snapshot);
--- a/crates/bilberryloft-coordination/src/raft/leader.rs
+++ b/crates/bilberryloft-coordination/src/raft/leader.rs
@@ -120,9 +120,7 @@
             self.send_snapshot(member);
             return false;
         };
-        let entries = self
-            .log
-            .slice(progress.next_index, APPEND_ENTRIES_MAX, APPEND_BYTES_MAX);
+        let entries = self.log.slice(progress.next_index, APPEND_ENTRIES_MAX, APPEND_BYTES_MAX);
         let sent = entries.len() as u64;
         self.send_append(member, previous_index, term, entries);
         if let Some(progress) = self.progress.get_mut(&member) {
@@ -140,10 +138,7 @@
         let Some(progress) = self.progress.get_mut(&member) else {
             return;
         };
-        if progress
-            .snapshot_sent_ms
-            .is_some_and(|it| it + retry_ms > now_ms)
-        {
+        if progress.snapshot_sent_ms.is_some_and(|it| it + retry_ms > now_ms) {
             return;
         }
         progress.snapshot_sent_ms = Some(now_ms);
@@ -182,16 +177,7 @@
     }
 
     pub(super) fn advance_commit(&mut self) {
-        let mut matches = Vec::new();
-        for voter in self.members().voters.keys() {
-            match self.progress.get(voter) {
-                Some(progress) => matches.push(progress.match_index),
-                None if *voter == self.member => matches.push(self.durable_index),
-                None => matches.push(0),
-            }
-        }
-        matches.sort_unstable();
-        let index = matches[matches.len() - self.members().majority()];
+        let index = self.reached_by_majority(|it| it.match_index, self.durable_index);
         // Only an entry of the own term commits by counting; it carries the earlier ones with it.
         if index > self.commit_index && self.log.term_at(index) == Some(self.hard_state.term) {
             self.commit_index = index;
@@ -216,31 +202,30 @@
         if self.pending_reads.is_empty() || !self.has_committed_in_term() {
             return;
         }
-        let round = self.quorum_round();
+        let round = self.reached_by_majority(|it| it.acked_round, self.round);
         let commit_index = self.commit_index;
         for read in &mut self.pending_reads {
             read.index = read.index.max(commit_index);
         }
-        let (done, waiting) = self
-            .pending_reads
-            .drain(..)
-            .partition(|it| it.round <= round);
+        let (done, waiting) = self.pending_reads.drain(..).partition(|it| it.round <= round);
         self.pending_reads = waiting;
         for read in done {
             self.output.confirmed_reads.push((read.ticket, read.index));
         }
     }
 
-    fn quorum_round(&self) -> u64 {
-        let mut rounds = Vec::new();
-        for voter in self.members().voters.keys() {
+    /// Highest value that a majority of the voters has reached, given each other voter's and the own one.
+    fn reached_by_majority(&self, value_of: impl Fn(&Progress) -> u64, own: u64) -> u64 {
+        let members = self.members();
+        let mut values = Vec::new();
+        for voter in members.voters.keys() {
             match self.progress.get(voter) {
-                Some(progress) => rounds.push(progress.acked_round),
-                None if *voter == self.member => rounds.push(self.round),
-                None => rounds.push(0),
+                Some(progress) => values.push(value_of(progress)),
+                None if *voter == self.member => values.push(own),
+                None => values.push(0),
             }
         }
-        rounds.sort_unstable();
-        rounds[rounds.len() - self.members().majority()]
+        values.sort_unstable();
+        values[values.len() - members.majority()]
     }
 }
--- a/crates/bilberryloft-coordination/src/raft/log.rs
+++ b/crates/bilberryloft-coordination/src/raft/log.rs
@@ -24,18 +24,8 @@
         entries: Vec<LogEntry>,
     ) -> Log {
         let names_members = |it: &&LogEntry| matches!(it.payload, Payload::Members(_));
-        let member_indexes = entries
-            .iter()
-            .filter(names_members)
-            .map(|it| it.index)
-            .collect();
-        Log {
-            snapshot_index,
-            snapshot_term,
-            snapshot_members: members,
-            entries,
-            member_indexes,
-        }
+        let member_indexes = entries.iter().filter(names_members).map(|it| it.index).collect();
+        Log { snapshot_index, snapshot_term, snapshot_members: members, entries, member_indexes }
     }
 
     /// Index of the last entry covered by the snapshot.
@@ -109,11 +99,7 @@
     pub fn members_up_to(&self, index: u64) -> (&MemberSet, u64) {
         let latest = self.member_indexes.iter().rev().find(|it| **it <= index);
         match latest.and_then(|it| self.entry(*it)) {
-            Some(LogEntry {
-                payload: Payload::Members(members),
-                index,
-                ..
-            }) => (members, *index),
+            Some(LogEntry { payload: Payload::Members(members), index, .. }) => (members, *index),
             Some(_) | None => (&self.snapshot_members, self.snapshot_index),
         }
     }
--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -267,11 +267,8 @@
 
     fn propose_payload(&mut self, payload: Payload) -> Result<(u64, u64), NotLeader> {
         self.check_leads()?;
-        let entry = LogEntry {
-            term: self.hard_state.term,
-            index: self.log.last_index() + 1,
-            payload,
-        };
+        let entry =
+            LogEntry { term: self.hard_state.term, index: self.log.last_index() + 1, payload };
         let position = (entry.term, entry.index);
         self.append_entry(entry);
         Ok(position)
@@ -280,9 +277,9 @@
     fn check_leads(&self) -> Result<(), NotLeader> {
         match self.role {
             Role::Leader => Ok(()),
-            Role::Follower | Role::PreCandidate | Role::Candidate => Err(NotLeader {
-                leader: self.leader,
-            }),
+            Role::Follower | Role::PreCandidate | Role::Candidate => {
+                Err(NotLeader { leader: self.leader })
+            }
         }
     }
 
@@ -290,16 +287,10 @@
     pub fn read(&mut self, ticket: ReadTicket) -> Result<(), NotLeader> {
         self.check_leads()?;
         if !self.options.confirm_reads {
-            self.output
-                .confirmed_reads
-                .push((ticket, self.commit_index));
+            self.output.confirmed_reads.push((ticket, self.commit_index));
             return Ok(());
         }
-        self.pending_reads.push(PendingRead {
-            ticket,
-            round: self.round + 1,
-            index: 0,
-        });
+        self.pending_reads.push(PendingRead { ticket, round: self.round + 1, index: 0 });
         Ok(())
     }
 
@@ -377,9 +368,7 @@
     }
 
     pub(super) fn save_hard_state(&mut self) {
-        self.output
-            .records
-            .push(WalRecord::HardState(self.hard_state));
+        self.output.records.push(WalRecord::HardState(self.hard_state));
     }
 
     pub(super) fn send_now(&mut self, to: u32, message: Message) {
@@ -407,9 +396,8 @@
 
     pub(super) fn hears_a_leader(&self) -> bool {
         let led = self.role == Role::Leader;
-        let heard = self
-            .leader_heard_ms
-            .is_some_and(|it| it + self.options.election_ms > self.now_ms);
+        let heard =
+            self.leader_heard_ms.is_some_and(|it| it + self.options.election_ms > self.now_ms);
         self.options.pre_vote && (led || (self.leader.is_some() && heard))
     }
 
--- a/crates/bilberryloft-coordination/tests/decisions.rs
+++ b/crates/bilberryloft-coordination/tests/decisions.rs
@@ -45,10 +45,7 @@
     for (team, weight, work_tokens) in asks_of_team {
         for _ in 0..rounds {
             id += 1;
-            let ask = Ask {
-                weight: *weight,
-                ..ask(id, team, *work_tokens)
-            };
+            let ask = Ask { weight: *weight, ..ask(id, team, *work_tokens) };
             asks.insert(id, ask.clone());
             admission.ask(ask);
         }
@@ -81,10 +78,7 @@
 fn admission_puts_urgent_first_and_starves_nobody() {
     let mut admission = Admission::new(1, 10_000);
     admission.ask(ask(0, "running", 100));
-    admission.ask(Ask {
-        priority: 9,
-        ..ask(1, "patient", 100)
-    });
+    admission.ask(Ask { priority: 9, ..ask(1, "patient", 100) });
     for id in 2..1_000 {
         admission.ask(ask(id, "urgent", 100));
     }
@@ -96,10 +90,7 @@
     }
     let place = order.iter().position(|it| *it == 1).unwrap();
     assert!(place > 10, "the urgent team goes first");
-    assert!(
-        place < 300,
-        "the patient one is served while urgent work still waits: {place}"
-    );
+    assert!(place < 300, "the patient one is served while urgent work still waits: {place}");
 }
 
 #[test]
@@ -109,10 +100,7 @@
         admission.ask(ask(id, "flood", 100));
     }
     assert_eq!(admission.ask(ask(20, "flood", 100)), Verdict::Busy);
-    assert_eq!(
-        admission.ask(ask(21, "quiet", 100)),
-        Verdict::Wait { evicted: Some(10) }
-    );
+    assert_eq!(admission.ask(ask(21, "quiet", 100)), Verdict::Wait { evicted: Some(10) });
 }
 
 #[test]
@@ -122,16 +110,9 @@
     admission.ask(ask(1, "a", 100));
     assert_eq!(admission.finish(0, 10_000).start, [1]);
     // A token takes 10 ms by now: half of what runs and all of its own make 1.5 s.
-    let late = Ask {
-        deadline_ms: 11_400,
-        arrived_ms: 10_000,
-        ..ask(2, "a", 100)
-    };
+    let late = Ask { deadline_ms: 11_400, arrived_ms: 10_000, ..ask(2, "a", 100) };
     assert_eq!(admission.ask(late.clone()), Verdict::TooLate);
-    let in_time = Ask {
-        deadline_ms: 11_600,
-        ..late
-    };
+    let in_time = Ask { deadline_ms: 11_600, ..late };
     assert_eq!(admission.ask(in_time), Verdict::Wait { evicted: None });
 }
 
@@ -139,10 +120,7 @@
 fn admission_drops_what_has_become_too_late_while_it_waited() {
     let mut admission = Admission::new(1, 10);
     admission.ask(ask(0, "a", 100));
-    admission.ask(Ask {
-        deadline_ms: 10_500,
-        ..ask(1, "a", 100)
-    });
+    admission.ask(Ask { deadline_ms: 10_500, ..ask(1, "a", 100) });
     admission.ask(ask(2, "a", 100));
     let next = admission.finish(0, 10_000);
     assert_eq!((next.start, next.late), (vec![2], vec![1]));
@@ -194,10 +172,7 @@
 fn admission_runs_a_suspect_alone() {
     let mut admission = Admission::new(3, 10);
     assert_eq!(admission.ask(ask(0, "a", 10)), Verdict::Run);
-    let suspect = Ask {
-        is_exclusive: true,
-        ..ask(1, "a", 10)
-    };
+    let suspect = Ask { is_exclusive: true, ..ask(1, "a", 10) };
     assert_eq!(admission.ask(suspect), Verdict::Wait { evicted: None });
     assert_eq!(
         admission.ask(ask(2, "a", 10)),
@@ -205,10 +180,7 @@
         "nobody overtakes it for ever"
     );
     assert_eq!(admission.finish(0, 0).start, [1]);
-    assert_eq!(
-        admission.ask(ask(3, "b", 10)),
-        Verdict::Wait { evicted: None }
-    );
+    assert_eq!(admission.ask(ask(3, "b", 10)), Verdict::Wait { evicted: None });
     assert_eq!(admission.running(), 1);
     assert_eq!(admission.finish(1, 0).start.len(), 2);
 }
@@ -217,10 +189,7 @@
 fn admission_goes_on_when_a_waiting_suspect_is_withdrawn() {
     let mut admission = Admission::new(3, 10);
     admission.ask(ask(0, "a", 10));
-    admission.ask(Ask {
-        is_exclusive: true,
-        ..ask(1, "a", 10)
-    });
+    admission.ask(Ask { is_exclusive: true, ..ask(1, "a", 10) });
     admission.ask(ask(2, "a", 10));
     assert!(admission.withdraw(1));
     assert_eq!(admission.start_waiting(0).start, [2]);
@@ -230,15 +199,9 @@
 fn attempt_starts_once() {
     let mut table = AttemptTable::new(5);
     assert_eq!(table.begin("e-1-1", 1, 5), Begin::Start);
-    assert_eq!(
-        table.begin("e-1-1", 1, 5),
-        Begin::Duplicate(AttemptState::Running)
-    );
+    assert_eq!(table.begin("e-1-1", 1, 5), Begin::Duplicate(AttemptState::Running));
     table.end("e-1-1", 1, AttemptState::Finished, 0);
-    assert_eq!(
-        table.begin("e-1-1", 1, 5),
-        Begin::Duplicate(AttemptState::Finished)
-    );
+    assert_eq!(table.begin("e-1-1", 1, 5), Begin::Duplicate(AttemptState::Finished));
     assert_eq!(table.begin("e-1-1", 2, 5), Begin::Start);
 }
 
@@ -275,11 +238,7 @@
     assert_eq!(table.len(), 1, "the older one is forgotten");
     assert_eq!(table.begin("e-1-10", 1, 5), Begin::Forgotten);
     assert_eq!(table.begin("e-1-12", 1, 5), Begin::Start);
-    assert_eq!(
-        table.begin("f-1-3", 1, 5),
-        Begin::Start,
-        "another entry's numbers are its own"
-    );
+    assert_eq!(table.begin("f-1-3", 1, 5), Begin::Start, "another entry's numbers are its own");
 }
 
 fn failure(run: RunState, idempotent: bool) -> Failure {
@@ -300,14 +259,8 @@
         decide_next_step(failure(RunState::NotRun, false), &mut budget),
         NextStep::TryElsewhere
     );
-    assert_eq!(
-        decide_next_step(failure(RunState::Unknown, false), &mut budget),
-        NextStep::GiveUp
-    );
-    assert_eq!(
-        decide_next_step(failure(RunState::Ran, false), &mut budget),
-        NextStep::GiveUp
-    );
+    assert_eq!(decide_next_step(failure(RunState::Unknown, false), &mut budget), NextStep::GiveUp);
+    assert_eq!(decide_next_step(failure(RunState::Ran, false), &mut budget), NextStep::GiveUp);
     assert_eq!(
         decide_next_step(failure(RunState::Unknown, true), &mut budget),
         NextStep::TryElsewhere
@@ -316,14 +269,8 @@
 
 #[test]
 fn retry_after_the_answer_began_is_never_made() {
-    let begun = Failure {
-        answer_started: true,
-        ..failure(RunState::Ran, true)
-    };
-    assert_eq!(
-        decide_next_step(begun, &mut RetryBudget::default()),
-        NextStep::GiveUp
-    );
+    let begun = Failure { answer_started: true, ..failure(RunState::Ran, true) };
+    assert_eq!(decide_next_step(begun, &mut RetryBudget::default()), NextStep::GiveUp);
 }
 
 #[test]
@@ -348,19 +295,13 @@
     assert!(freshness.may_serve(1_100));
     assert!(!freshness.may_serve(1_101));
     freshness.confirm(50);
-    assert!(
-        !freshness.may_serve(1_101),
-        "a late answer to an old question proves nothing"
-    );
+    assert!(!freshness.may_serve(1_101), "a late answer to an old question proves nothing");
 }
 
 #[test]
 fn freshness_can_be_told_to_serve_on() {
     let mut freshness = Freshness::new(1_000, OnLostControl::Serve);
-    assert!(
-        !freshness.may_serve(0),
-        "without any configuration there is nothing to serve on"
-    );
+    assert!(!freshness.may_serve(0), "without any configuration there is nothing to serve on");
     freshness.confirm(0);
     assert!(freshness.may_serve(1_000_000));
 }
@@ -391,8 +332,5 @@
     let mut leases = LeaseTable::new(1_000);
     leases.start_term([("a".to_string(), 1)], 50_000);
     assert!(leases.take_expired(50_500).is_empty());
-    assert!(
-        !leases.renew("a", 0, 50_600),
-        "an earlier life renews nothing"
-    );
+    assert!(!leases.renew("a", 0, 50_600), "an earlier life renews nothing");
 }
--- a/crates/bilberryloft-coordination/tests/expert_map.rs
+++ b/crates/bilberryloft-coordination/tests/expert_map.rs
@@ -82,8 +82,7 @@
     fn start_planner(&mut self) {
         let token = self.register.next_token();
         let version = self.register.last_version() + 1;
-        self.planners
-            .insert(token, SwitchPlanner::new(version, token, RANKS, 3));
+        self.planners.insert(token, SwitchPlanner::new(version, token, RANKS, 3));
         if self.planners.len() > 2 {
             self.planners.pop_first();
         }
@@ -159,11 +158,7 @@
         self.incarnation += 1;
         let next_step = self.ranks[rank].next_step();
         let mut scratch = self.register.clone();
-        let register = if self.restarts_settle {
-            &mut self.register
-        } else {
-            &mut scratch
-        };
+        let register = if self.restarts_settle { &mut self.register } else { &mut scratch };
         self.ranks[rank] =
             RankSwitch::restart(self.incarnation, next_step, register.settle(next_step));
     }
@@ -211,10 +206,7 @@
         assert_eq!(violation, None, "seed {seed}");
         maps += count;
     }
-    assert!(
-        maps as u64 > 2 * SEEDS,
-        "too few maps came into force to prove anything: {maps}"
-    );
+    assert!(maps as u64 > 2 * SEEDS, "too few maps came into force to prove anything: {maps}");
 }
 
 #[test]
@@ -228,9 +220,7 @@
 }
 
 fn zipf(experts: usize, exponent: f64) -> Vec<f64> {
-    let weights: Vec<f64> = (1..=experts)
-        .map(|it| 1.0 / (it as f64).powf(exponent))
-        .collect();
+    let weights: Vec<f64> = (1..=experts).map(|it| 1.0 / (it as f64).powf(exponent)).collect();
     let total: f64 = weights.iter().sum();
     weights.iter().map(|it| it / total).collect()
 }
@@ -238,38 +228,10 @@
 #[test]
 fn pack_reaches_what_replication_allows() {
     let cases = [
-        (
-            Shape {
-                experts: 256,
-                ranks: 32,
-                slots: 8,
-            },
-            5.37,
-        ),
-        (
-            Shape {
-                experts: 256,
-                ranks: 32,
-                slots: 9,
-            },
-            1.008,
-        ),
-        (
-            Shape {
-                experts: 64,
-                ranks: 8,
-                slots: 8,
-            },
-            1.88,
-        ),
-        (
-            Shape {
-                experts: 64,
-                ranks: 8,
-                slots: 9,
-            },
-            1.001,
-        ),
+        (Shape { experts: 256, ranks: 32, slots: 8 }, 5.37),
+        (Shape { experts: 256, ranks: 32, slots: 9 }, 1.008),
+        (Shape { experts: 64, ranks: 8, slots: 8 }, 1.88),
+        (Shape { experts: 64, ranks: 8, slots: 9 }, 1.001),
     ];
     for (shape, expected) in cases {
         let popularity = zipf(shape.experts, 1.0);
@@ -280,11 +242,7 @@
 
 #[test]
 fn align_keeps_a_map_and_only_renames_ranks() {
-    let shape = Shape {
-        experts: 64,
-        ranks: 8,
-        slots: 9,
-    };
+    let shape = Shape { experts: 64, ranks: 8, slots: 9 };
     let popularity = zipf(64, 1.0);
     let map = pack(shape, &popularity);
     let mut slots: Vec<u16> = (0..8).rev().flat_map(|it| map.rank(it).to_vec()).collect();
@@ -294,11 +252,7 @@
 
 #[test]
 fn plan_moves_little_and_evens_out() {
-    let shape = Shape {
-        experts: 256,
-        ranks: 32,
-        slots: 9,
-    };
+    let shape = Shape { experts: 256, ranks: 32, slots: 9 };
     let popularity = zipf(256, 1.0);
     let current = Placement::in_order(shape);
     let costs = Costs::of(Preset::Skew, 50.0, 30.0);
@@ -313,17 +267,10 @@
 
 #[test]
 fn plan_that_costs_more_than_it_saves_is_not_made() {
-    let shape = Shape {
-        experts: 64,
-        ranks: 8,
-        slots: 9,
-    };
+    let shape = Shape { experts: 64, ranks: 8, slots: 9 };
     let popularity = zipf(64, 1.0);
     let cheap = Costs::of(Preset::Skew, 50.0, 30.0);
-    let dear = Costs {
-        load_ms: 1e9,
-        ..cheap
-    };
+    let dear = Costs { load_ms: 1e9, ..cheap };
     let current = Placement::in_order(shape);
     assert!(plan_moves(&current, &popularity, &cheap).is_some());
     assert!(plan_moves(&current, &popularity, &dear).is_none());
--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -15,14 +15,8 @@
 
 /// Term of the leader after a member was cut off for long and came back.
 fn term_after_isolation(pre_vote: bool) -> (u64, u64) {
-    let options = Options {
-        pre_vote,
-        ..World::default().options
-    };
-    let mut cluster = started(World {
-        options,
-        ..World::default()
-    });
+    let options = Options { pre_vote, ..World::default().options };
+    let mut cluster = started(World { options, ..World::default() });
     let leader = cluster.leader().unwrap();
     let other = 1 + leader % 3;
     let before = cluster.raft(leader).unwrap().term();
--- a/crates/bilberryloft-coordination/tests/raft_random.rs
+++ b/crates/bilberryloft-coordination/tests/raft_random.rs
@@ -100,10 +100,7 @@
 }
 
 fn seed_count() -> u64 {
-    std::env::var("BILBERRYLOFT_SEEDS")
-        .ok()
-        .and_then(|it| it.parse().ok())
-        .unwrap_or(SEEDS)
+    std::env::var("BILBERRYLOFT_SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(SEEDS)
 }
 
 /// Tries seeds until one breaks a promise.
@@ -125,51 +122,24 @@
         commits as u64 > 5 * seed_count(),
         "the runs commit too little to prove anything: {commits}"
     );
-    assert!(
-        reads > seed_count() / 2,
-        "the runs read too little to prove anything: {reads}"
-    );
+    assert!(reads > seed_count() / 2, "the runs read too little to prove anything: {reads}");
 }
 
 #[test]
 fn quorum_without_sync_is_caught() {
-    let world = World {
-        skips_sync: true,
-        ..World::default()
-    };
+    let world = World { skips_sync: true, ..World::default() };
     assert!(find_violation(world, 3_000).is_some());
 }
 
 #[test]
 fn quorum_with_unconfirmed_reads_is_caught() {
-    let options = Options {
-        confirm_reads: false,
-        ..World::default().options
-    };
-    assert!(
-        find_violation(
-            World {
-                options,
-                ..World::default()
-            },
-            3_000
-        )
-        .is_some()
-    );
+    let options = Options { confirm_reads: false, ..World::default().options };
+    assert!(find_violation(World { options, ..World::default() }, 3_000).is_some());
 }
 
 #[test]
 fn quorum_without_abstention_is_caught() {
-    let options = Options {
-        abstain_when_empty: false,
-        ..World::default().options
-    };
-    let violation = find_violation(
-        World {
-            options,
-            ..World::default()
-        },
-        20_000,
-    );
+    let options = Options { abstain_when_empty: false, ..World::default().options };
+    let violation = find_violation(World { options, ..World::default() }, 20_000);
     assert!(violation.is_some());
 }
--- a/crates/bilberryloft-coordination/tests/support/mod.rs
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! A quorum in one process with a network and disks that misbehave, and checks of what must always hold.
 #![allow(clippy::unwrap_used, dead_code)]
 
+mod checks;
+mod disk;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -12,11 +15,11 @@
 use bilberryloft_coordination::raft::Start;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::snapshot::Snapshot;
-use bilberryloft_state::wal::HardState;
-use bilberryloft_state::wal::LogEntry;
 use bilberryloft_state::wal::Payload;
 use bilberryloft_state::wal::WalRecord;
 
+use disk::Disk;
+
 /// How the world around the quorum is built.
 #[derive(Clone, Copy, Debug)]
 pub struct World {
@@ -32,50 +35,14 @@
 
 impl Default for World {
     fn default() -> Self {
-        let options = Options {
-            heartbeat_ms: 20,
-            election_ms: 100,
-            ..Options::default()
-        };
-        World {
-            members: 3,
-            options,
-            skips_sync: false,
-            loses_disks: true,
-        }
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct Disk {
-    hard_state: HardState,
-    may_vote: bool,
-    snapshot: Option<Snapshot>,
-    entries: Vec<LogEntry>,
-}
-
-impl Disk {
-    fn write(&mut self, record: &WalRecord) {
-        match record {
-            WalRecord::HardState(state) => self.hard_state = *state,
-            WalRecord::Entry(entry) => self.entries.push(entry.clone()),
-            WalRecord::Truncate { from_index } => self.entries.retain(|it| it.index < *from_index),
-            WalRecord::MayVote => self.may_vote = true,
-        }
+        let options = Options { heartbeat_ms: 20, election_ms: 100, ..Options::default() };
+        World { members: 3, options, skips_sync: false, loses_disks: true }
     }
 }
 
 enum Job {
-    Append {
-        number: u64,
-        records: Vec<WalRecord>,
-        messages: Vec<Outbound>,
-    },
-    Replace {
-        number: u64,
-        disk: Disk,
-        messages: Vec<Outbound>,
-    },
+    Append { number: u64, records: Vec<WalRecord>, messages: Vec<Outbound> },
+    Replace { number: u64, disk: Disk, messages: Vec<Outbound> },
 }
 
 struct Member {
@@ -126,13 +93,8 @@
         };
         for member in 1..=world.members {
             let disk = Disk::default();
-            let state = Member {
-                raft: None,
-                disk,
-                jobs: Vec::new(),
-                applied_index: 0,
-                clock_skew_ms: 0,
-            };
+            let state =
+                Member { raft: None, disk, jobs: Vec::new(), applied_index: 0, clock_skew_ms: 0 };
             cluster.members.insert(member, state);
             cluster.start(member);
         }
@@ -141,9 +103,7 @@
 
     fn first_members(&self) -> MemberSet {
         MemberSet::of_voters(
-            (1..=self.world.members)
-                .map(|it| (it, format!("member-{it}")))
-                .collect(),
+            (1..=self.world.members).map(|it| (it, format!("member-{it}"))).collect(),
         )
     }
 
@@ -182,13 +142,9 @@
 
     /// Ends a member and empties its disk, unless another one has not recovered from that yet.
     pub fn lose_disk(&mut self, member: u32) {
-        let has_recovered = self
-            .lost_disk
-            .is_none_or(|it| self.members[&it].disk.may_vote);
-        let all_others_have = self
-            .members
-            .iter()
-            .all(|(it, state)| *it == member || state.disk.may_vote);
+        let has_recovered = self.lost_disk.is_none_or(|it| self.members[&it].disk.may_vote);
+        let all_others_have =
+            self.members.iter().all(|(it, state)| *it == member || state.disk.may_vote);
         if !self.world.loses_disks || !has_recovered || !all_others_have {
             return;
         }
@@ -231,20 +187,11 @@
     }
 
     fn running(&self) -> Vec<u32> {
-        self.members
-            .iter()
-            .filter(|(_, it)| it.raft.is_some())
-            .map(|(it, _)| *it)
-            .collect()
+        self.members.iter().filter(|(_, it)| it.raft.is_some()).map(|(it, _)| *it).collect()
     }
 
     fn raft_mut(&mut self, member: u32) -> &mut Raft {
-        self.members
-            .get_mut(&member)
-            .unwrap()
-            .raft
-            .as_mut()
-            .unwrap()
+        self.members.get_mut(&member).unwrap().raft.as_mut().unwrap()
     }
 
     pub fn raft(&self, member: u32) -> Option<&Raft> {
@@ -252,16 +199,9 @@
     }
 
     pub fn leader(&self) -> Option<u32> {
-        let leads = |it: &&u32| {
-            self.raft(**it)
-                .is_some_and(|raft| raft.role() == Role::Leader)
-        };
+        let leads = |it: &&u32| self.raft(**it).is_some_and(|raft| raft.role() == Role::Leader);
         let running = self.running();
-        running
-            .iter()
-            .filter(leads)
-            .max_by_key(|it| self.raft(**it).unwrap().term())
-            .copied()
+        running.iter().filter(leads).max_by_key(|it| self.raft(**it).unwrap().term()).copied()
     }
 
     pub fn propose(&mut self, member: u32) -> bool {
@@ -281,10 +221,7 @@
         }
         self.next_ticket += 1;
         let ticket = self.next_ticket;
-        let committed = self
-            .committed
-            .last_key_value()
-            .map_or(0, |(index, _)| *index);
+        let committed = self.committed.last_key_value().map_or(0, |(index, _)| *index);
         if self.raft_mut(member).read(ticket).is_ok() {
             self.reads.insert(ticket, committed);
         }
@@ -300,13 +237,8 @@
     /// Adds a member with an empty disk that does not know any members yet.
     pub fn add_empty_member(&mut self, member: u32) {
         let disk = Disk::default();
-        let state = Member {
-            raft: None,
-            disk,
-            jobs: Vec::new(),
-            applied_index: 0,
-            clock_skew_ms: 0,
-        };
+        let state =
+            Member { raft: None, disk, jobs: Vec::new(), applied_index: 0, clock_skew_ms: 0 };
         self.members.insert(member, state);
         self.start(member);
     }
@@ -337,10 +269,7 @@
 
     fn arrive(&mut self, from: u32, outbound: Outbound) {
         let is_cut = self.cut.contains(&(from, outbound.to));
-        let runs = self
-            .members
-            .get(&outbound.to)
-            .is_some_and(|it| it.raft.is_some());
+        let runs = self.members.get(&outbound.to).is_some_and(|it| it.raft.is_some());
         if is_cut || !runs {
             return;
         }
@@ -356,19 +285,11 @@
             return;
         }
         let (number, messages) = match state.jobs.remove(0) {
-            Job::Append {
-                number,
-                records,
-                messages,
-            } => {
+            Job::Append { number, records, messages } => {
                 records.iter().for_each(|it| state.disk.write(it));
                 (number, messages)
             }
-            Job::Replace {
-                number,
-                disk,
-                messages,
-            } => {
+            Job::Replace { number, disk, messages } => {
                 state.disk = disk;
                 (number, messages)
             }
@@ -377,8 +298,7 @@
     }
 
     fn report_durable(&mut self, member: u32, number: u64, messages: Vec<Outbound>) {
-        self.network
-            .extend(messages.into_iter().map(|it| (member, it)));
+        self.network.extend(messages.into_iter().map(|it| (member, it)));
         if number > 0 {
             self.raft_mut(member).persisted(number);
             self.collect(member);
@@ -413,8 +333,7 @@
                     messages: output.after_sync,
                 },
             };
-            self.network
-                .extend(output.now.into_iter().map(|it| (member, it)));
+            self.network.extend(output.now.into_iter().map(|it| (member, it)));
             for entry in output.committed {
                 self.check_applied(member, entry);
             }
@@ -433,91 +352,18 @@
         let skips_sync = self.world.skips_sync;
         let state = self.members.get_mut(&member).unwrap();
         match job {
-            Job::Append {
-                number,
-                records,
-                messages,
-            } if skips_sync => {
+            Job::Append { number, records, messages } if skips_sync => {
                 // The records wait in memory while the world is told that they are durable.
-                state.jobs.push(Job::Append {
-                    number: 0,
-                    records,
-                    messages: Vec::new(),
-                });
+                state.jobs.push(Job::Append { number: 0, records, messages: Vec::new() });
                 self.report_durable(member, number, messages);
             }
-            Job::Append {
-                number: 0,
-                messages,
-                ..
-            } if state.jobs.is_empty() => {
-                self.network
-                    .extend(messages.into_iter().map(|it| (member, it)));
+            Job::Append { number: 0, messages, .. } if state.jobs.is_empty() => {
+                self.network.extend(messages.into_iter().map(|it| (member, it)));
             }
             job => state.jobs.push(job),
         }
     }
 
-    fn check_leader(&mut self, member: u32) {
-        let raft = self.members[&member].raft.as_ref().unwrap();
-        if raft.role() != Role::Leader {
-            return;
-        }
-        let term = raft.term();
-        let first = *self.leaders.entry(term).or_insert(member);
-        if first != member {
-            self.violate(format!(
-                "members {first} and {member} both lead term {term}"
-            ));
-        }
-    }
-
-    fn check_applied(&mut self, member: u32, entry: LogEntry) {
-        let state = self.members.get_mut(&member).unwrap();
-        let expected = state.applied_index + 1;
-        state.applied_index = entry.index;
-        if entry.index != expected {
-            self.violate(format!(
-                "member {member} applied {} where {expected} was due",
-                entry.index
-            ));
-        }
-        let value = (entry.term, entry.payload);
-        match self.committed.get(&entry.index) {
-            Some(first) if *first != value => {
-                self.violate(format!(
-                    "entry {} was committed twice with different content",
-                    entry.index
-                ));
-            }
-            Some(_) => {}
-            None => drop(self.committed.insert(entry.index, value)),
-        }
-    }
-
-    fn check_install(&mut self, member: u32, snapshot: &Snapshot) {
-        self.members.get_mut(&member).unwrap().applied_index = snapshot.last_index;
-        match self.committed.get(&snapshot.last_index) {
-            Some((term, _)) if *term == snapshot.last_term => {}
-            _ => self.violate(format!(
-                "a snapshot ends at {}, which was not committed so",
-                snapshot.last_index
-            )),
-        }
-    }
-
-    fn check_read(&mut self, ticket: u64, index: u64) {
-        let Some(committed) = self.reads.remove(&ticket) else {
-            return;
-        };
-        self.reads_done += 1;
-        if index < committed {
-            self.violate(format!(
-                "a read saw {index} though {committed} had been committed before it"
-            ));
-        }
-    }
-
     /// Replaces a member's applied entries by a snapshot.
     pub fn compact(&mut self, member: u32) {
         let state = self.members.get_mut(&member).unwrap();
@@ -541,11 +387,7 @@
             entries: raft.log().entries().to_vec(),
             snapshot: Some(snapshot),
         };
-        state.jobs.push(Job::Replace {
-            number: 0,
-            disk,
-            messages: Vec::new(),
-        });
+        state.jobs.push(Job::Replace { number: 0, disk, messages: Vec::new() });
     }
 
     /// Lets a quiet time pass in which everything is delivered and synced.
@@ -571,33 +413,6 @@
         self.committed.len()
     }
 
-    /// Checks that a healed quorum makes progress and that no committed entry is missing anywhere.
-    pub fn check_recovery(&mut self) {
-        self.heal();
-        for member in 1..=self.world.members {
-            self.start(member);
-        }
-        self.settle(6_000);
-        let Some(leader) = self.leader() else {
-            return self.violate("no leader after healing".to_string());
-        };
-        let before = self.committed_count();
-        self.propose(leader);
-        self.settle(500);
-        if self.committed_count() <= before {
-            self.violate("a proposal is not committed after healing".to_string());
-        }
-        let last = *self.committed.last_key_value().unwrap().0;
-        for member in 1..=self.world.members {
-            let applied = self.members[&member].applied_index;
-            if applied != last {
-                self.violate(format!(
-                    "member {member} has applied {applied} of {last} after healing"
-                ));
-            }
-        }
-    }
-
     /// Messages on their way.
     pub fn in_flight(&self) -> usize {
         self.network.len()
--- a/crates/bilberryloft-daemon/src/admin/explain.rs
+++ b/crates/bilberryloft-daemon/src/admin/explain.rs
@@ -21,19 +21,13 @@
     let mut records = shared.local_records(request_id);
     let mut unreachable = Vec::new();
     for client in shared.control.clients() {
-        take(
-            ask(client.clone(), request_id).await,
-            &mut records,
-            &mut unreachable,
-        );
+        take(ask(client.clone(), request_id).await, &mut records, &mut unreachable);
     }
     if records.is_empty() {
         let agents: Vec<Client> = {
             let membership = shared.view.membership();
-            let addresses = membership
-                .targets()
-                .values()
-                .map(|it| it.description.agent_address.clone());
+            let addresses =
+                membership.targets().values().map(|it| it.description.agent_address.clone());
             addresses
                 .map(|it| Client::new(it, &shared.settings.daemon, shared.incarnation))
                 .collect()
@@ -47,11 +41,7 @@
     }
     records.sort_by_key(|it| (it.at_ms, it.attempt));
     records.dedup();
-    Explanation {
-        request_id: request_id.to_string(),
-        records,
-        unreachable,
-    }
+    Explanation { request_id: request_id.to_string(), records, unreachable }
 }
 
 type Answer = Result<Vec<Vec<u8>>, String>;
@@ -67,11 +57,9 @@
 
 fn take(answer: Answer, records: &mut Vec<DecisionRecord>, unreachable: &mut Vec<String>) {
     match answer {
-        Ok(encoded) => records.extend(
-            encoded
-                .iter()
-                .filter_map(|it| serde_json::from_slice(it).ok()),
-        ),
+        Ok(encoded) => {
+            records.extend(encoded.iter().filter_map(|it| serde_json::from_slice(it).ok()))
+        }
         Err(error) => unreachable.push(error),
     }
 }
--- a/crates/bilberryloft-daemon/src/admin/mod.rs
+++ b/crates/bilberryloft-daemon/src/admin/mod.rs
@@ -47,9 +47,8 @@
 /// Listens for operators on the current runtime.
 pub async fn serve_admin(shared: Arc<Shared>, control: Option<Arc<ControlService>>) -> Result<()> {
     let address = shared.settings.admin_address.clone();
-    let listener = TcpListener::bind(&address)
-        .await
-        .map_err(|it| Error::network("listen", &address, it))?;
+    let listener =
+        TcpListener::bind(&address).await.map_err(|it| Error::network("listen", &address, it))?;
     let router = Router::new()
         .route("/livez", get(|| async { "ok\n" }))
         .route("/readyz", get(readyz))
@@ -77,21 +76,13 @@
 
 async fn metrics(State(admin): State<Admin>) -> String {
     let version = admin.shared.view.configuration().version();
-    admin
-        .shared
-        .metrics
-        .configuration_version
-        .set(version as i64);
+    admin.shared.metrics.configuration_version.set(version as i64);
     admin.shared.metrics.render()
 }
 
 async fn status(State(admin): State<Admin>) -> Json<DaemonStatus> {
     let quorum = admin.control.as_ref().map(|it| it.node().status());
-    let watchers = admin
-        .control
-        .as_ref()
-        .map(|it| it.watcher_rows())
-        .unwrap_or_default();
+    let watchers = admin.control.as_ref().map(|it| it.watcher_rows()).unwrap_or_default();
     Json(admin.shared.status(quorum, watchers))
 }
 
@@ -99,9 +90,7 @@
 async fn fleet(State(admin): State<Admin>) -> Json<Vec<std::result::Result<DaemonStatus, String>>> {
     let mut rows = Vec::new();
     for client in admin.shared.control.clients() {
-        let answer = client
-            .call(Body::Status(wire::Status::new()), STATUS_TIMEOUT)
-            .await;
+        let answer = client.call(Body::Status(wire::Status::new()), STATUS_TIMEOUT).await;
         let row = match answer {
             Ok(Body::StatusReply(reply)) => {
                 serde_json::from_slice(&reply.status).map_err(|it| it.to_string())
@@ -128,12 +117,7 @@
             "change_id: \"\" is empty, each change needs an id of its own",
         );
     }
-    match admin
-        .shared
-        .control
-        .propose(&Command::Change(request), CHANGE_LIMIT)
-        .await
-    {
+    match admin.shared.control.propose(&Command::Change(request), CHANGE_LIMIT).await {
         Ok(Outcome::Change(outcome)) => {
             let status = match outcome {
                 ChangeOutcome::Accepted { .. } => StatusCode::OK,
@@ -142,10 +126,7 @@
             };
             (status, Json(outcome)).into_response()
         }
-        Ok(other) => failure(
-            StatusCode::BAD_GATEWAY,
-            &format!("the quorum answered {other:?}"),
-        ),
+        Ok(other) => failure(StatusCode::BAD_GATEWAY, &format!("the quorum answered {other:?}")),
         Err(error) => {
             let text = format!(
                 "{error}; whether the change was accepted is unknown, send it again with the same id"
@@ -158,10 +139,7 @@
 async fn history(State(admin): State<Admin>) -> Json<History> {
     let configuration = admin.shared.view.configuration();
     let changes = configuration.history().iter().cloned().collect();
-    Json(History {
-        version: configuration.version(),
-        changes,
-    })
+    Json(History { version: configuration.version(), changes })
 }
 
 async fn teams(State(admin): State<Admin>) -> Json<TeamList> {
@@ -189,10 +167,7 @@
 async fn burn(State(admin): State<Admin>) -> Response {
     match &admin.shared.entry {
         Some(entry) => Json(entry.burn_report()).into_response(),
-        None => failure(
-            StatusCode::NOT_FOUND,
-            "this daemon is no entry; ask one for its report",
-        ),
+        None => failure(StatusCode::NOT_FOUND, "this daemon is no entry; ask one for its report"),
     }
 }
 
--- a/crates/bilberryloft-daemon/src/agent/announce.rs
+++ b/crates/bilberryloft-daemon/src/agent/announce.rs
@@ -36,11 +36,8 @@
             {
                 let _ = announce(&agent, target, false).await;
             }
-            let pause = if target.is_some() && agent.is_settled() {
-                RENEW_EVERY
-            } else {
-                LOOK_EVERY
-            };
+            let pause =
+                if target.is_some() && agent.is_settled() { RENEW_EVERY } else { LOOK_EVERY };
             announced = target;
             tokio::time::sleep(pause).await;
         }
@@ -51,17 +48,9 @@
 pub async fn announce(agent: &Agent, target: &Announcement, leaving: bool) -> Result<()> {
     let description = serde_json::to_vec(&agent.description(target)).unwrap_or_default();
     let incarnation = agent.incarnation() as i64;
-    let announce = Announce::new(
-        agent.settings.target.clone(),
-        incarnation,
-        description,
-        leaving,
-        false,
-    );
-    let answer = agent
-        .control
-        .call(Body::Announce(announce), ANNOUNCE_TIMEOUT)
-        .await?;
+    let announce =
+        Announce::new(agent.settings.target.clone(), incarnation, description, leaving, false);
+    let answer = agent.control.call(Body::Announce(announce), ANNOUNCE_TIMEOUT).await?;
     if let Body::AnnounceReply(reply) = answer {
         agent.settle(reply.known_incarnation as u64);
     }
--- a/crates/bilberryloft-daemon/src/agent/crash.rs
+++ b/crates/bilberryloft-daemon/src/agent/crash.rs
@@ -53,10 +53,7 @@
     }
 
     fn crash_since(&self, began_ms: u64) -> Option<Arc<CrashReport>> {
-        self.lock()
-            .crash
-            .clone()
-            .filter(|it| it.began_ms >= began_ms)
+        self.lock().crash.clone().filter(|it| it.began_ms >= began_ms)
     }
 
     async fn is_target_alive(&self) -> bool {
@@ -94,12 +91,7 @@
 
     async fn record(&self, report: &CrashReport) {
         let target = self.settings.target.clone();
-        log_event!(
-            error,
-            Event::TargetCrashed,
-            target,
-            in_flight = report.fingerprints.len()
-        );
+        log_event!(error, Event::TargetCrashed, target, in_flight = report.fingerprints.len());
         self.metrics.target_crashes.inc();
         let command = Command::ReportCrash {
             target,
--- a/crates/bilberryloft-daemon/src/agent/dispatch.rs
+++ b/crates/bilberryloft-daemon/src/agent/dispatch.rs
@@ -50,12 +50,9 @@
             dispatch.non_idempotent,
             self.settings.hold_max_bytes,
         ));
-        self.lock()
-            .held
-            .insert((request_id.clone(), attempt), held.clone());
+        self.lock().held.insert((request_id.clone(), attempt), held.clone());
         tokio::spawn(self.clone().carry(dispatch, due, held.clone()));
-        self.send_held(&request_id, attempt, &held, 0, &responder)
-            .await;
+        self.send_held(&request_id, attempt, &held, 0, &responder).await;
     }
 
     /// Brings an attempt through the queue and the target, whoever listens.
@@ -79,9 +76,7 @@
     fn begin(&self, dispatch: &Dispatch) -> Result<(), Refusal> {
         let incarnation = dispatch.agent_incarnation as u64;
         let begin =
-            self.lock()
-                .attempts
-                .begin(&dispatch.request_id, dispatch.attempt as u32, incarnation);
+            self.lock().attempts.begin(&dispatch.request_id, dispatch.attempt as u32, incarnation);
         match begin {
             Begin::Start => Ok(()),
             Begin::WrongIncarnation => Err(Refusal::not_run(
@@ -89,11 +84,9 @@
                 RETRY_AFTER_MIN_MS,
                 "the dispatch names another life of the agent",
             )),
-            Begin::Voided => Err(Refusal::not_run(
-                Reason::Voided,
-                0,
-                "the attempt was declared void",
-            )),
+            Begin::Voided => {
+                Err(Refusal::not_run(Reason::Voided, 0, "the attempt was declared void"))
+            }
             Begin::Duplicate(_) | Begin::Forgotten => Err(Refusal {
                 reason: Reason::Duplicate,
                 run: RunState::Unknown,
@@ -109,9 +102,7 @@
         let key = (dispatch.request_id.clone(), dispatch.attempt as u32);
         {
             let mut inner = self.lock();
-            inner
-                .attempts
-                .end(&key.0, key.1, AttemptState::NotStarted, now_ms);
+            inner.attempts.end(&key.0, key.1, AttemptState::NotStarted, now_ms);
             inner.held.remove(&key);
         }
         held.end(refusal.into_ending(), now_ms);
@@ -127,11 +118,7 @@
         self.check_configuration(dispatch).await?;
         let target = self.check_state(dispatch)?;
         let (id, granted) = self.ask_for_slot(dispatch, due)?;
-        let mut guard = QueueGuard {
-            agent: self,
-            id,
-            is_settled: false,
-        };
+        let mut guard = QueueGuard { agent: self, id, is_settled: false };
         let Some(granted) = granted else {
             guard.is_settled = true;
             return Ok(Slot { id, target });
@@ -165,46 +152,26 @@
         let own = self.view.configuration().version();
         if wanted < own {
             let detail = format!("the dispatch has configuration {wanted}, the agent has {own}");
-            return Err(Refusal::not_run(
-                Reason::ConfigurationStale,
-                RETRY_AFTER_MIN_MS,
-                detail,
-            ));
+            return Err(Refusal::not_run(Reason::ConfigurationStale, RETRY_AFTER_MIN_MS, detail));
         }
         if wanted > own && !self.view.wait_for_configuration(wanted, BEHIND_WAIT).await {
             let detail = format!("the agent has not reached configuration {wanted}");
-            return Err(Refusal::not_run(
-                Reason::ConfigurationBehind,
-                RETRY_AFTER_MIN_MS,
-                detail,
-            ));
+            return Err(Refusal::not_run(Reason::ConfigurationBehind, RETRY_AFTER_MIN_MS, detail));
         }
         Ok(())
     }
 
     fn check_state(&self, dispatch: &Dispatch) -> Result<Announcement, Refusal> {
         if self.is_stopping() {
-            return Err(Refusal::not_run(
-                Reason::Stopping,
-                RETRY_AFTER_MIN_MS,
-                "the agent stops",
-            ));
+            return Err(Refusal::not_run(Reason::Stopping, RETRY_AFTER_MIN_MS, "the agent stops"));
         }
         if !self.is_settled() {
             let detail = "the quorum has not recorded this life of the agent";
-            return Err(Refusal::not_run(
-                Reason::WrongIncarnation,
-                RETRY_AFTER_MIN_MS,
-                detail,
-            ));
+            return Err(Refusal::not_run(Reason::WrongIncarnation, RETRY_AFTER_MIN_MS, detail));
         }
         if !self.view.may_serve() {
             let detail = "the agent could not confirm its configuration with a quorum";
-            return Err(Refusal::not_run(
-                Reason::ConfigurationUnconfirmed,
-                1_000,
-                detail,
-            ));
+            return Err(Refusal::not_run(Reason::ConfigurationUnconfirmed, 1_000, detail));
         }
         if self.view.configuration().is_draining(&self.settings.target) {
             return Err(Refusal::not_run(
@@ -215,11 +182,7 @@
         }
         if !dispatch.trial && self.view.suspect(dispatch.fingerprint).is_some() {
             let detail = "the request was in flight when a target crashed";
-            return Err(Refusal::not_run(
-                Reason::SuspectTrial,
-                RETRY_AFTER_MIN_MS,
-                detail,
-            ));
+            return Err(Refusal::not_run(Reason::SuspectTrial, RETRY_AFTER_MIN_MS, detail));
         }
         self.present_target(monotonic_ms()).ok_or_else(|| {
             Refusal::not_run(
@@ -277,21 +240,13 @@
             }
             Verdict::TooLate => {
                 let detail = "the deadline would pass before a slot is free";
-                Err(Refusal::not_run(
-                    Reason::Deadline,
-                    inner.admission.expected_wait_ms(),
-                    detail,
-                ))
+                Err(Refusal::not_run(Reason::Deadline, inner.admission.expected_wait_ms(), detail))
             }
         }
     }
 
     fn busy(&self, detail: &str) -> Refusal {
-        let wait_ms = self
-            .lock()
-            .admission
-            .expected_wait_ms()
-            .max(RETRY_AFTER_MIN_MS);
+        let wait_ms = self.lock().admission.expected_wait_ms().max(RETRY_AFTER_MIN_MS);
         Refusal::not_run(Reason::Busy, wait_ms, detail)
     }
 
--- a/crates/bilberryloft-daemon/src/agent/expert_maps.rs
+++ b/crates/bilberryloft-daemon/src/agent/expert_maps.rs
@@ -48,11 +48,7 @@
         return;
     };
     tokio::spawn(async move {
-        let mut planner = GroupPlanner {
-            agent,
-            settings,
-            popularity: None,
-        };
+        let mut planner = GroupPlanner { agent, settings, popularity: None };
         loop {
             tokio::time::sleep(Duration::from_millis(planner.settings.interval_ms)).await;
             planner.look().await;
@@ -72,25 +68,15 @@
         let Some(target) = self.agent.present_target(monotonic_ms()) else {
             return;
         };
-        let Some(status) = self
-            .agent
-            .get_from_target::<GroupStatus>(&target.url, "/expert_map")
-            .await
+        let Some(status) =
+            self.agent.get_from_target::<GroupStatus>(&target.url, "/expert_map").await
         else {
             return;
         };
         let group = self.agent.group_name(status.incarnation);
         if let Some(version) = status.undecided {
             // An earlier planner armed ranks and went away; they hold until somebody decides.
-            self.decide(
-                &target.url,
-                &group,
-                status.ranks,
-                version,
-                Decision::Abort,
-                0,
-            )
-            .await;
+            self.decide(&target.url, &group, status.ranks, version, Decision::Abort, 0).await;
             return;
         }
         if let Some(plan) = self.plan(&status) {
@@ -99,50 +85,30 @@
     }
 
     fn plan(&mut self, status: &GroupStatus) -> Option<Plan> {
-        let is_same_life = self
-            .popularity
-            .as_ref()
-            .is_some_and(|it| it.0 == status.incarnation);
+        let is_same_life = self.popularity.as_ref().is_some_and(|it| it.0 == status.incarnation);
         if !is_same_life {
-            self.popularity = Some((
-                status.incarnation,
-                Popularity::new(status.experts, HALF_LIFE_MS),
-            ));
+            self.popularity =
+                Some((status.incarnation, Popularity::new(status.experts, HALF_LIFE_MS)));
         }
         let (_, popularity) = self.popularity.as_mut()?;
         popularity.add(&status.tokens, monotonic_ms());
-        let shape = Shape {
-            experts: status.experts,
-            ranks: status.ranks,
-            slots: status.slots,
-        };
+        let shape = Shape { experts: status.experts, ranks: status.ranks, slots: status.slots };
         let current = Placement::from_slots(shape, status.map.clone())?;
-        let costs = Costs::of(
-            self.settings.preset,
-            self.settings.load_ms,
-            self.settings.stall_ms,
-        );
+        let costs = Costs::of(self.settings.preset, self.settings.load_ms, self.settings.stall_ms);
         plan_moves(&current, &popularity.shares(), &costs)
     }
 
     async fn switch(&self, url: &str, group: &str, status: &GroupStatus, plan: Plan) {
-        let command = Command::ExpertMapToken {
-            group: group.to_string(),
-        };
+        let command = Command::ExpertMapToken { group: group.to_string() };
         let outcome = self.agent.control.propose(&command, QUORUM_LIMIT).await;
-        let Ok(Outcome::ExpertMapToken {
-            token,
-            next_version,
-        }) = outcome
-        else {
+        let Ok(Outcome::ExpertMapToken { token, next_version }) = outcome else {
             return;
         };
         let ranks = status.ranks as u64;
         let mut planner =
             SwitchPlanner::new(next_version, token, ranks, self.settings.margin_steps);
-        let map: Vec<u16> = (0..status.ranks)
-            .flat_map(|it| plan.placement.rank(it).to_vec())
-            .collect();
+        let map: Vec<u16> =
+            (0..status.ranks).flat_map(|it| plan.placement.rank(it).to_vec()).collect();
         let until = tokio::time::Instant::now() + SWITCH_LIMIT;
         while planner.decision().is_none() {
             if tokio::time::Instant::now() > until {
@@ -163,9 +129,7 @@
         let Some(decision) = planner.decision() else {
             return;
         };
-        let decided = self
-            .decide(url, group, status.ranks, next_version, decision, token)
-            .await;
+        let decided = self.decide(url, group, status.ranks, next_version, decision, token).await;
         let (before, after) = (plan.skew_before, plan.skew_after);
         log_event!(
             info,
@@ -189,12 +153,8 @@
         decision: Decision,
         token: u64,
     ) -> Option<Decision> {
-        let command = Command::ExpertMapDecide {
-            group: group.to_string(),
-            version,
-            decision,
-            token,
-        };
+        let command =
+            Command::ExpertMapDecide { group: group.to_string(), version, decision, token };
         let outcome = self.agent.control.propose(&command, QUORUM_LIMIT).await;
         // Without an outcome the ranks hold, and the next look asks again.
         let Ok(Outcome::ExpertMapDecision(decision)) = outcome else {
@@ -213,12 +173,7 @@
         map: Option<Vec<u16>>,
     ) -> (u64, Option<RankAnswer>) {
         let path = format!("/ranks/{rank}/expert_map");
-        (
-            rank,
-            self.agent
-                .post_to_target(url, &path, &RankOrder { message, map })
-                .await,
-        )
+        (rank, self.agent.post_to_target(url, &path, &RankOrder { message, map }).await)
     }
 }
 
@@ -230,10 +185,7 @@
 
     /// Settles what a restarted rank may have been armed for; `None` when the quorum can't be asked.
     pub(super) async fn settle_rank(&self, incarnation: u64, next_step: u64) -> Option<Settled> {
-        let command = Command::ExpertMapSettle {
-            group: self.group_name(incarnation),
-            next_step,
-        };
+        let command = Command::ExpertMapSettle { group: self.group_name(incarnation), next_step };
         match self.control.propose(&command, QUORUM_LIMIT).await {
             Ok(Outcome::ExpertMapSettled(settled)) => Some(settled),
             Ok(_) | Err(_) => None,
@@ -241,9 +193,7 @@
     }
 
     async fn get_from_target<T: DeserializeOwned>(&self, url: &str, path: &str) -> Option<T> {
-        let request = Request::get(format!("{url}{path}"))
-            .body(Full::<Bytes>::default())
-            .ok()?;
+        let request = Request::get(format!("{url}{path}")).body(Full::<Bytes>::default()).ok()?;
         self.fetch_json(request).await
     }
 
@@ -256,8 +206,7 @@
         let body = serde_json::to_vec(body).ok()?;
         let request =
             Request::post(format!("{url}{path}")).header("content-type", "application/json");
-        self.fetch_json(request.body(Full::new(Bytes::from(body))).ok()?)
-            .await
+        self.fetch_json(request.body(Full::new(Bytes::from(body))).ok()?).await
     }
 
     async fn fetch_json<T: DeserializeOwned>(&self, request: Request<Full<Bytes>>) -> Option<T> {
--- a/crates/bilberryloft-daemon/src/agent/held.rs
+++ b/crates/bilberryloft-daemon/src/agent/held.rs
@@ -2,14 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
 use bilberryloft_protocol::wire::Header;
 use bilberryloft_state::refusal::Reason;
 use bilberryloft_state::refusal::RunState;
 use bytes::Bytes;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -109,7 +108,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        self.inner.lock()
     }
 
     /// Writes the head.
@@ -182,11 +181,7 @@
         let listener = inner.next_listener;
         inner.listeners.insert(listener, from_sequence);
         inner.abandoned_ms = None;
-        Cursor {
-            listener,
-            has_head: false,
-            sequence: from_sequence,
-        }
+        Cursor { listener, has_head: false, sequence: from_sequence }
     }
 
     /// Removes a listener.
--- a/crates/bilberryloft-daemon/src/agent/listener.rs
+++ b/crates/bilberryloft-daemon/src/agent/listener.rs
@@ -24,27 +24,12 @@
 
 impl Refusal {
     pub fn not_run(reason: Reason, retry_after_ms: u64, detail: impl Into<String>) -> Refusal {
-        Refusal {
-            reason,
-            run: RunState::NotRun,
-            retry_after_ms,
-            detail: detail.into(),
-        }
+        Refusal { reason, run: RunState::NotRun, retry_after_ms, detail: detail.into() }
     }
 
     pub fn into_ending(self) -> Ending {
-        let Refusal {
-            reason,
-            run,
-            retry_after_ms,
-            detail,
-        } = self;
-        Ending::Refused {
-            reason,
-            run,
-            retry_after_ms,
-            detail,
-        }
+        let Refusal { reason, run, retry_after_ms, detail } = self;
+        Ending::Refused { reason, run, retry_after_ms, detail }
     }
 }
 
@@ -62,10 +47,7 @@
         let mut cursor = held.listen(from_sequence);
         loop {
             changes.mark_unchanged();
-            if !self
-                .send_available(request_id, attempt, held, &mut cursor, responder)
-                .await
-            {
+            if !self.send_available(request_id, attempt, held, &mut cursor, responder).await {
                 break;
             }
             tokio::select! {
@@ -95,11 +77,9 @@
                     headers: head.headers,
                     load: self.load(),
                 }),
-                Next::Piece(sequence, piece) => Body::Piece(wire::Piece::new(
-                    attempt as i32,
-                    sequence as i32,
-                    piece.to_vec(),
-                )),
+                Next::Piece(sequence, piece) => {
+                    Body::Piece(wire::Piece::new(attempt as i32, sequence as i32, piece.to_vec()))
+                }
                 Next::Gone => {
                     let refusal = Refusal {
                         reason: Reason::AnswerGone,
@@ -111,8 +91,7 @@
                     return false;
                 }
                 Next::End(ending, pieces, body_bytes) => {
-                    self.send_ending(attempt, ending, pieces, body_bytes, responder)
-                        .await;
+                    self.send_ending(attempt, ending, pieces, body_bytes, responder).await;
                     return false;
                 }
             };
@@ -140,23 +119,9 @@
                 };
                 let _ = responder.send(Body::Complete(complete)).await;
             }
-            Ending::Refused {
-                reason,
-                run,
-                retry_after_ms,
-                detail,
-            } => {
-                self.refuse(
-                    attempt,
-                    Refusal {
-                        reason,
-                        run,
-                        retry_after_ms,
-                        detail,
-                    },
-                    responder,
-                )
-                .await;
+            Ending::Refused { reason, run, retry_after_ms, detail } => {
+                self.refuse(attempt, Refusal { reason, run, retry_after_ms, detail }, responder)
+                    .await;
             }
         }
     }
--- a/crates/bilberryloft-daemon/src/agent/run.rs
+++ b/crates/bilberryloft-daemon/src/agent/run.rs
@@ -31,12 +31,8 @@
 /// Time between looks for abandonment.
 const ABANDONED_LOOK: Duration = Duration::from_millis(500);
 /// Headers of an answer that belong to one connection and are not passed on.
-const CONNECTION_HEADERS: [&str; 4] = [
-    "connection",
-    "transfer-encoding",
-    "content-length",
-    "keep-alive",
-];
+const CONNECTION_HEADERS: [&str; 4] =
+    ["connection", "transfer-encoding", "content-length", "keep-alive"];
 
 impl Agent {
     pub(super) async fn run(
@@ -65,20 +61,10 @@
         let now_ms = monotonic_ms();
         let state = match &ending {
             Ending::Complete => AttemptState::Finished,
-            Ending::Refused {
-                run: RunState::NotRun,
-                ..
-            } => AttemptState::NotStarted,
-            Ending::Refused {
-                reason: Reason::Cancelled,
-                ..
-            } => {
+            Ending::Refused { run: RunState::NotRun, .. } => AttemptState::NotStarted,
+            Ending::Refused { reason: Reason::Cancelled, .. } => {
                 self.metrics.attempts_cancelled.inc();
-                log_event!(
-                    info,
-                    Event::AttemptCancelled,
-                    request_id = dispatch.request_id
-                );
+                log_event!(info, Event::AttemptCancelled, request_id = dispatch.request_id);
                 AttemptState::Failed
             }
             Ending::Refused { .. } => AttemptState::Failed,
@@ -86,9 +72,7 @@
         {
             let mut inner = self.lock();
             inner.at_target.remove(&slot.id);
-            inner
-                .attempts
-                .end(&dispatch.request_id, dispatch.attempt as u32, state, now_ms);
+            inner.attempts.end(&dispatch.request_id, dispatch.attempt as u32, state, now_ms);
         }
         self.free_slot(slot.id);
         held.end(ending, now_ms);
@@ -99,16 +83,11 @@
     fn drop_old_answers(&self, now_ms: u64) {
         let hold_ms = self.settings.hold_ms;
         let mut inner = self.lock();
-        inner
-            .held
-            .retain(|_, it| it.ended_ms().is_none_or(|ended| ended + hold_ms > now_ms));
+        inner.held.retain(|_, it| it.ended_ms().is_none_or(|ended| ended + hold_ms > now_ms));
         let mut total_bytes: usize = inner.held.values().map(|it| it.held_bytes()).sum();
         while total_bytes > self.settings.hold_total_max_bytes {
-            let oldest = inner
-                .held
-                .iter()
-                .filter_map(|(key, it)| Some((it.ended_ms()?, key)))
-                .min();
+            let oldest =
+                inner.held.iter().filter_map(|(key, it)| Some((it.ended_ms()?, key))).min();
             let Some((_, key)) = oldest else { break };
             let key = key.clone();
             total_bytes -= inner.held.remove(&key).map_or(0, |it| it.held_bytes());
@@ -133,9 +112,7 @@
                 return not_run(Reason::TargetUnreachable, failure.detail);
             }
             Err(failure) => {
-                return self
-                    .failed(began_ms, RunState::Unknown, failure.detail)
-                    .await;
+                return self.failed(began_ms, RunState::Unknown, failure.detail).await;
             }
         };
         let head = head_of(&response);
@@ -153,12 +130,7 @@
             true => format!("the target crashed: {detail}"),
             false => format!("the target broke off: {detail}"),
         };
-        Ending::Refused {
-            reason: Reason::TargetFailed,
-            run,
-            retry_after_ms: 0,
-            detail,
-        }
+        Ending::Refused { reason: Reason::TargetFailed, run, retry_after_ms: 0, detail }
     }
 }
 
@@ -188,19 +160,15 @@
 pub(super) async fn wait_until_abandoned(held: &Held, after_ms: u64) {
     loop {
         tokio::time::sleep(ABANDONED_LOOK).await;
-        if held
-            .abandoned_ms()
-            .is_some_and(|since| since + after_ms < monotonic_ms())
-        {
+        if held.abandoned_ms().is_some_and(|since| since + after_ms < monotonic_ms()) {
             return;
         }
     }
 }
 
 fn build_request(dispatch: &Dispatch, url: &str) -> Result<Request<Full<Bytes>>, String> {
-    let mut request = Request::builder()
-        .method(dispatch.method.as_str())
-        .uri(format!("{url}{}", dispatch.path));
+    let mut request =
+        Request::builder().method(dispatch.method.as_str()).uri(format!("{url}{}", dispatch.path));
     for header in &dispatch.headers {
         request = request.header(&header.name, &header.value);
     }
@@ -219,34 +187,18 @@
             headers.push(Header::new(name.to_string(), value.to_string()));
         }
     }
-    AnswerHead {
-        status: response.status().as_u16(),
-        headers,
-    }
+    AnswerHead { status: response.status().as_u16(), headers }
 }
 
 fn is_event_stream(response: &Response<Incoming>) -> bool {
-    let kind = response
-        .headers()
-        .get("content-type")
-        .and_then(|it| it.to_str().ok());
+    let kind = response.headers().get("content-type").and_then(|it| it.to_str().ok());
     kind.is_some_and(|it| it.starts_with("text/event-stream"))
 }
 
 fn not_run(reason: Reason, detail: impl Into<String>) -> Ending {
-    Ending::Refused {
-        reason,
-        run: RunState::NotRun,
-        retry_after_ms: 50,
-        detail: detail.into(),
-    }
+    Ending::Refused { reason, run: RunState::NotRun, retry_after_ms: 50, detail: detail.into() }
 }
 
 fn ran(reason: Reason, retry_after_ms: u64, detail: &str) -> Ending {
-    Ending::Refused {
-        reason,
-        run: RunState::Ran,
-        retry_after_ms,
-        detail: detail.to_string(),
-    }
+    Ending::Refused { reason, run: RunState::Ran, retry_after_ms, detail: detail.to_string() }
 }
--- a/crates/bilberryloft-daemon/src/agent/service.rs
+++ b/crates/bilberryloft-daemon/src/agent/service.rs
@@ -39,15 +39,9 @@
             Body::VoidAttempt(void) => self.agent.void(&void, &responder).await,
             Body::Explain(explain) => {
                 let records = self.agent.records_of(&explain.request_id);
-                let _ = responder
-                    .send(Body::Records(wire::Records::new(records)))
-                    .await;
-            }
-            other => {
-                responder
-                    .fail(body_name(&other), "an agent does not serve this call")
-                    .await
+                let _ = responder.send(Body::Records(wire::Records::new(records))).await;
             }
+            other => responder.fail(body_name(&other), "an agent does not serve this call").await,
         }
     }
 }
@@ -55,11 +49,7 @@
 impl Agent {
     async fn attach(&self, attach: wire::Attach, responder: &Responder) {
         let attempt = attach.attempt as u32;
-        let held = self
-            .lock()
-            .held
-            .get(&(attach.request_id.clone(), attempt))
-            .cloned();
+        let held = self.lock().held.get(&(attach.request_id.clone(), attempt)).cloned();
         // Whether another team's attempt exists is none of the asker's business.
         let Some(held) = held.filter(|it| it.team == attach.team) else {
             let state = self.lock().attempts.state(&attach.request_id, attempt);
@@ -69,11 +59,9 @@
                     RunState::NotRun,
                     "the attempt never started and never will",
                 ),
-                Some(_) => refusal(
-                    Reason::AnswerGone,
-                    RunState::Ran,
-                    "the answer is no longer held",
-                ),
+                Some(_) => {
+                    refusal(Reason::AnswerGone, RunState::Ran, "the answer is no longer held")
+                }
                 None => refusal(
                     Reason::NoSuchAttempt,
                     RunState::Unknown,
@@ -83,8 +71,7 @@
             return self.refuse(attempt, refusal, responder).await;
         };
         let from = attach.from_sequence.max(0) as u32;
-        self.send_held(&attach.request_id, attempt, &held, from, responder)
-            .await;
+        self.send_held(&attach.request_id, attempt, &held, from, responder).await;
     }
 
     fn cancel(&self, cancel: &wire::Cancel) {
@@ -111,20 +98,12 @@
     /// Decision records of a request, encoded.
     pub fn records_of(&self, request_id: &str) -> Vec<Vec<u8>> {
         let records = self.lock().records.find(request_id);
-        records
-            .iter()
-            .filter_map(|it| serde_json::to_vec(it).ok())
-            .collect()
+        records.iter().filter_map(|it| serde_json::to_vec(it).ok()).collect()
     }
 }
 
 fn refusal(reason: Reason, run: RunState, detail: &str) -> Refusal {
-    Refusal {
-        reason,
-        run,
-        retry_after_ms: 0,
-        detail: detail.to_string(),
-    }
+    Refusal { reason, run, retry_after_ms: 0, detail: detail.to_string() }
 }
 
 /// Number of a void answer between processes.
--- a/crates/bilberryloft-daemon/src/agent/state.rs
+++ b/crates/bilberryloft-daemon/src/agent/state.rs
@@ -2,9 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -16,6 +13,8 @@
 use bilberryloft_state::membership::TargetDescription;
 use bilberryloft_state::record::RecordRing;
 use bilberryloft_transport::http::HttpClient;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
 use tokio::sync::oneshot;
 
 use crate::agent::Announcement;
@@ -131,7 +130,7 @@
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        self.inner.lock()
     }
 
     /// Life of the agent.
@@ -156,8 +155,7 @@
         let mut inner = self.lock();
         if known_incarnation > own && inner.attempts.is_empty() {
             inner.attempts = AttemptTable::new(known_incarnation + 1);
-            self.incarnation
-                .store(known_incarnation + 1, Ordering::SeqCst);
+            self.incarnation.store(known_incarnation + 1, Ordering::SeqCst);
         }
     }
 
@@ -202,12 +200,7 @@
     pub fn description(&self, target: &Announcement) -> TargetDescription {
         let listens_on = &self.settings.dispatch_address;
         TargetDescription {
-            agent_address: self
-                .settings
-                .advertised_address
-                .as_ref()
-                .unwrap_or(listens_on)
-                .clone(),
+            agent_address: self.settings.advertised_address.as_ref().unwrap_or(listens_on).clone(),
             data_center: self.data_center.clone(),
             models: target.models.clone(),
             services: target.services.clone(),
--- a/crates/bilberryloft-daemon/src/agent/target.rs
+++ b/crates/bilberryloft-daemon/src/agent/target.rs
@@ -51,9 +51,8 @@
 /// Listens for announcements until the process ends.
 pub async fn serve_announcements(agent: Arc<Agent>) -> Result<()> {
     let address = agent.settings.announce_address.clone();
-    let listener = TcpListener::bind(&address)
-        .await
-        .map_err(|it| Error::network("listen", &address, it))?;
+    let listener =
+        TcpListener::bind(&address).await.map_err(|it| Error::network("listen", &address, it))?;
     let router = Router::new()
         .route("/announce", post(announce))
         .route("/ranks/settle", post(settle))
@@ -78,12 +77,7 @@
     }
     let is_new = agent.note_announcement(announcement.clone(), monotonic_ms());
     if is_new {
-        log_event!(
-            info,
-            Event::TargetAnnounced,
-            target = agent.settings.target,
-            ?announcement
-        );
+        log_event!(info, Event::TargetAnnounced, target = agent.settings.target, ?announcement);
     }
     (StatusCode::NO_CONTENT, String::new())
 }
@@ -92,10 +86,7 @@
     State(agent): State<Arc<Agent>>,
     Json(question): Json<SettleQuestion>,
 ) -> std::result::Result<Json<SettleAnswer>, StatusCode> {
-    match agent
-        .settle_rank(question.incarnation, question.next_step)
-        .await
-    {
+    match agent.settle_rank(question.incarnation, question.next_step).await {
         Some(settled) => Ok(Json(SettleAnswer { settled })),
         None => Err(StatusCode::SERVICE_UNAVAILABLE),
     }
--- a/crates/bilberryloft-daemon/src/burn.rs
+++ b/crates/bilberryloft-daemon/src/burn.rs
@@ -31,11 +31,7 @@
         if number == self.number {
             return;
         }
-        self.before = if number == self.number + 1 {
-            self.current
-        } else {
-            Count::default()
-        };
+        self.before = if number == self.number + 1 { self.current } else { Count::default() };
         self.current = Count::default();
         self.number = number;
     }
@@ -67,11 +63,8 @@
     /// Counts a request that ended.
     pub fn note(&mut self, team: &str, is_bad: bool, now_ms: u64) {
         if self.teams.len() >= TEAMS_MAX && !self.teams.contains_key(team) {
-            let oldest = self
-                .teams
-                .iter()
-                .min_by_key(|(_, it)| it.last_ms)
-                .map(|(name, _)| name.clone());
+            let oldest =
+                self.teams.iter().min_by_key(|(_, it)| it.last_ms).map(|(name, _)| name.clone());
             oldest.and_then(|it| self.teams.remove(&it));
         }
         let burn = self.teams.entry(team.to_string()).or_default();
@@ -85,10 +78,7 @@
 
     /// One row a team.
     pub fn report(&self, now_ms: u64) -> Vec<BurnRow> {
-        self.teams
-            .iter()
-            .map(|(team, burn)| report_team(team, burn, now_ms))
-            .collect()
+        self.teams.iter().map(|(team, burn)| report_team(team, burn, now_ms)).collect()
     }
 }
 
@@ -96,11 +86,7 @@
     let mut windows = Vec::new();
     for (window, length_s) in burn.windows.iter().zip(WINDOWS_S) {
         let count = window.estimate(length_s * 1_000, now_ms);
-        let bad_share = if count.total == 0 {
-            0.0
-        } else {
-            count.bad as f64 / count.total as f64
-        };
+        let bad_share = if count.total == 0 { 0.0 } else { count.bad as f64 / count.total as f64 };
         windows.push(BurnWindow {
             window_s: length_s,
             total: count.total,
@@ -109,9 +95,5 @@
         });
     }
     let spent = windows.last().map_or(0.0, |it| it.burn_rate);
-    BurnRow {
-        team: team.to_string(),
-        windows,
-        budget_left: 1.0 - spent,
-    }
+    BurnRow { team: team.to_string(), windows, budget_left: 1.0 - spent }
 }
--- a/crates/bilberryloft-daemon/src/control/disk.rs
+++ b/crates/bilberryloft-daemon/src/control/disk.rs
@@ -81,10 +81,7 @@
             .name("disk".to_string())
             .spawn(move || run(storage, &queue, &reports))
             .map_err(|it| Error::disk("start the disk thread for", "the data folder", it))?;
-        Ok(Disk {
-            jobs: Some(jobs),
-            thread: Some(thread),
-        })
+        Ok(Disk { jobs: Some(jobs), thread: Some(thread) })
     }
 
     /// Queues a job; after a failure it is dropped.
@@ -129,11 +126,7 @@
     let mut needs_sync = false;
     for job in jobs {
         match job {
-            DiskJob::Append {
-                number,
-                records,
-                messages,
-            } => {
+            DiskJob::Append { number, records, messages } => {
                 if !records.is_empty() {
                     storage.append(&records)?;
                     needs_sync = true;
@@ -141,23 +134,11 @@
                 highest = highest.max(number);
                 waiting.extend(messages);
             }
-            DiskJob::Rotate {
-                snapshot_index,
-                hard_state,
-                may_vote,
-                entries,
-            } => {
+            DiskJob::Rotate { snapshot_index, hard_state, may_vote, entries } => {
                 storage.rotate(snapshot_index, hard_state, may_vote, &entries)?;
                 needs_sync = false;
             }
-            DiskJob::Install {
-                number,
-                snapshot,
-                hard_state,
-                may_vote,
-                entries,
-                messages,
-            } => {
+            DiskJob::Install { number, snapshot, hard_state, may_vote, entries, messages } => {
                 storage.install(&snapshot, hard_state, may_vote, &entries)?;
                 needs_sync = false;
                 highest = highest.max(number);
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -1,9 +1,6 @@
 //! Access to a running control node from other tasks.
 
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
 use bilberryloft_coordination::raft::Message;
 use bilberryloft_state::error::Result;
@@ -13,6 +10,8 @@
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::membership::TargetDescription;
 use bilberryloft_state::snapshot::Snapshot;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -96,7 +95,7 @@
 impl ControlHandle {
     /// The replicated state as this member has applied it.
     pub fn machine(&self) -> MutexGuard<'_, Machine> {
-        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+        self.machine.lock()
     }
 
     /// Versions as they grow.
@@ -124,8 +123,7 @@
         &self,
         members: MemberSet,
     ) -> std::result::Result<bool, ProposeError> {
-        self.ask(|reply| Input::ChangeMembers { members, reply })
-            .await
+        self.ask(|reply| Input::ChangeMembers { members, reply }).await
     }
 
     /// Gets an index that a quorum has confirmed.
@@ -141,14 +139,7 @@
         description: TargetDescription,
         leaving: bool,
     ) -> std::result::Result<u64, ProposeError> {
-        self.ask(|reply| Input::Announce {
-            name,
-            incarnation,
-            description,
-            leaving,
-            reply,
-        })
-        .await
+        self.ask(|reply| Input::Announce { name, incarnation, description, leaving, reply }).await
     }
 
     async fn ask<T>(
@@ -156,10 +147,7 @@
         input: impl FnOnce(Reply<T>) -> Input,
     ) -> std::result::Result<T, ProposeError> {
         let (reply, answer) = oneshot::channel();
-        self.inputs
-            .send(input(reply))
-            .await
-            .map_err(|_| ProposeError::Stopped)?;
+        self.inputs.send(input(reply)).await.map_err(|_| ProposeError::Stopped)?;
         answer.await.map_err(|_| ProposeError::Stopped)?
     }
 }
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -4,9 +4,6 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use bilberryloft_coordination::leases::LeaseTable;
@@ -30,6 +27,8 @@
 use bilberryloft_state::wal::Payload;
 use bilberryloft_transport::clock::epoch_ms;
 use bilberryloft_transport::clock::monotonic_ms;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
@@ -138,12 +137,7 @@
             machine,
             applied_index,
             disk: Disk::spawn(storage, report_sender)?,
-            peers: Peers::new(
-                daemon,
-                incarnation,
-                settings.member,
-                settings.routes.clone(),
-            ),
+            peers: Peers::new(daemon, incarnation, settings.member, settings.routes.clone()),
             leases: LeaseTable::new(settings.target_lease_ms),
             snapshot_entries: settings.snapshot_entries,
             data_folder: settings.data_folder.clone(),
@@ -230,23 +224,14 @@
             Input::ChangeMembers { members, reply } => self.change_members(members, reply),
             Input::Read { reply } => self.read(reply),
             Input::SnapshotWritten(written) => self.take_snapshot(written),
-            Input::Announce {
-                name,
-                incarnation,
-                description,
-                leaving,
-                reply,
-            } => {
+            Input::Announce { name, incarnation, description, leaving, reply } => {
                 self.announce(name, incarnation, description, leaving, reply);
             }
         }
     }
 
     pub(super) fn propose(&mut self, command: Command, reply: PendingReply) {
-        let stamped = StampedCommand {
-            at_ms: epoch_ms(),
-            command,
-        };
+        let stamped = StampedCommand { at_ms: epoch_ms(), command };
         let Ok(bytes) = serde_json::to_vec(&stamped) else {
             return;
         };
@@ -263,9 +248,7 @@
     }
 
     fn not_leader(&self) -> ProposeError {
-        ProposeError::NotLeader {
-            leader_address: self.leader_address(),
-        }
+        ProposeError::NotLeader { leader_address: self.leader_address() }
     }
 
     fn leader_address(&self) -> Option<String> {
@@ -275,13 +258,7 @@
     fn change_members(&mut self, members: MemberSet, reply: Reply<bool>) {
         match self.raft.propose_members(members) {
             Ok(Some((term, index))) => {
-                self.pending.insert(
-                    index,
-                    Pending {
-                        term,
-                        reply: PendingReply::Members(reply),
-                    },
-                );
+                self.pending.insert(index, Pending { term, reply: PendingReply::Members(reply) });
                 self.peers.update(&self.raft.members().clone());
             }
             Ok(None) => drop(reply.send(Ok(false))),
@@ -369,11 +346,7 @@
             return;
         };
         let is_own = pending.term == entry.term;
-        pending.reply.finish(if is_own {
-            Ok(outcome)
-        } else {
-            Err(ProposeError::Lost)
-        });
+        pending.reply.finish(if is_own { Ok(outcome) } else { Err(ProposeError::Lost) });
     }
 
     /// Starts a snapshot when the log has grown well beyond the last one, so that its cost stays a small
@@ -390,12 +363,8 @@
         };
         let members = log.members_up_to(self.applied_index).0.clone();
         let machine = self.lock_machine().clone();
-        let snapshot = Snapshot {
-            last_index: self.applied_index,
-            last_term,
-            members,
-            data: Vec::new(),
-        };
+        let snapshot =
+            Snapshot { last_index: self.applied_index, last_term, members, data: Vec::new() };
         let folder = self.data_folder.clone();
         let inputs = self.own_inputs.clone();
         self.is_snapshotting = true;
@@ -444,8 +413,7 @@
                 suspects: machine.suspects_version(),
             }
         };
-        self.applied
-            .send_if_modified(|it| std::mem::replace(it, applied) != applied);
+        self.applied.send_if_modified(|it| std::mem::replace(it, applied) != applied);
         let term = self.raft.term();
         let commit_index = self.raft.commit_index();
         let leads = self.raft.role() == Role::Leader;
@@ -468,7 +436,7 @@
     }
 
     pub(super) fn lock_machine(&self) -> MutexGuard<'_, Machine> {
-        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+        self.machine.lock()
     }
 }
 
@@ -481,10 +449,8 @@
 }
 
 fn write_machine(folder: &Path, mut snapshot: Snapshot, machine: &Machine) -> Result<Snapshot> {
-    snapshot.data = serde_json::to_vec(machine).map_err(|it| Error::Json {
-        step: "encode a snapshot",
-        detail: it.to_string(),
-    })?;
+    snapshot.data = serde_json::to_vec(machine)
+        .map_err(|it| Error::Json { step: "encode a snapshot", detail: it.to_string() })?;
     write_snapshot(folder, &snapshot)?;
     Ok(snapshot)
 }
--- a/crates/bilberryloft-daemon/src/control/peers.rs
+++ b/crates/bilberryloft-daemon/src/control/peers.rs
@@ -36,13 +36,7 @@
         member: u32,
         routes: BTreeMap<u32, String>,
     ) -> Peers {
-        Peers {
-            daemon: daemon.to_string(),
-            incarnation,
-            member,
-            routes,
-            links: BTreeMap::new(),
-        }
+        Peers { daemon: daemon.to_string(), incarnation, member, routes, links: BTreeMap::new() }
     }
 
     /// Makes the links match the members in force.
@@ -60,23 +54,14 @@
                 let (queue, messages) = mpsc::channel(QUEUE_MAX);
                 let client = Client::new(address.clone(), &self.daemon, self.incarnation);
                 tokio::spawn(forward(client, messages));
-                self.links.insert(
-                    member,
-                    Link {
-                        address: address.clone(),
-                        queue,
-                    },
-                );
+                self.links.insert(member, Link { address: address.clone(), queue });
             }
         }
     }
 
     /// Address of a member from this host.
     pub fn address(&self, members: &MemberSet, member: u32) -> Option<String> {
-        self.routes
-            .get(&member)
-            .or_else(|| members.address(member))
-            .cloned()
+        self.routes.get(&member).or_else(|| members.address(member)).cloned()
     }
 
     /// Queues a message.
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -1,9 +1,6 @@
 //! What a control host answers to other daemons.
 
 use std::collections::BTreeMap;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use bilberryloft_protocol::api::WatcherRow;
@@ -16,6 +13,7 @@
 use bilberryloft_transport::client::Client;
 use bilberryloft_transport::clock::monotonic_ms;
 use bilberryloft_transport::server::Responder;
+use parking_lot::Mutex;
 
 use crate::control::handle::Applied;
 use crate::control::handle::ControlHandle;
@@ -59,26 +57,23 @@
 
     /// Daemons that watch this host.
     pub fn watcher_rows(&self) -> Vec<WatcherRow> {
-        lock(&self.watchers).rows(monotonic_ms())
+        self.watchers.lock().rows(monotonic_ms())
     }
 
     /// Peer address of a daemon that watches this host.
     pub fn peer_address(&self, daemon: &str) -> Option<String> {
-        lock(&self.watchers).peer_address(daemon)
+        self.watchers.lock().peer_address(daemon)
     }
 
     /// Records of a request that were handed over.
     pub fn stored_records(&self, request_id: &str) -> Vec<DecisionRecord> {
-        lock(&self.records).find(request_id)
+        self.records.lock().find(request_id)
     }
 
     /// Keeps records that an entry hands over.
     pub fn store_records(&self, records: &[Vec<u8>]) {
-        let mut ring = lock(&self.records);
-        for record in records
-            .iter()
-            .filter_map(|it| serde_json::from_slice(it).ok())
-        {
+        let mut ring = self.records.lock();
+        for record in records.iter().filter_map(|it| serde_json::from_slice(it).ok()) {
             ring.push(record);
         }
     }
@@ -99,17 +94,11 @@
         match self.node.propose(command).await {
             Ok(outcome) => {
                 let bytes = serde_json::to_vec(&outcome).unwrap_or_default();
-                let _ = responder
-                    .send(Body::ProposeReply(wire::ProposeReply::new(bytes)))
-                    .await;
+                let _ = responder.send(Body::ProposeReply(wire::ProposeReply::new(bytes))).await;
             }
             Err(error) => {
-                let again = Body::Propose(wire::Propose {
-                    forwarded: true,
-                    ..propose.clone()
-                });
-                self.forward(error, propose.forwarded, again, "propose", responder)
-                    .await;
+                let again = Body::Propose(wire::Propose { forwarded: true, ..propose.clone() });
+                self.forward(error, propose.forwarded, again, "propose", responder).await;
             }
         }
     }
@@ -123,12 +112,7 @@
         let incarnation = announce.incarnation as u64;
         let known = self
             .node
-            .announce(
-                announce.target.clone(),
-                incarnation,
-                description,
-                announce.leaving,
-            )
+            .announce(announce.target.clone(), incarnation, description, announce.leaving)
             .await;
         match known {
             Ok(known) => {
@@ -136,12 +120,8 @@
                 let _ = responder.send(Body::AnnounceReply(reply)).await;
             }
             Err(error) => {
-                let again = Body::Announce(wire::Announce {
-                    forwarded: true,
-                    ..announce.clone()
-                });
-                self.forward(error, announce.forwarded, again, "announce", responder)
-                    .await;
+                let again = Body::Announce(wire::Announce { forwarded: true, ..announce.clone() });
+                self.forward(error, announce.forwarded, again, "announce", responder).await;
             }
         }
     }
@@ -151,15 +131,12 @@
         match self.node.read_index().await {
             Ok(index) => {
                 let _ = responder
-                    .send(Body::ReadIndexReply(wire::ReadIndexReply::new(
-                        index as i64,
-                    )))
+                    .send(Body::ReadIndexReply(wire::ReadIndexReply::new(index as i64)))
                     .await;
             }
             Err(error) => {
                 let again = Body::ReadIndex(wire::ReadIndex::new(true));
-                self.forward(error, question.forwarded, again, "read_index", responder)
-                    .await;
+                self.forward(error, question.forwarded, again, "read_index", responder).await;
             }
         }
     }
@@ -174,32 +151,24 @@
         responder: &Responder,
     ) {
         let leader = match error {
-            ProposeError::NotLeader {
-                leader_address: Some(address),
-            } if !was_forwarded => address,
+            ProposeError::NotLeader { leader_address: Some(address) } if !was_forwarded => address,
             other => return responder.fail(step, format!("{other:?}")).await,
         };
-        match self
-            .leader_client(&leader)
-            .call(body, FORWARD_TIMEOUT)
-            .await
-        {
+        match self.leader_client(&leader).call(body, FORWARD_TIMEOUT).await {
             Ok(answer) => drop(responder.send(answer).await),
             Err(error) => responder.fail(step, error.to_string()).await,
         }
     }
 
     fn leader_client(&self, address: &str) -> Client {
-        let mut leaders = lock(&self.leaders);
+        let mut leaders = self.leaders.lock();
         let client = leaders.entry(address.to_string());
-        client
-            .or_insert_with(|| Client::new(address, &self.daemon, self.incarnation))
-            .clone()
+        client.or_insert_with(|| Client::new(address, &self.daemon, self.incarnation)).clone()
     }
 
     /// Serves a watch: confirms with a quorum first, then waits for a change.
     pub async fn watch(&self, watch: wire::Watch, responder: &Responder) {
-        lock(&self.watchers).note(&watch, monotonic_ms());
+        self.watchers.lock().note(&watch, monotonic_ms());
         let wait = Duration::from_millis(watch.wait_ms.clamp(0, WATCH_MAX_MS) as u64);
         let until = tokio::time::Instant::now() + wait;
         let confirmed = self.confirm().await;
@@ -221,15 +190,9 @@
     async fn confirm(&self) -> bool {
         let index = match self.node.read_index().await {
             Ok(index) => Some(index),
-            Err(ProposeError::NotLeader {
-                leader_address: Some(address),
-            }) => {
+            Err(ProposeError::NotLeader { leader_address: Some(address) }) => {
                 let question = Body::ReadIndex(wire::ReadIndex::new(true));
-                match self
-                    .leader_client(&address)
-                    .call(question, FORWARD_TIMEOUT)
-                    .await
-                {
+                match self.leader_client(&address).call(question, FORWARD_TIMEOUT).await {
                     Ok(Body::ReadIndexReply(reply)) => Some(reply.index as u64),
                     _ => None,
                 }
@@ -239,18 +202,13 @@
         let Some(index) = index else { return false };
         let mut applied = self.node.applied();
         let reached = applied.wait_for(|it| it.index >= index);
-        matches!(
-            tokio::time::timeout(FORWARD_TIMEOUT, reached).await,
-            Ok(Ok(_))
-        )
+        matches!(tokio::time::timeout(FORWARD_TIMEOUT, reached).await, Ok(Ok(_)))
     }
 
     fn build_update(&self, watch: &wire::Watch, confirmed: bool) -> wire::Update {
         let machine = self.node.machine();
         let (snapshot, changes) = configuration_after(&machine, watch.configuration_version as u64);
-        let delta = machine
-            .membership
-            .delta_after(watch.membership_version as u64);
+        let delta = machine.membership.delta_after(watch.membership_version as u64);
         let suspects_version = machine.suspects_version();
         let suspects = match suspects_version == watch.suspects_version as u64 {
             true => Vec::new(),
@@ -273,20 +231,10 @@
 fn configuration_after(machine: &Machine, version: u64) -> (Option<Vec<u8>>, Vec<Vec<u8>>) {
     match machine.configuration.changes_after(version) {
         Some(changes) => (None, encode_all(&changes)),
-        None => (
-            serde_json::to_vec(&machine.configuration.for_followers()).ok(),
-            Vec::new(),
-        ),
+        None => (serde_json::to_vec(&machine.configuration.for_followers()).ok(), Vec::new()),
     }
 }
 
 fn encode_all<T: serde::Serialize>(values: &[T]) -> Vec<Vec<u8>> {
-    values
-        .iter()
-        .filter_map(|it| serde_json::to_vec(it).ok())
-        .collect()
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+    values.iter().filter_map(|it| serde_json::to_vec(it).ok()).collect()
 }
--- a/crates/bilberryloft-daemon/src/control/target_leases.rs
+++ b/crates/bilberryloft-daemon/src/control/target_leases.rs
@@ -26,20 +26,11 @@
         }
         let (known, is_news) = {
             let machine = self.lock_machine();
-            let known = machine
-                .membership
-                .targets()
-                .get(&name)
-                .map_or(0, |it| it.incarnation);
-            (
-                known,
-                machine.membership.is_news(&name, incarnation, &description),
-            )
+            let known = machine.membership.targets().get(&name).map_or(0, |it| it.incarnation);
+            (known, machine.membership.is_news(&name, incarnation, &description))
         };
         if leaving {
-            let command = Command::Lose {
-                targets: vec![(name, incarnation)],
-            };
+            let command = Command::Lose { targets: vec![(name, incarnation)] };
             return self.propose(command, PendingReply::Announce(reply, incarnation));
         }
         if known > incarnation {
@@ -50,11 +41,7 @@
             return drop(reply.send(Ok(incarnation)));
         }
         log_event!(info, Event::TargetRegistered, target = name, incarnation);
-        let command = Command::Register {
-            name,
-            incarnation,
-            description,
-        };
+        let command = Command::Register { name, incarnation, description };
         self.propose(command, PendingReply::Announce(reply, incarnation));
     }
 
--- a/crates/bilberryloft-daemon/src/control/watchers.rs
+++ b/crates/bilberryloft-daemon/src/control/watchers.rs
@@ -30,8 +30,7 @@
             asked_ms: now_ms,
         };
         self.by_daemon.insert(watch.daemon.clone(), watcher);
-        self.by_daemon
-            .retain(|_, it| it.asked_ms + FORGET_AFTER_MS > now_ms);
+        self.by_daemon.retain(|_, it| it.asked_ms + FORGET_AFTER_MS > now_ms);
     }
 
     /// Peer address of a daemon that has watched lately.
--- a/crates/bilberryloft-daemon/src/control_client.rs
+++ b/crates/bilberryloft-daemon/src/control_client.rs
@@ -30,14 +30,9 @@
 impl ControlClient {
     /// Makes a client for the given peer addresses, the first one preferred.
     pub fn new(addresses: &[String], daemon: &str, incarnation: u64) -> ControlClient {
-        let clients = addresses
-            .iter()
-            .map(|it| Client::new(it.clone(), daemon, incarnation))
-            .collect();
-        ControlClient {
-            clients: Arc::new(clients),
-            preferred: Arc::default(),
-        }
+        let clients =
+            addresses.iter().map(|it| Client::new(it.clone(), daemon, incarnation)).collect();
+        ControlClient { clients: Arc::new(clients), preferred: Arc::default() }
     }
 
     /// All control hosts.
@@ -81,20 +76,11 @@
 
     /// Proposes a command, repeating it until its outcome is known or the time runs out.
     pub async fn propose(&self, command: &Command, limit: Duration) -> Result<Outcome> {
-        let command = serde_json::to_vec(command).map_err(|it| Error::Json {
-            step: "encode a command",
-            detail: it.to_string(),
-        })?;
-        match self
-            .call(Body::Propose(Propose::new(command, false)), limit)
-            .await?
-        {
-            Body::ProposeReply(reply) => {
-                serde_json::from_slice(&reply.outcome).map_err(|it| Error::Json {
-                    step: "read an outcome",
-                    detail: it.to_string(),
-                })
-            }
+        let command = serde_json::to_vec(command)
+            .map_err(|it| Error::Json { step: "encode a command", detail: it.to_string() })?;
+        match self.call(Body::Propose(Propose::new(command, false)), limit).await? {
+            Body::ProposeReply(reply) => serde_json::from_slice(&reply.outcome)
+                .map_err(|it| Error::Json { step: "read an outcome", detail: it.to_string() }),
             other => Err(Error::protocol("propose", "control", body_name(&other))),
         }
     }
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -81,11 +81,7 @@
         }
         if let Some(agent) = &self.agent {
             let encoded = agent.records_of(request_id);
-            records.extend(
-                encoded
-                    .iter()
-                    .filter_map(|it| serde_json::from_slice(it).ok()),
-            );
+            records.extend(encoded.iter().filter_map(|it| serde_json::from_slice(it).ok()));
         }
         records
     }
@@ -138,19 +134,11 @@
             control_thread: Some(control_thread),
             stop_control: Some(stop_control),
         };
-        let closed = || Error::Closed {
-            step: "start",
-            peer: "the control thread".to_string(),
-        };
+        let closed = || Error::Closed { step: "start", peer: "the control thread".to_string() };
         started.blocking_recv().map_err(|_| closed())??;
         daemon.listeners = traffic.block_on(start_traffic(shared.clone()))?;
         daemon.traffic = Some(traffic);
-        log_event!(
-            info,
-            Event::DaemonStarted,
-            daemon = shared.settings.daemon,
-            incarnation
-        );
+        log_event!(info, Event::DaemonStarted, daemon = shared.settings.daemon, incarnation);
         Ok(daemon)
     }
 
@@ -173,11 +161,7 @@
         let until_ms = monotonic_ms() + settings.shutdown_max_ms;
         self.stop_entry(until_ms);
         self.stop_agent(until_ms);
-        log_event!(
-            info,
-            Event::ShutdownEnded,
-            daemon = self.shared.settings.daemon
-        );
+        log_event!(info, Event::ShutdownEnded, daemon = self.shared.settings.daemon);
         self.stop();
     }
 
@@ -206,12 +190,7 @@
             std::thread::sleep(STOP_LOOK);
         }
         if agent.open_requests() > 0 {
-            log_event!(
-                error,
-                Event::ShutdownCutOff,
-                role = "agent",
-                open = agent.open_requests()
-            );
+            log_event!(error, Event::ShutdownCutOff, role = "agent", open = agent.open_requests());
         }
         traffic.block_on(async {
             let _ = tokio::time::timeout(LEAVE_TIMEOUT, agent.announce_leaving()).await;
@@ -240,15 +219,10 @@
 }
 
 fn build_shared(settings: Settings, incarnation: u64) -> Result<Shared> {
-    let view = Arc::new(View::new(
-        settings.configuration_lease_ms,
-        settings.on_lost_control,
-    ));
+    let view = Arc::new(View::new(settings.configuration_lease_ms, settings.on_lost_control));
     let control = ControlClient::new(&settings.control_addresses, &settings.daemon, incarnation);
-    let metrics = Metrics::new().map_err(|it| Error::Json {
-        step: "set up metrics",
-        detail: it.to_string(),
-    })?;
+    let metrics = Metrics::new()
+        .map_err(|it| Error::Json { step: "set up metrics", detail: it.to_string() })?;
     let metrics = Arc::new(metrics);
     let entry = settings.entry.clone().map(|it| {
         Arc::new(Entry::new(
@@ -319,10 +293,7 @@
 /// Starts everything that must go on even when all threads for traffic are busy.
 async fn start_control(shared: Arc<Shared>) -> Result<Server> {
     let settings = &shared.settings;
-    let lease_ms = settings
-        .control
-        .as_ref()
-        .map_or(NO_TARGET_LEASE_MS, |it| it.target_lease_ms);
+    let lease_ms = settings.control.as_ref().map_or(NO_TARGET_LEASE_MS, |it| it.target_lease_ms);
     let service = Arc::new(PeerService::new(shared.clone(), lease_ms));
     let control = match &settings.control {
         Some(control) => Some(start_node(control, &shared)?),
@@ -331,21 +302,11 @@
     if let Some(control) = &control {
         service.add_control(control.clone());
     }
-    let server = Server::bind(
-        &settings.peer_address,
-        &settings.daemon,
-        shared.incarnation,
-        service,
-    )
-    .await?;
+    let server =
+        Server::bind(&settings.peer_address, &settings.daemon, shared.incarnation, service).await?;
     serve_admin(shared.clone(), control).await?;
     let follower = (shared.view.clone(), shared.control.clone());
-    spawn_follower(
-        follower.0,
-        follower.1,
-        settings.daemon.clone(),
-        settings.peer_address.clone(),
-    );
+    spawn_follower(follower.0, follower.1, settings.daemon.clone(), settings.peer_address.clone());
     if let Some(agent) = &shared.agent {
         spawn_announcer(agent.clone());
     }
@@ -355,11 +316,7 @@
 fn start_node(control: &ControlSettings, shared: &Shared) -> Result<Arc<ControlService>> {
     let daemon = &shared.settings.daemon;
     let node = ControlNode::spawn(control, daemon, shared.incarnation)?;
-    Ok(Arc::new(ControlService::new(
-        node,
-        daemon,
-        shared.incarnation,
-    )))
+    Ok(Arc::new(ControlService::new(node, daemon, shared.incarnation)))
 }
 
 fn build_traffic_runtime(threads: usize) -> Result<Runtime> {
@@ -376,13 +333,8 @@
     if let Some(agent) = &shared.agent {
         let service = Arc::new(AgentService::new(agent.clone()));
         let address = &agent.settings.dispatch_address;
-        let server = Server::bind(
-            address,
-            &shared.settings.daemon,
-            shared.incarnation,
-            service,
-        )
-        .await?;
+        let server =
+            Server::bind(address, &shared.settings.daemon, shared.incarnation, service).await?;
         serve_announcements(agent.clone()).await?;
         spawn_expert_map_planner(agent.clone());
         listeners.dispatch = Some(server);
--- a/crates/bilberryloft-daemon/src/entry/answer.rs
+++ b/crates/bilberryloft-daemon/src/entry/answer.rs
@@ -233,12 +233,7 @@
                 }
                 Err(error) if Instant::now() + REJOIN_PAUSE >= until => {
                     let detail = format!("contact with {} was lost: {error}", self.target);
-                    return Err(Problem::new(
-                        Reason::ContactLost,
-                        RunState::Unknown,
-                        0,
-                        detail,
-                    ));
+                    return Err(Problem::new(Reason::ContactLost, RunState::Unknown, 0, detail));
                 }
                 Err(_) => tokio::time::sleep(REJOIN_PAUSE).await,
             }
@@ -269,10 +264,5 @@
 pub(super) fn problem_of(refused: &wire::Refused) -> Problem {
     let reason = Reason::from_wire_number(refused.reason).unwrap_or(Reason::TargetFailed);
     let run = RunState::from_wire_number(refused.run);
-    Problem::new(
-        reason,
-        run,
-        refused.retry_after_ms.max(0) as u64,
-        refused.detail.clone(),
-    )
+    Problem::new(reason, run, refused.retry_after_ms.max(0) as u64, refused.detail.clone())
 }
--- a/crates/bilberryloft-daemon/src/entry/attempt.rs
+++ b/crates/bilberryloft-daemon/src/entry/attempt.rs
@@ -142,20 +142,12 @@
             progress.attempts += 1;
             if progress.attempts > 1 {
                 self.metrics.retries.inc();
-                log_event!(
-                    info,
-                    Event::RequestRetried,
-                    request_id = work.request_id,
-                    attempt
-                );
+                log_event!(info, Event::RequestRetried, request_id = work.request_id, attempt);
             }
             let key = pick.key;
             match self.dispatch(work, pick, attempt, trial).await {
                 Ok(started) => return Ok(started),
-                Err(problem) => {
-                    self.after_failure(work, progress, key, attempt, problem)
-                        .await?
-                }
+                Err(problem) => self.after_failure(work, progress, key, attempt, problem).await?,
             }
         }
     }
@@ -171,12 +163,7 @@
                 detail,
             ));
         }
-        if self
-            .view
-            .configuration()
-            .policy(&work.policy.team)
-            .is_none()
-        {
+        if self.view.configuration().policy(&work.policy.team).is_none() {
             return Err(Problem::new(
                 Reason::UnknownToken,
                 RunState::NotRun,
@@ -198,9 +185,7 @@
     fn pick(&self, work: &Work, progress: &mut Progress) -> Result<Pick, Problem> {
         self.sync_targets();
         let mut inner = self.lock();
-        let pick = inner
-            .picker
-            .pick(&work.offer, work.prefix, &progress.tried, monotonic_ms());
+        let pick = inner.picker.pick(&work.offer, work.prefix, &progress.tried, monotonic_ms());
         if let Some(pick) = pick {
             return Ok(pick);
         }
@@ -256,12 +241,7 @@
                 inner.picker.note_end(pick.key);
                 inner.picker.penalize(pick.key, monotonic_ms());
                 let detail = format!("the agent of {} can't be reached: {error}", site.target);
-                return Err(Problem::new(
-                    Reason::TargetUnreachable,
-                    RunState::NotRun,
-                    0,
-                    detail,
-                ));
+                return Err(Problem::new(Reason::TargetUnreachable, RunState::NotRun, 0, detail));
             }
         };
         let limit = work.due + crate::entry::answer::DEADLINE_GRACE;
@@ -300,27 +280,13 @@
     /// Finds out what became of an attempt after contact was lost; returns when it can be joined.
     async fn settle(self: &Arc<Self>, work: &Work, attempt: LostAttempt) -> Result<(), Problem> {
         let site = &attempt.site;
-        let limit = if work.is_idempotent {
-            SETTLE_REPEATABLE
-        } else {
-            SETTLE_AT_MOST_ONCE
-        };
+        let limit = if work.is_idempotent { SETTLE_REPEATABLE } else { SETTLE_AT_MOST_ONCE };
         let until = (Instant::now() + limit).min(work.due);
         let (address, incarnation) = (&site.agent_address, site.agent_incarnation);
-        let answer = self
-            .void_attempt(
-                address,
-                &work.request_id,
-                attempt.attempt,
-                incarnation,
-                until,
-            )
-            .await;
+        let answer =
+            self.void_attempt(address, &work.request_id, attempt.attempt, incarnation, until).await;
         let lost = |run: RunState, detail: &str| {
-            let detail = format!(
-                "contact with {} was lost after dispatch: {detail}",
-                site.target
-            );
+            let detail = format!("contact with {} was lost after dispatch: {detail}", site.target);
             Err(Problem::new(Reason::ContactLost, run, 0, detail))
         };
         match answer {
@@ -384,18 +350,13 @@
         progress.note_run(problem.run);
         self.note_failed_attempt(work, attempt, &problem);
         if problem.run == RunState::NotRun && work.claim_key.is_some() {
-            progress.free_claim = Some(HeldClaim {
-                request_id: work.request_id.clone(),
-                attempt,
-            });
+            progress.free_claim = Some(HeldClaim { request_id: work.request_id.clone(), attempt });
         }
         if problem.reason == Reason::ConfigurationStale && progress.catch_ups < CATCH_UPS_MAX {
             progress.catch_ups += 1;
             progress.attempts -= 1;
             let next_version = self.view.configuration().version() + 1;
-            self.view
-                .wait_for_configuration(next_version, CATCH_UP_WAIT)
-                .await;
+            self.view.wait_for_configuration(next_version, CATCH_UP_WAIT).await;
             return Ok(());
         }
         progress.needs_trial |= match problem.reason {
@@ -463,11 +424,7 @@
             Item::Piece(sequence, data) => Some((sequence, data)),
             Item::Head(_) | Item::End => None,
         };
-        return Ok(Started {
-            head,
-            first,
-            source,
-        });
+        return Ok(Started { head, first, source });
     }
     let max_bytes = source.entry.settings.answer_max_bytes;
     let mut body = Vec::new();
@@ -482,9 +439,5 @@
             return Err(Problem::new(Reason::TooLarge, RunState::Ran, 0, detail));
         }
     }
-    Ok(Started {
-        head,
-        first: Some((0, body)),
-        source,
-    })
+    Ok(Started { head, first: Some((0, body)), source })
 }
--- a/crates/bilberryloft-daemon/src/entry/claims.rs
+++ b/crates/bilberryloft-daemon/src/entry/claims.rs
@@ -71,12 +71,7 @@
         let limit = CLAIM_LIMIT.min(work.time_left());
         let outcome = self.control.propose(&command, limit).await;
         let unavailable = |detail: String| {
-            Problem::new(
-                Reason::ClaimsUnavailable,
-                RunState::NotRun,
-                CLAIMS_RETRY_AFTER_MS,
-                detail,
-            )
+            Problem::new(Reason::ClaimsUnavailable, RunState::NotRun, CLAIMS_RETRY_AFTER_MS, detail)
         };
         match outcome {
             Ok(Outcome::Claim(outcome)) => judge_claim(work, from, site, outcome),
@@ -116,9 +111,8 @@
             if left.is_zero() {
                 return None;
             }
-            if let Ok(Body::VoidReply(reply)) = client
-                .call(Body::VoidAttempt(void), left.min(VOID_TRY))
-                .await
+            if let Ok(Body::VoidReply(reply)) =
+                client.call(Body::VoidAttempt(void), left.min(VOID_TRY)).await
             {
                 return void_answer_from_number(reply.attempt_state);
             }
@@ -133,12 +127,8 @@
     site: &ClaimSite,
     outcome: ClaimOutcome,
 ) -> Result<ClaimAnswer, Problem> {
-    let own = |attempt: u32| {
-        ClaimAnswer::Own(HeldClaim {
-            request_id: work.request_id.clone(),
-            attempt,
-        })
-    };
+    let own =
+        |attempt: u32| ClaimAnswer::Own(HeldClaim { request_id: work.request_id.clone(), attempt });
     match outcome {
         ClaimOutcome::Granted { attempt } => Ok(own(attempt)),
         // A move whose first answer was lost finds its own result.
--- a/crates/bilberryloft-daemon/src/entry/join.rs
+++ b/crates/bilberryloft-daemon/src/entry/join.rs
@@ -34,19 +34,9 @@
     ) -> Result<Joined, Problem> {
         let until = (Instant::now() + SETTLE_AT_MOST_ONCE).min(work.due);
         let (address, incarnation) = (&claim.agent_address, claim.agent_incarnation);
-        let answer = self
-            .void_attempt(
-                address,
-                &claim.request_id,
-                claim.attempt,
-                incarnation,
-                until,
-            )
-            .await;
-        let held = HeldClaim {
-            request_id: claim.request_id.clone(),
-            attempt: claim.attempt,
-        };
+        let answer =
+            self.void_attempt(address, &claim.request_id, claim.attempt, incarnation, until).await;
+        let held = HeldClaim { request_id: claim.request_id.clone(), attempt: claim.attempt };
         match answer {
             Some(VoidAnswer::NotStarted) => Ok(Joined::Free(held)),
             Some(VoidAnswer::Running | VoidAnswer::Finished | VoidAnswer::Failed) => {
@@ -57,28 +47,20 @@
                 Reason::AnswerGone,
                 RunState::Unknown,
                 0,
-                format!(
-                    "the work was given to {}, which has restarted since",
-                    claim.target
-                ),
+                format!("the work was given to {}, which has restarted since", claim.target),
             )),
             None => Err(Problem::new(
                 Reason::ContactLost,
                 RunState::Unknown,
                 NO_TARGET_RETRY_AFTER_MS,
-                format!(
-                    "the work was given to {}, which can't be asked now",
-                    claim.target
-                ),
+                format!("the work was given to {}, which can't be asked now", claim.target),
             )),
         }
     }
 
     async fn attach(self: &Arc<Self>, work: &Work, claim: &Claim) -> Result<Started, Problem> {
-        let outcome = format!(
-            "joined {} attempt {} at {}",
-            claim.request_id, claim.attempt, claim.target
-        );
+        let outcome =
+            format!("joined {} attempt {} at {}", claim.request_id, claim.attempt, claim.target);
         self.keep(self.record(
             work,
             "join",
@@ -95,10 +77,7 @@
             due: work.due,
         };
         let client = self.client(&claim.agent_address);
-        start(
-            AnswerSource::new(self.clone(), client, None, name, None, None, 0),
-            work.is_streamed,
-        )
-        .await
+        start(AnswerSource::new(self.clone(), client, None, name, None, None, 0), work.is_streamed)
+            .await
     }
 }
--- a/crates/bilberryloft-daemon/src/entry/lost.rs
+++ b/crates/bilberryloft-daemon/src/entry/lost.rs
@@ -59,10 +59,7 @@
 
     /// Makes work suspect whose agent is known to have died.
     pub(super) async fn report_death(&self, lost: &LostAttempt) {
-        let _ = self
-            .control
-            .propose(&lost.crash_report(), REPORT_TIMEOUT)
-            .await;
+        let _ = self.control.propose(&lost.crash_report(), REPORT_TIMEOUT).await;
     }
 
     fn has_died(&self, site: &ClaimSite) -> bool {
--- a/crates/bilberryloft-daemon/src/entry/request.rs
+++ b/crates/bilberryloft-daemon/src/entry/request.rs
@@ -102,20 +102,15 @@
 impl Entry {
     /// Finds the team that a request's token names.
     pub(super) fn authenticate(&self, headers: &HeaderMap) -> Result<TeamPolicy, Problem> {
-        let value = headers
-            .get("authorization")
-            .and_then(|it| it.to_str().ok())
-            .unwrap_or_default();
+        let value =
+            headers.get("authorization").and_then(|it| it.to_str().ok()).unwrap_or_default();
         let Some(token) = value.strip_prefix("Bearer ") else {
             return Err(not_run(
                 Reason::UnknownToken,
                 "the header Authorization: Bearer TOKEN is missing",
             ));
         };
-        let policy = self
-            .view
-            .configuration()
-            .policy_of_digest(&token_digest(token));
+        let policy = self.view.configuration().policy_of_digest(&token_digest(token));
         policy.ok_or_else(|| not_run(Reason::UnknownToken, "the token names no team"))
     }
 
@@ -126,29 +121,17 @@
         policy: TeamPolicy,
     ) -> Result<Work, Problem> {
         let body: CompletionBody = serde_json::from_slice(&raw.body).map_err(|it| {
-            not_run(
-                Reason::BadRequest,
-                format!("the body is not a completion request: {it}"),
-            )
+            not_run(Reason::BadRequest, format!("the body is not a completion request: {it}"))
         })?;
         if !policy.models.contains(&body.model) {
             let detail = format!("team {} may not call model {:?}", policy.team, body.model);
             return Err(not_run(Reason::NotAllowed, detail));
         }
-        let bound = body
-            .max_completion_tokens
-            .or(body.max_tokens)
-            .unwrap_or(DEFAULT_COMPLETION_TOKENS);
+        let bound =
+            body.max_completion_tokens.or(body.max_tokens).unwrap_or(DEFAULT_COMPLETION_TOKENS);
         let work_tokens = raw.body.len() as u64 / BYTES_PER_TOKEN + bound;
         let is_repeatable = !policy.non_idempotent;
-        self.build_work(
-            raw,
-            policy,
-            body.model,
-            body.stream,
-            is_repeatable,
-            work_tokens,
-        )
+        self.build_work(raw, policy, body.model, body.stream, is_repeatable, work_tokens)
     }
 
     /// Reads a request for a plain service; the path below the service's name goes to the target.
@@ -167,14 +150,7 @@
             _ => !policy.non_idempotent && raw.headers.contains_key(IDEMPOTENCY_KEY),
         };
         let work_tokens = raw.body.len() as u64 / BYTES_PER_TOKEN + 1;
-        self.build_work(
-            raw,
-            policy,
-            service_offer(service),
-            false,
-            is_repeatable,
-            work_tokens,
-        )
+        self.build_work(raw, policy, service_offer(service), false, is_repeatable, work_tokens)
     }
 
     fn build_work(
@@ -195,11 +171,8 @@
             Some(key) => format!("{}/key/{key}", policy.team),
             None => format!("{}/request/{}", policy.team, raw.request_id),
         });
-        let place: [&[u8]; 3] = [
-            policy.team.as_bytes(),
-            raw.method.as_str().as_bytes(),
-            raw.path.as_bytes(),
-        ];
+        let place: [&[u8]; 3] =
+            [policy.team.as_bytes(), raw.method.as_str().as_bytes(), raw.path.as_bytes()];
         let body_digest = digest(&[place[0], place[1], place[2], &raw.body]);
         let fingerprint = digest(&[place[0], place[1], place[2], &content_of(&raw.body)]);
         let prefix_end = raw.body.len().min(PREFIX_BYTES);
@@ -292,10 +265,6 @@
         return Ok(None);
     };
     let text = value.to_str();
-    text.map(Some).map_err(|_| {
-        not_run(
-            Reason::BadRequest,
-            format!("{name}: the value is not plain text"),
-        )
-    })
+    text.map(Some)
+        .map_err(|_| not_run(Reason::BadRequest, format!("{name}: the value is not plain text")))
 }
--- a/crates/bilberryloft-daemon/src/entry/respond.rs
+++ b/crates/bilberryloft-daemon/src/entry/respond.rs
@@ -38,10 +38,7 @@
 impl Terms {
     fn note_first_byte(&self) {
         let elapsed = self.arrived.elapsed();
-        self.entry
-            .metrics
-            .first_byte_s
-            .observe(elapsed.as_secs_f64());
+        self.entry.metrics.first_byte_s.observe(elapsed.as_secs_f64());
         let is_late = elapsed.as_millis() as u64 > self.entry.settings.first_token_objective_ms;
         self.entry.lock().burn.note(&self.team, is_late, epoch_ms());
     }
@@ -57,10 +54,8 @@
         .header("content-type", "application/problem+json")
         .header(REQUEST_ID, request_id);
     if problem.retry_after_ms > 0 {
-        response = response.header(
-            "retry-after",
-            problem.retry_after_ms.div_ceil(1_000).to_string(),
-        );
+        response =
+            response.header("retry-after", problem.retry_after_ms.div_ceil(1_000).to_string());
     }
     let body = serde_json::to_vec(&problem).unwrap_or_default();
     response.body(Body::from(body)).unwrap_or_default()
@@ -93,31 +88,21 @@
 pub(super) fn write_whole(terms: Terms, mut started: Started) -> Response {
     terms.note_first_byte();
     terms.entry.metrics.answers.inc();
-    let body = started
-        .first
-        .take()
-        .map(|(_, data)| data)
-        .unwrap_or_default();
+    let body = started.first.take().map(|(_, data)| data).unwrap_or_default();
     let response = response_head(&terms, &started.head);
     let guarded = futures_util::stream::once(async move {
         let _open = terms.open;
         Ok::<Bytes, std::io::Error>(Bytes::from(body))
     });
-    response
-        .body(Body::from_stream(guarded))
-        .unwrap_or_default()
+    response.body(Body::from_stream(guarded)).unwrap_or_default()
 }
 
 /// Writes an answer as it comes.
 pub(super) fn write_stream(terms: Terms, started: Started) -> Response {
     terms.note_first_byte();
     let response = response_head(&terms, &started.head);
-    let writer = StreamWriter {
-        source: started.source,
-        terms,
-        first: started.first,
-        is_done: false,
-    };
+    let writer =
+        StreamWriter { source: started.source, terms, first: started.first, is_done: false };
     let stream = futures_util::stream::unfold(writer, |mut writer| async move {
         let bytes = writer.next().await?;
         Some((Ok::<Bytes, std::io::Error>(bytes), writer))
@@ -132,9 +117,7 @@
     for header in &head.headers {
         response = response.header(&header.name, &header.value);
     }
-    response
-        .header(REQUEST_ID, &terms.request_id)
-        .header(CONFIGURATION, version.to_string())
+    response.header(REQUEST_ID, &terms.request_id).header(CONFIGURATION, version.to_string())
 }
 
 struct StreamWriter {
@@ -170,10 +153,8 @@
     fn write_piece(&self, sequence: u32, data: &[u8]) -> Bytes {
         self.terms.entry.metrics.pieces.inc();
         let source = &self.source;
-        let id = format!(
-            "id: {sequence}/{}/{}/{}\n",
-            source.attempt, source.target, source.request_id
-        );
+        let id =
+            format!("id: {sequence}/{}/{}/{}\n", source.attempt, source.target, source.request_id);
         let mut bytes = BytesMut::with_capacity(id.len() + data.len());
         bytes.extend_from_slice(id.as_bytes());
         bytes.extend_from_slice(data);
@@ -183,12 +164,7 @@
     fn write_error(&mut self, problem: Problem) -> Bytes {
         self.is_done = true;
         let problem = problem.with_request_id(&self.terms.request_id);
-        note_refusal(
-            &self.terms.entry,
-            &self.terms.request_id,
-            &self.terms.team,
-            &problem,
-        );
+        note_refusal(&self.terms.entry, &self.terms.request_id, &self.terms.team, &problem);
         let text = serde_json::to_string(&problem).unwrap_or_default();
         Bytes::from(format!("event: error\ndata: {text}\n\n"))
     }
--- a/crates/bilberryloft-daemon/src/entry/resume.rs
+++ b/crates/bilberryloft-daemon/src/entry/resume.rs
@@ -31,12 +31,7 @@
         let attempt = parts.next()?.parse().ok()?;
         let target = parts.next()?.to_string();
         let request_id = parts.next()?.to_string();
-        Some(EventId {
-            sequence,
-            attempt,
-            target,
-            request_id,
-        })
+        Some(EventId { sequence, attempt, target, request_id })
     }
 }
 
@@ -50,19 +45,11 @@
         self.sync_targets();
         let address = {
             let inner = self.lock();
-            inner
-                .picker
-                .key(&id.target)
-                .map(|it| inner.picker.view(it).agent_address.clone())
+            inner.picker.key(&id.target).map(|it| inner.picker.view(it).agent_address.clone())
         };
         let Some(address) = address else {
             let detail = format!("target {} is not known any more", id.target);
-            return Err(Problem::new(
-                Reason::NoSuchAttempt,
-                RunState::Unknown,
-                0,
-                detail,
-            ));
+            return Err(Problem::new(Reason::NoSuchAttempt, RunState::Unknown, 0, detail));
         };
         let name = AttemptName {
             target: id.target,
@@ -73,15 +60,7 @@
         };
         let client = self.client(&address);
         start(
-            AnswerSource::new(
-                self.clone(),
-                client,
-                None,
-                name,
-                None,
-                None,
-                id.sequence + 1,
-            ),
+            AnswerSource::new(self.clone(), client, None, name, None, None, id.sequence + 1),
             true,
         )
         .await
