--- a/crates/bilberryloft-daemon/src/entry/server.rs
+++ b/crates/bilberryloft-daemon/src/entry/server.rs
@@ -29,6 +29,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::entry::attempt::Started;
 use crate::entry::request::RawRequest;
 use crate::entry::request::Work;
 use crate::entry::request::header_text;
@@ -66,15 +67,10 @@
             let stopped = async move {
                 let _ = stopped.await;
             };
-            let _ = axum::serve(without_delay(listener), router)
-                .with_graceful_shutdown(stopped)
-                .await;
+            let _ =
+                axum::serve(without_delay(listener), router).with_graceful_shutdown(stopped).await;
         });
-        Ok(CallerServer {
-            address: local,
-            stop,
-            task,
-        })
+        Ok(CallerServer { address: local, stop, task })
     }
 
     /// Address that it listens on.
@@ -147,16 +143,9 @@
     };
     let team = admitted.policy.team.clone();
     let mut raw = admitted.raw;
-    let below = raw
-        .path
-        .strip_prefix("/services/")
-        .and_then(|it| it.strip_prefix(&name));
+    let below = raw.path.strip_prefix("/services/").and_then(|it| it.strip_prefix(&name));
     let path = below.map(str::to_string).unwrap_or_default();
-    raw.path = if path.starts_with('/') {
-        path
-    } else {
-        format!("/{path}")
-    };
+    raw.path = if path.starts_with('/') { path } else { format!("/{path}") };
     match entry.read_service(raw, admitted.policy, &name) {
         Ok(work) => answer(entry, work, admitted.arrived, admitted.open).await,
         Err(problem) => refuse(&entry, &request_id, &team, problem),
@@ -178,39 +167,22 @@
 ) -> std::result::Result<Admitted, (String, Problem)> {
     let arrived = Instant::now();
     entry.metrics.requests.inc();
-    let policy = entry
-        .authenticate(request.headers())
-        .map_err(|it| (String::new(), it))?;
+    let policy = entry.authenticate(request.headers()).map_err(|it| (String::new(), it))?;
     let team = policy.team.clone();
     if entry.is_stopping() {
         return Err((
             team,
-            Problem {
-                retry_after_ms: 1_000,
-                ..not_run(Reason::Stopping, "the entry stops")
-            },
+            Problem { retry_after_ms: 1_000, ..not_run(Reason::Stopping, "the entry stops") },
         ));
     }
     let Some(open) = entry.open_request(&policy) else {
-        let detail = format!(
-            "team {team} has {} requests open, which is its limit",
-            policy.in_flight_max
-        );
-        return Err((
-            team,
-            Problem {
-                retry_after_ms: 500,
-                ..not_run(Reason::TeamLimit, detail)
-            },
-        ));
+        let detail =
+            format!("team {team} has {} requests open, which is its limit", policy.in_flight_max);
+        return Err((team, Problem { retry_after_ms: 500, ..not_run(Reason::TeamLimit, detail) }));
     };
     let (parts, body) = request.into_parts();
     let body = read_body(entry, body).await.map_err(|it| (team, it))?;
-    let path = parts
-        .uri
-        .path_and_query()
-        .map(|it| it.to_string())
-        .unwrap_or_default();
+    let path = parts.uri.path_and_query().map(|it| it.to_string()).unwrap_or_default();
     let raw = RawRequest {
         request_id: request_id.to_string(),
         method: parts.method,
@@ -218,12 +190,7 @@
         headers: parts.headers,
         body,
     };
-    Ok(Admitted {
-        raw,
-        policy,
-        open,
-        arrived,
-    })
+    Ok(Admitted { raw, policy, open, arrived })
 }
 
 async fn read_body(entry: &Entry, body: Body) -> std::result::Result<Bytes, Problem> {
@@ -231,18 +198,11 @@
     let collected =
         tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await;
     match collected {
-        Err(_) => Err(not_run(
-            Reason::SlowCaller,
-            "the body did not arrive in time",
-        )),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(not_run(
-            Reason::TooLarge,
-            format!("the body is larger than {max_bytes} bytes"),
-        )),
-        Ok(Err(error)) => Err(not_run(
-            Reason::BadRequest,
-            format!("the body broke off: {error}"),
-        )),
+        Err(_) => Err(not_run(Reason::SlowCaller, "the body did not arrive in time")),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(not_run(Reason::TooLarge, format!("the body is larger than {max_bytes} bytes")))
+        }
+        Ok(Err(error)) => Err(not_run(Reason::BadRequest, format!("the body broke off: {error}"))),
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
     }
 }
@@ -252,45 +212,31 @@
         return Ok(None);
     };
     let id = EventId::parse(text);
-    id.map(Some)
-        .ok_or_else(|| not_run(Reason::BadRequest, "last-event-id: this is no id of ours"))
+    id.map(Some).ok_or_else(|| not_run(Reason::BadRequest, "last-event-id: this is no id of ours"))
 }
 
 async fn answer(entry: Arc<Entry>, work: Work, arrived: Instant, open: OpenRequest) -> Response {
     let result = entry.carry_out(&work).await;
-    let (request_id, team) = (work.request_id.clone(), work.policy.team.clone());
-    match result {
-        Err(problem) => refuse(&entry, &request_id, &team, problem),
-        Ok(started) => {
-            let terms = Terms {
-                entry,
-                request_id,
-                team,
-                arrived,
-                open,
-            };
-            match work.is_streamed {
-                true => write_stream(terms, started),
-                false => write_whole(terms, started),
-            }
-        }
-    }
+    let is_streamed = work.is_streamed;
+    let terms = Terms { entry, request_id: work.request_id, team: work.policy.team, arrived, open };
+    write_result(terms, result, is_streamed)
 }
 
 async fn resume(entry: Arc<Entry>, admitted: Admitted, id: EventId) -> Response {
     let request_id = id.request_id.clone();
-    let team = admitted.policy.team.clone();
-    match entry.resume(&admitted.policy, id).await {
-        Err(problem) => refuse(&entry, &request_id, &team, problem),
-        Ok(started) => {
-            let terms = Terms {
-                entry,
-                request_id,
-                team,
-                arrived: admitted.arrived,
-                open: admitted.open,
-            };
-            write_stream(terms, started)
-        }
+    let result = entry.resume(&admitted.policy, id).await;
+    let (team, arrived, open) = (admitted.policy.team, admitted.arrived, admitted.open);
+    write_result(Terms { entry, request_id, team, arrived, open }, result, true)
+}
+
+fn write_result(
+    terms: Terms,
+    result: std::result::Result<Started, Problem>,
+    is_streamed: bool,
+) -> Response {
+    match result {
+        Err(problem) => refuse(&terms.entry, &terms.request_id, &terms.team, problem),
+        Ok(started) if is_streamed => write_stream(terms, started),
+        Ok(started) => write_whole(terms, started),
     }
 }
--- a/crates/bilberryloft-daemon/src/entry/state.rs
+++ b/crates/bilberryloft-daemon/src/entry/state.rs
@@ -2,9 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -21,6 +18,8 @@
 use bilberryloft_transport::client::Client;
 use bilberryloft_transport::clock::epoch_ms;
 use bilberryloft_transport::clock::monotonic_ms;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
 
 use crate::burn::BurnTracker;
 use crate::control_client::ControlClient;
@@ -102,7 +101,7 @@
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        self.inner.lock()
     }
 
     /// Makes a request id; its first part names this life of the entry.
@@ -141,19 +140,14 @@
         *open += 1;
         self.open.fetch_add(1, Ordering::SeqCst);
         self.metrics.open_requests.inc();
-        Some(OpenRequest {
-            entry: self.clone(),
-            team: policy.team.clone(),
-        })
+        Some(OpenRequest { entry: self.clone(), team: policy.team.clone() })
     }
 
     /// Client for an agent's address.
     pub(super) fn client(&self, address: &str) -> Client {
         let mut inner = self.lock();
         let client = inner.clients.entry(address.to_string());
-        client
-            .or_insert_with(|| Client::new(address, &self.daemon, self.incarnation))
-            .clone()
+        client.or_insert_with(|| Client::new(address, &self.daemon, self.incarnation)).clone()
     }
 
     /// Brings the picker up to the view, if the view has changed.
--- a/crates/bilberryloft-daemon/src/entry/trial.rs
+++ b/crates/bilberryloft-daemon/src/entry/trial.rs
@@ -60,12 +60,7 @@
         };
         let limit = TRIAL_LIMIT.min(work.time_left());
         let refuse = |reason: Reason, retry_after_ms: u64, detail: &str| {
-            Err(Problem::new(
-                reason,
-                RunState::NotRun,
-                retry_after_ms,
-                detail,
-            ))
+            Err(Problem::new(reason, RunState::NotRun, retry_after_ms, detail))
         };
         match self.control.propose(&command, limit).await {
             Ok(Outcome::Trial(TrialOutcome::Clear)) => Ok(None),
@@ -80,21 +75,15 @@
                 TRIAL_RETRY_AFTER_MS,
                 "the same work is on trial after a crash",
             ),
-            Ok(Outcome::Trial(TrialOutcome::Quarantined)) => refuse(
-                Reason::Quarantined,
-                0,
-                "the work was in flight at two crashes of targets",
-            ),
+            Ok(Outcome::Trial(TrialOutcome::Quarantined)) => {
+                refuse(Reason::Quarantined, 0, "the work was in flight at two crashes of targets")
+            }
             Ok(other) => refuse(
                 Reason::SuspectTrial,
                 TRIAL_RETRY_AFTER_MS,
                 &format!("the quorum answered {other:?}"),
             ),
-            Err(error) => refuse(
-                Reason::SuspectTrial,
-                TRIAL_RETRY_AFTER_MS,
-                &error.to_string(),
-            ),
+            Err(error) => refuse(Reason::SuspectTrial, TRIAL_RETRY_AFTER_MS, &error.to_string()),
         }
     }
 }
--- a/crates/bilberryloft-daemon/src/follow.rs
+++ b/crates/bilberryloft-daemon/src/follow.rs
@@ -39,25 +39,20 @@
                 suspects_version: versions.suspects as i64,
                 peer_address: peer_address.clone(),
             };
-            let is_confirmed = match control
-                .preferred()
-                .call(Body::Watch(watch), ANSWER_TIMEOUT)
-                .await
-            {
-                Ok(Body::Update(update)) => {
-                    let confirmed = update.confirmed;
-                    view.apply(update, asked_ms);
-                    confirmed
-                }
-                Ok(_) | Err(_) => false,
-            };
+            let is_confirmed =
+                match control.preferred().call(Body::Watch(watch), ANSWER_TIMEOUT).await {
+                    Ok(Body::Update(update)) => {
+                        let confirmed = update.confirmed;
+                        view.apply(update, asked_ms);
+                        confirmed
+                    }
+                    Ok(_) | Err(_) => false,
+                };
             if !is_confirmed {
                 // Another host may still reach a quorum.
                 control.rotate();
-                tokio::time::sleep(Duration::from_millis(fastrand::u64(
-                    PAUSE_MS..=3 * PAUSE_MS,
-                )))
-                .await;
+                tokio::time::sleep(Duration::from_millis(fastrand::u64(PAUSE_MS..=3 * PAUSE_MS)))
+                    .await;
             }
             let serves = view.may_serve();
             if was_serving && !serves {
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -67,16 +67,10 @@
         let first_byte_s = Histogram::with_opts(first_byte.buckets(buckets))?;
         registry.register(Box::new(first_byte_s.clone()))?;
         Ok(Metrics {
-            requests: counter(
-                "bilberryloft_requests_total",
-                "Requests taken from callers.",
-            )?,
+            requests: counter("bilberryloft_requests_total", "Requests taken from callers.")?,
             answers: counter("bilberryloft_answers_total", "Requests answered whole.")?,
             retries: counter("bilberryloft_retries_total", "Attempts after the first.")?,
-            open_requests: gauge(
-                "bilberryloft_open_requests",
-                "Requests that callers have open.",
-            )?,
+            open_requests: gauge("bilberryloft_open_requests", "Requests that callers have open.")?,
             pieces: counter("bilberryloft_pieces_total", "Pieces of streams passed on.")?,
             first_byte_s,
             attempts_started: counter(
@@ -87,18 +81,12 @@
                 "bilberryloft_attempts_cancelled_total",
                 "Attempts that were stopped.",
             )?,
-            target_crashes: counter(
-                "bilberryloft_target_crashes_total",
-                "Crashes of the target.",
-            )?,
+            target_crashes: counter("bilberryloft_target_crashes_total", "Crashes of the target.")?,
             configuration_version: gauge(
                 "bilberryloft_configuration_version",
                 "Configuration in force.",
             )?,
-            refusals: by_reason(
-                "bilberryloft_refusals_total",
-                "Requests refused to callers.",
-            )?,
+            refusals: by_reason("bilberryloft_refusals_total", "Requests refused to callers.")?,
             agent_refusals: by_reason(
                 "bilberryloft_agent_refusals_total",
                 "Dispatches refused to entries.",
@@ -114,9 +102,7 @@
 
     /// Counts a refusal to an entry.
     pub fn count_agent_refusal(&self, reason: Reason) {
-        self.agent_refusals
-            .with_label_values(&[&reason.name()])
-            .inc();
+        self.agent_refusals.with_label_values(&[&reason.name()]).inc();
     }
 
     /// All metrics as text.
--- a/crates/bilberryloft-daemon/src/peer_service.rs
+++ b/crates/bilberryloft-daemon/src/peer_service.rs
@@ -28,11 +28,7 @@
 impl PeerService {
     /// Makes the service; a control host adds its own part with [`PeerService::add_control`].
     pub fn new(shared: Arc<Shared>, target_lease_ms: u64) -> PeerService {
-        PeerService {
-            shared,
-            control: OnceLock::new(),
-            target_lease_ms,
-        }
+        PeerService { shared, control: OnceLock::new(), target_lease_ms }
     }
 
     /// Adds the calls that only a control host serves.
@@ -51,11 +47,8 @@
         if let Some(address) = issuing_daemon(request_id).and_then(|it| control.peer_address(it))
             && address != self.shared.settings.peer_address
         {
-            let client = Client::new(
-                address,
-                &self.shared.settings.daemon,
-                self.shared.incarnation,
-            );
+            let client =
+                Client::new(address, &self.shared.settings.daemon, self.shared.incarnation);
             let question = Body::Explain(wire::Explain::new(request_id.to_string()));
             if let Ok(Body::Records(more)) = client.call(question, EXPLAIN_TIMEOUT).await {
                 encoded.extend(more.records);
@@ -72,25 +65,19 @@
         match (call.body, control) {
             (Body::Explain(explain), _) => {
                 let records = self.collect_records(&explain.request_id).await;
-                let _ = responder
-                    .send(Body::Records(wire::Records::new(records)))
-                    .await;
+                let _ = responder.send(Body::Records(wire::Records::new(records))).await;
             }
             (Body::Status(_), _) => {
                 let watchers = control.map(|it| it.watcher_rows()).unwrap_or_default();
                 let quorum = control.map(|it| it.node().status());
                 let status = self.shared.status(quorum, watchers);
                 let bytes = serde_json::to_vec(&status).unwrap_or_default();
-                let _ = responder
-                    .send(Body::StatusReply(wire::StatusReply::new(bytes)))
-                    .await;
+                let _ = responder.send(Body::StatusReply(wire::StatusReply::new(bytes))).await;
             }
             (Body::Raft(message), Some(control)) => control.receive(message).await,
             (Body::Propose(propose), Some(control)) => control.propose(propose, &responder).await,
             (Body::Announce(announce), Some(control)) => {
-                control
-                    .announce(announce, self.target_lease_ms, &responder)
-                    .await;
+                control.announce(announce, self.target_lease_ms, &responder).await;
             }
             (Body::ReadIndex(question), Some(control)) => {
                 control.read_index(question, &responder).await
@@ -101,19 +88,14 @@
                 let _ = responder.send(Body::Done(wire::Done::new())).await;
             }
             (other, _) => {
-                responder
-                    .fail(body_name(&other), "this daemon does not serve this call")
-                    .await
+                responder.fail(body_name(&other), "this daemon does not serve this call").await
             }
         }
     }
 }
 
 fn encode(records: &[DecisionRecord]) -> Vec<Vec<u8>> {
-    records
-        .iter()
-        .filter_map(|it| serde_json::to_vec(it).ok())
-        .collect()
+    records.iter().filter_map(|it| serde_json::to_vec(it).ok()).collect()
 }
 
 /// Name of the daemon that issued a request id.
--- a/crates/bilberryloft-daemon/src/settings.rs
+++ b/crates/bilberryloft-daemon/src/settings.rs
@@ -226,18 +226,11 @@
 
     /// Checks the text of a file.
     pub fn parse(text: &str, path: &Path) -> Result<Settings> {
-        let faulty = |faults: Vec<String>| Error::Settings {
-            path: path.to_path_buf(),
-            faults,
-        };
+        let faulty = |faults: Vec<String>| Error::Settings { path: path.to_path_buf(), faults };
         let settings: Settings =
             serde_json::from_str(text).map_err(|it| faulty(vec![it.to_string()]))?;
         let faults = settings.find_faults();
-        if faults.is_empty() {
-            Ok(settings)
-        } else {
-            Err(faulty(faults))
-        }
+        if faults.is_empty() { Ok(settings) } else { Err(faulty(faults)) }
     }
 
     /// Roles that the daemon plays.
@@ -293,16 +286,8 @@
         }
         if let Some(agent) = &self.agent {
             check_name(&mut faults, "agent.target", &agent.target);
-            check_address(
-                &mut faults,
-                "agent.dispatch_address",
-                &agent.dispatch_address,
-            );
-            check_address(
-                &mut faults,
-                "agent.announce_address",
-                &agent.announce_address,
-            );
+            check_address(&mut faults, "agent.dispatch_address", &agent.dispatch_address);
+            check_address(&mut faults, "agent.announce_address", &agent.announce_address);
             if let Some(map) = &agent.expert_map {
                 check_range(
                     &mut faults,
@@ -319,13 +304,7 @@
                     1_000_000,
                 );
             }
-            check_range(
-                &mut faults,
-                "agent.queue_max",
-                agent.queue_max as u64,
-                1,
-                65_536,
-            );
+            check_range(&mut faults, "agent.queue_max", agent.queue_max as u64, 1, 65_536);
         }
         if let Some(control) = &self.control {
             control.find_faults(&mut faults);
@@ -345,43 +324,18 @@
         if self.members.is_empty() {
             faults.push("control.members: {} is empty, at least one member is needed".to_string());
         }
-        check_range(
-            faults,
-            "control.heartbeat_ms",
-            self.heartbeat_ms,
-            10,
-            10_000,
-        );
-        check_range(
-            faults,
-            "control.election_ms",
-            self.election_ms,
-            3 * self.heartbeat_ms,
-            60_000,
-        );
-        check_range(
-            faults,
-            "control.snapshot_entries",
-            self.snapshot_entries,
-            16,
-            10_000_000,
-        );
-        check_range(
-            faults,
-            "control.target_lease_ms",
-            self.target_lease_ms,
-            1_000,
-            60_000,
-        );
+        check_range(faults, "control.heartbeat_ms", self.heartbeat_ms, 10, 10_000);
+        check_range(faults, "control.election_ms", self.election_ms, 3 * self.heartbeat_ms, 60_000);
+        check_range(faults, "control.snapshot_entries", self.snapshot_entries, 16, 10_000_000);
+        check_range(faults, "control.target_lease_ms", self.target_lease_ms, 1_000, 60_000);
     }
 }
 
 fn check_name(faults: &mut Vec<String>, field: &str, value: &str) {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     if value.is_empty() || value.len() > 64 || !value.bytes().all(allowed) {
-        faults.push(format!(
-            "{field}: {value:?} must be 1 to 64 of a-z, A-Z, 0-9, '-', '_' and '.'"
-        ));
+        faults
+            .push(format!("{field}: {value:?} must be 1 to 64 of a-z, A-Z, 0-9, '-', '_' and '.'"));
     }
 }
 
--- a/crates/bilberryloft-daemon/src/view.rs
+++ b/crates/bilberryloft-daemon/src/view.rs
@@ -1,10 +1,6 @@
 //! What a daemon knows of the replicated state, and how fresh that is.
 
 use std::collections::BTreeMap;
-use std::sync::Mutex;
-use std::sync::PoisonError;
-use std::sync::RwLock;
-use std::sync::RwLockReadGuard;
 use std::time::Duration;
 
 use bilberryloft_coordination::freshness::Freshness;
@@ -17,6 +13,9 @@
 use bilberryloft_state::membership::TargetRecord;
 use bilberryloft_state::suspect::Suspect;
 use bilberryloft_transport::clock::monotonic_ms;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use parking_lot::RwLockReadGuard;
 use tokio::sync::watch;
 
 use crate::events::Event;
@@ -59,25 +58,17 @@
 
     /// The configuration in force.
     pub fn configuration(&self) -> RwLockReadGuard<'_, Configuration> {
-        self.configuration
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.configuration.read()
     }
 
     /// The known targets.
     pub fn membership(&self) -> RwLockReadGuard<'_, Membership> {
-        self.membership
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.membership.read()
     }
 
     /// A suspect by its fingerprint.
     pub fn suspect(&self, fingerprint: i64) -> Option<Suspect> {
-        self.suspects
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(&fingerprint)
-            .cloned()
+        self.suspects.read().get(&fingerprint).cloned()
     }
 
     /// Versions as they grow.
@@ -87,10 +78,7 @@
 
     /// Versions to ask from; 0 for the configuration when a snapshot is wanted.
     pub fn versions_to_ask(&self) -> ViewVersions {
-        let wants_snapshot = *self
-            .wants_snapshot
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let wants_snapshot = *self.wants_snapshot.lock();
         let mut versions = *self.versions.borrow();
         if wants_snapshot {
             versions.configuration = 0;
@@ -108,10 +96,8 @@
         self.lock_freshness().age_ms(monotonic_ms())
     }
 
-    fn lock_freshness(&self) -> std::sync::MutexGuard<'_, Freshness> {
-        self.freshness
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock_freshness(&self) -> parking_lot::MutexGuard<'_, Freshness> {
+        self.freshness.lock()
     }
 
     /// Waits until the configuration has at least a version; false when the time runs out first.
@@ -135,8 +121,7 @@
             membership: self.membership().version(),
             suspects: update.suspects_version as u64,
         };
-        self.versions
-            .send_if_modified(|it| std::mem::replace(it, versions) != versions);
+        self.versions.send_if_modified(|it| std::mem::replace(it, versions) != versions);
     }
 
     fn confirm(&self, asked_ms: u64) {
@@ -152,10 +137,7 @@
     }
 
     fn apply_configuration(&self, update: &Update) {
-        let mut configuration = self
-            .configuration
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut configuration = self.configuration.write();
         let before = configuration.version();
         if let Some(bytes) = &update.configuration_snapshot
             && let Ok(snapshot) = serde_json::from_slice::<Configuration>(bytes)
@@ -169,11 +151,7 @@
                 continue;
             };
             if record.version > configuration.version() && !configuration.apply(record) {
-                log_event!(
-                    warn,
-                    Event::ConfigurationGap,
-                    version = configuration.version()
-                );
+                log_event!(warn, Event::ConfigurationGap, version = configuration.version());
                 self.set_wants_snapshot(true);
                 break;
             }
@@ -185,10 +163,7 @@
     }
 
     fn set_wants_snapshot(&self, wants: bool) {
-        *self
-            .wants_snapshot
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = wants;
+        *self.wants_snapshot.lock() = wants;
     }
 
     fn apply_membership(&self, update: &Update) {
@@ -198,10 +173,7 @@
             whole: update.membership_whole,
             targets: update.targets.iter().filter_map(parse).collect(),
         };
-        self.membership
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .apply_delta(delta);
+        self.membership.write().apply_delta(delta);
     }
 
     fn apply_suspects(&self, update: &Update) {
@@ -209,15 +181,8 @@
             return;
         }
         let parse = |bytes: &Vec<u8>| serde_json::from_slice::<Suspect>(bytes).ok();
-        let suspects = update
-            .suspects
-            .iter()
-            .filter_map(parse)
-            .map(|it| (it.fingerprint, it))
-            .collect();
-        *self
-            .suspects
-            .write()
-            .unwrap_or_else(PoisonError::into_inner) = suspects;
+        let suspects =
+            update.suspects.iter().filter_map(parse).map(|it| (it.fingerprint, it)).collect();
+        *self.suspects.write() = suspects;
     }
 }
--- a/crates/bilberryloft-daemon/tests/documents.rs
+++ b/crates/bilberryloft-daemon/tests/documents.rs
@@ -23,17 +23,12 @@
 fn events_are_all_in_the_catalogue_and_none_is_made_up() {
     let catalogue = read("docs/EVENTS.md");
     let mut rows = Vec::new();
-    for line in catalogue
-        .lines()
-        .filter(|it| it.starts_with("| ") && !it.starts_with("| number"))
-    {
+    for line in catalogue.lines().filter(|it| it.starts_with("| ") && !it.starts_with("| number")) {
         let cells: Vec<&str> = line.split('|').map(str::trim).collect();
         rows.push((cells[1].parse::<u16>().unwrap(), cells[2].to_string()));
     }
-    let events: Vec<(u16, String)> = EVENTS
-        .iter()
-        .map(|it| (it.number(), format!("{it:?}")))
-        .collect();
+    let events: Vec<(u16, String)> =
+        EVENTS.iter().map(|it| (it.number(), format!("{it:?}"))).collect();
     assert_eq!(rows, events);
 }
 
@@ -51,11 +46,8 @@
             }
         }
     }
-    let unused: Vec<String> = EVENTS
-        .iter()
-        .map(|it| format!("Event::{it:?}"))
-        .filter(|it| !code.contains(it))
-        .collect();
+    let unused: Vec<String> =
+        EVENTS.iter().map(|it| format!("Event::{it:?}")).filter(|it| !code.contains(it)).collect();
     assert!(unused.is_empty(), "{unused:?}");
 }
 
@@ -68,13 +60,7 @@
             .lines()
             .find(|it| it.starts_with('|') && it.split('|').nth(1).unwrap().contains(&name));
         let row = row.unwrap_or_else(|| panic!("{name} is not in the table"));
-        assert!(
-            row.split('|')
-                .nth(2)
-                .unwrap()
-                .contains(&reason.status().to_string()),
-            "{row}"
-        );
+        assert!(row.split('|').nth(2).unwrap().contains(&reason.status().to_string()), "{row}");
     }
 }
 
@@ -121,18 +107,13 @@
         "configuration_lease_ms",
         "entry, agent, control",
     ] {
-        assert!(
-            faults.iter().any(|it| it.starts_with(field)),
-            "{field}: {faults:?}"
-        );
+        assert!(faults.iter().any(|it| it.starts_with(field)), "{field}: {faults:?}");
     }
 }
 
 #[test]
 fn settings_with_an_unknown_field_are_refused() {
     let text = read("examples/one-host.json").replace("\"log_format\"", "\"log_fromat\"");
-    let Err(error) = Settings::parse(&text, Path::new("x.json")) else {
-        panic!("accepted")
-    };
+    let Err(error) = Settings::parse(&text, Path::new("x.json")) else { panic!("accepted") };
     assert!(error.to_string().contains("log_fromat"), "{error}");
 }
--- a/crates/bilberryloft-experiment/src/commands/balance.rs
+++ b/crates/bilberryloft-experiment/src/commands/balance.rs
@@ -70,17 +70,11 @@
         );
         for replicas in &self.replicas {
             for (name, policy) in POLICIES {
-                let runs: Vec<[f64; 3]> = (0..self.seeds)
-                    .map(|it| self.simulate(policy, *replicas, it))
-                    .collect();
+                let runs: Vec<[f64; 3]> =
+                    (0..self.seeds).map(|it| self.simulate(policy, *replicas, it)).collect();
                 let column =
                     |at: usize| Summary::of(runs.iter().map(|it| it[at]).collect()).text(3);
-                println!(
-                    "{replicas} | {name} | {} | {} | {}",
-                    column(0),
-                    column(1),
-                    column(2)
-                );
+                println!("{replicas} | {name} | {} | {} | {}", column(0), column(1), column(2));
             }
         }
         Ok(())
@@ -88,9 +82,8 @@
 
     fn simulate(&self, policy: Policy, replicas: usize, seed: u64) -> [f64; 3] {
         let mut random = Rng::with_seed(seed);
-        let mut entries: Vec<Entry> = (0..self.entries)
-            .map(|it| self.start_entry(replicas, seed + it as u64))
-            .collect();
+        let mut entries: Vec<Entry> =
+            (0..self.entries).map(|it| self.start_entry(replicas, seed + it as u64)).collect();
         let mut loads = vec![0_u32; replicas];
         let mut reported = vec![0_u32; replicas];
         let mut ends: Vec<(u64, usize, usize)> = Vec::new();
@@ -105,9 +98,7 @@
                 loads[replica] -= 1;
                 let state = &mut entries[entry];
                 state.picker.note_end(state.keys[replica]);
-                state
-                    .picker
-                    .note_load(state.keys[replica], loads[replica], now_ms + 1);
+                state.picker.note_load(state.keys[replica], loads[replica], now_ms + 1);
             }
             if now_ms % REPORT_EVERY_MS == 0 {
                 reported.clone_from(&loads);
@@ -122,19 +113,14 @@
                 let state = &mut entries[entry];
                 state.picker.note_dispatch(state.keys[replica]);
                 state.picker.note_acknowledged(state.keys[replica]);
-                state
-                    .picker
-                    .note_load(state.keys[replica], loads[replica], now_ms + 1);
+                state.picker.note_load(state.keys[replica], loads[replica], now_ms + 1);
                 let service_ms = exponential(SERVICE_MS, &mut random) as u64;
                 ends.push((now_ms + service_ms.max(1), entry, replica));
             }
             if now_ms < RUN_MS / 5 {
                 continue;
             }
-            window
-                .iter_mut()
-                .zip(&loads)
-                .for_each(|(sum, load)| *sum += u64::from(*load));
+            window.iter_mut().zip(&loads).for_each(|(sum, load)| *sum += u64::from(*load));
             if now_ms % 1_000 == 0 {
                 let total: u64 = window.iter().sum();
                 let most = window.iter().max().copied().unwrap_or(0);
@@ -165,11 +151,7 @@
             };
             keys.push(picker.upsert(view, &["model".to_string()]));
         }
-        Entry {
-            picker,
-            keys,
-            next: seed as usize,
-        }
+        Entry { picker, keys, next: seed as usize }
     }
 }
 
@@ -187,16 +169,12 @@
             entry.next % count
         }
         Policy::Random => random.usize(0..count),
-        Policy::LeastReported => (0..count)
-            .min_by_key(|it| (reported[*it], (it + entry.next) % count))
-            .unwrap_or(0),
+        Policy::LeastReported => {
+            (0..count).min_by_key(|it| (reported[*it], (it + entry.next) % count)).unwrap_or(0)
+        }
         Policy::TwoChoicesReported => {
             let (left, right) = (random.usize(0..count), random.usize(0..count));
-            if reported[left] <= reported[right] {
-                left
-            } else {
-                right
-            }
+            if reported[left] <= reported[right] { left } else { right }
         }
         Policy::Picker => {
             let pick = entry.picker.pick("model", 0, &[], now_ms);
--- a/crates/bilberryloft-experiment/src/commands/expert_map.rs
+++ b/crates/bilberryloft-experiment/src/commands/expert_map.rs
@@ -123,9 +123,8 @@
         );
         let mut lines = Vec::new();
         for (name, policy) in POLICIES {
-            let outcomes: Vec<Outcome> = (0..self.seeds)
-                .map(|seed| self.simulate(policy, seed))
-                .collect();
+            let outcomes: Vec<Outcome> =
+                (0..self.seeds).map(|seed| self.simulate(policy, seed)).collect();
             print_row(name, &outcomes);
             lines.push(line_of(name, &outcomes[0]));
         }
@@ -180,10 +179,7 @@
                 }
             }
             outcome.skew.push(skew);
-            if regimes_s
-                .iter()
-                .any(|it| (*it..it + TICK_S).contains(&now_s))
-            {
+            if regimes_s.iter().any(|it| (*it..it + TICK_S).contains(&now_s)) {
                 recovering = Some((now_s, outcome.loads));
             }
             if let Some((since_s, loads)) = recovering.filter(|_| skew < 1.10) {
@@ -235,12 +231,8 @@
             }
             Policy::Threshold => return None,
             Policy::Paying(preset) => {
-                plan_moves(
-                    &state.placement,
-                    &shares,
-                    &Costs::of(preset, LOAD_MS, STALL_MS),
-                )?
-                .placement
+                plan_moves(&state.placement, &shares, &Costs::of(preset, LOAD_MS, STALL_MS))?
+                    .placement
             }
         };
         let loads = target.loads_from(&state.placement);
@@ -251,8 +243,7 @@
 
 impl LayerState {
     fn observe(&mut self, shares: &[f64], now_s: f64, random: &mut Rng) {
-        self.late
-            .push_back(sample_counts(shares, TOKENS_A_SECOND * TICK_S, random));
+        self.late.push_back(sample_counts(shares, TOKENS_A_SECOND * TICK_S, random));
         if self.late.len() > REPORT_LAG_TICKS
             && let Some(counts) = self.late.pop_front()
         {
@@ -283,13 +274,7 @@
     println!(
         "{name} | {} | {} | {} | {} | {} | {}",
         Summary::of(outcomes.iter().map(mean).collect()).text(3),
-        Summary::of(
-            outcomes
-                .iter()
-                .map(|it| percentile(it.skew.clone(), 0.95))
-                .collect()
-        )
-        .text(3),
+        Summary::of(outcomes.iter().map(|it| percentile(it.skew.clone(), 0.95)).collect()).text(3),
         Summary::of(outcomes.iter().map(|it| it.loads).collect()).text(0),
         Summary::of(outcomes.iter().map(|it| it.switches).collect()).text(0),
         Summary::of(outcomes.iter().map(slowest).collect()).text(0),
@@ -299,11 +284,6 @@
 
 fn line_of(name: &str, outcome: &Outcome) -> Line {
     let points = outcome.skew.iter().enumerate().step_by(12);
-    let points = points
-        .map(|(tick, skew)| (tick as f64 * TICK_S / 3_600.0, *skew))
-        .collect();
-    Line {
-        name: name.to_string(),
-        points,
-    }
+    let points = points.map(|(tick, skew)| (tick as f64 * TICK_S / 3_600.0, *skew)).collect();
+    Line { name: name.to_string(), points }
 }
--- a/crates/bilberryloft-experiment/src/commands/overload.rs
+++ b/crates/bilberryloft-experiment/src/commands/overload.rs
@@ -51,21 +51,14 @@
             "load | policy | goodput over capacity | Jain's index of tokens among the {TEAMS} equal teams | share of the flooding team"
         );
         for load in &self.loads {
-            for (name, policy) in [
-                ("first come", Policy::FirstCome),
-                ("admission", Policy::Admission),
-            ] {
-                let runs: Vec<[f64; 3]> = (0..self.seeds)
-                    .map(|it| simulate(policy, *load, it))
-                    .collect();
+            for (name, policy) in
+                [("first come", Policy::FirstCome), ("admission", Policy::Admission)]
+            {
+                let runs: Vec<[f64; 3]> =
+                    (0..self.seeds).map(|it| simulate(policy, *load, it)).collect();
                 let column =
                     |at: usize| Summary::of(runs.iter().map(|it| it[at]).collect()).text(3);
-                println!(
-                    "{load} | {name} | {} | {} | {}",
-                    column(0),
-                    column(1),
-                    column(2)
-                );
+                println!("{load} | {name} | {} | {} | {}", column(0), column(1), column(2));
             }
         }
         Ok(())
@@ -155,20 +148,9 @@
             due_ms += exponential(1.0 / rate, &mut random);
             id += 1;
             // One team floods: it sends as much as all others together.
-            let team = if random.bool() {
-                TEAMS
-            } else {
-                random.usize(0..TEAMS)
-            };
+            let team = if random.bool() { TEAMS } else { random.usize(0..TEAMS) };
             let tokens = exponential(TOKENS, &mut random).max(1.0);
-            requests.insert(
-                id,
-                Request {
-                    team,
-                    tokens,
-                    arrived_ms: now_ms,
-                },
-            );
+            requests.insert(id, Request { team, tokens, arrived_ms: now_ms });
             let ask = Ask {
                 id,
                 team: team.to_string(),
@@ -189,9 +171,5 @@
     let sum: f64 = equal.iter().sum();
     let squares: f64 = equal.iter().map(|it| it * it).sum();
     let jain = sum * sum / (equal.len() as f64 * squares);
-    [
-        total / (capacity * RUN_MS as f64),
-        jain,
-        good[TEAMS] / total,
-    ]
+    [total / (capacity * RUN_MS as f64), jain, good[TEAMS] / total]
 }
--- a/crates/bilberryloft-experiment/src/plot.rs
+++ b/crates/bilberryloft-experiment/src/plot.rs
@@ -20,11 +20,7 @@
     top: f64,
     lines: &[Line],
 ) -> eyre::Result<()> {
-    let right = lines
-        .iter()
-        .flat_map(|it| &it.points)
-        .map(|it| it.0)
-        .fold(0.0, f64::max);
+    let right = lines.iter().flat_map(|it| &it.points).map(|it| it.0).fold(0.0, f64::max);
     let root = SVGBackend::new(path, (960, 480)).into_drawing_area();
     root.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&root)
@@ -33,11 +29,7 @@
         .x_label_area_size(40)
         .y_label_area_size(50)
         .build_cartesian_2d(0.0..right, 1.0..top)?;
-    chart
-        .configure_mesh()
-        .x_desc(axes.0)
-        .y_desc(axes.1)
-        .draw()?;
+    chart.configure_mesh().x_desc(axes.0).y_desc(axes.1).draw()?;
     for (number, line) in lines.iter().enumerate() {
         let color = Palette99::pick(number).to_rgba();
         let points = line.points.iter().map(|it| (it.0, it.1.min(top)));
@@ -46,11 +38,7 @@
             .label(line.name.clone())
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color));
     }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE.mix(0.8))
-        .border_style(BLACK)
-        .draw()?;
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
     root.present()?;
     Ok(())
 }
--- a/crates/bilberryloft-experiment/src/summary.rs
+++ b/crates/bilberryloft-experiment/src/summary.rs
@@ -17,19 +17,12 @@
         values.sort_by(f64::total_cmp);
         let last = values.len().saturating_sub(1);
         let at = |index: usize| values.get(index).copied().unwrap_or(f64::NAN);
-        Summary {
-            median: at(last / 2),
-            least: at(0),
-            most: at(last),
-        }
+        Summary { median: at(last / 2), least: at(0), most: at(last) }
     }
 
     /// Median with least and most in brackets.
     pub fn text(&self, digits: usize) -> String {
-        format!(
-            "{:.digits$} [{:.digits$}, {:.digits$}]",
-            self.median, self.least, self.most
-        )
+        format!("{:.digits$} [{:.digits$}, {:.digits$}]", self.median, self.least, self.most)
     }
 }
 
@@ -37,8 +30,5 @@
 pub fn percentile(mut values: Vec<f64>, share: f64) -> f64 {
     values.sort_by(f64::total_cmp);
     let last = values.len().saturating_sub(1);
-    values
-        .get((last as f64 * share).round() as usize)
-        .copied()
-        .unwrap_or(f64::NAN)
+    values.get((last as f64 * share).round() as usize).copied().unwrap_or(f64::NAN)
 }
--- a/crates/bilberryloft-experiment/src/work.rs
+++ b/crates/bilberryloft-experiment/src/work.rs
@@ -37,9 +37,8 @@
     /// Makes a layer; regimes change at the given times, the same for all layers.
     pub fn new(behavior: Behavior, regimes_s: &[f64], seed: u64) -> Layer {
         let mut random = Rng::with_seed(seed);
-        let mut weights: Vec<f64> = (1..=behavior.experts)
-            .map(|it| (it as f64).powf(-behavior.exponent))
-            .collect();
+        let mut weights: Vec<f64> =
+            (1..=behavior.experts).map(|it| (it as f64).powf(-behavior.exponent)).collect();
         random.shuffle(&mut weights);
         let phases = (0..behavior.experts).map(|_| random.f64()).collect();
         let bursts = (0..behavior.bursts_a_day)
@@ -47,20 +46,11 @@
                 let begin_s = random.f64() * DAY_S;
                 (
                     begin_s,
-                    (0..behavior.experts / 16)
-                        .map(|_| random.usize(0..behavior.experts))
-                        .collect(),
+                    (0..behavior.experts / 16).map(|_| random.usize(0..behavior.experts)).collect(),
                 )
             })
             .collect();
-        Layer {
-            weights,
-            phases,
-            behavior,
-            regimes_s: regimes_s.to_vec(),
-            bursts,
-            random,
-        }
+        Layer { weights, phases, behavior, regimes_s: regimes_s.to_vec(), bursts, random }
     }
 
     /// Shares of all experts at a time; times must not go back.
--- a/crates/bilberryloft-protocol/src/convert.rs
+++ b/crates/bilberryloft-protocol/src/convert.rs
@@ -65,12 +65,7 @@
         Payload::Command(command) => (command, None),
         Payload::Members(members) => (Vec::new(), Some(encode_members(&members))),
     };
-    wire::LogEntry {
-        term: entry.term as i64,
-        index: entry.index as i64,
-        command,
-        members,
-    }
+    wire::LogEntry { term: entry.term as i64, index: entry.index as i64, command, members }
 }
 
 /// Reads a message between quorum members; `None` when a member set can't be read.
@@ -131,9 +126,5 @@
         Some(bytes) => Payload::Members(serde_json::from_slice::<MemberSet>(&bytes).ok()?),
         None => Payload::Command(entry.command),
     };
-    Some(LogEntry {
-        term: entry.term as u64,
-        index: entry.index as u64,
-        payload,
-    })
+    Some(LogEntry { term: entry.term as u64, index: entry.index as u64, payload })
 }
--- a/crates/bilberryloft-protocol/tests/frames.rs
+++ b/crates/bilberryloft-protocol/tests/frames.rs
@@ -31,9 +31,7 @@
         envelope.call_id == call_id && envelope.body == body
     }
     let random = Gen::from_size_and_seed(300, 37);
-    QuickCheck::new()
-        .rng(random)
-        .quickcheck(property as fn(i64, i32, i32, Vec<u8>) -> bool);
+    QuickCheck::new().rng(random).quickcheck(property as fn(i64, i32, i32, Vec<u8>) -> bool);
 }
 
 #[test]
@@ -73,10 +71,7 @@
         assert_eq!(outcome, ClaimOutcome::Granted { attempt: 1 });
     }
     for number in 0..29_000 {
-        let kind = ChangeKind::SetTarget {
-            name: format!("target-{number}"),
-            draining: true,
-        };
+        let kind = ChangeKind::SetTarget { name: format!("target-{number}"), draining: true };
         let request = ChangeRequest {
             change_id: format!("ctl-{number:016x}"),
             base_version: None,
@@ -92,19 +87,11 @@
         members: MemberSet::default(),
         data: serde_json::to_vec(&machine).unwrap(),
     };
-    let install = InstallSnapshot {
-        term: 1,
-        leader: 1,
-        snapshot,
-        last_index: 1,
-        round: 1,
-    };
+    let install = InstallSnapshot { term: 1, leader: 1, snapshot, last_index: 1, round: 1 };
     let message = Message::InstallSnapshot(install);
     let frame = encode_frame(0, Body::Raft(raft_to_wire(message.clone())));
     assert!(frame.len() < FRAME_MAX_BYTES, "{} bytes", frame.len());
     let envelope = decode_envelope(&frame[FRAME_HEADER_BYTES..], "peer").unwrap();
-    let Body::Raft(wire) = envelope.body else {
-        panic!("another body")
-    };
+    let Body::Raft(wire) = envelope.body else { panic!("another body") };
     assert_eq!(raft_from_wire(wire), Some(message));
 }
--- a/crates/bilberryloft-state/src/claim.rs
+++ b/crates/bilberryloft-state/src/claim.rs
@@ -110,17 +110,10 @@
 impl From<StoredClaims> for Claims {
     fn from(stored: StoredClaims) -> Self {
         let by_key: BTreeMap<KeyDigest, KeptClaim> = stored.claims.into_iter().collect();
-        let mut by_time: Vec<(u64, KeyDigest)> = by_key
-            .iter()
-            .map(|(key, claim)| (claim.granted_at_ms, *key))
-            .collect();
+        let mut by_time: Vec<(u64, KeyDigest)> =
+            by_key.iter().map(|(key, claim)| (claim.granted_at_ms, *key)).collect();
         by_time.sort_unstable();
-        Claims {
-            by_key,
-            by_time: by_time.into(),
-            sites: stored.sites,
-            issuers: stored.issuers,
-        }
+        Claims { by_key, by_time: by_time.into(), sites: stored.sites, issuers: stored.issuers }
     }
 }
 
@@ -137,9 +130,7 @@
 
     /// Claim of a key.
     pub fn get(&self, key: &str) -> Option<Claim> {
-        self.by_key
-            .get(&digest_pair(key))
-            .and_then(|it| self.expand(it))
+        self.by_key.get(&digest_pair(key)).and_then(|it| self.expand(it))
     }
 
     fn expand(&self, kept: &KeptClaim) -> Option<Claim> {
@@ -215,13 +206,7 @@
             return ClaimOutcome::Absent;
         };
         let before = *kept;
-        *kept = KeptClaim {
-            issuer,
-            number,
-            site,
-            attempt: before.attempt + 1,
-            ..before
-        };
+        *kept = KeptClaim { issuer, number, site, attempt: before.attempt + 1, ..before };
         let attempt = kept.attempt;
         self.forget_names(&before);
         ClaimOutcome::Granted { attempt }
@@ -253,11 +238,7 @@
             }
             self.by_time.pop_front();
             // The key may have been released and granted again since.
-            if self
-                .by_key
-                .get(&digest)
-                .is_some_and(|it| it.granted_at_ms == granted_at_ms)
-            {
+            if self.by_key.get(&digest).is_some_and(|it| it.granted_at_ms == granted_at_ms) {
                 self.remove(&digest);
             }
         }
--- a/crates/bilberryloft-state/src/configuration.rs
+++ b/crates/bilberryloft-state/src/configuration.rs
@@ -245,10 +245,7 @@
         let template = self.templates.get(&team.template)?;
         Some(TeamPolicy {
             team: team.name.clone(),
-            models: team
-                .models
-                .clone()
-                .unwrap_or_else(|| template.models.clone()),
+            models: team.models.clone().unwrap_or_else(|| template.models.clone()),
             services: template.services.clone(),
             weight: team.weight.unwrap_or(template.weight),
             priority: template.priority,
@@ -284,9 +281,7 @@
             kind: request.kind.clone(),
         };
         self.apply(record);
-        ChangeOutcome::Accepted {
-            version: self.version,
-        }
+        ChangeOutcome::Accepted { version: self.version }
     }
 
     fn find_conflict(&self, request: &ChangeRequest) -> Option<ChangeOutcome> {
@@ -331,16 +326,12 @@
         }
         for digest in &team.token_sha256 {
             if digest.len() != 64 || !digest.bytes().all(|it| it.is_ascii_hexdigit()) {
-                return Err(format!(
-                    "token_sha256: {digest:?} is not 64 hexadecimal digits"
-                ));
+                return Err(format!("token_sha256: {digest:?} is not 64 hexadecimal digits"));
             }
             if let Some(owner) = self.team_of_token.get(digest)
                 && *owner != team.name
             {
-                return Err(format!(
-                    "token_sha256: the token already names team {owner:?}"
-                ));
+                return Err(format!("token_sha256: the token already names team {owner:?}"));
             }
         }
         Ok(())
@@ -371,8 +362,7 @@
     fn apply_kind(&mut self, kind: &ChangeKind) {
         match kind {
             ChangeKind::ApplyTemplate(template) => {
-                self.templates
-                    .insert(template.name.clone(), template.clone());
+                self.templates.insert(template.name.clone(), template.clone());
             }
             ChangeKind::SetTeam(team) => {
                 self.forget_tokens(&team.name);
@@ -425,13 +415,7 @@
         if oldest > version + 1 {
             return None;
         }
-        Some(
-            self.recent
-                .iter()
-                .filter(|it| it.version > version)
-                .cloned()
-                .collect(),
-        )
+        Some(self.recent.iter().filter(|it| it.version > version).cloned().collect())
     }
 }
 
@@ -463,9 +447,7 @@
 fn validate_name(name: &str) -> Result<(), String> {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     if name.is_empty() || name.len() > 64 || !name.bytes().all(allowed) {
-        return Err(format!(
-            "name: {name:?} must be 1 to 64 of a-z, A-Z, 0-9, '-', '_' and '.'"
-        ));
+        return Err(format!("name: {name:?} must be 1 to 64 of a-z, A-Z, 0-9, '-', '_' and '.'"));
     }
     Ok(())
 }
--- a/crates/bilberryloft-state/src/error.rs
+++ b/crates/bilberryloft-state/src/error.rs
@@ -144,20 +144,12 @@
 
     /// Builds a disk error.
     pub fn disk(step: &'static str, path: impl Into<PathBuf>, source: std::io::Error) -> Error {
-        Error::Disk {
-            step,
-            path: path.into(),
-            source,
-        }
+        Error::Disk { step, path: path.into(), source }
     }
 
     /// Builds a network error.
     pub fn network(step: &'static str, peer: impl Into<String>, source: std::io::Error) -> Error {
-        Error::Network {
-            step,
-            peer: peer.into(),
-            source,
-        }
+        Error::Network { step, peer: peer.into(), source }
     }
 
     /// Builds a protocol error.
@@ -166,10 +158,6 @@
         peer: impl Into<String>,
         detail: impl Into<String>,
     ) -> Error {
-        Error::Protocol {
-            step,
-            peer: peer.into(),
-            detail: detail.into(),
-        }
+        Error::Protocol { step, peer: peer.into(), detail: detail.into() }
     }
 }
--- a/crates/bilberryloft-state/src/expert_register.rs
+++ b/crates/bilberryloft-state/src/expert_register.rs
@@ -46,11 +46,7 @@
         if version < self.last_version() {
             return Decision::Abort;
         }
-        let decision = if token < self.token {
-            Decision::Abort
-        } else {
-            decision
-        };
+        let decision = if token < self.token { Decision::Abort } else { decision };
         self.decisions.insert(version, decision);
         self.forget();
         decision
@@ -63,9 +59,7 @@
 
     /// Highest version that was decided, whatever the outcome.
     pub fn last_version(&self) -> u64 {
-        self.decisions
-            .last_key_value()
-            .map_or(0, |(version, _)| *version)
+        self.decisions.last_key_value().map_or(0, |(version, _)| *version)
     }
 
     /// Version in force at a step; 0 is the map that the group started with.
@@ -74,11 +68,7 @@
             Decision::Commit { step: from } if *from <= step => Some(*version),
             Decision::Commit { .. } | Decision::Abort => None,
         };
-        self.decisions
-            .iter()
-            .filter_map(in_force)
-            .max()
-            .unwrap_or(0)
+        self.decisions.iter().filter_map(in_force).max().unwrap_or(0)
     }
 
     /// Settles what a rank may have been armed for before it restarted: an undecided switch is aborted.
@@ -104,17 +94,9 @@
     fn forget(&mut self) {
         while self.decisions.len() > DECISIONS_MAX {
             let is_commit = |decision: &Decision| matches!(decision, Decision::Commit { .. });
-            let last_commit = self
-                .decisions
-                .iter()
-                .rev()
-                .find(|it| is_commit(it.1))
-                .map(|it| *it.0);
-            let oldest = self
-                .decisions
-                .keys()
-                .find(|it| Some(**it) != last_commit)
-                .copied();
+            let last_commit =
+                self.decisions.iter().rev().find(|it| is_commit(it.1)).map(|it| *it.0);
+            let oldest = self.decisions.keys().find(|it| Some(**it) != last_commit).copied();
             let Some(oldest) = oldest else { return };
             self.decisions.remove(&oldest);
         }
@@ -148,8 +130,7 @@
     /// Register of a group; those unused for long are dropped.
     pub fn group(&mut self, name: &str, now_ms: u64) -> &mut DecisionRegister {
         if !self.groups.contains_key(name) {
-            self.groups
-                .retain(|_, it| it.used_ms + GROUP_RETENTION_MS > now_ms);
+            self.groups.retain(|_, it| it.used_ms + GROUP_RETENTION_MS > now_ms);
         }
         let group = self.groups.entry(name.to_string()).or_default();
         group.used_ms = now_ms;
--- a/crates/bilberryloft-state/src/folder.rs
+++ b/crates/bilberryloft-state/src/folder.rs
@@ -30,13 +30,10 @@
             .open(&lock_path)
             .map_err(|it| Error::disk("open", &lock_path, it))?;
         match lock.try_lock() {
-            Ok(()) => Ok(Folder {
-                path: path.to_path_buf(),
-                _lock: lock,
-            }),
-            Err(std::fs::TryLockError::WouldBlock) => Err(Error::FolderInUse {
-                path: path.to_path_buf(),
-            }),
+            Ok(()) => Ok(Folder { path: path.to_path_buf(), _lock: lock }),
+            Err(std::fs::TryLockError::WouldBlock) => {
+                Err(Error::FolderInUse { path: path.to_path_buf() })
+            }
             Err(std::fs::TryLockError::Error(source)) => {
                 Err(Error::disk("lock", lock_path, source))
             }
@@ -69,17 +66,13 @@
 pub fn write_atomic(folder: &Path, name: &str, bytes: &[u8]) -> Result<()> {
     let temporary = folder.join(format!("{name}.tmp"));
     let mut file = File::create(&temporary).map_err(|it| Error::disk("create", &temporary, it))?;
-    file.write_all(bytes)
-        .map_err(|it| Error::disk("write", &temporary, it))?;
-    file.sync_all()
-        .map_err(|it| Error::disk("sync", &temporary, it))?;
+    file.write_all(bytes).map_err(|it| Error::disk("write", &temporary, it))?;
+    file.sync_all().map_err(|it| Error::disk("sync", &temporary, it))?;
     let place = folder.join(name);
     std::fs::rename(&temporary, &place).map_err(|it| Error::disk("rename", &place, it))?;
     // The new name itself must last, too.
     let opened = File::open(folder).map_err(|it| Error::disk("open", folder, it))?;
-    opened
-        .sync_all()
-        .map_err(|it| Error::disk("sync", folder, it))
+    opened.sync_all().map_err(|it| Error::disk("sync", folder, it))
 }
 
 /// Names of the files in a folder with the given start and end, in order; needs no lock.
--- a/crates/bilberryloft-state/src/intern.rs
+++ b/crates/bilberryloft-state/src/intern.rs
@@ -27,11 +27,7 @@
 
 impl<T: Ord + Clone> Default for Interner<T> {
     fn default() -> Self {
-        Interner {
-            slots: Vec::new(),
-            index: BTreeMap::new(),
-            free: Vec::new(),
-        }
+        Interner { slots: Vec::new(), index: BTreeMap::new(), free: Vec::new() }
     }
 }
 
@@ -44,10 +40,7 @@
             }
             return key;
         }
-        let slot = Some(Slot {
-            value: value.clone(),
-            uses: 1,
-        });
+        let slot = Some(Slot { value: value.clone(), uses: 1 });
         let key = match self.free.pop() {
             Some(key) => {
                 self.slots[key.0 as usize] = slot;
--- a/crates/bilberryloft-state/src/machine.rs
+++ b/crates/bilberryloft-state/src/machine.rs
@@ -199,22 +199,10 @@
             Command::Change(request) => {
                 Outcome::Change(self.configuration.decide(&request, now_ms))
             }
-            Command::Claim {
-                key,
-                request_id,
-                fingerprint,
-                site,
-            } => Outcome::Claim(
-                self.claims
-                    .claim(&key, &request_id, fingerprint, &site, now_ms),
-            ),
-            Command::MoveClaim {
-                key,
-                expected_request_id,
-                expected_attempt,
-                request_id,
-                site,
-            } => {
+            Command::Claim { key, request_id, fingerprint, site } => {
+                Outcome::Claim(self.claims.claim(&key, &request_id, fingerprint, &site, now_ms))
+            }
+            Command::MoveClaim { key, expected_request_id, expected_attempt, request_id, site } => {
                 let moved = self.claims.move_claim(
                     &key,
                     &expected_request_id,
@@ -224,66 +212,39 @@
                 );
                 Outcome::Claim(moved)
             }
-            Command::ReleaseClaim {
-                key,
-                request_id,
-                attempt,
-            } => {
+            Command::ReleaseClaim { key, request_id, attempt } => {
                 self.claims.release(&key, &request_id, attempt);
                 Outcome::Applied
             }
-            Command::Register {
-                name,
-                incarnation,
-                description,
-            } => {
-                self.membership
-                    .register(&name, incarnation, description, now_ms);
+            Command::Register { name, incarnation, description } => {
+                self.membership.register(&name, incarnation, description, now_ms);
                 Outcome::Applied
             }
             Command::Lose { targets } => {
                 self.membership.lose(&targets, now_ms);
                 Outcome::Applied
             }
-            Command::ReportCrash {
-                target,
-                crash_number,
-                fingerprints,
-            } => {
-                self.suspects
-                    .report_crash(&target, crash_number, &fingerprints, now_ms);
+            Command::ReportCrash { target, crash_number, fingerprints } => {
+                self.suspects.report_crash(&target, crash_number, &fingerprints, now_ms);
                 self.suspects_version += 1;
                 Outcome::Applied
             }
             Command::ExpertMapToken { group } => {
                 let register = self.expert_maps.group(&group, now_ms);
                 let token = register.next_token();
-                Outcome::ExpertMapToken {
-                    token,
-                    next_version: register.last_version() + 1,
-                }
+                Outcome::ExpertMapToken { token, next_version: register.last_version() + 1 }
             }
-            Command::ExpertMapDecide {
-                group,
-                version,
-                decision,
-                token,
-            } => {
+            Command::ExpertMapDecide { group, version, decision, token } => {
                 let register = self.expert_maps.group(&group, now_ms);
                 Outcome::ExpertMapDecision(register.decide(version, decision, token))
             }
             Command::ExpertMapSettle { group, next_step } => {
                 Outcome::ExpertMapSettled(self.expert_maps.group(&group, now_ms).settle(next_step))
             }
-            Command::BeginTrial {
-                fingerprint,
-                request_id,
-            } => Outcome::Trial(self.suspects.begin_trial(fingerprint, &request_id, now_ms)),
-            Command::EndTrial {
-                fingerprint,
-                request_id,
-                clean,
-            } => {
+            Command::BeginTrial { fingerprint, request_id } => {
+                Outcome::Trial(self.suspects.begin_trial(fingerprint, &request_id, now_ms))
+            }
+            Command::EndTrial { fingerprint, request_id, clean } => {
                 self.suspects.end_trial(fingerprint, &request_id, clean);
                 self.suspects_version += 1;
                 Outcome::Applied
--- a/crates/bilberryloft-state/src/member_set.rs
+++ b/crates/bilberryloft-state/src/member_set.rs
@@ -18,10 +18,7 @@
 impl MemberSet {
     /// Makes a set of voters only.
     pub fn of_voters(voters: BTreeMap<u32, String>) -> MemberSet {
-        MemberSet {
-            voters,
-            learners: BTreeMap::new(),
-        }
+        MemberSet { voters, learners: BTreeMap::new() }
     }
 
     /// Number of voters that make a majority.
@@ -31,33 +28,18 @@
 
     /// Voters and learners other than `member`.
     pub fn others(&self, member: u32) -> Vec<u32> {
-        self.voters
-            .keys()
-            .chain(self.learners.keys())
-            .copied()
-            .filter(|it| *it != member)
-            .collect()
+        self.voters.keys().chain(self.learners.keys()).copied().filter(|it| *it != member).collect()
     }
 
     /// Address of a voter or learner.
     pub fn address(&self, member: u32) -> Option<&String> {
-        self.voters
-            .get(&member)
-            .or_else(|| self.learners.get(&member))
+        self.voters.get(&member).or_else(|| self.learners.get(&member))
     }
 
     /// Number of voters that one of the two sets has and the other has not.
     pub fn voters_that_differ(&self, other: &MemberSet) -> usize {
-        let gone = self
-            .voters
-            .keys()
-            .filter(|it| !other.voters.contains_key(it))
-            .count();
-        let new = other
-            .voters
-            .keys()
-            .filter(|it| !self.voters.contains_key(it))
-            .count();
+        let gone = self.voters.keys().filter(|it| !other.voters.contains_key(it)).count();
+        let new = other.voters.keys().filter(|it| !self.voters.contains_key(it)).count();
         gone + new
     }
 }
--- a/crates/bilberryloft-state/src/membership.rs
+++ b/crates/bilberryloft-state/src/membership.rs
@@ -130,8 +130,7 @@
 
     fn forget(&mut self, at_ms: u64) {
         let before = self.targets.len();
-        self.targets
-            .retain(|_, it| it.reachable || it.changed_at_ms + FORGET_AFTER_MS > at_ms);
+        self.targets.retain(|_, it| it.reachable || it.changed_at_ms + FORGET_AFTER_MS > at_ms);
         if self.targets.len() != before {
             self.forgotten_version = self.version;
         }
@@ -142,11 +141,7 @@
         let whole = version < self.forgotten_version || version > self.version;
         let changed = |it: &&TargetRecord| whole || it.changed_version > version;
         let targets = self.targets.values().filter(changed).cloned().collect();
-        MembershipDelta {
-            version: self.version,
-            whole,
-            targets,
-        }
+        MembershipDelta { version: self.version, whole, targets }
     }
 
     /// Applies a delta; an older one changes nothing.
--- a/crates/bilberryloft-state/src/record.rs
+++ b/crates/bilberryloft-state/src/record.rs
@@ -57,10 +57,7 @@
 impl RecordRing {
     /// Makes a ring for `capacity` records.
     pub fn with_capacity(capacity: usize) -> RecordRing {
-        RecordRing {
-            records: VecDeque::new(),
-            capacity,
-        }
+        RecordRing { records: VecDeque::new(), capacity }
     }
 
     /// Adds a record.
@@ -73,10 +70,6 @@
 
     /// Records of one request, oldest first.
     pub fn find(&self, request_id: &str) -> Vec<DecisionRecord> {
-        self.records
-            .iter()
-            .filter(|it| it.request_id == request_id)
-            .cloned()
-            .collect()
+        self.records.iter().filter(|it| it.request_id == request_id).cloned().collect()
     }
 }
--- a/crates/bilberryloft-state/src/refusal.rs
+++ b/crates/bilberryloft-state/src/refusal.rs
@@ -109,17 +109,12 @@
 impl Reason {
     /// Number of the reason between processes.
     pub fn wire_number(self) -> i32 {
-        REASONS
-            .iter()
-            .position(|it| *it == self)
-            .map_or(-1, |it| it as i32)
+        REASONS.iter().position(|it| *it == self).map_or(-1, |it| it as i32)
     }
 
     /// Reason of a wire number, if there is one.
     pub fn from_wire_number(number: i32) -> Option<Reason> {
-        usize::try_from(number)
-            .ok()
-            .and_then(|it| REASONS.get(it).copied())
+        usize::try_from(number).ok().and_then(|it| REASONS.get(it).copied())
     }
 
     /// HTTP status that callers get with the reason.
--- a/crates/bilberryloft-state/src/snapshot.rs
+++ b/crates/bilberryloft-state/src/snapshot.rs
@@ -48,10 +48,7 @@
         detail: detail.to_string(),
     };
     if bytes.len() < HEADER_BYTES || &bytes[..8] != MAGIC {
-        return Err(damaged(
-            0,
-            "the file does not start with the magic of this format version",
-        ));
+        return Err(damaged(0, "the file does not start with the magic of this format version"));
     }
     let number = |at: usize| {
         let mut array = [0; 8];
@@ -70,12 +67,7 @@
     let members = serde_json::from_slice(&bytes[HEADER_BYTES..data_start])
         .map_err(|_| damaged(HEADER_BYTES as u64, "the member set can't be read"))?;
     let data = bytes[data_start..].to_vec();
-    let snapshot = Snapshot {
-        last_index: number(8),
-        last_term: number(16),
-        members,
-        data,
-    };
+    let snapshot = Snapshot { last_index: number(8), last_term: number(16), members, data };
     if checksum(&snapshot) != small(24) {
         return Err(damaged(24, "the snapshot does not match its checksum"));
     }
--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -57,23 +57,12 @@
         };
         let file_path = path.join(wal_name(sequence));
         let (recovered, sound_bytes) = recover(path, &file_path)?;
-        let file = OpenOptions::new()
-            .append(true)
-            .open(&file_path)
-            .map_err(|it| Error::disk("open", &file_path, it))?;
+        let file = open_for_append(&file_path)?;
         if recovered.torn_bytes > 0 {
-            file.set_len(sound_bytes)
-                .map_err(|it| Error::disk("truncate", &file_path, it))?;
-            file.sync_all()
-                .map_err(|it| Error::disk("sync", &file_path, it))?;
+            file.set_len(sound_bytes).map_err(|it| Error::disk("truncate", &file_path, it))?;
+            file.sync_all().map_err(|it| Error::disk("sync", &file_path, it))?;
         }
-        let storage = Storage {
-            folder,
-            file,
-            file_path,
-            sequence,
-            failed: false,
-        };
+        let storage = Storage { folder, file, file_path, sequence, failed: false };
         storage.remove_leftovers(recovered.snapshot.as_ref().map(|it| it.last_index))?;
         Ok((storage, recovered))
     }
@@ -167,10 +156,7 @@
         let sequence = self.sequence + 1;
         self.folder.write_atomic(&wal_name(sequence), &bytes)?;
         let file_path = self.folder.path().join(wal_name(sequence));
-        let file = OpenOptions::new()
-            .append(true)
-            .open(&file_path)
-            .map_err(|it| Error::disk("open", &file_path, it))?;
+        let file = open_for_append(&file_path)?;
         self.file = file;
         self.file_path = file_path;
         self.sequence = sequence;
@@ -197,11 +183,7 @@
 /// Makes a snapshot durable under its own name; it counts only once a log names it, so this may run beside
 /// appends from another thread.
 pub fn write_snapshot(folder: &Path, snapshot: &Snapshot) -> Result<()> {
-    write_atomic(
-        folder,
-        &snapshot_name(snapshot.last_index),
-        &snapshot::encode(snapshot),
-    )
+    write_atomic(folder, &snapshot_name(snapshot.last_index), &snapshot::encode(snapshot))
 }
 
 /// Reads a data folder without its lock and without changing it.
@@ -212,14 +194,13 @@
     }
 }
 
+fn open_for_append(path: &Path) -> Result<File> {
+    OpenOptions::new().append(true).open(path).map_err(|it| Error::disk("open", path, it))
+}
+
 fn latest_wal(path: &Path) -> Result<Option<u64>> {
     let names = names_in(path, "wal-", ".log")?;
-    let number = |name: &String| {
-        name.strip_prefix("wal-")?
-            .strip_suffix(".log")?
-            .parse()
-            .ok()
-    };
+    let number = |name: &String| name.strip_prefix("wal-")?.strip_suffix(".log")?.parse().ok();
     Ok(names.iter().filter_map(number).max())
 }
 
@@ -241,11 +222,8 @@
 
 fn replay(content: WalContent, snapshot: Option<Snapshot>, path: &Path) -> Result<Recovered> {
     let base = snapshot.as_ref().map_or(0, |it| it.last_index);
-    let mut recovered = Recovered {
-        snapshot,
-        torn_bytes: content.torn_bytes,
-        ..Recovered::default()
-    };
+    let mut recovered =
+        Recovered { snapshot, torn_bytes: content.torn_bytes, ..Recovered::default() };
     for record in content.records {
         match record {
             WalRecord::HardState(state) => recovered.hard_state = state,
--- a/crates/bilberryloft-state/src/suspect.rs
+++ b/crates/bilberryloft-state/src/suspect.rs
@@ -74,15 +74,9 @@
         fingerprints: &[i64],
         now_ms: u64,
     ) {
-        self.by_fingerprint
-            .retain(|_, it| it.last_crash_ms + SUSPECT_RETENTION_MS > now_ms);
-        self.reported
-            .retain(|_, at_ms| *at_ms + SUSPECT_RETENTION_MS > now_ms);
-        if self
-            .reported
-            .insert(format!("{target}#{crash_number}"), now_ms)
-            .is_some()
-        {
+        self.by_fingerprint.retain(|_, it| it.last_crash_ms + SUSPECT_RETENTION_MS > now_ms);
+        self.reported.retain(|_, at_ms| *at_ms + SUSPECT_RETENTION_MS > now_ms);
+        if self.reported.insert(format!("{target}#{crash_number}"), now_ms).is_some() {
             return;
         }
         for fingerprint in fingerprints {
@@ -111,10 +105,7 @@
         if suspect.trial.as_ref().is_some_and(is_others) {
             return TrialOutcome::Running;
         }
-        suspect.trial = Some(Trial {
-            request_id: request_id.to_string(),
-            started_ms: now_ms,
-        });
+        suspect.trial = Some(Trial { request_id: request_id.to_string(), started_ms: now_ms });
         TrialOutcome::Granted
     }
 
@@ -123,11 +114,7 @@
         let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else {
             return;
         };
-        if suspect
-            .trial
-            .as_ref()
-            .is_none_or(|it| it.request_id != request_id)
-        {
+        if suspect.trial.as_ref().is_none_or(|it| it.request_id != request_id) {
             return;
         }
         suspect.trial = None;
--- a/crates/bilberryloft-state/src/wal.rs
+++ b/crates/bilberryloft-state/src/wal.rs
@@ -144,22 +144,14 @@
         detail: detail.to_string(),
     };
     if bytes.len() < FILE_HEADER_BYTES || &bytes[..8] != MAGIC {
-        return Err(damaged(
-            0,
-            "the file does not start with the magic of this format version",
-        ));
+        return Err(damaged(0, "the file does not start with the magic of this format version"));
     }
-    let mut content = WalContent {
-        snapshot_index: read_u64(&bytes[8..16]),
-        ..WalContent::default()
-    };
+    let mut content =
+        WalContent { snapshot_index: read_u64(&bytes[8..16]), ..WalContent::default() };
     let mut offset = FILE_HEADER_BYTES;
     while offset < bytes.len() {
         match decode_record(&bytes[offset..]) {
-            Decoded::Whole {
-                record,
-                length_bytes,
-            } => {
+            Decoded::Whole { record, length_bytes } => {
                 content.records.push(record);
                 offset += length_bytes;
             }
@@ -173,10 +165,7 @@
 }
 
 enum Decoded {
-    Whole {
-        record: WalRecord,
-        length_bytes: usize,
-    },
+    Whole { record: WalRecord, length_bytes: usize },
     Torn,
     Damaged(&'static str),
 }
@@ -195,10 +184,7 @@
     let payload = &bytes[RECORD_HEADER_BYTES..payload_end];
     if crc32fast::hash(payload) == read_u32(&bytes[8..12]) && bytes[payload_end] == TRAILER {
         return match decode_payload(payload) {
-            Some(record) => Decoded::Whole {
-                record,
-                length_bytes: payload_end + 1,
-            },
+            Some(record) => Decoded::Whole { record, length_bytes: payload_end + 1 },
             None => Decoded::Damaged("the record is of no known kind"),
         };
     }
@@ -215,10 +201,7 @@
         1 if rest.len() == 16 => {
             let vote = read_u64(&rest[8..16]);
             let vote = u32::try_from(vote).ok();
-            Some(WalRecord::HardState(HardState {
-                term: read_u64(&rest[..8]),
-                vote,
-            }))
+            Some(WalRecord::HardState(HardState { term: read_u64(&rest[..8]), vote }))
         }
         2 if rest.len() >= 16 => Some(WalRecord::Entry(LogEntry {
             term: read_u64(&rest[..8]),
@@ -231,9 +214,7 @@
             payload: Payload::Members(serde_json::from_slice(&rest[16..]).ok()?),
         })),
         5 if rest.is_empty() => Some(WalRecord::MayVote),
-        3 if rest.len() == 8 => Some(WalRecord::Truncate {
-            from_index: read_u64(rest),
-        }),
+        3 if rest.len() == 8 => Some(WalRecord::Truncate { from_index: read_u64(rest) }),
         _ => None,
     }
 }
--- a/crates/bilberryloft-state/tests/machine.rs
+++ b/crates/bilberryloft-state/tests/machine.rs
@@ -59,10 +59,7 @@
 }
 
 fn drain(name: &str, draining: bool) -> ChangeKind {
-    ChangeKind::SetTarget {
-        name: name.to_string(),
-        draining,
-    }
+    ChangeKind::SetTarget { name: name.to_string(), draining }
 }
 
 fn with_template() -> Configuration {
@@ -78,10 +75,7 @@
     let first = configuration.decide(&request, 1);
     configuration.decide(&change("b", None, drain("x", false)), 2);
     assert_eq!(configuration.decide(&request, 3), first);
-    assert_eq!(
-        (configuration.version(), configuration.is_draining("x")),
-        (2, false)
-    );
+    assert_eq!((configuration.version(), configuration.is_draining("x")), (2, false));
 }
 
 #[test]
@@ -99,56 +93,28 @@
     };
     assert_eq!(second, conflict);
     let other = configuration.decide(&change("c", base, drain("y", true)), 3);
-    assert_eq!(
-        other,
-        ChangeOutcome::Accepted { version: 2 },
-        "another object is no race"
-    );
+    assert_eq!(other, ChangeOutcome::Accepted { version: 2 }, "another object is no race");
 }
 
 #[test]
 fn change_that_breaks_a_rule_names_the_field() {
     let mut configuration = with_template();
-    let wrong = Template {
-        weight: 0,
-        ..template()
-    };
+    let wrong = Template { weight: 0, ..template() };
     let outcome = configuration.decide(&change("w", None, ChangeKind::ApplyTemplate(wrong)), 0);
     assert!(matches!(outcome, ChangeOutcome::Invalid { detail } if detail.contains("weight: 0")));
-    configuration.decide(
-        &change("a", None, ChangeKind::SetTeam(team("asahikawa", "token"))),
-        0,
-    );
-    let stolen = configuration.decide(
-        &change("b", None, ChangeKind::SetTeam(team("kamikawa", "token"))),
-        0,
-    );
+    configuration.decide(&change("a", None, ChangeKind::SetTeam(team("asahikawa", "token"))), 0);
+    let stolen =
+        configuration.decide(&change("b", None, ChangeKind::SetTeam(team("kamikawa", "token"))), 0);
     assert!(matches!(stolen, ChangeOutcome::Invalid { detail } if detail.contains("asahikawa")));
 }
 
 #[test]
 fn team_takes_new_tokens_and_loses_old_ones() {
     let mut configuration = with_template();
-    configuration.decide(
-        &change("a", None, ChangeKind::SetTeam(team("asahikawa", "old"))),
-        0,
-    );
-    configuration.decide(
-        &change("b", None, ChangeKind::SetTeam(team("asahikawa", "new"))),
-        0,
-    );
-    assert!(
-        configuration
-            .policy_of_digest(&token_digest("old"))
-            .is_none()
-    );
-    assert_eq!(
-        configuration
-            .policy_of_digest(&token_digest("new"))
-            .unwrap()
-            .weight,
-        10
-    );
+    configuration.decide(&change("a", None, ChangeKind::SetTeam(team("asahikawa", "old"))), 0);
+    configuration.decide(&change("b", None, ChangeKind::SetTeam(team("asahikawa", "new"))), 0);
+    assert!(configuration.policy_of_digest(&token_digest("old")).is_none());
+    assert_eq!(configuration.policy_of_digest(&token_digest("new")).unwrap().weight, 10);
 }
 
 #[test]
@@ -177,10 +143,7 @@
         copy.version() == original.version() && copy.teams() == original.teams()
     }
     let random = Gen::from_size_and_seed(100, 29);
-    QuickCheck::new()
-        .rng(random)
-        .tests(200)
-        .quickcheck(property as fn(Vec<u8>) -> bool);
+    QuickCheck::new().rng(random).tests(200).quickcheck(property as fn(Vec<u8>) -> bool);
 }
 
 #[test]
@@ -190,13 +153,7 @@
         configuration.decide(&change(&number.to_string(), None, drain("x", true)), 0);
     }
     assert!(configuration.changes_after(5).is_none());
-    assert_eq!(
-        configuration
-            .changes_after(configuration.version() - 3)
-            .unwrap()
-            .len(),
-        3
-    );
+    assert_eq!(configuration.changes_after(configuration.version() - 3).unwrap().len(), 3);
 }
 
 fn site(target: &str) -> ClaimSite {
@@ -210,21 +167,12 @@
 #[test]
 fn claim_is_granted_once() {
     let mut claims = Claims::default();
-    assert_eq!(
-        claims.claim("k", "r1", 7, &site("a"), 0),
-        ClaimOutcome::Granted { attempt: 1 }
-    );
-    assert_eq!(
-        claims.claim("k", "r1", 7, &site("a"), 0),
-        ClaimOutcome::Granted { attempt: 1 }
-    );
+    assert_eq!(claims.claim("k", "r1", 7, &site("a"), 0), ClaimOutcome::Granted { attempt: 1 });
+    assert_eq!(claims.claim("k", "r1", 7, &site("a"), 0), ClaimOutcome::Granted { attempt: 1 });
     assert!(
         matches!(claims.claim("k", "r2", 7, &site("b"), 0), ClaimOutcome::Held(held) if held.request_id == "r1")
     );
-    assert_eq!(
-        claims.claim("k", "r3", 8, &site("b"), 0),
-        ClaimOutcome::KeyReused
-    );
+    assert_eq!(claims.claim("k", "r3", 8, &site("b"), 0), ClaimOutcome::KeyReused);
 }
 
 #[test]
@@ -235,10 +183,7 @@
         claims.move_claim("k", "r1", 1, "r2", &site("b")),
         ClaimOutcome::Granted { attempt: 2 }
     );
-    assert!(matches!(
-        claims.move_claim("k", "r1", 1, "r3", &site("c")),
-        ClaimOutcome::Held(_)
-    ));
+    assert!(matches!(claims.move_claim("k", "r1", 1, "r3", &site("c")), ClaimOutcome::Held(_)));
     claims.release("k", "r1", 1);
     assert_eq!(
         claims.get("k").unwrap().request_id,
@@ -252,10 +197,7 @@
     let mut claims = Claims::default();
     claims.claim("k", "r1", 7, &site("a"), 1_000);
     let last = 1_000 + CLAIM_RETENTION_MS - 1;
-    assert!(matches!(
-        claims.claim("k", "r2", 7, &site("b"), last),
-        ClaimOutcome::Held(_)
-    ));
+    assert!(matches!(claims.claim("k", "r2", 7, &site("b"), last), ClaimOutcome::Held(_)));
     assert_eq!(
         claims.claim("k", "r3", 7, &site("b"), last + 1),
         ClaimOutcome::Granted { attempt: 1 }
@@ -273,18 +215,8 @@
     for key in ["k", "odd", "gone"] {
         assert_eq!(copy.get(key), claims.get(key));
     }
-    assert_eq!(
-        copy.get("odd").unwrap().request_id,
-        "entry-1-1a2b-0f",
-        "to the letter"
-    );
-    copy.claim(
-        "new",
-        "entry-2-3c-1",
-        8,
-        &site("a"),
-        1_000 + CLAIM_RETENTION_MS,
-    );
+    assert_eq!(copy.get("odd").unwrap().request_id, "entry-1-1a2b-0f", "to the letter");
+    copy.claim("new", "entry-2-3c-1", 8, &site("a"), 1_000 + CLAIM_RETENTION_MS);
     assert!(copy.get("k").is_none());
     assert!(copy.get("odd").is_some());
 }
@@ -329,17 +261,12 @@
             }
         }
         let same = |(key, held): (&String, &(String, u32))| {
-            claims
-                .get(key)
-                .is_some_and(|it| (it.request_id, it.attempt) == *held)
+            claims.get(key).is_some_and(|it| (it.request_id, it.attempt) == *held)
         };
         plain.len() == claims.len() && plain.iter().all(same)
     }
     let random = Gen::from_size_and_seed(120, 31);
-    QuickCheck::new()
-        .rng(random)
-        .tests(300)
-        .quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
+    QuickCheck::new().rng(random).tests(300).quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
 }
 
 #[test]
@@ -351,14 +278,8 @@
         fingerprint: 1,
         site: site("a"),
     };
-    machine.apply(StampedCommand {
-        at_ms: 50_000,
-        command: claim("a"),
-    });
-    machine.apply(StampedCommand {
-        at_ms: 10,
-        command: claim("b"),
-    });
+    machine.apply(StampedCommand { at_ms: 50_000, command: claim("a") });
+    machine.apply(StampedCommand { at_ms: 10, command: claim("b") });
     assert_eq!(machine.claims.get("b").unwrap().granted_at_ms, 50_000);
 }
 
@@ -404,11 +325,7 @@
     assert_eq!(membership.version(), version, "a renewal is no news");
     membership.lose(&[("a".to_string(), 1), ("b".to_string(), 0)], 0);
     let delta = membership.delta_after(version);
-    assert_eq!(
-        delta.targets.len(),
-        1,
-        "an expiry of an earlier life changes nothing"
-    );
+    assert_eq!(delta.targets.len(), 1, "an expiry of an earlier life changes nothing");
     let mut copy = Membership::default();
     copy.apply_delta(membership.delta_after(0));
     assert_eq!(copy.targets(), membership.targets());
--- a/crates/bilberryloft-state/tests/storage.rs
+++ b/crates/bilberryloft-state/tests/storage.rs
@@ -22,25 +22,16 @@
 
 impl Folder {
     fn create(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!(
-            "bilberryloft-storage-{name}-{}",
-            std::process::id()
-        ));
+        let path = std::env::temp_dir()
+            .join(format!("bilberryloft-storage-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&path);
         Folder(path)
     }
 
     fn wal(&self) -> PathBuf {
-        let mut names: Vec<PathBuf> = std::fs::read_dir(&self.0)
-            .unwrap()
-            .map(|it| it.unwrap().path())
-            .collect();
-        names.retain(|it| {
-            it.file_name()
-                .unwrap()
-                .to_string_lossy()
-                .starts_with("wal-")
-        });
+        let mut names: Vec<PathBuf> =
+            std::fs::read_dir(&self.0).unwrap().map(|it| it.unwrap().path()).collect();
+        names.retain(|it| it.file_name().unwrap().to_string_lossy().starts_with("wal-"));
         names.pop().unwrap()
     }
 }
@@ -52,26 +43,15 @@
 }
 
 fn entry(index: u64, text: &str) -> LogEntry {
-    LogEntry {
-        term: 1,
-        index,
-        payload: Payload::Command(text.as_bytes().to_vec()),
-    }
+    LogEntry { term: 1, index, payload: Payload::Command(text.as_bytes().to_vec()) }
 }
 
 fn write_entries(path: &Path, count: u64) {
     let (mut storage, _) = Storage::open(path).unwrap();
-    let state = HardState {
-        term: 1,
-        vote: Some(2),
-    };
-    storage
-        .append(&[WalRecord::HardState(state), WalRecord::MayVote])
-        .unwrap();
+    let state = HardState { term: 1, vote: Some(2) };
+    storage.append(&[WalRecord::HardState(state), WalRecord::MayVote]).unwrap();
     for index in 1..=count {
-        storage
-            .append(&[WalRecord::Entry(entry(index, "advisory"))])
-            .unwrap();
+        storage.append(&[WalRecord::Entry(entry(index, "advisory"))]).unwrap();
     }
     storage.sync().unwrap();
 }
@@ -81,21 +61,11 @@
     let folder = Folder::create("reads-back");
     write_entries(&folder.0, 3);
     let (_, recovered) = Storage::open(&folder.0).unwrap();
-    assert_eq!(
-        recovered.hard_state,
-        HardState {
-            term: 1,
-            vote: Some(2)
-        }
-    );
+    assert_eq!(recovered.hard_state, HardState { term: 1, vote: Some(2) });
     assert!(recovered.may_vote);
     assert_eq!(
         recovered.entries,
-        [
-            entry(1, "advisory"),
-            entry(2, "advisory"),
-            entry(3, "advisory")
-        ]
+        [entry(1, "advisory"), entry(2, "advisory"), entry(3, "advisory")]
     );
 }
 
@@ -148,34 +118,17 @@
     let folder = Folder::create("snapshot");
     write_entries(&folder.0, 10);
     let members = MemberSet::of_voters(BTreeMap::from([(1, "127.0.0.1:7400".to_string())]));
-    let snapshot = Snapshot {
-        last_index: 8,
-        last_term: 1,
-        members,
-        data: b"state".to_vec(),
-    };
+    let snapshot = Snapshot { last_index: 8, last_term: 1, members, data: b"state".to_vec() };
     let (mut storage, _) = Storage::open(&folder.0).unwrap();
-    let state = HardState {
-        term: 3,
-        vote: None,
-    };
-    storage
-        .install(&snapshot, state, true, &[entry(9, "a"), entry(10, "b")])
-        .unwrap();
+    let state = HardState { term: 3, vote: None };
+    storage.install(&snapshot, state, true, &[entry(9, "a"), entry(10, "b")]).unwrap();
     storage.append(&[WalRecord::Entry(entry(11, "c"))]).unwrap();
     storage.sync().unwrap();
     drop(storage);
     let recovered = inspect(&folder.0).unwrap();
     assert_eq!(recovered.snapshot, Some(snapshot));
     assert_eq!(recovered.hard_state, state);
-    assert_eq!(
-        recovered
-            .entries
-            .iter()
-            .map(|it| it.index)
-            .collect::<Vec<u64>>(),
-        [9, 10, 11]
-    );
+    assert_eq!(recovered.entries.iter().map(|it| it.index).collect::<Vec<u64>>(), [9, 10, 11]);
     let files = std::fs::read_dir(&folder.0).unwrap().count();
     assert_eq!(files, 3, "lock, log and snapshot");
 }
@@ -205,28 +158,20 @@
         data: b"state".to_vec(),
     };
     let (mut storage, _) = Storage::open(&folder.0).unwrap();
-    storage
-        .install(&snapshot, HardState::default(), true, &[])
-        .unwrap();
+    storage.install(&snapshot, HardState::default(), true, &[]).unwrap();
     drop(storage);
     let path = folder.0.join("snapshot-00000000000000000010.bin");
     let mut bytes = std::fs::read(&path).unwrap();
     *bytes.last_mut().unwrap() ^= 1;
     std::fs::write(&path, bytes).unwrap();
-    assert!(matches!(
-        Storage::open(&folder.0),
-        Err(Error::Damaged { .. })
-    ));
+    assert!(matches!(Storage::open(&folder.0), Err(Error::Damaged { .. })));
 }
 
 #[test]
 fn storage_admits_one_process() {
     let folder = Folder::create("lock");
     let (_first, _) = Storage::open(&folder.0).unwrap();
-    assert!(matches!(
-        Storage::open(&folder.0),
-        Err(Error::FolderInUse { .. })
-    ));
+    assert!(matches!(Storage::open(&folder.0), Err(Error::FolderInUse { .. })));
 }
 
 #[test]
@@ -237,26 +182,10 @@
     let wal = folder.wal();
     let header = std::fs::read(&wal).unwrap();
     let (mut storage, _) = Storage::open(&folder.0).unwrap();
-    storage.swap_file_for_test(
-        std::fs::OpenOptions::new()
-            .append(true)
-            .open("/dev/full")
-            .unwrap(),
-    );
-    assert!(
-        storage
-            .append(&[WalRecord::Entry(entry(2, "lost"))])
-            .is_err()
-    );
-    assert!(
-        storage.sync().is_err(),
-        "a later sync must not cover up the failed write"
-    );
-    assert!(
-        storage
-            .append(&[WalRecord::Entry(entry(2, "again"))])
-            .is_err()
-    );
+    storage.swap_file_for_test(std::fs::OpenOptions::new().append(true).open("/dev/full").unwrap());
+    assert!(storage.append(&[WalRecord::Entry(entry(2, "lost"))]).is_err());
+    assert!(storage.sync().is_err(), "a later sync must not cover up the failed write");
+    assert!(storage.append(&[WalRecord::Entry(entry(2, "again"))]).is_err());
     assert_eq!(std::fs::read(&wal).unwrap(), header);
 }
 
@@ -273,9 +202,7 @@
                 0 if !expected.is_empty() => {
                     let keep = usize::from(step) % expected.len();
                     let from_index = base + keep as u64 + 1;
-                    storage
-                        .append(&[WalRecord::Truncate { from_index }])
-                        .unwrap();
+                    storage.append(&[WalRecord::Truncate { from_index }]).unwrap();
                     expected.truncate(keep);
                 }
                 1 if !expected.is_empty() => {
@@ -288,9 +215,7 @@
                         members: MemberSet::default(),
                         data: vec![step],
                     };
-                    storage
-                        .install(&snapshot, HardState::default(), false, &expected)
-                        .unwrap();
+                    storage.install(&snapshot, HardState::default(), false, &expected).unwrap();
                 }
                 2 => {
                     storage.sync().unwrap();
@@ -310,8 +235,5 @@
         recovered.entries == expected && recovered.snapshot.map_or(0, |it| it.last_index) == base
     }
     let random = Gen::from_size_and_seed(60, 23);
-    QuickCheck::new()
-        .rng(random)
-        .tests(60)
-        .quickcheck(property as fn(Vec<u8>) -> bool);
+    QuickCheck::new().rng(random).tests(60).quickcheck(property as fn(Vec<u8>) -> bool);
 }
--- a/crates/bilberryloft-testing/src/address.rs
+++ b/crates/bilberryloft-testing/src/address.rs
@@ -1,8 +1,8 @@
 //! Loopback addresses that no other test uses.
 
 use std::net::TcpListener;
-use std::sync::Mutex;
-use std::sync::PoisonError;
+
+use parking_lot::Mutex;
 
 /// Port that is bound on an address to hold it for this process.
 const GUARD_PORT: u16 = 7_399;
@@ -13,7 +13,7 @@
 ///
 /// Tests can then use fixed ports, which no outgoing connection takes at random.
 pub fn unique_ip() -> String {
-    let mut held = HELD.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut held = HELD.lock();
     let start = std::process::id().wrapping_mul(64);
     for offset in 0..u32::from(u16::MAX) {
         let number = start.wrapping_add(offset) % 64_000;
--- a/crates/bilberryloft-testing/src/bin/bilberryloft-demo.rs
+++ b/crates/bilberryloft-testing/src/bin/bilberryloft-demo.rs
@@ -63,26 +63,17 @@
 }
 
 async fn run(stays: bool) -> eyre::Result<()> {
-    let _engine = Engine::spawn(EngineSettings {
-        token_ms: 30,
-        ..engine_settings(MAIN_IP)
-    })
-    .await?;
+    let _engine =
+        Engine::spawn(EngineSettings { token_ms: 30, ..engine_settings(MAIN_IP) }).await?;
     let plain = EngineSettings {
         models: Vec::new(),
         services: vec!["sensors".to_string()],
         ..engine_settings(SERVICE_IP)
     };
     let _service = Engine::spawn(plain).await?;
-    for kind in [
-        ChangeKind::ApplyTemplate(depot_template()),
-        ChangeKind::SetTeam(depot_team()),
-    ] {
+    for kind in [ChangeKind::ApplyTemplate(depot_template()), ChangeKind::SetTeam(depot_team())] {
         let change = serde_json::to_string(&change_request(kind))?;
-        println!(
-            "change: {}",
-            admin("POST", "/operator/changes", change).await?
-        );
+        println!("change: {}", admin("POST", "/operator/changes", change).await?);
     }
     wait_until_ready().await?;
     let routed = show_requests().await?;
@@ -100,10 +91,8 @@
     let caller = Caller::new("depot-token");
     let body = r#"{"model": "forecast-writer", "prompt": "Kamikawa route brief", "stream": true}"#;
     println!("\nstreamed completion:");
-    let mut stream = caller
-        .open(&entry, "POST", "/v1/completions", body)
-        .await
-        .map_err(eyre::Report::msg)?;
+    let mut stream =
+        caller.open(&entry, "POST", "/v1/completions", body).await.map_err(eyre::Report::msg)?;
     let mut shown = 0;
     while stream.read_events(1).await {
         println!("  {}", &stream.reply.text[shown..]);
@@ -111,28 +100,14 @@
     }
     let reply = stream.finish().await;
     println!("  whole: {}, request {}", reply.is_whole, reply.request_id);
-    let once = caller
-        .with("bilberryloft-run", "at-most-once")
-        .with("idempotency-key", "advisory-17");
-    let first = once
-        .complete(&entry, "advisory for both councils", false)
-        .await;
-    let again = once
-        .complete(&entry, "advisory for both councils", false)
-        .await;
-    println!(
-        "\nadvisory, sent twice under one key: same answer {}",
-        first.text == again.text
-    );
+    let once =
+        caller.with("bilberryloft-run", "at-most-once").with("idempotency-key", "advisory-17");
+    let first = once.complete(&entry, "advisory for both councils", false).await;
+    let again = once.complete(&entry, "advisory for both councils", false).await;
+    println!("\nadvisory, sent twice under one key: same answer {}", first.text == again.text);
     let plain = caller.with("idempotency-key", "upload-1");
-    let upload = plain
-        .send(
-            &entry,
-            "POST",
-            "/services/sensors/upload?road=39",
-            "{\"ice\": true}",
-        )
-        .await;
+    let upload =
+        plain.send(&entry, "POST", "/services/sensors/upload?road=39", "{\"ice\": true}").await;
     println!("\nplain service: status {} {}", upload.status, upload.text);
     Ok(reply.request_id)
 }
@@ -140,20 +115,13 @@
 async fn show_refusal() -> eyre::Result<String> {
     let caller = Caller::new("depot-token");
     let body = r#"{"model": "hull-appraiser", "prompt": "x"}"#;
-    let reply = caller
-        .send(&format!("{MAIN_IP}:7480"), "POST", "/v1/completions", body)
-        .await;
+    let reply = caller.send(&format!("{MAIN_IP}:7480"), "POST", "/v1/completions", body).await;
     println!("\nrefusal: status {} {}", reply.status, reply.text);
     Ok(reply.request_id)
 }
 
 async fn explain(what: &str, request_id: &str) -> eyre::Result<()> {
-    let text = admin(
-        "GET",
-        &format!("/operator/explain/{request_id}"),
-        String::new(),
-    )
-    .await?;
+    let text = admin("GET", &format!("/operator/explain/{request_id}"), String::new()).await?;
     let explanation: Explanation = serde_json::from_str(&text)?;
     println!("\nthe {what} request {request_id}:");
     for record in explanation.records {
@@ -184,9 +152,7 @@
         .uri(format!("http://{MAIN_IP}:7401{path}"))
         .header("content-type", "application/json")
         .body(Full::new(Bytes::from(body)))?;
-    let (_, body) = bilberryloft_transport::http::HttpClient::new()
-        .fetch(request)
-        .await?;
+    let (_, body) = bilberryloft_transport::http::HttpClient::new().fetch(request).await?;
     Ok(String::from_utf8_lossy(&body).to_string())
 }
 
--- a/crates/bilberryloft-testing/src/caller.rs
+++ b/crates/bilberryloft-testing/src/caller.rs
@@ -42,11 +42,7 @@
 impl Caller {
     /// Makes a caller.
     pub fn new(token: &str) -> Caller {
-        Caller {
-            http: HttpClient::new(),
-            token: token.to_string(),
-            headers: Vec::new(),
-        }
+        Caller { http: HttpClient::new(), token: token.to_string(), headers: Vec::new() }
     }
 
     /// Adds a header to all requests of the returned caller.
@@ -59,8 +55,7 @@
     /// Asks for a completion.
     pub async fn complete(&self, entry: &str, prompt: &str, is_streamed: bool) -> Reply {
         let body = json!({"model": "forecast-writer", "prompt": prompt, "stream": is_streamed});
-        self.send(entry, "POST", "/v1/completions", &body.to_string())
-            .await
+        self.send(entry, "POST", "/v1/completions", &body.to_string()).await
     }
 
     /// Sends any request and reads the whole answer.
@@ -87,9 +82,8 @@
         for (name, value) in &self.headers {
             request = request.header(name, value);
         }
-        let request = request
-            .body(Full::new(Bytes::from(body.to_string())))
-            .map_err(|it| it.to_string())?;
+        let request =
+            request.body(Full::new(Bytes::from(body.to_string()))).map_err(|it| it.to_string())?;
         let response = self.http.send(request).await.map_err(|it| it.detail)?;
         let header = |name: &str| {
             let value = response.headers().get(name).and_then(|it| it.to_str().ok());
@@ -105,12 +99,7 @@
             error: None,
         };
         let kind = header("content-type");
-        Ok(ReplyStream {
-            reply,
-            kind,
-            body: response.into_body(),
-            buffer: String::new(),
-        })
+        Ok(ReplyStream { reply, kind, body: response.into_body(), buffer: String::new() })
     }
 }
 
@@ -223,16 +212,10 @@
 
 fn content_of(text: &str) -> Option<String> {
     let value: Value = serde_json::from_str(text).ok()?;
-    value
-        .pointer("/choices/0/message/content")?
-        .as_str()
-        .map(str::to_string)
+    value.pointer("/choices/0/message/content")?.as_str().map(str::to_string)
 }
 
 fn delta_of(text: &str) -> Option<String> {
     let value: Value = serde_json::from_str(text).ok()?;
-    value
-        .pointer("/choices/0/delta/content")?
-        .as_str()
-        .map(str::to_string)
+    value.pointer("/choices/0/delta/content")?.as_str().map(str::to_string)
 }
--- a/crates/bilberryloft-testing/src/engine.rs
+++ b/crates/bilberryloft-testing/src/engine.rs
@@ -5,8 +5,6 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -29,6 +27,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -131,19 +130,12 @@
             let _ = axum::serve(without_delay(listener), router).await;
         });
         let announcer = tokio::spawn(announce(shared.clone()));
-        Ok(Engine {
-            shared,
-            tasks: vec![server, announcer],
-        })
+        Ok(Engine { shared, tasks: vec![server, announcer] })
     }
 
     /// How often each prompt or plain call was run.
     pub fn runs(&self) -> BTreeMap<String, u64> {
-        self.shared
-            .runs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.shared.runs.lock().clone()
     }
 
     /// Most requests that ran side by side.
@@ -184,18 +176,10 @@
                 .header("content-type", "application/json")
                 .body(Full::new(body.clone()));
         let is_heard = match request {
-            Ok(request) => http
-                .fetch(request)
-                .await
-                .is_ok_and(|(status, _)| status == 204),
+            Ok(request) => http.fetch(request).await.is_ok_and(|(status, _)| status == 204),
             Err(_) => false,
         };
-        tokio::time::sleep(if is_heard {
-            ANNOUNCE_EVERY
-        } else {
-            ANNOUNCE_EVERY / 10
-        })
-        .await;
+        tokio::time::sleep(if is_heard { ANNOUNCE_EVERY } else { ANNOUNCE_EVERY / 10 }).await;
     }
 }
 
@@ -213,24 +197,13 @@
     fn start(shared: &Arc<Shared>, name: &str) -> Running {
         let running = shared.running.fetch_add(1, Ordering::SeqCst) + 1;
         shared.most_running.fetch_max(running, Ordering::SeqCst);
-        *shared
-            .runs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .entry(name.to_string())
-            .or_default() += 1;
+        *shared.runs.lock().entry(name.to_string()).or_default() += 1;
         if let Some(path) = &shared.settings.runs_file
-            && let Ok(mut file) = std::fs::OpenOptions::new()
-                .create(true)
-                .append(true)
-                .open(path)
+            && let Ok(mut file) = std::fs::OpenOptions::new().create(true).append(true).open(path)
         {
             let _ = file.write_all(format!("{name}\n").as_bytes());
         }
-        Running {
-            shared: shared.clone(),
-            is_whole: false,
-        }
+        Running { shared: shared.clone(), is_whole: false }
     }
 }
 
@@ -248,10 +221,8 @@
         return prompt.to_string();
     }
     let messages = body.get("messages").and_then(Value::as_array);
-    let last = messages
-        .and_then(|it| it.last())
-        .and_then(|it| it.get("content"))
-        .and_then(Value::as_str);
+    let last =
+        messages.and_then(|it| it.last()).and_then(|it| it.get("content")).and_then(Value::as_str);
     last.unwrap_or_default().to_string()
 }
 
@@ -261,10 +232,7 @@
     if prompt.contains(CRASH_MARK) {
         std::process::exit(134);
     }
-    let tokens = body
-        .get("max_tokens")
-        .and_then(Value::as_u64)
-        .unwrap_or(shared.settings.tokens);
+    let tokens = body.get("max_tokens").and_then(Value::as_u64).unwrap_or(shared.settings.tokens);
     let is_streamed = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
     match is_streamed {
         true => stream(shared, running, prompt, tokens),
@@ -279,11 +247,8 @@
             if at > tokens {
                 return None;
             }
-            let pause_ms = if at == 0 {
-                shared.settings.first_token_ms
-            } else {
-                shared.settings.token_ms
-            };
+            let pause_ms =
+                if at == 0 { shared.settings.first_token_ms } else { shared.settings.token_ms };
             if pause_ms > 0 {
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
@@ -295,10 +260,7 @@
                     json!({"choices": [{"index": 0, "delta": {"content": token(&prompt, at)}}]});
                 format!("data: {chunk}\n\n")
             };
-            Some((
-                Ok::<Bytes, Infallible>(Bytes::from(event)),
-                (shared, running, prompt, at + 1),
-            ))
+            Some((Ok::<Bytes, Infallible>(Bytes::from(event)), (shared, running, prompt, at + 1)))
         });
     let response = Response::builder().header("content-type", "text/event-stream");
     response.body(Body::from_stream(events)).unwrap_or_default()
@@ -324,16 +286,10 @@
 
 async fn serve_plainly(State(shared): State<Arc<Shared>>, request: Request) -> Response {
     let (parts, body) = request.into_parts();
-    let body = body
-        .collect()
-        .await
-        .map(|it| it.to_bytes())
-        .unwrap_or_default();
+    let body = body.collect().await.map(|it| it.to_bytes()).unwrap_or_default();
     let name = format!("{} {}", parts.method, parts.uri);
-    let mut running = Running::start(
-        &shared,
-        &format!("{name} {}", String::from_utf8_lossy(&body)),
-    );
+    let mut running =
+        Running::start(&shared, &format!("{name} {}", String::from_utf8_lossy(&body)));
     tokio::time::sleep(Duration::from_millis(shared.settings.first_token_ms)).await;
     running.is_whole = true;
     Json(json!({"call": name, "body_bytes": body.len()})).into_response()
--- a/crates/bilberryloft-testing/src/fleet.rs
+++ b/crates/bilberryloft-testing/src/fleet.rs
@@ -54,11 +54,7 @@
 impl Folder {
     /// Makes an empty folder.
     pub fn create(name: &str) -> Folder {
-        let unique = format!(
-            "bilberryloft-{name}-{}-{}",
-            std::process::id(),
-            fastrand::u64(..)
-        );
+        let unique = format!("bilberryloft-{name}-{}-{}", std::process::id(), fastrand::u64(..));
         let path = std::env::temp_dir().join(unique);
         std::fs::create_dir_all(&path).expect("a folder for the test");
         Folder { path }
@@ -80,10 +76,7 @@
         data_center: "a".to_string(),
         peer_address: format!("{ip}:{PEER_PORT}"),
         admin_address: format!("{ip}:{ADMIN_PORT}"),
-        control_addresses: control_ips
-            .iter()
-            .map(|it| format!("{it}:{PEER_PORT}"))
-            .collect(),
+        control_addresses: control_ips.iter().map(|it| format!("{it}:{PEER_PORT}")).collect(),
         log_format: LogFormat::Text,
         configuration_lease_ms: 4_000,
         on_lost_control: OnLostControl::StandDown,
@@ -130,10 +123,7 @@
 
 /// Settings of an engine beside an agent.
 pub fn engine_settings(ip: &str) -> EngineSettings {
-    EngineSettings::new(
-        format!("{ip}:{ENGINE_PORT}"),
-        format!("{ip}:{ANNOUNCE_PORT}"),
-    )
+    EngineSettings::new(format!("{ip}:{ENGINE_PORT}"), format!("{ip}:{ANNOUNCE_PORT}"))
 }
 
 /// A fleet of real processes.
@@ -174,21 +164,13 @@
     }
 
     fn plan_daemons(&mut self) {
-        let members: BTreeMap<u32, String> = (1..)
-            .zip(
-                self.control_ips
-                    .iter()
-                    .map(|it| format!("{it}:{PEER_PORT}")),
-            )
-            .collect();
+        let members: BTreeMap<u32, String> =
+            (1..).zip(self.control_ips.iter().map(|it| format!("{it}:{PEER_PORT}"))).collect();
         for (number, ip) in (1..).zip(self.control_ips.clone()) {
             let name = format!("control-{number}");
             let mut settings = plain_settings(&name, &ip, &self.control_ips);
-            settings.control = Some(control_settings(
-                number,
-                &members,
-                self.folder.path.join(&name),
-            ));
+            settings.control =
+                Some(control_settings(number, &members, self.folder.path.join(&name)));
             self.settings.insert(name, settings);
         }
         for (number, ip) in (1..).zip(self.entry_ips.clone()) {
@@ -240,11 +222,7 @@
 
     /// Names of all planned daemons and engines.
     pub fn names(&self) -> Vec<String> {
-        self.settings
-            .keys()
-            .chain(self.engines.keys())
-            .cloned()
-            .collect()
+        self.settings.keys().chain(self.engines.keys()).cloned().collect()
     }
 
     /// Starts everything that was planned.
@@ -258,16 +236,12 @@
     pub fn start(&mut self, name: &str) {
         let file = self.folder.path.join(format!("{name}.json"));
         let (program, flag, text) = match self.settings.get(name) {
-            Some(settings) => (
-                "bilberryloftd",
-                "--settings",
-                serde_json::to_string_pretty(settings),
-            ),
-            None => (
-                "stand-in-engine",
-                "--settings",
-                serde_json::to_string_pretty(&self.engines[name]),
-            ),
+            Some(settings) => {
+                ("bilberryloftd", "--settings", serde_json::to_string_pretty(settings))
+            }
+            None => {
+                ("stand-in-engine", "--settings", serde_json::to_string_pretty(&self.engines[name]))
+            }
         };
         std::fs::write(&file, text.expect("settings as JSON")).expect("a settings file");
         let log = self.folder.path.join(format!("{name}.log"));
@@ -335,8 +309,7 @@
 
     /// Makes the usual template and team, with token `depot-token`.
     pub async fn make_team(&self) -> ChangeOutcome {
-        self.change_surely(ChangeKind::ApplyTemplate(depot_template()))
-            .await;
+        self.change_surely(ChangeKind::ApplyTemplate(depot_template())).await;
         self.change_surely(ChangeKind::SetTeam(depot_team())).await
     }
 
@@ -357,16 +330,9 @@
 
     /// Waits until every running daemon has a configuration version.
     pub async fn wait_for_version(&self, version: u64) {
-        for ip in self
-            .control_ips
-            .iter()
-            .chain(&self.entry_ips)
-            .chain(&self.target_ips)
-        {
+        for ip in self.control_ips.iter().chain(&self.entry_ips).chain(&self.target_ips) {
             self.wait_for(&format!("{ip} to reach version {version}"), async || {
-                self.status(ip)
-                    .await
-                    .is_some_and(|it| it.configuration_version >= version)
+                self.status(ip).await.is_some_and(|it| it.configuration_version >= version)
             })
             .await;
         }
@@ -378,11 +344,7 @@
         while Instant::now() < until {
             for (number, ip) in self.control_ips.iter().enumerate() {
                 let own = format!("{ip}:{PEER_PORT}");
-                if self
-                    .status(ip)
-                    .await
-                    .is_some_and(|it| it.leader == Some(own))
-                {
+                if self.status(ip).await.is_some_and(|it| it.leader == Some(own)) {
                     return number;
                 }
             }
@@ -400,10 +362,7 @@
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        panic!(
-            "waited in vain for {what}; logs are in {:?}",
-            self.folder.path
-        );
+        panic!("waited in vain for {what}; logs are in {:?}", self.folder.path);
     }
 }
 
--- a/crates/bilberryloft-testing/src/links.rs
+++ b/crates/bilberryloft-testing/src/links.rs
@@ -27,11 +27,7 @@
                 let own = format!("control-{number}");
                 let address = match own == name {
                     true => format!("{ip}:{PEER_PORT}"),
-                    false => {
-                        links
-                            .add(&name, &own, &format!("{ip}:{PEER_PORT}"), PEER_PORT)
-                            .await
-                    }
+                    false => links.add(&name, &own, &format!("{ip}:{PEER_PORT}"), PEER_PORT).await,
                 };
                 addresses.push(address.clone());
                 routes.insert(*number, address);
@@ -56,8 +52,7 @@
     async fn add(&mut self, from: &str, to: &str, server: &str, port: u16) -> String {
         let address = format!("{}:{port}", unique_ip());
         let proxy = Proxy::bind(&address, server).await.expect("a proxy");
-        self.proxies
-            .insert((from.to_string(), to.to_string()), proxy);
+        self.proxies.insert((from.to_string(), to.to_string()), proxy);
         address
     }
 
--- a/crates/bilberryloft-testing/src/process.rs
+++ b/crates/bilberryloft-testing/src/process.rs
@@ -18,19 +18,13 @@
 pub fn program(name: &str) -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
     let candidates = own.ancestors().skip(1).take(2).map(|it| it.join(name));
-    candidates
-        .into_iter()
-        .find(|it| it.exists())
-        .unwrap_or_else(|| PathBuf::from(name))
+    candidates.into_iter().find(|it| it.exists()).unwrap_or_else(|| PathBuf::from(name))
 }
 
 impl Process {
     /// Starts a program; its log goes to a file.
     pub fn spawn(name: &str, arguments: &[&str], log: &Path) -> std::io::Result<Process> {
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(log)?;
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
         let child = Command::new(program(name))
             .args(arguments)
             .stdin(Stdio::null())
@@ -53,10 +47,7 @@
 
     /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(self.id().to_string())
-            .status();
+        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.id().to_string()).status();
     }
 
     /// Waits for its end and returns whether it succeeded; `None` when the time runs out.
--- a/crates/bilberryloft-testing/src/proxy.rs
+++ b/crates/bilberryloft-testing/src/proxy.rs
@@ -1,10 +1,9 @@
 //! A TCP proxy that injects faults between real processes.
 
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -45,17 +44,9 @@
         let listener = TcpListener::bind(listen_address).await?;
         let (fault, faults) = watch::channel(Fault::Pass);
         let accepted = Arc::new(Mutex::new(0));
-        let task = tokio::spawn(accept(
-            listener,
-            server_address.to_string(),
-            faults,
-            accepted.clone(),
-        ));
-        Ok(Proxy {
-            fault,
-            accepted,
-            task,
-        })
+        let task =
+            tokio::spawn(accept(listener, server_address.to_string(), faults, accepted.clone()));
+        Ok(Proxy { fault, accepted, task })
     }
 
     /// Sets the fault from now on.
@@ -65,7 +56,7 @@
 
     /// Connections taken so far.
     pub fn accepted(&self) -> u64 {
-        *self.accepted.lock().unwrap_or_else(PoisonError::into_inner)
+        *self.accepted.lock()
     }
 }
 
@@ -83,7 +74,7 @@
 ) {
     let mut connections = tokio::task::JoinSet::new();
     while let Ok((client, _)) = listener.accept().await {
-        *accepted.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        *accepted.lock() += 1;
         connections.spawn(connect(client, server_address.clone(), faults.clone()));
     }
 }
@@ -99,18 +90,8 @@
     let _ = server.set_nodelay(true);
     let (client_reader, client_writer) = client.into_split();
     let (server_reader, server_writer) = server.into_split();
-    let to_server = pump(
-        client_reader,
-        server_writer,
-        faults.clone(),
-        Fault::HoldToServer,
-    );
-    let to_client = pump(
-        server_reader,
-        client_writer,
-        faults.clone(),
-        Fault::HoldToClient,
-    );
+    let to_server = pump(client_reader, server_writer, faults.clone(), Fault::HoldToServer);
+    let to_client = pump(server_reader, client_writer, faults.clone(), Fault::HoldToClient);
     tokio::select! {
         () = to_server => {}
         () = to_client => {}
--- a/crates/bilberryloft-testing/src/ranks.rs
+++ b/crates/bilberryloft-testing/src/ranks.rs
@@ -2,9 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use axum::Json;
@@ -26,6 +23,8 @@
 use bilberryloft_transport::http::HttpClient;
 use bytes::Bytes;
 use http_body_util::Full;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -91,15 +90,10 @@
         incarnation: u64,
         announce_address: &str,
     ) -> Arc<RankGroup> {
-        let shape = Shape {
-            experts: settings.experts,
-            ranks: settings.ranks,
-            slots: settings.slots,
-        };
+        let shape =
+            Shape { experts: settings.experts, ranks: settings.ranks, slots: settings.slots };
         let first = Placement::in_order(shape);
-        let map: Vec<u16> = (0..settings.ranks)
-            .flat_map(|it| first.rank(it).to_vec())
-            .collect();
+        let map: Vec<u16> = (0..settings.ranks).flat_map(|it| first.rank(it).to_vec()).collect();
         let inner = Inner {
             switches: (0..settings.ranks).map(|_| RankSwitch::new()).collect(),
             is_down: vec![false; settings.ranks],
@@ -136,17 +130,14 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        self.inner.lock()
     }
 
     /// All ranks do a step, or none does when one is down or holds.
     fn step(&self) {
         let mut inner = self.lock();
-        let versions: Vec<Option<u64>> = inner
-            .switches
-            .iter()
-            .map(RankSwitch::version_for_next_step)
-            .collect();
+        let versions: Vec<Option<u64>> =
+            inner.switches.iter().map(RankSwitch::version_for_next_step).collect();
         let Some(first) = versions[0] else { return };
         if inner.is_down.contains(&true) || versions.contains(&None) {
             return;
@@ -168,11 +159,7 @@
 async fn status(State(group): State<Arc<RankGroup>>) -> Json<GroupStatus> {
     let mut inner = group.lock();
     let tokens = std::mem::replace(&mut inner.tokens, vec![0; group.settings.experts]);
-    let version = inner
-        .switches
-        .iter()
-        .find_map(RankSwitch::version_for_next_step)
-        .unwrap_or(0);
+    let version = inner.switches.iter().find_map(RankSwitch::version_for_next_step).unwrap_or(0);
     Json(GroupStatus {
         incarnation: group.incarnation,
         ranks: group.settings.ranks,
@@ -181,10 +168,7 @@
         map: inner.maps.get(&version).cloned().unwrap_or_default(),
         next_step: inner.switches[0].next_step(),
         tokens,
-        undecided: inner
-            .switches
-            .iter()
-            .find_map(|it| it.undecided().map(|it| it.0)),
+        undecided: inner.switches.iter().find_map(|it| it.undecided().map(|it| it.0)),
     })
 }
 
@@ -233,10 +217,7 @@
 
 impl RankGroup {
     async fn settle(&self, next_step: u64) -> SettleAnswer {
-        let question = SettleQuestion {
-            incarnation: self.incarnation,
-            next_step,
-        };
+        let question = SettleQuestion { incarnation: self.incarnation, next_step };
         let body = Bytes::from(serde_json::to_vec(&question).unwrap_or_default());
         loop {
             let request =
--- a/crates/bilberryloft-testing/tests/at_most_once.rs
+++ b/crates/bilberryloft-testing/tests/at_most_once.rs
@@ -21,9 +21,7 @@
 const SENDS_MAX: usize = 8;
 
 fn depot(key: &str) -> Caller {
-    Caller::new("depot-token")
-        .with("bilberryloft-run", "at-most-once")
-        .with("idempotency-key", key)
+    Caller::new("depot-token").with("bilberryloft-run", "at-most-once").with("idempotency-key", key)
 }
 
 /// Everything that one caller heard about one piece of work.
@@ -39,11 +37,8 @@
     }
 
     fn was_never_run_by_its_word(&self) -> bool {
-        let says_not_run = |it: &Reply| {
-            it.problem
-                .as_ref()
-                .is_some_and(|problem| problem.run == RunState::NotRun)
-        };
+        let says_not_run =
+            |it: &Reply| it.problem.as_ref().is_some_and(|problem| problem.run == RunState::NotRun);
         self.replies.iter().all(says_not_run)
     }
 }
@@ -59,15 +54,10 @@
     let mut replies = Vec::new();
     for send in 0..SENDS_MAX {
         let entry = &entries[(number + send) % entries.len()];
-        let reply = caller
-            .complete(entry, &prompt, number.is_multiple_of(2))
-            .await;
+        let reply = caller.complete(entry, &prompt, number.is_multiple_of(2)).await;
         let is_final = reply.is_whole
             || reply.problem.as_ref().is_some_and(|it| {
-                matches!(
-                    it.reason,
-                    Reason::AnswerGone | Reason::TargetFailed | Reason::Quarantined
-                )
+                matches!(it.reason, Reason::AnswerGone | Reason::TargetFailed | Reason::Quarantined)
             });
         replies.push(reply);
         if is_final {
@@ -82,18 +72,9 @@
     let (mut answered, mut refused) = (0, 0);
     for history in histories {
         let count = runs.get(&history.prompt).copied().unwrap_or(0);
-        assert!(
-            count <= 1,
-            "{} ran {count} times: {:#?}",
-            history.prompt,
-            history.replies
-        );
+        assert!(count <= 1, "{} ran {count} times: {:#?}", history.prompt, history.replies);
         for reply in history.replies.iter().filter(|it| it.is_whole) {
-            assert_eq!(
-                reply.text,
-                expected_answer(&history.prompt, 8),
-                "another request's answer"
-            );
+            assert_eq!(reply.text, expected_answer(&history.prompt, 8), "another request's answer");
         }
         if history.is_answered() {
             answered += 1;
@@ -177,20 +158,14 @@
     let (histories, runs) = send_under_faults("at-most-once", true).await;
     let (answered, refused) = check(&histories, &runs);
     println!("{answered} of {ADVISORIES} answered, {refused} refused as not run");
-    assert!(
-        answered > ADVISORIES / 2,
-        "too little was answered to prove anything: {answered}"
-    );
+    assert!(answered > ADVISORIES / 2, "too little was answered to prove anything: {answered}");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn repeatable_work_runs_twice_under_the_same_faults() {
     let (_, runs) = send_under_faults("repeatable", false).await;
     let doubled = runs.values().filter(|it| **it > 1).count();
-    assert!(
-        doubled > 0,
-        "the faults are too mild to tell claimed work from other work"
-    );
+    assert!(doubled > 0, "the faults are too mild to tell claimed work from other work");
 }
 
 #[tokio::test]
@@ -211,10 +186,7 @@
     tokio::time::sleep(Duration::from_millis(200)).await;
     let joined = caller.complete(&second, "offer", true).await;
     let original = sent.await.unwrap();
-    assert!(
-        original.is_whole && joined.is_whole,
-        "{original:?} {joined:?}"
-    );
+    assert!(original.is_whole && joined.is_whole, "{original:?} {joined:?}");
     assert_eq!(original.text, joined.text);
     let later = caller.complete(&second, "offer", true).await;
     assert_eq!(later.text, original.text, "the held answer");
@@ -228,21 +200,9 @@
     fleet.make_team().await;
     fleet.wait_until_ready().await;
     let caller = depot("offer-2");
-    assert!(
-        caller
-            .complete(&fleet.entry(0), "one offer", false)
-            .await
-            .is_whole
-    );
-    let problem = caller
-        .complete(&fleet.entry(0), "another offer", false)
-        .await
-        .problem
-        .unwrap();
-    assert_eq!(
-        (problem.reason, problem.run),
-        (Reason::KeyReused, RunState::NotRun)
-    );
+    assert!(caller.complete(&fleet.entry(0), "one offer", false).await.is_whole);
+    let problem = caller.complete(&fleet.entry(0), "another offer", false).await.problem.unwrap();
+    assert_eq!((problem.reason, problem.run), (Reason::KeyReused, RunState::NotRun));
     assert!(!fleet.runs().contains_key("another offer"));
 }
 
@@ -270,15 +230,9 @@
     let caller = depot("moved").with("bilberryloft-deadline-ms", "1500");
     let first = caller.complete(&entry, "moved", false).await;
     assert!(!first.is_whole);
-    assert_ne!(
-        first.problem.unwrap().run,
-        RunState::NotRun,
-        "the dispatch may still arrive"
-    );
+    assert_ne!(first.problem.unwrap().run, RunState::NotRun, "the dispatch may still arrive");
     links.heal();
-    let again = depot("moved")
-        .complete(&fleet.entry(1), "moved", false)
-        .await;
+    let again = depot("moved").complete(&fleet.entry(1), "moved", false).await;
     assert!(again.is_whole || again.problem.is_some(), "{again:?}");
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert!(fleet.runs().get("moved").copied().unwrap_or(0) <= 1);
@@ -301,10 +255,7 @@
         .complete(&fleet.entry(0), "no quorum", false)
         .await;
     let problem = reply.problem.unwrap();
-    assert_eq!(
-        (problem.reason, problem.run),
-        (Reason::ClaimsUnavailable, RunState::NotRun)
-    );
+    assert_eq!((problem.reason, problem.run), (Reason::ClaimsUnavailable, RunState::NotRun));
     assert!(problem.retry_after_ms > 0);
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert!(fleet.runs().is_empty());
--- a/crates/bilberryloft-testing/tests/bad_input.rs
+++ b/crates/bilberryloft-testing/tests/bad_input.rs
@@ -10,64 +10,20 @@
 async fn bad_input_is_refused_with_its_reason() {
     let mut fleet = Fleet::plan("bad-input", 1, 1, 1);
     fleet.engine_mut("engine-1").services = vec!["sensors".to_string()];
-    fleet
-        .settings_mut("entry-1")
-        .entry
-        .as_mut()
-        .unwrap()
-        .body_max_bytes = 2_048;
+    fleet.settings_mut("entry-1").entry.as_mut().unwrap().body_max_bytes = 2_048;
     fleet.start_all();
     fleet.make_team().await;
     fleet.wait_until_ready().await;
     let good = r#"{"model": "forecast-writer", "prompt": "x"}"#;
-    let large = format!(
-        r#"{{"model": "forecast-writer", "prompt": "{}"}}"#,
-        "x".repeat(4_000)
-    );
+    let large = format!(r#"{{"model": "forecast-writer", "prompt": "{}"}}"#, "x".repeat(4_000));
     let depot = Caller::new("depot-token");
     let cases = [
-        (
-            Caller::new("wrong"),
-            "/v1/completions",
-            good,
-            Reason::UnknownToken,
-            401,
-        ),
-        (
-            depot.clone(),
-            "/v1/completions",
-            "{not json",
-            Reason::BadRequest,
-            400,
-        ),
-        (
-            depot.clone(),
-            "/v1/completions",
-            r#"{"prompt": "no model"}"#,
-            Reason::BadRequest,
-            400,
-        ),
-        (
-            depot.clone(),
-            "/v1/completions",
-            r#"{"model": "other"}"#,
-            Reason::NotAllowed,
-            403,
-        ),
-        (
-            depot.clone(),
-            "/v1/completions",
-            &large,
-            Reason::TooLarge,
-            413,
-        ),
-        (
-            depot.clone(),
-            "/services/other/x",
-            good,
-            Reason::NotAllowed,
-            403,
-        ),
+        (Caller::new("wrong"), "/v1/completions", good, Reason::UnknownToken, 401),
+        (depot.clone(), "/v1/completions", "{not json", Reason::BadRequest, 400),
+        (depot.clone(), "/v1/completions", r#"{"prompt": "no model"}"#, Reason::BadRequest, 400),
+        (depot.clone(), "/v1/completions", r#"{"model": "other"}"#, Reason::NotAllowed, 403),
+        (depot.clone(), "/v1/completions", &large, Reason::TooLarge, 413),
+        (depot.clone(), "/services/other/x", good, Reason::NotAllowed, 403),
         (
             depot.with("bilberryloft-deadline-ms", "soon"),
             "/v1/completions",
@@ -82,32 +38,13 @@
             Reason::BadRequest,
             400,
         ),
-        (
-            depot.with("idempotency-key", ""),
-            "/v1/completions",
-            good,
-            Reason::BadRequest,
-            400,
-        ),
-        (
-            depot.with("last-event-id", "nonsense"),
-            "/v1/completions",
-            good,
-            Reason::BadRequest,
-            400,
-        ),
+        (depot.with("idempotency-key", ""), "/v1/completions", good, Reason::BadRequest, 400),
+        (depot.with("last-event-id", "nonsense"), "/v1/completions", good, Reason::BadRequest, 400),
     ];
     for (caller, path, body, reason, status) in cases {
         let reply = caller.send(&fleet.entry(0), "POST", path, body).await;
-        let problem = reply
-            .problem
-            .clone()
-            .unwrap_or_else(|| panic!("{path} {body}: {reply:?}"));
-        assert_eq!(
-            (problem.reason, reply.status),
-            (reason, status),
-            "{path} {body}"
-        );
+        let problem = reply.problem.clone().unwrap_or_else(|| panic!("{path} {body}: {reply:?}"));
+        assert_eq!((problem.reason, reply.status), (reason, status), "{path} {body}");
         assert_eq!(problem.run, RunState::NotRun);
         assert!(!problem.request_id.is_empty() && !problem.detail.is_empty());
     }
@@ -124,18 +61,10 @@
     let caller = Caller::new("depot-token");
     for method in ["GET", "PUT", "DELETE", "POST", "PATCH"] {
         let reply = caller
-            .send(
-                &fleet.entry(0),
-                method,
-                "/services/sensors/road/39?ice=1",
-                "reading",
-            )
+            .send(&fleet.entry(0), method, "/services/sensors/road/39?ice=1", "reading")
             .await;
         assert_eq!(reply.status, 200, "{reply:?}");
-        assert!(
-            reply.text.contains(&format!("{method} /road/39?ice=1")),
-            "{reply:?}"
-        );
+        assert!(reply.text.contains(&format!("{method} /road/39?ice=1")), "{reply:?}");
     }
 }
 
@@ -147,18 +76,14 @@
     fleet.make_team().await;
     let mut team = bilberryloft_testing::fleet::depot_team();
     team.in_flight_max = Some(2);
-    fleet
-        .change_surely(bilberryloft_state::configuration::ChangeKind::SetTeam(team))
-        .await;
+    fleet.change_surely(bilberryloft_state::configuration::ChangeKind::SetTeam(team)).await;
     fleet.wait_for_version(3).await;
     fleet.wait_until_ready().await;
     let mut callers = tokio::task::JoinSet::new();
     for number in 0..6 {
         let entry = fleet.entry(0);
         callers.spawn(async move {
-            Caller::new("depot-token")
-                .complete(&entry, &format!("p{number}"), false)
-                .await
+            Caller::new("depot-token").complete(&entry, &format!("p{number}"), false).await
         });
     }
     let (mut whole, mut refused) = (0, 0);
@@ -166,9 +91,7 @@
         let reply = reply.unwrap();
         whole += usize::from(reply.is_whole);
         refused += usize::from(
-            reply
-                .problem
-                .is_some_and(|it| it.reason == Reason::TeamLimit && it.retry_after_ms > 0),
+            reply.problem.is_some_and(|it| it.reason == Reason::TeamLimit && it.retry_after_ms > 0),
         );
     }
     assert_eq!((whole, refused), (2, 4));
--- a/crates/bilberryloft-testing/tests/configuration.rs
+++ b/crates/bilberryloft-testing/tests/configuration.rs
@@ -11,10 +11,7 @@
 use bilberryloft_testing::proxy::Fault;
 
 fn drain(target: &str, draining: bool) -> ChangeKind {
-    ChangeKind::SetTarget {
-        name: target.to_string(),
-        draining,
-    }
+    ChangeKind::SetTarget { name: target.to_string(), draining }
 }
 
 async fn started(name: &str) -> (Fleet, Links) {
@@ -37,11 +34,7 @@
 async fn operators_racing_with_equal_numbers_have_one_winner() {
     let (fleet, _links) = started("race").await;
     for round in 0..10 {
-        let base = fleet
-            .status(&fleet.control_ips[0])
-            .await
-            .unwrap()
-            .configuration_version;
+        let base = fleet.status(&fleet.control_ips[0]).await.unwrap().configuration_version;
         let name = format!("race-{round}");
         let first = bilberryloft_state::configuration::ChangeRequest {
             base_version: Some(base),
@@ -56,10 +49,8 @@
             fleet.change(&fleet.control_ips[1], &second),
         );
         let outcomes = [left.unwrap(), right.unwrap()];
-        let accepted = outcomes
-            .iter()
-            .filter(|it| matches!(it, ChangeOutcome::Accepted { .. }))
-            .count();
+        let accepted =
+            outcomes.iter().filter(|it| matches!(it, ChangeOutcome::Accepted { .. })).count();
         assert_eq!(accepted, 1, "{outcomes:?}");
         let (winner, conflict) = match &outcomes[0] {
             ChangeOutcome::Accepted { .. } => (&first, &outcomes[1]),
@@ -79,11 +70,7 @@
     for control in ["control-1", "control-2", "control-3"] {
         links.set("entry-1", control, Fault::HoldToClient);
     }
-    assert_eq!(
-        fleet.change(&fleet.entry_ips[0], &request).await,
-        None,
-        "the outcome is unknown"
-    );
+    assert_eq!(fleet.change(&fleet.entry_ips[0], &request).await, None, "the outcome is unknown");
     links.heal();
     let undo = fleet.change_surely(drain("target-1", false)).await;
     let resent = fleet.change(&fleet.control_ips[0], &request).await.unwrap();
@@ -130,17 +117,11 @@
         }
     }
     fleet.wait_for_version(acknowledged).await;
-    let history: bilberryloft_protocol::api::History = fleet
-        .get(&fleet.entry_ips[0], "/operator/history")
-        .await
-        .unwrap();
+    let history: bilberryloft_protocol::api::History =
+        fleet.get(&fleet.entry_ips[0], "/operator/history").await.unwrap();
     for round in 0..40 {
         let object = format!("target/kept-{round}");
-        let count = history
-            .changes
-            .iter()
-            .filter(|it| it.kind.object() == object)
-            .count();
+        let count = history.changes.iter().filter(|it| it.kind.object() == object).count();
         assert_eq!(count, 1, "{object}");
     }
 }
@@ -152,12 +133,7 @@
     let name = format!("control-{}", old + 1);
     let old_ip = fleet.control_ips[old].clone();
     links.set_around(&name, Fault::Hold);
-    let lost = fleet
-        .change(
-            &old_ip,
-            &change_request(drain("only-at-the-old-leader", true)),
-        )
-        .await;
+    let lost = fleet.change(&old_ip, &change_request(drain("only-at-the-old-leader", true))).await;
     assert_eq!(lost, None);
     fleet
         .wait_for("another leader", async || {
@@ -179,12 +155,7 @@
     fleet.wait_for_version(version_of(&accepted)).await;
     let history: bilberryloft_protocol::api::History =
         fleet.get(&old_ip, "/operator/history").await.unwrap();
-    assert!(
-        history
-            .changes
-            .iter()
-            .any(|it| it.kind.object() == "target/kept")
-    );
+    assert!(history.changes.iter().any(|it| it.kind.object() == "target/kept"));
 }
 
 #[tokio::test]
@@ -195,12 +166,7 @@
     process.signal("STOP");
     let outcome = fleet.change_surely(drain("while-frozen", true)).await;
     process.signal("CONT");
-    let late = fleet
-        .change(
-            &fleet.control_ips[old],
-            &change_request(drain("after", true)),
-        )
-        .await;
+    let late = fleet.change(&fleet.control_ips[old], &change_request(drain("after", true))).await;
     if let Some(late) = late {
         assert!(version_of(&late) > version_of(&outcome));
     }
@@ -215,9 +181,7 @@
     let mut last = 0;
     for number in 0..400 {
         last = version_of(
-            &fleet
-                .change_surely(drain(&format!("t-{}", number % 50), number % 2 == 0))
-                .await,
+            &fleet.change_surely(drain(&format!("t-{}", number % 50), number % 2 == 0)).await,
         );
     }
     fleet.start("control-3");
@@ -230,11 +194,7 @@
     let (mut fleet, _links) = started("repair").await;
     let mut last = 0;
     for number in 0..20 {
-        last = version_of(
-            &fleet
-                .change_surely(drain(&format!("t-{number}"), true))
-                .await,
-        );
+        last = version_of(&fleet.change_surely(drain(&format!("t-{number}"), true)).await);
     }
     fleet.kill("control-1");
     std::fs::remove_dir_all(fleet.folder.path.join("control-1")).unwrap();
@@ -242,10 +202,7 @@
     let repaired = fleet.control_ips[0].clone();
     fleet
         .wait_for("control-1 to catch up", async || {
-            fleet
-                .status(&repaired)
-                .await
-                .is_some_and(|it| it.configuration_version >= last)
+            fleet.status(&repaired).await.is_some_and(|it| it.configuration_version >= last)
         })
         .await;
     fleet.kill("control-2");
--- a/crates/bilberryloft-testing/tests/control_thread.rs
+++ b/crates/bilberryloft-testing/tests/control_thread.rs
@@ -31,15 +31,10 @@
     let control = Daemon::spawn(control).unwrap();
     let agent = Daemon::spawn(agent).unwrap();
     let runtime = tokio::runtime::Runtime::new().unwrap();
-    let _engine = runtime
-        .block_on(Engine::spawn(engine_settings(&agent_ip)))
-        .unwrap();
+    let _engine = runtime.block_on(Engine::spawn(engine_settings(&agent_ip))).unwrap();
     let is_reachable = || {
         let membership = control.shared().view.membership();
-        membership
-            .targets()
-            .get("target-1")
-            .is_some_and(|it| it.reachable)
+        membership.targets().get("target-1").is_some_and(|it| it.reachable)
     };
     let wait_until = |what: &str, condition: &dyn Fn() -> bool| {
         for _ in 0..1_000 {
@@ -64,18 +59,12 @@
             }
         });
     }
-    wait_until("both traffic threads to be blocked", &|| {
-        blocked.load(Ordering::SeqCst) == 2
-    });
+    wait_until("both traffic threads to be blocked", &|| blocked.load(Ordering::SeqCst) == 2);
     let version = control.shared().view.membership().version();
     // Longer than the lease of a target (2 s), and its announcements no longer get through either.
     std::thread::sleep(Duration::from_millis(2_300));
     assert!(is_reachable());
-    assert_eq!(
-        control.shared().view.membership().version(),
-        version,
-        "no flapping"
-    );
+    assert_eq!(control.shared().view.membership().version(), version, "no flapping");
     assert!(
         agent.shared().view.confirmed_age_ms().unwrap() < 2_300,
         "the configuration is still confirmed"
--- a/crates/bilberryloft-testing/tests/expert_map_switch.rs
+++ b/crates/bilberryloft-testing/tests/expert_map_switch.rs
@@ -23,11 +23,7 @@
 
 async fn started(name: &str, targets: usize) -> (Fleet, Links) {
     let mut fleet = Fleet::plan(name, 3, 0, targets);
-    fleet.engine_mut("engine-1").ranks = Some(RankSettings {
-        ranks: 4,
-        experts: 32,
-        slots: 9,
-    });
+    fleet.engine_mut("engine-1").ranks = Some(RankSettings { ranks: 4, experts: 32, slots: 9 });
     for number in 1..=targets {
         let settings = fleet.settings_mut(&format!("agent-{number}"));
         settings.agent.as_mut().unwrap().expert_map = Some(ExpertMapSettings {
@@ -56,11 +52,7 @@
 async fn ranks_switch_together_under_faults() {
     let (mut fleet, links) = started("switch", 1).await;
     fleet.start_all();
-    fleet
-        .wait_for("a first switch", async || {
-            counts(&fleet).await.by_version.len() > 1
-        })
-        .await;
+    fleet.wait_for("a first switch", async || counts(&fleet).await.by_version.len() > 1).await;
     let mut random = fastrand::Rng::with_seed(SEED);
     let engine = format!("{}:{ENGINE_PORT}", fleet.target_ips[0]);
     for _ in 0..FAULTS {
@@ -112,11 +104,7 @@
     for name in fleet.names().into_iter().filter(|it| it != "engine-2") {
         fleet.start(&name);
     }
-    fleet
-        .wait_for("a first switch", async || {
-            counts(&fleet).await.by_version.len() > 1
-        })
-        .await;
+    fleet.wait_for("a first switch", async || counts(&fleet).await.by_version.len() > 1).await;
     // The second agent plans for the same engine, as a replacement of the first would.
     let status: GroupStatus = read(&fleet, "/expert_map").await.unwrap();
     let announcement = Announcement {
@@ -132,9 +120,7 @@
     let body = serde_json::to_string(&announcement).unwrap();
     let announcer = tokio::spawn(async move {
         loop {
-            Caller::new("")
-                .send(&second, "POST", "/announce", &body)
-                .await;
+            Caller::new("").send(&second, "POST", "/announce", &body).await;
             tokio::time::sleep(Duration::from_millis(300)).await;
         }
     });
--- a/crates/bilberryloft-testing/tests/leaving.rs
+++ b/crates/bilberryloft-testing/tests/leaving.rs
@@ -17,26 +17,19 @@
 const TOKENS: u64 = 50;
 
 fn drain(target: &str, draining: bool) -> ChangeKind {
-    ChangeKind::SetTarget {
-        name: target.to_string(),
-        draining,
-    }
+    ChangeKind::SetTarget { name: target.to_string(), draining }
 }
 
 /// Starts callers that go on until the fleet is dropped, each request with a prompt of its own.
 fn spawn_load(fleet: &Fleet, callers: usize) -> tokio::task::JoinSet<()> {
     let mut tasks = tokio::task::JoinSet::new();
     for number in 0..callers {
-        let entries: Vec<String> = (0..fleet.entry_ips.len())
-            .map(|it| fleet.entry(it))
-            .collect();
+        let entries: Vec<String> = (0..fleet.entry_ips.len()).map(|it| fleet.entry(it)).collect();
         tasks.spawn(async move {
             let caller = Caller::new("depot-token").with("bilberryloft-deadline-ms", "3000");
             for turn in 0_usize.. {
                 let prompt = format!("load-{number}-{turn}");
-                caller
-                    .complete(&entries[turn % entries.len()], &prompt, false)
-                    .await;
+                caller.complete(&entries[turn % entries.len()], &prompt, false).await;
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         });
@@ -56,10 +49,7 @@
 
 fn runs_at(fleet: &Fleet, number: usize) -> usize {
     let path = fleet.folder.path.join(format!("runs-{number}"));
-    std::fs::read_to_string(path)
-        .unwrap_or_default()
-        .lines()
-        .count()
+    std::fs::read_to_string(path).unwrap_or_default().lines().count()
 }
 
 #[tokio::test]
@@ -67,9 +57,7 @@
     let mut fleet = Fleet::plan("drain", 1, 2, 2);
     started(&mut fleet).await;
     let _load = spawn_load(&fleet, 6);
-    fleet
-        .wait_for("work at target-1", async || runs_at(&fleet, 1) > 20)
-        .await;
+    fleet.wait_for("work at target-1", async || runs_at(&fleet, 1) > 20).await;
     fleet.change_surely(drain("target-1", true)).await;
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     let (drained, other) = (runs_at(&fleet, 1), runs_at(&fleet, 2));
@@ -77,11 +65,7 @@
     assert_eq!(runs_at(&fleet, 1), drained);
     assert!(runs_at(&fleet, 2) > other, "the other target goes on");
     fleet.change_surely(drain("target-1", false)).await;
-    fleet
-        .wait_for("work at target-1 again", async || {
-            runs_at(&fleet, 1) > drained
-        })
-        .await;
+    fleet.wait_for("work at target-1 again", async || runs_at(&fleet, 1) > drained).await;
 }
 
 /// Drains a target whose agent and entry are both cut off from control, and returns its new runs
@@ -97,9 +81,7 @@
     let links = Links::interpose(&mut fleet).await;
     started(&mut fleet).await;
     let _load = spawn_load(&fleet, 3);
-    fleet
-        .wait_for("work at target-1", async || runs_at(&fleet, 1) > 20)
-        .await;
+    fleet.wait_for("work at target-1", async || runs_at(&fleet, 1) > 20).await;
     links.set_around("entry-1", Fault::Hold);
     for control in ["control-1", "control-2", "control-3"] {
         links.set("agent-1", control, Fault::Hold);
@@ -130,19 +112,13 @@
     let links = Links::interpose(&mut fleet).await;
     started(&mut fleet).await;
     let _load = spawn_load(&fleet, 4);
-    fleet
-        .wait_for("work at target-1", async || runs_at(&fleet, 1) > 20)
-        .await;
+    fleet.wait_for("work at target-1", async || runs_at(&fleet, 1) > 20).await;
     links.set("entry-1", "control-1", Fault::Hold);
     fleet.change_surely(drain("target-1", true)).await;
     tokio::time::sleep(Duration::from_millis(800)).await;
     let drained = runs_at(&fleet, 1);
     tokio::time::sleep(Duration::from_millis(1_000)).await;
-    assert_eq!(
-        runs_at(&fleet, 1),
-        drained,
-        "the agent binds itself, whatever the entry knows"
-    );
+    assert_eq!(runs_at(&fleet, 1), drained, "the agent binds itself, whatever the entry knows");
 }
 
 async fn stop_during_streams(name: &str, daemon: &str) {
@@ -158,24 +134,15 @@
             let prompt = format!("brief {number}");
             (
                 prompt.clone(),
-                Caller::new("depot-token")
-                    .complete(&entry, &prompt, number % 2 == 0)
-                    .await,
+                Caller::new("depot-token").complete(&entry, &prompt, number % 2 == 0).await,
             )
         });
     }
-    fleet
-        .wait_for("all work to run", async || runs_at(&fleet, 1) == 6)
-        .await;
+    fleet.wait_for("all work to run", async || runs_at(&fleet, 1) == 6).await;
     fleet.processes[daemon].signal("TERM");
     tokio::time::sleep(Duration::from_millis(100)).await;
-    let late = Caller::new("depot-token")
-        .complete(&fleet.entry(0), "late", false)
-        .await;
-    assert!(
-        !late.is_whole,
-        "a stopping daemon takes nothing new: {late:?}"
-    );
+    let late = Caller::new("depot-token").complete(&fleet.entry(0), "late", false).await;
+    assert!(!late.is_whole, "a stopping daemon takes nothing new: {late:?}");
     while let Some(caller) = callers.join_next().await {
         let (prompt, reply) = caller.unwrap();
         assert!(reply.is_whole, "{reply:?}");
@@ -201,20 +168,13 @@
     let mut fleet = Fleet::plan("refusal", 1, 1, 1);
     started(&mut fleet).await;
     let outcome = fleet.change_surely(drain("target-1", true)).await;
-    let ChangeOutcome::Accepted { version } = outcome else {
-        panic!("{outcome:?}")
-    };
+    let ChangeOutcome::Accepted { version } = outcome else { panic!("{outcome:?}") };
     fleet.wait_for_version(version).await;
     let began = Instant::now();
-    let reply = Caller::new("depot-token")
-        .complete(&fleet.entry(0), "refused", false)
-        .await;
+    let reply = Caller::new("depot-token").complete(&fleet.entry(0), "refused", false).await;
     let problem = reply.problem.unwrap();
     assert_eq!(problem.reason, Reason::TargetUnreachable);
     assert!(problem.retry_after_ms > 0);
     let deadline = Duration::from_millis(bilberryloft_testing::fleet::depot_template().deadline_ms);
-    assert!(
-        began.elapsed() < deadline / 4,
-        "a refusal is never held back"
-    );
+    assert!(began.elapsed() < deadline / 4, "a refusal is never held back");
 }
--- a/crates/bilberryloft-testing/tests/linearizable.rs
+++ b/crates/bilberryloft-testing/tests/linearizable.rs
@@ -107,9 +107,7 @@
                 peer_address: String::new(),
             };
             let client = &self.clients[self.random.usize(0..self.clients.len())];
-            let answer = client
-                .call(Body::Watch(watch), Duration::from_millis(800))
-                .await;
+            let answer = client.call(Body::Watch(watch), Duration::from_millis(800)).await;
             if let Ok(Body::Update(update)) = answer
                 && update.confirmed
             {
@@ -123,15 +121,10 @@
     }
 
     async fn change(&mut self) {
-        let kind = ChangeKind::SetTarget {
-            name: "contended".to_string(),
-            draining: self.random.bool(),
-        };
+        let kind =
+            ChangeKind::SetTarget { name: "contended".to_string(), draining: self.random.bool() };
         let base = self.seen;
-        let request = ChangeRequest {
-            base_version: Some(base),
-            ..change_request(kind)
-        };
+        let request = ChangeRequest { base_version: Some(base), ..change_request(kind) };
         let command = Command::Change(request);
         let at = self.record(Action::Call(Operation::Read(0)));
         loop {
@@ -142,10 +135,7 @@
                     Operation::Accepted { version }
                 }
                 Ok(Outcome::Change(ChangeOutcome::Conflict { object_version, .. })) => {
-                    Operation::Conflict {
-                        base,
-                        version: object_version,
-                    }
+                    Operation::Conflict { base, version: object_version }
                 }
                 Ok(other) => panic!("{other:?}"),
                 Err(_) => continue,
@@ -171,11 +161,7 @@
     let links = Links::interpose(&mut fleet).await;
     fleet.start_all();
     fleet.leader().await;
-    let addresses: Vec<String> = fleet
-        .control_ips
-        .iter()
-        .map(|it| format!("{it}:7400"))
-        .collect();
+    let addresses: Vec<String> = fleet.control_ips.iter().map(|it| format!("{it}:7400")).collect();
     let actions: Actions = Arc::default();
     let mut workers = tokio::task::JoinSet::new();
     for number in 0..CLIENTS {
@@ -185,10 +171,7 @@
         let worker = Worker {
             number,
             control: ControlClient::new(&own, &name, 1),
-            clients: own
-                .iter()
-                .map(|it| Client::new(it.clone(), &name, 1))
-                .collect(),
+            clients: own.iter().map(|it| Client::new(it.clone(), &name, 1)).collect(),
             actions: actions.clone(),
             random: fastrand::Rng::with_seed(SEED + number as u64),
             seen: 0,
--- a/crates/bilberryloft-testing/tests/poison.rs
+++ b/crates/bilberryloft-testing/tests/poison.rs
@@ -26,9 +26,7 @@
     }
     assert_eq!(last.unwrap().reason, Reason::Quarantined);
     assert!(fleet.runs()[&poison] <= 2, "{:?}", fleet.runs());
-    let reply = Caller::new("depot-token")
-        .complete(&fleet.entry(0), "a neighbour", false)
-        .await;
+    let reply = Caller::new("depot-token").complete(&fleet.entry(0), "a neighbour", false).await;
     assert!(reply.is_whole, "{reply:?}");
 }
 
@@ -48,25 +46,14 @@
         let entry = entry.clone();
         neighbours.spawn(async move {
             let prompt = format!("neighbour {number}");
-            Caller::new("depot-token")
-                .complete(&entry, &prompt, false)
-                .await
+            Caller::new("depot-token").complete(&entry, &prompt, false).await
         });
     }
-    fleet
-        .wait_for("all neighbours to run", async || fleet.runs().len() == 6)
-        .await;
+    fleet.wait_for("all neighbours to run", async || fleet.runs().len() == 6).await;
     let poison = format!("{CRASH_MARK} advisory");
-    Caller::new("depot-token")
-        .complete(&entry, &poison, false)
-        .await;
+    Caller::new("depot-token").complete(&entry, &poison, false).await;
     for number in 1..=2 {
-        if !fleet
-            .processes
-            .get_mut(&format!("engine-{number}"))
-            .unwrap()
-            .is_running()
-        {
+        if !fleet.processes.get_mut(&format!("engine-{number}")).unwrap().is_running() {
             fleet.start(&format!("engine-{number}"));
         }
     }
@@ -75,10 +62,7 @@
         let prompt = format!("neighbour {number}");
         fleet
             .wait_for(&format!("{prompt} to run clean"), async || {
-                Caller::new("depot-token")
-                    .complete(&entry, &prompt, false)
-                    .await
-                    .is_whole
+                Caller::new("depot-token").complete(&entry, &prompt, false).await.is_whole
             })
             .await;
     }
@@ -98,9 +82,7 @@
     let sender = tokio::spawn(async move {
         let mut last = None;
         for _ in 0..6 {
-            let reply = Caller::new("depot-token")
-                .complete(&entry, "kills hosts", false)
-                .await;
+            let reply = Caller::new("depot-token").complete(&entry, "kills hosts", false).await;
             let pause_ms = reply.problem.as_ref().map_or(0, |it| it.retry_after_ms);
             last = reply.problem;
             tokio::time::sleep(Duration::from_millis(pause_ms.max(3_500))).await;
@@ -115,10 +97,8 @@
             killed = runs;
             for number in 1..=4 {
                 let ip = fleet.target_ips[number - 1].clone();
-                let metrics = Caller::new("")
-                    .send(&fleet.admin(&ip), "GET", "/metrics", "")
-                    .await
-                    .text;
+                let metrics =
+                    Caller::new("").send(&fleet.admin(&ip), "GET", "/metrics", "").await.text;
                 if metrics.contains("bilberryloft_attempts_started_total 1") {
                     fleet.kill(&format!("engine-{number}"));
                     fleet.kill(&format!("agent-{number}"));
--- a/crates/bilberryloft-testing/tests/streams.rs
+++ b/crates/bilberryloft-testing/tests/streams.rs
@@ -6,6 +6,7 @@
 use bilberryloft_state::refusal::Reason;
 use bilberryloft_state::refusal::RunState;
 use bilberryloft_testing::caller::Caller;
+use bilberryloft_testing::caller::ReplyStream;
 use bilberryloft_testing::engine::expected_answer;
 use bilberryloft_testing::fleet::Fleet;
 use bilberryloft_testing::links::Links;
@@ -33,28 +34,22 @@
     format!("{{\"model\": \"forecast-writer\", \"prompt\": \"{prompt}\", \"stream\": true}}")
 }
 
+async fn open_stream(fleet: &Fleet, prompt: &str) -> ReplyStream {
+    let caller = Caller::new("depot-token");
+    let body = streamed(prompt);
+    caller.open(&fleet.entry(0), "POST", "/v1/completions", &body).await.unwrap()
+}
+
 #[tokio::test]
 async fn target_that_dies_in_a_stream_gives_an_error_event() {
     let (mut fleet, _links) = slow_fleet("dies", 1, 1).await;
-    let caller = Caller::new("depot-token");
-    let mut stream = caller
-        .open(
-            &fleet.entry(0),
-            "POST",
-            "/v1/completions",
-            &streamed("brief"),
-        )
-        .await
-        .unwrap();
+    let mut stream = open_stream(&fleet, "brief").await;
     assert!(stream.read_events(5).await);
     fleet.kill("engine-1");
     let reply = stream.finish().await;
     assert!(!reply.is_whole);
     let problem = reply.problem.expect("an error event");
-    assert_eq!(
-        (problem.reason, problem.run),
-        (Reason::TargetFailed, RunState::Ran)
-    );
+    assert_eq!((problem.reason, problem.run), (Reason::TargetFailed, RunState::Ran));
     assert!(
         expected_answer("brief", TOKENS).starts_with(&reply.text),
         "what came is the start of the answer"
@@ -65,34 +60,17 @@
 async fn entry_that_dies_lets_the_stream_resume_at_another() {
     let (mut fleet, _links) = slow_fleet("resume", 2, 2).await;
     let caller = Caller::new("depot-token");
-    let mut stream = caller
-        .open(
-            &fleet.entry(0),
-            "POST",
-            "/v1/completions",
-            &streamed("route 39"),
-        )
-        .await
-        .unwrap();
+    let mut stream = open_stream(&fleet, "route 39").await;
     assert!(stream.read_events(10).await);
     fleet.kill("entry-1");
     let before = stream.finish().await;
     assert!(!before.is_whole);
     let id = before.last_event_id.clone().unwrap();
     let resumed = caller.with("last-event-id", &id);
-    let after = resumed
-        .send(
-            &fleet.entry(1),
-            "POST",
-            "/v1/completions",
-            &streamed("route 39"),
-        )
-        .await;
+    let after =
+        resumed.send(&fleet.entry(1), "POST", "/v1/completions", &streamed("route 39")).await;
     assert!(after.is_whole, "{after:?}");
-    assert_eq!(
-        format!("{}{}", before.text, after.text),
-        expected_answer("route 39", TOKENS)
-    );
+    assert_eq!(format!("{}{}", before.text, after.text), expected_answer("route 39", TOKENS));
     assert_eq!(fleet.runs()["route 39"], 1);
 }
 
@@ -101,25 +79,14 @@
     let (fleet, _links) = slow_fleet("foreign", 1, 1).await;
     let mut other = bilberryloft_testing::fleet::depot_team();
     other.name = "boat-exchange".to_string();
-    other.token_sha256 = vec![bilberryloft_state::configuration::token_digest(
-        "boat-token",
-    )];
+    other.token_sha256 = vec![bilberryloft_state::configuration::token_digest("boat-token")];
     let kind = bilberryloft_state::configuration::ChangeKind::SetTeam(other);
     fleet.change_surely(kind).await;
     fleet.wait_for_version(3).await;
-    let own = Caller::new("depot-token")
-        .complete(&fleet.entry(0), "secret", true)
-        .await;
+    let own = Caller::new("depot-token").complete(&fleet.entry(0), "secret", true).await;
     let id = own.last_event_id.unwrap();
     let foreign = Caller::new("boat-token").with("last-event-id", &id);
-    let reply = foreign
-        .send(
-            &fleet.entry(0),
-            "POST",
-            "/v1/completions",
-            &streamed("secret"),
-        )
-        .await;
+    let reply = foreign.send(&fleet.entry(0), "POST", "/v1/completions", &streamed("secret")).await;
     assert!(reply.text.find("secret").is_none(), "{reply:?}");
     assert!(reply.problem.is_some());
 }
@@ -127,16 +94,7 @@
 #[tokio::test]
 async fn broken_connection_to_the_agent_is_joined_again() {
     let (fleet, links) = slow_fleet("rejoin", 1, 1).await;
-    let caller = Caller::new("depot-token");
-    let mut stream = caller
-        .open(
-            &fleet.entry(0),
-            "POST",
-            "/v1/completions",
-            &streamed("ice call"),
-        )
-        .await
-        .unwrap();
+    let mut stream = open_stream(&fleet, "ice call").await;
     for _ in 0..3 {
         assert!(stream.read_events(8).await);
         links.set("entries", "agent-1", Fault::Reset);
@@ -158,9 +116,7 @@
         let entry = fleet.entry(number % 2);
         callers.spawn(async move {
             let prompt = format!("depot {number}");
-            let reply = Caller::new("depot-token")
-                .complete(&entry, &prompt, number % 3 != 0)
-                .await;
+            let reply = Caller::new("depot-token").complete(&entry, &prompt, number % 3 != 0).await;
             assert!(reply.is_whole, "{reply:?}");
             assert_eq!(reply.text, expected_answer(&prompt, TOKENS));
         });
@@ -173,28 +129,16 @@
 #[tokio::test]
 async fn caller_that_hangs_up_stops_the_work() {
     let (fleet, _links) = slow_fleet("hang-up", 1, 1).await;
-    let caller = Caller::new("depot-token");
-    let mut stream = caller
-        .open(
-            &fleet.entry(0),
-            "POST",
-            "/v1/completions",
-            &streamed("gone"),
-        )
-        .await
-        .unwrap();
+    let mut stream = open_stream(&fleet, "gone").await;
     assert!(stream.read_events(3).await);
     drop(stream);
     let ip = fleet.target_ips[0].clone();
     fleet
         .wait_for("the slot to be free again", async || {
-            let reply = Caller::new("depot-token")
-                .send(&fleet.entry(0), "GET", "/v1/models", "")
-                .await;
-            let metrics = Caller::new("x")
-                .send(&fleet.admin(&ip), "GET", "/metrics", "")
-                .await
-                .text;
+            let reply =
+                Caller::new("depot-token").send(&fleet.entry(0), "GET", "/v1/models", "").await;
+            let metrics =
+                Caller::new("x").send(&fleet.admin(&ip), "GET", "/metrics", "").await.text;
             reply.status == 200 && metrics.contains("bilberryloft_attempts_cancelled_total 1")
         })
         .await;
@@ -208,10 +152,7 @@
     let body = format!(
         "{{\"model\": \"forecast-writer\", \"prompt\": \"{long}\", \"stream\": true, \"max_tokens\": 100}}"
     );
-    let mut slow = caller
-        .open(&fleet.entry(0), "POST", "/v1/completions", &body)
-        .await
-        .unwrap();
+    let mut slow = caller.open(&fleet.entry(0), "POST", "/v1/completions", &body).await.unwrap();
     assert!(slow.read_events(1).await);
     let other = caller.complete(&fleet.entry(0), "quick", false).await;
     assert!(other.is_whole);
--- a/crates/bilberryloft-testing/tests/thin_path.rs
+++ b/crates/bilberryloft-testing/tests/thin_path.rs
@@ -16,23 +16,17 @@
     fleet.wait_until_ready().await;
     let caller = Caller::new("depot-token");
 
-    let reply = caller
-        .complete(&fleet.entry(0), "kamikawa route", true)
-        .await;
+    let reply = caller.complete(&fleet.entry(0), "kamikawa route", true).await;
     assert_eq!(reply.status, 200, "{reply:?}");
     assert!(reply.is_whole, "{reply:?}");
     assert_eq!(reply.text, expected_answer("kamikawa route", 8));
 
-    let whole = caller
-        .complete(&fleet.entry(0), "pass closure", false)
-        .await;
+    let whole = caller.complete(&fleet.entry(0), "pass closure", false).await;
     assert!(whole.is_whole, "{whole:?}");
     assert_eq!(whole.text, expected_answer("pass closure", 8));
 
     let body = r#"{"model": "unknown-model", "prompt": "x"}"#;
-    let refused = caller
-        .send(&fleet.entry(0), "POST", "/v1/completions", body)
-        .await;
+    let refused = caller.send(&fleet.entry(0), "POST", "/v1/completions", body).await;
     let problem = refused.problem.clone().unwrap();
     assert_eq!(
         (refused.status, problem.reason, problem.run),
@@ -40,26 +34,16 @@
     );
 
     let ip = fleet.control_ips[0].clone();
-    let explained: Explanation = fleet
-        .get(&ip, &format!("/operator/explain/{}", reply.request_id))
-        .await
-        .unwrap();
+    let explained: Explanation =
+        fleet.get(&ip, &format!("/operator/explain/{}", reply.request_id)).await.unwrap();
     assert!(
-        explained
-            .records
-            .iter()
-            .any(|it| it.step == "pick" && it.outcome.contains("target-1")),
+        explained.records.iter().any(|it| it.step == "pick" && it.outcome.contains("target-1")),
         "{explained:?}"
     );
-    let explained: Explanation = fleet
-        .get(&ip, &format!("/operator/explain/{}", refused.request_id))
-        .await
-        .unwrap();
+    let explained: Explanation =
+        fleet.get(&ip, &format!("/operator/explain/{}", refused.request_id)).await.unwrap();
     assert!(
-        explained
-            .records
-            .iter()
-            .any(|it| it.step == "refuse" && it.rule == "not_allowed"),
+        explained.records.iter().any(|it| it.step == "refuse" && it.rule == "not_allowed"),
         "{explained:?}"
     );
 }
--- a/crates/bilberryloft-transport/src/client.rs
+++ b/crates/bilberryloft-transport/src/client.rs
@@ -2,9 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicI64;
 use std::sync::atomic::Ordering;
@@ -17,6 +14,7 @@
 use bilberryloft_protocol::wire::Hello;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
+use parking_lot::Mutex;
 use tokio::io::BufReader;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -79,14 +77,8 @@
     /// Makes a client; nothing is connected yet.
     pub fn new(address: impl Into<String>, daemon: &str, incarnation: u64) -> Client {
         let hello = Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0);
-        let shared = Shared {
-            address: address.into(),
-            hello,
-            slot: tokio::sync::Mutex::default(),
-        };
-        Client {
-            shared: Arc::new(shared),
-        }
+        let shared = Shared { address: address.into(), hello, slot: tokio::sync::Mutex::default() };
+        Client { shared: Arc::new(shared) }
     }
 
     /// Address of the peer.
@@ -123,15 +115,10 @@
         let connection = self.connection(step).await?;
         let call_id = connection.next_call_id.fetch_add(1, Ordering::Relaxed);
         let (sender, frames) = mpsc::channel(ANSWER_FRAMES_MAX);
-        lock(&connection.pending).insert(call_id, sender);
+        connection.pending.lock().insert(call_id, sender);
         let peer = self.shared.address.clone();
-        let answer = Answer {
-            frames,
-            connection: connection.clone(),
-            call_id,
-            step,
-            peer: peer.clone(),
-        };
+        let answer =
+            Answer { frames, connection: connection.clone(), call_id, step, peer: peer.clone() };
         // The reader may have ended between the look-up and the insertion.
         if connection.is_closed.load(Ordering::SeqCst) {
             return Err(Error::Closed { step, peer });
@@ -146,10 +133,7 @@
         let step = body_name(&body);
         let connection = self.connection(step).await?;
         let sent = connection.outgoing.try_send(encode_frame(0, body));
-        sent.map_err(|_| Error::Closed {
-            step,
-            peer: self.shared.address.clone(),
-        })
+        sent.map_err(|_| Error::Closed { step, peer: self.shared.address.clone() })
     }
 
     async fn connection(&self, step: &'static str) -> Result<Arc<Connection>> {
@@ -165,11 +149,7 @@
         }
         match self.connect().await {
             Ok(connection) => {
-                *slot = Slot {
-                    connection: Some(connection.clone()),
-                    failures: 0,
-                    retry_at: None,
-                };
+                *slot = Slot { connection: Some(connection.clone()), failures: 0, retry_at: None };
                 Ok(connection)
             }
             Err(error) => {
@@ -198,7 +178,7 @@
             reader: Mutex::default(),
         });
         let task = tokio::spawn(read_answers(reader, connection.clone(), address.clone()));
-        *lock(&connection.reader) = Some(task.abort_handle());
+        *connection.reader.lock() = Some(task.abort_handle());
         Ok(connection)
     }
 
@@ -207,9 +187,7 @@
         let stream = TcpStream::connect(address)
             .await
             .map_err(|it| Error::network("connect", address, it))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|it| Error::network("connect", address, it))?;
+        stream.set_nodelay(true).map_err(|it| Error::network("connect", address, it))?;
         let (reader, writer) = stream.into_split();
         let (outgoing, queue) = mpsc::channel(OUTGOING_FRAMES_MAX);
         tokio::spawn(write_frames(writer, queue));
@@ -231,10 +209,7 @@
                 let detail = format!("{} in place of hello", body_name(&body));
                 Err(Error::protocol("handshake", address, detail))
             }
-            None => Err(Error::Closed {
-                step: "handshake",
-                peer: address.clone(),
-            }),
+            None => Err(Error::Closed { step: "handshake", peer: address.clone() }),
         }
     }
 }
@@ -245,20 +220,20 @@
     peer: String,
 ) {
     while let Ok(Some(envelope)) = read_envelope(&mut reader, &peer).await {
-        let sender = lock(&connection.pending).get(&envelope.call_id).cloned();
+        let sender = connection.pending.lock().get(&envelope.call_id).cloned();
         let Some(sender) = sender else { continue };
         // A reader that lags so far behind loses the call rather than hold up all others.
         if sender.try_send(envelope.body).is_err() {
-            lock(&connection.pending).remove(&envelope.call_id);
+            connection.pending.lock().remove(&envelope.call_id);
         }
     }
     connection.is_closed.store(true, Ordering::SeqCst);
-    lock(&connection.pending).clear();
+    connection.pending.lock().clear();
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        if let Some(reader) = lock(&self.reader).take() {
+        if let Some(reader) = self.reader.lock().take() {
             reader.abort();
         }
     }
@@ -268,19 +243,12 @@
     /// Waits for the next frame; fails when the connection ended.
     pub async fn next(&mut self) -> Result<Body> {
         let frame = self.frames.recv().await;
-        frame.ok_or_else(|| Error::Closed {
-            step: self.step,
-            peer: self.peer.clone(),
-        })
+        frame.ok_or_else(|| Error::Closed { step: self.step, peer: self.peer.clone() })
     }
 }
 
 impl Drop for Answer {
     fn drop(&mut self) {
-        lock(&self.connection.pending).remove(&self.call_id);
+        self.connection.pending.lock().remove(&self.call_id);
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/bilberryloft-transport/src/clock.rs
+++ b/crates/bilberryloft-transport/src/clock.rs
@@ -13,7 +13,5 @@
 
 /// Wall-clock time since the epoch in milliseconds.
 pub fn epoch_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |it| it.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis() as u64)
 }
--- a/crates/bilberryloft-transport/src/frame.rs
+++ b/crates/bilberryloft-transport/src/frame.rs
@@ -36,10 +36,7 @@
         return Err(Error::protocol("read a frame", peer, detail));
     }
     let mut bytes = vec![0; length];
-    reader
-        .read_exact(&mut bytes)
-        .await
-        .map_err(|it| Error::network("read a frame", peer, it))?;
+    reader.read_exact(&mut bytes).await.map_err(|it| Error::network("read a frame", peer, it))?;
     decode_envelope(&bytes, peer).map(Some)
 }
 
--- a/crates/bilberryloft-transport/src/http.rs
+++ b/crates/bilberryloft-transport/src/http.rs
@@ -36,9 +36,8 @@
         connector.set_connect_timeout(Some(std::time::Duration::from_millis(1_000)));
         // The pool would repeat a request on a fresh connection when a reused one turns out closed; whether
         // to repeat is the entry's decision alone.
-        let inner = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build(connector);
+        let inner =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
         HttpClient { inner }
     }
 
@@ -47,31 +46,20 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> std::result::Result<Response<Incoming>, HttpFailure> {
-        self.inner
-            .request(request)
-            .await
-            .map_err(|error| HttpFailure {
-                is_connect: error.is_connect(),
-                detail: describe(&error),
-            })
+        self.inner.request(request).await.map_err(|error| HttpFailure {
+            is_connect: error.is_connect(),
+            detail: describe(&error),
+        })
     }
 
     /// Sends a request and reads the whole answer.
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<(u16, Bytes)> {
-        let peer = request
-            .uri()
-            .authority()
-            .map(|it| it.to_string())
-            .unwrap_or_default();
+        let peer = request.uri().authority().map(|it| it.to_string()).unwrap_or_default();
         let failed =
             |detail: String| Error::network("HTTP request", &peer, std::io::Error::other(detail));
         let response = self.send(request).await.map_err(|it| failed(it.detail))?;
         let status = response.status().as_u16();
-        let body = response
-            .into_body()
-            .collect()
-            .await
-            .map_err(|it| failed(it.to_string()))?;
+        let body = response.into_body().collect().await.map_err(|it| failed(it.to_string()))?;
         Ok((status, body.to_bytes()))
     }
 }
--- a/crates/bilberryloft-transport/src/server.rs
+++ b/crates/bilberryloft-transport/src/server.rs
@@ -59,17 +59,12 @@
 impl Responder {
     /// Sends a frame, waiting while the connection is slow; fails when it has ended.
     pub async fn send(&self, body: Body) -> std::result::Result<(), Disconnected> {
-        self.outgoing
-            .send(encode_frame(self.call_id, body))
-            .await
-            .map_err(|_| Disconnected)
+        self.outgoing.send(encode_frame(self.call_id, body)).await.map_err(|_| Disconnected)
     }
 
     /// Answers that the call could not be served.
     pub async fn fail(&self, step: &str, detail: impl Into<String>) {
-        let _ = self
-            .send(Body::Fault(Fault::new(step.to_string(), detail.into())))
-            .await;
+        let _ = self.send(Body::Fault(Fault::new(step.to_string(), detail.into()))).await;
     }
 
     /// Waits until the connection has ended.
@@ -108,18 +103,12 @@
         incarnation: u64,
         handler: Arc<H>,
     ) -> Result<Server> {
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|it| Error::network("listen", address, it))?;
-        let local = listener
-            .local_addr()
-            .map_err(|it| Error::network("listen", address, it))?;
+        let listener =
+            TcpListener::bind(address).await.map_err(|it| Error::network("listen", address, it))?;
+        let local = listener.local_addr().map_err(|it| Error::network("listen", address, it))?;
         let hello = Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0);
         let task = tokio::spawn(accept(listener, hello, handler));
-        Ok(Server {
-            address: local,
-            task,
-        })
+        Ok(Server { address: local, task })
     }
 
     /// Address that it listens on.
@@ -156,44 +145,27 @@
     tokio::spawn(write_frames(writer, queue));
     let first = tokio::time::timeout(HELLO_TIMEOUT, read_envelope(&mut reader, &address)).await;
     let Ok(Ok(Some(first))) = first else { return };
-    let responder = Responder {
-        call_id: 0,
-        outgoing: outgoing.clone(),
-    };
+    let responder = Responder { call_id: 0, outgoing: outgoing.clone() };
     let peer = match first.body {
-        Body::Hello(it) if it.protocol_version == PROTOCOL_VERSION => Peer {
-            daemon: it.daemon,
-            incarnation: it.incarnation as u64,
-            address: address.clone(),
-        },
+        Body::Hello(it) if it.protocol_version == PROTOCOL_VERSION => {
+            Peer { daemon: it.daemon, incarnation: it.incarnation as u64, address: address.clone() }
+        }
         Body::Hello(it) => {
-            let detail = format!(
-                "protocol version {} is not {PROTOCOL_VERSION}",
-                it.protocol_version
-            );
+            let detail =
+                format!("protocol version {} is not {PROTOCOL_VERSION}", it.protocol_version);
             return responder.fail("handshake", detail).await;
         }
         body => {
             return responder
-                .fail(
-                    "handshake",
-                    format!("{} in place of hello", body_name(&body)),
-                )
+                .fail("handshake", format!("{} in place of hello", body_name(&body)))
                 .await;
         }
     };
     let _ = responder.send(Body::Hello(hello)).await;
     let peer = Arc::new(peer);
     while let Ok(Some(envelope)) = read_envelope(&mut reader, &address).await {
-        let responder = Responder {
-            call_id: envelope.call_id,
-            outgoing: outgoing.clone(),
-        };
-        let call = Call {
-            peer: peer.clone(),
-            body: envelope.body,
-            responder,
-        };
+        let responder = Responder { call_id: envelope.call_id, outgoing: outgoing.clone() };
+        let call = Call { peer: peer.clone(), body: envelope.body, responder };
         tokio::spawn(handler.clone().handle(call));
     }
 }
--- a/crates/bilberryloftd/src/main.rs
+++ b/crates/bilberryloftd/src/main.rs
@@ -47,9 +47,7 @@
 }
 
 fn wait_for_stop_signal() -> eyre::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
