--- a/crates/bilberryloft-testing/tests/configuration.rs
+++ b/crates/bilberryloft-testing/tests/configuration.rs
@@ -5,6 +5,8 @@
 
 use bilberryloft_state::configuration::ChangeKind;
 use bilberryloft_state::configuration::ChangeOutcome;
+use bilberryloft_state::member_set::MemberSet;
+use bilberryloft_testing::caller::Caller;
 use bilberryloft_testing::fleet::Fleet;
 use bilberryloft_testing::fleet::change_request;
 use bilberryloft_testing::links::Links;
@@ -16,6 +18,11 @@
 
 async fn started(name: &str) -> (Fleet, Links) {
     let mut fleet = Fleet::plan(name, 3, 1, 1);
+    for number in 1..=3 {
+        // Snapshots as often as the log allows, so that kills hit them too.
+        let settings = fleet.settings_mut(&format!("control-{number}"));
+        settings.control.as_mut().unwrap().snapshot_entries = 16;
+    }
     let links = Links::interpose(&mut fleet).await;
     fleet.start_all();
     fleet.make_team().await;
@@ -209,3 +216,58 @@
     let after = version_of(&fleet.change_surely(drain("after-repair", true)).await);
     assert_eq!(after, last + 1);
 }
+
+/// Sends other members to the leader until they are accepted.
+async fn change_members(fleet: &Fleet, change: impl Fn(&mut MemberSet)) {
+    fleet
+        .wait_for("the members to change", async || {
+            let ip = fleet.control_ips[fleet.leader().await].clone();
+            let Some(mut members) = fleet.get::<MemberSet>(&ip, "/operator/members").await else {
+                return false;
+            };
+            change(&mut members);
+            let body = serde_json::to_string(&members).unwrap();
+            Caller::new("").send(&fleet.admin(&ip), "POST", "/operator/members", &body).await.status
+                == 200
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn replaced_host_lets_another_fail() {
+    let mut fleet = Fleet::plan("replace", 4, 0, 0);
+    let first = fleet.settings_mut("control-1").control.clone().unwrap();
+    let mut members = first.members.clone();
+    let (_, new_address) = members.pop_last().unwrap();
+    for number in 1..=4 {
+        fleet.settings_mut(&format!("control-{number}")).control.as_mut().unwrap().members =
+            members.clone();
+    }
+    for number in 1..=3 {
+        fleet.start(&format!("control-{number}"));
+    }
+    for number in 0..30 {
+        fleet.change_surely(drain(&format!("t-{number}"), true)).await;
+    }
+    let gone = (fleet.leader().await + 1) % 3;
+    fleet.kill(&format!("control-{}", gone + 1));
+    change_members(&fleet, |it| drop(it.learners.insert(4, new_address.clone()))).await;
+    fleet.start("control-4");
+    let new_ip = fleet.control_ips[3].clone();
+    fleet
+        .wait_for("the new host to catch up", async || {
+            fleet.status(&new_ip).await.is_some_and(|it| it.configuration_version >= 30)
+        })
+        .await;
+    change_members(&fleet, |it| drop(it.voters.remove(&(gone as u32 + 1)))).await;
+    change_members(&fleet, |it| {
+        if let Some(address) = it.learners.remove(&4) {
+            it.voters.insert(4, address);
+        }
+    })
+    .await;
+    let another = (gone + 1) % 3;
+    fleet.kill(&format!("control-{}", another + 1));
+    let outcome = fleet.change_surely(drain("after", true)).await;
+    assert_eq!(version_of(&outcome), 31);
+}
