--- a/crates/bilberryloft-coordination/src/lib.rs
+++ b/crates/bilberryloft-coordination/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod leases;
 pub mod pick;
 pub mod raft;
+pub mod rank_choice;
 pub mod retry;
--- /dev/null
+++ b/crates/bilberryloft-coordination/src/rank_choice.rs
@@ -0,0 +1,190 @@
+//! Choosing the rank of a lock-step group that a request adds least to, and finding ranks that are slow.
+//!
+//! All ranks wait for the slowest in each step, so what counts is the highest rank time, not the mean.
+
+/// Weight of one rank's latest step in its smoothed slowness.
+const SLOWNESS_GAIN: f64 = 0.1;
+/// Weight that a measurement of the fit keeps when the next one comes.
+const FIT_KEEP: f64 = 0.9995;
+/// Slowness, as measured over expected time, from which a rank counts as a straggler.
+pub const STRAGGLER_SLOWNESS: f64 = 1.5;
+/// Slowness below which a straggler counts as well again.
+pub const RECOVERED_SLOWNESS: f64 = 1.15;
+
+/// Time that work takes on a rank, in microseconds a step.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StepCosts {
+    /// For each request that is being decoded.
+    pub request_us: f64,
+    /// For each token held in the KV cache.
+    pub kv_token_us: f64,
+    /// For each token of a prompt that is still to be read; a prompt is read in chunks over several steps.
+    pub prefill_token_us: f64,
+}
+
+impl Default for StepCosts {
+    fn default() -> Self {
+        StepCosts { request_us: 20.0, kv_token_us: 0.02, prefill_token_us: 0.5 }
+    }
+}
+
+/// What one request adds to a rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RankWork {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens that the answer is expected to have.
+    pub answer_tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RankLoad {
+    requests: u64,
+    kv_tokens: u64,
+    prefill_tokens: u64,
+    slowness: f64,
+    is_straggler: bool,
+}
+
+/// Loads of all ranks of one group, as the agent beside it knows them.
+#[derive(Clone, Debug)]
+pub struct RankChooser {
+    costs: StepCosts,
+    fit: LinearFit,
+    ranks: Vec<RankLoad>,
+}
+
+/// Measured over expected time of all ranks as a straight line, with fading weights, since a step also has a
+/// part that does not depend on the load. The fit is kept up with running means and covariance, as Daedalus does
+/// for throughput over processor time (Pfister et al., ICPE 2024, section 3.1).
+#[derive(Clone, Copy, Debug, Default)]
+struct LinearFit {
+    weight: f64,
+    mean_x: f64,
+    mean_y: f64,
+    variance_x: f64,
+    covariance: f64,
+}
+
+impl LinearFit {
+    fn add(&mut self, x: f64, y: f64) {
+        self.weight = self.weight * FIT_KEEP + 1.0;
+        let gain = 1.0 / self.weight;
+        let (from_x, from_y) = (x - self.mean_x, y - self.mean_y);
+        self.mean_x += gain * from_x;
+        self.mean_y += gain * from_y;
+        self.variance_x += gain * (from_x * (x - self.mean_x) - self.variance_x);
+        self.covariance += gain * (from_x * (y - self.mean_y) - self.covariance);
+    }
+
+    fn predict(&self, x: f64) -> f64 {
+        let slope = if self.variance_x > 1e-9 { self.covariance / self.variance_x } else { 0.0 };
+        self.mean_y + slope.max(0.0) * (x - self.mean_x)
+    }
+}
+
+impl RankChooser {
+    /// Starts with idle ranks.
+    pub fn new(ranks: usize, costs: StepCosts) -> RankChooser {
+        let idle = RankLoad {
+            requests: 0,
+            kv_tokens: 0,
+            prefill_tokens: 0,
+            slowness: 1.0,
+            is_straggler: false,
+        };
+        RankChooser { costs, fit: LinearFit::default(), ranks: vec![idle; ranks.max(1)] }
+    }
+
+    /// Number of ranks.
+    pub fn ranks(&self) -> usize {
+        self.ranks.len()
+    }
+
+    /// Places a request on the rank whose time it leaves lowest; stragglers only when there is no other.
+    pub fn place(&mut self, work: RankWork) -> usize {
+        let any_well = self.ranks.iter().any(|it| !it.is_straggler);
+        let mut best = (f64::INFINITY, 0);
+        for (rank, load) in self.ranks.iter().enumerate() {
+            if load.is_straggler && any_well {
+                continue;
+            }
+            let after_us = self.time_with(load, work) * load.slowness;
+            if after_us < best.0 {
+                best = (after_us, rank);
+            }
+        }
+        let load = &mut self.ranks[best.1];
+        load.requests += 1;
+        load.prefill_tokens += work.prompt_tokens;
+        best.1
+    }
+
+    /// Expected time of a rank's steps with one more request, over the request's life: half of its answer is
+    /// in the cache on average.
+    fn time_with(&self, load: &RankLoad, work: RankWork) -> f64 {
+        let kv_tokens = load.kv_tokens + work.prompt_tokens + work.answer_tokens / 2;
+        self.time_of(load.requests + 1, kv_tokens, load.prefill_tokens)
+    }
+
+    fn time_of(&self, requests: u64, kv_tokens: u64, prefill_tokens: u64) -> f64 {
+        let costs = &self.costs;
+        requests as f64 * costs.request_us
+            + (kv_tokens + prefill_tokens) as f64 * costs.kv_token_us
+            + prefill_tokens.min(PREFILL_CHUNK_TOKENS) as f64 * costs.prefill_token_us
+    }
+
+    /// Counts a prompt that was read: its tokens are in the cache from now on.
+    pub fn note_prefilled(&mut self, rank: usize, tokens: u64) {
+        let load = &mut self.ranks[rank];
+        load.prefill_tokens = load.prefill_tokens.saturating_sub(tokens);
+        load.kv_tokens += tokens;
+    }
+
+    /// Counts tokens of an answer.
+    pub fn note_tokens(&mut self, rank: usize, tokens: u64) {
+        self.ranks[rank].kv_tokens += tokens;
+    }
+
+    /// Takes a request off its rank; `unread` tokens of its prompt and `held` tokens of cache go with it.
+    pub fn end(&mut self, rank: usize, unread: u64, held: u64) {
+        let load = &mut self.ranks[rank];
+        load.requests = load.requests.saturating_sub(1);
+        load.prefill_tokens = load.prefill_tokens.saturating_sub(unread);
+        load.kv_tokens = load.kv_tokens.saturating_sub(held);
+    }
+
+    /// Takes the times of one step. A rank is slow if it takes longer than its load explains, compared with
+    /// the median rank, so that a loaded rank is not taken for a slow one.
+    pub fn note_step(&mut self, times_us: &[f64]) {
+        let mut ratios: Vec<f64> = Vec::with_capacity(times_us.len());
+        for (load, time_us) in self.ranks.iter().zip(times_us) {
+            let expected_us = self.time_of(load.requests, load.kv_tokens, load.prefill_tokens);
+            self.fit.add(expected_us, *time_us);
+            ratios.push(time_us / self.fit.predict(expected_us).max(1e-9));
+        }
+        let mut sorted = ratios.clone();
+        sorted.sort_by(f64::total_cmp);
+        let median = sorted.get(sorted.len() / 2).copied().unwrap_or(1.0).max(1e-9);
+        for (load, ratio) in self.ranks.iter_mut().zip(ratios) {
+            load.slowness += SLOWNESS_GAIN * (ratio / median - load.slowness);
+            load.is_straggler = match load.is_straggler {
+                true => load.slowness > RECOVERED_SLOWNESS,
+                false => load.slowness > STRAGGLER_SLOWNESS,
+            };
+        }
+    }
+
+    /// Ranks that are slow beyond what their load explains.
+    pub fn stragglers(&self) -> Vec<usize> {
+        self.ranks
+            .iter()
+            .enumerate()
+            .filter(|(_, it)| it.is_straggler)
+            .map(|(rank, _)| rank)
+            .collect()
+    }
+}
+
+/// Tokens of prompts that a rank reads in one step.
+pub const PREFILL_CHUNK_TOKENS: u64 = 2_048;
--- a/crates/bilberryloft-coordination/tests/decisions.rs
+++ b/crates/bilberryloft-coordination/tests/decisions.rs
@@ -15,6 +15,9 @@
 use bilberryloft_coordination::freshness::OnLostControl;
 use bilberryloft_coordination::leases::GATHER_MS;
 use bilberryloft_coordination::leases::LeaseTable;
+use bilberryloft_coordination::rank_choice::RankChooser;
+use bilberryloft_coordination::rank_choice::RankWork;
+use bilberryloft_coordination::rank_choice::StepCosts;
 use bilberryloft_coordination::retry::Failure;
 use bilberryloft_coordination::retry::NextStep;
 use bilberryloft_coordination::retry::RetryBudget;
@@ -334,3 +337,59 @@
     assert!(leases.take_expired(50_500).is_empty());
     assert!(!leases.renew("a", 0, 50_600), "an earlier life renews nothing");
 }
+
+fn work(prompt_tokens: u64) -> RankWork {
+    RankWork { prompt_tokens, answer_tokens: 256 }
+}
+
+#[test]
+fn rank_choice_spreads_what_requests_add() {
+    let mut chooser = RankChooser::new(2, StepCosts::default());
+    let long = chooser.place(work(30_000));
+    chooser.note_prefilled(long, 30_000);
+    let mut short = Vec::new();
+    for _ in 0..10 {
+        let rank = chooser.place(work(100));
+        chooser.note_prefilled(rank, 100);
+        short.push(rank);
+    }
+    assert!(short.iter().all(|it| *it != long), "{short:?}");
+    chooser.end(long, 0, 30_000);
+    assert_eq!(chooser.place(work(100)), long, "what has ended weighs nothing");
+}
+
+/// Takes steps in which one rank takes a multiple of the time that its load explains.
+fn take_steps(chooser: &mut RankChooser, factor: f64) {
+    for step in 0..200 {
+        let base_us = 500.0 + f64::from(step % 7) * 3.0;
+        chooser.note_step(&[
+            base_us * factor + 160.0 * factor,
+            base_us + 160.0,
+            base_us + 400.0,
+            base_us + 20.0,
+        ]);
+    }
+}
+
+#[test]
+fn rank_choice_tells_a_slow_rank_from_a_loaded_one_and_takes_it_back() {
+    let mut chooser = RankChooser::new(4, StepCosts::default());
+    // Eight requests on ranks 0 and 1, twenty on rank 2 and one on rank 3, as the times say.
+    let mut placed = [0, 0, 0, 0];
+    for _ in 0..200 {
+        let rank = chooser.place(work(0));
+        placed[rank] += 1;
+        if placed[rank] > [8, 8, 20, 1][rank] {
+            chooser.end(rank, 0, 0);
+        }
+    }
+    take_steps(&mut chooser, 1.0);
+    assert!(chooser.stragglers().is_empty(), "a loaded rank is not a slow one");
+    take_steps(&mut chooser, 3.0);
+    assert_eq!(chooser.stragglers(), [0]);
+    let placed: Vec<usize> = (0..10).map(|_| chooser.place(work(100))).collect();
+    assert!(!placed.contains(&0), "{placed:?}");
+    placed.iter().for_each(|rank| chooser.end(*rank, 100, 0));
+    take_steps(&mut chooser, 1.0);
+    assert!(chooser.stragglers().is_empty(), "it has proved itself");
+}
--- a/crates/bilberryloft-daemon/src/agent/run.rs
+++ b/crates/bilberryloft-daemon/src/agent/run.rs
@@ -1,9 +1,12 @@
 //! Running one attempt at the target.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bilberryloft_coordination::attempts::AttemptState;
+use bilberryloft_coordination::rank_choice::RankWork;
 use bilberryloft_protocol::wire::Dispatch;
 use bilberryloft_protocol::wire::Header;
 use bilberryloft_state::refusal::Reason;
@@ -28,6 +31,8 @@
 
 /// Time for which an idempotent attempt goes on when its entry has gone and nobody joined it.
 const ABANDONED_AFTER_MS: u64 = 10_000;
+/// Bytes of text that make about one token.
+const BYTES_PER_TOKEN: u64 = 4;
 /// Time between looks for abandonment.
 const ABANDONED_LOOK: Duration = Duration::from_millis(500);
 /// Headers of an answer that belong to one connection and are not passed on.
@@ -101,7 +106,8 @@
         held: &Held,
         began_ms: u64,
     ) -> Ending {
-        let request = match build_request(dispatch, &slot.target.url) {
+        let place = RankPlace::take(self, dispatch);
+        let request = match build_request(dispatch, &slot.target.url, place.rank) {
             Ok(request) => request,
             Err(detail) => return not_run(Reason::BadRequest, detail),
         };
@@ -117,6 +123,7 @@
         };
         let head = head_of(&response);
         let is_stream = is_event_stream(&response);
+        place.note_prefilled();
         held.set_head(head);
         match relay(response, is_stream, held).await {
             Ok(()) => Ending::Complete,
@@ -134,6 +141,43 @@
     }
 }
 
+/// A request's place on a rank of the target's group; it is given back when the value is dropped.
+struct RankPlace<'a> {
+    agent: &'a Agent,
+    rank: usize,
+    prompt_tokens: u64,
+    is_read: AtomicBool,
+}
+
+impl<'a> RankPlace<'a> {
+    fn take(agent: &'a Agent, dispatch: &Dispatch) -> RankPlace<'a> {
+        let prompt_tokens = dispatch.body.len() as u64 / BYTES_PER_TOKEN;
+        let answer_tokens = (dispatch.work_tokens.max(0) as u64).saturating_sub(prompt_tokens);
+        let rank = agent.lock().ranks.place(RankWork { prompt_tokens, answer_tokens });
+        RankPlace { agent, rank, prompt_tokens, is_read: AtomicBool::new(false) }
+    }
+
+    /// The first part of the answer shows that the prompt has been read.
+    fn note_prefilled(&self) {
+        self.is_read.store(true, Ordering::Relaxed);
+        self.agent.lock().ranks.note_prefilled(self.rank, self.prompt_tokens);
+    }
+}
+
+impl Drop for RankPlace<'_> {
+    fn drop(&mut self) {
+        let (unread, held) = match self.is_read.load(Ordering::Relaxed) {
+            true => (0, self.prompt_tokens),
+            false => (self.prompt_tokens, 0),
+        };
+        let mut inner = self.agent.lock();
+        // The target may have come back with fewer ranks.
+        if self.rank < inner.ranks.ranks() {
+            inner.ranks.end(self.rank, unread, held);
+        }
+    }
+}
+
 async fn relay(response: Response<Incoming>, is_stream: bool, held: &Held) -> Result<(), String> {
     let mut body = response.into_body();
     let mut splitter = SseSplitter::default();
@@ -166,7 +210,11 @@
     }
 }
 
-fn build_request(dispatch: &Dispatch, url: &str) -> Result<Request<Full<Bytes>>, String> {
+fn build_request(
+    dispatch: &Dispatch,
+    url: &str,
+    rank: usize,
+) -> Result<Request<Full<Bytes>>, String> {
     let mut request =
         Request::builder().method(dispatch.method.as_str()).uri(format!("{url}{}", dispatch.path));
     for header in &dispatch.headers {
@@ -175,6 +223,7 @@
     request
         .header("x-request-id", &dispatch.request_id)
         .header("x-priority", dispatch.priority.to_string())
+        .header("x-rank", rank.to_string())
         .body(Full::new(Bytes::from(dispatch.body.clone())))
         .map_err(|it| it.to_string())
 }
--- a/crates/bilberryloft-daemon/src/agent/state.rs
+++ b/crates/bilberryloft-daemon/src/agent/state.rs
@@ -9,6 +9,8 @@
 use bilberryloft_coordination::admission::Admission;
 use bilberryloft_coordination::admission::Next;
 use bilberryloft_coordination::attempts::AttemptTable;
+use bilberryloft_coordination::rank_choice::RankChooser;
+use bilberryloft_coordination::rank_choice::StepCosts;
 use bilberryloft_protocol::wire::Load;
 use bilberryloft_state::membership::TargetDescription;
 use bilberryloft_state::record::RecordRing;
@@ -47,6 +49,7 @@
     pub held: BTreeMap<(String, u32), Arc<Held>>,
     pub waiting: BTreeMap<u64, oneshot::Sender<Grant>>,
     pub at_target: BTreeMap<u64, i64>,
+    pub ranks: RankChooser,
     pub next_id: u64,
     pub records: RecordRing,
     pub target: Option<Announcement>,
@@ -106,6 +109,7 @@
             held: BTreeMap::new(),
             waiting: BTreeMap::new(),
             at_target: BTreeMap::new(),
+            ranks: RankChooser::new(1, StepCosts::default()),
             next_id: 0,
             records: RecordRing::with_capacity(settings.records_max),
             target: None,
@@ -183,6 +187,10 @@
         if is_new {
             inner.target_is_down = false;
             inner.admission.set_slots(announcement.slots);
+            let ranks = announcement.ranks.max(1) as usize;
+            if inner.ranks.ranks() != ranks {
+                inner.ranks = RankChooser::new(ranks, StepCosts::default());
+            }
         }
         inner.target = Some(announcement);
         is_new
--- a/crates/bilberryloft-experiment/src/commands/mod.rs
+++ b/crates/bilberryloft-experiment/src/commands/mod.rs
@@ -3,3 +3,4 @@
 pub mod balance;
 pub mod expert_map;
 pub mod overload;
+pub mod ranks;
--- a/crates/bilberryloft-experiment/src/main.rs
+++ b/crates/bilberryloft-experiment/src/main.rs
@@ -23,6 +23,8 @@
     Balance(commands::balance::BalanceCommand),
     /// Shares of teams and goodput of one target under overload.
     Overload(commands::overload::OverloadCommand),
+    /// Placement of requests on the ranks of a lock-step group.
+    Ranks(commands::ranks::RanksCommand),
 }
 
 fn main() -> eyre::Result<()> {
@@ -30,5 +32,6 @@
         Command::ExpertMap(command) => command.run(),
         Command::Balance(command) => command.run(),
         Command::Overload(command) => command.run(),
+        Command::Ranks(command) => command.run(),
     }
 }
--- a/crates/bilberryloft-testing/src/engine.rs
+++ b/crates/bilberryloft-testing/src/engine.rs
@@ -101,6 +101,7 @@
     running: AtomicUsize,
     most_running: AtomicUsize,
     cancelled: AtomicU64,
+    by_rank: Mutex<BTreeMap<usize, u64>>,
 }
 
 impl Engine {
@@ -114,6 +115,7 @@
             running: AtomicUsize::new(0),
             most_running: AtomicUsize::new(0),
             cancelled: AtomicU64::new(0),
+            by_rank: Mutex::default(),
         });
         let mut router = Router::new()
             .route("/health", get(health))
@@ -143,12 +145,27 @@
         self.shared.most_running.load(Ordering::SeqCst)
     }
 
+    /// Requests by the rank that the agent chose.
+    pub fn by_rank(&self) -> BTreeMap<usize, u64> {
+        self.shared.by_rank.lock().clone()
+    }
+
     /// Requests that were cut off by the agent.
     pub fn cancelled(&self) -> u64 {
         self.shared.cancelled.load(Ordering::SeqCst)
     }
 }
 
+impl Shared {
+    fn note_rank(&self, headers: &axum::http::HeaderMap) {
+        let rank =
+            headers.get("x-rank").and_then(|it| it.to_str().ok()).and_then(|it| it.parse().ok());
+        if let Some(rank) = rank {
+            *self.by_rank.lock().entry(rank).or_default() += 1;
+        }
+    }
+}
+
 impl Drop for Engine {
     fn drop(&mut self) {
         for task in &self.tasks {
@@ -226,8 +243,13 @@
     last.unwrap_or_default().to_string()
 }
 
-async fn complete(State(shared): State<Arc<Shared>>, Json(body): Json<Value>) -> Response {
+async fn complete(
+    State(shared): State<Arc<Shared>>,
+    headers: axum::http::HeaderMap,
+    Json(body): Json<Value>,
+) -> Response {
     let prompt = prompt_of(&body);
+    shared.note_rank(&headers);
     let running = Running::start(&shared, &prompt);
     if prompt.contains(CRASH_MARK) {
         std::process::exit(134);
--- /dev/null
+++ b/crates/bilberryloft-testing/tests/ranks.rs
@@ -0,0 +1,39 @@
+//! An agent spreads requests over the ranks of its target, long prompts counted.
+#![allow(clippy::unwrap_used)]
+
+use bilberryloft_testing::caller::Caller;
+use bilberryloft_testing::engine::Engine;
+use bilberryloft_testing::fleet::Fleet;
+use bilberryloft_testing::fleet::engine_settings;
+
+#[tokio::test]
+async fn requests_spread_over_the_ranks_by_what_they_add() {
+    let mut fleet = Fleet::plan("ranks", 1, 1, 1);
+    for name in fleet.daemon_names() {
+        fleet.start(&name);
+    }
+    let mut settings = engine_settings(&fleet.target_ips[0]);
+    settings.first_token_ms = 600;
+    settings.slots = 40;
+    let engine = Engine::spawn(settings).await.unwrap();
+    fleet.make_team().await;
+    fleet.wait_until_ready().await;
+    let long = "x".repeat(200_000);
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..19 {
+        let entry = fleet.entry(0);
+        let prompt = if number == 0 { long.clone() } else { format!("short {number}") };
+        callers.spawn(
+            async move { Caller::new("depot-token").complete(&entry, &prompt, false).await },
+        );
+        // The long one is placed before the others come.
+        tokio::time::sleep(std::time::Duration::from_millis(if number == 0 { 100 } else { 5 }))
+            .await;
+    }
+    while let Some(reply) = callers.join_next().await {
+        assert!(reply.unwrap().is_whole);
+    }
+    let mut by_rank: Vec<u64> = engine.by_rank().values().copied().collect();
+    by_rank.sort_unstable();
+    assert_eq!(by_rank, [1, 6, 6, 6], "the rank with the long prompt gets nothing else");
+}
