A claim moves along with repeatable work that is tried elsewhere

Cause: repeatable work under a key was tried at a second target while its claim still named the first, so a resend asked the first and heard that it had failed. Change: the claim moves before each further attempt, not only after a refusal as not run. Measured: the new test failed before (status 502 for the resend) and passes now; the other six tests of claims pass.

--- a/crates/bilberryloft-daemon/src/entry/attempt.rs
+++ b/crates/bilberryloft-daemon/src/entry/attempt.rs
@@ -349,7 +349,9 @@
     ) -> Result<(), Problem> {
         progress.note_run(problem.run);
         self.note_failed_attempt(work, attempt, &problem);
-        if problem.run == RunState::NotRun && work.claim_key.is_some() {
+        // A claim names where the work is, so it moves along with work that may run again, too.
+        let may_move = problem.run == RunState::NotRun || work.is_idempotent;
+        if may_move && work.claim_key.is_some() {
             progress.free_claim = Some(HeldClaim { request_id: work.request_id.clone(), attempt });
         }
         if problem.reason == Reason::ConfigurationStale && progress.catch_ups < CATCH_UPS_MAX {
--- a/crates/bilberryloft-testing/tests/at_most_once.rs
+++ b/crates/bilberryloft-testing/tests/at_most_once.rs
@@ -260,3 +260,35 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert!(fleet.runs().is_empty());
 }
+
+#[tokio::test]
+async fn resend_of_repeatable_work_finds_the_target_that_it_moved_to() {
+    let mut fleet = Fleet::plan("moved-repeatable", 1, 1, 2);
+    for number in 1..=2 {
+        fleet.engine_mut(&format!("engine-{number}")).first_token_ms = 800;
+    }
+    fleet.start_all();
+    fleet.make_team().await;
+    fleet.wait_until_ready().await;
+    let keyed = Caller::new("depot-token").with("idempotency-key", "moved");
+    let caller = keyed.with("bilberryloft-run", "repeatable");
+    let entry = fleet.entry(0);
+    let sent = tokio::spawn({
+        let (caller, entry) = (caller.clone(), entry.clone());
+        async move { caller.complete(&entry, "brief", false).await }
+    });
+    fleet.wait_for("the work to run", async || fleet.runs().contains_key("brief")).await;
+    for number in 1..=2 {
+        let ip = fleet.target_ips[number - 1].clone();
+        let metrics = Caller::new("").send(&fleet.admin(&ip), "GET", "/metrics", "").await.text;
+        if metrics.contains("bilberryloft_attempts_started_total 1") {
+            fleet.kill(&format!("engine-{number}"));
+        }
+    }
+    let first = sent.await.unwrap();
+    assert!(first.is_whole, "{first:?}");
+    assert_eq!(fleet.runs()["brief"], 2, "it was tried elsewhere");
+    let again = caller.complete(&entry, "brief", false).await;
+    assert!(again.is_whole, "{again:?}");
+    assert_eq!(fleet.runs()["brief"], 2, "the resend gets the held answer");
+}
