--- a/crates/bilberryctl/src/commands/config.rs
+++ b/crates/bilberryctl/src/commands/config.rs
@@ -100,6 +100,16 @@
     rows.sort();
     rows.dedup_by(|left, right| left[0] == right[0]);
     print_table(&["DAEMON", "VERSION", "IN_FORCE", "LAST_HEARD_MS", "THROUGH"], &rows);
+    for host in hosts.iter().flatten() {
+        println!(
+            "{}: term {}, committed {}, leader {}, {}",
+            host.daemon,
+            host.term.unwrap_or(0),
+            host.commit_index.unwrap_or(0),
+            host.leader.as_deref().unwrap_or("not known"),
+            if host.may_vote == Some(true) { "votes" } else { "does not vote yet" },
+        );
+    }
     for error in hosts.iter().filter_map(|it| it.as_ref().err()) {
         println!("not reached: {error}");
     }
--- a/crates/bilberryctl/tests/commands.rs
+++ b/crates/bilberryctl/tests/commands.rs
@@ -71,7 +71,7 @@
     expect(&admin, &["target", "list"], 0, &["target-1", "in use"]);
     expect(&admin, &["config", "history"], 0, &["winter", "team/asahikawa"]);
     expect(&admin, &["config", "diff", "1"], 0, &["asahikawa"]);
-    expect(&admin, &["config", "status"], 0, &["entry-1", "agent-1", "yes"]);
+    expect(&admin, &["config", "status"], 0, &["entry-1", "agent-1", "yes", "votes"]);
 
     let reply = Caller::new("depot-token").complete(&fleet.entry(0), "brief", false).await;
     assert!(reply.is_whole);
--- a/crates/bilberryloft-daemon/src/admin/mod.rs
+++ b/crates/bilberryloft-daemon/src/admin/mod.rs
@@ -29,10 +29,13 @@
 use bilberryloft_state::member_set::MemberSet;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tower::limit::GlobalConcurrencyLimitLayer;
 
 use crate::control::ControlService;
 use crate::daemon::Shared;
 
+/// Calls that are served side by side, so that operators' scripts can't crowd out the control thread.
+const CALLS_MAX: usize = 64;
 /// Longest time for a change to be committed.
 const CHANGE_LIMIT: Duration = Duration::from_millis(5_000);
 /// Time for a control host to give its status.
@@ -62,7 +65,8 @@
         .route("/operator/burn", get(burn))
         .route("/operator/members", get(members).post(change_members))
         .route("/operator/explain/{request_id}", get(explain))
-        .with_state(Admin { shared, control });
+        .with_state(Admin { shared, control })
+        .layer(GlobalConcurrencyLimitLayer::new(CALLS_MAX));
     tokio::spawn(async move { axum::serve(listener, router).await });
     Ok(())
 }
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -79,6 +79,8 @@
     pub term: u64,
     /// Commit index.
     pub commit_index: u64,
+    /// Whether this member may vote; one that lost its disk may not until it has caught up.
+    pub may_vote: bool,
     /// Members in force.
     pub members: MemberSet,
 }
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -418,20 +418,18 @@
         let commit_index = self.raft.commit_index();
         let leads = self.raft.role() == Role::Leader;
         let leader_address = self.leader_address();
-        let old = self.status.borrow().clone();
-        if old.term != term
-            || old.commit_index != commit_index
-            || old.leads != leads
-            || old.leader_address != leader_address
-        {
+        let may_vote = self.raft.may_vote();
+        let is_news = {
+            let old = self.status.borrow();
+            (old.term, old.commit_index, old.leads, old.may_vote)
+                != (term, commit_index, leads, may_vote)
+                || old.leader_address != leader_address
+        };
+        if is_news {
             let members = self.raft.members().clone();
-            self.status.send_replace(QuorumStatus {
-                leader_address,
-                leads,
-                term,
-                commit_index,
-                members,
-            });
+            let status =
+                QuorumStatus { leader_address, leads, term, commit_index, may_vote, members };
+            self.status.send_replace(status);
         }
     }
 
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -98,6 +98,7 @@
             leader: quorum.as_ref().and_then(|it| it.leader_address.clone()),
             term: quorum.as_ref().map(|it| it.term),
             commit_index: quorum.as_ref().map(|it| it.commit_index),
+            may_vote: quorum.as_ref().map(|it| it.may_vote),
             watchers,
         }
     }
--- a/crates/bilberryloft-protocol/src/api.rs
+++ b/crates/bilberryloft-protocol/src/api.rs
@@ -56,6 +56,8 @@
     pub term: Option<u64>,
     /// Log position that is committed, for a control host.
     pub commit_index: Option<u64>,
+    /// Whether it may vote, for a control host; one that lost its disk may not until it has caught up.
+    pub may_vote: Option<bool>,
     /// Daemons that watch this control host, with the version they last asked from.
     pub watchers: Vec<WatcherRow>,
 }
--- a/crates/bilberryloft-testing/tests/configuration.rs
+++ b/crates/bilberryloft-testing/tests/configuration.rs
@@ -208,8 +208,9 @@
     fleet.start("control-1");
     let repaired = fleet.control_ips[0].clone();
     fleet
-        .wait_for("control-1 to catch up", async || {
-            fleet.status(&repaired).await.is_some_and(|it| it.configuration_version >= last)
+        .wait_for("control-1 to catch up and vote", async || {
+            let status = fleet.status(&repaired).await;
+            status.is_some_and(|it| it.configuration_version >= last && it.may_vote == Some(true))
         })
         .await;
     fleet.kill("control-2");
@@ -256,7 +257,8 @@
     let new_ip = fleet.control_ips[3].clone();
     fleet
         .wait_for("the new host to catch up", async || {
-            fleet.status(&new_ip).await.is_some_and(|it| it.configuration_version >= 30)
+            let status = fleet.status(&new_ip).await;
+            status.is_some_and(|it| it.configuration_version >= 30 && it.may_vote == Some(true))
         })
         .await;
     change_members(&fleet, |it| drop(it.voters.remove(&(gone as u32 + 1)))).await;
