Picking: what a target offers stands beside it; forgotten targets are never picked

Cause: a warm pick looked through all targets of the model, a change of membership looked through them for each target, and a target that the quorum had forgotten while an entry was cut off stayed eligible.

--- a/crates/bilberryloft-coordination/src/pick.rs
+++ b/crates/bilberryloft-coordination/src/pick.rs
@@ -66,6 +66,7 @@
     targets: Arena<TargetView>,
     key_of: BTreeMap<String, TargetKey>,
     by_offer: BTreeMap<String, Vec<TargetKey>>,
+    offers_of: BTreeMap<TargetKey, Vec<String>>,
     warm: BTreeMap<u64, TargetKey>,
     warm_order: VecDeque<u64>,
     random: fastrand::Rng,
@@ -78,6 +79,7 @@
             targets: Arena::default(),
             key_of: BTreeMap::new(),
             by_offer: BTreeMap::new(),
+            offers_of: BTreeMap::new(),
             warm: BTreeMap::new(),
             warm_order: VecDeque::new(),
             random: fastrand::Rng::with_seed(seed),
@@ -98,13 +100,20 @@
                 key
             }
         };
-        for keys in self.by_offer.values_mut() {
-            keys.retain(|it| *it != key);
+        self.set_offers(key, offers);
+        key
+    }
+
+    fn set_offers(&mut self, key: TargetKey, offers: &[String]) {
+        let known = self.offers_of.insert(key, offers.to_vec()).unwrap_or_default();
+        for gone in known.iter().filter(|it| !offers.contains(it)) {
+            if let Some(keys) = self.by_offer.get_mut(gone) {
+                keys.retain(|it| *it != key);
+            }
         }
-        for offer in offers {
-            self.by_offer.entry(offer.clone()).or_default().push(key);
+        for new in offers.iter().filter(|it| !known.contains(it)) {
+            self.by_offer.entry(new.clone()).or_default().push(key);
         }
-        key
     }
 
     fn renew(&mut self, key: TargetKey, view: TargetView) {
@@ -119,6 +128,13 @@
         known.is_eligible = view.is_eligible;
     }
 
+    /// Gives new work to no target until it is added again.
+    pub fn set_all_ineligible(&mut self) {
+        for key in self.key_of.values() {
+            self.targets.get_mut(*key).is_eligible = false;
+        }
+    }
+
     /// Changes whether new work may go to a target.
     pub fn set_eligible(&mut self, name: &str, is_eligible: bool) {
         if let Some(key) = self.key_of.get(name) {
@@ -176,7 +192,7 @@
 
     fn may_take(&self, key: TargetKey, offer: &str, tried: &[TargetKey], now_ms: u64) -> bool {
         let view = self.targets.get(key);
-        let offers = self.by_offer.get(offer).is_some_and(|it| it.contains(&key));
+        let offers = self.offers_of.get(&key).is_some_and(|it| it.iter().any(|it| it == offer));
         offers && view.is_eligible && view.penalty_until_ms <= now_ms && !tried.contains(&key)
     }
 
--- a/crates/bilberryloft-coordination/tests/decisions.rs
+++ b/crates/bilberryloft-coordination/tests/decisions.rs
@@ -15,6 +15,8 @@
 use bilberryloft_coordination::freshness::OnLostControl;
 use bilberryloft_coordination::leases::GATHER_MS;
 use bilberryloft_coordination::leases::LeaseTable;
+use bilberryloft_coordination::pick::Picker;
+use bilberryloft_coordination::pick::TargetView;
 use bilberryloft_coordination::rank_choice::RankChooser;
 use bilberryloft_coordination::rank_choice::RankWork;
 use bilberryloft_coordination::rank_choice::StepCosts;
@@ -22,6 +24,7 @@
 use bilberryloft_coordination::retry::NextStep;
 use bilberryloft_coordination::retry::RetryBudget;
 use bilberryloft_coordination::retry::decide_next_step;
+use bilberryloft_state::key::TargetKey;
 use bilberryloft_state::refusal::Reason;
 use bilberryloft_state::refusal::RunState;
 use quickcheck::Gen;
@@ -393,3 +396,77 @@
     take_steps(&mut chooser, 1.0);
     assert!(chooser.stragglers().is_empty(), "it has proved itself");
 }
+
+fn target(name: &str) -> TargetView {
+    TargetView {
+        name: name.to_string(),
+        agent_address: String::new(),
+        incarnation: 1,
+        is_local: true,
+        slots: 8,
+        is_eligible: true,
+        reported: 0,
+        reported_ms: 0,
+        unacknowledged: 0,
+        own_open: 0,
+        penalty_until_ms: 0,
+    }
+}
+
+#[test]
+fn pick_follows_what_targets_offer() {
+    let mut picker = Picker::new(1);
+    let offers = |names: &[&str]| names.iter().map(|it| it.to_string()).collect::<Vec<String>>();
+    let first = picker.upsert(target("a"), &offers(&["m", "n"]));
+    assert_eq!(picker.upsert(target("a"), &offers(&["n"])), first, "a renewal keeps the key");
+    assert!(picker.pick("m", 1, &[], 0).is_none());
+    assert_eq!(picker.pick("n", 1, &[], 0).unwrap().key, first);
+    assert!(picker.pick("n", 1, &[first], 0).is_none(), "what was tried is left out");
+    picker.set_all_ineligible();
+    assert!(picker.pick("n", 1, &[], 0).is_none());
+    assert!(picker.is_offered("n") && !picker.is_offered("m"));
+}
+
+#[test]
+fn pick_counts_its_own_dispatches_over_a_late_report() {
+    let mut picker = Picker::new(1);
+    for name in ["a", "b"] {
+        let key = picker.upsert(target(name), &["m".to_string()]);
+        picker.note_load(key, 0, 1_000);
+    }
+    let mut counts = std::collections::BTreeMap::new();
+    for _ in 0..8 {
+        let key = picker.pick("m", 0, &[], 1_000).unwrap().key;
+        picker.note_dispatch(key);
+        *counts.entry(key).or_insert(0) += 1;
+    }
+    assert_eq!(counts.values().copied().collect::<Vec<u32>>(), [4, 4]);
+}
+
+#[test]
+fn pick_prefers_a_warm_target_until_it_is_loaded() {
+    let mut picker = Picker::new(1);
+    let keys: Vec<TargetKey> =
+        ["a", "b"].map(|it| picker.upsert(target(it), &["m".to_string()])).to_vec();
+    let warm = picker.pick("m", 77, &[], 1_000).unwrap().key;
+    let other = if warm == keys[0] { keys[1] } else { keys[0] };
+    picker.note_load(other, 0, 1_000);
+    picker.note_load(warm, 2, 1_000);
+    let pick = picker.pick("m", 77, &[], 1_000).unwrap();
+    assert_eq!((pick.key, pick.rule), (warm, "warm_prefix"));
+    picker.note_load(warm, 8, 1_000);
+    assert_eq!(picker.pick("m", 77, &[], 1_000).unwrap().key, other);
+}
+
+#[test]
+fn pick_spills_to_another_data_centre_only_under_load() {
+    let mut picker = Picker::new(1);
+    let near = picker.upsert(target("near"), &["m".to_string()]);
+    let far = picker.upsert(TargetView { is_local: false, ..target("far") }, &["m".to_string()]);
+    picker.note_load(near, 4, 1_000);
+    assert_eq!(picker.pick("m", 0, &[], 1_000).unwrap().key, near);
+    picker.note_load(near, 8, 1_000);
+    assert_eq!(picker.pick("m", 0, &[], 1_000).unwrap().key, far);
+    picker.penalize(far, 1_000);
+    assert_eq!(picker.pick("m", 0, &[], 1_000).unwrap().key, near);
+}
--- a/crates/bilberryloft-daemon/src/entry/state.rs
+++ b/crates/bilberryloft-daemon/src/entry/state.rs
@@ -159,6 +159,8 @@
         }
         let membership = self.view.membership();
         let configuration = self.view.configuration();
+        // A target that has been forgotten meanwhile must not be picked any more.
+        inner.picker.set_all_ineligible();
         for record in membership.targets().values() {
             let description = &record.description;
             let view = TargetView {
