Agent: an attempt and its answer begin in one step

Cause: between the two steps an entry that joined could have been told that the answer was gone. Found by reading. Change: one lock for both. Measured: the tests of claims and streams pass; the window was too short for a test.

--- a/crates/bilberryloft-daemon/src/agent/dispatch.rs
+++ b/crates/bilberryloft-daemon/src/agent/dispatch.rs
@@ -41,16 +41,11 @@
         let attempt = dispatch.attempt as u32;
         let request_id = dispatch.request_id.clone();
         let due = Instant::now() + Duration::from_millis(dispatch.deadline_ms.max(0) as u64);
-        if let Err(refusal) = self.begin(&dispatch) {
-            return self.refuse(attempt, refusal, &responder).await;
-        }
+        let held = match self.begin(&dispatch) {
+            Ok(held) => held,
+            Err(refusal) => return self.refuse(attempt, refusal, &responder).await,
+        };
         self.keep_decision(&dispatch.decision);
-        let held = Arc::new(Held::new(
-            &dispatch.team,
-            dispatch.non_idempotent,
-            self.settings.hold_max_bytes,
-        ));
-        self.lock().held.insert((request_id.clone(), attempt), held.clone());
         tokio::spawn(self.clone().carry(dispatch, due, held.clone()));
         self.send_held(&request_id, attempt, &held, 0, &responder).await;
     }
@@ -73,12 +68,18 @@
         }
     }
 
-    fn begin(&self, dispatch: &Dispatch) -> Result<(), Refusal> {
+    /// Begins an attempt and its answer in one step, so that nobody finds the one without the other.
+    fn begin(&self, dispatch: &Dispatch) -> Result<Arc<Held>, Refusal> {
         let incarnation = dispatch.agent_incarnation as u64;
-        let begin =
-            self.lock().attempts.begin(&dispatch.request_id, dispatch.attempt as u32, incarnation);
-        match begin {
-            Begin::Start => Ok(()),
+        let key = (dispatch.request_id.clone(), dispatch.attempt as u32);
+        let mut inner = self.lock();
+        match inner.attempts.begin(&key.0, key.1, incarnation) {
+            Begin::Start => {
+                let max_bytes = self.settings.hold_max_bytes;
+                let held = Arc::new(Held::new(&dispatch.team, dispatch.non_idempotent, max_bytes));
+                inner.held.insert(key, held.clone());
+                Ok(held)
+            }
             Begin::WrongIncarnation => Err(Refusal::not_run(
                 Reason::WrongIncarnation,
                 RETRY_AFTER_MIN_MS,
