A data centre lost as a whole: work and changes go on

Change: control, entry, agent and engine of one of three data centres die at once under work that must not repeat.

--- /dev/null
+++ b/crates/bilberryloft-testing/tests/data_center.rs
@@ -0,0 +1,84 @@
+//! A data centre is lost as a whole: the others go on, and nothing runs twice.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use bilberryloft_protocol::api::TargetRow;
+use bilberryloft_testing::caller::Caller;
+use bilberryloft_testing::engine::expected_answer;
+use bilberryloft_testing::fleet::Fleet;
+
+/// Pieces of work that are under way around the loss.
+const ADVISORIES: usize = 60;
+/// Times that a caller sends one piece of work at most.
+const SENDS_MAX: usize = 8;
+
+fn depot(key: &str) -> Caller {
+    let caller = Caller::new("depot-token").with("bilberryloft-run", "at-most-once");
+    caller.with("idempotency-key", key).with("bilberryloft-deadline-ms", "6000")
+}
+
+async fn send_until_answered(prompt: String, entries: [String; 2]) -> (String, bool) {
+    for send in 0..SENDS_MAX {
+        let reply = depot(&prompt).complete(&entries[send % 2], &prompt, true).await;
+        if reply.is_whole {
+            assert_eq!(reply.text, expected_answer(&prompt, 8));
+            return (prompt, true);
+        }
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    (prompt, false)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn loss_of_a_data_center_stops_neither_work_nor_changes() {
+    let mut fleet = Fleet::plan("data-center", 3, 3, 3);
+    for number in 1..=3 {
+        for role in ["control", "entry", "agent"] {
+            fleet.settings_mut(&format!("{role}-{number}")).data_center = format!("dc-{number}");
+        }
+        fleet.engine_mut(&format!("engine-{number}")).first_token_ms = 100;
+    }
+    fleet.start_all();
+    fleet.make_team().await;
+    fleet.wait_until_ready().await;
+    let entries = [fleet.entry(0), fleet.entry(1)];
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..ADVISORIES {
+        let entries = entries.clone();
+        callers.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(30 * number as u64)).await;
+            send_until_answered(format!("advisory-{number}"), entries).await
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    for role in ["control", "entry", "agent", "engine"] {
+        fleet.kill(&format!("{role}-3"));
+    }
+    let mut answered = 0;
+    while let Some(caller) = callers.join_next().await {
+        answered += usize::from(caller.unwrap().1);
+    }
+    assert!(fleet.runs().values().all(|it| *it == 1), "{:?}", fleet.runs());
+    assert!(answered > ADVISORIES * 3 / 4, "{answered} of {ADVISORIES} answered");
+    println!("{answered} of {ADVISORIES} answered");
+
+    let ip = fleet.entry_ips[0].clone();
+    fleet
+        .wait_for("the lost target to be marked", async || {
+            let targets: Vec<TargetRow> =
+                fleet.get(&ip, "/operator/targets").await.unwrap_or_default();
+            targets.iter().any(|it| it.record.name == "target-3" && !it.record.reachable)
+        })
+        .await;
+    for number in 0..20 {
+        let prompt = format!("after-{number}");
+        let reply = depot(&prompt).complete(&entries[number % 2], &prompt, false).await;
+        assert!(reply.is_whole, "{reply:?}");
+    }
+    fleet.make_team().await;
+    for role in ["control", "entry", "agent", "engine"] {
+        fleet.start(&format!("{role}-3"));
+    }
+    fleet.wait_until_ready().await;
+}
