Members never time out together; an agent is found only when it can serve

Two tests failed once each when all tests ran beside a second build. (1) Cause: two control hosts that started one millisecond apart got equal seeds, since the incarnation was combined with the member's number by exclusive or; they timed out together, and 75 elections in 30 s were split. Ruled out: votes withheld (both data folders say that the member may vote, both are at term 75). Change: seeds come from a digest of name and incarnation, and the quorum itself keeps members' timeouts apart; entries' picks are seeded the same way. (2) Cause: an agent announced its target before its configuration was confirmed, so a request sent in that millisecond was refused as not run. Change: an agent announces once it may serve. Also: watches wait for later versions only, so that a rebuilt quorum would not be asked without pause. Measured: the new test with equal seeds finds no leader before and passes now.

--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -160,7 +160,7 @@
             snapshot: start.snapshot,
             pending_persists: VecDeque::new(),
             persist_number: 0,
-            random: fastrand::Rng::with_seed(start.seed),
+            random: fastrand::Rng::with_seed(start.seed ^ member_salt(start.member)),
             output: Output::default(),
         };
         raft.reset_election_timer();
@@ -406,3 +406,9 @@
         self.election_due_ms = self.now_ms + self.options.election_ms + spread;
     }
 }
+
+/// Bits that keep the timeouts of two members apart even when their seeds are equal or differ as their
+/// numbers do; members that always time out together would split every vote.
+fn member_salt(member: u32) -> u64 {
+    (u64::from(member) + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15)
+}
--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -156,3 +156,16 @@
     assert_eq!(cluster.violation, None);
     assert!(cluster.committed_count() > committed);
 }
+
+#[test]
+fn members_with_equal_seeds_elect_a_leader() {
+    // Daemons that start in the same moment may be given such seeds.
+    for seed in 0..50 {
+        let world = World { equal_seed: Some(seed), ..World::default() };
+        let mut cluster = started(world);
+        let leader = cluster.leader().unwrap();
+        cluster.isolate(leader);
+        cluster.settle(3_000);
+        assert!(cluster.leader().is_some_and(|it| it != leader), "seed {seed}");
+    }
+}
--- a/crates/bilberryloft-coordination/tests/support/mod.rs
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -31,12 +31,14 @@
     pub skips_sync: bool,
     /// Whether disks may be lost.
     pub loses_disks: bool,
+    /// Seed that all members have alike.
+    pub equal_seed: Option<u64>,
 }
 
 impl Default for World {
     fn default() -> Self {
         let options = Options { heartbeat_ms: 20, election_ms: 100, ..Options::default() };
-        World { members: 3, options, skips_sync: false, loses_disks: true }
+        World { members: 3, options, skips_sync: false, loses_disks: true, equal_seed: None }
     }
 }
 
@@ -114,7 +116,8 @@
     pub fn start(&mut self, member: u32) {
         self.seed += 1;
         let members = self.first_members();
-        let (options, seed, now_ms) = (self.world.options, self.seed, self.now_ms);
+        let (options, now_ms) = (self.world.options, self.now_ms);
+        let seed = self.world.equal_seed.unwrap_or(self.seed);
         let state = self.members.get_mut(&member).unwrap();
         if state.raft.is_some() {
             return;
--- a/crates/bilberryloft-daemon/src/agent/announce.rs
+++ b/crates/bilberryloft-daemon/src/agent/announce.rs
@@ -31,8 +31,10 @@
             if target.is_none() && announced.is_some() {
                 log_event!(warn, Event::TargetSilent, target = agent.settings.target);
             }
+            // An agent that could only refuse must not be found yet.
             if let Some(target) = &target
                 && !agent.is_stopping()
+                && agent.view.may_serve()
             {
                 let _ = announce(&agent, target, false).await;
             }
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -15,6 +15,7 @@
 use bilberryloft_coordination::raft::Start;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
+use bilberryloft_state::key::digest;
 use bilberryloft_state::machine::Command;
 use bilberryloft_state::machine::Machine;
 use bilberryloft_state::machine::Outcome;
@@ -117,7 +118,7 @@
                 may_vote: recovered.may_vote,
                 snapshot: recovered.snapshot,
                 entries: recovered.entries,
-                seed: incarnation ^ u64::from(settings.member),
+                seed: digest(&[daemon.as_bytes(), &incarnation.to_le_bytes()]) as u64,
                 now_ms: monotonic_ms(),
             },
         );
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -175,8 +175,8 @@
         let mut applied = self.node.applied();
         let has_news = |it: &Applied| {
             it.configuration > watch.configuration_version as u64
-                || it.membership != watch.membership_version as u64
-                || it.suspects != watch.suspects_version as u64
+                || it.membership > watch.membership_version as u64
+                || it.suspects > watch.suspects_version as u64
         };
         tokio::select! {
             _ = tokio::time::timeout_at(until, applied.wait_for(has_news)) => {}
--- a/crates/bilberryloft-daemon/src/entry/state.rs
+++ b/crates/bilberryloft-daemon/src/entry/state.rs
@@ -14,6 +14,7 @@
 use bilberryloft_protocol::wire::Load;
 use bilberryloft_state::configuration::TeamPolicy;
 use bilberryloft_state::key::TargetKey;
+use bilberryloft_state::key::digest;
 use bilberryloft_state::record::RecordRing;
 use bilberryloft_transport::client::Client;
 use bilberryloft_transport::clock::epoch_ms;
@@ -76,7 +77,9 @@
         metrics: Arc<Metrics>,
     ) -> Entry {
         let inner = Inner {
-            picker: Picker::new(incarnation),
+            picker: Picker::new(
+                digest(&[settings.daemon.as_bytes(), &incarnation.to_le_bytes()]) as u64
+            ),
             budget: RetryBudget::default(),
             records: RecordRing::with_capacity(entry.records_max),
             burn: BurnTracker::default(),
