--- a/crates/bilberryloft-bench/src/commands/pick.rs
+++ b/crates/bilberryloft-bench/src/commands/pick.rs
@@ -67,17 +67,10 @@
     let mut picker = Picker::new(3);
     for number in 0..targets {
         let view = TargetView {
-            name: format!("target-{number}"),
-            agent_address: "10.0.0.1:7402".to_string(),
-            incarnation: 1,
             is_local: number % 3 == 0,
-            slots: 16,
-            is_eligible: true,
             reported: (number % 13) as u32,
             reported_ms: 9_500,
-            unacknowledged: 0,
-            own_open: 0,
-            penalty_until_ms: 0,
+            ..TargetView::new(&format!("target-{number}"), "10.0.0.1:7402", 1, 16)
         };
         picker.upsert(view, &["forecast-writer".to_string()]);
     }
--- a/crates/bilberryloft-coordination/examples/picker.rs
+++ b/crates/bilberryloft-coordination/examples/picker.rs
@@ -6,19 +6,7 @@
 pub fn main() {
     let mut picker = Picker::new(1);
     for name in ["forecast-writer-1", "forecast-writer-2", "forecast-writer-3"] {
-        let view = TargetView {
-            name: name.to_string(),
-            agent_address: "10.0.0.1:7402".to_string(),
-            incarnation: 1,
-            is_local: true,
-            slots: 8,
-            is_eligible: true,
-            reported: 0,
-            reported_ms: 0,
-            unacknowledged: 0,
-            own_open: 0,
-            penalty_until_ms: 0,
-        };
+        let view = TargetView::new(name, "10.0.0.1:7402", 1, 8);
         picker.upsert(view, &["forecast-writer".to_string()]);
     }
     picker.set_eligible("forecast-writer-3", false);
--- a/crates/bilberryloft-coordination/src/admission.rs
+++ b/crates/bilberryloft-coordination/src/admission.rs
@@ -8,6 +8,8 @@
 /// Tokens a unit of weight by which each class of urgency stands behind the one before it: a team of
 /// weight 10 gets at most 2,000 tokens of work served before a class that is one step less urgent.
 pub const CLASS_STEP_TOKENS_PER_WEIGHT: u64 = 200;
+/// Bytes of text that make about one token, for estimates of work.
+pub const BYTES_PER_TOKEN: u64 = 4;
 /// Fixed-point factor of virtual time.
 const VIRTUAL_SCALE: u64 = 1_000;
 /// Share of a new measurement in the smoothed time for a token.
--- a/crates/bilberryloft-coordination/src/pick.rs
+++ b/crates/bilberryloft-coordination/src/pick.rs
@@ -49,6 +49,25 @@
     pub penalty_until_ms: u64,
 }
 
+impl TargetView {
+    /// A local target in use of which no load is known yet.
+    pub fn new(name: &str, agent_address: &str, incarnation: u64, slots: u32) -> TargetView {
+        TargetView {
+            name: name.to_string(),
+            agent_address: agent_address.to_string(),
+            incarnation,
+            is_local: true,
+            slots,
+            is_eligible: true,
+            reported: 0,
+            reported_ms: 0,
+            unacknowledged: 0,
+            own_open: 0,
+            penalty_until_ms: 0,
+        }
+    }
+}
+
 /// A picked target, with everything that was compared.
 #[derive(Clone, Debug)]
 pub struct Pick {
@@ -157,15 +176,6 @@
         self.by_offer.get(offer).is_some_and(|it| !it.is_empty())
     }
 
-    /// Names of everything that is offered.
-    pub fn offers(&self) -> Vec<String> {
-        self.by_offer
-            .iter()
-            .filter(|(_, keys)| !keys.is_empty())
-            .map(|(offer, _)| offer.clone())
-            .collect()
-    }
-
     /// Picks a target for an offer, leaving out those already tried.
     pub fn pick(
         &mut self,
--- a/crates/bilberryloft-coordination/tests/decisions.rs
+++ b/crates/bilberryloft-coordination/tests/decisions.rs
@@ -398,19 +398,7 @@
 }
 
 fn target(name: &str) -> TargetView {
-    TargetView {
-        name: name.to_string(),
-        agent_address: String::new(),
-        incarnation: 1,
-        is_local: true,
-        slots: 8,
-        is_eligible: true,
-        reported: 0,
-        reported_ms: 0,
-        unacknowledged: 0,
-        own_open: 0,
-        penalty_until_ms: 0,
-    }
+    TargetView::new(name, "", 1, 8)
 }
 
 #[test]
--- a/crates/bilberryloft-daemon/src/agent/run.rs
+++ b/crates/bilberryloft-daemon/src/agent/run.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bilberryloft_coordination::admission::BYTES_PER_TOKEN;
 use bilberryloft_coordination::attempts::AttemptState;
 use bilberryloft_coordination::rank_choice::RankWork;
 use bilberryloft_protocol::wire::Dispatch;
@@ -31,8 +32,6 @@
 
 /// Time for which an idempotent attempt goes on when its entry has gone and nobody joined it.
 const ABANDONED_AFTER_MS: u64 = 10_000;
-/// Bytes of text that make about one token.
-const BYTES_PER_TOKEN: u64 = 4;
 /// Time between looks for abandonment.
 const ABANDONED_LOOK: Duration = Duration::from_millis(500);
 /// Headers of an answer that belong to one connection and are not passed on.
--- a/crates/bilberryloft-daemon/src/entry/request.rs
+++ b/crates/bilberryloft-daemon/src/entry/request.rs
@@ -4,6 +4,7 @@
 
 use axum::http::HeaderMap;
 use axum::http::Method;
+use bilberryloft_coordination::admission::BYTES_PER_TOKEN;
 use bilberryloft_protocol::problem::Problem;
 use bilberryloft_protocol::wire::Header;
 use bilberryloft_state::configuration::TeamPolicy;
@@ -28,8 +29,6 @@
 const KEY_MAX_BYTES: usize = 200;
 /// Bytes of the body that stand for its prefix in the choice of a warm target.
 const PREFIX_BYTES: usize = 1_024;
-/// Bytes of text that make about one token.
-const BYTES_PER_TOKEN: u64 = 4;
 /// Tokens that a completion is expected to make when its request names no bound.
 const DEFAULT_COMPLETION_TOKENS: u64 = 256;
 /// Headers of a request that are not passed on to the target.
--- a/crates/bilberryloft-daemon/src/entry/state.rs
+++ b/crates/bilberryloft-daemon/src/entry/state.rs
@@ -167,17 +167,14 @@
         for record in membership.targets().values() {
             let description = &record.description;
             let view = TargetView {
-                name: record.name.clone(),
-                agent_address: description.agent_address.clone(),
-                incarnation: record.incarnation,
                 is_local: description.data_center == self.data_center,
-                slots: description.slots,
                 is_eligible: record.reachable && !configuration.is_draining(&record.name),
-                reported: 0,
-                reported_ms: 0,
-                unacknowledged: 0,
-                own_open: 0,
-                penalty_until_ms: 0,
+                ..TargetView::new(
+                    &record.name,
+                    &description.agent_address,
+                    record.incarnation,
+                    description.slots,
+                )
             };
             let mut offers = description.models.clone();
             offers.extend(description.services.iter().map(|it| service_offer(it)));
--- a/crates/bilberryloft-experiment/src/commands/balance.rs
+++ b/crates/bilberryloft-experiment/src/commands/balance.rs
@@ -136,19 +136,7 @@
         let mut picker = Picker::new(seed);
         let mut keys = Vec::new();
         for number in 0..replicas {
-            let view = TargetView {
-                name: format!("replica-{number}"),
-                agent_address: String::new(),
-                incarnation: 1,
-                is_local: true,
-                slots: self.slots,
-                is_eligible: true,
-                reported: 0,
-                reported_ms: 0,
-                unacknowledged: 0,
-                own_open: 0,
-                penalty_until_ms: 0,
-            };
+            let view = TargetView::new(&format!("replica-{number}"), "", 1, self.slots);
             keys.push(picker.upsert(view, &["model".to_string()]));
         }
         Entry { picker, keys, next: seed as usize }
--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -109,20 +109,10 @@
         may_vote: bool,
         entries: &[LogEntry],
     ) -> Result<()> {
-        let done = self.try_install(snapshot, hard_state, may_vote, entries);
-        self.failed |= done.is_err();
-        done
-    }
-
-    fn try_install(
-        &mut self,
-        snapshot: &Snapshot,
-        hard_state: HardState,
-        may_vote: bool,
-        entries: &[LogEntry],
-    ) -> Result<()> {
-        write_snapshot(self.folder.path(), snapshot)?;
-        self.try_rotate(snapshot.last_index, hard_state, may_vote, entries)
+        let written = write_snapshot(self.folder.path(), snapshot);
+        self.failed |= written.is_err();
+        written?;
+        self.rotate(snapshot.last_index, hard_state, may_vote, entries)
     }
 
     /// Starts a new log after a snapshot that [`write_snapshot`] has made durable.
