--- a/crates/bilberryloft-bench/src/commands/fleet.rs
+++ b/crates/bilberryloft-bench/src/commands/fleet.rs
@@ -140,6 +140,8 @@
         slots: 16,
         ranks: 32,
         checks_fencing: true,
+        direct: false,
+        leaving: false,
     };
     let description = serde_json::to_vec(&description).unwrap_or_default();
     loop {
--- a/crates/bilberryloft-bench/src/commands/state.rs
+++ b/crates/bilberryloft-bench/src/commands/state.rs
@@ -154,6 +154,8 @@
             slots: 16,
             ranks: 32,
             checks_fencing: true,
+            direct: false,
+            leaving: false,
         },
     }
 }
--- a/crates/bilberryloft-coordination/src/raft/leader.rs
+++ b/crates/bilberryloft-coordination/src/raft/leader.rs
@@ -19,7 +19,7 @@
 /// What a leader knows of one other member.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Progress {
-    match_index: u64,
+    pub(super) match_index: u64,
     next_index: u64,
     acked_round: u64,
     heard_ms: u64,
--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -197,6 +197,16 @@
         self.commit_index
     }
 
+    /// Time of the last input, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Index up to which another member has acknowledged this leader's log.
+    pub fn matched(&self, member: u32) -> Option<u64> {
+        self.progress.get(&member).map(|it| it.match_index)
+    }
+
     /// The log.
     pub fn log(&self) -> &Log {
         &self.log
--- a/crates/bilberryloft-daemon/src/agent/announce.rs
+++ b/crates/bilberryloft-daemon/src/agent/announce.rs
@@ -29,7 +29,7 @@
             was_draining = agent.log_drain(was_draining);
             let target = agent.present_target(monotonic_ms());
             if target.is_none() && announced.is_some() {
-                log_event!(warn, Event::TargetSilent, target = agent.settings.target);
+                log_event!(warn, Event::TargetSilent, target_id = agent.settings.target);
             }
             // An agent that could only refuse must not be found yet.
             if let Some(target) = &target
--- a/crates/bilberryloft-daemon/src/agent/state.rs
+++ b/crates/bilberryloft-daemon/src/agent/state.rs
@@ -215,6 +215,8 @@
             slots: target.slots,
             ranks: target.ranks,
             checks_fencing: target.checks_fencing,
+            direct: false,
+            leaving: false,
         }
     }
 
--- a/crates/bilberryloft-daemon/src/agent/target.rs
+++ b/crates/bilberryloft-daemon/src/agent/target.rs
@@ -77,7 +77,7 @@
     }
     let is_new = agent.note_announcement(announcement.clone(), monotonic_ms());
     if is_new {
-        log_event!(info, Event::TargetAnnounced, target = agent.settings.target, ?announcement);
+        log_event!(info, Event::TargetAnnounced, target_id = agent.settings.target, ?announcement);
     }
     (StatusCode::NO_CONTENT, String::new())
 }
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/control/boot.rs
@@ -0,0 +1,74 @@
+//! What a member begins with: its folder read back, and the quorum algorithm started from it.
+
+use std::path::Path;
+
+use bilberryloft_coordination::raft::Options;
+use bilberryloft_coordination::raft::Raft;
+use bilberryloft_coordination::raft::Start;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use bilberryloft_state::machine::Machine;
+use bilberryloft_state::member_set::MemberSet;
+use bilberryloft_state::storage::Storage;
+use bilberryloft_transport::clock::monotonic_ms;
+
+use crate::events::Event;
+use crate::log_event;
+use crate::settings::ControlSettings;
+
+/// A member as its folder left it.
+pub(super) struct Member {
+    pub storage: Storage,
+    pub machine: Machine,
+    pub raft: Raft,
+    /// Index of the last entry that the machine has applied.
+    pub applied_index: u64,
+    /// Size of the latest snapshot.
+    pub snapshot_bytes: usize,
+}
+
+impl Member {
+    /// Reads the folder back.
+    pub fn open(settings: &ControlSettings, seed: u64) -> Result<Member> {
+        let (storage, recovered) = Storage::open(&settings.data_folder)?;
+        if recovered.torn_bytes > 0 {
+            log_event!(warn, Event::TornTailCut, bytes = recovered.torn_bytes);
+        }
+        let machine = match &recovered.snapshot {
+            Some(snapshot) => decode_machine(&settings.data_folder, &snapshot.data)?,
+            None => Machine::default(),
+        };
+        let snapshot_bytes = recovered.snapshot.as_ref().map_or(0, |it| it.data.len());
+        let applied_index = recovered.snapshot.as_ref().map_or(0, |it| it.last_index);
+        let options = Options {
+            heartbeat_ms: settings.heartbeat_ms,
+            election_ms: settings.election_ms,
+            ..Options::default()
+        };
+        let start = Start {
+            member: settings.member,
+            members: MemberSet::of_voters(settings.members.clone()),
+            hard_state: recovered.hard_state,
+            may_vote: recovered.may_vote,
+            snapshot: recovered.snapshot,
+            entries: recovered.entries,
+            seed,
+            now_ms: monotonic_ms(),
+        };
+        Ok(Member {
+            storage,
+            machine,
+            raft: Raft::new(options, start),
+            applied_index,
+            snapshot_bytes,
+        })
+    }
+}
+
+fn decode_machine(folder: &Path, data: &[u8]) -> Result<Machine> {
+    serde_json::from_slice(data).map_err(|error| Error::Damaged {
+        path: folder.to_path_buf(),
+        offset: 0,
+        detail: format!("the snapshot's state can't be read: {error}"),
+    })
+}
--- a/crates/bilberryloft-daemon/src/control/disk.rs
+++ b/crates/bilberryloft-daemon/src/control/disk.rs
@@ -84,6 +84,11 @@
         Ok(Disk { jobs: Some(jobs), thread: Some(thread) })
     }
 
+    /// A disk without a thread, in place of one that has failed; it drops all jobs.
+    pub fn stopped() -> Disk {
+        Disk { jobs: None, thread: None }
+    }
+
     /// Queues a job; after a failure it is dropped.
     pub fn submit(&self, job: DiskJob) {
         if let Some(jobs) = &self.jobs {
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -46,6 +46,11 @@
     Read {
         reply: Reply<u64>,
     },
+    Join {
+        member: u32,
+        address: String,
+        reply: Reply<()>,
+    },
     Announce {
         name: String,
         incarnation: u64,
@@ -66,6 +71,8 @@
     pub membership: u64,
     /// Version of the suspects.
     pub suspects: u64,
+    /// Version of the document.
+    pub document: u64,
 }
 
 /// What a member says of its part in the quorum.
@@ -85,6 +92,13 @@
     pub members: MemberSet,
 }
 
+impl QuorumStatus {
+    /// Peer addresses of all members.
+    pub fn addresses(&self) -> Vec<String> {
+        self.members.voters.values().chain(self.members.learners.values()).cloned().collect()
+    }
+}
+
 /// Access to a running control node; clones reach the same node.
 #[derive(Clone)]
 pub struct ControlHandle {
@@ -128,6 +142,15 @@
         self.ask(|reply| Input::ChangeMembers { members, reply }).await
     }
 
+    /// Tells the leader that a host which can be a member is alive.
+    pub async fn join(
+        &self,
+        member: u32,
+        address: String,
+    ) -> std::result::Result<(), ProposeError> {
+        self.ask(|reply| Input::Join { member, address, reply }).await
+    }
+
     /// Gets an index that a quorum has confirmed.
     pub async fn read_index(&self) -> std::result::Result<u64, ProposeError> {
         self.ask(|reply| Input::Read { reply }).await
--- a/crates/bilberryloft-daemon/src/control/mod.rs
+++ b/crates/bilberryloft-daemon/src/control/mod.rs
@@ -1,7 +1,9 @@
 //! The control role: a member of the quorum that keeps all durable state.
 
+mod boot;
 mod disk;
 mod handle;
+mod members;
 mod node;
 mod peers;
 mod service;
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -7,12 +7,11 @@
 use std::time::Duration;
 
 use bilberryloft_coordination::leases::LeaseTable;
-use bilberryloft_coordination::raft::Options;
+use bilberryloft_coordination::member_upkeep::MemberUpkeep;
 use bilberryloft_coordination::raft::Outbound;
 use bilberryloft_coordination::raft::Output;
 use bilberryloft_coordination::raft::Raft;
 use bilberryloft_coordination::raft::Role;
-use bilberryloft_coordination::raft::Start;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::key::digest;
@@ -22,7 +21,6 @@
 use bilberryloft_state::machine::StampedCommand;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::snapshot::Snapshot;
-use bilberryloft_state::storage::Storage;
 use bilberryloft_state::storage::write_snapshot;
 use bilberryloft_state::wal::LogEntry;
 use bilberryloft_state::wal::Payload;
@@ -33,6 +31,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::control::boot::Member;
 use crate::control::disk::Disk;
 use crate::control::disk::DiskJob;
 use crate::control::disk::DiskReport;
@@ -54,11 +53,13 @@
 const INPUTS_PER_TURN: usize = 1_024;
 /// Inputs that may wait; more make their senders wait.
 const INPUT_QUEUE_MAX: usize = 8_192;
+/// Pause before a folder is opened again after its disk failed.
+const REOPEN_PAUSE: Duration = Duration::from_millis(300);
 /// Bytes that the log must have grown by since the last snapshot, as a multiple of its size.
 const SNAPSHOT_GROWTH: usize = 4;
 
 pub(super) struct Pending {
-    term: u64,
+    pub term: u64,
     pub reply: PendingReply,
 }
 
@@ -68,8 +69,12 @@
     machine: Arc<Mutex<Machine>>,
     applied_index: u64,
     disk: Disk,
-    peers: Peers,
+    pub(super) peers: Peers,
     pub(super) leases: LeaseTable,
+    pub(super) upkeep: MemberUpkeep,
+    settings: ControlSettings,
+    seed: u64,
+    report_sender: mpsc::UnboundedSender<DiskReport>,
     snapshot_entries: u64,
     data_folder: PathBuf,
     own_inputs: mpsc::Sender<Input>,
@@ -94,39 +99,13 @@
         daemon: &str,
         incarnation: u64,
     ) -> Result<ControlHandle> {
-        let (storage, recovered) = Storage::open(&settings.data_folder)?;
-        if recovered.torn_bytes > 0 {
-            log_event!(warn, Event::TornTailCut, bytes = recovered.torn_bytes);
-        }
-        let machine = match &recovered.snapshot {
-            Some(snapshot) => decode_machine(&settings.data_folder, &snapshot.data)?,
-            None => Machine::default(),
-        };
-        let snapshot_bytes = recovered.snapshot.as_ref().map_or(0, |it| it.data.len());
-        let options = Options {
-            heartbeat_ms: settings.heartbeat_ms,
-            election_ms: settings.election_ms,
-            ..Options::default()
-        };
-        let applied_index = recovered.snapshot.as_ref().map_or(0, |it| it.last_index);
-        let raft = Raft::new(
-            options,
-            Start {
-                member: settings.member,
-                members: MemberSet::of_voters(settings.members.clone()),
-                hard_state: recovered.hard_state,
-                may_vote: recovered.may_vote,
-                snapshot: recovered.snapshot,
-                entries: recovered.entries,
-                seed: digest(&[daemon.as_bytes(), &incarnation.to_le_bytes()]) as u64,
-                now_ms: monotonic_ms(),
-            },
-        );
+        let seed = digest(&[daemon.as_bytes(), &incarnation.to_le_bytes()]) as u64;
+        let member = Member::open(settings, seed)?;
         let (input_sender, inputs) = mpsc::channel(INPUT_QUEUE_MAX);
         let (report_sender, reports) = mpsc::unbounded_channel();
         let (applied, applied_receiver) = watch::channel(Applied::default());
         let (status, status_receiver) = watch::channel(QuorumStatus::default());
-        let machine = Arc::new(Mutex::new(machine));
+        let machine = Arc::new(Mutex::new(member.machine));
         let handle = ControlHandle {
             inputs: input_sender.clone(),
             machine: machine.clone(),
@@ -134,18 +113,22 @@
             status: status_receiver,
         };
         let node = ControlNode {
-            raft,
+            raft: member.raft,
             machine,
-            applied_index,
-            disk: Disk::spawn(storage, report_sender)?,
+            applied_index: member.applied_index,
+            disk: Disk::spawn(member.storage, report_sender.clone())?,
             peers: Peers::new(daemon, incarnation, settings.member, settings.routes.clone()),
             leases: LeaseTable::new(settings.target_lease_ms),
+            upkeep: MemberUpkeep::new(settings.member, settings.voters_wanted),
+            settings: settings.clone(),
+            seed,
+            report_sender,
             snapshot_entries: settings.snapshot_entries,
             data_folder: settings.data_folder.clone(),
             own_inputs: input_sender.clone(),
             is_snapshotting: false,
             log_bytes: 0,
-            snapshot_bytes,
+            snapshot_bytes: member.snapshot_bytes,
             was_leader: false,
             pending: BTreeMap::new(),
             reads: BTreeMap::new(),
@@ -173,7 +156,7 @@
                 }
                 report = self.reports.recv() => {
                     if !self.take_report(report) {
-                        return;
+                        self.reopen().await;
                     }
                 }
                 _ = ticks.tick() => {}
@@ -185,6 +168,51 @@
         }
     }
 
+    /// Begins again from the folder after a failure of the disk, as a restarted process would; what was
+    /// acknowledged is in the folder.
+    async fn reopen(&mut self) {
+        self.disk = Disk::stopped();
+        self.fail_waiting();
+        let member = loop {
+            self.drop_inputs_for(REOPEN_PAUSE).await;
+            match Member::open(&self.settings, self.seed) {
+                Ok(member) => break member,
+                Err(error) => log_event!(warn, Event::DiskFailed, %error, step = "reopen"),
+            }
+        };
+        while self.reports.try_recv().is_ok() {}
+        match Disk::spawn(member.storage, self.report_sender.clone()) {
+            Ok(disk) => self.disk = disk,
+            Err(error) => log_event!(error, Event::DiskFailed, %error, step = "reopen"),
+        }
+        self.raft = member.raft;
+        *self.lock_machine() = member.machine;
+        self.applied_index = member.applied_index;
+        self.snapshot_bytes = member.snapshot_bytes;
+        self.log_bytes = 0;
+        self.is_snapshotting = false;
+        self.peers.update(&self.raft.members().clone());
+        log_event!(info, Event::DiskReopened, index = self.applied_index);
+    }
+
+    /// Lets everyone who waits for this member ask another one.
+    fn fail_waiting(&mut self) {
+        for (_, pending) in std::mem::take(&mut self.pending) {
+            pending.reply.finish(Err(ProposeError::Lost));
+        }
+        for (_, reply) in std::mem::take(&mut self.reads) {
+            let _ = reply.send(Err(ProposeError::Lost));
+        }
+        self.was_leader = false;
+    }
+
+    /// Takes inputs without serving them; their askers hear that this member has stopped.
+    async fn drop_inputs_for(&mut self, pause: Duration) {
+        let until = tokio::time::Instant::now() + pause;
+        while let Ok(Some(_)) = tokio::time::timeout_at(until, self.inputs.recv()).await {}
+        tokio::time::sleep_until(until).await;
+    }
+
     fn turn(&mut self) {
         self.raft.tick(monotonic_ms());
         loop {
@@ -196,6 +224,7 @@
         }
         self.watch_role();
         self.expire_leases();
+        self.keep_members();
         self.snapshot_if_due();
         self.publish();
     }
@@ -224,6 +253,7 @@
             }
             Input::ChangeMembers { members, reply } => self.change_members(members, reply),
             Input::Read { reply } => self.read(reply),
+            Input::Join { member, address, reply } => self.join(member, address, reply),
             Input::SnapshotWritten(written) => self.take_snapshot(written),
             Input::Announce { name, incarnation, description, leaving, reply } => {
                 self.announce(name, incarnation, description, leaving, reply);
@@ -248,7 +278,7 @@
         reply.finish(Err(self.not_leader()));
     }
 
-    fn not_leader(&self) -> ProposeError {
+    pub(super) fn not_leader(&self) -> ProposeError {
         ProposeError::NotLeader { leader_address: self.leader_address() }
     }
 
@@ -412,6 +442,7 @@
                 configuration: machine.configuration.version(),
                 membership: machine.membership.version(),
                 suspects: machine.suspects_version(),
+                document: machine.document.version,
             }
         };
         self.applied.send_if_modified(|it| std::mem::replace(it, applied) != applied);
@@ -439,14 +470,6 @@
     }
 }
 
-fn decode_machine(folder: &Path, data: &[u8]) -> Result<Machine> {
-    serde_json::from_slice(data).map_err(|error| Error::Damaged {
-        path: folder.to_path_buf(),
-        offset: 0,
-        detail: format!("the snapshot's state can't be read: {error}"),
-    })
-}
-
 fn write_machine(folder: &Path, mut snapshot: Snapshot, machine: &Machine) -> Result<Snapshot> {
     snapshot.data = serde_json::to_vec(machine)
         .map_err(|it| Error::Json { step: "encode a snapshot", detail: it.to_string() })?;
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -126,6 +126,17 @@
         }
     }
 
+    /// Takes note of a host with a data folder that is alive and wants to be a member.
+    pub async fn join(&self, join: wire::Join, responder: &Responder) {
+        match self.node.join(join.member as u32, join.address.clone()).await {
+            Ok(()) => drop(responder.send(Body::Done(wire::Done::new())).await),
+            Err(error) => {
+                let again = Body::Join(wire::Join { forwarded: true, ..join.clone() });
+                self.forward(error, join.forwarded, again, "join", responder).await;
+            }
+        }
+    }
+
     /// Serves a question for a confirmed index.
     pub async fn read_index(&self, question: wire::ReadIndex, responder: &Responder) {
         match self.node.read_index().await {
@@ -177,6 +188,7 @@
             it.configuration > watch.configuration_version as u64
                 || it.membership > watch.membership_version as u64
                 || it.suspects > watch.suspects_version as u64
+                || watch.document_version.is_some_and(|version| it.document > version as u64)
         };
         tokio::select! {
             _ = tokio::time::timeout_at(until, applied.wait_for(has_news)) => {}
@@ -224,10 +236,18 @@
             targets: encode_all(&delta.targets),
             suspects_version: suspects_version as i64,
             suspects: encode_all(&suspects),
+            document_version: Some(machine.document.version as i64),
+            document: document_after(&machine, watch.document_version),
+            control_addresses: Some(self.node.status().addresses()),
         }
     }
 }
 
+fn document_after(machine: &Machine, version: Option<i64>) -> Option<Vec<u8>> {
+    let is_news = version.is_some_and(|it| machine.document.version > it as u64);
+    is_news.then(|| machine.document.text.as_bytes().to_vec())
+}
+
 fn configuration_after(machine: &Machine, version: u64) -> (Option<Vec<u8>>, Vec<Vec<u8>>) {
     match machine.configuration.changes_after(version) {
         Some(changes) => (None, encode_all(&changes)),
--- a/crates/bilberryloft-daemon/src/control/target_leases.rs
+++ b/crates/bilberryloft-daemon/src/control/target_leases.rs
@@ -40,7 +40,7 @@
         if !is_news {
             return drop(reply.send(Ok(incarnation)));
         }
-        log_event!(info, Event::TargetRegistered, target = name, incarnation);
+        log_event!(info, Event::TargetRegistered, target_id = name, incarnation);
         let command = Command::Register { name, incarnation, description };
         self.propose(command, PendingReply::Announce(reply, incarnation));
     }
@@ -58,6 +58,7 @@
                     .collect()
             };
             self.leases.start_term(known, monotonic_ms());
+            self.upkeep.start_term(self.raft.members(), self.raft.now_ms());
         }
         if !leads && self.was_leader {
             log_event!(warn, Event::LeaderSteppedDown, term = self.raft.term());
--- a/crates/bilberryloft-daemon/src/control_client.rs
+++ b/crates/bilberryloft-daemon/src/control_client.rs
@@ -13,6 +13,8 @@
 use bilberryloft_state::machine::Command;
 use bilberryloft_state::machine::Outcome;
 use bilberryloft_transport::client::Client;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
 use tokio::time::Instant;
 
 /// Longest time for one control host to answer before the next is tried.
@@ -20,11 +22,20 @@
 /// Pause after all control hosts failed in turn.
 const ROUND_PAUSE_MS: u64 = 25;
 
-/// Calls to control; clones share connections and the preferred host.
+/// Calls to control; clones share connections, the list of hosts and the preferred one.
 #[derive(Clone, Debug)]
 pub struct ControlClient {
-    clients: Arc<Vec<Client>>,
-    preferred: Arc<AtomicUsize>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    daemon: String,
+    incarnation: u64,
+    /// Addresses from the settings; they stay in the list whatever is learnt.
+    seeds: Mutex<Vec<String>>,
+    clients: RwLock<Vec<Client>>,
+    preferred: AtomicUsize,
 }
 
 impl ControlClient {
@@ -32,23 +43,75 @@
     pub fn new(addresses: &[String], daemon: &str, incarnation: u64) -> ControlClient {
         let clients =
             addresses.iter().map(|it| Client::new(it.clone(), daemon, incarnation)).collect();
-        ControlClient { clients: Arc::new(clients), preferred: Arc::default() }
+        let shared = Shared {
+            daemon: daemon.to_string(),
+            incarnation,
+            seeds: Mutex::new(addresses.to_vec()),
+            clients: RwLock::new(clients),
+            preferred: AtomicUsize::new(0),
+        };
+        ControlClient { shared: Arc::new(shared) }
+    }
+
+    /// All control hosts, and the seeds.
+    pub fn clients(&self) -> Vec<Client> {
+        self.shared.clients.read().clone()
     }
 
-    /// All control hosts.
-    pub fn clients(&self) -> &[Client] {
-        &self.clients
+    /// Addresses of all control hosts, and the seeds.
+    pub fn addresses(&self) -> Vec<String> {
+        self.shared.clients.read().iter().map(|it| it.address().to_string()).collect()
     }
 
     /// The host that answered last.
     pub fn preferred(&self) -> Client {
-        let at = self.preferred.load(Ordering::Relaxed) % self.clients.len();
-        self.clients[at].clone()
+        let clients = self.shared.clients.read();
+        let at = self.shared.preferred.load(Ordering::Relaxed) % clients.len();
+        clients[at].clone()
     }
 
     /// Prefers the next host from now on.
     pub fn rotate(&self) {
-        self.preferred.fetch_add(1, Ordering::Relaxed);
+        self.shared.preferred.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Takes the control hosts that one of them names; seeds stay at the end of the list.
+    pub fn learn(&self, addresses: &[String]) {
+        if addresses.is_empty() {
+            return;
+        }
+        let mut wanted = addresses.to_vec();
+        for seed in self.shared.seeds.lock().iter() {
+            if !wanted.contains(seed) {
+                wanted.push(seed.clone());
+            }
+        }
+        self.replace(wanted);
+    }
+
+    /// Takes the seeds of new settings; hosts learnt before stay in the list.
+    pub fn set_seeds(&self, seeds: &[String]) {
+        *self.shared.seeds.lock() = seeds.to_vec();
+        let known = self.addresses();
+        self.learn(&known);
+    }
+
+    fn replace(&self, wanted: Vec<String>) {
+        if self.addresses() == wanted {
+            return;
+        }
+        let preferred = self.preferred().address().to_string();
+        let mut clients = self.shared.clients.write();
+        let make = |address: String| {
+            let known = clients.iter().find(|it| it.address() == address).cloned();
+            known.unwrap_or_else(|| {
+                Client::new(address, &self.shared.daemon, self.shared.incarnation)
+            })
+        };
+        let next: Vec<Client> = wanted.into_iter().map(make).collect();
+        let at = next.iter().position(|it| it.address() == preferred).unwrap_or(0);
+        *clients = next;
+        self.shared.preferred.store(at, Ordering::Relaxed);
     }
 
     /// Calls until a host answers or the time runs out; the call must be safe to repeat.
@@ -61,12 +124,13 @@
             let left = until - Instant::now();
             let client = self.preferred();
             match client.call(body.clone(), left.min(TRY_TIMEOUT)).await {
+                Ok(Body::Redirect(redirect)) => self.learn(&redirect.addresses),
                 Ok(answer) => return Ok(answer),
                 Err(error) => last = error,
             }
             tried += 1;
             self.rotate();
-            if tried % self.clients.len() == 0 {
+            if tried % self.shared.clients.read().len() == 0 {
                 let pause_ms = fastrand::u64(ROUND_PAUSE_MS..=2 * ROUND_PAUSE_MS);
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -7,6 +7,8 @@
 
 use bilberryloft_protocol::api::DaemonStatus;
 use bilberryloft_protocol::api::WatcherRow;
+use bilberryloft_protocol::wire;
+use bilberryloft_protocol::wire::Body;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::record::DecisionRecord;
@@ -44,6 +46,10 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time for the last frames to leave through the sockets.
 const FLUSH_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two words to the leader that a host can be a member.
+const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for the leader to hear one of them.
+const JOIN_LIMIT: Duration = Duration::from_millis(500);
 /// Target lease that agents are told when the daemon is no control host, in milliseconds.
 const NO_TARGET_LEASE_MS: u64 = 0;
 
@@ -311,9 +317,25 @@
     if let Some(agent) = &shared.agent {
         spawn_announcer(agent.clone());
     }
+    if let Some(control) = settings.control.as_ref().filter(|it| it.voters_wanted > 0) {
+        spawn_joiner(shared.control.clone(), control.member, settings.peer_address.clone());
+    }
     Ok(server)
 }
 
+/// Tells the leader again and again that this host can be a member of the quorum.
+fn spawn_joiner(control: ControlClient, member: u32, address: String) {
+    tokio::spawn(async move {
+        loop {
+            let join = wire::Join::new(member as i32, address.clone(), false);
+            if let Err(error) = control.call(Body::Join(join), JOIN_LIMIT).await {
+                tracing::debug!(%error, "no leader heard that this host can be a member");
+            }
+            tokio::time::sleep(JOIN_INTERVAL).await;
+        }
+    });
+}
+
 fn start_node(control: &ControlSettings, shared: &Shared) -> Result<Arc<ControlService>> {
     let daemon = &shared.settings.daemon;
     let node = ControlNode::spawn(control, daemon, shared.incarnation)?;
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -20,6 +20,10 @@
     ConfigurationConfirmed = 112,
     /// A change could not be applied in order, and a snapshot is asked for.
     ConfigurationGap = 113,
+    /// A newer document of routes and services was learnt.
+    DocumentApplied = 114,
+    /// The settings were read again.
+    SettingsReloaded = 115,
     /// The member became the leader.
     LeaderElected = 200,
     /// The member no longer leads.
@@ -40,6 +44,10 @@
     TargetRegistered = 211,
     /// The members of the quorum changed.
     MembersChanged = 212,
+    /// The member reads its folder again after its disk had failed.
+    DiskReopened = 213,
+    /// A member was added, promoted or removed to keep the quorum whole.
+    MembersPlanned = 214,
     /// The target announced itself.
     TargetAnnounced = 300,
     /// The target stopped announcing itself.
@@ -70,7 +78,7 @@
 }
 
 /// All events in the order of their numbers.
-pub const EVENTS: [Event; 28] = [
+pub const EVENTS: [Event; 32] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -79,6 +87,8 @@
     Event::ConfigurationUnconfirmed,
     Event::ConfigurationConfirmed,
     Event::ConfigurationGap,
+    Event::DocumentApplied,
+    Event::SettingsReloaded,
     Event::LeaderElected,
     Event::LeaderSteppedDown,
     Event::TornTailCut,
@@ -89,6 +99,8 @@
     Event::TargetsLost,
     Event::TargetRegistered,
     Event::MembersChanged,
+    Event::DiskReopened,
+    Event::MembersPlanned,
     Event::TargetAnnounced,
     Event::TargetSilent,
     Event::TargetCrashed,
--- a/crates/bilberryloft-daemon/src/follow.rs
+++ b/crates/bilberryloft-daemon/src/follow.rs
@@ -38,14 +38,20 @@
                 wait_ms: WATCH_WAIT_MS as i64,
                 suspects_version: versions.suspects as i64,
                 peer_address: peer_address.clone(),
+                document_version: Some(versions.document as i64),
             };
             let is_confirmed =
                 match control.preferred().call(Body::Watch(watch), ANSWER_TIMEOUT).await {
                     Ok(Body::Update(update)) => {
                         let confirmed = update.confirmed;
+                        control.learn(update.control_addresses.as_deref().unwrap_or_default());
                         view.apply(update, asked_ms);
                         confirmed
                     }
+                    Ok(Body::Redirect(redirect)) => {
+                        control.learn(&redirect.addresses);
+                        false
+                    }
                     Ok(_) | Err(_) => false,
                 };
             if !is_confirmed {
--- a/crates/bilberryloft-daemon/src/peer_service.rs
+++ b/crates/bilberryloft-daemon/src/peer_service.rs
@@ -83,6 +83,18 @@
                 control.read_index(question, &responder).await
             }
             (Body::Watch(watch), Some(control)) => control.watch(watch, &responder).await,
+            (Body::Join(join), Some(control)) => control.join(join, &responder).await,
+            (
+                Body::Propose(_)
+                | Body::Announce(_)
+                | Body::ReadIndex(_)
+                | Body::Watch(_)
+                | Body::Join(_),
+                None,
+            ) => {
+                let addresses = self.shared.control.addresses();
+                let _ = responder.send(Body::Redirect(wire::Redirect::new(addresses))).await;
+            }
             (Body::StoreRecords(store), Some(control)) => {
                 control.store_records(&store.records);
                 let _ = responder.send(Body::Done(wire::Done::new())).await;
--- a/crates/bilberryloft-daemon/src/settings.rs
+++ b/crates/bilberryloft-daemon/src/settings.rs
@@ -172,6 +172,10 @@
     /// Time without an announcement after which a target is unreachable, in milliseconds.
     #[serde(default = "default_target_lease_ms")]
     pub target_lease_ms: u64,
+    /// Voters that the leader keeps up by itself from the hosts that join, replacing those that stay away;
+    /// 0 leaves the members to the operators.
+    #[serde(default)]
+    pub voters_wanted: usize,
 }
 
 fn default_configuration_lease_ms() -> u64 {
@@ -248,7 +252,8 @@
         roles
     }
 
-    fn find_faults(&self) -> Vec<String> {
+    /// Every fault of the settings, each naming field, value and what is allowed.
+    pub fn find_faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         check_name(&mut faults, "daemon", &self.daemon);
         check_name(&mut faults, "data_center", &self.data_center);
@@ -321,7 +326,7 @@
         for (member, address) in &self.routes {
             check_address(faults, &format!("control.routes.{member}"), address);
         }
-        if self.members.is_empty() {
+        if self.members.is_empty() && self.voters_wanted == 0 {
             faults.push("control.members: {} is empty, at least one member is needed".to_string());
         }
         check_range(faults, "control.heartbeat_ms", self.heartbeat_ms, 10, 10_000);
--- a/crates/bilberryloft-daemon/src/view.rs
+++ b/crates/bilberryloft-daemon/src/view.rs
@@ -1,6 +1,7 @@
 //! What a daemon knows of the replicated state, and how fresh that is.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bilberryloft_coordination::freshness::Freshness;
@@ -8,6 +9,7 @@
 use bilberryloft_protocol::wire::Update;
 use bilberryloft_state::configuration::ChangeRecord;
 use bilberryloft_state::configuration::Configuration;
+use bilberryloft_state::document::StoredDocument;
 use bilberryloft_state::membership::Membership;
 use bilberryloft_state::membership::MembershipDelta;
 use bilberryloft_state::membership::TargetRecord;
@@ -30,6 +32,8 @@
     pub membership: u64,
     /// Version of the suspects.
     pub suspects: u64,
+    /// Version of the document of routes and services.
+    pub document: u64,
 }
 
 /// Local copy of configuration, membership and suspects.
@@ -38,6 +42,7 @@
     configuration: RwLock<Configuration>,
     membership: RwLock<Membership>,
     suspects: RwLock<BTreeMap<i64, Suspect>>,
+    document: RwLock<Arc<StoredDocument>>,
     freshness: Mutex<Freshness>,
     versions: watch::Sender<ViewVersions>,
     wants_snapshot: Mutex<bool>,
@@ -50,6 +55,7 @@
             configuration: RwLock::default(),
             membership: RwLock::default(),
             suspects: RwLock::default(),
+            document: RwLock::default(),
             freshness: Mutex::new(Freshness::new(lease_ms, on_lost_control)),
             versions: watch::channel(ViewVersions::default()).0,
             wants_snapshot: Mutex::new(false),
@@ -66,6 +72,11 @@
         self.membership.read()
     }
 
+    /// The document of routes and services in force.
+    pub fn document(&self) -> Arc<StoredDocument> {
+        self.document.read().clone()
+    }
+
     /// A suspect by its fingerprint.
     pub fn suspect(&self, fingerprint: i64) -> Option<Suspect> {
         self.suspects.read().get(&fingerprint).cloned()
@@ -112,6 +123,7 @@
         self.apply_configuration(&update);
         self.apply_membership(&update);
         self.apply_suspects(&update);
+        self.apply_document(&update);
         let is_whole = self.configuration().version() >= update.configuration_version as u64;
         if update.confirmed && is_whole {
             self.confirm(asked_ms);
@@ -120,6 +132,7 @@
             configuration: self.configuration().version(),
             membership: self.membership().version(),
             suspects: update.suspects_version as u64,
+            document: self.document.read().version,
         };
         self.versions.send_if_modified(|it| std::mem::replace(it, versions) != versions);
     }
@@ -176,6 +189,19 @@
         self.membership.write().apply_delta(delta);
     }
 
+    fn apply_document(&self, update: &Update) {
+        let (Some(version), Some(bytes)) = (update.document_version, &update.document) else {
+            return;
+        };
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        let document = StoredDocument { version: version as u64, text };
+        let mut current = self.document.write();
+        if document.version > current.version {
+            log_event!(info, Event::DocumentApplied, version, before = current.version);
+            *current = Arc::new(document);
+        }
+    }
+
     fn apply_suspects(&self, update: &Update) {
         if update.suspects_version as u64 <= self.versions.borrow().suspects {
             return;
--- a/crates/bilberryloft-protocol/src/codec.rs
+++ b/crates/bilberryloft-protocol/src/codec.rs
@@ -73,5 +73,7 @@
         Body::Done(_) => "done",
         Body::Status(_) => "status",
         Body::StatusReply(_) => "status_reply",
+        Body::Join(_) => "join",
+        Body::Redirect(_) => "redirect",
     }
 }
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -1481,10 +1481,11 @@
   pub wait_ms: i64,
   pub suspects_version: i64,
   pub peer_address: String,
+  pub document_version: Option<i64>,
 }
 
 impl Watch {
-  pub fn new(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String) -> Watch {
+  pub fn new<F7>(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String, document_version: F7) -> Watch where F7: Into<Option<i64>> {
     Watch {
       daemon,
       configuration_version,
@@ -1492,6 +1493,7 @@
       wait_ms,
       suspects_version,
       peer_address,
+      document_version: document_version.into(),
     }
   }
 }
@@ -1505,6 +1507,7 @@
     let mut f_4: Option<i64> = None;
     let mut f_5: Option<i64> = None;
     let mut f_6: Option<String> = None;
+    let mut f_7: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1536,6 +1539,10 @@
           let val = i_prot.read_string()?;
           f_6 = Some(val);
         },
+        7 => {
+          let val = i_prot.read_i64()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1556,6 +1563,7 @@
       wait_ms: f_4.expect("auto-generated code should have checked for presence of required fields"),
       suspects_version: f_5.expect("auto-generated code should have checked for presence of required fields"),
       peer_address: f_6.expect("auto-generated code should have checked for presence of required fields"),
+      document_version: f_7,
     };
     Ok(ret)
   }
@@ -1580,6 +1588,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("peer_address", TType::String, 6))?;
     o_prot.write_string(&self.peer_address)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.document_version {
+      o_prot.write_field_begin(&TFieldIdentifier::new("document_version", TType::I64, 7))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1600,10 +1613,13 @@
   pub targets: Vec<Vec<u8>>,
   pub suspects_version: i64,
   pub suspects: Vec<Vec<u8>>,
+  pub document_version: Option<i64>,
+  pub document: Option<Vec<u8>>,
+  pub control_addresses: Option<Vec<String>>,
 }
 
 impl Update {
-  pub fn new<F3>(confirmed: bool, configuration_version: i64, configuration_snapshot: F3, configuration_changes: Vec<Vec<u8>>, membership_version: i64, membership_whole: bool, targets: Vec<Vec<u8>>, suspects_version: i64, suspects: Vec<Vec<u8>>) -> Update where F3: Into<Option<Vec<u8>>> {
+  pub fn new<F3, F10, F11, F12>(confirmed: bool, configuration_version: i64, configuration_snapshot: F3, configuration_changes: Vec<Vec<u8>>, membership_version: i64, membership_whole: bool, targets: Vec<Vec<u8>>, suspects_version: i64, suspects: Vec<Vec<u8>>, document_version: F10, document: F11, control_addresses: F12) -> Update where F3: Into<Option<Vec<u8>>>, F10: Into<Option<i64>>, F11: Into<Option<Vec<u8>>>, F12: Into<Option<Vec<String>>> {
     Update {
       confirmed,
       configuration_version,
@@ -1614,6 +1630,9 @@
       targets,
       suspects_version,
       suspects,
+      document_version: document_version.into(),
+      document: document.into(),
+      control_addresses: control_addresses.into(),
     }
   }
 }
@@ -1630,6 +1649,9 @@
     let mut f_7: Option<Vec<Vec<u8>>> = None;
     let mut f_8: Option<i64> = None;
     let mut f_9: Option<Vec<Vec<u8>>> = None;
+    let mut f_10: Option<i64> = None;
+    let mut f_11: Option<Vec<u8>> = None;
+    let mut f_12: Option<Vec<String>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1691,6 +1713,24 @@
           i_prot.read_list_end()?;
           f_9 = Some(val);
         },
+        10 => {
+          let val = i_prot.read_i64()?;
+          f_10 = Some(val);
+        },
+        11 => {
+          let val = i_prot.read_bytes()?;
+          f_11 = Some(val);
+        },
+        12 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_7 = i_prot.read_string()?;
+            val.push(list_elem_7);
+          }
+          i_prot.read_list_end()?;
+          f_12 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1716,6 +1756,9 @@
       targets: f_7.expect("auto-generated code should have checked for presence of required fields"),
       suspects_version: f_8.expect("auto-generated code should have checked for presence of required fields"),
       suspects: f_9.expect("auto-generated code should have checked for presence of required fields"),
+      document_version: f_10,
+      document: f_11,
+      control_addresses: f_12,
     };
     Ok(ret)
   }
@@ -1763,6 +1806,171 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.document_version {
+      o_prot.write_field_begin(&TFieldIdentifier::new("document_version", TType::I64, 10))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.document {
+      o_prot.write_field_begin(&TFieldIdentifier::new("document", TType::String, 11))?;
+      o_prot.write_bytes(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.control_addresses {
+      o_prot.write_field_begin(&TFieldIdentifier::new("control_addresses", TType::List, 12))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::String, fld_var.len() as i32))?;
+      for e in fld_var {
+        o_prot.write_string(e)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Join
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Join {
+  pub member: i32,
+  pub address: String,
+  pub forwarded: bool,
+}
+
+impl Join {
+  pub fn new(member: i32, address: String, forwarded: bool) -> Join {
+    Join {
+      member,
+      address,
+      forwarded,
+    }
+  }
+}
+
+impl TSerializable for Join {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Join> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i32> = None;
+    let mut f_2: Option<String> = None;
+    let mut f_3: Option<bool> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i32()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_bool()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Join.member", &f_1)?;
+    verify_required_field_exists("Join.address", &f_2)?;
+    verify_required_field_exists("Join.forwarded", &f_3)?;
+    let ret = Join {
+      member: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      address: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      forwarded: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Join");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("member", TType::I32, 1))?;
+    o_prot.write_i32(self.member)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("address", TType::String, 2))?;
+    o_prot.write_string(&self.address)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("forwarded", TType::Bool, 3))?;
+    o_prot.write_bool(self.forwarded)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Redirect
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Redirect {
+  pub addresses: Vec<String>,
+}
+
+impl Redirect {
+  pub fn new(addresses: Vec<String>) -> Redirect {
+    Redirect {
+      addresses,
+    }
+  }
+}
+
+impl TSerializable for Redirect {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Redirect> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<String>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_8 = i_prot.read_string()?;
+            val.push(list_elem_8);
+          }
+          i_prot.read_list_end()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Redirect.addresses", &f_1)?;
+    let ret = Redirect {
+      addresses: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Redirect");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("addresses", TType::List, 1))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.addresses.len() as i32))?;
+    for e in &self.addresses {
+      o_prot.write_string(e)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2534,8 +2742,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<LogEntry> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_7 = LogEntry::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_7);
+            let list_elem_9 = LogEntry::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_9);
           }
           i_prot.read_list_end()?;
           f_5 = Some(val);
@@ -3236,6 +3444,8 @@
   Done(Done),
   Status(Status),
   StatusReply(StatusReply),
+  Join(Join),
+  Redirect(Redirect),
 }
 
 impl TSerializable for Body {
@@ -3432,6 +3642,20 @@
           }
           received_field_count += 1;
         },
+        27 => {
+          let val = Join::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::Join(val));
+          }
+          received_field_count += 1;
+        },
+        28 => {
+          let val = Redirect::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::Redirect(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -3596,6 +3820,16 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Body::Join(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("join", TType::Struct, 27))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      Body::Redirect(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("redirect", TType::Struct, 28))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- /dev/null
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -0,0 +1,115 @@
+//! The relay's own answers: refusals that say whether the request has run and when to come back.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::BoxBody;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header;
+use serde_json::json;
+
+/// Body of an answer to a caller.
+pub type AnswerBody = BoxBody<Bytes, BrokenOff>;
+
+/// The target broke off; the caller's connection is cut, so that the answer does not look whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BrokenOff;
+
+impl std::fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the target broke off its answer")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+/// Why the relay answers itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No document of routes is known yet.
+    NoDocument,
+    /// No route takes the request.
+    NoRoute,
+    /// The key names no team.
+    UnknownKey,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The body could not be read.
+    BadBody,
+    /// The service has no target that takes work.
+    NoTarget,
+    /// All targets have as many requests as they may.
+    Full,
+    /// The time ran out before the request was sent to a target.
+    TimeOutUnsent,
+    /// The target said that it has not run the request, and no other may be tried.
+    NotRun,
+    /// It is unknown whether the request has run.
+    RunUnknown,
+    /// The time ran out while the request was at a target.
+    TimeOutSent,
+}
+
+impl Refusal {
+    /// Short name for logs, metrics and the body.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::NoDocument => "no_document",
+            Refusal::NoRoute => "no_route",
+            Refusal::UnknownKey => "unknown_key",
+            Refusal::TooLarge => "too_large",
+            Refusal::BadBody => "bad_body",
+            Refusal::NoTarget => "no_target",
+            Refusal::Full => "full",
+            Refusal::TimeOutUnsent => "timeout_unsent",
+            Refusal::NotRun => "not_run",
+            Refusal::RunUnknown => "run_unknown",
+            Refusal::TimeOutSent => "timeout_sent",
+        }
+    }
+
+    /// Status; 429 and 503 promise that the request has not run and never will.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Refusal::NoDocument
+            | Refusal::NoTarget
+            | Refusal::Full
+            | Refusal::TimeOutUnsent
+            | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::BadBody => StatusCode::BAD_REQUEST,
+            Refusal::RunUnknown => StatusCode::BAD_GATEWAY,
+            Refusal::TimeOutSent => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Makes the answer.
+    pub fn answer(self, retry_after: Option<Duration>) -> Response<AnswerBody> {
+        let run = match self {
+            Refusal::RunUnknown | Refusal::TimeOutSent => "unknown",
+            _ => "not_run",
+        };
+        let body = json!({"reason": self.name(), "run": run}).to_string();
+        let mut answer = Response::new(full(Bytes::from(body)));
+        *answer.status_mut() = self.status();
+        let headers = answer.headers_mut();
+        let json = header::HeaderValue::from_static("application/problem+json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Some(after) = retry_after
+            && let Ok(value) = format!("{:.3}", after.as_secs_f64()).parse()
+        {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+        answer
+    }
+}
+
+/// A whole body.
+pub fn full(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed()
+}
--- /dev/null
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -0,0 +1,169 @@
+//! One attempt: a request sent to one target, up to the head of the answer.
+
+use std::sync::Arc;
+
+use bilberryloft_routing::document::RequestKind;
+use bilberryloft_routing::targets::Picked;
+use bilberryloft_routing::targets::Verdict;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+
+use crate::headers;
+use crate::pool::Connection;
+use crate::pool::connect;
+use crate::request::RelayRequest;
+use crate::state::RelayState;
+
+/// An answer whose body is still to be read.
+pub struct Answered {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// Connection that it came on.
+    pub connection: Connection,
+    /// Address of the target.
+    pub address: String,
+}
+
+/// How an attempt ended.
+pub enum AttemptEnd {
+    /// The target answered.
+    Answered(Box<Answered>),
+    /// The target said that it did not run the request.
+    NotRun {
+        /// Status that it gave.
+        status: StatusCode,
+    },
+    /// Nothing was sent.
+    NotSent {
+        /// What went wrong.
+        error: String,
+    },
+    /// The request was sent, and whether it ran is unknown.
+    Unknown {
+        /// What went wrong.
+        error: String,
+    },
+}
+
+impl AttemptEnd {
+    /// Name for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            AttemptEnd::Answered(_) => "answered",
+            AttemptEnd::NotRun { .. } => "not_run",
+            AttemptEnd::NotSent { .. } => "not_sent",
+            AttemptEnd::Unknown { .. } => "unknown",
+        }
+    }
+
+    /// What it tells of the target.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            AttemptEnd::Answered(it) if it.response.status().is_server_error() => Verdict::Failed,
+            AttemptEnd::Answered(_) => Verdict::Sound,
+            AttemptEnd::NotRun { .. } => Verdict::Full,
+            AttemptEnd::NotSent { .. } | AttemptEnd::Unknown { .. } => Verdict::Lost,
+        }
+    }
+}
+
+/// Sends a request and waits for the head of the answer; ending the wait cancels the request at the target.
+pub async fn send(
+    state: &Arc<RelayState>,
+    request: &RelayRequest,
+    picked: &Picked,
+    resume_after: Option<u64>,
+) -> AttemptEnd {
+    let mut next = match take_connection(state, request, picked).await {
+        Ok(connection) => Some(connection),
+        Err(error) => return AttemptEnd::NotSent { error: error.to_string() },
+    };
+    while let Some(mut connection) = next.take() {
+        let message = build(state, request, picked, resume_after);
+        match connection.try_send_request(message).await {
+            Ok(response) => {
+                let address = picked.address.clone();
+                return judge(state, request, Answered { response, connection, address });
+            }
+            Err(mut error) => {
+                if error.take_message().is_none() {
+                    return AttemptEnd::Unknown { error: error.into_error().to_string() };
+                }
+                // The connection was closed before anything was written on it.
+                match connect(&picked.address).await {
+                    Ok(fresh) => next = Some(fresh),
+                    Err(error) => return AttemptEnd::NotSent { error: error.to_string() },
+                }
+            }
+        }
+    }
+    AttemptEnd::NotSent { error: "no connection".to_string() }
+}
+
+/// What must not run twice goes on a connection of its own, since a kept one may break under it.
+async fn take_connection(
+    state: &Arc<RelayState>,
+    request: &RelayRequest,
+    picked: &Picked,
+) -> std::io::Result<Connection> {
+    let may_reuse = request.route.kind != RequestKind::AtMostOnce;
+    match state.pool.take(&picked.address).filter(|_| may_reuse) {
+        Some(connection) => Ok(connection),
+        None => connect(&picked.address).await,
+    }
+}
+
+fn build(
+    state: &Arc<RelayState>,
+    request: &RelayRequest,
+    picked: &Picked,
+    resume_after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let names = state.dialect.headers();
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    // The path was read from a request line, so it can be written into one.
+    *message.uri_mut() = request.target_path.parse().unwrap_or_default();
+    let headers = message.headers_mut();
+    *headers = request.headers.clone();
+    let mut set = |name: &HeaderName, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name.clone(), value);
+        }
+    };
+    set(&names.time_left, &request.time_left_ms().to_string());
+    set(&names.expected_target, &picked.id);
+    set(&names.urgency, &request.urgency.to_string());
+    if let Some(team) = &request.team {
+        set(&names.team, team);
+    }
+    if let Some(id) = resume_after {
+        set(&names.last_event_id, &id.to_string());
+    }
+    message
+}
+
+/// Tells an answer to this request from one that belongs to another, and a refusal from a run.
+fn judge(state: &Arc<RelayState>, request: &RelayRequest, answered: Answered) -> AttemptEnd {
+    let names = state.dialect.headers();
+    let answer = answered.response.headers();
+    let status = answered.response.status();
+    let echoed = headers::text(answer, &names.request_id);
+    if echoed.is_some_and(|it| it != request.id) {
+        return AttemptEnd::Unknown { error: "the answer belongs to another request".to_string() };
+    }
+    if answer.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+        return AttemptEnd::NotRun { status };
+    }
+    let is_proven = answer.contains_key(&names.signature) && echoed.is_some();
+    if status.is_success() && !is_proven {
+        return AttemptEnd::Unknown { error: "the answer bears no signature".to_string() };
+    }
+    AttemptEnd::Answered(Box::new(answered))
+}
--- /dev/null
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -0,0 +1,197 @@
+//! Calls by which operators put and read documents and targets announce themselves, at any daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::DefaultBodyLimit;
+use axum::extract::State;
+use axum::http::Method;
+use axum::http::StatusCode;
+use axum::http::Uri;
+use axum::http::header;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use bilberryloft_protocol::wire;
+use bilberryloft_protocol::wire::Body;
+use bilberryloft_routing::targets::TargetFact;
+use bilberryloft_state::document::StoredDocument;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use bilberryloft_state::machine::Command;
+use bilberryloft_state::machine::Outcome;
+use bilberryloft_state::membership::TargetDescription;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+use crate::dialect::ControlCall;
+use crate::log_relay;
+use crate::state::RelayState;
+
+/// Largest document in bytes.
+const DOCUMENT_BYTES_MAX: usize = 8 << 20;
+/// Time for a document or an announcement to be committed; callers wait for a second.
+const COMMIT_LIMIT: Duration = Duration::from_millis(900);
+/// Time for a quorum to confirm which document is the newest.
+const READ_LIMIT: Duration = Duration::from_millis(900);
+/// Time for one control host to confirm it.
+const READ_TRY: Duration = Duration::from_millis(400);
+
+/// Listens on the settings' address.
+pub async fn serve_control_api(state: Arc<RelayState>) -> Result<()> {
+    let address = state.settings.control_api_address.clone();
+    let listener =
+        TcpListener::bind(&address).await.map_err(|it| Error::network("listen", &address, it))?;
+    let router = Router::new()
+        .fallback(handle)
+        .layer(DefaultBodyLimit::max(DOCUMENT_BYTES_MAX))
+        .with_state(state);
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    Ok(())
+}
+
+async fn handle(
+    State(state): State<Arc<RelayState>>,
+    method: Method,
+    uri: Uri,
+    body: Bytes,
+) -> Response {
+    match state.dialect.control_call(&method, uri.path()) {
+        ControlCall::PutDocument => put_document(&state, &body).await,
+        ControlCall::ReadDocument => read_document(&state).await,
+        ControlCall::Announce { id } => announce(&state, &id, &body).await,
+        ControlCall::Leave { id } => leave(&state, &id).await,
+        ControlCall::Unknown => failure(StatusCode::NOT_FOUND, "there is no such call"),
+    }
+}
+
+async fn put_document(state: &RelayState, body: &Bytes) -> Response {
+    let document = match state.dialect.decode_document(body).and_then(|it| {
+        it.check()?;
+        Ok(it)
+    }) {
+        Ok(document) => document,
+        Err(fault) => {
+            log_relay!(warn, DocumentDecided, outcome = "invalid", %fault);
+            return failure(StatusCode::BAD_REQUEST, &fault.to_string());
+        }
+    };
+    let version = document.version;
+    // Decoding has shown that the text is valid.
+    let text = String::from_utf8_lossy(body).into_owned();
+    let command = Command::PutDocument(StoredDocument { version, text });
+    match state.daemon.control.propose(&command, COMMIT_LIMIT).await {
+        Ok(Outcome::Document { version: in_force }) => {
+            log_relay!(info, DocumentDecided, outcome = "accepted", version, in_force);
+            axum::Json(json!({"version": in_force})).into_response()
+        }
+        Ok(other) => {
+            log_relay!(error, DocumentDecided, outcome = "unexpected", version, ?other);
+            failure(StatusCode::SERVICE_UNAVAILABLE, "the quorum gave another answer")
+        }
+        Err(error) => {
+            log_relay!(warn, DocumentDecided, outcome = "unknown", version, %error);
+            failure(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
+        }
+    }
+}
+
+async fn read_document(state: &RelayState) -> Response {
+    let until = Instant::now() + READ_LIMIT;
+    while Instant::now() < until {
+        let known = state.daemon.view.document();
+        let client = state.daemon.control.preferred();
+        let watch = wire::Watch {
+            daemon: state.daemon.settings.daemon.clone(),
+            configuration_version: i64::MAX,
+            membership_version: i64::MAX,
+            wait_ms: 0,
+            suspects_version: i64::MAX,
+            peer_address: state.daemon.settings.peer_address.clone(),
+            document_version: Some(known.version as i64),
+        };
+        match client.call(Body::Watch(watch), READ_TRY).await {
+            Ok(Body::Update(update)) if update.confirmed => {
+                return newest(&known, update);
+            }
+            Ok(Body::Redirect(redirect)) => state.daemon.control.learn(&redirect.addresses),
+            Ok(_) => {}
+            Err(error) => tracing::debug!(%error, "no quorum confirmed the newest document"),
+        }
+        state.daemon.control.rotate();
+    }
+    failure(StatusCode::SERVICE_UNAVAILABLE, "no quorum confirms which document is the newest")
+}
+
+fn newest(known: &StoredDocument, update: wire::Update) -> Response {
+    let version = update.document_version.unwrap_or_default() as u64;
+    let bytes = match update.document {
+        Some(bytes) => bytes,
+        None if version == known.version && version > 0 => known.text.clone().into_bytes(),
+        None => {
+            return failure(StatusCode::SERVICE_UNAVAILABLE, "there is no document yet");
+        }
+    };
+    ([(header::CONTENT_TYPE, "application/json")], bytes).into_response()
+}
+
+async fn announce(state: &RelayState, id: &str, body: &Bytes) -> Response {
+    let fact = match state.dialect.decode_announcement(id, body) {
+        Ok(fact) => fact,
+        Err(fault) => {
+            log_relay!(warn, AnnouncementRefused, target_id = id, fault);
+            return failure(StatusCode::BAD_REQUEST, &fault);
+        }
+    };
+    let table = state.table();
+    if table.version() > 0 && table.service(&fact.service).is_none() {
+        let fault = format!("service: {:?} is not in the document in force", fact.service);
+        log_relay!(warn, AnnouncementRefused, target_id = id, fault, version = table.version());
+        return failure(StatusCode::BAD_REQUEST, &fault);
+    }
+    if fact.is_leaving {
+        log_relay!(info, TargetLeaves, target_id = id, incarnation = fact.incarnation);
+    }
+    let incarnation = fact.incarnation;
+    let description = serde_json::to_vec(&describe(fact)).unwrap_or_default();
+    let announce = wire::Announce {
+        target: id.to_string(),
+        incarnation: incarnation as i64,
+        description,
+        leaving: false,
+        forwarded: false,
+    };
+    match state.daemon.control.call(Body::Announce(announce), COMMIT_LIMIT).await {
+        Ok(_) => axum::Json(json!({})).into_response(),
+        Err(error) => failure(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+    }
+}
+
+async fn leave(state: &RelayState, id: &str) -> Response {
+    log_relay!(info, TargetLeaves, target_id = id, at = "end");
+    let command = Command::Leave { name: id.to_string() };
+    match state.daemon.control.propose(&command, COMMIT_LIMIT).await {
+        Ok(_) => axum::Json(json!({})).into_response(),
+        Err(error) => failure(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+    }
+}
+
+fn describe(fact: TargetFact) -> TargetDescription {
+    TargetDescription {
+        agent_address: fact.address,
+        data_center: fact.data_center,
+        models: Vec::new(),
+        services: vec![fact.service],
+        slots: fact.slots,
+        ranks: 1,
+        checks_fencing: false,
+        direct: true,
+        leaving: fact.is_leaving,
+    }
+}
+
+fn failure(status: StatusCode, text: &str) -> Response {
+    (status, axum::Json(json!({"error": text}))).into_response()
+}
--- /dev/null
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -0,0 +1,315 @@
+//! A request from its arrival to its answer: attempts at targets, repeats, and the final word.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_routing::document::RequestKind;
+use bilberryloft_routing::targets::NoTarget;
+use bilberryloft_routing::targets::Picked;
+use bilberryloft_routing::targets::TargetKey;
+use bilberryloft_routing::targets::Verdict;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::answer::AnswerBody;
+use crate::answer::Refusal;
+use crate::answer::full;
+use crate::attempt;
+use crate::attempt::Answered;
+use crate::attempt::AttemptEnd;
+use crate::headers;
+use crate::log_relay;
+use crate::request;
+use crate::request::RelayRequest;
+use crate::state::RelayState;
+use crate::stream;
+
+/// Bytes of an answer that are read whole before any of it is passed on, so that a broken one can be repeated.
+const HELD_ANSWER_BYTES_MAX: usize = 1 << 20;
+/// Shortest and longest time after which a refused caller is asked to come back, in milliseconds.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 250..=900;
+/// Attempts that targets refuse, at most, before the caller is told.
+const REFUSED_MAX: u32 = 3;
+
+/// A target that has been given a request, until its verdict is told; without one, the caller left.
+pub struct Held {
+    state: Arc<RelayState>,
+    key: TargetKey,
+    is_told: bool,
+}
+
+impl Held {
+    /// Takes over a request that was counted by the pick.
+    pub fn new(state: &Arc<RelayState>, key: TargetKey) -> Held {
+        Held { state: state.clone(), key, is_told: false }
+    }
+
+    /// Tells how it ended.
+    pub fn tell(mut self, verdict: Verdict) {
+        self.is_told = true;
+        self.state.finish(self.key, verdict);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if !self.is_told {
+            self.state.finish(self.key, Verdict::Unknown);
+        }
+    }
+}
+
+/// Logs that the caller left, unless the answer was reached.
+struct CallerWatch<'a> {
+    id: &'a str,
+    arrived: Instant,
+    is_answered: bool,
+}
+
+impl Drop for CallerWatch<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            let waited_ms = self.arrived.elapsed().as_millis() as u64;
+            log_relay!(info, CallerLeft, request_id = self.id, waited_ms);
+        }
+    }
+}
+
+/// Serves one request.
+pub async fn serve(state: Arc<RelayState>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    state.daemon.metrics.requests.inc();
+    let table = state.table();
+    let names = state.dialect.headers();
+    let id = headers::text(request.headers(), &names.request_id).unwrap_or_default().to_string();
+    let read = request::read(request, &table, state.dialect.as_ref(), arrived).await;
+    drop(table);
+    let request = match read {
+        Ok(request) => request,
+        Err(refusal) => return refuse(&id, refusal, arrived),
+    };
+    state.note_request(&request.service);
+    let open = state.open_request();
+    let mut watch = CallerWatch { id: &id, arrived, is_answered: false };
+    let outcome = run(&state, &request).await;
+    watch.is_answered = true;
+    let answer = match outcome {
+        Ok(answer) => answer,
+        Err(refusal) => return refuse(&id, refusal, arrived),
+    };
+    let waited_ms = arrived.elapsed().as_millis() as u64;
+    let (held, answered) = (answer.held, answer.answered);
+    state.daemon.metrics.first_byte_s.observe(arrived.elapsed().as_secs_f64());
+    let status = answered.head.status;
+    log_relay!(
+        info,
+        RequestAnswered,
+        request_id = id,
+        status = status.as_u16(),
+        waited_ms,
+        attempts = answer.attempts,
+        route = request.route.name,
+        version = request.document_version
+    );
+    match answered.body {
+        AnswerSource::Whole(bytes) => {
+            state.daemon.metrics.answers.inc();
+            held.tell(Verdict::Sound);
+            answered.head.into_response(full(bytes))
+        }
+        AnswerSource::Events(live) => {
+            let body = stream::spawn(state, request, *live, held, answer.attempts, open);
+            answered.head.into_response(body)
+        }
+    }
+}
+
+fn refuse(id: &str, refusal: Refusal, arrived: Instant) -> Response<AnswerBody> {
+    let retry_after = match refusal.status() {
+        StatusCode::SERVICE_UNAVAILABLE => {
+            Some(Duration::from_millis(fastrand::u64(RETRY_AFTER_MS)))
+        }
+        _ => None,
+    };
+    log_relay!(
+        info,
+        RequestRefused,
+        request_id = id,
+        reason = refusal.name(),
+        status = refusal.status().as_u16(),
+        waited_ms = arrived.elapsed().as_millis() as u64,
+        retry_after_ms = retry_after.map(|it| it.as_millis() as u64)
+    );
+    refusal.answer(retry_after)
+}
+
+/// Status and headers of a target's answer.
+pub struct AnswerHead {
+    status: StatusCode,
+    headers: hyper::HeaderMap,
+}
+
+impl AnswerHead {
+    fn into_response(self, body: AnswerBody) -> Response<AnswerBody> {
+        let mut response = Response::new(body);
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
+
+enum AnswerSource {
+    Whole(Bytes),
+    Events(Box<Answered>),
+}
+
+struct ReadAnswer {
+    head: AnswerHead,
+    body: AnswerSource,
+}
+
+struct FinalAnswer {
+    answered: ReadAnswer,
+    held: Held,
+    attempts: u32,
+}
+
+/// Tries targets until one answers, the request may not be repeated, or the time runs out.
+async fn run(state: &Arc<RelayState>, request: &RelayRequest) -> Result<FinalAnswer, Refusal> {
+    let mut tried = Vec::new();
+    let (mut ran, mut refused) = (0, 0);
+    let mut last = Refusal::NoTarget;
+    loop {
+        if ran + refused > 0 && !state.may_repeat(&request.service) {
+            return Err(last);
+        }
+        let picked = match state.pick(&request.service, &tried) {
+            Ok(picked) => picked,
+            Err(_) if ran > 0 || refused > 0 => return Err(last),
+            Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
+            Err(NoTarget::Full) => return Err(Refusal::Full),
+        };
+        tried.push(picked.key);
+        let held = Held::new(state, picked.key);
+        log_sent(request, &picked, ran + refused + 1);
+        let ended = tokio::time::timeout_at(request.due, async {
+            let end = attempt::send(state, request, &picked, None).await;
+            read_answer(state, request, &picked, end).await
+        });
+        let Ok((end, answer)) = ended.await else {
+            held.tell(Verdict::Lost);
+            log_ended(request, &picked, "timeout");
+            return Err(Refusal::TimeOutSent);
+        };
+        log_ended(request, &picked, end.name);
+        if let Some(answered) = answer {
+            let is_last =
+                !should_repeat_failure(request, &answered) || ran + 1 >= request.route.attempts_max;
+            if is_last || !state.may_repeat(&request.service) {
+                return Ok(FinalAnswer { answered, held, attempts: ran + refused + 1 });
+            }
+            // The repeat is paid for already.
+            held.tell(end.verdict);
+            ran += 1;
+            last = Refusal::RunUnknown;
+            continue;
+        }
+        held.tell(end.verdict);
+        match end.run {
+            Run::No => {
+                refused += 1;
+                last = Refusal::NotRun;
+                if ran > 0 {
+                    last = Refusal::RunUnknown;
+                }
+                if refused >= REFUSED_MAX {
+                    return Err(last);
+                }
+            }
+            Run::Unknown => {
+                ran += 1;
+                last = Refusal::RunUnknown;
+                if !request.route.may_repeat() || ran >= request.route.attempts_max {
+                    return Err(last);
+                }
+            }
+        }
+    }
+}
+
+/// A target's own failure is final unless the request is idempotent and plain.
+fn should_repeat_failure(request: &RelayRequest, answered: &ReadAnswer) -> bool {
+    request.route.kind == RequestKind::Idempotent && answered.head.status.is_server_error()
+}
+
+enum Run {
+    No,
+    Unknown,
+}
+
+struct Ended {
+    name: &'static str,
+    verdict: Verdict,
+    run: Run,
+}
+
+/// Reads a plain answer whole; the body of a stream is left to be passed on.
+async fn read_answer(
+    state: &Arc<RelayState>,
+    request: &RelayRequest,
+    picked: &Picked,
+    end: AttemptEnd,
+) -> (Ended, Option<ReadAnswer>) {
+    let (name, verdict) = (end.name(), end.verdict());
+    let answered = match end {
+        AttemptEnd::Answered(answered) => answered,
+        AttemptEnd::NotRun { .. } | AttemptEnd::NotSent { .. } => {
+            return (Ended { name, verdict, run: Run::No }, None);
+        }
+        AttemptEnd::Unknown { error } => {
+            tracing::debug!(request_id = request.id, target_id = picked.id, error);
+            return (Ended { name, verdict, run: Run::Unknown }, None);
+        }
+    };
+    let status = answered.response.status();
+    let head = AnswerHead { status, headers: headers::pass_on(answered.response.headers(), &[]) };
+    let ended = Ended { name, verdict, run: Run::Unknown };
+    if request.route.kind == RequestKind::Stream && status.is_success() {
+        return (ended, Some(ReadAnswer { head, body: AnswerSource::Events(answered) }));
+    }
+    let Answered { response, connection, address } = *answered;
+    let (parts, body) = response.into_parts();
+    match Limited::new(body, HELD_ANSWER_BYTES_MAX).collect().await {
+        Ok(collected) => {
+            state.pool.give_back(&address, connection, &parts.headers);
+            let body = AnswerSource::Whole(collected.to_bytes());
+            (ended, Some(ReadAnswer { head, body }))
+        }
+        Err(_) => (Ended { name: "cut", verdict: Verdict::Lost, run: Run::Unknown }, None),
+    }
+}
+
+fn log_sent(request: &RelayRequest, picked: &Picked, attempt: u32) {
+    log_relay!(
+        info,
+        AttemptSent,
+        request_id = request.id,
+        attempt,
+        target_id = picked.id,
+        own = picked.own,
+        others = picked.others,
+        candidates = picked.candidates,
+        team = request.team,
+        version = request.document_version
+    );
+}
+
+fn log_ended(request: &RelayRequest, picked: &Picked, outcome: &str) {
+    log_relay!(info, AttemptEnded, request_id = request.id, target_id = picked.id, outcome);
+}
--- /dev/null
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -0,0 +1,19 @@
+//! Passing requests on over HTTP to targets that are found by host and path.
+#![warn(missing_docs)]
+
+pub mod answer;
+pub mod attempt;
+pub mod control_api;
+pub mod dialect;
+pub mod forward;
+pub mod headers;
+pub mod loads;
+pub mod log;
+pub mod pool;
+pub mod readiness;
+pub mod relay;
+pub mod request;
+pub mod server;
+pub mod settings;
+pub mod state;
+pub mod stream;
--- /dev/null
+++ b/crates/bilberryloft-relay/src/loads.rs
@@ -0,0 +1,143 @@
+//! Telling the other entries how many requests this one has at each target, by datagrams.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use bilberryloft_transport::clock::monotonic_ms;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+
+use crate::state::RelayState;
+
+/// Time between two looks at the own loads.
+const LOOK_INTERVAL: Duration = Duration::from_millis(40);
+/// Longest time without a datagram, so that an idle entry still counts.
+const REPEAT_AFTER: Duration = Duration::from_millis(400);
+/// Time after which an entry that is not heard gets no more datagrams.
+const SILENT_AFTER_MS: u64 = 5_000;
+/// Largest datagram in bytes.
+const DATAGRAM_BYTES_MAX: usize = 16 << 10;
+
+/// One entry's word to another.
+#[derive(Debug, Serialize, Deserialize)]
+struct LoadMessage {
+    /// Name of the sender.
+    entry: String,
+    /// Where it takes datagrams.
+    address: SocketAddr,
+    /// Other entries that it knows.
+    known: Vec<SocketAddr>,
+    /// Requests in flight by target.
+    loads: BTreeMap<String, u32>,
+}
+
+struct Loads {
+    state: Arc<RelayState>,
+    socket: UdpSocket,
+    own_address: SocketAddr,
+    heard_ms: BTreeMap<SocketAddr, u64>,
+    sent: BTreeMap<String, u32>,
+    sent_at: Instant,
+}
+
+/// Starts telling and listening.
+pub async fn spawn_loads(state: Arc<RelayState>) -> Result<()> {
+    let address = state.settings.load_address.clone();
+    let socket =
+        UdpSocket::bind(&address).await.map_err(|it| Error::network("listen", &address, it))?;
+    let own_address = socket.local_addr().map_err(|it| Error::network("listen", &address, it))?;
+    let loads = Loads {
+        state,
+        socket,
+        own_address,
+        heard_ms: BTreeMap::new(),
+        sent: BTreeMap::new(),
+        sent_at: Instant::now(),
+    };
+    tokio::spawn(loads.run());
+    Ok(())
+}
+
+impl Loads {
+    async fn run(mut self) {
+        let mut looks = tokio::time::interval(LOOK_INTERVAL);
+        looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => {
+                    if let Ok((length, _)) = received {
+                        self.take(&buffer[..length]);
+                    }
+                }
+                _ = looks.tick() => self.look().await,
+            }
+        }
+    }
+
+    fn take(&mut self, bytes: &[u8]) {
+        let Ok(message) = serde_json::from_slice::<LoadMessage>(bytes) else {
+            tracing::debug!("a datagram could not be read");
+            return;
+        };
+        let now_ms = monotonic_ms();
+        self.heard_ms.insert(message.address, now_ms);
+        for address in message.known {
+            // One that is known only by hearsay gets datagrams for a while, and answers if it is there.
+            self.heard_ms.entry(address).or_insert(now_ms);
+        }
+        self.state.board.lock().note_entry(&message.entry, message.loads, now_ms);
+    }
+
+    async fn look(&mut self) {
+        let now_ms = monotonic_ms();
+        let (loads, entries) = {
+            let mut board = self.state.board.lock();
+            (board.own_loads(), board.expire_entries(now_ms))
+        };
+        self.state.set_entries(entries);
+        self.heard_ms.retain(|_, heard_ms| *heard_ms + SILENT_AFTER_MS > now_ms);
+        if loads == self.sent && self.sent_at.elapsed() < REPEAT_AFTER {
+            return;
+        }
+        self.sent = loads;
+        self.sent_at = Instant::now();
+        self.tell().await;
+    }
+
+    async fn tell(&self) {
+        let message = LoadMessage {
+            entry: self.state.daemon.settings.daemon.clone(),
+            address: self.own_address,
+            known: self.heard_ms.keys().copied().collect(),
+            loads: self.sent.clone(),
+        };
+        let Ok(bytes) = serde_json::to_vec(&message) else {
+            return;
+        };
+        for address in self.peers() {
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                tracing::debug!(%error, %address, "a datagram could not be sent");
+            }
+        }
+    }
+
+    /// Entries that were heard lately, and those on control hosts, from which the others become known.
+    fn peers(&self) -> BTreeSet<SocketAddr> {
+        let port = self.own_address.port();
+        let control = self.state.daemon.control.addresses();
+        let seeds = control.iter().filter_map(|it| it.parse::<SocketAddr>().ok());
+        let mut peers: BTreeSet<SocketAddr> =
+            seeds.map(|it| SocketAddr::new(it.ip(), port)).collect();
+        peers.extend(self.heard_ms.keys());
+        peers.remove(&self.own_address);
+        peers
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -0,0 +1,108 @@
+//! A running relay on top of a running daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_daemon::daemon::Daemon;
+use bilberryloft_daemon::events::Event;
+use bilberryloft_daemon::log_event;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use tokio::time::Instant;
+
+use crate::control_api::serve_control_api;
+use crate::dialect::Dialect;
+use crate::loads::spawn_loads;
+use crate::log_relay;
+use crate::readiness::serve_readiness;
+use crate::server::CallerServer;
+use crate::server::Stage;
+use crate::settings::ProgramSettings;
+use crate::state::RelayState;
+
+/// Time for which a stopping relay still takes connections: the balancer needs two refusals, a second apart.
+const NOTICE: Duration = Duration::from_millis(2_300);
+/// Time between looks at the requests that are still open.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+/// Time that is left for the end of the process.
+const END_RESERVE: Duration = Duration::from_millis(400);
+/// Time between sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A running relay; it ends with [`Relay::shutdown`].
+pub struct Relay {
+    daemon: Daemon,
+    state: Arc<RelayState>,
+    callers: CallerServer,
+}
+
+impl Relay {
+    /// Starts the daemon and the relay; returns once every address is bound.
+    pub fn spawn(settings: ProgramSettings, dialect: Arc<dyn Dialect>) -> Result<Relay> {
+        let daemon = Daemon::spawn(settings.daemon)?;
+        let state = Arc::new(RelayState::new(daemon.shared().clone(), settings.relay, dialect));
+        let traffic = daemon
+            .traffic()
+            .ok_or(Error::Closed { step: "start", peer: "the traffic threads".to_string() })?;
+        let callers = traffic.block_on(start(state.clone()))?;
+        log_relay!(info, RelayStarted, daemon = state.daemon.settings.daemon);
+        Ok(Relay { daemon, state, callers })
+    }
+
+    /// Takes the seeds of settings that were read again; all else needs a restart.
+    pub fn reload(&self, settings: &ProgramSettings) {
+        let seeds = &settings.daemon.control_addresses;
+        self.state.daemon.control.set_seeds(seeds);
+        log_event!(info, Event::SettingsReloaded, ?seeds);
+    }
+
+    /// Stops gracefully: no longer ready, then no new connections, then the end of all requests.
+    pub fn shutdown(self) {
+        let until = Instant::now() + Duration::from_millis(self.state.settings.stop_within_ms);
+        let until = until - END_RESERVE;
+        log_relay!(info, RelayStopping, open = self.state.open_requests());
+        self.state.begin_stop();
+        self.callers.set_stage(Stage::Closing);
+        std::thread::sleep(NOTICE);
+        self.callers.set_stage(Stage::Closed);
+        while self.state.open_requests() > 0 && Instant::now() < until {
+            std::thread::sleep(STOP_LOOK);
+        }
+        std::thread::sleep(STOP_LOOK);
+        log_relay!(info, RelayStopped, open = self.state.open_requests());
+        drop(self.daemon);
+    }
+}
+
+async fn start(state: Arc<RelayState>) -> Result<CallerServer> {
+    spawn_refresh(state.clone());
+    spawn_sweep(state.clone());
+    spawn_loads(state.clone()).await?;
+    serve_control_api(state.clone()).await?;
+    let callers = CallerServer::bind(state.clone()).await?;
+    serve_readiness(state).await?;
+    Ok(callers)
+}
+
+/// Keeps routes and targets as the daemon learns them.
+fn spawn_refresh(state: Arc<RelayState>) {
+    tokio::spawn(async move {
+        let mut versions = state.daemon.view.versions();
+        loop {
+            state.refresh_table();
+            state.refresh_targets();
+            if versions.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+fn spawn_sweep(state: Arc<RelayState>) {
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(SWEEP_INTERVAL).await;
+            state.pool.sweep();
+        }
+    });
+}
--- /dev/null
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -0,0 +1,131 @@
+//! A caller's request, read whole and checked.
+
+use std::time::Duration;
+
+use bilberryloft_routing::document::Route;
+use bilberryloft_routing::route_table::Caller;
+use bilberryloft_routing::route_table::RouteTable;
+use bilberryloft_routing::route_table::pick_share;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::header;
+use tokio::time::Instant;
+
+use crate::answer::Refusal;
+use crate::dialect::Dialect;
+use crate::headers;
+
+/// Least time that a target is told, in milliseconds.
+const TIME_LEFT_MIN_MS: u64 = 1;
+
+/// A request that may be sent to a target.
+#[derive(Clone, Debug)]
+pub struct RelayRequest {
+    /// Caller's id of the attempt; empty when it named none.
+    pub id: String,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// When its final answer is due.
+    pub due: Instant,
+    /// Route that takes it.
+    pub route: Route,
+    /// Service that gets it.
+    pub service: String,
+    /// Team of the caller.
+    pub team: Option<String>,
+    /// Class of urgency, 0 is most urgent.
+    pub urgency: u8,
+    /// Version of the document that decided.
+    pub document_version: u64,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target_path: String,
+    /// Headers for the target.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl RelayRequest {
+    /// Time until the final answer is due.
+    pub fn time_left(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
+    /// The same in whole milliseconds, for a target.
+    pub fn time_left_ms(&self) -> u64 {
+        (self.time_left().as_millis() as u64).max(TIME_LEFT_MIN_MS)
+    }
+}
+
+/// Reads a request; the error is the relay's own answer.
+pub async fn read(
+    request: Request<Incoming>,
+    table: &RouteTable,
+    dialect: &dyn Dialect,
+    arrived: Instant,
+) -> Result<RelayRequest, Refusal> {
+    if table.version() == 0 {
+        return Err(Refusal::NoDocument);
+    }
+    let (parts, body) = request.into_parts();
+    let host = match parts.uri.host() {
+        Some(host) => host,
+        None => headers::text(&parts.headers, &header::HOST).unwrap_or_default(),
+    };
+    let route = table.find(host, parts.uri.path()).ok_or(Refusal::NoRoute)?;
+    let key = key_of(&parts.headers, dialect.authorization_scheme());
+    let caller = if route.is_public { Caller::Anyone } else { table.caller(key) };
+    let team = match caller {
+        Caller::Anyone => None,
+        Caller::Team(team) => Some(team),
+        Caller::Unknown => return Err(Refusal::UnknownKey),
+    };
+    let body = read_body(body, table.limits().body_bytes_max).await?;
+    let names = dialect.headers();
+    let wait_ms = headers::text(&parts.headers, &names.time_left).and_then(|it| it.parse().ok());
+    let wait_ms = wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let own = [&names.time_left, &names.team, &names.expected_target, &names.urgency];
+    let mut passed = headers::pass_on(&parts.headers, &own);
+    passed.remove(header::AUTHORIZATION);
+    passed.remove(header::CONTENT_LENGTH);
+    let service = pick_share(route, fastrand::f64()).ok_or(Refusal::NoTarget)?;
+    Ok(RelayRequest {
+        id: headers::text(&parts.headers, &names.request_id).unwrap_or_default().to_string(),
+        arrived,
+        due: arrived + Duration::from_millis(wait_ms),
+        service: service.to_string(),
+        team: team.map(|it| it.name.clone()),
+        urgency: team.and_then(|it| it.priority).unwrap_or(route.priority).min(9),
+        route: route.clone(),
+        document_version: table.version(),
+        method: parts.method,
+        target_path: parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_string(),
+        headers: passed,
+        body,
+    })
+}
+
+fn key_of<'a>(headers: &'a HeaderMap, scheme: &str) -> Option<&'a str> {
+    let value = headers::text(headers, &header::AUTHORIZATION)?;
+    let (given, key) = value.split_once(' ')?;
+    given.eq_ignore_ascii_case(scheme).then(|| key.trim())
+}
+
+async fn read_body(body: Incoming, bytes_max: usize) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > bytes_max as u64 {
+        return Err(Refusal::TooLarge);
+    }
+    match Limited::new(body, bytes_max).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
+        Err(_) => Err(Refusal::BadBody),
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-relay/src/settings.rs
@@ -0,0 +1,94 @@
+//! Settings of the relay, beside those of the daemon that it is a part of.
+
+use std::path::Path;
+
+use bilberryloft_daemon::settings::Settings;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of a whole program.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProgramSettings {
+    /// The daemon.
+    pub daemon: Settings,
+    /// Its relay.
+    pub relay: RelaySettings,
+}
+
+/// Settings of the relay.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySettings {
+    /// Address for callers.
+    pub caller_address: String,
+    /// Address for the balancer's question whether the relay is ready.
+    pub ready_address: String,
+    /// Address for operators' documents and targets' announcements.
+    pub control_api_address: String,
+    /// Address for datagrams from other entries.
+    pub load_address: String,
+    /// Longest time from the wish to stop to the end of the process, in milliseconds.
+    pub stop_within_ms: u64,
+    /// Repeats for each request, over all entries.
+    pub retry_ratio: f64,
+    /// Repeats besides, over all entries and one window.
+    pub retry_slack: f64,
+    /// Window of the two, in milliseconds.
+    pub retry_window_ms: u64,
+}
+
+impl ProgramSettings {
+    /// Reads and checks a file.
+    pub fn open(path: &Path) -> Result<ProgramSettings> {
+        let text = std::fs::read_to_string(path).map_err(|it| Error::disk("read", path, it))?;
+        ProgramSettings::parse(&text, path)
+    }
+
+    /// Checks the text of a file; every fault is named at once.
+    pub fn parse(text: &str, path: &Path) -> Result<ProgramSettings> {
+        let faulty = |faults: Vec<String>| Error::Settings { path: path.to_path_buf(), faults };
+        let settings: ProgramSettings =
+            serde_json::from_str(text).map_err(|it| faulty(vec![it.to_string()]))?;
+        let mut faults = settings.daemon.find_faults();
+        faults.extend(settings.relay.find_faults());
+        if faults.is_empty() { Ok(settings) } else { Err(faulty(faults)) }
+    }
+}
+
+impl RelaySettings {
+    fn find_faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let addresses = [
+            ("relay.caller_address", &self.caller_address),
+            ("relay.ready_address", &self.ready_address),
+            ("relay.control_api_address", &self.control_api_address),
+            ("relay.load_address", &self.load_address),
+        ];
+        for (field, address) in addresses {
+            if address.parse::<std::net::SocketAddr>().is_err() {
+                faults.push(format!(
+                    "{field}: {address:?} must be an IP number and a port, such as 10.0.0.1:7400"
+                ));
+            }
+        }
+        if self.stop_within_ms < 1_000 {
+            faults.push(format!(
+                "relay.stop_within_ms: {} is under 1000, requests in flight need time to end",
+                self.stop_within_ms
+            ));
+        }
+        if !(0.0..=1.0).contains(&self.retry_ratio) {
+            faults.push(format!("relay.retry_ratio: {} is not in 0..=1", self.retry_ratio));
+        }
+        if self.retry_slack < 0.0 {
+            faults.push(format!("relay.retry_slack: {} is below 0", self.retry_slack));
+        }
+        if self.retry_window_ms < 100 {
+            faults.push(format!("relay.retry_window_ms: {} is under 100", self.retry_window_ms));
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -0,0 +1,199 @@
+//! What all parts of the relay share.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bilberryloft_daemon::daemon::Shared;
+use bilberryloft_routing::budget::BudgetLimits;
+use bilberryloft_routing::budget::RetryBudget;
+use bilberryloft_routing::route_table::RouteTable;
+use bilberryloft_routing::targets::NoTarget;
+use bilberryloft_routing::targets::Picked;
+use bilberryloft_routing::targets::TargetBoard;
+use bilberryloft_routing::targets::TargetFact;
+use bilberryloft_routing::targets::TargetKey;
+use bilberryloft_routing::targets::Verdict;
+use bilberryloft_state::membership::TargetRecord;
+use bilberryloft_transport::clock::monotonic_ms;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+
+use crate::dialect::Dialect;
+use crate::log_relay;
+use crate::pool::Pool;
+use crate::settings::RelaySettings;
+
+/// Requests that may wait at a target beyond its slots.
+const TARGET_QUEUE_MAX: u32 = 4;
+
+/// What all parts of the relay share.
+pub struct RelayState {
+    /// The daemon that the relay is a part of.
+    pub daemon: Arc<Shared>,
+    /// Names and formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// Settings.
+    pub settings: RelaySettings,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// What is known of targets.
+    pub board: Mutex<TargetBoard>,
+    table: RwLock<Arc<RouteTable>>,
+    budgets: Mutex<BTreeMap<String, RetryBudget>>,
+    entries: AtomicUsize,
+    open_requests: AtomicUsize,
+    is_stopping: AtomicBool,
+}
+
+impl RelayState {
+    /// Starts without routes and targets.
+    pub fn new(
+        daemon: Arc<Shared>,
+        settings: RelaySettings,
+        dialect: Arc<dyn Dialect>,
+    ) -> RelayState {
+        let board = TargetBoard::new(&daemon.settings.data_center);
+        RelayState {
+            daemon,
+            dialect,
+            settings,
+            pool: Pool::default(),
+            board: Mutex::new(board),
+            table: RwLock::default(),
+            budgets: Mutex::default(),
+            entries: AtomicUsize::new(1),
+            open_requests: AtomicUsize::new(0),
+            is_stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Routes in force.
+    pub fn table(&self) -> Arc<RouteTable> {
+        self.table.read().clone()
+    }
+
+    /// Puts the document that the daemon has learnt in force, if it is newer.
+    pub fn refresh_table(&self) {
+        let document = self.daemon.view.document();
+        let before = self.table().version();
+        if document.version <= before {
+            return;
+        }
+        match self.dialect.decode_document(document.text.as_bytes()) {
+            Ok(decoded) => {
+                let routes = decoded.routes.len();
+                *self.table.write() = Arc::new(RouteTable::new(decoded));
+                log_relay!(info, RoutesInForce, version = document.version, before, routes);
+            }
+            Err(error) => {
+                log_relay!(error, RoutesUnreadable, version = document.version, %error);
+            }
+        }
+    }
+
+    /// Takes the targets that the daemon has learnt.
+    pub fn refresh_targets(&self) {
+        let membership = self.daemon.view.membership();
+        let mut board = self.board.lock();
+        for record in membership.targets().values().filter(|it| it.description.direct) {
+            board.apply(fact_of(record));
+        }
+    }
+
+    /// Picks a target and counts the request there.
+    pub fn pick(&self, service: &str, tried: &[TargetKey]) -> Result<Picked, NoTarget> {
+        let mut board = self.board.lock();
+        board.pick(service, tried, TARGET_QUEUE_MAX, monotonic_ms(), fastrand::f64)
+    }
+
+    /// Takes a request off its target.
+    pub fn finish(&self, key: TargetKey, verdict: Verdict) {
+        self.board.lock().finish(key, verdict, monotonic_ms());
+    }
+
+    /// Counts a caller's request for a service.
+    pub fn note_request(&self, service: &str) {
+        self.with_budget(service, |it| it.note_request(monotonic_ms()));
+    }
+
+    /// Takes one repeat out of the budget of a service.
+    pub fn may_repeat(&self, service: &str) -> bool {
+        let entries = self.entries.load(Ordering::Relaxed);
+        self.with_budget(service, |it| it.take(entries, monotonic_ms()))
+    }
+
+    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock();
+        if !budgets.contains_key(service) {
+            let limits = BudgetLimits {
+                window_ms: self.settings.retry_window_ms,
+                ratio: self.settings.retry_ratio,
+                slack: self.settings.retry_slack,
+            };
+            budgets.insert(service.to_string(), RetryBudget::new(limits));
+        }
+        let budget = budgets.entry(service.to_string()).or_insert_with(|| unreachable!());
+        act(budget)
+    }
+
+    /// Takes the number of entries, this one included.
+    pub fn set_entries(&self, entries: usize) {
+        let before = self.entries.swap(entries, Ordering::Relaxed);
+        if before != entries {
+            log_relay!(info, EntriesChanged, entries, before);
+        }
+    }
+
+    /// Counts a request that is being served, until the value is dropped.
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        self.open_requests.fetch_add(1, Ordering::SeqCst);
+        OpenRequest { state: self.clone() }
+    }
+
+    /// Requests that are being served.
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::SeqCst)
+    }
+
+    /// Whether new requests are served.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.table().version() > 0
+    }
+
+    /// Whether the process ends soon.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::SeqCst)
+    }
+
+    /// Begins the end.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::SeqCst);
+    }
+}
+
+/// A request that is being served.
+pub struct OpenRequest {
+    state: Arc<RelayState>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.state.open_requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn fact_of(record: &TargetRecord) -> TargetFact {
+    TargetFact {
+        id: record.name.clone(),
+        incarnation: record.incarnation,
+        service: record.description.services.first().cloned().unwrap_or_default(),
+        address: record.description.agent_address.clone(),
+        data_center: record.description.data_center.clone(),
+        slots: record.description.slots,
+        is_leaving: record.description.leaving,
+        is_announced: record.reachable,
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -0,0 +1,223 @@
+//! Passing a stream of events on as they come, and going on at another target when one breaks off.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_routing::events::EventCutter;
+use bilberryloft_routing::targets::Verdict;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::answer::AnswerBody;
+use crate::answer::BrokenOff;
+use crate::attempt;
+use crate::attempt::Answered;
+use crate::attempt::AttemptEnd;
+use crate::forward::Held;
+use crate::log_relay;
+use crate::request::RelayRequest;
+use crate::state::OpenRequest;
+use crate::state::RelayState;
+
+/// Pieces that wait for a slow caller.
+const PIECES_MAX: usize = 8;
+/// Longest silence after which a stream that broke off is still worth going on with; callers leave at two
+/// seconds.
+const RESUME_WITHIN: Duration = Duration::from_millis(1_700);
+/// Pause between two tries to go on.
+const RESUME_PAUSE: Duration = Duration::from_millis(120);
+/// Tries that targets refuse, at most.
+const RESUME_REFUSED_MAX: u32 = 6;
+
+type Piece = Result<Frame<Bytes>, BrokenOff>;
+
+/// How the body of one answer ended.
+enum BodyEnd {
+    /// At its true end.
+    Whole,
+    /// The target broke off.
+    Broken,
+    /// The caller left.
+    CallerLeft,
+    /// The time of the request ran out.
+    TimeOut,
+}
+
+struct Relay {
+    state: Arc<RelayState>,
+    request: RelayRequest,
+    pieces: mpsc::Sender<Piece>,
+    cutter: EventCutter,
+    last_piece: Instant,
+    events_bytes: usize,
+    _open: OpenRequest,
+}
+
+/// Starts passing a stream on; dropping the body ends it, at the target too.
+pub fn spawn(
+    state: Arc<RelayState>,
+    request: RelayRequest,
+    first: Answered,
+    held: Held,
+    attempts: u32,
+    open: OpenRequest,
+) -> AnswerBody {
+    let (pieces, mut queue) = mpsc::channel(PIECES_MAX);
+    let relay = Relay {
+        state,
+        request,
+        pieces,
+        cutter: EventCutter::default(),
+        last_piece: Instant::now(),
+        events_bytes: 0,
+        _open: open,
+    };
+    tokio::spawn(relay.run(first, held, attempts));
+    let stream = futures_util::stream::poll_fn(move |context| queue.poll_recv(context));
+    BodyExt::boxed(StreamBody::new(stream.fuse()))
+}
+
+impl Relay {
+    async fn run(mut self, first: Answered, held: Held, attempts: u32) {
+        let mut answered = first;
+        let mut held = held;
+        let mut runs = attempts;
+        loop {
+            match self.pass_on(answered).await {
+                BodyEnd::Whole => {
+                    held.tell(Verdict::Sound);
+                    self.state.daemon.metrics.answers.inc();
+                    return;
+                }
+                BodyEnd::CallerLeft => {
+                    log_relay!(info, CallerLeft, request_id = self.request.id, at = "stream");
+                    return;
+                }
+                BodyEnd::TimeOut => return self.give_up("timeout").await,
+                BodyEnd::Broken => held.tell(Verdict::Lost),
+            }
+            self.cutter.drop_partial();
+            match self.resume(runs).await {
+                Some((next, next_held)) => {
+                    answered = next;
+                    held = next_held;
+                    runs += 1;
+                }
+                None => return self.give_up("target_broke_off").await,
+            }
+        }
+    }
+
+    async fn give_up(&self, reason: &str) {
+        log_relay!(
+            warn,
+            StreamBroken,
+            request_id = self.request.id,
+            reason,
+            bytes = self.events_bytes,
+            last_id = self.cutter.last_id()
+        );
+        let _ = self.pieces.send(Err(BrokenOff)).await;
+    }
+
+    async fn pass_on(&mut self, answered: Answered) -> BodyEnd {
+        let Answered { response, connection, address } = answered;
+        let (parts, mut body) = response.into_parts();
+        let end = loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.pieces.closed() => break BodyEnd::CallerLeft,
+                () = tokio::time::sleep_until(self.request.due) => break BodyEnd::TimeOut,
+            };
+            match frame {
+                None if self.cutter.has_partial() => break BodyEnd::Broken,
+                None => break BodyEnd::Whole,
+                Some(Err(_)) => break BodyEnd::Broken,
+                Some(Ok(frame)) => {
+                    if let Some(end) = self.pass_frame(frame).await {
+                        break end;
+                    }
+                }
+            }
+        };
+        if matches!(end, BodyEnd::Whole) {
+            self.state.pool.give_back(&address, connection, &parts.headers);
+        }
+        end
+    }
+
+    async fn pass_frame(&mut self, frame: Frame<Bytes>) -> Option<BodyEnd> {
+        let Ok(bytes) = frame.into_data() else {
+            return None;
+        };
+        let Ok(whole) = self.cutter.take(&bytes) else {
+            return Some(BodyEnd::Broken);
+        };
+        if whole.is_empty() {
+            return None;
+        }
+        self.last_piece = Instant::now();
+        self.events_bytes += whole.len();
+        self.state.daemon.metrics.pieces.inc();
+        match self.pieces.send(Ok(Frame::data(Bytes::from(whole)))).await {
+            Ok(()) => None,
+            Err(_) => Some(BodyEnd::CallerLeft),
+        }
+    }
+
+    /// Goes on behind the last event at another target, within the pause that callers bear.
+    async fn resume(&mut self, runs: u32) -> Option<(Answered, Held)> {
+        let route = &self.request.route;
+        if !route.is_resumable || runs >= route.attempts_max {
+            return None;
+        }
+        let until = (self.last_piece + RESUME_WITHIN).min(self.request.due);
+        let mut refused = 0;
+        while Instant::now() < until && refused < RESUME_REFUSED_MAX {
+            if self.pieces.is_closed() || !self.state.may_repeat(&self.request.service) {
+                return None;
+            }
+            let Ok(picked) = self.state.pick(&self.request.service, &[]) else {
+                tokio::time::sleep(RESUME_PAUSE).await;
+                refused += 1;
+                continue;
+            };
+            let held = Held::new(&self.state, picked.key);
+            let after = self.cutter.last_id();
+            let sent = attempt::send(&self.state, &self.request, &picked, after);
+            let Ok(end) = tokio::time::timeout_at(until, sent).await else {
+                held.tell(Verdict::Lost);
+                return None;
+            };
+            log_relay!(
+                info,
+                StreamResumed,
+                request_id = self.request.id,
+                target_id = picked.id,
+                outcome = end.name(),
+                after
+            );
+            let verdict = end.verdict();
+            match end {
+                AttemptEnd::Answered(it) if it.response.status().is_success() => {
+                    return Some((*it, held));
+                }
+                AttemptEnd::Answered(_) | AttemptEnd::Unknown { .. } => {
+                    held.tell(verdict);
+                    return None;
+                }
+                AttemptEnd::NotRun { .. } | AttemptEnd::NotSent { .. } => {
+                    held.tell(verdict);
+                    refused += 1;
+                    tokio::time::sleep(RESUME_PAUSE).await;
+                }
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/bilberryloft-routing/src/route_table.rs
@@ -0,0 +1,114 @@
+//! Finding the route and the team of a request.
+
+use std::collections::BTreeMap;
+
+use crate::document::Document;
+use crate::document::Limits;
+use crate::document::Route;
+use crate::document::Service;
+use crate::document::TeamKeys;
+
+/// Key of a route in a [`RouteTable`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouteKey(usize);
+
+/// A document made ready for look-ups.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    routes: Vec<Route>,
+    places: BTreeMap<String, BTreeMap<String, RouteKey>>,
+    services: BTreeMap<String, Service>,
+    teams: Option<Vec<TeamKeys>>,
+    team_of_key: BTreeMap<String, usize>,
+    limits: Limits,
+}
+
+/// Who a caller is, by its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Caller<'a> {
+    /// No key is asked for.
+    Anyone,
+    /// The key names a team.
+    Team(&'a TeamKeys),
+    /// No team has the key.
+    Unknown,
+}
+
+impl RouteTable {
+    /// Makes the table of a checked document.
+    pub fn new(document: Document) -> RouteTable {
+        let mut places: BTreeMap<String, BTreeMap<String, RouteKey>> = BTreeMap::new();
+        for (at, route) in document.routes.iter().enumerate() {
+            let host = places.entry(route.host.to_ascii_lowercase()).or_default();
+            host.insert(route.path_prefix.clone(), RouteKey(at));
+        }
+        let mut team_of_key = BTreeMap::new();
+        for (at, team) in document.teams.iter().flatten().enumerate() {
+            for key in &team.keys {
+                team_of_key.insert(key.clone(), at);
+            }
+        }
+        let services = document.services.into_iter().map(|it| (it.name.clone(), it)).collect();
+        RouteTable {
+            version: document.version,
+            routes: document.routes,
+            places,
+            services,
+            teams: document.teams,
+            team_of_key,
+            limits: document.limits,
+        }
+    }
+
+    /// Version of the document.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What a caller may send.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
+    /// The route with the longest prefix of the path, among those of the host.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let prefixes = self.places.get(&host.to_ascii_lowercase())?;
+        let ends = path.bytes().enumerate().rev().filter(|(_, it)| *it == b'/').map(|(at, _)| at);
+        let key = ends.into_iter().find_map(|at| prefixes.get(&path[..=at]))?;
+        self.routes.get(key.0)
+    }
+
+    /// The caller that a key names.
+    pub fn caller(&self, key: Option<&str>) -> Caller<'_> {
+        let Some(teams) = &self.teams else {
+            return Caller::Anyone;
+        };
+        let team = key.and_then(|it| self.team_of_key.get(it)).and_then(|at| teams.get(*at));
+        team.map_or(Caller::Unknown, Caller::Team)
+    }
+}
+
+/// Picks the service of a request by the weights; `draw` is uniform in 0..1.
+pub fn pick_share(route: &Route, draw: f64) -> Option<&str> {
+    let total: u64 = route.shares.iter().map(|it| it.weight).sum();
+    let mut left = (draw * total as f64) as u64;
+    for share in &route.shares {
+        if left < share.weight {
+            return Some(&share.service);
+        }
+        left -= share.weight;
+    }
+    None
+}
--- /dev/null
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -0,0 +1,301 @@
+//! Targets of each service, what is known of their load and health, and which one a request goes to.
+
+use std::collections::BTreeMap;
+
+/// Time for which a target that no longer announces itself is still used after its last answer, in
+/// milliseconds: it may have lost its path to control only.
+const UNANNOUNCED_USE_MS: u64 = 3_000;
+/// First rest of a target that could not be reached, in milliseconds; doubles with each failure in a row.
+const REST_FIRST_MS: u64 = 100;
+/// Longest rest, in milliseconds.
+const REST_MAX_MS: u64 = 1_600;
+/// Rest of a target that said it was full, in milliseconds.
+const REST_FULL_MS: u64 = 60;
+/// Weight of the latest outcome in a target's share of failures.
+const FAILURE_GAIN: f64 = 0.1;
+/// Requests that a target with only failures counts as having besides those it runs.
+const FAILURE_PENALTY: f64 = 12.0;
+/// Share of failures below which a target counts as sound.
+const FAILURE_TOLERATED: f64 = 0.2;
+/// Time after which another entry's load is no longer believed, in milliseconds.
+const OTHERS_VALID_MS: u64 = 1_500;
+/// Requests by which a target in the same data centre may be busier and still be picked.
+const NEAR_BONUS: f64 = 0.4;
+
+/// Key of a target in a [`TargetBoard`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TargetKey(usize);
+
+/// What control says of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetFact {
+    /// Name, kept over restarts.
+    pub id: String,
+    /// Life of the target; grows with each restart.
+    pub incarnation: u64,
+    /// Service that it is a part of.
+    pub service: String,
+    /// Address as `ip:port`.
+    pub address: String,
+    /// Data centre of its host.
+    pub data_center: String,
+    /// Requests that it runs side by side.
+    pub slots: u32,
+    /// Whether it gets no new work.
+    pub is_leaving: bool,
+    /// Whether it announces itself.
+    pub is_announced: bool,
+}
+
+/// How an attempt at a target ended, as far as it tells of the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answered.
+    Sound,
+    /// It answered that it failed.
+    Failed,
+    /// It was full and did not run the request.
+    Full,
+    /// It could not be reached, fell silent, or broke off.
+    Lost,
+    /// The caller left, which says nothing.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    fact: TargetFact,
+    own: u32,
+    others: u32,
+    failures: f64,
+    lost_in_a_row: u32,
+    rest_until_ms: u64,
+    sound_ms: Option<u64>,
+}
+
+impl Target {
+    fn new(fact: TargetFact) -> Target {
+        Target {
+            fact,
+            own: 0,
+            others: 0,
+            failures: 0.0,
+            lost_in_a_row: 0,
+            rest_until_ms: 0,
+            sound_ms: None,
+        }
+    }
+
+    fn is_eligible(&self, now_ms: u64) -> bool {
+        let answered_lately = self.sound_ms.is_some_and(|it| it + UNANNOUNCED_USE_MS > now_ms);
+        !self.fact.is_leaving && (self.fact.is_announced || answered_lately)
+    }
+
+    fn load(&self) -> u32 {
+        self.own + self.others
+    }
+
+    fn penalty(&self) -> f64 {
+        (self.failures - FAILURE_TOLERATED).max(0.0) * FAILURE_PENALTY
+    }
+}
+
+#[derive(Clone, Debug)]
+struct OtherEntry {
+    heard_ms: u64,
+    loads: BTreeMap<String, u32>,
+}
+
+/// A target that was picked, with the inputs that decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Picked {
+    /// Its key.
+    pub key: TargetKey,
+    /// Its name.
+    pub id: String,
+    /// Its address.
+    pub address: String,
+    /// Own requests there, before this one.
+    pub own: u32,
+    /// Requests of other entries there, as they said last.
+    pub others: u32,
+    /// Targets that were compared.
+    pub candidates: usize,
+}
+
+/// Why no target was picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTarget {
+    /// The service has no target that takes work.
+    Absent,
+    /// All targets have as many requests as they may.
+    Full,
+}
+
+/// What one entry knows of all targets.
+#[derive(Debug, Default)]
+pub struct TargetBoard {
+    data_center: String,
+    targets: Vec<Target>,
+    by_id: BTreeMap<String, TargetKey>,
+    by_service: BTreeMap<String, Vec<TargetKey>>,
+    entries: BTreeMap<String, OtherEntry>,
+}
+
+impl TargetBoard {
+    /// Starts without targets, for an entry in a data centre.
+    pub fn new(data_center: &str) -> TargetBoard {
+        TargetBoard { data_center: data_center.to_string(), ..TargetBoard::default() }
+    }
+
+    /// Takes what control says of a target.
+    pub fn apply(&mut self, fact: TargetFact) {
+        let key = match self.by_id.get(&fact.id).copied() {
+            Some(key) => {
+                let target = &mut self.targets[key.0];
+                if target.fact.incarnation == fact.incarnation {
+                    target.fact = fact;
+                    return;
+                }
+                if target.fact.service != fact.service {
+                    self.by_service
+                        .entry(target.fact.service.clone())
+                        .or_default()
+                        .retain(|it| *it != key);
+                }
+                // A new life has none of the requests and failures of the one before.
+                let own = target.own;
+                *target = Target { own, ..Target::new(fact.clone()) };
+                key
+            }
+            None => {
+                let key = TargetKey(self.targets.len());
+                self.targets.push(Target::new(fact.clone()));
+                self.by_id.insert(fact.id.clone(), key);
+                key
+            }
+        };
+        let keys = self.by_service.entry(fact.service).or_default();
+        if !keys.contains(&key) {
+            keys.push(key);
+        }
+    }
+
+    /// Takes another entry's requests in flight, by target.
+    pub fn note_entry(&mut self, entry: &str, loads: BTreeMap<String, u32>, now_ms: u64) {
+        self.entries.insert(entry.to_string(), OtherEntry { heard_ms: now_ms, loads });
+        self.sum_others(now_ms);
+    }
+
+    /// Forgets entries that have fallen silent; returns the number of entries, this one included.
+    pub fn expire_entries(&mut self, now_ms: u64) -> usize {
+        let before = self.entries.len();
+        self.entries.retain(|_, it| it.heard_ms + OTHERS_VALID_MS > now_ms);
+        if self.entries.len() != before {
+            self.sum_others(now_ms);
+        }
+        self.entries.len() + 1
+    }
+
+    fn sum_others(&mut self, now_ms: u64) {
+        for target in &mut self.targets {
+            target.others = 0;
+        }
+        for entry in self.entries.values().filter(|it| it.heard_ms + OTHERS_VALID_MS > now_ms) {
+            for (id, load) in &entry.loads {
+                if let Some(key) = self.by_id.get(id) {
+                    self.targets[key.0].others += load;
+                }
+            }
+        }
+    }
+
+    /// Own requests in flight by target, for the other entries.
+    pub fn own_loads(&self) -> BTreeMap<String, u32> {
+        let busy = self.targets.iter().filter(|it| it.own > 0);
+        busy.map(|it| (it.fact.id.clone(), it.own)).collect()
+    }
+
+    /// Facts of a service's targets that take work.
+    pub fn present(&self, service: &str, now_ms: u64) -> Vec<&TargetFact> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let targets = keys.map(|it| &self.targets[it.0]);
+        targets.filter(|it| it.is_eligible(now_ms)).map(|it| &it.fact).collect()
+    }
+
+    /// Picks the target that has the fewest requests, and counts one more there. `queue_max` requests may
+    /// wait at a target beyond its slots; `draw` orders targets that are equal.
+    pub fn pick(
+        &mut self,
+        service: &str,
+        tried: &[TargetKey],
+        queue_max: u32,
+        now_ms: u64,
+        mut draw: impl FnMut() -> f64,
+    ) -> Result<Picked, NoTarget> {
+        let mut candidates = 0;
+        let mut resting = None;
+        let mut best: Option<(f64, TargetKey)> = None;
+        for key in self.by_service.get(service).into_iter().flatten().copied() {
+            let target = &self.targets[key.0];
+            if !target.is_eligible(now_ms) || tried.contains(&key) {
+                continue;
+            }
+            candidates += 1;
+            if target.load() >= target.fact.slots + queue_max {
+                continue;
+            }
+            if target.rest_until_ms > now_ms {
+                let is_sooner = resting.is_none_or(|(until_ms, _)| target.rest_until_ms < until_ms);
+                resting = if is_sooner { Some((target.rest_until_ms, key)) } else { resting };
+                continue;
+            }
+            let is_near = target.fact.data_center == self.data_center;
+            let near = if is_near { NEAR_BONUS } else { 0.0 };
+            let score = f64::from(target.load()) + target.penalty() - near + 0.3 * draw();
+            if best.is_none_or(|it| score < it.0) {
+                best = Some((score, key));
+            }
+        }
+        let chosen = best.map(|it| it.1).or(resting.map(|it| it.1));
+        let Some(key) = chosen else {
+            return Err(if candidates == 0 { NoTarget::Absent } else { NoTarget::Full });
+        };
+        let target = &mut self.targets[key.0];
+        let picked = Picked {
+            key,
+            id: target.fact.id.clone(),
+            address: target.fact.address.clone(),
+            own: target.own,
+            others: target.others,
+            candidates,
+        };
+        target.own += 1;
+        Ok(picked)
+    }
+
+    /// Takes a request off its target.
+    pub fn finish(&mut self, key: TargetKey, verdict: Verdict, now_ms: u64) {
+        let target = &mut self.targets[key.0];
+        target.own = target.own.saturating_sub(1);
+        let failed = match verdict {
+            Verdict::Sound => 0.0,
+            Verdict::Failed | Verdict::Lost => 1.0,
+            Verdict::Full | Verdict::Unknown => target.failures,
+        };
+        target.failures += FAILURE_GAIN * (failed - target.failures);
+        match verdict {
+            Verdict::Sound | Verdict::Failed => {
+                target.sound_ms = Some(now_ms);
+                target.lost_in_a_row = 0;
+            }
+            Verdict::Full => target.rest_until_ms = now_ms + REST_FULL_MS,
+            Verdict::Lost => {
+                let rest_ms = (REST_FIRST_MS << target.lost_in_a_row.min(6)).min(REST_MAX_MS);
+                target.lost_in_a_row += 1;
+                target.rest_until_ms = now_ms + rest_ms;
+            }
+            Verdict::Unknown => {}
+        }
+    }
+}
--- a/crates/bilberryloft-state/src/lib.rs
+++ b/crates/bilberryloft-state/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod claim;
 pub mod configuration;
+pub mod document;
 pub mod error;
 pub mod expert_register;
 pub mod folder;
--- a/crates/bilberryloft-state/src/machine.rs
+++ b/crates/bilberryloft-state/src/machine.rs
@@ -9,6 +9,7 @@
 use crate::configuration::ChangeOutcome;
 use crate::configuration::ChangeRequest;
 use crate::configuration::Configuration;
+use crate::document::StoredDocument;
 use crate::expert_register::Decision;
 use crate::expert_register::ExpertRegisters;
 use crate::expert_register::Settled;
@@ -23,6 +24,8 @@
 pub enum Command {
     /// A change of the configuration.
     Change(ChangeRequest),
+    /// Puts a whole document of routes and services in force, unless one of the same or a higher version is.
+    PutDocument(StoredDocument),
     /// Asks for the claim of a new piece of work.
     Claim {
         /// Key of the work.
@@ -65,6 +68,11 @@
         /// What it says of itself.
         description: TargetDescription,
     },
+    /// Marks a target as leaving, in its present incarnation.
+    Leave {
+        /// Name of the target.
+        name: String,
+    },
     /// Marks targets as unreachable, with the incarnations that lost their leases.
     Lose {
         /// Names and incarnations.
@@ -135,6 +143,11 @@
 pub enum Outcome {
     /// Answer to a change.
     Change(ChangeOutcome),
+    /// Version of the document in force after [`Command::PutDocument`].
+    Document {
+        /// Version in force.
+        version: u64,
+    },
     /// Answer to a claim or a move.
     Claim(ClaimOutcome),
     /// Answer to the wish for a trial.
@@ -161,6 +174,9 @@
 pub struct Machine {
     /// Operators' configuration.
     pub configuration: Configuration,
+    /// Routes and services, as one document.
+    #[serde(default)]
+    pub document: StoredDocument,
     /// Known targets.
     pub membership: Membership,
     /// Claims of non-idempotent requests.
@@ -199,6 +215,10 @@
             Command::Change(request) => {
                 Outcome::Change(self.configuration.decide(&request, now_ms))
             }
+            Command::PutDocument(document) => {
+                self.document.replace(document);
+                Outcome::Document { version: self.document.version }
+            }
             Command::Claim { key, request_id, fingerprint, site } => {
                 Outcome::Claim(self.claims.claim(&key, &request_id, fingerprint, &site, now_ms))
             }
@@ -220,6 +240,10 @@
                 self.membership.register(&name, incarnation, description, now_ms);
                 Outcome::Applied
             }
+            Command::Leave { name } => {
+                self.membership.leave(&name, now_ms);
+                Outcome::Applied
+            }
             Command::Lose { targets } => {
                 self.membership.lose(&targets, now_ms);
                 Outcome::Applied
--- a/crates/bilberryloft-state/src/membership.rs
+++ b/crates/bilberryloft-state/src/membership.rs
@@ -12,7 +12,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TargetDescription {
-    /// Address on which the agent takes dispatches, as `ip:port`.
+    /// Address on which the agent takes dispatches, as `ip:port`; of the target itself where no agent stands
+    /// beside it.
     pub agent_address: String,
     /// Data centre of the host.
     pub data_center: String,
@@ -26,6 +27,12 @@
     pub ranks: u32,
     /// Whether it refuses orders with an old fencing token.
     pub checks_fencing: bool,
+    /// Whether entries send requests to the target itself, over HTTP.
+    #[serde(default)]
+    pub direct: bool,
+    /// Whether the target leaves and gets no new work; an incarnation that has once said so never takes it back.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// One target as the quorum knows it.
@@ -45,6 +52,13 @@
     pub changed_at_ms: u64,
 }
 
+impl TargetRecord {
+    /// Whether an announcement takes back that this incarnation leaves: such a message is late.
+    fn refuses(&self, incarnation: u64, description: &TargetDescription) -> bool {
+        self.incarnation == incarnation && self.description.leaving && !description.leaving
+    }
+}
+
 /// All known targets.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Membership {
@@ -80,6 +94,7 @@
         match self.targets.get(name) {
             None => true,
             Some(known) if known.incarnation > incarnation => false,
+            Some(known) if known.refuses(incarnation, description) => false,
             Some(known) => {
                 !known.reachable
                     || known.incarnation != incarnation
@@ -111,6 +126,17 @@
         self.targets.insert(name.to_string(), record);
     }
 
+    /// Marks a target as leaving; one that is unknown or has said so already changes nothing.
+    pub fn leave(&mut self, name: &str, at_ms: u64) {
+        let Some(record) = self.targets.get_mut(name).filter(|it| !it.description.leaving) else {
+            return;
+        };
+        self.version += 1;
+        record.description.leaving = true;
+        record.changed_version = self.version;
+        record.changed_at_ms = at_ms;
+    }
+
     /// Marks targets whose lease ran out, all in one version, and forgets those gone for long.
     pub fn lose(&mut self, lost: &[(String, u64)], at_ms: u64) {
         self.version += 1;
--- a/crates/bilberryloft-state/tests/machine.rs
+++ b/crates/bilberryloft-state/tests/machine.rs
@@ -312,6 +312,8 @@
         slots: 4,
         ranks: 4,
         checks_fencing: false,
+        direct: false,
+        leaving: false,
     }
 }
 
--- a/crates/bilberryloft-testing/src/fleet.rs
+++ b/crates/bilberryloft-testing/src/fleet.rs
@@ -118,6 +118,7 @@
         election_ms: 300,
         snapshot_entries: 20_000,
         target_lease_ms: 2_000,
+        voters_wanted: 0,
     }
 }
 
--- a/crates/bilberryloft-testing/src/process.rs
+++ b/crates/bilberryloft-testing/src/process.rs
@@ -28,7 +28,7 @@
         let child = Command::new(program(name))
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
             .spawn()?;
         Ok(Process { child })
--- a/crates/bilberryloft-transport/src/client.rs
+++ b/crates/bilberryloft-transport/src/client.rs
@@ -24,13 +24,14 @@
 use crate::frame::OUTGOING_FRAMES_MAX;
 use crate::frame::read_envelope;
 use crate::frame::write_frames;
+use crate::socket::tune;
 
 /// Time for a connection to be made, handshake included.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// First pause after a failed connection; doubles up to the longest.
 const BACKOFF_FIRST_MS: u64 = 20;
 /// Longest pause after a failed connection.
-const BACKOFF_LAST_MS: u64 = 1_000;
+const BACKOFF_LAST_MS: u64 = 300;
 /// Frames of one answer that wait for a slow reader before the call is given up.
 const ANSWER_FRAMES_MAX: usize = 4_096;
 
@@ -187,7 +188,7 @@
         let stream = TcpStream::connect(address)
             .await
             .map_err(|it| Error::network("connect", address, it))?;
-        stream.set_nodelay(true).map_err(|it| Error::network("connect", address, it))?;
+        tune(&stream).map_err(|it| Error::network("connect", address, it))?;
         let (reader, writer) = stream.into_split();
         let (outgoing, queue) = mpsc::channel(OUTGOING_FRAMES_MAX);
         tokio::spawn(write_frames(writer, queue));
--- a/crates/bilberryloft-transport/src/lib.rs
+++ b/crates/bilberryloft-transport/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod frame;
 pub mod http;
 pub mod server;
+pub mod socket;
--- a/crates/bilberryloftd/src/main.rs
+++ b/crates/bilberryloftd/src/main.rs
@@ -32,7 +32,7 @@
 
 fn run(arguments: &Arguments) -> eyre::Result<()> {
     let settings = with_help(Settings::open(&arguments.settings))?;
-    start_logging(settings.log_format);
+    let _log = start_logging(settings.log_format);
     let daemon = with_help(Daemon::spawn(settings))?;
     wait_for_stop_signal()?;
     daemon.shutdown();
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -129,6 +129,7 @@
   4: required i64 wait_ms
   5: required i64 suspects_version
   6: required string peer_address
+  7: optional i64 document_version
 }
 
 struct Update {
@@ -141,6 +142,21 @@
   7: required list<binary> targets
   8: required i64 suspects_version
   9: required list<binary> suspects
+  10: optional i64 document_version
+  11: optional binary document
+  12: optional list<string> control_addresses
+}
+
+// A host with a data folder that wants to be a member of the quorum, and is alive.
+struct Join {
+  1: required i32 member
+  2: required string address
+  3: required bool forwarded
+}
+
+// The callee is no control host; these are, as far as it knows.
+struct Redirect {
+  1: required list<string> addresses
 }
 
 // Lease renewal of one target by its agent.
@@ -279,6 +295,8 @@
   24: Done done
   25: Status status
   26: StatusReply status_reply
+  27: Join join
+  28: Redirect redirect
 }
 
 // One frame. A call and all frames that answer it carry the same call number.
