--- a/crates/bilberryloft-daemon/src/control_client.rs
+++ b/crates/bilberryloft-daemon/src/control_client.rs
@@ -89,6 +89,21 @@
         self.replace(wanted);
     }
 
+    /// Adds a control host that has named itself, in front of the list.
+    pub fn add(&self, address: &str) {
+        let mut wanted = self.addresses();
+        if !wanted.iter().any(|it| it == address) {
+            wanted.insert(0, address.to_string());
+            self.replace(wanted);
+        }
+    }
+
+    /// Takes the word of a daemon that is no control host about those that are, and asks the first next.
+    pub fn redirect(&self, addresses: &[String]) {
+        self.learn(addresses);
+        self.rotate();
+    }
+
     /// Takes the seeds of new settings; hosts learnt before stay in the list.
     pub fn set_seeds(&self, seeds: &[String]) {
         *self.shared.seeds.lock() = seeds.to_vec();
@@ -124,12 +139,17 @@
             let left = until - Instant::now();
             let client = self.preferred();
             match client.call(body.clone(), left.min(TRY_TIMEOUT)).await {
-                Ok(Body::Redirect(redirect)) => self.learn(&redirect.addresses),
+                Ok(Body::Redirect(redirect)) => self.redirect(&redirect.addresses),
                 Ok(answer) => return Ok(answer),
-                Err(error) => last = error,
+                Err(error) => {
+                    last = error;
+                    self.rotate();
+                }
             }
             tried += 1;
-            self.rotate();
+            if let Error::NoControl { tried: count, .. } = &mut last {
+                *count = tried;
+            }
             if tried % self.shared.clients.read().len() == 0 {
                 let pause_ms = fastrand::u64(ROUND_PAUSE_MS..=2 * ROUND_PAUSE_MS);
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -318,6 +318,8 @@
         spawn_announcer(agent.clone());
     }
     if let Some(control) = settings.control.as_ref().filter(|it| it.voters_wanted > 0) {
+        // Seeds may all be daemons that are no control hosts.
+        shared.control.add(&settings.peer_address);
         spawn_joiner(shared.control.clone(), control.member, settings.peer_address.clone());
     }
     Ok(server)
--- a/crates/bilberryloft-daemon/src/follow.rs
+++ b/crates/bilberryloft-daemon/src/follow.rs
@@ -49,16 +49,16 @@
                         confirmed
                     }
                     Ok(Body::Redirect(redirect)) => {
-                        control.learn(&redirect.addresses);
-                        false
+                        control.redirect(&redirect.addresses);
+                        continue_soon().await;
+                        continue;
                     }
                     Ok(_) | Err(_) => false,
                 };
             if !is_confirmed {
                 // Another host may still reach a quorum.
                 control.rotate();
-                tokio::time::sleep(Duration::from_millis(fastrand::u64(PAUSE_MS..=3 * PAUSE_MS)))
-                    .await;
+                continue_soon().await;
             }
             let serves = view.may_serve();
             if was_serving && !serves {
@@ -72,3 +72,7 @@
         }
     });
 }
+
+async fn continue_soon() {
+    tokio::time::sleep(Duration::from_millis(fastrand::u64(PAUSE_MS..=3 * PAUSE_MS))).await;
+}
--- a/crates/bilberryloft-daemon/src/peer_service.rs
+++ b/crates/bilberryloft-daemon/src/peer_service.rs
@@ -11,6 +11,7 @@
 use bilberryloft_transport::client::Client;
 use bilberryloft_transport::server::Call;
 use bilberryloft_transport::server::Handler;
+use bilberryloft_transport::server::Responder;
 
 use crate::control::ControlService;
 use crate::daemon::Shared;
@@ -36,6 +37,12 @@
         let _ = self.control.set(control);
     }
 
+    /// Names the control hosts to a caller that took this daemon for one.
+    async fn redirect(&self, responder: &Responder) {
+        let addresses = self.shared.control.addresses();
+        let _ = responder.send(Body::Redirect(wire::Redirect::new(addresses))).await;
+    }
+
     /// Records of a request from this daemon and, for a control host, from the entry that issued it.
     async fn collect_records(&self, request_id: &str) -> Vec<Vec<u8>> {
         let mut records = self.shared.local_records(request_id);
@@ -84,16 +91,13 @@
             }
             (Body::Watch(watch), Some(control)) => control.watch(watch, &responder).await,
             (Body::Join(join), Some(control)) => control.join(join, &responder).await,
-            (
-                Body::Propose(_)
-                | Body::Announce(_)
-                | Body::ReadIndex(_)
-                | Body::Watch(_)
-                | Body::Join(_),
-                None,
-            ) => {
-                let addresses = self.shared.control.addresses();
-                let _ = responder.send(Body::Redirect(wire::Redirect::new(addresses))).await;
+            (Body::Join(join), None) => {
+                // The caller is a control host, and may be the only one that this daemon ever hears of.
+                self.shared.control.add(&join.address);
+                self.redirect(&responder).await;
+            }
+            (Body::Propose(_) | Body::Announce(_) | Body::ReadIndex(_) | Body::Watch(_), None) => {
+                self.redirect(&responder).await
             }
             (Body::StoreRecords(store), Some(control)) => {
                 control.store_records(&store.records);
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -116,11 +116,13 @@
             Ok(Body::Update(update)) if update.confirmed => {
                 return newest(&known, update);
             }
-            Ok(Body::Redirect(redirect)) => state.daemon.control.learn(&redirect.addresses),
-            Ok(_) => {}
-            Err(error) => tracing::debug!(%error, "no quorum confirmed the newest document"),
+            Ok(Body::Redirect(redirect)) => state.daemon.control.redirect(&redirect.addresses),
+            Ok(_) => state.daemon.control.rotate(),
+            Err(error) => {
+                tracing::debug!(%error, "no quorum confirmed the newest document");
+                state.daemon.control.rotate();
+            }
         }
-        state.daemon.control.rotate();
     }
     failure(StatusCode::SERVICE_UNAVAILABLE, "no quorum confirms which document is the newest")
 }
