--- a/crates/bilberryloft-coordination/src/raft/message.rs
+++ b/crates/bilberryloft-coordination/src/raft/message.rs
@@ -98,6 +98,17 @@
 }
 
 impl Message {
+    /// Number of the member that sent it.
+    pub fn sender(&self) -> u32 {
+        match self {
+            Message::VoteRequest(it) => it.candidate,
+            Message::VoteReply(it) => it.voter,
+            Message::Append(it) => it.leader,
+            Message::AppendReply(it) => it.follower,
+            Message::InstallSnapshot(it) => it.leader,
+        }
+    }
+
     /// Term of the sender.
     pub fn term(&self) -> u64 {
         match self {
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -34,7 +34,10 @@
 
 pub(super) enum Input {
     SnapshotWritten(Result<Snapshot>),
-    Peer(Message),
+    Peer {
+        message: Message,
+        sender_address: Option<String>,
+    },
     Propose {
         command: Command,
         reply: Reply<Outcome>,
@@ -125,8 +128,9 @@
     }
 
     /// Hands over a message from another member.
-    pub async fn receive(&self, message: Message) {
-        let _ = self.inputs.send(Input::Peer(message)).await;
+    pub async fn receive(&self, message: Message, sender_address: Option<String>) {
+        // A node that has stopped needs no messages.
+        let _ = self.inputs.send(Input::Peer { message, sender_address }).await;
     }
 
     /// Proposes a command and waits until it is applied here.
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -247,7 +247,12 @@
 
     fn take_input(&mut self, input: Input) {
         match input {
-            Input::Peer(message) => self.raft.receive(message, monotonic_ms()),
+            Input::Peer { message, sender_address } => {
+                if let Some(address) = sender_address {
+                    self.peers.hear(message.sender(), address);
+                }
+                self.raft.receive(message, monotonic_ms());
+            }
             Input::Propose { command, reply } => {
                 self.propose(command, PendingReply::Outcome(reply))
             }
@@ -331,7 +336,7 @@
         }
     }
 
-    fn send_all(&self, messages: Vec<Outbound>) {
+    fn send_all(&mut self, messages: Vec<Outbound>) {
         for outbound in messages {
             self.peers.send(outbound.to, outbound.message);
         }
--- a/crates/bilberryloft-daemon/src/control/peers.rs
+++ b/crates/bilberryloft-daemon/src/control/peers.rs
@@ -5,6 +5,7 @@
 use bilberryloft_coordination::raft::Message;
 use bilberryloft_protocol::convert::raft_to_wire;
 use bilberryloft_protocol::wire::Body;
+use bilberryloft_protocol::wire::MemberMessage;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_transport::client::Client;
 use tokio::sync::mpsc;
@@ -15,7 +16,7 @@
 #[derive(Debug)]
 struct Link {
     address: String,
-    queue: mpsc::Sender<Message>,
+    queue: mpsc::Sender<MemberMessage>,
 }
 
 /// Links to the other members.
@@ -26,6 +27,9 @@
     member: u32,
     routes: BTreeMap<u32, String>,
     links: BTreeMap<u32, Link>,
+    /// Addresses that members have named themselves, for those that the log does not name yet.
+    heard: BTreeMap<u32, String>,
+    own_address: Option<String>,
 }
 
 impl Peers {
@@ -36,11 +40,20 @@
         member: u32,
         routes: BTreeMap<u32, String>,
     ) -> Peers {
-        Peers { daemon: daemon.to_string(), incarnation, member, routes, links: BTreeMap::new() }
+        Peers {
+            daemon: daemon.to_string(),
+            incarnation,
+            member,
+            routes,
+            links: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            own_address: None,
+        }
     }
 
     /// Makes the links match the members in force.
     pub fn update(&mut self, members: &MemberSet) {
+        self.own_address = members.address(self.member).cloned();
         let routes = &self.routes;
         let address_of = |member: u32| routes.get(&member).or_else(|| members.address(member));
         self.links.retain(|member, link| {
@@ -51,29 +64,48 @@
                 continue;
             };
             if !self.links.contains_key(&member) {
-                let (queue, messages) = mpsc::channel(QUEUE_MAX);
-                let client = Client::new(address.clone(), &self.daemon, self.incarnation);
-                tokio::spawn(forward(client, messages));
-                self.links.insert(member, Link { address: address.clone(), queue });
+                let link = self.connect(address.clone());
+                self.links.insert(member, link);
             }
         }
     }
 
+    fn connect(&self, address: String) -> Link {
+        let (queue, messages) = mpsc::channel(QUEUE_MAX);
+        let client = Client::new(address.clone(), &self.daemon, self.incarnation);
+        tokio::spawn(forward(client, messages));
+        Link { address, queue }
+    }
+
+    /// Takes the address that a member names itself.
+    pub fn hear(&mut self, member: u32, address: String) {
+        self.heard.insert(member, address);
+    }
+
     /// Address of a member from this host.
     pub fn address(&self, members: &MemberSet, member: u32) -> Option<String> {
         self.routes.get(&member).or_else(|| members.address(member)).cloned()
     }
 
     /// Queues a message.
-    pub fn send(&self, to: u32, message: Message) {
+    pub fn send(&mut self, to: u32, message: Message) {
+        if !self.links.contains_key(&to)
+            && let Some(address) = self.heard.get(&to).cloned()
+        {
+            let link = self.connect(address);
+            self.links.insert(to, link);
+        }
         if let Some(link) = self.links.get(&to) {
-            let _ = link.queue.try_send(message);
+            let sender_address = self.own_address.clone();
+            // A full queue drops the message; the algorithm sends it again.
+            let _ = link.queue.try_send(MemberMessage::new(raft_to_wire(message), sender_address));
         }
     }
 }
 
-async fn forward(client: Client, mut messages: mpsc::Receiver<Message>) {
+async fn forward(client: Client, mut messages: mpsc::Receiver<MemberMessage>) {
     while let Some(message) = messages.recv().await {
-        let _ = client.notify(Body::Raft(raft_to_wire(message))).await;
+        // What can't be sent is sent again by the algorithm.
+        let _ = client.notify(Body::Raft(message)).await;
     }
 }
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -79,9 +79,10 @@
     }
 
     /// Hands a message of the quorum to the node.
-    pub async fn receive(&self, message: wire::RaftMessage) {
-        if let Some(message) = raft_from_wire(message) {
-            self.node.receive(message).await;
+    pub async fn receive(&self, message: wire::MemberMessage) {
+        match raft_from_wire(message.message) {
+            Some(decoded) => self.node.receive(decoded, message.sender_address).await,
+            None => tracing::warn!("a message between members could not be read"),
         }
     }
 
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -3192,6 +3192,75 @@
   }
 }
 
+//
+// MemberMessage
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct MemberMessage {
+  pub message: RaftMessage,
+  pub sender_address: Option<String>,
+}
+
+impl MemberMessage {
+  pub fn new<F2>(message: RaftMessage, sender_address: F2) -> MemberMessage where F2: Into<Option<String>> {
+    MemberMessage {
+      message,
+      sender_address: sender_address.into(),
+    }
+  }
+}
+
+impl TSerializable for MemberMessage {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<MemberMessage> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<RaftMessage> = None;
+    let mut f_2: Option<String> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = RaftMessage::read_from_in_protocol(i_prot)?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("MemberMessage.message", &f_1)?;
+    let ret = MemberMessage {
+      message: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      sender_address: f_2,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("MemberMessage");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("message", TType::Struct, 1))?;
+    self.message.write_to_out_protocol(o_prot)?;
+    o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.sender_address {
+      o_prot.write_field_begin(&TFieldIdentifier::new("sender_address", TType::String, 2))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Status
 //
@@ -3439,7 +3508,7 @@
   ProposeReply(ProposeReply),
   ReadIndex(ReadIndex),
   ReadIndexReply(ReadIndexReply),
-  Raft(RaftMessage),
+  Raft(MemberMessage),
   Fault(Fault),
   Done(Done),
   Status(Status),
@@ -3608,7 +3677,7 @@
           received_field_count += 1;
         },
         22 => {
-          let val = RaftMessage::read_from_in_protocol(i_prot)?;
+          let val = MemberMessage::read_from_in_protocol(i_prot)?;
           if ret.is_none() {
             ret = Some(Body::Raft(val));
           }
--- a/crates/bilberryloft-protocol/tests/frames.rs
+++ b/crates/bilberryloft-protocol/tests/frames.rs
@@ -10,6 +10,7 @@
 use bilberryloft_protocol::convert::raft_from_wire;
 use bilberryloft_protocol::convert::raft_to_wire;
 use bilberryloft_protocol::wire::Body;
+use bilberryloft_protocol::wire::MemberMessage;
 use bilberryloft_protocol::wire::Piece;
 use bilberryloft_state::claim::CLAIMS_MAX;
 use bilberryloft_state::claim::ClaimOutcome;
@@ -89,9 +90,10 @@
     };
     let install = InstallSnapshot { term: 1, leader: 1, snapshot, last_index: 1, round: 1 };
     let message = Message::InstallSnapshot(install);
-    let frame = encode_frame(0, Body::Raft(raft_to_wire(message.clone())));
+    let frame =
+        encode_frame(0, Body::Raft(MemberMessage::new(raft_to_wire(message.clone()), None)));
     assert!(frame.len() < FRAME_MAX_BYTES, "{} bytes", frame.len());
     let envelope = decode_envelope(&frame[FRAME_HEADER_BYTES..], "peer").unwrap();
     let Body::Raft(wire) = envelope.body else { panic!("another body") };
-    assert_eq!(raft_from_wire(wire), Some(message));
+    assert_eq!(raft_from_wire(wire.message), Some(message));
 }
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -253,6 +253,12 @@
   5: InstallSnapshot install_snapshot
 }
 
+// A message between members, with the sender's own address for a member that knows no members yet.
+struct MemberMessage {
+  1: required RaftMessage message
+  2: optional string sender_address
+}
+
 struct Status {
 }
 
@@ -290,7 +296,7 @@
   19: ProposeReply propose_reply
   20: ReadIndex read_index
   21: ReadIndexReply read_index_reply
-  22: RaftMessage raft
+  22: MemberMessage raft
   23: Fault fault
   24: Done done
   25: Status status
