--- a/crates/bilberryloft-daemon/src/control_client.rs
+++ b/crates/bilberryloft-daemon/src/control_client.rs
@@ -1,5 +1,6 @@
 //! Calls from any daemon to whichever control host answers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -22,6 +23,9 @@
 /// Pause after all control hosts failed in turn.
 const ROUND_PAUSE_MS: u64 = 25;
 
+/// Time for which a host that did not serve a call comes last.
+const AVOID_FOR: Duration = Duration::from_millis(1_500);
+
 /// Calls to control; clones share connections, the list of hosts and the preferred one.
 #[derive(Clone, Debug)]
 pub struct ControlClient {
@@ -35,6 +39,8 @@
     /// Addresses from the settings; they stay in the list whatever is learnt.
     seeds: Mutex<Vec<String>>,
     clients: RwLock<Vec<Client>>,
+    /// Hosts that did not answer, until when they come last.
+    avoided: Mutex<BTreeMap<String, Instant>>,
     preferred: AtomicUsize,
 }
 
@@ -48,6 +54,7 @@
             incarnation,
             seeds: Mutex::new(addresses.to_vec()),
             clients: RwLock::new(clients),
+            avoided: Mutex::default(),
             preferred: AtomicUsize::new(0),
         };
         ControlClient { shared: Arc::new(shared) }
@@ -63,16 +70,29 @@
         self.shared.clients.read().iter().map(|it| it.address().to_string()).collect()
     }
 
-    /// The host that answered last.
+    /// The host to ask next: the one that answered last, or the next one that has not failed lately.
     pub fn preferred(&self) -> Client {
         let clients = self.shared.clients.read();
-        let at = self.shared.preferred.load(Ordering::Relaxed) % clients.len();
-        clients[at].clone()
+        let avoided = self.shared.avoided.lock();
+        let first = self.shared.preferred.load(Ordering::Relaxed);
+        let now = Instant::now();
+        let is_sound = |at: &usize| {
+            let address = clients[at % clients.len()].address();
+            avoided.get(address).is_none_or(|until| *until <= now)
+        };
+        let at = (first..first + clients.len()).find(is_sound).unwrap_or(first);
+        clients[at % clients.len()].clone()
     }
 
-    /// Prefers the next host from now on.
-    pub fn rotate(&self) {
-        self.shared.preferred.fetch_add(1, Ordering::Relaxed);
+    /// Notes that a host did not serve a call; others are asked before it for a while.
+    pub fn avoid(&self, client: &Client) {
+        let until = Instant::now() + AVOID_FOR;
+        self.shared.avoided.lock().insert(client.address().to_string(), until);
+        let clients = self.shared.clients.read();
+        let at = self.shared.preferred.load(Ordering::Relaxed) % clients.len();
+        if clients[at].address() == client.address() {
+            self.shared.preferred.store(at + 1, Ordering::Relaxed);
+        }
     }
 
     /// Takes the control hosts that one of them names; seeds stay at the end of the list.
@@ -98,10 +118,10 @@
         }
     }
 
-    /// Takes the word of a daemon that is no control host about those that are, and asks the first next.
-    pub fn redirect(&self, addresses: &[String]) {
+    /// Takes the word of a daemon that is no control host about those that are.
+    pub fn redirect(&self, client: &Client, addresses: &[String]) {
         self.learn(addresses);
-        self.rotate();
+        self.avoid(client);
     }
 
     /// Takes the seeds of new settings; hosts learnt before stay in the list.
@@ -139,11 +159,11 @@
             let left = until - Instant::now();
             let client = self.preferred();
             match client.call(body.clone(), left.min(TRY_TIMEOUT)).await {
-                Ok(Body::Redirect(redirect)) => self.redirect(&redirect.addresses),
+                Ok(Body::Redirect(redirect)) => self.redirect(&client, &redirect.addresses),
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
                     last = error;
-                    self.rotate();
+                    self.avoid(&client);
                 }
             }
             tried += 1;
--- a/crates/bilberryloft-daemon/src/follow.rs
+++ b/crates/bilberryloft-daemon/src/follow.rs
@@ -13,9 +13,9 @@
 use crate::view::View;
 
 /// Time for which a control host holds a question open when nothing changes, in milliseconds.
-pub const WATCH_WAIT_MS: u64 = 1_000;
+pub const WATCH_WAIT_MS: u64 = 500;
 /// Time for a control host to answer beyond that.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(WATCH_WAIT_MS + 1_200);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(WATCH_WAIT_MS + 600);
 /// Shortest pause after a failed question, in milliseconds.
 const PAUSE_MS: u64 = 30;
 
@@ -40,24 +40,24 @@
                 peer_address: peer_address.clone(),
                 document_version: Some(versions.document as i64),
             };
-            let is_confirmed =
-                match control.preferred().call(Body::Watch(watch), ANSWER_TIMEOUT).await {
-                    Ok(Body::Update(update)) => {
-                        let confirmed = update.confirmed;
-                        control.learn(update.control_addresses.as_deref().unwrap_or_default());
-                        view.apply(update, asked_ms);
-                        confirmed
-                    }
-                    Ok(Body::Redirect(redirect)) => {
-                        control.redirect(&redirect.addresses);
-                        continue_soon().await;
-                        continue;
-                    }
-                    Ok(_) | Err(_) => false,
-                };
+            let client = control.preferred();
+            let is_confirmed = match client.call(Body::Watch(watch), ANSWER_TIMEOUT).await {
+                Ok(Body::Update(update)) => {
+                    let confirmed = update.confirmed;
+                    control.learn(update.control_addresses.as_deref().unwrap_or_default());
+                    view.apply(update, asked_ms);
+                    confirmed
+                }
+                Ok(Body::Redirect(redirect)) => {
+                    control.redirect(&client, &redirect.addresses);
+                    continue_soon().await;
+                    continue;
+                }
+                Ok(_) | Err(_) => false,
+            };
             if !is_confirmed {
                 // Another host may still reach a quorum.
-                control.rotate();
+                control.avoid(&client);
                 continue_soon().await;
             }
             let serves = view.may_serve();
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -116,11 +116,13 @@
             Ok(Body::Update(update)) if update.confirmed => {
                 return newest(&known, update);
             }
-            Ok(Body::Redirect(redirect)) => state.daemon.control.redirect(&redirect.addresses),
-            Ok(_) => state.daemon.control.rotate(),
+            Ok(Body::Redirect(redirect)) => {
+                state.daemon.control.redirect(&client, &redirect.addresses)
+            }
+            Ok(_) => state.daemon.control.avoid(&client),
             Err(error) => {
                 tracing::debug!(%error, "no quorum confirmed the newest document");
-                state.daemon.control.rotate();
+                state.daemon.control.avoid(&client);
             }
         }
     }
