Expert maps: the leader plans, agents read counts and pass orders, a held pass makes the change safe

Cause: demand for experts shifts every few seconds, and the most loaded rank had 3.79 times the mean, so passes took 97 ms. Change: counts are read beside each rank every 120 ms, a bounded search betters the map within the reach of one change, and all ranks change at a pass that is held until each has confirmed.

--- a/crates/bilberryloft-coordination/src/expert_map/mod.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/mod.rs
@@ -1,12 +1,18 @@
 //! Expert maps of a lock-step group: how popular each expert is, where its replicas are, which moves pay,
 //! and how all ranks change to a new map at the same step.
 
+mod bounded;
 mod pack;
 mod placement;
 mod plan;
 mod popularity;
 mod switch;
 
+pub use bounded::Reach;
+pub use bounded::SetMap;
+pub use bounded::copies_needed;
+pub use bounded::improve;
+pub use bounded::skew;
 pub use pack::align;
 pub use pack::pack;
 pub use placement::ExpertId;
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -32,6 +32,7 @@
 
 pub(super) type Reply<T> = oneshot::Sender<std::result::Result<T, ProposeError>>;
 
+#[derive(Debug)]
 pub(super) enum Input {
     SnapshotWritten(Result<Snapshot>),
     Peer {
@@ -103,7 +104,7 @@
 }
 
 /// Access to a running control node; clones reach the same node.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct ControlHandle {
     pub(super) inputs: mpsc::Sender<Input>,
     pub(super) machine: Arc<Mutex<Machine>>,
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -1,6 +1,7 @@
 //! A running daemon: one thread for control state, others for traffic.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 use crate::agent::serve_announcements;
 use crate::agent::spawn_announcer;
 use crate::agent::spawn_expert_map_planner;
+use crate::control::ControlHandle;
 use crate::control::ControlNode;
 use crate::control::ControlService;
 use crate::control::QuorumStatus;
@@ -70,6 +72,8 @@
     pub entry: Option<Arc<Entry>>,
     /// Agent role, if played.
     pub agent: Option<Arc<Agent>>,
+    /// The quorum's member on this host, if it is a control host and has started.
+    pub control_node: OnceLock<ControlHandle>,
     is_stopping: AtomicBool,
 }
 
@@ -261,6 +265,7 @@
         metrics,
         entry,
         agent,
+        control_node: OnceLock::new(),
         is_stopping: AtomicBool::new(false),
     })
 }
@@ -341,6 +346,8 @@
 fn start_node(control: &ControlSettings, shared: &Shared) -> Result<Arc<ControlService>> {
     let daemon = &shared.settings.daemon;
     let node = ControlNode::spawn(control, daemon, shared.incarnation)?;
+    // A daemon starts its node once.
+    let _ = shared.control_node.set(node.clone());
     Ok(Arc::new(ControlService::new(node, daemon, shared.incarnation)))
 }
 
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -3192,6 +3192,298 @@
   }
 }
 
+//
+// TargetCall
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TargetCall {
+  pub method: String,
+  pub path: String,
+  pub body: Vec<u8>,
+}
+
+impl TargetCall {
+  pub fn new(method: String, path: String, body: Vec<u8>) -> TargetCall {
+    TargetCall {
+      method,
+      path,
+      body,
+    }
+  }
+}
+
+impl TSerializable for TargetCall {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetCall> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<String> = None;
+    let mut f_3: Option<Vec<u8>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_bytes()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("TargetCall.method", &f_1)?;
+    verify_required_field_exists("TargetCall.path", &f_2)?;
+    verify_required_field_exists("TargetCall.body", &f_3)?;
+    let ret = TargetCall {
+      method: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      path: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      body: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("TargetCall");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("method", TType::String, 1))?;
+    o_prot.write_string(&self.method)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("path", TType::String, 2))?;
+    o_prot.write_string(&self.path)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("body", TType::String, 3))?;
+    o_prot.write_bytes(&self.body)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// TargetAnswer
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TargetAnswer {
+  pub status: i32,
+  pub body: Vec<u8>,
+}
+
+impl TargetAnswer {
+  pub fn new(status: i32, body: Vec<u8>) -> TargetAnswer {
+    TargetAnswer {
+      status,
+      body,
+    }
+  }
+}
+
+impl TSerializable for TargetAnswer {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetAnswer> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i32> = None;
+    let mut f_2: Option<Vec<u8>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i32()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_bytes()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("TargetAnswer.status", &f_1)?;
+    verify_required_field_exists("TargetAnswer.body", &f_2)?;
+    let ret = TargetAnswer {
+      status: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      body: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("TargetAnswer");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("status", TType::I32, 1))?;
+    o_prot.write_i32(self.status)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("body", TType::String, 2))?;
+    o_prot.write_bytes(&self.body)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// TargetCalls
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TargetCalls {
+  pub target_address: String,
+  pub calls: Vec<TargetCall>,
+}
+
+impl TargetCalls {
+  pub fn new(target_address: String, calls: Vec<TargetCall>) -> TargetCalls {
+    TargetCalls {
+      target_address,
+      calls,
+    }
+  }
+}
+
+impl TSerializable for TargetCalls {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetCalls> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<Vec<TargetCall>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<TargetCall> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_10 = TargetCall::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_10);
+          }
+          i_prot.read_list_end()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("TargetCalls.target_address", &f_1)?;
+    verify_required_field_exists("TargetCalls.calls", &f_2)?;
+    let ret = TargetCalls {
+      target_address: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      calls: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("TargetCalls");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("target_address", TType::String, 1))?;
+    o_prot.write_string(&self.target_address)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("calls", TType::List, 2))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.calls.len() as i32))?;
+    for e in &self.calls {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// TargetAnswers
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TargetAnswers {
+  pub answers: Vec<TargetAnswer>,
+}
+
+impl TargetAnswers {
+  pub fn new(answers: Vec<TargetAnswer>) -> TargetAnswers {
+    TargetAnswers {
+      answers,
+    }
+  }
+}
+
+impl TSerializable for TargetAnswers {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetAnswers> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<TargetAnswer>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<TargetAnswer> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_11 = TargetAnswer::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_11);
+          }
+          i_prot.read_list_end()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("TargetAnswers.answers", &f_1)?;
+    let ret = TargetAnswers {
+      answers: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("TargetAnswers");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("answers", TType::List, 1))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.answers.len() as i32))?;
+    for e in &self.answers {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // MemberMessage
 //
@@ -3515,6 +3807,8 @@
   StatusReply(StatusReply),
   Join(Join),
   Redirect(Redirect),
+  TargetCalls(TargetCalls),
+  TargetAnswers(TargetAnswers),
 }
 
 impl TSerializable for Body {
@@ -3725,6 +4019,20 @@
           }
           received_field_count += 1;
         },
+        29 => {
+          let val = TargetCalls::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::TargetCalls(val));
+          }
+          received_field_count += 1;
+        },
+        30 => {
+          let val = TargetAnswers::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::TargetAnswers(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -3899,6 +4207,16 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Body::TargetCalls(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("target_calls", TType::Struct, 29))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      Body::TargetAnswers(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("target_answers", TType::Struct, 30))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- /dev/null
+++ b/crates/bilberryloft-relay/src/expert_planner.rs
@@ -0,0 +1,472 @@
+//! Expert maps of lock-step groups: reads how popular each expert is, plans a better map, and changes all ranks
+//! to it at one pass. Only the leader of the quorum plans.
+//!
+//! A change holds the group before the pass at which it takes place, and lets it go on once every rank has
+//! confirmed that it is armed. So whatever dies in between, no pass begins with two maps; who leads next finds
+//! the hold and finishes the change.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_coordination::expert_map::Popularity;
+use bilberryloft_coordination::expert_map::Reach;
+use bilberryloft_coordination::expert_map::SetMap;
+use bilberryloft_coordination::expert_map::copies_needed;
+use bilberryloft_coordination::expert_map::improve;
+use bilberryloft_coordination::expert_map::skew;
+use bilberryloft_daemon::control::ControlHandle;
+use bilberryloft_routing::document::Experts;
+use bilberryloft_transport::clock::monotonic_ms;
+use futures_util::future::join_all;
+use tokio::time::Instant;
+
+use crate::dialect::ExpertCounts;
+use crate::dialect::RankOrder;
+use crate::dialect::RankReport;
+use crate::log_relay;
+use crate::rank_link::OrderEnd;
+use crate::rank_link::RankLink;
+use crate::state::RelayState;
+
+/// Time between two looks at the ranks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(120);
+/// Time between looks while ranks copy experts.
+const COPY_LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which a new leader gives no order, so that the orders of the one before it have ended.
+const SETTLE: Duration = Duration::from_millis(1_500);
+/// Gap between two looks after which this process has stood still and must believe nothing.
+const STOOD_STILL: Duration = Duration::from_millis(700);
+/// Half-life of the counts of chosen experts, in milliseconds.
+const POPULARITY_HALF_LIFE_MS: u64 = 500;
+/// Choices that an estimate must rest on.
+const CHOICES_MIN: f64 = 20_000.0;
+/// Experts of all sets that one change may bring to a rank, at most; each takes its copying time.
+const NEW_PER_RANK_MAX: usize = 4;
+/// Gain in skew of a set for which one more expert is copied.
+const GAIN_PER_COPY: f64 = 0.02;
+/// Gain in mean skew for which a change is made at all.
+const GAIN_PER_CHANGE: f64 = 0.12;
+/// Time after which ranks that have not copied everything are no longer waited for.
+const COPY_LIMIT: Duration = Duration::from_millis(4_000);
+/// Passes between the last one that was seen and the one at which a change takes place.
+const STEPS_AHEAD: u64 = 2;
+/// Time for which a change goes forward while a rank does not answer.
+const ARM_LIMIT: Duration = Duration::from_millis(3_000);
+/// Versions of one term of a leader; two leaders never give the same version to different maps.
+const VERSIONS_PER_TERM: u64 = 10_000;
+
+/// Starts planning on the current runtime; it rests while this host does not lead.
+pub fn spawn_planner(state: Arc<RelayState>, control: ControlHandle) {
+    let planner = Planner {
+        state,
+        control,
+        links: BTreeMap::new(),
+        groups: BTreeMap::new(),
+        led_since: None,
+        looked_at: Instant::now(),
+        version: 0,
+    };
+    tokio::spawn(planner.run());
+}
+
+struct Planner {
+    state: Arc<RelayState>,
+    control: ControlHandle,
+    links: BTreeMap<String, Arc<RankLink>>,
+    groups: BTreeMap<String, Group>,
+    led_since: Option<Instant>,
+    looked_at: Instant,
+    version: u64,
+}
+
+/// A map that ranks are copying.
+struct Pending {
+    version: u64,
+    map: Vec<SetMap>,
+    since: Instant,
+}
+
+#[derive(Default)]
+struct Group {
+    epoch: u64,
+    map_version: Option<u64>,
+    map: Vec<SetMap>,
+    popularity: Vec<Popularity>,
+    counts: BTreeMap<usize, Vec<u64>>,
+    pending: Option<Pending>,
+}
+
+/// A rank as it was read in one look.
+struct Seen {
+    link: Arc<RankLink>,
+    report: RankReport,
+    counts: Option<ExpertCounts>,
+}
+
+impl Planner {
+    async fn run(mut self) {
+        loop {
+            let is_copying = self.groups.values().any(|it| it.pending.is_some());
+            let pause = if is_copying { COPY_LOOK_INTERVAL } else { LOOK_INTERVAL };
+            tokio::time::sleep(pause).await;
+            if !self.may_order() {
+                continue;
+            }
+            self.look().await;
+        }
+    }
+
+    /// Whether this host leads, has done so for long enough, and has not stood still.
+    fn may_order(&mut self) -> bool {
+        let now = Instant::now();
+        let stood_still = now - self.looked_at > STOOD_STILL;
+        self.looked_at = now;
+        if !self.control.status().leads || stood_still {
+            self.groups.clear();
+            self.led_since = None;
+            return false;
+        }
+        let since = *self.led_since.get_or_insert(now);
+        now - since >= SETTLE
+    }
+
+    async fn look(&mut self) {
+        let table = self.state.table();
+        for service in table.services() {
+            let Some(experts) = service.engine.and_then(|it| it.experts) else {
+                continue;
+            };
+            let mut groups: BTreeMap<String, Vec<Seen>> = BTreeMap::new();
+            for seen in self.read_ranks(&service.name).await {
+                groups.entry(seen.report.group.clone()).or_default().push(seen);
+            }
+            for (name, mut ranks) in groups {
+                ranks.sort_by_key(|it| it.report.rank);
+                let key = format!("{}/{name}", service.name);
+                self.look_at_group(&key, &ranks, experts).await;
+            }
+        }
+    }
+
+    async fn read_ranks(&mut self, service: &str) -> Vec<Seen> {
+        let links = self.links_of(service);
+        let (state, dialect) = (&self.state, self.state.dialect.as_ref());
+        let reads = links.into_iter().map(|link| async move {
+            match link.read(&state.pool, dialect).await {
+                Ok((report, counts)) => Some(Seen { link, report, counts }),
+                Err(error) => {
+                    tracing::debug!(target_id = link.id, error, "a rank can't be read");
+                    None
+                }
+            }
+        });
+        join_all(reads).await.into_iter().flatten().collect()
+    }
+
+    fn links_of(&mut self, service: &str) -> Vec<Arc<RankLink>> {
+        let board = self.state.board.lock();
+        let mut links = Vec::new();
+        for fact in board.present(service, monotonic_ms()) {
+            let known = self.links.get(&fact.id).filter(|it| it.address == fact.address);
+            let link = match known {
+                Some(link) => link.clone(),
+                None => {
+                    let port = self.state.settings.agent_port;
+                    let daemon = &self.state.daemon.settings.daemon;
+                    let Some(link) = RankLink::new(&fact.id, &fact.address, port, daemon) else {
+                        continue;
+                    };
+                    let link = Arc::new(link);
+                    self.links.insert(fact.id.clone(), link.clone());
+                    link
+                }
+            };
+            links.push(link);
+        }
+        links
+    }
+
+    async fn look_at_group(&mut self, key: &str, ranks: &[Seen], experts: Experts) {
+        let Some(first) = ranks.first() else {
+            return;
+        };
+        let epoch = first.report.epoch;
+        let is_whole = ranks.len() == first.report.ranks
+            && ranks.iter().enumerate().all(|(at, it)| it.report.rank == at)
+            && ranks.iter().all(|it| it.report.epoch == epoch && it.report.is_open);
+        if !is_whole {
+            self.groups.remove(key);
+            return;
+        }
+        if self.finish_held(key, ranks).await {
+            return;
+        }
+        let group = self.groups.entry(key.to_string()).or_default();
+        if group.epoch != epoch || group.popularity.len() != experts.sets {
+            *group = Group::new(epoch, experts);
+        }
+        group.count(ranks, experts);
+        if group.pending.is_some() {
+            self.go_on(key, ranks).await;
+        } else {
+            self.plan(key, ranks, experts).await;
+        }
+    }
+
+    /// Ends a hold that another planner, or an earlier life of this one, has left behind.
+    async fn finish_held(&mut self, key: &str, ranks: &[Seen]) -> bool {
+        let Some(holder) = ranks.iter().find(|it| it.report.held_step.is_some()) else {
+            return false;
+        };
+        let step = holder.report.held_step.unwrap_or_default();
+        let epoch = holder.report.epoch;
+        let version = holder.report.prepared;
+        let same = ranks.iter().all(|it| it.report.prepared == version);
+        log_relay!(warn, ExpertMapResumed, group = key, step, epoch, version, same);
+        if let Some(version) = version.filter(|_| same) {
+            self.arm_all(key, ranks, version, step, epoch).await;
+        }
+        self.let_go(&holder.link, step).await;
+        self.groups.remove(key);
+        true
+    }
+
+    async fn plan(&mut self, key: &str, ranks: &[Seen], experts: Experts) {
+        let map_version = ranks[0].report.map_version;
+        let same = ranks.iter().all(|it| it.report.map_version == map_version);
+        let Some(group) = self.groups.get_mut(key) else {
+            return;
+        };
+        if !same || ranks.iter().any(|it| it.report.is_armed) {
+            return;
+        }
+        if group.map_version != Some(map_version) {
+            match read_map(&self.state, ranks, experts, map_version).await {
+                Some(map) => {
+                    group.map = map;
+                    group.map_version = Some(map_version);
+                }
+                None => return,
+            }
+        }
+        let Some((map, before, after, copies)) = group.better_map(ranks.len(), experts) else {
+            return;
+        };
+        let term = self.control.status().term;
+        let highest = ranks.iter().map(|it| it.report.prepared.unwrap_or(0)).max().unwrap_or(0);
+        self.version = (self.version + 1).max(term * VERSIONS_PER_TERM).max(highest + 1);
+        let (version, epoch) = (self.version, group.epoch);
+        log_relay!(info, ExpertMapPlanned, group = key, version, epoch, before, after, copies);
+        let order = RankOrder::Prepare { version, epoch, map: &map };
+        let ends = self.order_all(ranks, &order).await;
+        let refused = ends.iter().filter(|it| **it != OrderEnd::Taken).count();
+        if refused > 0 {
+            log_relay!(warn, ExpertMapAbandoned, group = key, version, refused, at = "prepare");
+            return;
+        }
+        if let Some(group) = self.groups.get_mut(key) {
+            group.pending = Some(Pending { version, map, since: Instant::now() });
+        }
+    }
+
+    /// Changes to a map once all ranks have copied what it needs.
+    async fn go_on(&mut self, key: &str, ranks: &[Seen]) {
+        let Some(group) = self.groups.get_mut(key) else {
+            return;
+        };
+        let Some(pending) = group.pending.take() else {
+            return;
+        };
+        let version = pending.version;
+        if !ranks.iter().all(|it| it.report.prepared == Some(version)) {
+            if pending.since.elapsed() < COPY_LIMIT {
+                group.pending = Some(pending);
+            } else {
+                log_relay!(warn, ExpertMapAbandoned, group = key, version, at = "copy");
+            }
+            return;
+        }
+        let epoch = group.epoch;
+        let copied_ms = pending.since.elapsed().as_millis() as u64;
+        let seen_step = ranks.iter().filter_map(|it| it.counts.as_ref().map(|it| it.step)).max();
+        let Some(seen_step) = seen_step else {
+            return;
+        };
+        let step = seen_step + STEPS_AHEAD;
+        if self.switch(key, ranks, version, step, epoch).await {
+            log_relay!(info, ExpertMapSwitched, group = key, version, step, copied_ms);
+            if let Some(group) = self.groups.get_mut(key) {
+                group.map = pending.map;
+                group.map_version = Some(version);
+            }
+        }
+    }
+
+    /// Holds the group before a pass, arms all ranks for it, and lets the group go on.
+    async fn switch(
+        &mut self,
+        key: &str,
+        ranks: &[Seen],
+        version: u64,
+        step: u64,
+        epoch: u64,
+    ) -> bool {
+        let holder = &ranks[0].link;
+        let hold = RankOrder::Hold { step, epoch };
+        let dialect = self.state.dialect.clone();
+        let held = holder.order(&self.state.pool, dialect.as_ref(), &hold).await;
+        if held != OrderEnd::Taken {
+            log_relay!(warn, ExpertMapAbandoned, group = key, version, ?held, at = "hold");
+            self.let_go(holder, step).await;
+            return false;
+        }
+        let is_armed = self.arm_all(key, ranks, version, step, epoch).await;
+        self.let_go(holder, step).await;
+        is_armed
+    }
+
+    /// Arms all ranks; those that do not answer are asked again. When a rank refuses, all are disarmed.
+    async fn arm_all(
+        &self,
+        key: &str,
+        ranks: &[Seen],
+        version: u64,
+        step: u64,
+        epoch: u64,
+    ) -> bool {
+        let until = Instant::now() + ARM_LIMIT;
+        let order = RankOrder::Arm { version, step, epoch };
+        let mut waiting: Vec<&Seen> = ranks.iter().collect();
+        let mut refused = false;
+        while !waiting.is_empty() && !refused && Instant::now() < until {
+            let dialect = self.state.dialect.as_ref();
+            let orders = waiting.iter().map(|it| it.link.order(&self.state.pool, dialect, &order));
+            let ends = join_all(orders).await;
+            refused = ends.contains(&OrderEnd::Conflict);
+            let rest = waiting.iter().zip(&ends).filter(|(_, end)| **end == OrderEnd::Unknown);
+            waiting = rest.map(|(it, _)| *it).collect();
+        }
+        if waiting.is_empty() && !refused {
+            return true;
+        }
+        let unknown = waiting.len();
+        log_relay!(
+            warn,
+            ExpertMapAbandoned,
+            group = key,
+            version,
+            step,
+            refused,
+            unknown,
+            at = "arm"
+        );
+        self.disarm_all(ranks, version).await;
+        false
+    }
+
+    /// Takes the arming back at every rank before the group goes on.
+    async fn disarm_all(&self, ranks: &[Seen], version: u64) {
+        let until = Instant::now() + ARM_LIMIT;
+        let order = RankOrder::Disarm { version };
+        let mut waiting: Vec<&Seen> = ranks.iter().collect();
+        while !waiting.is_empty() && Instant::now() < until {
+            let dialect = self.state.dialect.as_ref();
+            let orders = waiting.iter().map(|it| it.link.order(&self.state.pool, dialect, &order));
+            let ends = join_all(orders).await;
+            let rest = waiting.iter().zip(&ends).filter(|(_, end)| **end == OrderEnd::Unknown);
+            waiting = rest.map(|(it, _)| *it).collect();
+        }
+    }
+
+    /// Lets a group go on; the order is repeated until the rank has taken it.
+    async fn let_go(&self, holder: &RankLink, step: u64) {
+        let until = Instant::now() + ARM_LIMIT;
+        let dialect = self.state.dialect.as_ref();
+        while Instant::now() < until {
+            let end = holder.order(&self.state.pool, dialect, &RankOrder::Go { step }).await;
+            if end != OrderEnd::Unknown {
+                return;
+            }
+        }
+    }
+
+    async fn order_all(&self, ranks: &[Seen], order: &RankOrder<'_>) -> Vec<OrderEnd> {
+        let dialect = self.state.dialect.as_ref();
+        let orders = ranks.iter().map(|it| it.link.order(&self.state.pool, dialect, order));
+        join_all(orders).await
+    }
+}
+
+async fn read_map(
+    state: &Arc<RelayState>,
+    ranks: &[Seen],
+    experts: Experts,
+    version: u64,
+) -> Option<Vec<SetMap>> {
+    let dialect = state.dialect.as_ref();
+    let reads = ranks.iter().map(|it| it.link.experts(&state.pool, dialect));
+    let mut map = vec![vec![Vec::new(); ranks.len()]; experts.sets];
+    for (rank, read) in join_all(reads).await.into_iter().enumerate() {
+        let read = read.ok().filter(|it| it.version == version && it.sets.len() == experts.sets)?;
+        for (set, held) in read.sets.into_iter().enumerate() {
+            map[set][rank] = held;
+        }
+    }
+    Some(map)
+}
+
+impl Group {
+    fn new(epoch: u64, experts: Experts) -> Group {
+        let estimate = Popularity::new(experts.experts, POPULARITY_HALF_LIFE_MS);
+        Group { epoch, popularity: vec![estimate; experts.sets], ..Group::default() }
+    }
+
+    /// Adds what was chosen since the last look.
+    fn count(&mut self, ranks: &[Seen], experts: Experts) {
+        let size = experts.sets * experts.experts;
+        let mut chosen = vec![0_u64; size];
+        for seen in ranks {
+            let Some(counts) = seen.counts.as_ref().filter(|it| it.counts.len() == size) else {
+                continue;
+            };
+            if let Some(before) = self.counts.get(&seen.report.rank) {
+                for (at, count) in counts.counts.iter().enumerate() {
+                    chosen[at] += count.saturating_sub(before[at]);
+                }
+            }
+            self.counts.insert(seen.report.rank, counts.counts.clone());
+        }
+        let now_ms = monotonic_ms();
+        for (set, popularity) in self.popularity.iter_mut().enumerate() {
+            let from = set * experts.experts;
+            popularity.add(&chosen[from..from + experts.experts], now_ms);
+        }
+    }
+
+    /// A map that pays, with the mean skew before and after and the experts to copy.
+    fn better_map(&self, ranks: usize, experts: Experts) -> Option<(Vec<SetMap>, f64, f64, usize)> {
+        let shares: Vec<Vec<f64>> = self.popularity.iter().map(Popularity::shares).collect();
+        if self.popularity.iter().any(|it| it.weight() < CHOICES_MIN) {
+            return None;
+        }
+        let skews: Vec<f64> =
+            self.map.iter().zip(&shares).map(|(map, shares)| skew(map, shares)).collect();
+        let mut order: Vec<usize> = (0..experts.sets).collect();
+        order.sort_by(|a, b| skews[*b].total_cmp(&skews[*a]));
+        let reach =
+            Reach { slots: experts.slots, new_max: experts.new_max, gain_min: GAIN_PER_COPY };
+        let mut allowance = vec![NEW_PER_RANK_MAX; ranks];
+        let mut map = self.map.clone();
+        for set in order {
+            map[set] = improve(&self.map[set], &shares[set], reach, &mut allowance);
+        }
+        let mean = |map: &[SetMap]| {
+            let sum: f64 = map.iter().zip(&shares).map(|(map, shares)| skew(map, shares)).sum();
+            sum / experts.sets as f64
+        };
+        let (before, after) = (mean(&self.map), mean(&map));
+        let copies = self.map.iter().zip(&map).map(|(from, to)| copies_needed(from, to)).sum();
+        (before - after >= GAIN_PER_CHANGE).then_some((map, before, after, copies))
+    }
+}
--- a/crates/bilberryloft-relay/src/log.rs
+++ b/crates/bilberryloft-relay/src/log.rs
@@ -40,6 +40,14 @@
     AnnouncementRefused = 521,
     /// A target announced that it leaves.
     TargetLeaves = 522,
+    /// A better expert map is being copied.
+    ExpertMapPlanned = 530,
+    /// All ranks change to a map at one pass.
+    ExpertMapSwitched = 531,
+    /// A change of map was given up; all ranks keep the one they have.
+    ExpertMapAbandoned = 532,
+    /// A change that another planner began was found and ended.
+    ExpertMapResumed = 533,
 }
 
 impl RelayEvent {
@@ -50,7 +58,7 @@
 }
 
 /// All events in the order of their numbers.
-pub const RELAY_EVENTS: [RelayEvent; 18] = [
+pub const RELAY_EVENTS: [RelayEvent; 22] = [
     RelayEvent::RelayStarted,
     RelayEvent::RelayStopping,
     RelayEvent::RelayStopped,
@@ -69,6 +77,10 @@
     RelayEvent::DocumentDecided,
     RelayEvent::AnnouncementRefused,
     RelayEvent::TargetLeaves,
+    RelayEvent::ExpertMapPlanned,
+    RelayEvent::ExpertMapSwitched,
+    RelayEvent::ExpertMapAbandoned,
+    RelayEvent::ExpertMapResumed,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- /dev/null
+++ b/crates/bilberryloft-relay/src/rank_link.rs
@@ -0,0 +1,150 @@
+//! Reaching a rank: through the agent beside it, or directly where no agent answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bilberryloft_protocol::wire;
+use bilberryloft_protocol::wire::Body;
+use bilberryloft_transport::client::Client;
+use bytes::Bytes;
+use hyper::Method;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::dialect::Dialect;
+use crate::dialect::ExpertCounts;
+use crate::dialect::RankExperts;
+use crate::dialect::RankOrder;
+use crate::dialect::RankReport;
+use crate::pool::Pool;
+use crate::target_call;
+
+/// Time for a rank to answer a question.
+const QUESTION_LIMIT: Duration = Duration::from_millis(250);
+/// Time for a rank to answer an order.
+const ORDER_LIMIT: Duration = Duration::from_millis(150);
+/// Time for which an agent that did not answer is passed by.
+const AGENT_PASSED_BY: Duration = Duration::from_millis(2_000);
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// It has begun, is done, or holds already.
+    Taken,
+    /// It does not fit the rank's state.
+    Conflict,
+    /// It may or may not be carried out, now or later.
+    Unknown,
+}
+
+/// One rank and the way to it.
+pub struct RankLink {
+    /// Name of the target.
+    pub id: String,
+    /// Address of the target.
+    pub address: String,
+    agent: Client,
+    agent_passed_by_until: Mutex<Option<Instant>>,
+}
+
+impl RankLink {
+    /// Makes a link; the agent is on the target's host.
+    pub fn new(id: &str, address: &str, agent_port: u16, daemon: &str) -> Option<RankLink> {
+        let target: SocketAddr = address.parse().ok()?;
+        let agent = SocketAddr::new(target.ip(), agent_port);
+        Some(RankLink {
+            id: id.to_string(),
+            address: address.to_string(),
+            agent: Client::new(agent.to_string(), daemon, 0),
+            agent_passed_by_until: Mutex::default(),
+        })
+    }
+
+    /// Asks for the report and, where it costs nothing, the counts.
+    pub async fn read(
+        &self,
+        pool: &Pool,
+        dialect: &dyn Dialect,
+    ) -> Result<(RankReport, Option<ExpertCounts>), String> {
+        let paths = [dialect.report_path(), dialect.counts_path()];
+        let questions = paths.map(|it| wire::TargetCall::new("GET".into(), it.into(), Vec::new()));
+        let bodies = match self.ask_agent(questions.to_vec(), QUESTION_LIMIT).await {
+            Some(answers) => answers.into_iter().map(|it| it.body).collect(),
+            None => vec![self.ask(pool, dialect.report_path()).await?],
+        };
+        let report = bodies.first().ok_or("no report")?;
+        let report = dialect.decode_report(report)?.ok_or("the target is no rank of a group")?;
+        let counts = bodies.get(1).map(|it| dialect.decode_counts(it)).transpose()?;
+        Ok((report, counts))
+    }
+
+    /// Asks for the experts in the map in use.
+    pub async fn experts(&self, pool: &Pool, dialect: &dyn Dialect) -> Result<RankExperts, String> {
+        let path = dialect.experts_path();
+        let question = wire::TargetCall::new("GET".into(), path.into(), Vec::new());
+        let body = match self.ask_agent(vec![question], QUESTION_LIMIT).await {
+            Some(mut answers) => answers.pop().map(|it| it.body).ok_or("no answer")?,
+            None => self.ask(pool, path).await?,
+        };
+        dialect.decode_experts(&body)
+    }
+
+    /// Gives an order.
+    pub async fn order(
+        &self,
+        pool: &Pool,
+        dialect: &dyn Dialect,
+        order: &RankOrder<'_>,
+    ) -> OrderEnd {
+        let body = dialect.encode_order(order);
+        let path = dialect.order_path();
+        let call = wire::TargetCall::new("POST".into(), path.into(), body.clone());
+        let status = match self.ask_agent(vec![call], ORDER_LIMIT).await {
+            Some(answers) => answers.first().map(|it| it.status as u16),
+            None => {
+                let body = Bytes::from(body);
+                let post = Method::POST;
+                let answered =
+                    target_call::call(pool, &self.address, post, path, body, ORDER_LIMIT).await;
+                answered.ok().map(|(status, _)| status.as_u16())
+            }
+        };
+        match status {
+            Some(200 | 202) => OrderEnd::Taken,
+            Some(400..=499) => OrderEnd::Conflict,
+            _ => OrderEnd::Unknown,
+        }
+    }
+
+    async fn ask(&self, pool: &Pool, path: &str) -> Result<Vec<u8>, String> {
+        let answered =
+            target_call::call(pool, &self.address, Method::GET, path, Bytes::new(), QUESTION_LIMIT);
+        match answered.await {
+            Ok((status, body)) if status.is_success() => Ok(body.to_vec()),
+            Ok((status, _)) => Err(format!("{} answered {status}", self.address)),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    async fn ask_agent(
+        &self,
+        calls: Vec<wire::TargetCall>,
+        limit: Duration,
+    ) -> Option<Vec<wire::TargetAnswer>> {
+        let until = *self.agent_passed_by_until.lock();
+        if until.is_some_and(|it| it > Instant::now()) {
+            return None;
+        }
+        let calls = wire::TargetCalls::new(self.address.clone(), calls);
+        match self.agent.call(Body::TargetCalls(calls), limit).await {
+            Ok(Body::TargetAnswers(answers)) => Some(answers.answers),
+            Ok(_) => None,
+            Err(error) => {
+                tracing::debug!(%error, target_id = self.id, "an agent is passed by");
+                let until = Instant::now() + AGENT_PASSED_BY;
+                *self.agent_passed_by_until.lock() = Some(until);
+                None
+            }
+        }
+    }
+}
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -12,6 +12,7 @@
 
 use crate::control_api::serve_control_api;
 use crate::dialect::Dialect;
+use crate::expert_planner::spawn_planner;
 use crate::loads::spawn_loads;
 use crate::log_relay;
 use crate::readiness::serve_readiness;
@@ -79,6 +80,9 @@
     spawn_sweep(state.clone());
     spawn_loads(state.clone()).await?;
     serve_control_api(state.clone()).await?;
+    if let Some(control) = state.daemon.control_node.get() {
+        spawn_planner(state.clone(), control.clone());
+    }
     let callers = CallerServer::bind(state.clone()).await?;
     serve_readiness(state).await?;
     Ok(callers)
--- a/crates/bilberryloft-relay/src/settings.rs
+++ b/crates/bilberryloft-relay/src/settings.rs
@@ -30,6 +30,8 @@
     pub control_api_address: String,
     /// Address for datagrams from other entries.
     pub load_address: String,
+    /// Port on which agents beside targets take calls.
+    pub agent_port: u16,
     /// Longest time from the wish to stop to the end of the process, in milliseconds.
     pub stop_within_ms: u64,
     /// Repeats for each request, over all entries.
--- /dev/null
+++ b/crates/bilberryloft-relay/src/target_call.rs
@@ -0,0 +1,74 @@
+//! Calls of the relay's own to targets: questions and orders, with small bodies and short deadlines.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::header;
+
+use crate::pool::Pool;
+use crate::pool::connect;
+
+/// Bytes of an answer that are read at most.
+const ANSWER_BYTES_MAX: usize = 1 << 20;
+
+/// Why a call has no answer; whether it was carried out is unknown.
+#[derive(Debug)]
+pub struct NoAnswer {
+    /// Address of the target.
+    pub address: String,
+    /// What went wrong.
+    pub detail: String,
+}
+
+impl std::fmt::Display for NoAnswer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "no answer from {}: {}", self.address, self.detail)
+    }
+}
+
+/// Makes a call.
+pub async fn call(
+    pool: &Pool,
+    address: &str,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), NoAnswer> {
+    let answered = tokio::time::timeout(limit, exchange(pool, address, method, path, body)).await;
+    let fail = |detail: String| NoAnswer { address: address.to_string(), detail };
+    let result = answered.map_err(|_| fail(format!("{} ms have passed", limit.as_millis())))?;
+    result.map_err(|error| fail(error.to_string()))
+}
+
+async fn exchange(
+    pool: &Pool,
+    address: &str,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error + Send + Sync>> {
+    let mut connection = match pool.take(address) {
+        Some(connection) => connection,
+        None => connect(address).await?,
+    };
+    let mut request = Request::new(Full::new(body.clone()));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse()?;
+    let headers = request.headers_mut();
+    headers.insert(header::HOST, address.parse()?);
+    if !body.is_empty() {
+        headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+    }
+    let response = connection.send_request(request).await?;
+    let (parts, body) = response.into_parts();
+    let bytes = Limited::new(body, ANSWER_BYTES_MAX).collect().await?.to_bytes();
+    pool.give_back(address, connection, &parts.headers);
+    Ok((parts.status, bytes))
+}
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -253,6 +253,27 @@
   5: InstallSnapshot install_snapshot
 }
 
+// A call to the target beside the callee, which the callee makes as it is asked.
+struct TargetCall {
+  1: required string method
+  2: required string path
+  3: required binary body
+}
+
+struct TargetAnswer {
+  1: required i32 status
+  2: required binary body
+}
+
+struct TargetCalls {
+  1: required string target_address
+  2: required list<TargetCall> calls
+}
+
+struct TargetAnswers {
+  1: required list<TargetAnswer> answers
+}
+
 // A message between members, with the sender's own address for a member that knows no members yet.
 struct MemberMessage {
   1: required RaftMessage message
@@ -303,6 +324,8 @@
   26: StatusReply status_reply
   27: Join join
   28: Redirect redirect
+  29: TargetCalls target_calls
+  30: TargetAnswers target_answers
 }
 
 // One frame. A call and all frames that answer it carry the same call number.
