--- a/crates/bilberryloft-relay/src/expert_planner.rs
+++ b/crates/bilberryloft-relay/src/expert_planner.rs
@@ -17,6 +17,7 @@
 use bilberryloft_coordination::expert_map::skew;
 use bilberryloft_daemon::control::ControlHandle;
 use bilberryloft_routing::document::Experts;
+use bilberryloft_transport::clock::boot_ms;
 use bilberryloft_transport::clock::monotonic_ms;
 use futures_util::future::join_all;
 use tokio::time::Instant;
@@ -35,8 +36,8 @@
 const COPY_LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which a new leader gives no order, so that the orders of the one before it have ended.
 const SETTLE: Duration = Duration::from_millis(1_500);
-/// Gap between two looks after which this process has stood still and must believe nothing.
-const STOOD_STILL: Duration = Duration::from_millis(700);
+/// Gap between two looks after which this process has stood still and must believe nothing, in milliseconds.
+const STOOD_STILL_MS: u64 = 900;
 /// Half-life of the counts of chosen experts, in milliseconds.
 const POPULARITY_HALF_LIFE_MS: u64 = 500;
 /// Choices that an estimate must rest on.
@@ -51,8 +52,8 @@
 const COPY_LIMIT: Duration = Duration::from_millis(4_000);
 /// Passes between the last one that was seen and the one at which a change takes place.
 const STEPS_AHEAD: u64 = 2;
-/// Time for which a change goes forward while a rank does not answer.
-const ARM_LIMIT: Duration = Duration::from_millis(3_000);
+/// Time for which the order to go on is repeated; after that, the next look finds the hold.
+const GO_LIMIT: Duration = Duration::from_millis(3_000);
 /// Versions of one term of a leader; two leaders never give the same version to different maps.
 const VERSIONS_PER_TERM: u64 = 10_000;
 
@@ -64,7 +65,7 @@
         links: BTreeMap::new(),
         groups: BTreeMap::new(),
         led_since: None,
-        looked_at: Instant::now(),
+        looked_at_ms: boot_ms(),
         version: 0,
     };
     tokio::spawn(planner.run());
@@ -76,10 +77,29 @@
     links: BTreeMap<String, Arc<RankLink>>,
     groups: BTreeMap<String, Group>,
     led_since: Option<Instant>,
-    looked_at: Instant,
+    looked_at_ms: u64,
     version: u64,
 }
 
+/// A change of all ranks to a map at one pass.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    version: u64,
+    step: u64,
+    epoch: u64,
+}
+
+/// How the arming of all ranks ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ArmEnd {
+    /// Every rank is armed.
+    Armed,
+    /// No rank is armed.
+    Disarmed,
+    /// This host must stop giving orders, or the group has ended; the hold stays for whoever leads next.
+    Interrupted,
+}
+
 /// A map that ranks are copying.
 struct Pending {
     version: u64,
@@ -114,21 +134,28 @@
                 continue;
             }
             self.look().await;
+            // A look may last: a change waits for ranks that do not answer.
+            self.looked_at_ms = boot_ms();
         }
     }
 
-    /// Whether this host leads, has done so for long enough, and has not stood still.
+    /// Whether this host leads and has not stood still.
     fn may_order(&mut self) -> bool {
-        let now = Instant::now();
-        let stood_still = now - self.looked_at > STOOD_STILL;
-        self.looked_at = now;
+        let now_ms = boot_ms();
+        let stood_still = now_ms - self.looked_at_ms > STOOD_STILL_MS;
+        self.looked_at_ms = now_ms;
         if !self.control.status().leads || stood_still {
             self.groups.clear();
             self.led_since = None;
             return false;
         }
-        let since = *self.led_since.get_or_insert(now);
-        now - since >= SETTLE
+        self.led_since.get_or_insert(Instant::now());
+        true
+    }
+
+    /// Whether this host has led for long enough to begin something new.
+    fn has_settled(&self) -> bool {
+        self.led_since.is_some_and(|it| it.elapsed() >= SETTLE)
     }
 
     async fn look(&mut self) {
@@ -209,25 +236,27 @@
         group.count(ranks, experts);
         if group.pending.is_some() {
             self.go_on(key, ranks).await;
-        } else {
+        } else if self.has_settled() {
             self.plan(key, ranks, experts).await;
         }
     }
 
-    /// Ends a hold that another planner, or an earlier life of this one, has left behind.
+    /// Ends a hold that another planner, or an earlier life of this one, has left behind. A change that was
+    /// begun goes forward: whoever else may still be at it does the same.
     async fn finish_held(&mut self, key: &str, ranks: &[Seen]) -> bool {
         let Some(holder) = ranks.iter().find(|it| it.report.held_step.is_some()) else {
             return false;
         };
-        let step = holder.report.held_step.unwrap_or_default();
-        let epoch = holder.report.epoch;
-        let version = holder.report.prepared;
-        let same = ranks.iter().all(|it| it.report.prepared == version);
-        log_relay!(warn, ExpertMapResumed, group = key, step, epoch, version, same);
-        if let Some(version) = version.filter(|_| same) {
-            self.arm_all(key, ranks, version, step, epoch).await;
+        let change = Change {
+            version: ranks[0].report.prepared.unwrap_or(0),
+            step: holder.report.held_step.unwrap_or_default(),
+            epoch: holder.report.epoch,
+        };
+        let same = ranks.iter().all(|it| it.report.prepared == Some(change.version));
+        log_relay!(warn, ExpertMapResumed, group = key, ?change, same);
+        if !same || self.arm_all(key, ranks, change).await != ArmEnd::Interrupted {
+            self.let_go(&holder.link, change.step).await;
         }
-        self.let_go(&holder.link, step).await;
         self.groups.remove(key);
         true
     }
@@ -293,9 +322,16 @@
         let Some(seen_step) = seen_step else {
             return;
         };
-        let step = seen_step + STEPS_AHEAD;
-        if self.switch(key, ranks, version, step, epoch).await {
-            log_relay!(info, ExpertMapSwitched, group = key, version, step, copied_ms);
+        let change = Change { version, step: seen_step + STEPS_AHEAD, epoch };
+        if self.switch(key, ranks, change).await {
+            log_relay!(
+                info,
+                ExpertMapSwitched,
+                group = key,
+                version,
+                step = change.step,
+                copied_ms
+            );
             if let Some(group) = self.groups.get_mut(key) {
                 group.map = pending.map;
                 group.map_version = Some(version);
@@ -304,86 +340,100 @@
     }
 
     /// Holds the group before a pass, arms all ranks for it, and lets the group go on.
-    async fn switch(
-        &mut self,
-        key: &str,
-        ranks: &[Seen],
-        version: u64,
-        step: u64,
-        epoch: u64,
-    ) -> bool {
+    async fn switch(&mut self, key: &str, ranks: &[Seen], change: Change) -> bool {
         let holder = &ranks[0].link;
-        let hold = RankOrder::Hold { step, epoch };
+        let hold = RankOrder::Hold { step: change.step, epoch: change.epoch };
         let dialect = self.state.dialect.clone();
         let held = holder.order(&self.state.pool, dialect.as_ref(), &hold).await;
         if held != OrderEnd::Taken {
-            log_relay!(warn, ExpertMapAbandoned, group = key, version, ?held, at = "hold");
-            self.let_go(holder, step).await;
+            log_relay!(warn, ExpertMapAbandoned, group = key, ?change, ?held, at = "hold");
+            self.let_go(holder, change.step).await;
             return false;
         }
-        let is_armed = self.arm_all(key, ranks, version, step, epoch).await;
-        self.let_go(holder, step).await;
-        is_armed
+        match self.arm_all(key, ranks, change).await {
+            ArmEnd::Armed => {
+                self.let_go(holder, change.step).await;
+                true
+            }
+            ArmEnd::Disarmed => {
+                self.let_go(holder, change.step).await;
+                false
+            }
+            ArmEnd::Interrupted => false,
+        }
     }
 
-    /// Arms all ranks; those that do not answer are asked again. When a rank refuses, all are disarmed.
-    async fn arm_all(
-        &self,
-        key: &str,
-        ranks: &[Seen],
-        version: u64,
-        step: u64,
-        epoch: u64,
-    ) -> bool {
-        let until = Instant::now() + ARM_LIMIT;
-        let order = RankOrder::Arm { version, step, epoch };
-        let mut waiting: Vec<&Seen> = ranks.iter().collect();
-        let mut refused = false;
-        while !waiting.is_empty() && !refused && Instant::now() < until {
-            let dialect = self.state.dialect.as_ref();
-            let orders = waiting.iter().map(|it| it.link.order(&self.state.pool, dialect, &order));
-            let ends = join_all(orders).await;
-            refused = ends.contains(&OrderEnd::Conflict);
-            let rest = waiting.iter().zip(&ends).filter(|(_, end)| **end == OrderEnd::Unknown);
-            waiting = rest.map(|(it, _)| *it).collect();
+    /// Arms all ranks while the group is held. A rank that does not answer may have been armed, or may be
+    /// later, so it is asked until it answers; the change goes back only when a rank has refused.
+    async fn arm_all(&self, key: &str, ranks: &[Seen], change: Change) -> ArmEnd {
+        let Change { version, step, epoch } = change;
+        let arm = RankOrder::Arm { version, step, epoch };
+        let (unanswered, refused) = self.order_until_answered(ranks, &arm).await;
+        if unanswered {
+            log_relay!(warn, ExpertMapAbandoned, group = key, ?change, at = "arm", unanswered);
+            return ArmEnd::Interrupted;
+        }
+        if refused.is_empty() {
+            return ArmEnd::Armed;
         }
-        if waiting.is_empty() && !refused {
-            return true;
+        let refused: Vec<&str> = refused.iter().map(|it| it.link.id.as_str()).collect();
+        log_relay!(warn, ExpertMapAbandoned, group = key, ?change, at = "arm", ?refused);
+        let disarm = RankOrder::Disarm { version };
+        match self.order_until_answered(ranks, &disarm).await.0 {
+            true => ArmEnd::Interrupted,
+            false => ArmEnd::Disarmed,
         }
-        let unknown = waiting.len();
-        log_relay!(
-            warn,
-            ExpertMapAbandoned,
-            group = key,
-            version,
-            step,
-            refused,
-            unknown,
-            at = "arm"
-        );
-        self.disarm_all(ranks, version).await;
-        false
     }
 
-    /// Takes the arming back at every rank before the group goes on.
-    async fn disarm_all(&self, ranks: &[Seen], version: u64) {
-        let until = Instant::now() + ARM_LIMIT;
-        let order = RankOrder::Disarm { version };
+    /// Gives an order to all ranks until each has answered. Returns whether some have not when this host must
+    /// stop giving orders or the group has ended, and the ranks that refused.
+    async fn order_until_answered<'a>(
+        &self,
+        ranks: &'a [Seen],
+        order: &RankOrder<'_>,
+    ) -> (bool, Vec<&'a Seen>) {
         let mut waiting: Vec<&Seen> = ranks.iter().collect();
-        while !waiting.is_empty() && Instant::now() < until {
+        let mut refused = Vec::new();
+        let mut last_ms = boot_ms();
+        loop {
             let dialect = self.state.dialect.as_ref();
-            let orders = waiting.iter().map(|it| it.link.order(&self.state.pool, dialect, &order));
+            let orders = waiting.iter().map(|it| it.link.order(&self.state.pool, dialect, order));
             let ends = join_all(orders).await;
-            let rest = waiting.iter().zip(&ends).filter(|(_, end)| **end == OrderEnd::Unknown);
-            waiting = rest.map(|(it, _)| *it).collect();
+            let mut rest = Vec::new();
+            for (seen, end) in waiting.into_iter().zip(ends) {
+                match end {
+                    OrderEnd::Taken => {}
+                    OrderEnd::Conflict => refused.push(seen),
+                    OrderEnd::Unknown => rest.push(seen),
+                }
+            }
+            waiting = rest;
+            if waiting.is_empty() {
+                return (false, refused);
+            }
+            let now_ms = boot_ms();
+            let stood_still = now_ms - last_ms > STOOD_STILL_MS;
+            last_ms = now_ms;
+            if stood_still || !self.control.status().leads || self.has_ended(ranks).await {
+                return (true, refused);
+            }
         }
     }
 
+    /// Whether the group has broken or formed again, which undoes all that was prepared, armed or held.
+    async fn has_ended(&self, ranks: &[Seen]) -> bool {
+        let dialect = self.state.dialect.as_ref();
+        let reads = ranks.iter().map(|it| it.link.read(&self.state.pool, dialect));
+        let epoch = ranks[0].report.epoch;
+        let reports = join_all(reads).await.into_iter().flatten();
+        reports.into_iter().any(|(report, _)| !report.is_open || report.epoch != epoch)
+    }
+
     /// Lets a group go on; the order is repeated until the rank has taken it.
     async fn let_go(&self, holder: &RankLink, step: u64) {
-        let until = Instant::now() + ARM_LIMIT;
+        let until = Instant::now() + GO_LIMIT;
         let dialect = self.state.dialect.as_ref();
-        while Instant::now() < until {
+        while Instant::now() < until && self.control.status().leads {
             let end = holder.order(&self.state.pool, dialect, &RankOrder::Go { step }).await;
             if end != OrderEnd::Unknown {
                 return;
--- a/crates/bilberryloft-relay/src/rank_link.rs
+++ b/crates/bilberryloft-relay/src/rank_link.rs
@@ -106,7 +106,13 @@
                 let post = Method::POST;
                 let answered =
                     target_call::call(pool, &self.address, post, path, body, ORDER_LIMIT).await;
-                answered.ok().map(|(status, _)| status.as_u16())
+                match answered {
+                    Ok((status, _)) => Some(status.as_u16()),
+                    Err(error) => {
+                        tracing::debug!(%error, target_id = self.id, "an order has no answer");
+                        None
+                    }
+                }
             }
         };
         match status {
