Expert maps: a shift begins the estimate anew, two new experts a rank, a change at the next pass

Cause: the first plan after a shift rested on counts from before it, copied up to four experts a rank (0.45 s), and changed two passes ahead; a second one had to follow.

--- a/crates/bilberryloft-relay/src/expert_planner.rs
+++ b/crates/bilberryloft-relay/src/expert_planner.rs
@@ -31,29 +31,41 @@
 use crate::state::RelayState;
 
 /// Time between two looks at the ranks.
-const LOOK_INTERVAL: Duration = Duration::from_millis(120);
+const LOOK_INTERVAL: Duration = Duration::from_millis(80);
 /// Time between looks while ranks copy experts.
-const COPY_LOOK_INTERVAL: Duration = Duration::from_millis(50);
+const COPY_LOOK_INTERVAL: Duration = Duration::from_millis(30);
 /// Time for which a new leader gives no order, so that the orders of the one before it have ended.
 const SETTLE: Duration = Duration::from_millis(1_500);
 /// Gap between two looks after which this process has stood still and must believe nothing, in milliseconds.
 const STOOD_STILL_MS: u64 = 900;
 /// Half-life of the counts of chosen experts, in milliseconds.
-const POPULARITY_HALF_LIFE_MS: u64 = 500;
+const POPULARITY_HALF_LIFE_MS: u64 = 600;
+/// Skew of the latest look over that of the estimate from which demand has shifted, and the estimate begins
+/// anew.
+const SHIFT_SKEW: f64 = 0.25;
 /// Choices that an estimate must rest on.
 const CHOICES_MIN: f64 = 20_000.0;
 /// Experts of all sets that one change may bring to a rank, at most; each takes its copying time.
-const NEW_PER_RANK_MAX: usize = 4;
+const NEW_PER_RANK_MAX: usize = 2;
 /// Gain in skew of a set for which one more expert is copied.
 const GAIN_PER_COPY: f64 = 0.02;
-/// Gain in mean skew for which a change is made at all.
-const GAIN_PER_CHANGE: f64 = 0.12;
+/// Gain in mean skew for which a change is made when passes take [`PASS_BUSY_MS`]; shorter ones hurt nobody,
+/// so that more must be gained.
+const GAIN_PER_CHANGE: f64 = 0.14;
+/// Time of a pass at which pauses of streams come near their usual objective, in milliseconds.
+const PASS_BUSY_MS: f64 = 70.0;
+/// Most and least that the length of passes changes the gain that is asked for.
+const GAIN_FACTORS: std::ops::RangeInclusive<f64> = 0.8..=2.5;
 /// Time after which ranks that have not copied everything are no longer waited for.
 const COPY_LIMIT: Duration = Duration::from_millis(4_000);
 /// Passes between the last one that was seen and the one at which a change takes place.
-const STEPS_AHEAD: u64 = 2;
+const STEPS_AHEAD: u64 = 1;
 /// Time for which the order to go on is repeated; after that, the next look finds the hold.
 const GO_LIMIT: Duration = Duration::from_millis(3_000);
+/// Passes over which their length is measured.
+const PASSES_TIMED: u64 = 8;
+/// Passes before which a hold is tried, one after the other.
+const HOLDS_TRIED: usize = 4;
 /// Versions of one term of a leader; two leaders never give the same version to different maps.
 const VERSIONS_PER_TERM: u64 = 10_000;
 
@@ -115,6 +127,9 @@
     popularity: Vec<Popularity>,
     counts: BTreeMap<usize, Vec<u64>>,
     pending: Option<Pending>,
+    /// Length of the latest passes in milliseconds; 0 before it is known.
+    pass_ms: f64,
+    timed_from: Option<(Instant, u64)>,
 }
 
 /// A rank as it was read in one look.
@@ -234,6 +249,7 @@
             *group = Group::new(epoch, experts);
         }
         group.count(ranks, experts);
+        group.time_passes(ranks);
         if group.pending.is_some() {
             self.go_on(key, ranks).await;
         } else if self.has_settled() {
@@ -285,8 +301,18 @@
         let term = self.control.status().term;
         let highest = ranks.iter().map(|it| it.report.prepared.unwrap_or(0)).max().unwrap_or(0);
         self.version = (self.version + 1).max(term * VERSIONS_PER_TERM).max(highest + 1);
-        let (version, epoch) = (self.version, group.epoch);
-        log_relay!(info, ExpertMapPlanned, group = key, version, epoch, before, after, copies);
+        let (version, epoch, pass_ms) = (self.version, group.epoch, group.pass_ms);
+        log_relay!(
+            info,
+            ExpertMapPlanned,
+            group = key,
+            version,
+            epoch,
+            before,
+            after,
+            copies,
+            pass_ms
+        );
         let order = RankOrder::Prepare { version, epoch, map: &map };
         let ends = self.order_all(ranks, &order).await;
         let refused = ends.iter().filter(|it| **it != OrderEnd::Taken).count();
@@ -323,15 +349,8 @@
             return;
         };
         let change = Change { version, step: seen_step + STEPS_AHEAD, epoch };
-        if self.switch(key, ranks, change).await {
-            log_relay!(
-                info,
-                ExpertMapSwitched,
-                group = key,
-                version,
-                step = change.step,
-                copied_ms
-            );
+        if let Some(step) = self.switch(key, ranks, change).await {
+            log_relay!(info, ExpertMapSwitched, group = key, version, step, copied_ms);
             if let Some(group) = self.groups.get_mut(key) {
                 group.map = pending.map;
                 group.map_version = Some(version);
@@ -339,28 +358,34 @@
         }
     }
 
-    /// Holds the group before a pass, arms all ranks for it, and lets the group go on.
-    async fn switch(&mut self, key: &str, ranks: &[Seen], change: Change) -> bool {
+    /// Holds the group before a pass, arms all ranks for it, and lets the group go on. Returns the pass at
+    /// which the map changed.
+    async fn switch(&mut self, key: &str, ranks: &[Seen], first: Change) -> Option<u64> {
         let holder = &ranks[0].link;
-        let hold = RankOrder::Hold { step: change.step, epoch: change.epoch };
-        let dialect = self.state.dialect.clone();
-        let held = holder.order(&self.state.pool, dialect.as_ref(), &hold).await;
-        if held != OrderEnd::Taken {
-            log_relay!(warn, ExpertMapAbandoned, group = key, ?change, ?held, at = "hold");
+        let change = self.hold(key, holder, first).await?;
+        let end = self.arm_all(key, ranks, change).await;
+        if end != ArmEnd::Interrupted {
             self.let_go(holder, change.step).await;
-            return false;
         }
-        match self.arm_all(key, ranks, change).await {
-            ArmEnd::Armed => {
-                self.let_go(holder, change.step).await;
-                true
-            }
-            ArmEnd::Disarmed => {
-                self.let_go(holder, change.step).await;
-                false
+        (end == ArmEnd::Armed).then_some(change.step)
+    }
+
+    /// Holds the group before the first pass that has not begun yet.
+    async fn hold(&self, key: &str, holder: &RankLink, first: Change) -> Option<Change> {
+        let dialect = self.state.dialect.as_ref();
+        let mut change = first;
+        for _ in 0..HOLDS_TRIED {
+            let hold = RankOrder::Hold { step: change.step, epoch: change.epoch };
+            match holder.order(&self.state.pool, dialect, &hold).await {
+                OrderEnd::Taken => return Some(change),
+                // The pass has begun.
+                OrderEnd::Conflict => change.step += 1,
+                OrderEnd::Unknown => break,
             }
-            ArmEnd::Interrupted => false,
         }
+        log_relay!(warn, ExpertMapAbandoned, group = key, ?change, at = "hold");
+        self.let_go(holder, change.step).await;
+        None
     }
 
     /// Arms all ranks while the group is held. A rank that does not answer may have been armed, or may be
@@ -487,11 +512,29 @@
             }
             self.counts.insert(seen.report.rank, counts.counts.clone());
         }
+        if self.has_shifted(&chosen, experts) {
+            let fresh = Popularity::new(experts.experts, POPULARITY_HALF_LIFE_MS);
+            self.popularity = vec![fresh; experts.sets];
+        }
         let now_ms = monotonic_ms();
-        for (set, popularity) in self.popularity.iter_mut().enumerate() {
-            let from = set * experts.experts;
-            popularity.add(&chosen[from..from + experts.experts], now_ms);
+        for (popularity, chosen) in self.popularity.iter_mut().zip(chosen.chunks(experts.experts)) {
+            popularity.add(chosen, now_ms);
+        }
+    }
+
+    /// Whether the latest choices fit the map in use much worse than those before.
+    fn has_shifted(&self, chosen: &[u64], experts: Experts) -> bool {
+        if self.map.len() != experts.sets || self.popularity.iter().any(|it| it.weight() < 1.0) {
+            return false;
         }
+        let mut rise = 0.0;
+        for ((map, popularity), chosen) in
+            self.map.iter().zip(&self.popularity).zip(chosen.chunks(experts.experts))
+        {
+            let latest: Vec<f64> = chosen.iter().map(|it| *it as f64).collect();
+            rise += skew(map, &latest) - skew(map, &popularity.shares());
+        }
+        rise / experts.sets as f64 > SHIFT_SKEW
     }
 
     /// A map that pays, with the mean skew before and after and the experts to copy.
@@ -517,6 +560,28 @@
         };
         let (before, after) = (mean(&self.map), mean(&map));
         let copies = self.map.iter().zip(&map).map(|(from, to)| copies_needed(from, to)).sum();
-        (before - after >= GAIN_PER_CHANGE).then_some((map, before, after, copies))
+        (before - after >= self.gain_asked()).then_some((map, before, after, copies))
+    }
+
+    fn gain_asked(&self) -> f64 {
+        let relative = PASS_BUSY_MS / self.pass_ms.max(1.0);
+        GAIN_PER_CHANGE * (relative * relative).clamp(*GAIN_FACTORS.start(), *GAIN_FACTORS.end())
+    }
+
+    /// Follows the length of passes by their numbers and the time between two looks.
+    fn time_passes(&mut self, ranks: &[Seen]) {
+        let step = ranks.iter().filter_map(|it| it.counts.as_ref().map(|it| it.step)).max();
+        let (Some(step), now) = (step, Instant::now()) else {
+            return;
+        };
+        let Some((since, first)) = self.timed_from else {
+            self.timed_from = Some((now, step));
+            return;
+        };
+        if step >= first + PASSES_TIMED {
+            let passed_ms = (now - since).as_secs_f64() * 1_000.0;
+            self.pass_ms = passed_ms / (step - first) as f64;
+            self.timed_from = Some((now, step));
+        }
     }
 }
--- a/crates/bilberryloft-relay/src/log.rs
+++ b/crates/bilberryloft-relay/src/log.rs
@@ -34,6 +34,8 @@
     StreamResumed = 515,
     /// A stream was broken off.
     StreamBroken = 516,
+    /// A stream came to its true end.
+    StreamEnded = 517,
     /// An operator's document was accepted or refused.
     DocumentDecided = 520,
     /// A target's announcement was refused.
@@ -58,7 +60,7 @@
 }
 
 /// All events in the order of their numbers.
-pub const RELAY_EVENTS: [RelayEvent; 22] = [
+pub const RELAY_EVENTS: [RelayEvent; 23] = [
     RelayEvent::RelayStarted,
     RelayEvent::RelayStopping,
     RelayEvent::RelayStopped,
@@ -74,6 +76,7 @@
     RelayEvent::CallerLeft,
     RelayEvent::StreamResumed,
     RelayEvent::StreamBroken,
+    RelayEvent::StreamEnded,
     RelayEvent::DocumentDecided,
     RelayEvent::AnnouncementRefused,
     RelayEvent::TargetLeaves,
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -54,6 +54,7 @@
     pieces: mpsc::Sender<Piece>,
     cutter: EventCutter,
     last_piece: Instant,
+    longest_gap: Duration,
     events_bytes: usize,
     _open: OpenRequest,
 }
@@ -74,6 +75,7 @@
         pieces,
         cutter: EventCutter::default(),
         last_piece: Instant::now(),
+        longest_gap: Duration::ZERO,
         events_bytes: 0,
         _open: open,
     };
@@ -92,6 +94,7 @@
                 BodyEnd::Whole => {
                     held.tell(Verdict::Sound);
                     self.state.daemon.metrics.answers.inc();
+                    self.log_end();
                     return;
                 }
                 BodyEnd::CallerLeft => {
@@ -113,6 +116,17 @@
         }
     }
 
+    fn log_end(&self) {
+        log_relay!(
+            info,
+            StreamEnded,
+            request_id = self.request.id,
+            bytes = self.events_bytes,
+            longest_gap_ms = self.longest_gap.as_millis() as u64,
+            whole_ms = self.request.arrived.elapsed().as_millis() as u64
+        );
+    }
+
     async fn give_up(&self, reason: &str) {
         log_relay!(
             warn,
@@ -161,6 +175,9 @@
         if whole.is_empty() {
             return None;
         }
+        if self.events_bytes > 0 {
+            self.longest_gap = self.longest_gap.max(self.last_piece.elapsed());
+        }
         self.last_piece = Instant::now();
         self.events_bytes += whole.len();
         self.state.daemon.metrics.pieces.inc();
