Leases of targets that a new leader learns from its log; one new expert a rank; misdirected requests

Cause 2: passes take 15 in 100 longer while ranks copy, which pushed pauses over 120 ms. Change: leases are adopted as the membership grows; one new expert a rank and change.

--- a/crates/bilberryloft-coordination/src/leases.rs
+++ b/crates/bilberryloft-coordination/src/leases.rs
@@ -34,6 +34,15 @@
         }
     }
 
+    /// Gives a full lease to each known target that has none: a leader may be elected before it has applied
+    /// the log that names them.
+    pub fn adopt(&mut self, known: impl IntoIterator<Item = (String, u64)>, now_ms: u64) {
+        for (name, incarnation) in known {
+            let due_ms = now_ms + self.lease_ms;
+            self.leases.entry(name).or_insert(Lease { incarnation, due_ms });
+        }
+    }
+
     /// Renews a lease; an earlier incarnation than the known one renews nothing.
     pub fn renew(&mut self, name: &str, incarnation: u64, now_ms: u64) -> bool {
         if self.leases.get(name).is_some_and(|it| it.incarnation > incarnation) {
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -71,6 +71,8 @@
     disk: Disk,
     pub(super) peers: Peers,
     pub(super) leases: LeaseTable,
+    /// Membership version whose targets all have leases.
+    pub(super) leased_version: u64,
     pub(super) upkeep: MemberUpkeep,
     settings: ControlSettings,
     seed: u64,
@@ -119,6 +121,7 @@
             disk: Disk::spawn(member.storage, report_sender.clone())?,
             peers: Peers::new(daemon, incarnation, settings.member, settings.routes.clone()),
             leases: LeaseTable::new(settings.target_lease_ms),
+            leased_version: 0,
             upkeep: MemberUpkeep::new(settings.member, settings.voters_wanted),
             settings: settings.clone(),
             seed,
--- a/crates/bilberryloft-daemon/src/control/target_leases.rs
+++ b/crates/bilberryloft-daemon/src/control/target_leases.rs
@@ -49,15 +49,7 @@
         let leads = self.raft.role() == Role::Leader;
         if leads && !self.was_leader {
             log_event!(info, Event::LeaderElected, term = self.raft.term());
-            let known: Vec<(String, u64)> = {
-                let machine = self.lock_machine();
-                let targets = machine.membership.targets().values();
-                targets
-                    .filter(|it| it.reachable)
-                    .map(|it| (it.name.clone(), it.incarnation))
-                    .collect()
-            };
-            self.leases.start_term(known, monotonic_ms());
+            self.leases.start_term(self.reachable_targets(), monotonic_ms());
             self.upkeep.start_term(self.raft.members(), self.raft.now_ms());
         }
         if !leads && self.was_leader {
@@ -70,10 +62,21 @@
         self.was_leader = leads;
     }
 
+    fn reachable_targets(&self) -> Vec<(String, u64)> {
+        let machine = self.lock_machine();
+        let targets = machine.membership.targets().values();
+        targets.filter(|it| it.reachable).map(|it| (it.name.clone(), it.incarnation)).collect()
+    }
+
     pub(super) fn expire_leases(&mut self) {
         if self.raft.role() != Role::Leader {
             return;
         }
+        let membership_version = self.lock_machine().membership.version();
+        if membership_version != self.leased_version {
+            self.leased_version = membership_version;
+            self.leases.adopt(self.reachable_targets(), monotonic_ms());
+        }
         let targets = self.leases.take_expired(monotonic_ms());
         if targets.is_empty() {
             return;
--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -67,6 +67,9 @@
         match self {
             AttemptEnd::Answered(it) if it.response.status().is_server_error() => Verdict::Failed,
             AttemptEnd::Answered(_) => Verdict::Sound,
+            AttemptEnd::NotRun { status } if *status == StatusCode::MISDIRECTED_REQUEST => {
+                Verdict::Misdirected
+            }
             AttemptEnd::NotRun { .. } => Verdict::Full,
             AttemptEnd::NotSent { .. } | AttemptEnd::Unknown { .. } => Verdict::Lost,
         }
--- a/crates/bilberryloft-relay/src/expert_planner.rs
+++ b/crates/bilberryloft-relay/src/expert_planner.rs
@@ -34,8 +34,9 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(80);
 /// Time between looks while ranks copy experts.
 const COPY_LOOK_INTERVAL: Duration = Duration::from_millis(30);
-/// Time for which a new leader gives no order, so that the orders of the one before it have ended.
-const SETTLE: Duration = Duration::from_millis(1_500);
+/// Time for which a new leader changes no map, so that the orders of the one before it have ended: that one
+/// stops leading at the latest twice an election timeout after it last heard a quorum.
+const SETTLE: Duration = Duration::from_millis(800);
 /// Gap between two looks after which this process has stood still and must believe nothing, in milliseconds.
 const STOOD_STILL_MS: u64 = 900;
 /// Half-life of the counts of chosen experts, in milliseconds.
@@ -46,7 +47,7 @@
 /// Choices that an estimate must rest on.
 const CHOICES_MIN: f64 = 20_000.0;
 /// Experts of all sets that one change may bring to a rank, at most; each takes its copying time.
-const NEW_PER_RANK_MAX: usize = 2;
+const NEW_PER_RANK_MAX: usize = 1;
 /// Gain in skew of a set for which one more expert is copied.
 const GAIN_PER_COPY: f64 = 0.02;
 /// Gain in mean skew for which a change is made when passes take [`PASS_BUSY_MS`]; shorter ones hurt nobody,
@@ -208,7 +209,7 @@
 
     fn links_of(&mut self, service: &str) -> Vec<Arc<RankLink>> {
         let board = self.state.board.lock();
-        let mut links = Vec::new();
+        let mut links: Vec<Arc<RankLink>> = Vec::new();
         for fact in board.present(service, monotonic_ms()) {
             let known = self.links.get(&fact.id).filter(|it| it.address == fact.address);
             let link = match known {
@@ -224,7 +225,10 @@
                     link
                 }
             };
-            links.push(link);
+            // A target that has started again may still be known by its earlier name, too.
+            if links.iter().all(|it| it.address != link.address) {
+                links.push(link);
+            }
         }
         links
     }
@@ -252,7 +256,7 @@
         group.time_passes(ranks);
         if group.pending.is_some() {
             self.go_on(key, ranks).await;
-        } else if self.has_settled() {
+        } else {
             self.plan(key, ranks, experts).await;
         }
     }
@@ -327,6 +331,7 @@
 
     /// Changes to a map once all ranks have copied what it needs.
     async fn go_on(&mut self, key: &str, ranks: &[Seen]) {
+        let settled = self.has_settled();
         let Some(group) = self.groups.get_mut(key) else {
             return;
         };
@@ -334,7 +339,8 @@
             return;
         };
         let version = pending.version;
-        if !ranks.iter().all(|it| it.report.prepared == Some(version)) {
+        let is_prepared = ranks.iter().all(|it| it.report.prepared == Some(version));
+        if !is_prepared || !settled {
             if pending.since.elapsed() < COPY_LIMIT {
                 group.pending = Some(pending);
             } else {
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -11,6 +11,9 @@
 const REST_MAX_MS: u64 = 1_600;
 /// Rest of a target that said it was full, in milliseconds.
 const REST_FULL_MS: u64 = 60;
+/// Time for which a target whose address another one has gets nothing, in milliseconds; control learns in
+/// that time that it no longer announces itself.
+const MISDIRECTED_MS: u64 = 4_000;
 /// Weight of the latest outcome in a target's share of failures.
 const FAILURE_GAIN: f64 = 0.1;
 /// Requests that a target with only failures counts as having besides those it runs.
@@ -56,6 +59,8 @@
     Failed,
     /// It was full and did not run the request.
     Full,
+    /// Another target has its address.
+    Misdirected,
     /// It could not be reached, fell silent, or broke off.
     Lost,
     /// The caller left, which says nothing.
@@ -70,6 +75,7 @@
     failures: f64,
     lost_in_a_row: u32,
     rest_until_ms: u64,
+    gone_until_ms: u64,
     sound_ms: Option<u64>,
 }
 
@@ -82,13 +88,16 @@
             failures: 0.0,
             lost_in_a_row: 0,
             rest_until_ms: 0,
+            gone_until_ms: 0,
             sound_ms: None,
         }
     }
 
     fn is_eligible(&self, now_ms: u64) -> bool {
         let answered_lately = self.sound_ms.is_some_and(|it| it + UNANNOUNCED_USE_MS > now_ms);
-        !self.fact.is_leaving && (self.fact.is_announced || answered_lately)
+        !self.fact.is_leaving
+            && self.gone_until_ms <= now_ms
+            && (self.fact.is_announced || answered_lately)
     }
 
     fn load(&self) -> u32 {
@@ -281,7 +290,7 @@
         let failed = match verdict {
             Verdict::Sound => 0.0,
             Verdict::Failed | Verdict::Lost => 1.0,
-            Verdict::Full | Verdict::Unknown => target.failures,
+            Verdict::Full | Verdict::Misdirected | Verdict::Unknown => target.failures,
         };
         target.failures += FAILURE_GAIN * (failed - target.failures);
         match verdict {
@@ -289,6 +298,10 @@
                 target.sound_ms = Some(now_ms);
                 target.lost_in_a_row = 0;
             }
+            Verdict::Misdirected => {
+                target.sound_ms = None;
+                target.gone_until_ms = now_ms + MISDIRECTED_MS;
+            }
             Verdict::Full => target.rest_until_ms = now_ms + REST_FULL_MS,
             Verdict::Lost => {
                 let rest_ms = (REST_FIRST_MS << target.lost_in_a_row.min(6)).min(REST_MAX_MS);
