--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -68,6 +68,48 @@
     AttemptRejoined = 402,
     /// The caller went away and the attempt was cancelled.
     AttemptCancelled = 403,
+    /// The relay takes requests.
+    RelayStarted = 500,
+    /// The relay was asked to stop.
+    RelayStopping = 501,
+    /// The relay has ended its work.
+    RelayStopped = 502,
+    /// The relay answers the balancer that it is ready, or no longer.
+    ReadinessChanged = 503,
+    /// A document is in force.
+    RoutesInForce = 504,
+    /// A document in force could not be read.
+    RoutesUnreadable = 505,
+    /// An entry was heard, or has fallen silent.
+    EntriesChanged = 507,
+    /// A request was sent to a target.
+    AttemptSent = 510,
+    /// An attempt ended.
+    AttemptEnded = 511,
+    /// A request got its answer.
+    RequestAnswered = 512,
+    /// The caller left before its answer was whole.
+    CallerLeft = 514,
+    /// A stream goes on at another target.
+    StreamResumed = 515,
+    /// A stream was broken off.
+    StreamBroken = 516,
+    /// A stream came to its true end.
+    StreamEnded = 517,
+    /// An operator's document was accepted or refused.
+    DocumentDecided = 520,
+    /// A target's announcement was refused.
+    AnnouncementRefused = 521,
+    /// A target announced that it leaves.
+    TargetLeaves = 522,
+    /// A better expert map is being copied.
+    ExpertMapPlanned = 530,
+    /// All ranks change to a map at one pass.
+    ExpertMapSwitched = 531,
+    /// A change of map was given up; all ranks keep the one they have.
+    ExpertMapAbandoned = 532,
+    /// A change that another planner began was found and ended.
+    ExpertMapResumed = 533,
 }
 
 impl Event {
@@ -78,7 +120,7 @@
 }
 
 /// All events in the order of their numbers.
-pub const EVENTS: [Event; 32] = [
+pub const EVENTS: [Event; 53] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -111,6 +153,27 @@
     Event::RequestRetried,
     Event::AttemptRejoined,
     Event::AttemptCancelled,
+    Event::RelayStarted,
+    Event::RelayStopping,
+    Event::RelayStopped,
+    Event::ReadinessChanged,
+    Event::RoutesInForce,
+    Event::RoutesUnreadable,
+    Event::EntriesChanged,
+    Event::AttemptSent,
+    Event::AttemptEnded,
+    Event::RequestAnswered,
+    Event::CallerLeft,
+    Event::StreamResumed,
+    Event::StreamBroken,
+    Event::StreamEnded,
+    Event::DocumentDecided,
+    Event::AnnouncementRefused,
+    Event::TargetLeaves,
+    Event::ExpertMapPlanned,
+    Event::ExpertMapSwitched,
+    Event::ExpertMapAbandoned,
+    Event::ExpertMapResumed,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-daemon/tests/documents.rs
+++ b/crates/bilberryloft-daemon/tests/documents.rs
@@ -35,7 +35,10 @@
 #[test]
 fn events_are_each_used_somewhere() {
     let mut code = String::new();
-    let mut folders = vec![Path::new(env!("CARGO_MANIFEST_DIR")).join("src")];
+    let mut folders = vec![
+        root().join("crates/bilberryloft-daemon/src"),
+        root().join("crates/bilberryloft-relay/src"),
+    ];
     while let Some(folder) = folders.pop() {
         for entry in std::fs::read_dir(folder).unwrap().flatten() {
             let path = entry.path();
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -13,6 +13,8 @@
 use axum::http::header;
 use axum::response::IntoResponse;
 use axum::response::Response;
+use bilberryloft_daemon::events::Event;
+use bilberryloft_daemon::log_event;
 use bilberryloft_protocol::wire;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_routing::targets::TargetFact;
@@ -27,7 +29,6 @@
 use tokio::time::Instant;
 
 use crate::dialect::ControlCall;
-use crate::log_relay;
 use crate::state::RelayState;
 
 /// Largest document in bytes.
@@ -74,7 +75,7 @@
     }) {
         Ok(document) => document,
         Err(fault) => {
-            log_relay!(warn, DocumentDecided, outcome = "invalid", %fault);
+            log_event!(warn, Event::DocumentDecided, outcome = "invalid", %fault);
             return failure(StatusCode::BAD_REQUEST, &fault.to_string());
         }
     };
@@ -84,15 +85,15 @@
     let command = Command::PutDocument(StoredDocument { version, text });
     match state.daemon.control.propose(&command, COMMIT_LIMIT).await {
         Ok(Outcome::Document { version: in_force }) => {
-            log_relay!(info, DocumentDecided, outcome = "accepted", version, in_force);
+            log_event!(info, Event::DocumentDecided, outcome = "accepted", version, in_force);
             axum::Json(json!({"version": in_force})).into_response()
         }
         Ok(other) => {
-            log_relay!(error, DocumentDecided, outcome = "unexpected", version, ?other);
+            log_event!(error, Event::DocumentDecided, outcome = "unexpected", version, ?other);
             failure(StatusCode::SERVICE_UNAVAILABLE, "the quorum gave another answer")
         }
         Err(error) => {
-            log_relay!(warn, DocumentDecided, outcome = "unknown", version, %error);
+            log_event!(warn, Event::DocumentDecided, outcome = "unknown", version, %error);
             failure(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
         }
     }
@@ -145,18 +146,24 @@
     let fact = match state.dialect.decode_announcement(id, body) {
         Ok(fact) => fact,
         Err(fault) => {
-            log_relay!(warn, AnnouncementRefused, target_id = id, fault);
+            log_event!(warn, Event::AnnouncementRefused, target_id = id, fault);
             return failure(StatusCode::BAD_REQUEST, &fault);
         }
     };
     let table = state.table();
     if table.version() > 0 && table.service(&fact.service).is_none() {
         let fault = format!("service: {:?} is not in the document in force", fact.service);
-        log_relay!(warn, AnnouncementRefused, target_id = id, fault, version = table.version());
+        log_event!(
+            warn,
+            Event::AnnouncementRefused,
+            target_id = id,
+            fault,
+            version = table.version()
+        );
         return failure(StatusCode::BAD_REQUEST, &fault);
     }
     if fact.is_leaving {
-        log_relay!(info, TargetLeaves, target_id = id, incarnation = fact.incarnation);
+        log_event!(info, Event::TargetLeaves, target_id = id, incarnation = fact.incarnation);
     }
     let incarnation = fact.incarnation;
     let description = serde_json::to_vec(&describe(fact)).unwrap_or_default();
@@ -174,7 +181,7 @@
 }
 
 async fn leave(state: &RelayState, id: &str) -> Response {
-    log_relay!(info, TargetLeaves, target_id = id, at = "end");
+    log_event!(info, Event::TargetLeaves, target_id = id, at = "end");
     let command = Command::Leave { name: id.to_string() };
     match state.daemon.control.propose(&command, COMMIT_LIMIT).await {
         Ok(_) => axum::Json(json!({})).into_response(),
--- a/crates/bilberryloft-relay/src/expert_planner.rs
+++ b/crates/bilberryloft-relay/src/expert_planner.rs
@@ -16,6 +16,8 @@
 use bilberryloft_coordination::expert_map::improve;
 use bilberryloft_coordination::expert_map::skew;
 use bilberryloft_daemon::control::ControlHandle;
+use bilberryloft_daemon::events::Event;
+use bilberryloft_daemon::log_event;
 use bilberryloft_routing::document::Experts;
 use bilberryloft_transport::clock::boot_ms;
 use bilberryloft_transport::clock::monotonic_ms;
@@ -25,7 +27,6 @@
 use crate::dialect::ExpertCounts;
 use crate::dialect::RankOrder;
 use crate::dialect::RankReport;
-use crate::log_relay;
 use crate::rank_link::OrderEnd;
 use crate::rank_link::RankLink;
 use crate::state::RelayState;
@@ -273,7 +274,7 @@
             epoch: holder.report.epoch,
         };
         let same = ranks.iter().all(|it| it.report.prepared == Some(change.version));
-        log_relay!(warn, ExpertMapResumed, group = key, ?change, same);
+        log_event!(warn, Event::ExpertMapResumed, group = key, ?change, same);
         if !same || self.arm_all(key, ranks, change).await != ArmEnd::Interrupted {
             self.let_go(&holder.link, change.step).await;
         }
@@ -306,9 +307,9 @@
         let highest = ranks.iter().map(|it| it.report.prepared.unwrap_or(0)).max().unwrap_or(0);
         self.version = (self.version + 1).max(term * VERSIONS_PER_TERM).max(highest + 1);
         let (version, epoch, pass_ms) = (self.version, group.epoch, group.pass_ms);
-        log_relay!(
+        log_event!(
             info,
-            ExpertMapPlanned,
+            Event::ExpertMapPlanned,
             group = key,
             version,
             epoch,
@@ -321,7 +322,14 @@
         let ends = self.order_all(ranks, &order).await;
         let refused = ends.iter().filter(|it| **it != OrderEnd::Taken).count();
         if refused > 0 {
-            log_relay!(warn, ExpertMapAbandoned, group = key, version, refused, at = "prepare");
+            log_event!(
+                warn,
+                Event::ExpertMapAbandoned,
+                group = key,
+                version,
+                refused,
+                at = "prepare"
+            );
             return;
         }
         if let Some(group) = self.groups.get_mut(key) {
@@ -344,7 +352,7 @@
             if pending.since.elapsed() < COPY_LIMIT {
                 group.pending = Some(pending);
             } else {
-                log_relay!(warn, ExpertMapAbandoned, group = key, version, at = "copy");
+                log_event!(warn, Event::ExpertMapAbandoned, group = key, version, at = "copy");
             }
             return;
         }
@@ -356,7 +364,7 @@
         };
         let change = Change { version, step: seen_step + STEPS_AHEAD, epoch };
         if let Some(step) = self.switch(key, ranks, change).await {
-            log_relay!(info, ExpertMapSwitched, group = key, version, step, copied_ms);
+            log_event!(info, Event::ExpertMapSwitched, group = key, version, step, copied_ms);
             if let Some(group) = self.groups.get_mut(key) {
                 group.map = pending.map;
                 group.map_version = Some(version);
@@ -389,7 +397,7 @@
                 OrderEnd::Unknown => break,
             }
         }
-        log_relay!(warn, ExpertMapAbandoned, group = key, ?change, at = "hold");
+        log_event!(warn, Event::ExpertMapAbandoned, group = key, ?change, at = "hold");
         self.let_go(holder, change.step).await;
         None
     }
@@ -401,14 +409,21 @@
         let arm = RankOrder::Arm { version, step, epoch };
         let (unanswered, refused) = self.order_until_answered(ranks, &arm).await;
         if unanswered {
-            log_relay!(warn, ExpertMapAbandoned, group = key, ?change, at = "arm", unanswered);
+            log_event!(
+                warn,
+                Event::ExpertMapAbandoned,
+                group = key,
+                ?change,
+                at = "arm",
+                unanswered
+            );
             return ArmEnd::Interrupted;
         }
         if refused.is_empty() {
             return ArmEnd::Armed;
         }
         let refused: Vec<&str> = refused.iter().map(|it| it.link.id.as_str()).collect();
-        log_relay!(warn, ExpertMapAbandoned, group = key, ?change, at = "arm", ?refused);
+        log_event!(warn, Event::ExpertMapAbandoned, group = key, ?change, at = "arm", ?refused);
         let disarm = RankOrder::Disarm { version };
         match self.order_until_answered(ranks, &disarm).await.0 {
             true => ArmEnd::Interrupted,
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberryloft_daemon::events::Event;
+use bilberryloft_daemon::log_event;
 use bilberryloft_routing::document::RequestKind;
 use bilberryloft_routing::targets::NoTarget;
 use bilberryloft_routing::targets::Picked;
@@ -24,7 +26,6 @@
 use crate::attempt::Answered;
 use crate::attempt::AttemptEnd;
 use crate::headers;
-use crate::log_relay;
 use crate::request;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
@@ -76,7 +77,7 @@
     fn drop(&mut self) {
         if !self.is_answered {
             let waited_ms = self.arrived.elapsed().as_millis() as u64;
-            log_relay!(info, CallerLeft, request_id = self.id, waited_ms);
+            log_event!(info, Event::CallerLeft, request_id = self.id, waited_ms);
         }
     }
 }
@@ -107,9 +108,9 @@
     let (held, answered) = (answer.held, answer.answered);
     state.daemon.metrics.first_byte_s.observe(arrived.elapsed().as_secs_f64());
     let status = answered.head.status;
-    log_relay!(
+    log_event!(
         info,
-        RequestAnswered,
+        Event::RequestAnswered,
         request_id = id,
         status = status.as_u16(),
         waited_ms,
@@ -137,9 +138,9 @@
         }
         _ => None,
     };
-    log_relay!(
+    log_event!(
         info,
-        RequestRefused,
+        Event::RequestRefused,
         request_id = id,
         reason = refusal.name(),
         status = refusal.status().as_u16(),
@@ -296,9 +297,9 @@
 }
 
 fn log_sent(request: &RelayRequest, picked: &Picked, attempt: u32) {
-    log_relay!(
+    log_event!(
         info,
-        AttemptSent,
+        Event::AttemptSent,
         request_id = request.id,
         attempt,
         target_id = picked.id,
@@ -311,5 +312,5 @@
 }
 
 fn log_ended(request: &RelayRequest, picked: &Picked, outcome: &str) {
-    log_relay!(info, AttemptEnded, request_id = request.id, target_id = picked.id, outcome);
+    log_event!(info, Event::AttemptEnded, request_id = request.id, target_id = picked.id, outcome);
 }
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod forward;
 pub mod headers;
 pub mod loads;
-pub mod log;
 pub mod pool;
 pub mod rank_agent;
 pub mod rank_link;
--- a/crates/bilberryloft-relay/src/readiness.rs
+++ b/crates/bilberryloft-relay/src/readiness.rs
@@ -7,11 +7,12 @@
 use axum::Router;
 use axum::http::StatusCode;
 use axum::routing::get;
+use bilberryloft_daemon::events::Event;
+use bilberryloft_daemon::log_event;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use tokio::net::TcpListener;
 
-use crate::log_relay;
 use crate::state::RelayState;
 
 /// Listens on the settings' address.
@@ -30,7 +31,7 @@
     let is_ready = state.is_ready();
     if was_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
         let (version, stopping) = (state.table().version(), state.is_stopping());
-        log_relay!(info, ReadinessChanged, is_ready, version, stopping);
+        log_event!(info, Event::ReadinessChanged, is_ready, version, stopping);
     }
     if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -14,7 +14,6 @@
 use crate::dialect::Dialect;
 use crate::expert_planner::spawn_planner;
 use crate::loads::spawn_loads;
-use crate::log_relay;
 use crate::readiness::serve_readiness;
 use crate::server::CallerServer;
 use crate::server::Stage;
@@ -46,7 +45,7 @@
             .traffic()
             .ok_or(Error::Closed { step: "start", peer: "the traffic threads".to_string() })?;
         let callers = traffic.block_on(start(state.clone()))?;
-        log_relay!(info, RelayStarted, daemon = state.daemon.settings.daemon);
+        log_event!(info, Event::RelayStarted, daemon = state.daemon.settings.daemon);
         Ok(Relay { daemon, state, callers })
     }
 
@@ -61,7 +60,7 @@
     pub fn shutdown(self) {
         let until = Instant::now() + Duration::from_millis(self.state.settings.stop_within_ms);
         let until = until - END_RESERVE;
-        log_relay!(info, RelayStopping, open = self.state.open_requests());
+        log_event!(info, Event::RelayStopping, open = self.state.open_requests());
         self.state.begin_stop();
         self.callers.set_stage(Stage::Closing);
         std::thread::sleep(NOTICE);
@@ -70,7 +69,7 @@
             std::thread::sleep(STOP_LOOK);
         }
         std::thread::sleep(STOP_LOOK);
-        log_relay!(info, RelayStopped, open = self.state.open_requests());
+        log_event!(info, Event::RelayStopped, open = self.state.open_requests());
         drop(self.daemon);
     }
 }
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::Ordering;
 
 use bilberryloft_daemon::daemon::Shared;
+use bilberryloft_daemon::events::Event;
+use bilberryloft_daemon::log_event;
 use bilberryloft_routing::budget::BudgetLimits;
 use bilberryloft_routing::budget::RetryBudget;
 use bilberryloft_routing::route_table::RouteTable;
@@ -22,7 +24,6 @@
 use parking_lot::RwLock;
 
 use crate::dialect::Dialect;
-use crate::log_relay;
 use crate::pool::Pool;
 use crate::settings::RelaySettings;
 
@@ -86,10 +87,10 @@
             Ok(decoded) => {
                 let routes = decoded.routes.len();
                 *self.table.write() = Arc::new(RouteTable::new(decoded));
-                log_relay!(info, RoutesInForce, version = document.version, before, routes);
+                log_event!(info, Event::RoutesInForce, version = document.version, before, routes);
             }
             Err(error) => {
-                log_relay!(error, RoutesUnreadable, version = document.version, %error);
+                log_event!(error, Event::RoutesUnreadable, version = document.version, %error);
             }
         }
     }
@@ -143,7 +144,7 @@
     pub fn set_entries(&self, entries: usize) {
         let before = self.entries.swap(entries, Ordering::Relaxed);
         if before != entries {
-            log_relay!(info, EntriesChanged, entries, before);
+            log_event!(info, Event::EntriesChanged, entries, before);
         }
     }
 
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberryloft_daemon::events::Event;
+use bilberryloft_daemon::log_event;
 use bilberryloft_routing::events::EventCutter;
 use bilberryloft_routing::targets::Verdict;
 use bytes::Bytes;
@@ -19,7 +21,6 @@
 use crate::attempt::Answered;
 use crate::attempt::AttemptEnd;
 use crate::forward::Held;
-use crate::log_relay;
 use crate::request::RelayRequest;
 use crate::state::OpenRequest;
 use crate::state::RelayState;
@@ -98,7 +99,12 @@
                     return;
                 }
                 BodyEnd::CallerLeft => {
-                    log_relay!(info, CallerLeft, request_id = self.request.id, at = "stream");
+                    log_event!(
+                        info,
+                        Event::CallerLeft,
+                        request_id = self.request.id,
+                        at = "stream"
+                    );
                     return;
                 }
                 BodyEnd::TimeOut => return self.give_up("timeout").await,
@@ -117,9 +123,9 @@
     }
 
     fn log_end(&self) {
-        log_relay!(
+        log_event!(
             info,
-            StreamEnded,
+            Event::StreamEnded,
             request_id = self.request.id,
             bytes = self.events_bytes,
             longest_gap_ms = self.longest_gap.as_millis() as u64,
@@ -128,9 +134,9 @@
     }
 
     async fn give_up(&self, reason: &str) {
-        log_relay!(
+        log_event!(
             warn,
-            StreamBroken,
+            Event::StreamBroken,
             request_id = self.request.id,
             reason,
             bytes = self.events_bytes,
@@ -211,9 +217,9 @@
                 held.tell(Verdict::Lost);
                 return None;
             };
-            log_relay!(
+            log_event!(
                 info,
-                StreamResumed,
+                Event::StreamResumed,
                 request_id = self.request.id,
                 target_id = picked.id,
                 outcome = end.name(),
