--- a/crates/bilberryloft-relay/src/request.rs
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use bilberryloft_routing::document::Route;
-use bilberryloft_routing::route_table::Caller;
-use bilberryloft_routing::route_table::RouteTable;
-use bilberryloft_routing::route_table::pick_share;
+use bilberryloft_routing::routes::Caller;
+use bilberryloft_routing::routes::RouteTable;
+use bilberryloft_routing::routes::pick_share;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -11,7 +11,7 @@
 use bilberryloft_daemon::log_event;
 use bilberryloft_routing::budget::BudgetLimits;
 use bilberryloft_routing::budget::RetryBudget;
-use bilberryloft_routing::route_table::RouteTable;
+use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_routing::targets::NoTarget;
 use bilberryloft_routing::targets::Picked;
 use bilberryloft_routing::targets::TargetBoard;
--- a/crates/bilberryloft-routing/src/lib.rs
+++ b/crates/bilberryloft-routing/src/lib.rs
@@ -4,5 +4,5 @@
 pub mod budget;
 pub mod document;
 pub mod events;
-pub mod route_table;
+pub mod routes;
 pub mod targets;
