--- a/crates/bilberryloft-coordination/src/expert_map/bounded.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/bounded.rs
@@ -5,8 +5,12 @@
 
 /// Ranks, from the least loaded on, that are tried as the receiver of an expert.
 const RECEIVERS_TRIED: usize = 8;
+/// Ranks, from the most loaded on, that are tried as the one that has too much.
+const SENDERS_TRIED: usize = 2;
+/// Exponent of the smooth maximum over ranks.
+const EXPONENT: i32 = 16;
 /// Changes of one set in one plan, at most.
-const CHANGES_MAX: usize = 64;
+const CHANGES_MAX: usize = 160;
 
 /// Experts of one set by rank; a rank may have free slots.
 pub type SetMap = Vec<Vec<ExpertId>>;
@@ -18,26 +22,35 @@
     pub slots: usize,
     /// Experts that are new to a rank, at most.
     pub new_max: usize,
-    /// Least gain, as a part of the mean load, for which one more expert is copied.
+    /// Least gain in skew for which one more change is made.
     pub gain_min: f64,
 }
 
-/// Load of each rank: an expert's tokens are split evenly among the ranks that hold it.
-pub fn loads(map: &SetMap, popularity: &[f64]) -> Vec<f64> {
+/// How many times as long as usual each rank takes; ranks beyond the end are at their usual speed.
+pub type Slowness<'a> = &'a [f64];
+
+/// Time that each rank takes for its experts: their tokens are split evenly among the ranks that hold them.
+fn times(map: &SetMap, popularity: &[f64], slowness: Slowness<'_>) -> Vec<f64> {
     let copies = count_copies(map, popularity.len());
     let share = |it: &ExpertId| {
         let at = usize::from(*it);
         popularity[at] / f64::from(copies[at].max(1))
     };
-    map.iter().map(|rank| rank.iter().map(share).sum()).collect()
+    let time = |(at, rank): (usize, &Vec<ExpertId>)| {
+        rank.iter().map(share).sum::<f64>() * slowness_of(slowness, at)
+    };
+    map.iter().enumerate().map(time).collect()
+}
+
+fn slowness_of(slowness: Slowness<'_>, rank: usize) -> f64 {
+    slowness.get(rank).copied().unwrap_or(1.0)
 }
 
-/// Highest load over mean load; 1.0 is even.
-pub fn skew(map: &SetMap, popularity: &[f64]) -> f64 {
-    let loads = loads(map, popularity);
-    let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+/// Longest time of a rank over the mean time of ranks at their usual speed; 1.0 is even.
+pub fn skew(map: &SetMap, popularity: &[f64], slowness: Slowness<'_>) -> f64 {
+    let mean = popularity.iter().sum::<f64>() / map.len().max(1) as f64;
     match mean > 0.0 {
-        true => loads.iter().copied().fold(0.0, f64::max) / mean,
+        true => times(map, popularity, slowness).into_iter().fold(0.0, f64::max) / mean,
         false => 1.0,
     }
 }
@@ -56,6 +69,8 @@
     Add { to: usize, expert: ExpertId },
     /// A copy of an expert in place of one that others hold, too.
     Replace { to: usize, expert: ExpertId, slot: usize },
+    /// A rank gives up an expert that others hold, too.
+    Drop { from: usize, slot: usize },
     /// Two ranks exchange an expert each.
     Exchange { from: usize, from_slot: usize, to: usize, slot: usize },
 }
@@ -64,20 +79,25 @@
     map: SetMap,
     original: &'a SetMap,
     popularity: &'a [f64],
+    slowness: Slowness<'a>,
     reach: Reach,
-    copies: Vec<u16>,
-    loads: Vec<f64>,
+    /// Ranks that hold each expert.
+    holders: Vec<Vec<usize>>,
+    times: Vec<f64>,
     mean: f64,
+    /// Sum of the weights of all times.
+    weights: f64,
 }
 
 /// Improves one set; `allowance` bounds the new experts of each rank over all sets, and is used up.
 pub fn improve(
     current: &SetMap,
     popularity: &[f64],
+    slowness: Slowness<'_>,
     reach: Reach,
     allowance: &mut [usize],
 ) -> SetMap {
-    let mut search = Search::new(current, popularity, reach);
+    let mut search = Search::new(current, popularity, slowness, reach);
     for _ in 0..CHANGES_MAX {
         let Some(change) = search.best_change(allowance) else {
             break;
@@ -88,56 +108,75 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(current: &'a SetMap, popularity: &'a [f64], reach: Reach) -> Search<'a> {
-        let loads = loads(current, popularity);
-        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
-        Search {
+    fn new(
+        current: &'a SetMap,
+        popularity: &'a [f64],
+        slowness: Slowness<'a>,
+        reach: Reach,
+    ) -> Search<'a> {
+        let mut holders = vec![Vec::new(); popularity.len()];
+        for (rank, held) in current.iter().enumerate() {
+            for expert in held {
+                holders[usize::from(*expert)].push(rank);
+            }
+        }
+        let mean = popularity.iter().sum::<f64>() / current.len().max(1) as f64;
+        let mut search = Search {
             map: current.clone(),
             original: current,
             popularity,
+            slowness,
             reach,
-            copies: count_copies(current, popularity.len()),
-            loads,
+            holders,
+            times: times(current, popularity, slowness),
             mean,
-        }
+            weights: 0.0,
+        };
+        search.weights = search.times.iter().map(|it| search.weight(*it)).sum();
+        search
     }
 
-    /// The change at the most loaded rank that lowers the loads most; `None` when none helps enough.
+    /// The change at a rank that takes longest which gains most; `None` when none helps enough.
     fn best_change(&self, allowance: &[usize]) -> Option<Change> {
-        let from =
-            (0..self.loads.len()).max_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]))?;
-        let mut receivers: Vec<usize> = (0..self.loads.len()).filter(|it| *it != from).collect();
-        receivers.sort_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]));
-        receivers.truncate(RECEIVERS_TRIED);
-        let before = self.badness(&self.loads);
+        let mut ranks: Vec<usize> = (0..self.times.len()).collect();
+        ranks.sort_by(|a, b| self.times[*a].total_cmp(&self.times[*b]));
+        let receivers = &ranks[..RECEIVERS_TRIED.min(ranks.len())];
         let mut best: Option<(f64, Change)> = None;
-        for change in self.changes(from, &receivers, allowance) {
-            let gain = before - self.badness(&self.loads_after(change));
-            if best.is_none_or(|it| gain > it.0) {
-                best = Some((gain, change));
+        for from in ranks.iter().rev().take(SENDERS_TRIED).copied() {
+            for change in self.changes(from, receivers, allowance) {
+                let gain = self.gain(change);
+                if best.is_none_or(|it| gain > it.0) {
+                    best = Some((gain, change));
+                }
             }
         }
-        best.filter(|it| it.0 > self.reach.gain_min * self.mean).map(|it| it.1)
-    }
-
-    /// What counts is the highest load; the second highest decides among changes that leave it alike.
-    fn badness(&self, loads: &[f64]) -> f64 {
-        let (mut first, mut second) = (0.0_f64, 0.0_f64);
-        for load in loads {
-            if *load > first {
-                second = first;
-                first = *load;
-            } else if *load > second {
-                second = *load;
-            }
+        best.filter(|it| it.0 > self.reach.gain_min).map(|it| it.1)
+    }
+
+    /// A smooth stand-in for the longest time, so that one of several ranks that take equally long counts.
+    fn weight(&self, time: f64) -> f64 {
+        (time / self.mean).max(0.0).powi(EXPONENT)
+    }
+
+    fn norm(weights: f64) -> f64 {
+        weights.max(0.0).powf(1.0 / f64::from(EXPONENT))
+    }
+
+    fn gain(&self, change: Change) -> f64 {
+        let mut weights = self.weights;
+        for (rank, added) in self.effects(change) {
+            weights += self.weight(self.times[rank] + added) - self.weight(self.times[rank]);
         }
-        first + 0.25 * second
+        Search::norm(self.weights) - Search::norm(weights)
     }
 
     fn changes(&self, from: usize, receivers: &[usize], allowance: &[usize]) -> Vec<Change> {
         let mut changes = Vec::new();
         for (from_slot, expert) in self.map[from].iter().copied().enumerate() {
-            for to in receivers.iter().copied() {
+            if self.copies(expert) > 1 {
+                changes.push(Change::Drop { from, slot: from_slot });
+            }
+            for to in receivers.iter().copied().filter(|it| *it != from) {
                 if self.map[to].contains(&expert) || !self.may_take(to, expert, allowance) {
                     continue;
                 }
@@ -145,7 +184,7 @@
                     changes.push(Change::Add { to, expert });
                 }
                 for (slot, other) in self.map[to].iter().copied().enumerate() {
-                    if self.copies[usize::from(other)] > 1 {
+                    if self.copies(other) > 1 {
                         changes.push(Change::Replace { to, expert, slot });
                     }
                     let may_swap =
@@ -159,6 +198,10 @@
         changes
     }
 
+    fn copies(&self, expert: ExpertId) -> usize {
+        self.holders[usize::from(expert)].len()
+    }
+
     /// Whether a rank may take an expert: one that it has in the present map costs nothing.
     fn may_take(&self, rank: usize, expert: ExpertId, allowance: &[usize]) -> bool {
         let original = &self.original[rank];
@@ -169,73 +212,85 @@
         new < self.reach.new_max && allowance[rank] > 0
     }
 
-    fn loads_after(&self, change: Change) -> Vec<f64> {
-        let mut loads = self.loads.clone();
+    /// What a change adds to the time of each rank that it touches.
+    fn effects(&self, change: Change) -> Vec<(usize, f64)> {
+        let mut effects = Vec::with_capacity(8);
         match change {
-            Change::Add { to, expert } => self.spread(&mut loads, expert, Some(to), None),
+            Change::Add { to, expert } => self.spread(&mut effects, expert, Some(to), None),
+            Change::Drop { from, slot } => {
+                self.spread(&mut effects, self.map[from][slot], None, Some(from));
+            }
             Change::Replace { to, expert, slot } => {
-                self.spread(&mut loads, expert, Some(to), None);
-                self.spread(&mut loads, self.map[to][slot], None, Some(to));
+                self.spread(&mut effects, expert, Some(to), None);
+                self.spread(&mut effects, self.map[to][slot], None, Some(to));
             }
             Change::Exchange { from, from_slot, to, slot } => {
-                self.spread(&mut loads, self.map[from][from_slot], Some(to), Some(from));
-                self.spread(&mut loads, self.map[to][slot], Some(from), Some(to));
+                self.spread(&mut effects, self.map[from][from_slot], Some(to), Some(from));
+                self.spread(&mut effects, self.map[to][slot], Some(from), Some(to));
             }
         }
-        loads
+        effects
     }
 
     /// Takes an expert's share off its ranks and lays it on those that hold it after a change.
     fn spread(
         &self,
-        loads: &mut [f64],
+        effects: &mut Vec<(usize, f64)>,
         expert: ExpertId,
         added: Option<usize>,
         removed: Option<usize>,
     ) {
         let at = usize::from(expert);
-        let copies = self.copies[at];
-        let after = copies + u16::from(added.is_some()) - u16::from(removed.is_some());
-        let share_before = self.popularity[at] / f64::from(copies.max(1));
-        let share_after = self.popularity[at] / f64::from(after.max(1));
-        for (rank, held) in self.map.iter().enumerate() {
-            if held.contains(&expert) {
-                loads[rank] -= share_before;
-                if removed != Some(rank) {
-                    loads[rank] += share_after;
-                }
-            } else if added == Some(rank) {
-                loads[rank] += share_after;
+        let copies = self.copies(expert);
+        let after = copies + usize::from(added.is_some()) - usize::from(removed.is_some());
+        let share_before = self.popularity[at] / copies.max(1) as f64;
+        let share_after = self.popularity[at] / after.max(1) as f64;
+        let mut add = |rank: usize, share: f64| {
+            let time = share * slowness_of(self.slowness, rank);
+            match effects.iter_mut().find(|it| it.0 == rank) {
+                Some(effect) => effect.1 += time,
+                None => effects.push((rank, time)),
             }
+        };
+        for rank in self.holders[at].iter().copied() {
+            let kept = if removed == Some(rank) { 0.0 } else { share_after };
+            add(rank, kept - share_before);
+        }
+        if let Some(rank) = added {
+            add(rank, share_after);
         }
     }
 
     fn apply(&mut self, change: Change, allowance: &mut [usize]) {
-        self.loads = self.loads_after(change);
+        for (rank, added) in self.effects(change) {
+            self.times[rank] += added;
+        }
         match change {
-            Change::Add { to, expert } => {
-                self.take(to, expert, allowance);
-                self.map[to].push(expert);
-            }
+            Change::Add { to, expert } => self.take(to, expert, allowance),
+            Change::Drop { from, slot } => self.give_up(from, slot),
             Change::Replace { to, expert, slot } => {
-                self.copies[usize::from(self.map[to][slot])] -= 1;
+                self.give_up(to, slot);
                 self.take(to, expert, allowance);
-                self.map[to][slot] = expert;
             }
             Change::Exchange { from, from_slot, to, slot } => {
                 let (expert, other) = (self.map[from][from_slot], self.map[to][slot]);
-                self.copies[usize::from(expert)] -= 1;
-                self.copies[usize::from(other)] -= 1;
+                self.give_up(from, from_slot);
+                self.give_up(to, slot);
                 self.take(to, expert, allowance);
                 self.take(from, other, allowance);
-                self.map[from][from_slot] = other;
-                self.map[to][slot] = expert;
             }
         }
+        self.weights = self.times.iter().map(|it| self.weight(*it)).sum();
+    }
+
+    fn give_up(&mut self, rank: usize, slot: usize) {
+        let expert = self.map[rank].remove(slot);
+        self.holders[usize::from(expert)].retain(|it| *it != rank);
     }
 
     fn take(&mut self, rank: usize, expert: ExpertId, allowance: &mut [usize]) {
-        self.copies[usize::from(expert)] += 1;
+        self.map[rank].push(expert);
+        self.holders[usize::from(expert)].push(rank);
         if !self.original[rank].contains(&expert) {
             allowance[rank] -= 1;
         }
--- a/crates/bilberryloft-coordination/src/expert_map/mod.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/mod.rs
@@ -10,6 +10,7 @@
 
 pub use bounded::Reach;
 pub use bounded::SetMap;
+pub use bounded::Slowness;
 pub use bounded::copies_needed;
 pub use bounded::improve;
 pub use bounded::skew;
--- a/crates/bilberryloft-relay/src/dialect.rs
+++ b/crates/bilberryloft-relay/src/dialect.rs
@@ -71,6 +71,8 @@
     pub is_armed: bool,
     /// Pass before which the rank holds its group.
     pub held_step: Option<u64>,
+    /// How many times as long as usual the rank takes; 1.0 is its usual speed.
+    pub slowness: f64,
 }
 
 /// How often a rank's requests chose each expert.
--- a/crates/bilberryloft-relay/src/expert_planner.rs
+++ b/crates/bilberryloft-relay/src/expert_planner.rs
@@ -47,8 +47,11 @@
 const SHIFT_SKEW: f64 = 0.25;
 /// Choices that an estimate must rest on.
 const CHOICES_MIN: f64 = 20_000.0;
-/// Experts of all sets that one change may bring to a rank, at most; each takes its copying time.
-const NEW_PER_RANK_MAX: usize = 1;
+/// Time that a rank may spend on copying for one change, in milliseconds: passes take longer meanwhile. One
+/// expert may always be copied.
+const COPY_MAX_MS: f64 = 120.0;
+/// Slowness from which a rank gets less to do; smaller differences are noise.
+const SLOW_FROM: f64 = 1.25;
 /// Gain in skew of a set for which one more expert is copied.
 const GAIN_PER_COPY: f64 = 0.02;
 /// Gain in mean skew for which a change is made when passes take [`PASS_BUSY_MS`]; shorter ones hurt nobody,
@@ -119,6 +122,8 @@
     version: u64,
     map: Vec<SetMap>,
     since: Instant,
+    /// Ranks that have taken the order to copy.
+    taken: Vec<bool>,
 }
 
 #[derive(Default)]
@@ -129,6 +134,8 @@
     popularity: Vec<Popularity>,
     counts: BTreeMap<usize, Vec<u64>>,
     pending: Option<Pending>,
+    /// How many times as long as usual each rank takes.
+    slowness: Vec<f64>,
     /// Length of the latest passes in milliseconds; 0 before it is known.
     pass_ms: f64,
     timed_from: Option<(Instant, u64)>,
@@ -253,6 +260,7 @@
         if group.epoch != epoch || group.popularity.len() != experts.sets {
             *group = Group::new(epoch, experts);
         }
+        group.slowness = ranks.iter().map(|it| slowness_of(&it.report)).collect();
         group.count(ranks, experts);
         group.time_passes(ranks);
         if group.pending.is_some() {
@@ -320,20 +328,30 @@
         );
         let order = RankOrder::Prepare { version, epoch, map: &map };
         let ends = self.order_all(ranks, &order).await;
-        let refused = ends.iter().filter(|it| **it != OrderEnd::Taken).count();
+        let refused = ends.iter().filter(|it| **it == OrderEnd::Conflict).count();
         if refused > 0 {
-            log_event!(
-                warn,
-                Event::ExpertMapAbandoned,
-                group = key,
-                version,
-                refused,
-                at = "prepare"
-            );
+            let at = "prepare";
+            log_event!(warn, Event::ExpertMapAbandoned, group = key, version, refused, at);
             return;
         }
+        let taken = ends.iter().map(|it| *it == OrderEnd::Taken).collect();
         if let Some(group) = self.groups.get_mut(key) {
-            group.pending = Some(Pending { version, map, since: Instant::now() });
+            group.pending = Some(Pending { version, map, since: Instant::now(), taken });
+        }
+    }
+
+    /// Repeats the order to copy at ranks that have not answered it; it is the same order, so that it does no
+    /// harm when the first one is carried out, too.
+    async fn prepare_again(&self, ranks: &[Seen], pending: &mut Pending, epoch: u64) {
+        let order = RankOrder::Prepare { version: pending.version, epoch, map: &pending.map };
+        let dialect = self.state.dialect.as_ref();
+        let waiting: Vec<usize> = (0..ranks.len()).filter(|it| !pending.taken[*it]).collect();
+        let orders =
+            waiting.iter().map(|it| ranks[*it].link.order(&self.state.pool, dialect, &order));
+        let ends = join_all(orders).await;
+        for (rank, end) in waiting.into_iter().zip(ends) {
+            // A refusal says that the first order has been carried out; the report will tell.
+            pending.taken[rank] = end != OrderEnd::Unknown;
         }
     }
 
@@ -343,10 +361,14 @@
         let Some(group) = self.groups.get_mut(key) else {
             return;
         };
-        let Some(pending) = group.pending.take() else {
+        let Some(mut pending) = group.pending.take() else {
+            return;
+        };
+        let (version, epoch) = (pending.version, group.epoch);
+        self.prepare_again(ranks, &mut pending, epoch).await;
+        let Some(group) = self.groups.get_mut(key) else {
             return;
         };
-        let version = pending.version;
         let is_prepared = ranks.iter().all(|it| it.report.prepared == Some(version));
         if !is_prepared || !settled {
             if pending.since.elapsed() < COPY_LIMIT {
@@ -356,7 +378,6 @@
             }
             return;
         }
-        let epoch = group.epoch;
         let copied_ms = pending.since.elapsed().as_millis() as u64;
         let seen_step = ranks.iter().filter_map(|it| it.counts.as_ref().map(|it| it.step)).max();
         let Some(seen_step) = seen_step else {
@@ -494,6 +515,15 @@
     }
 }
 
+fn slowness_of(report: &RankReport) -> f64 {
+    if report.slowness >= SLOW_FROM { report.slowness } else { 1.0 }
+}
+
+/// Experts of all sets that one change may bring to a rank.
+fn new_per_rank(experts: Experts) -> usize {
+    ((COPY_MAX_MS / experts.copy_ms.max(1.0)) as usize).max(1)
+}
+
 async fn read_map(
     state: &Arc<RelayState>,
     ranks: &[Seen],
@@ -553,7 +583,8 @@
             self.map.iter().zip(&self.popularity).zip(chosen.chunks(experts.experts))
         {
             let latest: Vec<f64> = chosen.iter().map(|it| *it as f64).collect();
-            rise += skew(map, &latest) - skew(map, &popularity.shares());
+            rise += skew(map, &latest, &self.slowness)
+                - skew(map, &popularity.shares(), &self.slowness);
         }
         rise / experts.sets as f64 > SHIFT_SKEW
     }
@@ -565,19 +596,19 @@
             return None;
         }
         let skews: Vec<f64> =
-            self.map.iter().zip(&shares).map(|(map, shares)| skew(map, shares)).collect();
+            self.map.iter().zip(&shares).map(|(map, it)| skew(map, it, &self.slowness)).collect();
         let mut order: Vec<usize> = (0..experts.sets).collect();
         order.sort_by(|a, b| skews[*b].total_cmp(&skews[*a]));
         let reach =
             Reach { slots: experts.slots, new_max: experts.new_max, gain_min: GAIN_PER_COPY };
-        let mut allowance = vec![NEW_PER_RANK_MAX; ranks];
+        let mut allowance = vec![new_per_rank(experts); ranks];
         let mut map = self.map.clone();
         for set in order {
-            map[set] = improve(&self.map[set], &shares[set], reach, &mut allowance);
+            map[set] = improve(&self.map[set], &shares[set], &self.slowness, reach, &mut allowance);
         }
         let mean = |map: &[SetMap]| {
-            let sum: f64 = map.iter().zip(&shares).map(|(map, shares)| skew(map, shares)).sum();
-            sum / experts.sets as f64
+            let skews = map.iter().zip(&shares).map(|(map, it)| skew(map, it, &self.slowness));
+            skews.sum::<f64>() / experts.sets as f64
         };
         let (before, after) = (mean(&self.map), mean(&map));
         let copies = self.map.iter().zip(&map).map(|(from, to)| copies_needed(from, to)).sum();
--- a/crates/bilberryloft-routing/src/document.rs
+++ b/crates/bilberryloft-routing/src/document.rs
@@ -81,6 +81,8 @@
     pub slots: usize,
     /// Experts of a set that one change may bring to a rank, at most.
     pub new_max: usize,
+    /// Time for a rank to copy one expert, in milliseconds.
+    pub copy_ms: f64,
 }
 
 /// What a step of an engine costs.
