Batches limited while pauses come near their objective, and a waiting line at the entry

Cause: after a shift of demand passes reach 120 to 130 ms for half a second, and arrivals lengthen them until every stream of the group is late.

--- a/crates/bilberryloft-relay/src/expert_planner.rs
+++ b/crates/bilberryloft-relay/src/expert_planner.rs
@@ -52,8 +52,8 @@
 const COPY_MAX_MS: f64 = 120.0;
 /// Slowness from which a rank gets less to do; smaller differences are noise.
 const SLOW_FROM: f64 = 1.25;
-/// Gain in skew of a set for which one more expert is copied.
-const GAIN_PER_COPY: f64 = 0.02;
+/// Gain in skew of a set for which one more expert is copied, for each millisecond that the copy takes.
+const GAIN_PER_COPY_MS: f64 = 0.000_18;
 /// Gain in mean skew for which a change is made when passes take [`PASS_BUSY_MS`]; shorter ones hurt nobody,
 /// so that more must be gained.
 const GAIN_PER_CHANGE: f64 = 0.14;
@@ -599,8 +599,11 @@
             self.map.iter().zip(&shares).map(|(map, it)| skew(map, it, &self.slowness)).collect();
         let mut order: Vec<usize> = (0..experts.sets).collect();
         order.sort_by(|a, b| skews[*b].total_cmp(&skews[*a]));
-        let reach =
-            Reach { slots: experts.slots, new_max: experts.new_max, gain_min: GAIN_PER_COPY };
+        let reach = Reach {
+            slots: experts.slots,
+            new_max: experts.new_max,
+            gain_min: GAIN_PER_COPY_MS * experts.copy_ms,
+        };
         let mut allowance = vec![new_per_rank(experts); ranks];
         let mut map = self.map.clone();
         for set in order {
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -6,7 +6,6 @@
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
 use bilberryloft_routing::document::RequestKind;
-use bilberryloft_routing::targets::NoTarget;
 use bilberryloft_routing::targets::Picked;
 use bilberryloft_routing::targets::TargetKey;
 use bilberryloft_routing::targets::Verdict;
@@ -26,6 +25,7 @@
 use crate::attempt::Answered;
 use crate::attempt::AttemptEnd;
 use crate::headers;
+use crate::place;
 use crate::request;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
@@ -41,27 +41,28 @@
 /// A target that has been given a request, until its verdict is told; without one, the caller left.
 pub struct Held {
     state: Arc<RelayState>,
+    service: String,
     key: TargetKey,
     is_told: bool,
 }
 
 impl Held {
     /// Takes over a request that was counted by the pick.
-    pub fn new(state: &Arc<RelayState>, key: TargetKey) -> Held {
-        Held { state: state.clone(), key, is_told: false }
+    pub fn new(state: &Arc<RelayState>, service: &str, key: TargetKey) -> Held {
+        Held { state: state.clone(), service: service.to_string(), key, is_told: false }
     }
 
     /// Tells how it ended.
     pub fn tell(mut self, verdict: Verdict) {
         self.is_told = true;
-        self.state.finish(self.key, verdict);
+        self.state.finish(&self.service, self.key, verdict);
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
         if !self.is_told {
-            self.state.finish(self.key, Verdict::Unknown);
+            self.state.finish(&self.service, self.key, Verdict::Unknown);
         }
     }
 }
@@ -190,14 +191,12 @@
         if ran + refused > 0 && !state.may_repeat(&request.service) {
             return Err(last);
         }
-        let picked = match state.pick(&request.service, &tried) {
-            Ok(picked) => picked,
-            Err(_) if ran > 0 || refused > 0 => return Err(last),
-            Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
-            Err(NoTarget::Full) => return Err(Refusal::Full),
+        let picked = match ran + refused {
+            0 => place::wait(state, request).await?,
+            _ => state.pick_again(&request.service, &tried).map_err(|_| last)?,
         };
         tried.push(picked.key);
-        let held = Held::new(state, picked.key);
+        let held = Held::new(state, &request.service, picked.key);
         log_sent(request, &picked, ran + refused + 1);
         let ended = tokio::time::timeout_at(request.due, async {
             let end = attempt::send(state, request, &picked, None).await;
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod forward;
 pub mod headers;
 pub mod loads;
+pub mod place;
 pub mod pool;
 pub mod rank_agent;
 pub mod rank_link;
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -5,10 +5,13 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bilberryloft_daemon::daemon::Shared;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
+use bilberryloft_routing::batch_limit::PauseMeter;
+use bilberryloft_routing::batch_limit::batch_limit;
 use bilberryloft_routing::budget::BudgetLimits;
 use bilberryloft_routing::budget::RetryBudget;
 use bilberryloft_routing::routes::RouteTable;
@@ -18,6 +21,7 @@
 use bilberryloft_routing::targets::TargetFact;
 use bilberryloft_routing::targets::TargetKey;
 use bilberryloft_routing::targets::Verdict;
+use bilberryloft_routing::waiting_line::WaitingLine;
 use bilberryloft_state::membership::TargetRecord;
 use bilberryloft_transport::clock::monotonic_ms;
 use parking_lot::Mutex;
@@ -25,6 +29,7 @@
 
 use crate::dialect::Dialect;
 use crate::pool::Pool;
+use crate::request::RelayRequest;
 use crate::settings::RelaySettings;
 
 /// Requests that may wait at a target beyond its slots.
@@ -44,6 +49,8 @@
     pub board: Mutex<TargetBoard>,
     table: RwLock<Arc<RouteTable>>,
     budgets: Mutex<BTreeMap<String, RetryBudget>>,
+    pauses: Mutex<BTreeMap<String, PauseMeter>>,
+    lines: Mutex<BTreeMap<String, WaitingLine>>,
     entries: AtomicUsize,
     open_requests: AtomicUsize,
     is_stopping: AtomicBool,
@@ -65,6 +72,8 @@
             board: Mutex::new(board),
             table: RwLock::default(),
             budgets: Mutex::default(),
+            pauses: Mutex::default(),
+            lines: Mutex::default(),
             entries: AtomicUsize::new(1),
             open_requests: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
@@ -104,15 +113,52 @@
         }
     }
 
-    /// Picks a target and counts the request there.
-    pub fn pick(&self, service: &str, tried: &[TargetKey]) -> Result<Picked, NoTarget> {
+    /// Picks a target for a new request and counts it there.
+    pub fn pick(&self, request: &RelayRequest, tried: &[TargetKey]) -> Result<Picked, NoTarget> {
+        let now_ms = monotonic_ms();
+        let load_max = self.load_max(request, now_ms);
         let mut board = self.board.lock();
-        board.pick(service, tried, TARGET_QUEUE_MAX, monotonic_ms(), fastrand::f64)
+        board.pick(&request.service, tried, load_max, TARGET_QUEUE_MAX, now_ms, fastrand::f64)
+    }
+
+    /// Picks a target for a request that has a place in the group already, whatever the limit on new ones.
+    pub fn pick_again(&self, service: &str, tried: &[TargetKey]) -> Result<Picked, NoTarget> {
+        let mut board = self.board.lock();
+        board.pick(service, tried, None, TARGET_QUEUE_MAX, monotonic_ms(), fastrand::f64)
+    }
+
+    /// Requests that each target may have while pauses of streams come near their objective.
+    fn load_max(&self, request: &RelayRequest, now_ms: u64) -> Option<u32> {
+        let objective_ms = request.route.gap_objective_ms? as f64;
+        let pause_ms = self.pauses.lock().get(&request.service)?.pause_ms(now_ms)?;
+        let engine = self.table().service(&request.service)?.engine?;
+        let mean_load = self.board.lock().mean_load(&request.service, now_ms);
+        let limit = batch_limit(&engine, objective_ms, pause_ms, mean_load);
+        (limit < engine.slots as u32).then_some(limit)
+    }
+
+    /// Takes the pause between two events of a stream.
+    pub fn note_pause(&self, service: &str, pause: Duration) {
+        let mut pauses = self.pauses.lock();
+        let pause_ms = pause.as_secs_f64() * 1_000.0;
+        if !pauses.contains_key(service) {
+            pauses.insert(service.to_string(), PauseMeter::default());
+        }
+        if let Some(meter) = pauses.get_mut(service) {
+            meter.note(pause_ms, monotonic_ms());
+        }
     }
 
     /// Takes a request off its target.
-    pub fn finish(&self, key: TargetKey, verdict: Verdict) {
-        self.board.lock().finish(key, verdict, monotonic_ms());
+    pub fn finish(&self, service: &str, key: TargetKey, verdict: Verdict) {
+        let now_ms = monotonic_ms();
+        self.board.lock().finish(key, verdict, now_ms);
+        self.with_line(service, |it| it.note_end(now_ms));
+    }
+
+    /// Uses the waiting line of a service.
+    pub fn with_line<T>(&self, service: &str, act: impl FnOnce(&mut WaitingLine) -> T) -> T {
+        act(self.lines.lock().entry(service.to_string()).or_default())
     }
 
     /// Counts a caller's request for a service.
@@ -127,17 +173,13 @@
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let limits = BudgetLimits {
+            window_ms: self.settings.retry_window_ms,
+            ratio: self.settings.retry_ratio,
+            slack: self.settings.retry_slack,
+        };
         let mut budgets = self.budgets.lock();
-        if !budgets.contains_key(service) {
-            let limits = BudgetLimits {
-                window_ms: self.settings.retry_window_ms,
-                ratio: self.settings.retry_ratio,
-                slack: self.settings.retry_slack,
-            };
-            budgets.insert(service.to_string(), RetryBudget::new(limits));
-        }
-        let budget = budgets.entry(service.to_string()).or_insert_with(|| unreachable!());
-        act(budget)
+        act(budgets.entry(service.to_string()).or_insert_with(|| RetryBudget::new(limits)))
     }
 
     /// Takes the number of entries, this one included.
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -182,7 +182,9 @@
             return None;
         }
         if self.events_bytes > 0 {
-            self.longest_gap = self.longest_gap.max(self.last_piece.elapsed());
+            let gap = self.last_piece.elapsed();
+            self.longest_gap = self.longest_gap.max(gap);
+            self.state.note_pause(&self.request.service, gap);
         }
         self.last_piece = Instant::now();
         self.events_bytes += whole.len();
@@ -205,12 +207,12 @@
             if self.pieces.is_closed() || !self.state.may_repeat(&self.request.service) {
                 return None;
             }
-            let Ok(picked) = self.state.pick(&self.request.service, &[]) else {
+            let Ok(picked) = self.state.pick_again(&self.request.service, &[]) else {
                 tokio::time::sleep(RESUME_PAUSE).await;
                 refused += 1;
                 continue;
             };
-            let held = Held::new(&self.state, picked.key);
+            let held = Held::new(&self.state, &self.request.service, picked.key);
             let after = self.cutter.last_id();
             let sent = attempt::send(&self.state, &self.request, &picked, after);
             let Ok(end) = tokio::time::timeout_at(until, sent).await else {
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -232,12 +232,24 @@
         targets.filter(|it| it.is_eligible(now_ms)).map(|it| &it.fact).collect()
     }
 
-    /// Picks the target that has the fewest requests, and counts one more there. `queue_max` requests may
-    /// wait at a target beyond its slots; `draw` orders targets that are equal.
+    /// Mean number of requests at the targets of a service.
+    pub fn mean_load(&self, service: &str, now_ms: u64) -> f64 {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let (mut sum, mut count) = (0, 0);
+        for target in keys.map(|it| &self.targets[it.0]).filter(|it| it.is_eligible(now_ms)) {
+            sum += target.load();
+            count += 1;
+        }
+        f64::from(sum) / f64::from(count.max(1))
+    }
+
+    /// Picks the target that has the fewest requests, and counts one more there. A target takes `load_max`
+    /// requests, or `queue_max` beyond its slots; `draw` orders targets that are equal.
     pub fn pick(
         &mut self,
         service: &str,
         tried: &[TargetKey],
+        load_max: Option<u32>,
         queue_max: u32,
         now_ms: u64,
         mut draw: impl FnMut() -> f64,
@@ -251,7 +263,7 @@
                 continue;
             }
             candidates += 1;
-            if target.load() >= target.fact.slots + queue_max {
+            if target.load() >= load_max.unwrap_or(target.fact.slots + queue_max) {
                 continue;
             }
             if target.rest_until_ms > now_ms {
