--- /dev/null
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -0,0 +1,294 @@
+//! Picking, retries, waiting and cutting of streams, each against the load that it is made for.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use bilberryloft_routing::batch_limit::PauseMeter;
+use bilberryloft_routing::batch_limit::batch_limit;
+use bilberryloft_routing::budget::BudgetLimits;
+use bilberryloft_routing::budget::RetryBudget;
+use bilberryloft_routing::document::Engine;
+use bilberryloft_routing::events::EventCutter;
+use bilberryloft_routing::targets::NoTarget;
+use bilberryloft_routing::targets::TargetBoard;
+use bilberryloft_routing::targets::TargetFact;
+use bilberryloft_routing::targets::Verdict;
+use bilberryloft_routing::waiting_line::WaitingLine;
+use quickcheck::quickcheck;
+
+const QUEUE_MAX: u32 = 4;
+
+fn fact(number: usize) -> TargetFact {
+    TargetFact {
+        id: format!("t{number}"),
+        incarnation: 1,
+        service: "writer".to_string(),
+        address: format!("10.0.0.{number}:80"),
+        data_center: "a".to_string(),
+        slots: 12,
+        is_leaving: false,
+        is_announced: true,
+    }
+}
+
+fn board(targets: usize) -> TargetBoard {
+    let mut board = TargetBoard::new("a");
+    (0..targets).for_each(|it| board.apply(fact(it)));
+    board
+}
+
+fn pick(board: &mut TargetBoard, now_ms: u64) -> Result<String, NoTarget> {
+    board.pick("writer", &[], None, QUEUE_MAX, now_ms, || 0.5).map(|it| it.id)
+}
+
+#[test]
+fn pick_spreads_a_burst_evenly() {
+    let mut board = board(16);
+    let mut counts = BTreeMap::new();
+    for _ in 0..160 {
+        *counts.entry(pick(&mut board, 0).unwrap()).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|it| *it == 10), "{counts:?}");
+}
+
+#[test]
+fn pick_counts_what_other_entries_have_sent() {
+    let mut board = board(2);
+    board.note_entry("other", [("t0".to_string(), 5)].into(), 0);
+    for _ in 0..5 {
+        assert_eq!(pick(&mut board, 0).unwrap(), "t1");
+    }
+    // An entry that has fallen silent no longer counts.
+    assert_eq!(board.expire_entries(2_000), 1);
+    assert_eq!(pick(&mut board, 2_000).unwrap(), "t0");
+}
+
+#[test]
+fn pick_refuses_when_all_places_are_taken() {
+    let mut board = board(1);
+    for _ in 0..16 {
+        pick(&mut board, 0).unwrap();
+    }
+    assert_eq!(pick(&mut board, 0), Err(NoTarget::Full));
+    assert_eq!(
+        board.pick("nobody", &[], None, QUEUE_MAX, 0, || 0.5).unwrap_err(),
+        NoTarget::Absent
+    );
+}
+
+#[test]
+fn pick_passes_a_leaving_target_by() {
+    let mut board = board(2);
+    board.apply(TargetFact { is_leaving: true, ..fact(0) });
+    for _ in 0..8 {
+        assert_eq!(pick(&mut board, 0).unwrap(), "t1");
+    }
+}
+
+#[test]
+fn pick_uses_a_silent_target_while_it_still_answers() {
+    let mut board = board(1);
+    let picked = board.pick("writer", &[], None, QUEUE_MAX, 0, || 0.5).unwrap();
+    board.finish(picked.key, Verdict::Sound, 1_000);
+    board.apply(TargetFact { is_announced: false, ..fact(0) });
+    assert!(pick(&mut board, 2_000).is_ok());
+    assert_eq!(pick(&mut board, 4_100), Err(NoTarget::Absent));
+}
+
+#[test]
+fn pick_forgets_a_name_whose_address_another_target_has() {
+    let mut board = board(2);
+    board.apply(TargetFact { address: "10.0.0.0:80".to_string(), ..fact(2) });
+    let stale = loop {
+        let picked = board.pick("writer", &[], None, QUEUE_MAX, 0, || 0.5).unwrap();
+        if picked.id == "t0" {
+            break picked;
+        }
+    };
+    board.finish(stale.key, Verdict::Misdirected, 0);
+    for _ in 0..20 {
+        assert_ne!(pick(&mut board, 1_000).unwrap(), "t0");
+    }
+}
+
+#[test]
+fn pick_rests_a_target_that_was_lost_and_comes_back_to_it() {
+    let mut board = board(2);
+    let first = board.pick("writer", &[], None, QUEUE_MAX, 0, || 0.5).unwrap();
+    board.finish(first.key, Verdict::Lost, 0);
+    for _ in 0..4 {
+        assert_ne!(pick(&mut board, 50).unwrap(), first.id);
+    }
+    assert_eq!(pick(&mut board, 150).unwrap(), first.id);
+}
+
+#[test]
+fn pick_avoids_a_target_that_fails_part_of_its_requests() {
+    let mut board = board(3);
+    for round in 0..60 {
+        let picked = board.pick("writer", &[], None, QUEUE_MAX, round * 1_000, || 0.5).unwrap();
+        let verdict = if picked.id == "t0" { Verdict::Failed } else { Verdict::Sound };
+        board.finish(picked.key, verdict, round * 1_000);
+    }
+    let mut to_failing = 0;
+    for round in 0..20 {
+        let picked = board.pick("writer", &[], None, QUEUE_MAX, 100_000 + round, || 0.5).unwrap();
+        to_failing += u32::from(picked.id == "t0");
+        board.finish(picked.key, Verdict::Sound, 100_000 + round);
+    }
+    assert!(to_failing <= 1, "{to_failing}");
+}
+
+#[test]
+fn pick_gives_a_restarted_target_a_clean_slate() {
+    let mut board = board(1);
+    let picked = board.pick("writer", &[], None, QUEUE_MAX, 0, || 0.5).unwrap();
+    board.finish(picked.key, Verdict::Misdirected, 0);
+    assert_eq!(pick(&mut board, 10), Err(NoTarget::Absent));
+    board.apply(TargetFact { incarnation: 2, ..fact(0) });
+    assert!(pick(&mut board, 10).is_ok());
+}
+
+#[test]
+fn budget_of_all_entries_together_stays_under_the_limit() {
+    let limits = BudgetLimits { window_ms: 10_000, ratio: 0.2, slack: 94.0 };
+    let entries = 7;
+    let mut budgets = vec![RetryBudget::new(limits); entries];
+    let mut repeats: Vec<u64> = Vec::new();
+    let mut requests: Vec<u64> = Vec::new();
+    // Every request fails and asks for as many repeats as it gets: the worst that callers can bring.
+    for now_ms in (0..40_000).step_by(12) {
+        let budget = &mut budgets[(now_ms / 12) as usize % entries];
+        budget.note_request(now_ms);
+        requests.push(now_ms);
+        while budget.take(entries, now_ms) {
+            repeats.push(now_ms);
+        }
+    }
+    for from_ms in (0..30_000).step_by(250) {
+        let within = |times: &[u64]| {
+            times.iter().filter(|it| (from_ms..from_ms + 10_000).contains(*it)).count() as f64
+        };
+        let allowed = 0.2 * within(&requests) + 94.0;
+        assert!(within(&repeats) <= allowed, "{} > {allowed}", within(&repeats));
+    }
+    assert!(repeats.len() > 100, "the budget is there to be used: {}", repeats.len());
+}
+
+#[test]
+fn events_are_cut_only_at_their_ends() {
+    let stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+    let mut cutter = EventCutter::default();
+    let mut passed = Vec::new();
+    for byte in stream.bytes() {
+        passed.extend(cutter.take(&[byte]).unwrap());
+    }
+    assert_eq!(String::from_utf8(passed).unwrap(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_eq!(cutter.last_id(), Some(2));
+    assert!(cutter.has_partial());
+    cutter.drop_partial();
+    let rest = cutter.take(b"id: 3\ndata: c\n\n").unwrap();
+    assert_eq!(rest, b"id: 3\ndata: c\n\n");
+    assert_eq!(cutter.last_id(), Some(3));
+}
+
+quickcheck! {
+    fn events_pass_whole_under_any_cut(cuts: Vec<u8>) -> bool {
+        let mut stream = Vec::new();
+        for number in 1..20 {
+            stream.extend(format!("id: {number}\ndata: {}\n\n", "x".repeat(number)).into_bytes());
+        }
+        let mut cutter = EventCutter::default();
+        let (mut passed, mut at) = (Vec::new(), 0);
+        for cut in cuts.into_iter().chain(std::iter::repeat(7)) {
+            let end = (at + usize::from(cut).max(1)).min(stream.len());
+            let whole = cutter.take(&stream[at..end]).unwrap();
+            if !(whole.is_empty() || whole.ends_with(b"\n\n")) {
+                return false;
+            }
+            passed.extend(whole);
+            at = end;
+            if at == stream.len() {
+                break;
+            }
+        }
+        passed == stream && !cutter.has_partial()
+    }
+}
+
+fn engine() -> Engine {
+    Engine {
+        slots: 12,
+        stride: 6.0,
+        step_ms: 4.84,
+        request_ms: 0.362,
+        read_token_ms: 0.0134,
+        chunk_tokens: 512,
+        usual_answer_tokens: 159,
+        experts: None,
+    }
+}
+
+/// A pass of a batch, with experts that stretch it.
+fn pass_ms(load: f64, stretch: f64) -> f64 {
+    6.0 * (4.84 + 0.362 * load) * stretch
+}
+
+#[test]
+fn batch_limit_leaves_short_passes_alone() {
+    assert_eq!(batch_limit(&engine(), 120.0, pass_ms(7.0, 1.1), 7.0), 12);
+}
+
+#[test]
+fn batch_limit_brings_long_passes_under_the_objective() {
+    for stretch in [2.2, 2.4, 2.6] {
+        let limit = batch_limit(&engine(), 120.0, pass_ms(10.0, stretch), 10.0);
+        assert!(limit < 12, "{limit}");
+        assert!(pass_ms(f64::from(limit), stretch) <= 120.0, "{stretch}: {limit}");
+        assert!(
+            pass_ms(f64::from(limit) + 2.0, stretch) > 110.0,
+            "{stretch}: {limit} is too careful"
+        );
+    }
+}
+
+#[test]
+fn batch_limit_holds_nothing_back_when_no_batch_would_be_in_time() {
+    assert_eq!(batch_limit(&engine(), 120.0, 400.0, 8.0), 12);
+}
+
+#[test]
+fn pause_meter_follows_a_change_within_two_passes_and_forgets() {
+    let mut meter = PauseMeter::default();
+    (0..20).for_each(|it| meter.note(45.0, it * 45));
+    assert!((meter.pause_ms(900).unwrap() - 45.0).abs() < 1.0);
+    for pass in 1..=3 {
+        (0..5).for_each(|stream| meter.note(110.0, 900 + pass * 110 + stream));
+    }
+    assert!(meter.pause_ms(1_250).unwrap() > 95.0, "{:?}", meter.pause_ms(1_250));
+    assert_eq!(meter.pause_ms(5_000), None);
+}
+
+#[test]
+fn waiting_line_serves_the_urgent_first_then_in_order() {
+    let mut line = WaitingLine::default();
+    let (first, second, urgent) = (line.join(1), line.join(1), line.join(0));
+    assert!(line.is_first(urgent) && !line.is_first(first));
+    line.leave(urgent);
+    assert!(line.is_first(first) && !line.is_first(second));
+    line.leave(first);
+    assert!(line.is_first(second));
+}
+
+#[test]
+fn waiting_line_expects_a_wait_that_fits_its_length_and_pace() {
+    let mut line = WaitingLine::default();
+    assert!(line.expected_wait_ms(1) > 1e6, "nothing has ended yet");
+    (0..200).for_each(|it| line.note_end(it * 50));
+    let alone = line.expected_wait_ms(1);
+    assert!((40.0..70.0).contains(&alone), "{alone}");
+    (0..9).for_each(|_| drop(line.join(1)));
+    let tenth = line.expected_wait_ms(1);
+    assert!((9.0..11.0).contains(&(tenth / alone)), "{tenth}");
+    assert!(line.expected_wait_ms(0) < 2.0 * alone, "the urgent do not wait for others");
+}
--- /dev/null
+++ b/crates/bilberryloft-routing/tests/documents.rs
@@ -0,0 +1,145 @@
+//! Documents: what makes one invalid, and which route and team a request finds.
+#![allow(clippy::unwrap_used)]
+
+use bilberryloft_routing::document::Document;
+use bilberryloft_routing::document::DocumentFault;
+use bilberryloft_routing::document::Limits;
+use bilberryloft_routing::document::RequestKind;
+use bilberryloft_routing::document::Route;
+use bilberryloft_routing::document::Service;
+use bilberryloft_routing::document::Share;
+use bilberryloft_routing::document::TeamKeys;
+use bilberryloft_routing::routes::Caller;
+use bilberryloft_routing::routes::RouteTable;
+use bilberryloft_routing::routes::pick_share;
+
+fn route(name: &str, prefix: &str, shares: &[(&str, u64)]) -> Route {
+    let share = |it: &(&str, u64)| Share { service: it.0.to_string(), weight: it.1 };
+    Route {
+        name: name.to_string(),
+        host: "depot.example".to_string(),
+        path_prefix: prefix.to_string(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 800,
+        objective_ms: 150,
+        gap_objective_ms: None,
+        priority: 1,
+        shares: shares.iter().map(share).collect(),
+        attempts_max: 2,
+        is_public: false,
+        is_resumable: false,
+    }
+}
+
+fn service(name: &str) -> Service {
+    Service { name: name.to_string(), connections_max: 10, engine: None }
+}
+
+fn team(name: &str, keys: &[&str]) -> TeamKeys {
+    let keys = keys.iter().map(|it| it.to_string()).collect();
+    TeamKeys { name: name.to_string(), keys, priority: None }
+}
+
+fn document() -> Document {
+    Document {
+        version: 3,
+        routes: vec![
+            route("all", "/", &[("road", 1)]),
+            route("brief", "/brief/", &[("writer", 3), ("road", 1)]),
+            route("night", "/brief/night/", &[("writer", 1)]),
+        ],
+        services: vec![service("writer"), service("road")],
+        teams: Some(vec![team("asahikawa", &["k1", "k2"]), team("kamikawa", &["k3"])]),
+        limits: Limits::default(),
+    }
+}
+
+#[test]
+fn document_sound_is_accepted() {
+    assert_eq!(document().check(), Ok(()));
+}
+
+#[test]
+fn document_that_names_an_unknown_service_is_refused() {
+    let mut faulty = document();
+    faulty.routes[1].shares[1].service = "gone".to_string();
+    assert!(
+        matches!(faulty.check(), Err(DocumentFault::UnknownService { service, .. }) if service == "gone")
+    );
+}
+
+#[test]
+fn document_with_two_routes_at_one_place_is_refused() {
+    let mut faulty = document();
+    faulty.routes[2].path_prefix = "/brief/".to_string();
+    assert!(matches!(faulty.check(), Err(DocumentFault::SamePlace { .. })));
+}
+
+#[test]
+fn document_whose_weights_add_up_to_nothing_is_refused() {
+    let mut faulty = document();
+    faulty.routes[1].shares.iter_mut().for_each(|it| it.weight = 0);
+    assert!(matches!(faulty.check(), Err(DocumentFault::NoWeight { .. })));
+    faulty.routes[1].shares.clear();
+    assert!(matches!(faulty.check(), Err(DocumentFault::NoWeight { .. })));
+}
+
+#[test]
+fn document_with_a_timeout_of_zero_is_refused() {
+    let mut faulty = document();
+    faulty.routes[0].timeout_ms = 0;
+    assert!(matches!(faulty.check(), Err(DocumentFault::NoTimeout { .. })));
+}
+
+#[test]
+fn document_in_which_two_teams_share_a_key_is_refused() {
+    let mut faulty = document();
+    faulty.teams.as_mut().unwrap()[1].keys.push("k1".to_string());
+    assert!(matches!(faulty.check(), Err(DocumentFault::SharedKey { .. })));
+}
+
+#[test]
+fn document_whose_prefix_lacks_a_slash_is_refused() {
+    let mut faulty = document();
+    faulty.routes[1].path_prefix = "/brief".to_string();
+    assert!(matches!(faulty.check(), Err(DocumentFault::BadPrefix { .. })));
+}
+
+#[test]
+fn routes_longest_prefix_wins() {
+    let table = RouteTable::new(document());
+    let name = |path: &str| table.find("DEPOT.example:8080", path).map(|it| it.name.clone());
+    assert_eq!(name("/brief/night/7").as_deref(), Some("night"));
+    assert_eq!(name("/brief/nights").as_deref(), Some("brief"));
+    assert_eq!(name("/brief").as_deref(), Some("all"));
+    assert!(table.find("other.example", "/brief/").is_none());
+}
+
+#[test]
+fn callers_are_known_by_any_key_of_their_team() {
+    let table = RouteTable::new(document());
+    let name = |key: Option<&str>| match table.caller(key) {
+        Caller::Team(team) => team.name.clone(),
+        other => format!("{other:?}"),
+    };
+    assert_eq!(name(Some("k2")), "asahikawa");
+    assert_eq!(name(Some("k3")), "kamikawa");
+    assert_eq!(name(Some("k4")), "Unknown");
+    assert_eq!(name(None), "Unknown");
+    let open = RouteTable::new(Document { teams: None, ..document() });
+    assert_eq!(open.caller(None), Caller::Anyone);
+}
+
+#[test]
+fn shares_follow_the_weights() {
+    let route = route("brief", "/brief/", &[("writer", 90), ("none", 0), ("road", 10)]);
+    let mut writer = 0;
+    for draw in 0..1_000 {
+        match pick_share(&route, f64::from(draw) / 1_000.0) {
+            Some("writer") => writer += 1,
+            Some("road") => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(writer, 900);
+}
--- a/crates/bilberryloft-state/tests/machine.rs
+++ b/crates/bilberryloft-state/tests/machine.rs
@@ -13,8 +13,10 @@
 use bilberryloft_state::configuration::Team;
 use bilberryloft_state::configuration::Template;
 use bilberryloft_state::configuration::token_digest;
+use bilberryloft_state::document::StoredDocument;
 use bilberryloft_state::machine::Command;
 use bilberryloft_state::machine::Machine;
+use bilberryloft_state::machine::Outcome;
 use bilberryloft_state::machine::StampedCommand;
 use bilberryloft_state::membership::FORGET_AFTER_MS;
 use bilberryloft_state::membership::Membership;
@@ -303,6 +305,40 @@
     );
 }
 
+fn put(machine: &mut Machine, version: u64, text: &str) -> Outcome {
+    let document = StoredDocument { version, text: text.to_string() };
+    machine.apply(StampedCommand { at_ms: 1, command: Command::PutDocument(document) })
+}
+
+#[test]
+fn document_of_the_highest_version_is_in_force_whatever_comes_later() {
+    let mut machine = Machine::default();
+    assert_eq!(put(&mut machine, 7, "seven"), Outcome::Document { version: 7 });
+    assert_eq!(put(&mut machine, 5, "five"), Outcome::Document { version: 7 });
+    assert_eq!(put(&mut machine, 7, "other"), Outcome::Document { version: 7 });
+    assert_eq!(machine.document.text, "seven");
+    assert_eq!(put(&mut machine, 9, "nine"), Outcome::Document { version: 9 });
+    assert_eq!(machine.document.text, "nine");
+}
+
+#[test]
+fn leaving_target_stays_so_against_late_announcements() {
+    let mut machine = Machine::default();
+    let mut announce = |incarnation: u64, leaving: bool| {
+        let description = TargetDescription { leaving, ..description() };
+        let name = "t".to_string();
+        let command = Command::Register { name, incarnation, description };
+        machine.apply(StampedCommand { at_ms: 1, command });
+        machine.membership.targets()["t"].description.leaving
+    };
+    assert!(!announce(1, false));
+    assert!(announce(1, true));
+    assert!(announce(1, false), "a late announcement takes nothing back");
+    assert!(!announce(2, false), "a new life begins anew");
+    machine.apply(StampedCommand { at_ms: 2, command: Command::Leave { name: "t".to_string() } });
+    assert!(machine.membership.targets()["t"].description.leaving);
+}
+
 fn description() -> TargetDescription {
     TargetDescription {
         agent_address: "127.0.0.1:1".to_string(),
--- a/crates/bilberryloft-testing/src/process.rs
+++ b/crates/bilberryloft-testing/src/process.rs
@@ -24,9 +24,20 @@
 impl Process {
     /// Starts a program; its log goes to a file.
     pub fn spawn(name: &str, arguments: &[&str], log: &Path) -> std::io::Result<Process> {
+        Process::spawn_with(name, arguments, &[], log)
+    }
+
+    /// Starts a program with variables of its environment set; its log goes to a file.
+    pub fn spawn_with(
+        name: &str,
+        arguments: &[&str],
+        variables: &[(&str, &str)],
+        log: &Path,
+    ) -> std::io::Result<Process> {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
         let child = Command::new(program(name))
             .args(arguments)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
