--- a/crates/bilberryctl/src/commands/mod.rs
+++ b/crates/bilberryctl/src/commands/mod.rs
@@ -9,3 +9,4 @@
 pub mod target;
 pub mod team;
 pub mod template;
+pub mod trace;
--- a/crates/bilberryctl/src/main.rs
+++ b/crates/bilberryctl/src/main.rs
@@ -48,6 +48,8 @@
     Members(commands::members::MembersCommand),
     /// Explains why a request went where it did or was refused.
     Explain(commands::explain::ExplainCommand),
+    /// Joins logs into the timeline of one request.
+    Trace(commands::trace::TraceCommand),
     /// Reports.
     #[command(subcommand)]
     Report(commands::report::ReportCommand),
@@ -85,6 +87,7 @@
         Command::Config(command) => command.run(&client, json),
         Command::Members(command) => command.run(&client, json),
         Command::Explain(command) => command.run(&client, json),
+        Command::Trace(command) => command.run(json),
         Command::Report(command) => command.run(&client, json),
         Command::Settings(command) => command.run(),
         Command::Data(command) => command.run(json),
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -28,6 +28,7 @@
 use crate::place;
 use crate::request;
 use crate::request::RelayRequest;
+use crate::state::LoadSeen;
 use crate::state::RelayState;
 use crate::stream;
 
@@ -94,7 +95,7 @@
     drop(table);
     let request = match read {
         Ok(request) => request,
-        Err(refusal) => return refuse(&id, refusal, arrived),
+        Err(refusal) => return refuse(&id, refusal, arrived, None),
     };
     state.note_request(&request.service);
     let open = state.open_request();
@@ -103,7 +104,10 @@
     watch.is_answered = true;
     let answer = match outcome {
         Ok(answer) => answer,
-        Err(refusal) => return refuse(&id, refusal, arrived),
+        Err(refusal) => {
+            let seen = state.load_seen(&request);
+            return refuse(&id, refusal, arrived, Some((&request, seen)));
+        }
     };
     let waited_ms = arrived.elapsed().as_millis() as u64;
     let (held, answered) = (answer.held, answer.answered);
@@ -132,7 +136,13 @@
     }
 }
 
-fn refuse(id: &str, refusal: Refusal, arrived: Instant) -> Response<AnswerBody> {
+/// Answers a request itself; the line in the log holds what decided, as far as a route was found.
+fn refuse(
+    id: &str,
+    refusal: Refusal,
+    arrived: Instant,
+    seen: Option<(&RelayRequest, LoadSeen)>,
+) -> Response<AnswerBody> {
     let retry_after = match refusal.status() {
         StatusCode::SERVICE_UNAVAILABLE => {
             Some(Duration::from_millis(fastrand::u64(RETRY_AFTER_MS)))
@@ -146,7 +156,13 @@
         reason = refusal.name(),
         status = refusal.status().as_u16(),
         waited_ms = arrived.elapsed().as_millis() as u64,
-        retry_after_ms = retry_after.map(|it| it.as_millis() as u64)
+        retry_after_ms = retry_after.map(|it| it.as_millis() as u64),
+        route = seen.as_ref().map(|it| it.0.route.name.as_str()),
+        version = seen.as_ref().map(|it| it.0.document_version),
+        targets = seen.as_ref().map(|it| it.1.targets),
+        mean_load = seen.as_ref().map(|it| it.1.mean_load),
+        load_max = seen.as_ref().and_then(|it| it.1.load_max),
+        pause_ms = seen.as_ref().and_then(|it| it.1.pause_ms),
     );
     refusal.answer(retry_after)
 }
@@ -200,14 +216,14 @@
         log_sent(request, &picked, ran + refused + 1);
         let ended = tokio::time::timeout_at(request.due, async {
             let end = attempt::send(state, request, &picked, None).await;
-            read_answer(state, request, &picked, end).await
+            read_answer(state, request, end).await
         });
         let Ok((end, answer)) = ended.await else {
             held.tell(Verdict::Lost);
-            log_ended(request, &picked, "timeout");
+            log_ended(request, &picked, "timeout", None);
             return Err(Refusal::TimeOutSent);
         };
-        log_ended(request, &picked, end.name);
+        log_ended(request, &picked, end.name, end.detail.as_deref());
         if let Some(answered) = answer {
             let is_last =
                 !should_repeat_failure(request, &answered) || ran + 1 >= request.route.attempts_max;
@@ -257,29 +273,27 @@
     name: &'static str,
     verdict: Verdict,
     run: Run,
+    /// What went wrong, or the status of a target that did not run the request.
+    detail: Option<String>,
 }
 
 /// Reads a plain answer whole; the body of a stream is left to be passed on.
 async fn read_answer(
     state: &Arc<RelayState>,
     request: &RelayRequest,
-    picked: &Picked,
     end: AttemptEnd,
 ) -> (Ended, Option<ReadAnswer>) {
     let (name, verdict) = (end.name(), end.verdict());
+    let failed = |run: Run, detail: String| Ended { name, verdict, run, detail: Some(detail) };
     let answered = match end {
         AttemptEnd::Answered(answered) => answered,
-        AttemptEnd::NotRun { .. } | AttemptEnd::NotSent { .. } => {
-            return (Ended { name, verdict, run: Run::No }, None);
-        }
-        AttemptEnd::Unknown { error } => {
-            tracing::debug!(request_id = request.id, target_id = picked.id, error);
-            return (Ended { name, verdict, run: Run::Unknown }, None);
-        }
+        AttemptEnd::NotRun { status } => return (failed(Run::No, status.to_string()), None),
+        AttemptEnd::NotSent { error } => return (failed(Run::No, error), None),
+        AttemptEnd::Unknown { error } => return (failed(Run::Unknown, error), None),
     };
     let status = answered.response.status();
     let head = AnswerHead { status, headers: headers::pass_on(answered.response.headers(), &[]) };
-    let ended = Ended { name, verdict, run: Run::Unknown };
+    let ended = Ended { name, verdict, run: Run::Unknown, detail: None };
     if request.route.kind == RequestKind::Stream && status.is_success() {
         return (ended, Some(ReadAnswer { head, body: AnswerSource::Events(answered) }));
     }
@@ -291,7 +305,10 @@
             let body = AnswerSource::Whole(collected.to_bytes());
             (ended, Some(ReadAnswer { head, body }))
         }
-        Err(_) => (Ended { name: "cut", verdict: Verdict::Lost, run: Run::Unknown }, None),
+        Err(error) => {
+            let detail = Some(error.to_string());
+            (Ended { name: "cut", verdict: Verdict::Lost, run: Run::Unknown, detail }, None)
+        }
     }
 }
 
@@ -310,6 +327,14 @@
     );
 }
 
-fn log_ended(request: &RelayRequest, picked: &Picked, outcome: &str) {
-    log_event!(info, Event::AttemptEnded, request_id = request.id, target_id = picked.id, outcome);
+fn log_ended(request: &RelayRequest, picked: &Picked, outcome: &str, detail: Option<&str>) {
+    log_event!(
+        info,
+        Event::AttemptEnded,
+        request_id = request.id,
+        target_id = picked.id,
+        outcome,
+        detail,
+        waited_ms = request.arrived.elapsed().as_millis() as u64
+    );
 }
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -35,6 +35,19 @@
 /// Requests that may wait at a target beyond its slots.
 const TARGET_QUEUE_MAX: u32 = 4;
 
+/// Inputs of a decision on load, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadSeen {
+    /// Targets that take work.
+    pub targets: usize,
+    /// Mean number of requests at each.
+    pub mean_load: f64,
+    /// Requests that each may have, where pauses are near their objective.
+    pub load_max: Option<u32>,
+    /// Latest pauses between events, in milliseconds.
+    pub pause_ms: Option<f64>,
+}
+
 /// What all parts of the relay share.
 pub struct RelayState {
     /// The daemon that the relay is a part of.
@@ -127,6 +140,21 @@
         board.pick(service, tried, None, TARGET_QUEUE_MAX, monotonic_ms(), fastrand::f64)
     }
 
+    /// What is known of the load of a request's service.
+    pub fn load_seen(&self, request: &RelayRequest) -> LoadSeen {
+        let now_ms = monotonic_ms();
+        let service = &request.service;
+        let pause_ms = self.pauses.lock().get(service).and_then(|it| it.pause_ms(now_ms));
+        let load_max = self.load_max(request, now_ms);
+        let board = self.board.lock();
+        LoadSeen {
+            targets: board.present(service, now_ms).len(),
+            mean_load: board.mean_load(service, now_ms),
+            load_max,
+            pause_ms,
+        }
+    }
+
     /// Requests that each target may have while pauses of streams come near their objective.
     fn load_max(&self, request: &RelayRequest, now_ms: u64) -> Option<u32> {
         let objective_ms = request.route.gap_objective_ms? as f64;
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -287,7 +287,9 @@
     (0..200).for_each(|it| line.note_end(it * 50));
     let alone = line.expected_wait_ms(1);
     assert!((40.0..70.0).contains(&alone), "{alone}");
-    (0..9).for_each(|_| drop(line.join(1)));
+    for _ in 0..9 {
+        line.join(1);
+    }
     let tenth = line.expected_wait_ms(1);
     assert!((9.0..11.0).contains(&(tenth / alone)), "{tenth}");
     assert!(line.expected_wait_ms(0) < 2.0 * alone, "the urgent do not wait for others");
--- a/crates/bilberryloft-testing/src/process.rs
+++ b/crates/bilberryloft-testing/src/process.rs
@@ -45,6 +45,17 @@
         Ok(Process { child })
     }
 
+    /// Starts a program whose standard output nobody reads.
+    pub fn spawn_unread(name: &str, variables: &[(&str, &str)]) -> std::io::Result<Process> {
+        let child = Command::new(program(name))
+            .envs(variables.iter().copied())
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Process { child })
+    }
+
     /// Number of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
