--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -43,6 +43,8 @@
     NoTarget,
     /// All targets have as many requests as they may.
     Full,
+    /// The group of the service is down.
+    GroupDown,
     /// The time ran out before the request was sent to a target.
     TimeOutUnsent,
     /// The target said that it has not run the request, and no other may be tried.
@@ -64,6 +66,7 @@
             Refusal::BadBody => "bad_body",
             Refusal::NoTarget => "no_target",
             Refusal::Full => "full",
+            Refusal::GroupDown => "group_down",
             Refusal::TimeOutUnsent => "timeout_unsent",
             Refusal::NotRun => "not_run",
             Refusal::RunUnknown => "run_unknown",
@@ -77,6 +80,7 @@
             Refusal::NoDocument
             | Refusal::NoTarget
             | Refusal::Full
+            | Refusal::GroupDown
             | Refusal::TimeOutUnsent
             | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/bilberryloft-relay/src/expert_planner.rs
+++ b/crates/bilberryloft-relay/src/expert_planner.rs
@@ -41,10 +41,10 @@
 /// Gap between two looks after which this process has stood still and must believe nothing, in milliseconds.
 const STOOD_STILL_MS: u64 = 900;
 /// Half-life of the counts of chosen experts, in milliseconds.
-const POPULARITY_HALF_LIFE_MS: u64 = 600;
+const POPULARITY_HALF_LIFE_MS: u64 = 500;
 /// Skew of the latest look over that of the estimate from which demand has shifted, and the estimate begins
 /// anew.
-const SHIFT_SKEW: f64 = 0.25;
+const SHIFT_SKEW: f64 = 0.45;
 /// Choices that an estimate must rest on.
 const CHOICES_MIN: f64 = 20_000.0;
 /// Time that a rank may spend on copying for one change, in milliseconds: passes take longer meanwhile. One
@@ -53,14 +53,14 @@
 /// Slowness from which a rank gets less to do; smaller differences are noise.
 const SLOW_FROM: f64 = 1.25;
 /// Gain in skew of a set for which one more expert is copied, for each millisecond that the copy takes.
-const GAIN_PER_COPY_MS: f64 = 0.000_18;
+const GAIN_PER_COPY_MS: f64 = 0.000_25;
 /// Gain in mean skew for which a change is made when passes take [`PASS_BUSY_MS`]; shorter ones hurt nobody,
 /// so that more must be gained.
 const GAIN_PER_CHANGE: f64 = 0.14;
 /// Time of a pass at which pauses of streams come near their usual objective, in milliseconds.
 const PASS_BUSY_MS: f64 = 70.0;
-/// Most and least that the length of passes changes the gain that is asked for.
-const GAIN_FACTORS: std::ops::RangeInclusive<f64> = 0.8..=2.5;
+/// Bounds of the factor by which the length of passes changes what a change must gain.
+const PATIENCE: std::ops::RangeInclusive<f64> = 0.5..=2.5;
 /// Time after which ranks that have not copied everything are no longer waited for.
 const COPY_LIMIT: Duration = Duration::from_millis(4_000);
 /// Passes between the last one that was seen and the one at which a change takes place.
@@ -602,7 +602,7 @@
         let reach = Reach {
             slots: experts.slots,
             new_max: experts.new_max,
-            gain_min: GAIN_PER_COPY_MS * experts.copy_ms,
+            gain_min: GAIN_PER_COPY_MS * experts.copy_ms * self.patience(),
         };
         let mut allowance = vec![new_per_rank(experts); ranks];
         let mut map = self.map.clone();
@@ -619,8 +619,13 @@
     }
 
     fn gain_asked(&self) -> f64 {
+        GAIN_PER_CHANGE * self.patience()
+    }
+
+    /// How much more than usual a change must gain: short passes hurt nobody, long ones everyone.
+    fn patience(&self) -> f64 {
         let relative = PASS_BUSY_MS / self.pass_ms.max(1.0);
-        GAIN_PER_CHANGE * (relative * relative).clamp(*GAIN_FACTORS.start(), *GAIN_FACTORS.end())
+        (relative * relative).clamp(*PATIENCE.start(), *PATIENCE.end())
     }
 
     /// Follows the length of passes by their numbers and the time between two looks.
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -6,6 +6,7 @@
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
 use bilberryloft_routing::document::RequestKind;
+use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_routing::targets::Picked;
 use bilberryloft_routing::targets::TargetKey;
 use bilberryloft_routing::targets::Verdict;
@@ -36,6 +37,15 @@
 const HELD_ANSWER_BYTES_MAX: usize = 1 << 20;
 /// Shortest and longest time after which a refused caller is asked to come back, in milliseconds.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 250..=900;
+/// The same while nothing is known of routes or targets, which takes a quorum and announcements, in milliseconds.
+const RETRY_AFTER_OUTAGE_MS: std::ops::RangeInclusive<u64> = 1_000..=2_200;
+/// The same while a group is down, in milliseconds: a rank takes seconds to come back, and callers wait for up to a
+/// third of their time.
+const RETRY_AFTER_GROUP_MS: std::ops::RangeInclusive<u64> = 2_200..=2_600;
+/// Longest wait for the first document of a process, below the time after which callers give up a connection.
+const FIRST_DOCUMENT_WAIT: Duration = Duration::from_millis(700);
+/// Time between looks for it.
+const FIRST_DOCUMENT_LOOK: Duration = Duration::from_millis(20);
 /// Attempts that targets refuse, at most, before the caller is told.
 const REFUSED_MAX: u32 = 3;
 
@@ -88,7 +98,7 @@
 pub async fn serve(state: Arc<RelayState>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = Instant::now();
     state.daemon.metrics.requests.inc();
-    let table = state.table();
+    let table = known_table(&state).await;
     let names = state.dialect.headers();
     let id = headers::text(request.headers(), &names.request_id).unwrap_or_default().to_string();
     let read = request::read(request, &table, state.dialect.as_ref(), arrived).await;
@@ -136,6 +146,26 @@
     }
 }
 
+/// The routes in force; a process that has just started waits a little until it has learnt them.
+async fn known_table(state: &Arc<RelayState>) -> Arc<RouteTable> {
+    let until = Instant::now() + FIRST_DOCUMENT_WAIT;
+    while state.table().version() == 0 && Instant::now() < until {
+        tokio::time::sleep(FIRST_DOCUMENT_LOOK).await;
+    }
+    state.table()
+}
+
+/// Time after which a refused caller is asked to come back, spread so that not all come at once.
+fn retry_after(refusal: Refusal) -> Option<Duration> {
+    let range_ms = match refusal {
+        Refusal::NoDocument | Refusal::NoTarget => RETRY_AFTER_OUTAGE_MS,
+        Refusal::GroupDown => RETRY_AFTER_GROUP_MS,
+        _ if refusal.status() == StatusCode::SERVICE_UNAVAILABLE => RETRY_AFTER_MS,
+        _ => return None,
+    };
+    Some(Duration::from_millis(fastrand::u64(range_ms)))
+}
+
 /// Answers a request itself; the line in the log holds what decided, as far as a route was found.
 fn refuse(
     id: &str,
@@ -143,12 +173,7 @@
     arrived: Instant,
     seen: Option<(&RelayRequest, LoadSeen)>,
 ) -> Response<AnswerBody> {
-    let retry_after = match refusal.status() {
-        StatusCode::SERVICE_UNAVAILABLE => {
-            Some(Duration::from_millis(fastrand::u64(RETRY_AFTER_MS)))
-        }
-        _ => None,
-    };
+    let retry_after = retry_after(refusal);
     log_event!(
         info,
         Event::RequestRefused,
@@ -224,6 +249,7 @@
             return Err(Refusal::TimeOutSent);
         };
         log_ended(request, &picked, end.name, end.detail.as_deref());
+        let is_group_down = state.note_group(&request.service, end.verdict);
         if let Some(answered) = answer {
             let is_last =
                 !should_repeat_failure(request, &answered) || ran + 1 >= request.route.attempts_max;
@@ -238,6 +264,7 @@
         }
         held.tell(end.verdict);
         match end.run {
+            Run::No if is_group_down && ran == 0 => return Err(Refusal::GroupDown),
             Run::No => {
                 refused += 1;
                 last = Refusal::NotRun;
--- a/crates/bilberryloft-relay/src/place.rs
+++ b/crates/bilberryloft-relay/src/place.rs
@@ -34,6 +34,9 @@
 /// Gets a place, or refuses as soon as it is known that none will be free in time.
 pub async fn wait(state: &Arc<RelayState>, request: &RelayRequest) -> Result<Picked, Refusal> {
     let service = request.service.as_str();
+    if !state.may_send(service) {
+        return Err(Refusal::GroupDown);
+    }
     if state.with_line(service, |it| it.is_empty()) {
         match state.pick(request, &[]) {
             Ok(picked) => return Ok(picked),
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -14,6 +14,7 @@
 use bilberryloft_routing::batch_limit::batch_limit;
 use bilberryloft_routing::budget::BudgetLimits;
 use bilberryloft_routing::budget::RetryBudget;
+use bilberryloft_routing::outage::GroupHealth;
 use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_routing::targets::NoTarget;
 use bilberryloft_routing::targets::Picked;
@@ -64,6 +65,7 @@
     budgets: Mutex<BTreeMap<String, RetryBudget>>,
     pauses: Mutex<BTreeMap<String, PauseMeter>>,
     lines: Mutex<BTreeMap<String, WaitingLine>>,
+    groups: Mutex<BTreeMap<String, GroupHealth>>,
     entries: AtomicUsize,
     open_requests: AtomicUsize,
     is_stopping: AtomicBool,
@@ -87,6 +89,7 @@
             budgets: Mutex::default(),
             pauses: Mutex::default(),
             lines: Mutex::default(),
+            groups: Mutex::default(),
             entries: AtomicUsize::new(1),
             open_requests: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
@@ -184,6 +187,32 @@
         self.with_line(service, |it| it.note_end(now_ms));
     }
 
+    /// Whether a request may be sent to a service: not while its group is down, but for one now and then.
+    pub fn may_send(&self, service: &str) -> bool {
+        let mut groups = self.groups.lock();
+        groups.get_mut(service).is_none_or(|it| it.may_send(monotonic_ms()))
+    }
+
+    /// Takes how an attempt at a lock-step group ended; returns whether the group is down.
+    pub fn note_group(&self, service: &str, verdict: Verdict) -> bool {
+        let engine = self.table().service(service).and_then(|it| it.engine);
+        let Some(engine) = engine.filter(|it| it.experts.is_some()) else {
+            return false;
+        };
+        let now_ms = monotonic_ms();
+        let mean_load = self.board.lock().mean_load(service, now_ms);
+        let mut groups = self.groups.lock();
+        let group = groups.entry(service.to_string()).or_default();
+        match verdict {
+            Verdict::Full => group.note_refusal(mean_load, engine.slots as u32, now_ms),
+            Verdict::Sound => {
+                group.note_answer();
+                false
+            }
+            Verdict::Failed | Verdict::Misdirected | Verdict::Lost | Verdict::Unknown => false,
+        }
+    }
+
     /// Uses the waiting line of a service.
     pub fn with_line<T>(&self, service: &str, act: impl FnOnce(&mut WaitingLine) -> T) -> T {
         act(self.lines.lock().entry(service.to_string()).or_default())
--- a/crates/bilberryloft-routing/src/batch_limit.rs
+++ b/crates/bilberryloft-routing/src/batch_limit.rs
@@ -8,7 +8,7 @@
 use crate::document::Engine;
 
 /// Part of the objective that passes may take; the rest covers the way to the caller and uneven passes.
-const OBJECTIVE_SHARE: f64 = 0.92;
+const OBJECTIVE_SHARE: f64 = 0.87;
 /// Part of the places under which a batch is not cut: so long passes have another cause than the batch.
 const PLACES_KEPT: f64 = 0.4;
 /// Time constant of the measured pause, in milliseconds: about two passes.
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -9,6 +9,7 @@
 use bilberryloft_routing::budget::RetryBudget;
 use bilberryloft_routing::document::Engine;
 use bilberryloft_routing::events::EventCutter;
+use bilberryloft_routing::outage::GroupHealth;
 use bilberryloft_routing::targets::NoTarget;
 use bilberryloft_routing::targets::TargetBoard;
 use bilberryloft_routing::targets::TargetFact;
@@ -294,3 +295,29 @@
     assert!((9.0..11.0).contains(&(tenth / alone)), "{tenth}");
     assert!(line.expected_wait_ms(0) < 2.0 * alone, "the urgent do not wait for others");
 }
+
+/// Requests of eight seconds arrive while a group is down for four, and each caller comes back once.
+fn served_after_an_outage(retry_after_ms: u64) -> usize {
+    let down_until_ms = 4_000;
+    let arrivals = (0..down_until_ms).step_by(50);
+    arrivals.filter(|it| it + retry_after_ms >= down_until_ms).count()
+}
+
+#[test]
+fn group_that_is_down_is_asked_seldom_and_found_when_it_is_back() {
+    let mut group = GroupHealth::default();
+    assert!(group.may_send(0));
+    assert!(group.note_refusal(3.0, 12, 0));
+    let sent = (0..4_000).filter(|now_ms| group.may_send(*now_ms)).count();
+    assert!((10..=16).contains(&sent), "{sent}");
+    group.note_answer();
+    assert!((4_000..4_010).all(|now_ms| group.may_send(now_ms)));
+    assert!(served_after_an_outage(2_400) > 3 * served_after_an_outage(600));
+}
+
+#[test]
+fn group_that_is_full_is_not_taken_for_one_that_is_down() {
+    let mut group = GroupHealth::default();
+    assert!(!group.note_refusal(11.5, 12, 0));
+    assert!(group.may_send(1));
+}
--- a/crates/bilberryloft-state/src/membership.rs
+++ b/crates/bilberryloft-state/src/membership.rs
@@ -50,6 +50,9 @@
     pub changed_version: u64,
     /// Leader's time of the last change, in milliseconds since the epoch.
     pub changed_at_ms: u64,
+    /// Membership version at which this incarnation was recorded first.
+    #[serde(default)]
+    pub joined_version: u64,
 }
 
 impl TargetRecord {
@@ -95,6 +98,7 @@
             None => true,
             Some(known) if known.incarnation > incarnation => false,
             Some(known) if known.refuses(incarnation, description) => false,
+            Some(known) if known.incarnation == incarnation && self.is_superseded(known) => false,
             Some(known) => {
                 !known.reachable
                     || known.incarnation != incarnation
@@ -103,7 +107,42 @@
         }
     }
 
-    /// Records a target; an earlier incarnation than the known one changes nothing.
+    /// Whether a target that joined later is reached at the same address: a late announcement must not bring
+    /// the earlier one back.
+    fn is_superseded(&self, known: &TargetRecord) -> bool {
+        self.at_address(&known.description)
+            .any(|it| it.reachable && it.joined_version > known.joined_version)
+    }
+
+    /// Direct targets at the address of a direct target.
+    fn at_address<'a>(
+        &'a self,
+        description: &'a TargetDescription,
+    ) -> impl Iterator<Item = &'a TargetRecord> {
+        let is_there = move |it: &&TargetRecord| {
+            description.direct
+                && it.description.direct
+                && it.description.agent_address == description.agent_address
+        };
+        self.targets.values().filter(is_there)
+    }
+
+    /// Marks those that had the address of a newcomer as unreachable.
+    fn supersede(&mut self, name: &str, description: &TargetDescription, at_ms: u64) {
+        let earlier = self.at_address(description).filter(|it| it.reachable && it.name != name);
+        let earlier: Vec<String> = earlier.map(|it| it.name.clone()).collect();
+        for earlier in earlier {
+            let Some(record) = self.targets.get_mut(&earlier) else {
+                continue;
+            };
+            record.reachable = false;
+            record.changed_version = self.version;
+            record.changed_at_ms = at_ms;
+        }
+    }
+
+    /// Records a target; an earlier incarnation than the known one changes nothing. A direct target takes the
+    /// place of the one that had its address before.
     pub fn register(
         &mut self,
         name: &str,
@@ -115,6 +154,8 @@
             return;
         }
         self.version += 1;
+        self.supersede(name, &description, at_ms);
+        let known = self.targets.get(name).filter(|it| it.incarnation == incarnation);
         let record = TargetRecord {
             name: name.to_string(),
             incarnation,
@@ -122,6 +163,7 @@
             reachable: true,
             changed_version: self.version,
             changed_at_ms: at_ms,
+            joined_version: known.map_or(self.version, |it| it.joined_version),
         };
         self.targets.insert(name.to_string(), record);
     }
--- a/crates/bilberryloft-state/tests/machine.rs
+++ b/crates/bilberryloft-state/tests/machine.rs
@@ -305,6 +305,24 @@
     );
 }
 
+#[test]
+fn target_takes_the_place_of_the_one_that_had_its_address() {
+    let mut machine = Machine::default();
+    let mut announce = |name: &str, address: &str| {
+        let description =
+            TargetDescription { direct: true, agent_address: address.to_string(), ..description() };
+        let command = Command::Register { name: name.to_string(), incarnation: 0, description };
+        machine.apply(StampedCommand { at_ms: 1, command });
+        let targets = machine.membership.targets().values();
+        targets.filter(|it| it.reachable).map(|it| it.name.clone()).collect::<Vec<String>>()
+    };
+    assert_eq!(announce("old", "10.0.0.1:80"), ["old"]);
+    assert_eq!(announce("new", "10.0.0.1:80"), ["new"]);
+    assert_eq!(announce("old", "10.0.0.1:80"), ["new"], "a late announcement brings nothing back");
+    assert_eq!(announce("other", "10.0.0.2:80"), ["new", "other"]);
+    assert_eq!(announce("new", "10.0.0.1:80"), ["new", "other"]);
+}
+
 fn put(machine: &mut Machine, version: u64, text: &str) -> Outcome {
     let document = StoredDocument { version, text: text.to_string() };
     machine.apply(StampedCommand { at_ms: 1, command: Command::PutDocument(document) })
