--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -88,6 +88,7 @@
         Err(error) => return AttemptEnd::NotSent { error: error.to_string() },
     };
     while let Some(mut connection) = next.take() {
+        state.settle_after_standstill().await;
         let message = build(state, request, picked, resume_after);
         match connection.try_send_request(message).await {
             Ok(response) => {
--- a/crates/bilberryloft-relay/src/expert_planner.rs
+++ b/crates/bilberryloft-relay/src/expert_planner.rs
@@ -69,8 +69,8 @@
 const GO_LIMIT: Duration = Duration::from_millis(3_000);
 /// Passes over which their length is measured.
 const PASSES_TIMED: u64 = 8;
-/// Passes before which a hold is tried, one after the other.
-const HOLDS_TRIED: usize = 4;
+/// Tries to hold the group before a pass that has not begun.
+const HOLDS_TRIED: usize = 10;
 /// Versions of one term of a leader; two leaders never give the same version to different maps.
 const VERSIONS_PER_TERM: u64 = 10_000;
 
@@ -415,7 +415,8 @@
                 OrderEnd::Taken => return Some(change),
                 // The pass has begun.
                 OrderEnd::Conflict => change.step += 1,
-                OrderEnd::Unknown => break,
+                // The same once more: the rank may hold already.
+                OrderEnd::Unknown => {}
             }
         }
         log_event!(warn, Event::ExpertMapAbandoned, group = key, ?change, at = "hold");
--- a/crates/bilberryloft-relay/src/loads.rs
+++ b/crates/bilberryloft-relay/src/loads.rs
@@ -98,6 +98,7 @@
 
     async fn look(&mut self) {
         let now_ms = monotonic_ms();
+        self.state.note_awake();
         let (loads, entries) = {
             let mut board = self.state.board.lock();
             (board.own_loads(), board.expire_entries(now_ms))
--- a/crates/bilberryloft-relay/src/rank_link.rs
+++ b/crates/bilberryloft-relay/src/rank_link.rs
@@ -21,8 +21,8 @@
 
 /// Time for a rank to answer a question.
 const QUESTION_LIMIT: Duration = Duration::from_millis(250);
-/// Time for a rank to answer an order.
-const ORDER_LIMIT: Duration = Duration::from_millis(150);
+/// Time for a rank to answer an order before it is given again: a held group waits for the answers.
+const ORDER_LIMIT: Duration = Duration::from_millis(60);
 /// Time for which an agent that did not answer is passed by.
 const AGENT_PASSED_BY: Duration = Duration::from_millis(2_000);
 
@@ -99,9 +99,18 @@
         let body = dialect.encode_order(order);
         let path = dialect.order_path();
         let call = wire::TargetCall::new("POST".into(), path.into(), body.clone());
-        let status = match self.ask_agent(vec![call], ORDER_LIMIT).await {
-            Some(answers) => answers.first().map(|it| it.status as u16),
-            None => {
+        let goes_by_agent = match order {
+            RankOrder::Prepare { .. } => !self.is_agent_passed_by(),
+            // A host that freezes while its agent gives one of these would hold up the whole group.
+            RankOrder::Arm { .. }
+            | RankOrder::Disarm { .. }
+            | RankOrder::Hold { .. }
+            | RankOrder::Go { .. } => false,
+        };
+        let status = match goes_by_agent {
+            // A rank that withholds its answer says nothing against the agent.
+            true => self.order_by_agent(call).await,
+            false => {
                 let body = Bytes::from(body);
                 let post = Method::POST;
                 let answered =
@@ -122,6 +131,22 @@
         }
     }
 
+    async fn order_by_agent(&self, call: wire::TargetCall) -> Option<u16> {
+        let calls = wire::TargetCalls::new(self.address.clone(), vec![call]);
+        match self.agent.call(Body::TargetCalls(calls), ORDER_LIMIT).await {
+            Ok(Body::TargetAnswers(answers)) => answers.answers.first().map(|it| it.status as u16),
+            Ok(_) => None,
+            Err(error) => {
+                tracing::debug!(%error, target_id = self.id, "an order by the agent has no answer");
+                None
+            }
+        }
+    }
+
+    fn is_agent_passed_by(&self) -> bool {
+        self.agent_passed_by_until.lock().is_some_and(|it| it > Instant::now())
+    }
+
     async fn ask(&self, pool: &Pool, path: &str) -> Result<Vec<u8>, String> {
         let answered =
             target_call::call(pool, &self.address, Method::GET, path, Bytes::new(), QUESTION_LIMIT);
@@ -137,8 +162,7 @@
         calls: Vec<wire::TargetCall>,
         limit: Duration,
     ) -> Option<Vec<wire::TargetAnswer>> {
-        let until = *self.agent_passed_by_until.lock();
-        if until.is_some_and(|it| it > Instant::now()) {
+        if self.is_agent_passed_by() {
             return None;
         }
         let calls = wire::TargetCalls::new(self.address.clone(), calls);
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 use bilberryloft_routing::targets::Verdict;
 use bilberryloft_routing::waiting_line::WaitingLine;
 use bilberryloft_state::membership::TargetRecord;
+use bilberryloft_transport::clock::boot_ms;
 use bilberryloft_transport::clock::monotonic_ms;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
@@ -36,6 +38,11 @@
 /// Requests that may wait at a target beyond its slots.
 const TARGET_QUEUE_MAX: u32 = 4;
 
+/// Time without a sign of life of this process after which it has stood still, in milliseconds.
+const STANDSTILL_MS: u64 = 300;
+/// Pause for the other tasks after that.
+const STANDSTILL_PAUSE: Duration = Duration::from_millis(50);
+
 /// Inputs of a decision on load, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadSeen {
@@ -67,6 +74,7 @@
     lines: Mutex<BTreeMap<String, WaitingLine>>,
     groups: Mutex<BTreeMap<String, GroupHealth>>,
     entries: AtomicUsize,
+    awake_ms: AtomicU64,
     open_requests: AtomicUsize,
     is_stopping: AtomicBool,
 }
@@ -91,6 +99,7 @@
             lines: Mutex::default(),
             groups: Mutex::default(),
             entries: AtomicUsize::new(1),
+            awake_ms: AtomicU64::new(boot_ms()),
             open_requests: AtomicUsize::new(0),
             is_stopping: AtomicBool::new(false),
         }
@@ -218,6 +227,19 @@
         act(self.lines.lock().entry(service.to_string()).or_default())
     }
 
+    /// Takes note that this process runs.
+    pub fn note_awake(&self) {
+        self.awake_ms.store(boot_ms(), Ordering::Relaxed);
+    }
+
+    /// Lets the other tasks run first when the process has just stood still: callers may have left meanwhile,
+    /// and their connections have not been read yet.
+    pub async fn settle_after_standstill(&self) {
+        while boot_ms().saturating_sub(self.awake_ms.load(Ordering::Relaxed)) > STANDSTILL_MS {
+            tokio::time::sleep(STANDSTILL_PAUSE).await;
+        }
+    }
+
     /// Counts a caller's request for a service.
     pub fn note_request(&self, service: &str) {
         self.with_budget(service, |it| it.note_request(monotonic_ms()));
