--- a/crates/bilberryloft-daemon/src/follow.rs
+++ b/crates/bilberryloft-daemon/src/follow.rs
@@ -29,50 +29,60 @@
     tokio::spawn(async move {
         let mut was_serving = false;
         loop {
-            let asked_ms = monotonic_ms();
-            let versions = view.versions_to_ask();
-            let watch = Watch {
-                daemon: daemon.clone(),
-                configuration_version: versions.configuration as i64,
-                membership_version: versions.membership as i64,
-                wait_ms: WATCH_WAIT_MS as i64,
-                suspects_version: versions.suspects as i64,
-                peer_address: peer_address.clone(),
-                document_version: Some(versions.document as i64),
-            };
-            let client = control.preferred();
-            let is_confirmed = match client.call(Body::Watch(watch), ANSWER_TIMEOUT).await {
-                Ok(Body::Update(update)) => {
-                    let confirmed = update.confirmed;
-                    control.learn(update.control_addresses.as_deref().unwrap_or_default());
-                    view.apply(update, asked_ms);
-                    confirmed
-                }
-                Ok(Body::Redirect(redirect)) => {
-                    control.redirect(&client, &redirect.addresses);
-                    continue_soon().await;
-                    continue;
-                }
-                Ok(_) | Err(_) => false,
-            };
-            if !is_confirmed {
-                // Another host may still reach a quorum.
-                control.avoid(&client);
+            let watch = watch_from(&view, &daemon, &peer_address);
+            if !ask(&view, &control, watch).await {
                 continue_soon().await;
             }
             let serves = view.may_serve();
             if was_serving && !serves {
-                log_event!(
-                    error,
-                    Event::ConfigurationUnconfirmed,
-                    age_ms = view.confirmed_age_ms()
-                );
+                let age_ms = view.confirmed_age_ms();
+                log_event!(error, Event::ConfigurationUnconfirmed, age_ms);
             }
             was_serving = serves;
         }
     });
 }
 
+/// The question for everything after what the view holds.
+fn watch_from(view: &View, daemon: &str, peer_address: &str) -> Watch {
+    let versions = view.versions_to_ask();
+    Watch {
+        daemon: daemon.to_string(),
+        configuration_version: versions.configuration as i64,
+        membership_version: versions.membership as i64,
+        wait_ms: WATCH_WAIT_MS as i64,
+        suspects_version: versions.suspects as i64,
+        peer_address: peer_address.to_string(),
+        document_version: Some(versions.document as i64),
+    }
+}
+
+/// Asks one control host; returns whether a quorum has confirmed its answer.
+async fn ask(view: &View, control: &ControlClient, watch: Watch) -> bool {
+    let asked_ms = monotonic_ms();
+    let client = control.preferred();
+    match client.call(Body::Watch(watch), ANSWER_TIMEOUT).await {
+        Ok(Body::Update(update)) => {
+            let is_confirmed = update.confirmed;
+            control.learn(update.control_addresses.as_deref().unwrap_or_default());
+            view.apply(update, asked_ms);
+            if !is_confirmed {
+                // Another host may still reach a quorum.
+                control.avoid(&client);
+            }
+            is_confirmed
+        }
+        Ok(Body::Redirect(redirect)) => {
+            control.redirect(&client, &redirect.addresses);
+            false
+        }
+        Ok(_) | Err(_) => {
+            control.avoid(&client);
+            false
+        }
+    }
+}
+
 async fn continue_soon() {
     tokio::time::sleep(Duration::from_millis(fastrand::u64(PAUSE_MS..=3 * PAUSE_MS))).await;
 }
--- /dev/null
+++ b/crates/bilberryloft-relay/src/expert_planner/group.rs
@@ -0,0 +1,203 @@
+//! One lock-step group as the planner sees it: how popular each expert is, how long passes take, and which map would
+//! be better.
+
+use std::collections::BTreeMap;
+
+use bilberryloft_coordination::expert_map::Popularity;
+use bilberryloft_coordination::expert_map::Reach;
+use bilberryloft_coordination::expert_map::SetMap;
+use bilberryloft_coordination::expert_map::copies_needed;
+use bilberryloft_coordination::expert_map::improve;
+use bilberryloft_coordination::expert_map::skew;
+use bilberryloft_routing::document::Experts;
+use bilberryloft_transport::clock::monotonic_ms;
+use tokio::time::Instant;
+
+use crate::dialect::RankReport;
+use crate::expert_planner::Seen;
+
+/// Half-life of the counts of chosen experts, in milliseconds.
+const POPULARITY_HALF_LIFE_MS: u64 = 500;
+/// Skew of the latest look over that of the estimate from which demand has shifted, and the estimate begins
+/// anew.
+const SHIFT_SKEW: f64 = 0.45;
+/// Choices that an estimate must rest on.
+const CHOICES_MIN: f64 = 20_000.0;
+/// Time that a rank may spend on copying for one change, in milliseconds: passes take longer meanwhile. One
+/// expert may always be copied.
+const COPY_MAX_MS: f64 = 120.0;
+/// Slowness from which a rank gets less to do; smaller differences are noise.
+const SLOW_FROM: f64 = 1.25;
+/// Gain in skew of a set for which one more expert is copied, for each millisecond that the copy takes.
+const GAIN_PER_COPY_MS: f64 = 0.000_25;
+/// Gain in mean skew for which a change is made when passes take [`PASS_BUSY_MS`]; shorter ones hurt nobody,
+/// so that more must be gained.
+const GAIN_PER_CHANGE: f64 = 0.14;
+/// Time of a pass at which pauses of streams come near their usual objective, in milliseconds.
+const PASS_BUSY_MS: f64 = 70.0;
+/// Bounds of the factor by which the length of passes changes what a change must gain.
+const PATIENCE: std::ops::RangeInclusive<f64> = 0.5..=2.5;
+/// Passes over which their length is measured.
+const PASSES_TIMED: u64 = 8;
+
+/// A map that ranks are copying.
+pub(super) struct Pending {
+    pub version: u64,
+    pub map: Vec<SetMap>,
+    pub since: Instant,
+    /// Ranks that have taken the order to copy.
+    pub taken: Vec<bool>,
+}
+
+/// What the planner knows of one group.
+#[derive(Default)]
+pub(super) struct Group {
+    pub epoch: u64,
+    pub map_version: Option<u64>,
+    pub map: Vec<SetMap>,
+    popularity: Vec<Popularity>,
+    counts: BTreeMap<usize, Vec<u64>>,
+    pub pending: Option<Pending>,
+    /// How many times as long as usual each rank takes.
+    slowness: Vec<f64>,
+    /// Length of the latest passes in milliseconds; 0 before it is known.
+    pub pass_ms: f64,
+    timed_from: Option<(Instant, u64)>,
+}
+
+/// A map that pays.
+pub(super) struct BetterMap {
+    /// The map.
+    pub map: Vec<SetMap>,
+    /// Mean skew of the sets before.
+    pub before: f64,
+    /// Mean skew after.
+    pub after: f64,
+    /// Experts that ranks must copy.
+    pub copies: usize,
+}
+
+fn slowness_of(report: &RankReport) -> f64 {
+    if report.slowness >= SLOW_FROM { report.slowness } else { 1.0 }
+}
+
+/// Experts of all sets that one change may bring to a rank.
+fn new_per_rank(experts: Experts) -> usize {
+    ((COPY_MAX_MS / experts.copy_ms.max(1.0)) as usize).max(1)
+}
+
+impl Group {
+    pub fn new(epoch: u64, experts: Experts) -> Group {
+        let estimate = Popularity::new(experts.experts, POPULARITY_HALF_LIFE_MS);
+        Group { epoch, popularity: vec![estimate; experts.sets], ..Group::default() }
+    }
+
+    /// Whether this is what is known of the group's present life and of as many sets.
+    pub fn is_for(&self, epoch: u64, experts: Experts) -> bool {
+        self.epoch == epoch && self.popularity.len() == experts.sets
+    }
+
+    /// Takes what the ranks said in one look.
+    pub fn take_look(&mut self, ranks: &[Seen], experts: Experts) {
+        self.slowness = ranks.iter().map(|it| slowness_of(&it.report)).collect();
+        self.count(ranks, experts);
+        self.time_passes(ranks);
+    }
+
+    /// Adds what was chosen since the last look.
+    fn count(&mut self, ranks: &[Seen], experts: Experts) {
+        let size = experts.sets * experts.experts;
+        let mut chosen = vec![0_u64; size];
+        for seen in ranks {
+            let Some(counts) = seen.counts.as_ref().filter(|it| it.counts.len() == size) else {
+                continue;
+            };
+            if let Some(before) = self.counts.get(&seen.report.rank) {
+                for (at, count) in counts.counts.iter().enumerate() {
+                    chosen[at] += count.saturating_sub(before[at]);
+                }
+            }
+            self.counts.insert(seen.report.rank, counts.counts.clone());
+        }
+        if self.has_shifted(&chosen, experts) {
+            let fresh = Popularity::new(experts.experts, POPULARITY_HALF_LIFE_MS);
+            self.popularity = vec![fresh; experts.sets];
+        }
+        let now_ms = monotonic_ms();
+        for (popularity, chosen) in self.popularity.iter_mut().zip(chosen.chunks(experts.experts)) {
+            popularity.add(chosen, now_ms);
+        }
+    }
+
+    /// Whether the latest choices fit the map in use much worse than those before.
+    fn has_shifted(&self, chosen: &[u64], experts: Experts) -> bool {
+        if self.map.len() != experts.sets || self.popularity.iter().any(|it| it.weight() < 1.0) {
+            return false;
+        }
+        let mut rise = 0.0;
+        for ((map, popularity), chosen) in
+            self.map.iter().zip(&self.popularity).zip(chosen.chunks(experts.experts))
+        {
+            let latest: Vec<f64> = chosen.iter().map(|it| *it as f64).collect();
+            rise += skew(map, &latest, &self.slowness)
+                - skew(map, &popularity.shares(), &self.slowness);
+        }
+        rise / experts.sets as f64 > SHIFT_SKEW
+    }
+
+    /// A map that pays, with the mean skew before and after and the experts to copy.
+    pub fn better_map(&self, ranks: usize, experts: Experts) -> Option<BetterMap> {
+        let shares: Vec<Vec<f64>> = self.popularity.iter().map(Popularity::shares).collect();
+        if self.popularity.iter().any(|it| it.weight() < CHOICES_MIN) {
+            return None;
+        }
+        let skews: Vec<f64> =
+            self.map.iter().zip(&shares).map(|(map, it)| skew(map, it, &self.slowness)).collect();
+        let mut order: Vec<usize> = (0..experts.sets).collect();
+        order.sort_by(|a, b| skews[*b].total_cmp(&skews[*a]));
+        let reach = Reach {
+            slots: experts.slots,
+            new_max: experts.new_max,
+            gain_min: GAIN_PER_COPY_MS * experts.copy_ms * self.patience(),
+        };
+        let mut allowance = vec![new_per_rank(experts); ranks];
+        let mut map = self.map.clone();
+        for set in order {
+            map[set] = improve(&self.map[set], &shares[set], &self.slowness, reach, &mut allowance);
+        }
+        let mean = |map: &[SetMap]| {
+            let skews = map.iter().zip(&shares).map(|(map, it)| skew(map, it, &self.slowness));
+            skews.sum::<f64>() / experts.sets as f64
+        };
+        let (before, after) = (mean(&self.map), mean(&map));
+        let copies = self.map.iter().zip(&map).map(|(from, to)| copies_needed(from, to)).sum();
+        (before - after >= self.gain_asked()).then_some(BetterMap { map, before, after, copies })
+    }
+
+    fn gain_asked(&self) -> f64 {
+        GAIN_PER_CHANGE * self.patience()
+    }
+
+    /// How much more than usual a change must gain: short passes hurt nobody, long ones everyone.
+    fn patience(&self) -> f64 {
+        let relative = PASS_BUSY_MS / self.pass_ms.max(1.0);
+        (relative * relative).clamp(*PATIENCE.start(), *PATIENCE.end())
+    }
+
+    /// Follows the length of passes by their numbers and the time between two looks.
+    fn time_passes(&mut self, ranks: &[Seen]) {
+        let step = ranks.iter().filter_map(|it| it.counts.as_ref().map(|it| it.step)).max();
+        let (Some(step), now) = (step, Instant::now()) else {
+            return;
+        };
+        let Some((since, first)) = self.timed_from else {
+            self.timed_from = Some((now, step));
+            return;
+        };
+        if step >= first + PASSES_TIMED {
+            let passed_ms = (now - since).as_secs_f64() * 1_000.0;
+            self.pass_ms = passed_ms / (step - first) as f64;
+            self.timed_from = Some((now, step));
+        }
+    }
+}
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -223,22 +223,77 @@
     attempts: u32,
 }
 
+/// What the tries of one request have come to so far.
+struct Tries {
+    tried: Vec<TargetKey>,
+    /// Tries that have run, or may have.
+    ran: u32,
+    /// Tries that targets refused.
+    refused: u32,
+    /// Whether the next try has been taken out of the budget.
+    is_paid: bool,
+    last: Refusal,
+}
+
+impl Tries {
+    fn new() -> Tries {
+        let last = Refusal::NoTarget;
+        Tries { tried: Vec::new(), ran: 0, refused: 0, is_paid: false, last }
+    }
+
+    fn count(&self) -> u32 {
+        self.ran + self.refused
+    }
+
+    /// Picks the target of the next try.
+    async fn pick(
+        &mut self,
+        state: &Arc<RelayState>,
+        request: &RelayRequest,
+    ) -> Result<Picked, Refusal> {
+        if self.count() == 0 {
+            return place::wait(state, request).await;
+        }
+        if !self.is_paid && !state.may_repeat(&request.service) {
+            return Err(self.last);
+        }
+        self.is_paid = false;
+        state.pick_again(&request.service, &self.tried).map_err(|_| self.last)
+    }
+
+    /// Takes a try without an answer; the error is the final word.
+    fn note_failure(
+        &mut self,
+        request: &RelayRequest,
+        run: Run,
+        is_group_down: bool,
+    ) -> Result<(), Refusal> {
+        match run {
+            Run::No if is_group_down && self.ran == 0 => return Err(Refusal::GroupDown),
+            Run::No => {
+                self.refused += 1;
+                self.last = if self.ran > 0 { Refusal::RunUnknown } else { Refusal::NotRun };
+            }
+            Run::Unknown => {
+                self.ran += 1;
+                self.last = Refusal::RunUnknown;
+            }
+        }
+        let may_repeat = self.ran == 0 || request.route.may_repeat();
+        let is_over = self.refused >= REFUSED_MAX || self.ran >= request.route.attempts_max;
+        if may_repeat && !is_over { Ok(()) } else { Err(self.last) }
+    }
+}
+
 /// Tries targets until one answers, the request may not be repeated, or the time runs out.
 async fn run(state: &Arc<RelayState>, request: &RelayRequest) -> Result<FinalAnswer, Refusal> {
-    let mut tried = Vec::new();
-    let (mut ran, mut refused) = (0, 0);
-    let mut last = Refusal::NoTarget;
+    let mut tries = Tries::new();
     loop {
-        if ran + refused > 0 && !state.may_repeat(&request.service) {
-            return Err(last);
-        }
-        let picked = match ran + refused {
-            0 => place::wait(state, request).await?,
-            _ => state.pick_again(&request.service, &tried).map_err(|_| last)?,
-        };
-        tried.push(picked.key);
+        let picked = tries.pick(state, request).await?;
+        tries.tried.push(picked.key);
         let held = Held::new(state, &request.service, picked.key);
-        log_sent(request, &picked, ran + refused + 1);
+        let attempts = tries.count() + 1;
+        log_sent(request, &picked, attempts);
         let ended = tokio::time::timeout_at(request.due, async {
             let end = attempt::send(state, request, &picked, None).await;
             read_answer(state, request, end).await
@@ -250,39 +305,20 @@
         };
         log_ended(request, &picked, end.name, end.detail.as_deref());
         let is_group_down = state.note_group(&request.service, end.verdict);
-        if let Some(answered) = answer {
-            let is_last =
-                !should_repeat_failure(request, &answered) || ran + 1 >= request.route.attempts_max;
-            if is_last || !state.may_repeat(&request.service) {
-                return Ok(FinalAnswer { answered, held, attempts: ran + refused + 1 });
-            }
-            // The repeat is paid for already.
+        let Some(answered) = answer else {
             held.tell(end.verdict);
-            ran += 1;
-            last = Refusal::RunUnknown;
+            tries.note_failure(request, end.run, is_group_down)?;
             continue;
+        };
+        let may_repeat =
+            should_repeat_failure(request, &answered) && tries.ran + 1 < request.route.attempts_max;
+        if !may_repeat || !state.may_repeat(&request.service) {
+            return Ok(FinalAnswer { answered, held, attempts });
         }
         held.tell(end.verdict);
-        match end.run {
-            Run::No if is_group_down && ran == 0 => return Err(Refusal::GroupDown),
-            Run::No => {
-                refused += 1;
-                last = Refusal::NotRun;
-                if ran > 0 {
-                    last = Refusal::RunUnknown;
-                }
-                if refused >= REFUSED_MAX {
-                    return Err(last);
-                }
-            }
-            Run::Unknown => {
-                ran += 1;
-                last = Refusal::RunUnknown;
-                if !request.route.may_repeat() || ran >= request.route.attempts_max {
-                    return Err(last);
-                }
-            }
-        }
+        tries.ran += 1;
+        tries.is_paid = true;
+        tries.last = Refusal::RunUnknown;
     }
 }
 
