--- a/crates/bilberryloft-daemon/src/control_client.rs
+++ b/crates/bilberryloft-daemon/src/control_client.rs
@@ -36,6 +36,8 @@
 struct Shared {
     daemon: String,
     incarnation: u64,
+    /// Whether hosts may be learnt beside the seeds.
+    learns: bool,
     /// Addresses from the settings; they stay in the list whatever is learnt.
     seeds: Mutex<Vec<String>>,
     clients: RwLock<Vec<Client>>,
@@ -45,13 +47,23 @@
 }
 
 impl ControlClient {
-    /// Makes a client for the given peer addresses, the first one preferred.
+    /// Makes a client for the given peer addresses, the first one preferred; it asks no others.
     pub fn new(addresses: &[String], daemon: &str, incarnation: u64) -> ControlClient {
+        ControlClient::with(addresses, daemon, incarnation, false)
+    }
+
+    /// Makes a client that begins with the given addresses and learns others from the hosts that answer.
+    pub fn learning(addresses: &[String], daemon: &str, incarnation: u64) -> ControlClient {
+        ControlClient::with(addresses, daemon, incarnation, true)
+    }
+
+    fn with(addresses: &[String], daemon: &str, incarnation: u64, learns: bool) -> ControlClient {
         let clients =
             addresses.iter().map(|it| Client::new(it.clone(), daemon, incarnation)).collect();
         let shared = Shared {
             daemon: daemon.to_string(),
             incarnation,
+            learns,
             seeds: Mutex::new(addresses.to_vec()),
             clients: RwLock::new(clients),
             avoided: Mutex::default(),
@@ -97,7 +109,7 @@
 
     /// Takes the control hosts that one of them names; seeds stay at the end of the list.
     pub fn learn(&self, addresses: &[String]) {
-        if addresses.is_empty() {
+        if addresses.is_empty() || !self.shared.learns {
             return;
         }
         let mut wanted = addresses.to_vec();
@@ -112,7 +124,7 @@
     /// Adds a control host that has named itself, in front of the list.
     pub fn add(&self, address: &str) {
         let mut wanted = self.addresses();
-        if !wanted.iter().any(|it| it == address) {
+        if self.shared.learns && !wanted.iter().any(|it| it == address) {
             wanted.insert(0, address.to_string());
             self.replace(wanted);
         }
@@ -127,6 +139,9 @@
     /// Takes the seeds of new settings; hosts learnt before stay in the list.
     pub fn set_seeds(&self, seeds: &[String]) {
         *self.shared.seeds.lock() = seeds.to_vec();
+        if !self.shared.learns {
+            return self.replace(seeds.to_vec());
+        }
         let known = self.addresses();
         self.learn(&known);
     }
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -231,7 +231,11 @@
 
 fn build_shared(settings: Settings, incarnation: u64) -> Result<Shared> {
     let view = Arc::new(View::new(settings.configuration_lease_ms, settings.on_lost_control));
-    let control = ControlClient::new(&settings.control_addresses, &settings.daemon, incarnation);
+    let make = match settings.learn_control_addresses {
+        true => ControlClient::learning,
+        false => ControlClient::new,
+    };
+    let control = make(&settings.control_addresses, &settings.daemon, incarnation);
     let metrics = Metrics::new()
         .map_err(|it| Error::Json { step: "set up metrics", detail: it.to_string() })?;
     let metrics = Arc::new(metrics);
--- a/crates/bilberryloft-daemon/src/settings.rs
+++ b/crates/bilberryloft-daemon/src/settings.rs
@@ -49,6 +49,10 @@
     pub admin_address: String,
     /// Peer addresses of the control hosts.
     pub control_addresses: Vec<String>,
+    /// Whether the control hosts that answer may name others, beside those above; without, only those above are
+    /// ever asked.
+    #[serde(default)]
+    pub learn_control_addresses: bool,
     /// Form of the log.
     #[serde(default)]
     pub log_format: LogFormat,
--- a/crates/bilberryloft-testing/src/fleet.rs
+++ b/crates/bilberryloft-testing/src/fleet.rs
@@ -77,6 +77,7 @@
         peer_address: format!("{ip}:{PEER_PORT}"),
         admin_address: format!("{ip}:{ADMIN_PORT}"),
         control_addresses: control_ips.iter().map(|it| format!("{it}:{PEER_PORT}")).collect(),
+        learn_control_addresses: false,
         log_format: LogFormat::Text,
         configuration_lease_ms: 4_000,
         on_lost_control: OnLostControl::StandDown,
