--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -45,8 +45,6 @@
     Full,
     /// The group of the service is down.
     GroupDown,
-    /// The time ran out before the request was sent to a target.
-    TimeOutUnsent,
     /// The target said that it has not run the request, and no other may be tried.
     NotRun,
     /// It is unknown whether the request has run.
@@ -67,7 +65,6 @@
             Refusal::NoTarget => "no_target",
             Refusal::Full => "full",
             Refusal::GroupDown => "group_down",
-            Refusal::TimeOutUnsent => "timeout_unsent",
             Refusal::NotRun => "not_run",
             Refusal::RunUnknown => "run_unknown",
             Refusal::TimeOutSent => "timeout_sent",
@@ -81,7 +78,6 @@
             | Refusal::NoTarget
             | Refusal::Full
             | Refusal::GroupDown
-            | Refusal::TimeOutUnsent
             | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
