--- a/crates/bilberryloft-relay/src/expert_planner/group.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/group.rs
@@ -30,6 +30,8 @@
 const SLOW_FROM: f64 = 1.25;
 /// Gain in skew of a set for which one more expert is copied, for each millisecond that the copy takes.
 const GAIN_PER_COPY_MS: f64 = 0.000_25;
+/// Least gain in skew of a set for which one more expert is copied, however quick that is.
+const GAIN_PER_COPY_MIN: f64 = 0.015;
 /// Gain in mean skew for which a change is made when passes take [`PASS_BUSY_MS`]; shorter ones hurt nobody,
 /// so that more must be gained.
 const GAIN_PER_CHANGE: f64 = 0.14;
@@ -158,7 +160,7 @@
         let reach = Reach {
             slots: experts.slots,
             new_max: experts.new_max,
-            gain_min: GAIN_PER_COPY_MS * experts.copy_ms * self.patience(),
+            gain_min: (GAIN_PER_COPY_MS * experts.copy_ms).max(GAIN_PER_COPY_MIN) * self.patience(),
         };
         let mut allowance = vec![new_per_rank(experts); ranks];
         let mut map = self.map.clone();
