--- a/crates/bilberryloft-relay/src/rank_link.rs
+++ b/crates/bilberryloft-relay/src/rank_link.rs
@@ -89,7 +89,8 @@
         dialect.decode_experts(&body)
     }
 
-    /// Gives an order.
+    /// Gives an order, from this host itself: an agent whose host freezes while it passes an order on would hold up
+    /// the whole group.
     pub async fn order(
         &self,
         pool: &Pool,
@@ -98,30 +99,13 @@
     ) -> OrderEnd {
         let body = dialect.encode_order(order);
         let path = dialect.order_path();
-        let call = wire::TargetCall::new("POST".into(), path.into(), body.clone());
-        let goes_by_agent = match order {
-            RankOrder::Prepare { .. } => !self.is_agent_passed_by(),
-            // A host that freezes while its agent gives one of these would hold up the whole group.
-            RankOrder::Arm { .. }
-            | RankOrder::Disarm { .. }
-            | RankOrder::Hold { .. }
-            | RankOrder::Go { .. } => false,
-        };
-        let status = match goes_by_agent {
-            // A rank that withholds its answer says nothing against the agent.
-            true => self.order_by_agent(call).await,
-            false => {
-                let body = Bytes::from(body);
-                let post = Method::POST;
-                let answered =
-                    target_call::call(pool, &self.address, post, path, body, ORDER_LIMIT).await;
-                match answered {
-                    Ok((status, _)) => Some(status.as_u16()),
-                    Err(error) => {
-                        tracing::debug!(%error, target_id = self.id, "an order has no answer");
-                        None
-                    }
-                }
+        let answered =
+            target_call::call(pool, &self.address, Method::POST, path, body.into(), ORDER_LIMIT);
+        let status = match answered.await {
+            Ok((status, _)) => Some(status.as_u16()),
+            Err(error) => {
+                tracing::debug!(%error, target_id = self.id, "an order has no answer");
+                None
             }
         };
         match status {
@@ -131,18 +115,6 @@
         }
     }
 
-    async fn order_by_agent(&self, call: wire::TargetCall) -> Option<u16> {
-        let calls = wire::TargetCalls::new(self.address.clone(), vec![call]);
-        match self.agent.call(Body::TargetCalls(calls), ORDER_LIMIT).await {
-            Ok(Body::TargetAnswers(answers)) => answers.answers.first().map(|it| it.status as u16),
-            Ok(_) => None,
-            Err(error) => {
-                tracing::debug!(%error, target_id = self.id, "an order by the agent has no answer");
-                None
-            }
-        }
-    }
-
     fn is_agent_passed_by(&self) -> bool {
         self.agent_passed_by_until.lock().is_some_and(|it| it > Instant::now())
     }
