Slow ranks of a group get less work, by the leader's word

Change: the leader tells slow ranks with its loads; a pick takes the rank whose own part stays shortest, and a slow one gets a request only while its part is within that of a usual rank with all places taken.

--- a/crates/bilberryloft-relay/src/dialect.rs
+++ b/crates/bilberryloft-relay/src/dialect.rs
@@ -8,6 +8,9 @@
 use hyper::Method;
 use hyper::header::HeaderName;
 
+/// Slowness from which a rank gets less to do; smaller differences are noise.
+const SLOW_FROM: f64 = 1.25;
+
 /// Names of the headers that the relay reads or sets.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -75,6 +78,13 @@
     pub slowness: f64,
 }
 
+impl RankReport {
+    /// Whether the rank gets less to do for being slow.
+    pub fn is_slow(&self) -> bool {
+        self.slowness >= SLOW_FROM
+    }
+}
+
 /// How often a rank's requests chose each expert.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ExpertCounts {
--- a/crates/bilberryloft-relay/src/expert_planner/group.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/group.rs
@@ -26,8 +26,6 @@
 /// Time that a rank may spend on copying for one change, in milliseconds: passes take longer meanwhile. One
 /// expert may always be copied.
 const COPY_MAX_MS: f64 = 120.0;
-/// Slowness from which a rank gets less to do; smaller differences are noise.
-const SLOW_FROM: f64 = 1.25;
 /// Gain in skew of a set for which one more expert is copied, for each millisecond that the copy takes.
 const GAIN_PER_COPY_MS: f64 = 0.000_25;
 /// Least gain in skew of a set for which one more expert is copied, however quick that is.
@@ -80,7 +78,7 @@
 }
 
 fn slowness_of(report: &RankReport) -> f64 {
-    if report.slowness >= SLOW_FROM { report.slowness } else { 1.0 }
+    if report.is_slow() { report.slowness } else { 1.0 }
 }
 
 /// Experts of all sets that one change may bring to a rank.
--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -121,7 +121,9 @@
                 continue;
             };
             let mut groups: BTreeMap<String, Vec<Seen>> = BTreeMap::new();
-            for seen in self.read_ranks(&service.name).await {
+            let ranks = self.read_ranks(&service.name).await;
+            self.tell_slow_ranks(&ranks);
+            for seen in ranks {
                 groups.entry(seen.report.group.clone()).or_default().push(seen);
             }
             for (name, mut ranks) in groups {
@@ -147,6 +149,14 @@
         join_all(reads).await.into_iter().flatten().collect()
     }
 
+    /// Tells this entry, and through it the others, which ranks are slow.
+    fn tell_slow_ranks(&self, ranks: &[Seen]) {
+        let slow = ranks.iter().filter(|it| it.report.is_slow());
+        let slowness = slow.map(|it| (it.link.id.clone(), it.report.slowness)).collect();
+        let host = &self.state.daemon.settings.daemon;
+        self.state.board.lock().note_slow_ranks(host, slowness, monotonic_ms());
+    }
+
     fn links_of(&mut self, service: &str) -> Vec<Arc<RankLink>> {
         let board = self.state.board.lock();
         let mut links: Vec<Arc<RankLink>> = Vec::new();
--- a/crates/bilberryloft-relay/src/loads.rs
+++ b/crates/bilberryloft-relay/src/loads.rs
@@ -34,8 +34,19 @@
     address: SocketAddr,
     /// Other entries that it knows.
     known: Vec<SocketAddr>,
+    /// What the sender tells.
+    #[serde(flatten)]
+    word: Word,
+}
+
+/// What an entry tells of targets.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Word {
     /// Requests in flight by target.
     loads: BTreeMap<String, u32>,
+    /// How many times as long as usual slow ranks take, by target, from one that reads the ranks' reports.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    slow_ranks: Option<BTreeMap<String, f64>>,
 }
 
 struct Loads {
@@ -43,7 +54,7 @@
     socket: UdpSocket,
     own_address: SocketAddr,
     heard_ms: BTreeMap<SocketAddr, u64>,
-    sent: BTreeMap<String, u32>,
+    sent: Word,
     sent_at: Instant,
 }
 
@@ -58,7 +69,7 @@
         socket,
         own_address,
         heard_ms: BTreeMap::new(),
-        sent: BTreeMap::new(),
+        sent: Word::default(),
         sent_at: Instant::now(),
     };
     tokio::spawn(loads.run());
@@ -93,32 +104,41 @@
             // One that is known only by hearsay gets datagrams for a while, and answers if it is there.
             self.heard_ms.entry(address).or_insert(now_ms);
         }
-        self.state.board.lock().note_entry(&message.entry, message.loads, now_ms);
+        let mut board = self.state.board.lock();
+        board.note_entry(&message.entry, message.word.loads, now_ms);
+        if let Some(slowness) = message.word.slow_ranks {
+            board.note_slow_ranks(&message.entry, slowness, now_ms);
+        }
     }
 
     async fn look(&mut self) {
         let now_ms = monotonic_ms();
         self.state.note_awake();
-        let (loads, entries) = {
+        let (word, entries) = {
             let mut board = self.state.board.lock();
-            (board.own_loads(), board.expire_entries(now_ms))
+            let slow_ranks = board.slow_ranks_of(self.own_name(), now_ms).cloned();
+            (Word { loads: board.own_loads(), slow_ranks }, board.expire_entries(now_ms))
         };
         self.state.set_entries(entries);
         self.heard_ms.retain(|_, heard_ms| *heard_ms + SILENT_AFTER_MS > now_ms);
-        if loads == self.sent && self.sent_at.elapsed() < REPEAT_AFTER {
+        if word == self.sent && self.sent_at.elapsed() < REPEAT_AFTER {
             return;
         }
-        self.sent = loads;
+        self.sent = word;
         self.sent_at = Instant::now();
         self.tell().await;
     }
 
+    fn own_name(&self) -> &str {
+        &self.state.daemon.settings.daemon
+    }
+
     async fn tell(&self) {
         let message = LoadMessage {
-            entry: self.state.daemon.settings.daemon.clone(),
+            entry: self.own_name().to_string(),
             address: self.own_address,
             known: self.heard_ms.keys().copied().collect(),
-            loads: self.sent.clone(),
+            word: self.sent.clone(),
         };
         let Ok(bytes) = serde_json::to_vec(&message) else {
             return;
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -15,9 +15,11 @@
 use bilberryloft_routing::batch_limit::batch_limit;
 use bilberryloft_routing::budget::BudgetLimits;
 use bilberryloft_routing::budget::RetryBudget;
+use bilberryloft_routing::document::Engine;
 use bilberryloft_routing::outage::GroupHealth;
 use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_routing::targets::NoTarget;
+use bilberryloft_routing::targets::PickBounds;
 use bilberryloft_routing::targets::Picked;
 use bilberryloft_routing::targets::TargetBoard;
 use bilberryloft_routing::targets::TargetFact;
@@ -142,14 +144,29 @@
     pub fn pick(&self, request: &RelayRequest, tried: &[TargetKey]) -> Result<Picked, NoTarget> {
         let now_ms = monotonic_ms();
         let load_max = self.load_max(request, now_ms);
-        let mut board = self.board.lock();
-        board.pick(&request.service, tried, load_max, TARGET_QUEUE_MAX, now_ms, fastrand::f64)
+        self.pick_within(&request.service, tried, load_max, now_ms)
     }
 
     /// Picks a target for a request that has a place in the group already, whatever the limit on new ones.
     pub fn pick_again(&self, service: &str, tried: &[TargetKey]) -> Result<Picked, NoTarget> {
-        let mut board = self.board.lock();
-        board.pick(service, tried, None, TARGET_QUEUE_MAX, monotonic_ms(), fastrand::f64)
+        self.pick_within(service, tried, None, monotonic_ms())
+    }
+
+    fn pick_within(
+        &self,
+        service: &str,
+        tried: &[TargetKey],
+        load_max: Option<u32>,
+        now_ms: u64,
+    ) -> Result<Picked, NoTarget> {
+        let idle_load = self.engine(service).map_or(0.0, |it| it.idle_load());
+        let bounds = PickBounds { load_max, queue_max: TARGET_QUEUE_MAX, idle_load };
+        self.board.lock().pick(service, tried, &bounds, now_ms, fastrand::f64)
+    }
+
+    /// What a step of a service's targets costs, if they are model engines.
+    fn engine(&self, service: &str) -> Option<Engine> {
+        self.table().service(service)?.engine
     }
 
     /// What is known of the load of a request's service.
@@ -171,7 +188,7 @@
     fn load_max(&self, request: &RelayRequest, now_ms: u64) -> Option<u32> {
         let objective_ms = request.route.gap_objective_ms? as f64;
         let pause_ms = self.pauses.lock().get(&request.service)?.pause_ms(now_ms)?;
-        let engine = self.table().service(&request.service)?.engine?;
+        let engine = self.engine(&request.service)?;
         let mean_load = self.board.lock().mean_load(&request.service, now_ms);
         let limit = batch_limit(&engine, objective_ms, pause_ms, mean_load);
         (limit < engine.slots as u32).then_some(limit)
@@ -204,8 +221,7 @@
 
     /// Takes how an attempt at a lock-step group ended; returns whether the group is down.
     pub fn note_group(&self, service: &str, verdict: Verdict) -> bool {
-        let engine = self.table().service(service).and_then(|it| it.engine);
-        let Some(engine) = engine.filter(|it| it.experts.is_some()) else {
+        let Some(engine) = self.engine(service).filter(|it| it.experts.is_some()) else {
             return false;
         };
         let now_ms = monotonic_ms();
--- a/crates/bilberryloft-routing/src/document.rs
+++ b/crates/bilberryloft-routing/src/document.rs
@@ -9,6 +9,9 @@
 /// Largest priority number, the least urgent.
 pub const PRIORITY_MAX: u8 = 9;
 
+/// Least time that a running request adds to a step, in milliseconds: a document may say 0.
+const REQUEST_MS_MIN: f64 = 1e-3;
+
 /// What may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -106,6 +109,13 @@
     pub experts: Option<Experts>,
 }
 
+impl Engine {
+    /// Time of an empty step, counted in running requests.
+    pub fn idle_load(&self) -> f64 {
+        self.step_ms / self.request_ms.max(REQUEST_MS_MIN)
+    }
+}
+
 /// A kind of target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
--- a/crates/bilberryloft-routing/src/lib.rs
+++ b/crates/bilberryloft-routing/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod events;
 pub mod outage;
 pub mod routes;
+pub mod slow_ranks;
 pub mod targets;
 pub mod waiting_line;
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -2,6 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use crate::slow_ranks::SlowRanks;
+use crate::slow_ranks::load_max;
+use crate::slow_ranks::own_part;
+
 /// Time for which a target that no longer announces itself is still used after its last answer, in
 /// milliseconds: it may have lost its path to control only.
 const UNANNOUNCED_USE_MS: u64 = 3_000;
@@ -115,6 +119,23 @@
     loads: BTreeMap<String, u32>,
 }
 
+/// How much work targets may get.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PickBounds {
+    /// Requests that each target may have, where there is a limit below its slots.
+    pub load_max: Option<u32>,
+    /// Requests that may wait at a target beyond its slots, where there is no such limit.
+    pub queue_max: u32,
+    /// Time that a rank takes in a pass without requests, counted in requests; 0 for a plain service.
+    pub idle_load: f64,
+}
+
+impl PickBounds {
+    fn load_max(&self, slots: u32) -> u32 {
+        self.load_max.unwrap_or(slots + self.queue_max)
+    }
+}
+
 /// A target that was picked, with the inputs that decided.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Picked {
@@ -149,6 +170,7 @@
     by_id: BTreeMap<String, TargetKey>,
     by_service: BTreeMap<String, Vec<TargetKey>>,
     entries: BTreeMap<String, OtherEntry>,
+    slow_ranks: SlowRanks,
 }
 
 impl TargetBoard {
@@ -196,6 +218,16 @@
         self.sum_others(now_ms);
     }
 
+    /// Takes what a host says of ranks that are slow, by target.
+    pub fn note_slow_ranks(&mut self, host: &str, slowness: BTreeMap<String, f64>, now_ms: u64) {
+        self.slow_ranks.note(host, slowness, now_ms);
+    }
+
+    /// What a host said of slow ranks, while it is believed.
+    pub fn slow_ranks_of(&self, host: &str, now_ms: u64) -> Option<&BTreeMap<String, f64>> {
+        self.slow_ranks.said_by(host, now_ms)
+    }
+
     /// Forgets entries that have fallen silent; returns the number of entries, this one included.
     pub fn expire_entries(&mut self, now_ms: u64) -> usize {
         let before = self.entries.len();
@@ -243,27 +275,25 @@
         f64::from(sum) / f64::from(count.max(1))
     }
 
-    /// Picks the target that has the fewest requests, and counts one more there. A target takes `load_max`
-    /// requests, or `queue_max` beyond its slots; `draw` orders targets that are equal.
+    /// Picks the target that has the fewest requests, or whose own part of a pass is shortest, and counts one more
+    /// there; `draw` orders targets that are equal.
     pub fn pick(
         &mut self,
         service: &str,
         tried: &[TargetKey],
-        load_max: Option<u32>,
-        queue_max: u32,
+        bounds: &PickBounds,
         now_ms: u64,
         mut draw: impl FnMut() -> f64,
     ) -> Result<Picked, NoTarget> {
-        let mut candidates = 0;
+        let candidates = self.candidates(service, tried, now_ms);
+        let fastest = candidates.iter().map(|it| it.1).fold(f64::INFINITY, f64::min);
         let mut resting = None;
         let mut best: Option<(f64, TargetKey)> = None;
-        for key in self.by_service.get(service).into_iter().flatten().copied() {
+        for (key, slowness) in candidates.iter().copied() {
             let target = &self.targets[key.0];
-            if !target.is_eligible(now_ms) || tried.contains(&key) {
-                continue;
-            }
-            candidates += 1;
-            if target.load() >= load_max.unwrap_or(target.fact.slots + queue_max) {
+            let slowness = slowness / fastest;
+            let full = bounds.load_max(target.fact.slots);
+            if target.load() >= load_max(bounds.idle_load, full, slowness) {
                 continue;
             }
             if target.rest_until_ms > now_ms {
@@ -273,14 +303,15 @@
             }
             let is_near = target.fact.data_center == self.data_center;
             let near = if is_near { NEAR_BONUS } else { 0.0 };
-            let score = f64::from(target.load()) + target.penalty() - near + 0.3 * draw();
+            let own_part = own_part(bounds.idle_load, target.load(), slowness);
+            let score = own_part + target.penalty() - near + 0.3 * draw();
             if best.is_none_or(|it| score < it.0) {
                 best = Some((score, key));
             }
         }
         let chosen = best.map(|it| it.1).or(resting.map(|it| it.1));
         let Some(key) = chosen else {
-            return Err(if candidates == 0 { NoTarget::Absent } else { NoTarget::Full });
+            return Err(if candidates.is_empty() { NoTarget::Absent } else { NoTarget::Full });
         };
         let target = &mut self.targets[key.0];
         let picked = Picked {
@@ -289,12 +320,19 @@
             address: target.fact.address.clone(),
             own: target.own,
             others: target.others,
-            candidates,
+            candidates: candidates.len(),
         };
         target.own += 1;
         Ok(picked)
     }
 
+    /// Targets of a service that take work and have not been tried, with how many times as long as usual each takes.
+    fn candidates(&self, service: &str, tried: &[TargetKey], now_ms: u64) -> Vec<(TargetKey, f64)> {
+        let keys = self.by_service.get(service).into_iter().flatten().copied();
+        let keys = keys.filter(|it| self.targets[it.0].is_eligible(now_ms) && !tried.contains(it));
+        keys.map(|it| (it, self.slow_ranks.of(&self.targets[it.0].fact.id, now_ms))).collect()
+    }
+
     /// Takes a request off its target.
     pub fn finish(&mut self, key: TargetKey, verdict: Verdict, now_ms: u64) {
         let target = &mut self.targets[key.0];
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -11,13 +11,14 @@
 use bilberryloft_routing::events::EventCutter;
 use bilberryloft_routing::outage::GroupHealth;
 use bilberryloft_routing::targets::NoTarget;
+use bilberryloft_routing::targets::PickBounds;
 use bilberryloft_routing::targets::TargetBoard;
 use bilberryloft_routing::targets::TargetFact;
 use bilberryloft_routing::targets::Verdict;
 use bilberryloft_routing::waiting_line::WaitingLine;
 use quickcheck::quickcheck;
 
-const QUEUE_MAX: u32 = 4;
+const BOUNDS: PickBounds = PickBounds { load_max: None, queue_max: 4, idle_load: 0.0 };
 
 fn fact(number: usize) -> TargetFact {
     TargetFact {
@@ -39,7 +40,7 @@
 }
 
 fn pick(board: &mut TargetBoard, now_ms: u64) -> Result<String, NoTarget> {
-    board.pick("writer", &[], None, QUEUE_MAX, now_ms, || 0.5).map(|it| it.id)
+    board.pick("writer", &[], &BOUNDS, now_ms, || 0.5).map(|it| it.id)
 }
 
 #[test]
@@ -71,10 +72,7 @@
         pick(&mut board, 0).unwrap();
     }
     assert_eq!(pick(&mut board, 0), Err(NoTarget::Full));
-    assert_eq!(
-        board.pick("nobody", &[], None, QUEUE_MAX, 0, || 0.5).unwrap_err(),
-        NoTarget::Absent
-    );
+    assert_eq!(board.pick("nobody", &[], &BOUNDS, 0, || 0.5).unwrap_err(), NoTarget::Absent);
 }
 
 #[test]
@@ -89,7 +87,7 @@
 #[test]
 fn pick_uses_a_silent_target_while_it_still_answers() {
     let mut board = board(1);
-    let picked = board.pick("writer", &[], None, QUEUE_MAX, 0, || 0.5).unwrap();
+    let picked = board.pick("writer", &[], &BOUNDS, 0, || 0.5).unwrap();
     board.finish(picked.key, Verdict::Sound, 1_000);
     board.apply(TargetFact { is_announced: false, ..fact(0) });
     assert!(pick(&mut board, 2_000).is_ok());
@@ -101,7 +99,7 @@
     let mut board = board(2);
     board.apply(TargetFact { address: "10.0.0.0:80".to_string(), ..fact(2) });
     let stale = loop {
-        let picked = board.pick("writer", &[], None, QUEUE_MAX, 0, || 0.5).unwrap();
+        let picked = board.pick("writer", &[], &BOUNDS, 0, || 0.5).unwrap();
         if picked.id == "t0" {
             break picked;
         }
@@ -115,7 +113,7 @@
 #[test]
 fn pick_rests_a_target_that_was_lost_and_comes_back_to_it() {
     let mut board = board(2);
-    let first = board.pick("writer", &[], None, QUEUE_MAX, 0, || 0.5).unwrap();
+    let first = board.pick("writer", &[], &BOUNDS, 0, || 0.5).unwrap();
     board.finish(first.key, Verdict::Lost, 0);
     for _ in 0..4 {
         assert_ne!(pick(&mut board, 50).unwrap(), first.id);
@@ -127,13 +125,13 @@
 fn pick_avoids_a_target_that_fails_part_of_its_requests() {
     let mut board = board(3);
     for round in 0..60 {
-        let picked = board.pick("writer", &[], None, QUEUE_MAX, round * 1_000, || 0.5).unwrap();
+        let picked = board.pick("writer", &[], &BOUNDS, round * 1_000, || 0.5).unwrap();
         let verdict = if picked.id == "t0" { Verdict::Failed } else { Verdict::Sound };
         board.finish(picked.key, verdict, round * 1_000);
     }
     let mut to_failing = 0;
     for round in 0..20 {
-        let picked = board.pick("writer", &[], None, QUEUE_MAX, 100_000 + round, || 0.5).unwrap();
+        let picked = board.pick("writer", &[], &BOUNDS, 100_000 + round, || 0.5).unwrap();
         to_failing += u32::from(picked.id == "t0");
         board.finish(picked.key, Verdict::Sound, 100_000 + round);
     }
@@ -143,7 +141,7 @@
 #[test]
 fn pick_gives_a_restarted_target_a_clean_slate() {
     let mut board = board(1);
-    let picked = board.pick("writer", &[], None, QUEUE_MAX, 0, || 0.5).unwrap();
+    let picked = board.pick("writer", &[], &BOUNDS, 0, || 0.5).unwrap();
     board.finish(picked.key, Verdict::Misdirected, 0);
     assert_eq!(pick(&mut board, 10), Err(NoTarget::Absent));
     board.apply(TargetFact { incarnation: 2, ..fact(0) });
--- /dev/null
+++ b/crates/bilberryloft-routing/tests/slow_ranks.rs
@@ -0,0 +1,125 @@
+//! A rank that is slow for some seconds, and what its group's passes take meanwhile.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use bilberryloft_routing::slow_ranks::SlowRanks;
+use bilberryloft_routing::slow_ranks::load_max;
+use bilberryloft_routing::slow_ranks::own_part;
+use bilberryloft_routing::targets::PickBounds;
+use bilberryloft_routing::targets::Picked;
+use bilberryloft_routing::targets::TargetBoard;
+use bilberryloft_routing::targets::TargetFact;
+use bilberryloft_routing::targets::Verdict;
+
+const RANKS: usize = 16;
+const SLOTS: u32 = 12;
+/// Requests that add as much to a step as the step takes without any.
+const IDLE_LOAD: f64 = 13.4;
+const BOUNDS: PickBounds = PickBounds { load_max: None, queue_max: 4, idle_load: IDLE_LOAD };
+
+fn fact(number: usize) -> TargetFact {
+    TargetFact {
+        id: format!("r{number}"),
+        incarnation: 1,
+        service: "writer".to_string(),
+        address: format!("10.0.0.{number}:80"),
+        data_center: "a".to_string(),
+        slots: SLOTS,
+        is_leaving: false,
+        is_announced: true,
+    }
+}
+
+fn group(slowness: &[(usize, f64)]) -> TargetBoard {
+    let mut board = TargetBoard::new("a");
+    (0..RANKS).for_each(|it| board.apply(fact(it)));
+    let slow = slowness.iter().map(|(rank, slowness)| (format!("r{rank}"), *slowness)).collect();
+    board.note_slow_ranks("leader", slow, 0);
+    board
+}
+
+fn pick(board: &mut TargetBoard, now_ms: u64) -> Option<Picked> {
+    board.pick("writer", &[], &BOUNDS, now_ms, || 0.5).ok()
+}
+
+/// Longest own part of a pass over that of a usual rank, while a steady load of `per_rank` requests comes and goes.
+fn longest_part(slowness: &[(usize, f64)], per_rank: usize) -> f64 {
+    let mut board = group(slowness);
+    let mut running = Vec::new();
+    let mut loads: BTreeMap<String, u32> = BTreeMap::new();
+    let mut longest: f64 = 0.0;
+    for round in 0..RANKS * per_rank * 4 {
+        let picked = pick(&mut board, 0).unwrap();
+        *loads.entry(picked.id.clone()).or_default() += 1;
+        running.push(picked);
+        if running.len() > RANKS * per_rank {
+            let ended = running.remove(round * 7 % running.len());
+            board.finish(ended.key, Verdict::Sound, 0);
+            *loads.get_mut(&ended.id).unwrap() -= 1;
+        }
+        for rank in 0..RANKS {
+            let slow = slowness.iter().find(|it| it.0 == rank).map_or(1.0, |it| it.1);
+            let load = loads.get(&format!("r{rank}")).copied().unwrap_or(0);
+            if load > 0 || slow == 1.0 {
+                longest = longest.max(own_part(IDLE_LOAD, load, slow));
+            }
+        }
+    }
+    longest / own_part(IDLE_LOAD, per_rank as u32, 1.0)
+}
+
+#[test]
+fn slow_rank_that_lengthens_passes_gets_nothing() {
+    for slowness in [2.0, 5.0, 12.0] {
+        let longest = longest_part(&[(3, slowness)], 6);
+        assert!(longest < 1.15, "{slowness}: {longest}");
+    }
+}
+
+#[test]
+fn slow_rank_that_is_little_slower_gets_less_than_the_others() {
+    let longest = longest_part(&[(3, 1.3)], 9);
+    assert!(longest < 1.15, "{longest}");
+    assert!(load_max(IDLE_LOAD, SLOTS, 1.3) > 0);
+    assert_eq!(load_max(IDLE_LOAD, SLOTS, 4.0), 0);
+}
+
+#[test]
+fn slow_ranks_that_are_all_alike_share_the_work() {
+    let all: Vec<(usize, f64)> = (0..RANKS).map(|it| (it, 4.0)).collect();
+    let mut board = group(&all);
+    let mut counts = BTreeMap::new();
+    for _ in 0..RANKS * 4 {
+        *counts.entry(pick(&mut board, 0).unwrap().id).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|it| *it == 4), "{counts:?}");
+}
+
+#[test]
+fn slow_rank_is_used_when_the_others_have_been_tried() {
+    let mut board = group(&[(0, 6.0)]);
+    let tried: Vec<_> = (1..RANKS).map(|_| pick(&mut board, 0).unwrap().key).collect();
+    assert_eq!(board.pick("writer", &tried, &BOUNDS, 0, || 0.5).unwrap().id, "r0");
+}
+
+#[test]
+fn slow_rank_is_usual_again_once_nobody_says_otherwise() {
+    let mut board = group(&[(0, 12.0)]);
+    let picks = |board: &mut TargetBoard, now_ms| -> Vec<String> {
+        (0..RANKS).map(|_| pick(board, now_ms).unwrap().id).collect()
+    };
+    assert!(!picks(&mut board, 0).contains(&"r0".to_string()));
+    assert!(picks(&mut board, 2_000).contains(&"r0".to_string()));
+}
+
+#[test]
+fn slow_ranks_follow_the_latest_word_of_each_host() {
+    let mut slow = SlowRanks::default();
+    slow.note("a", [("r0".to_string(), 3.0)].into(), 0);
+    slow.note("b", [("r0".to_string(), 2.0)].into(), 0);
+    assert_eq!(slow.of("r0", 100), 3.0);
+    slow.note("a", BTreeMap::new(), 200);
+    assert_eq!(slow.of("r0", 300), 2.0);
+    assert_eq!(slow.of("r0", 1_600), 1.0);
+}
