Streams leave a rank that holds up its group

Ruled out: new requests (none went there), the expert map.

Change: when the leader's word says that a rank's own part is over 1.5 times that of a usual rank with all places taken, its resumable streams take a place at another rank first and then go on there, out of the retry budget.

Held, the claim on a target, has a module of its own.

--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -110,6 +110,8 @@
     ExpertMapAbandoned = 532,
     /// A change that another planner began was found and ended.
     ExpertMapResumed = 533,
+    /// Other ranks than before are slow, or by another factor.
+    SlowRanksChanged = 534,
 }
 
 impl Event {
@@ -120,7 +122,7 @@
 }
 
 /// All events in the order of their numbers.
-pub const EVENTS: [Event; 53] = [
+pub const EVENTS: [Event; 54] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -174,6 +176,7 @@
     Event::ExpertMapSwitched,
     Event::ExpertMapAbandoned,
     Event::ExpertMapResumed,
+    Event::SlowRanksChanged,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -153,8 +153,7 @@
     fn tell_slow_ranks(&self, ranks: &[Seen]) {
         let slow = ranks.iter().filter(|it| it.report.is_slow());
         let slowness = slow.map(|it| (it.link.id.clone(), it.report.slowness)).collect();
-        let host = &self.state.daemon.settings.daemon;
-        self.state.board.lock().note_slow_ranks(host, slowness, monotonic_ms());
+        self.state.note_slow_ranks(&self.state.daemon.settings.daemon, slowness);
     }
 
     fn links_of(&mut self, service: &str) -> Vec<Arc<RankLink>> {
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::attempt::Answered;
 use crate::attempt::AttemptEnd;
 use crate::headers;
+use crate::held::Held;
 use crate::place;
 use crate::request;
 use crate::request::RelayRequest;
@@ -49,35 +50,6 @@
 /// Attempts that targets refuse, at most, before the caller is told.
 const REFUSED_MAX: u32 = 3;
 
-/// A target that has been given a request, until its verdict is told; without one, the caller left.
-pub struct Held {
-    state: Arc<RelayState>,
-    service: String,
-    key: TargetKey,
-    is_told: bool,
-}
-
-impl Held {
-    /// Takes over a request that was counted by the pick.
-    pub fn new(state: &Arc<RelayState>, service: &str, key: TargetKey) -> Held {
-        Held { state: state.clone(), service: service.to_string(), key, is_told: false }
-    }
-
-    /// Tells how it ended.
-    pub fn tell(mut self, verdict: Verdict) {
-        self.is_told = true;
-        self.state.finish(&self.service, self.key, verdict);
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        if !self.is_told {
-            self.state.finish(&self.service, self.key, Verdict::Unknown);
-        }
-    }
-}
-
 /// Logs that the caller left, unless the answer was reached.
 struct CallerWatch<'a> {
     id: &'a str,
@@ -250,7 +222,7 @@
         &mut self,
         state: &Arc<RelayState>,
         request: &RelayRequest,
-    ) -> Result<Picked, Refusal> {
+    ) -> Result<Held, Refusal> {
         if self.count() == 0 {
             return place::wait(state, request).await;
         }
@@ -289,21 +261,20 @@
 async fn run(state: &Arc<RelayState>, request: &RelayRequest) -> Result<FinalAnswer, Refusal> {
     let mut tries = Tries::new();
     loop {
-        let picked = tries.pick(state, request).await?;
-        tries.tried.push(picked.key);
-        let held = Held::new(state, &request.service, picked.key);
+        let held = tries.pick(state, request).await?;
+        tries.tried.push(held.picked().key);
         let attempts = tries.count() + 1;
-        log_sent(request, &picked, attempts);
+        log_sent(request, held.picked(), attempts);
         let ended = tokio::time::timeout_at(request.due, async {
-            let end = attempt::send(state, request, &picked, None).await;
+            let end = attempt::send(state, request, held.picked(), None).await;
             read_answer(state, request, end).await
         });
         let Ok((end, answer)) = ended.await else {
+            log_ended(request, held.picked(), "timeout", None);
             held.tell(Verdict::Lost);
-            log_ended(request, &picked, "timeout", None);
             return Err(Refusal::TimeOutSent);
         };
-        log_ended(request, &picked, end.name, end.detail.as_deref());
+        log_ended(request, held.picked(), end.name, end.detail.as_deref());
         let is_group_down = state.note_group(&request.service, end.verdict);
         let Some(answered) = answer else {
             held.tell(end.verdict);
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod expert_planner;
 pub mod forward;
 pub mod headers;
+pub mod held;
 pub mod loads;
 pub mod place;
 pub mod pool;
--- a/crates/bilberryloft-relay/src/loads.rs
+++ b/crates/bilberryloft-relay/src/loads.rs
@@ -104,10 +104,9 @@
             // One that is known only by hearsay gets datagrams for a while, and answers if it is there.
             self.heard_ms.entry(address).or_insert(now_ms);
         }
-        let mut board = self.state.board.lock();
-        board.note_entry(&message.entry, message.word.loads, now_ms);
+        self.state.board.lock().note_entry(&message.entry, message.word.loads, now_ms);
         if let Some(slowness) = message.word.slow_ranks {
-            board.note_slow_ranks(&message.entry, slowness, now_ms);
+            self.state.note_slow_ranks(&message.entry, slowness);
         }
     }
 
--- a/crates/bilberryloft-relay/src/place.rs
+++ b/crates/bilberryloft-relay/src/place.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bilberryloft_routing::targets::NoTarget;
-use bilberryloft_routing::targets::Picked;
 use bilberryloft_routing::waiting_line::Ticket;
 use tokio::time::Instant;
 
 use crate::answer::Refusal;
+use crate::held::Held;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
 
@@ -32,14 +32,14 @@
 }
 
 /// Gets a place, or refuses as soon as it is known that none will be free in time.
-pub async fn wait(state: &Arc<RelayState>, request: &RelayRequest) -> Result<Picked, Refusal> {
+pub async fn wait(state: &Arc<RelayState>, request: &RelayRequest) -> Result<Held, Refusal> {
     let service = request.service.as_str();
     if !state.may_send(service) {
         return Err(Refusal::GroupDown);
     }
     if state.with_line(service, |it| it.is_empty()) {
         match state.pick(request, &[]) {
-            Ok(picked) => return Ok(picked),
+            Ok(held) => return Ok(held),
             Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
             Err(NoTarget::Full) => {}
         }
@@ -58,7 +58,7 @@
             continue;
         }
         match state.pick(request, &[]) {
-            Ok(picked) => return Ok(picked),
+            Ok(held) => return Ok(held),
             Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
             Err(NoTarget::Full) => {}
         }
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -31,8 +31,10 @@
 use bilberryloft_transport::clock::monotonic_ms;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use tokio::sync::watch;
 
 use crate::dialect::Dialect;
+use crate::held::Held;
 use crate::pool::Pool;
 use crate::request::RelayRequest;
 use crate::settings::RelaySettings;
@@ -74,6 +76,7 @@
     budgets: Mutex<BTreeMap<String, RetryBudget>>,
     pauses: Mutex<BTreeMap<String, PauseMeter>>,
     lines: Mutex<BTreeMap<String, WaitingLine>>,
+    slow_ranks_changes: watch::Sender<u64>,
     groups: Mutex<BTreeMap<String, GroupHealth>>,
     entries: AtomicUsize,
     awake_ms: AtomicU64,
@@ -99,6 +102,7 @@
             budgets: Mutex::default(),
             pauses: Mutex::default(),
             lines: Mutex::default(),
+            slow_ranks_changes: watch::Sender::default(),
             groups: Mutex::default(),
             entries: AtomicUsize::new(1),
             awake_ms: AtomicU64::new(boot_ms()),
@@ -141,15 +145,25 @@
     }
 
     /// Picks a target for a new request and counts it there.
-    pub fn pick(&self, request: &RelayRequest, tried: &[TargetKey]) -> Result<Picked, NoTarget> {
+    pub fn pick(
+        self: &Arc<Self>,
+        request: &RelayRequest,
+        tried: &[TargetKey],
+    ) -> Result<Held, NoTarget> {
         let now_ms = monotonic_ms();
         let load_max = self.load_max(request, now_ms);
-        self.pick_within(&request.service, tried, load_max, now_ms)
+        let picked = self.pick_within(&request.service, tried, load_max, now_ms)?;
+        Ok(Held::new(self, &request.service, picked))
     }
 
     /// Picks a target for a request that has a place in the group already, whatever the limit on new ones.
-    pub fn pick_again(&self, service: &str, tried: &[TargetKey]) -> Result<Picked, NoTarget> {
-        self.pick_within(service, tried, None, monotonic_ms())
+    pub fn pick_again(
+        self: &Arc<Self>,
+        service: &str,
+        tried: &[TargetKey],
+    ) -> Result<Held, NoTarget> {
+        let picked = self.pick_within(service, tried, None, monotonic_ms())?;
+        Ok(Held::new(self, service, picked))
     }
 
     fn pick_within(
@@ -164,6 +178,47 @@
         self.board.lock().pick(service, tried, &bounds, now_ms, fastrand::f64)
     }
 
+    /// Takes what a host that reads ranks' reports says of slow ones.
+    pub fn note_slow_ranks(&self, reporter: &str, slowness: BTreeMap<String, f64>) {
+        let now_ms = monotonic_ms();
+        let mut board = self.board.lock();
+        let is_new = match board.slow_ranks_of(reporter, now_ms) {
+            Some(before) => *before != slowness,
+            None => !slowness.is_empty(),
+        };
+        if is_new {
+            log_event!(info, Event::SlowRanksChanged, reporter, ?slowness);
+        }
+        board.note_slow_ranks(reporter, slowness, now_ms);
+        drop(board);
+        if is_new {
+            self.slow_ranks_changes.send_modify(|it| *it += 1);
+        }
+    }
+
+    /// Waits until a stream had better leave its rank, and takes a place at another for it.
+    pub async fn place_instead_of_slow(self: &Arc<Self>, service: &str, key: TargetKey) -> Held {
+        let mut changes = self.slow_ranks_changes.subscribe();
+        loop {
+            changes.mark_unchanged();
+            if let Some(held) = self.try_instead_of_slow(service, key) {
+                return held;
+            }
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    fn try_instead_of_slow(self: &Arc<Self>, service: &str, key: TargetKey) -> Option<Held> {
+        let idle_load = self.engine(service)?.idle_load();
+        let now_ms = monotonic_ms();
+        let picked =
+            self.board.lock().pick_instead_of_slow(key, idle_load, now_ms, fastrand::f64)?;
+        let held = Held::new(self, service, picked);
+        self.may_repeat(service).then_some(held)
+    }
+
     /// What a step of a service's targets costs, if they are model engines.
     fn engine(&self, service: &str) -> Option<Engine> {
         self.table().service(service)?.engine
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -20,7 +20,7 @@
 use crate::attempt;
 use crate::attempt::Answered;
 use crate::attempt::AttemptEnd;
-use crate::forward::Held;
+use crate::held::Held;
 use crate::request::RelayRequest;
 use crate::state::OpenRequest;
 use crate::state::RelayState;
@@ -43,6 +43,8 @@
     Whole,
     /// The target broke off.
     Broken,
+    /// The target holds up its group, and another one has a place.
+    TooSlow(Held),
     /// The caller left.
     CallerLeft,
     /// The time of the request ran out.
@@ -91,7 +93,7 @@
         let mut held = held;
         let mut runs = attempts;
         loop {
-            match self.pass_on(answered).await {
+            let instead = match self.pass_on(answered, &held, runs).await {
                 BodyEnd::Whole => {
                     held.tell(Verdict::Sound);
                     self.state.daemon.metrics.answers.inc();
@@ -108,10 +110,17 @@
                     return;
                 }
                 BodyEnd::TimeOut => return self.give_up("timeout").await,
-                BodyEnd::Broken => held.tell(Verdict::Lost),
-            }
+                BodyEnd::TooSlow(instead) => {
+                    held.tell(Verdict::Unknown);
+                    Some(instead)
+                }
+                BodyEnd::Broken => {
+                    held.tell(Verdict::Lost);
+                    None
+                }
+            };
             self.cutter.drop_partial();
-            match self.resume(runs).await {
+            match self.resume(runs, instead).await {
                 Some((next, next_held)) => {
                     answered = next;
                     held = next_held;
@@ -145,12 +154,17 @@
         let _ = self.pieces.send(Err(BrokenOff)).await;
     }
 
-    async fn pass_on(&mut self, answered: Answered) -> BodyEnd {
+    async fn pass_on(&mut self, answered: Answered, held: &Held, runs: u32) -> BodyEnd {
         let Answered { response, connection, address } = answered;
         let (parts, mut body) = response.into_parts();
+        let may_resume = self.may_resume(runs);
+        let (state, service) = (self.state.clone(), self.request.service.clone());
+        let too_slow = state.place_instead_of_slow(&service, held.picked().key);
+        tokio::pin!(too_slow);
         let end = loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
+                instead = &mut too_slow, if may_resume => break BodyEnd::TooSlow(instead),
                 () = self.pieces.closed() => break BodyEnd::CallerLeft,
                 () = tokio::time::sleep_until(self.request.due) => break BodyEnd::TimeOut,
             };
@@ -195,26 +209,38 @@
         }
     }
 
-    /// Goes on behind the last event at another target, within the pause that callers bear.
-    async fn resume(&mut self, runs: u32) -> Option<(Answered, Held)> {
-        let route = &self.request.route;
-        if !route.is_resumable || runs >= route.attempts_max {
+    /// Whether the stream may go on at another target.
+    fn may_resume(&self, runs: u32) -> bool {
+        self.request.route.is_resumable && runs < self.request.route.attempts_max
+    }
+
+    /// Goes on behind the last event at another target, within the pause that callers bear; first at `instead`, if
+    /// there is one.
+    async fn resume(&mut self, runs: u32, instead: Option<Held>) -> Option<(Answered, Held)> {
+        if !self.may_resume(runs) {
             return None;
         }
+        let service = self.request.service.as_str();
+        let reason = if instead.is_some() { "slow_target" } else { "broke_off" };
+        let mut first = instead;
         let until = (self.last_piece + RESUME_WITHIN).min(self.request.due);
         let mut refused = 0;
         while Instant::now() < until && refused < RESUME_REFUSED_MAX {
-            if self.pieces.is_closed() || !self.state.may_repeat(&self.request.service) {
+            if self.pieces.is_closed() {
                 return None;
             }
-            let Ok(picked) = self.state.pick_again(&self.request.service, &[]) else {
+            let place = match first.take() {
+                None if !self.state.may_repeat(service) => return None,
+                None => self.state.pick_again(service, &[]).ok(),
+                Some(instead) => Some(instead),
+            };
+            let Some(held) = place else {
                 tokio::time::sleep(RESUME_PAUSE).await;
                 refused += 1;
                 continue;
             };
-            let held = Held::new(&self.state, &self.request.service, picked.key);
             let after = self.cutter.last_id();
-            let sent = attempt::send(&self.state, &self.request, &picked, after);
+            let sent = attempt::send(&self.state, &self.request, held.picked(), after);
             let Ok(end) = tokio::time::timeout_at(until, sent).await else {
                 held.tell(Verdict::Lost);
                 return None;
@@ -223,7 +249,8 @@
                 info,
                 Event::StreamResumed,
                 request_id = self.request.id,
-                target_id = picked.id,
+                target_id = held.picked().id,
+                reason,
                 outcome = end.name(),
                 after
             );
--- a/crates/bilberryloft-routing/src/slow_ranks.rs
+++ b/crates/bilberryloft-routing/src/slow_ranks.rs
@@ -3,13 +3,17 @@
 //! The pattern: one rank takes several times as long as usual for some seconds. All ranks run each pass together,
 //! so the requests that the slow one goes on getting lengthen every pass for every stream of the group. A pass waits
 //! for the rank whose own part takes longest, and part of that is there without any request; so a slow rank gets a
-//! request only while its own part stays within that of a usual rank whose places are all taken.
+//! request only while its own part stays within that of a usual rank whose places are all taken. Streams that run on a
+//! much slower one go on at another rank: they would hold up the group until they end, for seconds.
 
 use std::collections::BTreeMap;
 
 /// Time after which a word about slow ranks is no longer believed, in milliseconds.
 const VALID_MS: u64 = 1_500;
 
+/// Own part of a slow rank over that of a usual rank with all places taken, from which its streams go on elsewhere:
+/// that costs reading their prompts once more.
+const LEAVE_FROM: f64 = 1.5;
 /// Part of a request that sums of floating-point numbers may be short of.
 const ROUNDING: f64 = 1e-6;
 
@@ -25,6 +29,11 @@
     (load.max(0.0) + ROUNDING).floor() as u32
 }
 
+/// Whether the streams on a rank had better go on at others.
+pub fn is_worth_leaving(idle_load: f64, load: u32, slots: u32, slowness: f64) -> bool {
+    own_part(idle_load, load, slowness) > LEAVE_FROM * own_part(idle_load, slots, 1.0)
+}
+
 #[derive(Clone, Debug)]
 struct Word {
     heard_ms: u64,
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::slow_ranks::SlowRanks;
+use crate::slow_ranks::is_worth_leaving;
 use crate::slow_ranks::load_max;
 use crate::slow_ranks::own_part;
 
@@ -326,6 +327,27 @@
         Ok(picked)
     }
 
+    /// Picks another rank for a stream whose rank is so slow that it holds up its group, if one has a free place.
+    pub fn pick_instead_of_slow(
+        &mut self,
+        key: TargetKey,
+        idle_load: f64,
+        now_ms: u64,
+        draw: impl FnMut() -> f64,
+    ) -> Option<Picked> {
+        let target = &self.targets[key.0];
+        let (load, slots, service) = (target.load(), target.fact.slots, &target.fact.service);
+        let others = self.candidates(service, &[key], now_ms);
+        let fastest = others.iter().map(|it| it.1).fold(f64::INFINITY, f64::min);
+        let slowness = self.slow_ranks.of(&target.fact.id, now_ms) / fastest;
+        if !is_worth_leaving(idle_load, load, slots, slowness) {
+            return None;
+        }
+        let service = service.clone();
+        let bounds = PickBounds { load_max: Some(slots), queue_max: 0, idle_load };
+        self.pick(&service, &[key], &bounds, now_ms, draw).ok()
+    }
+
     /// Targets of a service that take work and have not been tried, with how many times as long as usual each takes.
     fn candidates(&self, service: &str, tried: &[TargetKey], now_ms: u64) -> Vec<(TargetKey, f64)> {
         let keys = self.by_service.get(service).into_iter().flatten().copied();
--- a/crates/bilberryloft-routing/tests/slow_ranks.rs
+++ b/crates/bilberryloft-routing/tests/slow_ranks.rs
@@ -123,3 +123,30 @@
     assert_eq!(slow.of("r0", 300), 2.0);
     assert_eq!(slow.of("r0", 1_600), 1.0);
 }
+
+#[test]
+fn streams_leave_a_rank_that_holds_up_its_group() {
+    let mut board = group(&[]);
+    let streams: Vec<Picked> = (0..RANKS * 6).map(|_| pick(&mut board, 0).unwrap()).collect();
+    let (slow, others): (Vec<_>, Vec<_>) = streams.into_iter().partition(|it| it.id == "r3");
+    board.note_slow_ranks("leader", [("r3".to_string(), 12.0)].into(), 10);
+    let other = board.pick_instead_of_slow(others[0].key, IDLE_LOAD, 10, || 0.5);
+    assert_eq!(other, None, "a usual rank keeps its streams");
+    for stream in slow {
+        let next = board.pick_instead_of_slow(stream.key, IDLE_LOAD, 10, || 0.5).unwrap();
+        assert_ne!(next.id, "r3");
+        board.finish(stream.key, Verdict::Unknown, 10);
+    }
+    assert_eq!(board.own_loads().get("r3"), None);
+}
+
+#[test]
+fn streams_stay_where_a_rank_is_little_slower_or_no_other_has_a_place() {
+    let mut board = group(&[(3, 1.4)]);
+    let streams: Vec<Picked> = (0..RANKS * 8).map(|_| pick(&mut board, 0).unwrap()).collect();
+    let slow = streams.iter().find(|it| it.id == "r3").unwrap();
+    assert_eq!(board.pick_instead_of_slow(slow.key, IDLE_LOAD, 0, || 0.5), None);
+    while pick(&mut board, 0).is_some() {}
+    board.note_slow_ranks("leader", [("r3".to_string(), 9.0)].into(), 10);
+    assert_eq!(board.pick_instead_of_slow(slow.key, IDLE_LOAD, 10, || 0.5), None);
+}
