Elections begin when a leader's process has ended, and early after a start

Change: a member whose connection to the leader has ended and whose new one is refused asks for votes at once, members one after the other; a member that starts with a log asks after a quarter of the timeout. Pre-votes refuse both where a leader lives. A new leader changes maps after two election timeouts and 100 ms (1.0 s, was 0.8 s): an election may now begin while the one before could still believe that it leads.

--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -18,6 +18,11 @@
 use crate::raft::ReadTicket;
 use crate::raft::leader::Progress;
 
+/// Part of an election timeout between two members that would otherwise ask for votes at once and split them.
+const STAGGER: u64 = 4;
+/// Part of an election timeout in which all members hear of their leader's end.
+const ENDED_PAUSE: u64 = 20;
+
 /// Timing and safety switches. The switches exist so that tests can show what each safeguard prevents.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -163,7 +168,7 @@
             random: fastrand::Rng::with_seed(start.seed ^ member_salt(start.member)),
             output: Output::default(),
         };
-        raft.reset_election_timer();
+        raft.set_first_election_timer();
         raft
     }
 
@@ -411,6 +416,35 @@
         self.options.pre_vote && (led || (self.leader.is_some() && heard))
     }
 
+    /// Takes word that the process of a member has ended. If it led, the next election need not wait until its
+    /// silence is long enough; a word that is wrong costs one refused pre-vote.
+    pub fn peer_ended(&mut self, member: u32, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        if self.role != Role::Follower || self.leader != Some(member) {
+            return;
+        }
+        self.leader = None;
+        let pause_ms = self.options.election_ms / ENDED_PAUSE;
+        self.election_due_ms = self.now_ms + pause_ms + self.stagger_ms(Some(member));
+    }
+
+    /// Time that this member leaves to the voters before it, without one that has ended.
+    fn stagger_ms(&self, ended: Option<u32>) -> u64 {
+        let voters = self.members().voters.keys().filter(|it| Some(**it) != ended);
+        let before = voters.take_while(|it| **it < self.member).count() as u64;
+        before * self.options.election_ms / STAGGER
+    }
+
+    /// A member that starts with a log asks early: if a leader lives, the others refuse; if all have started, nobody
+    /// leads. Without a log it gives the others time to find each other.
+    fn set_first_election_timer(&mut self) {
+        self.reset_election_timer();
+        if self.log.last_index() > 0 {
+            let pause_ms = self.options.election_ms / STAGGER;
+            self.election_due_ms = self.now_ms + pause_ms + self.stagger_ms(None);
+        }
+    }
+
     pub(super) fn reset_election_timer(&mut self) {
         let spread = self.random.u64(0..self.options.election_ms.max(1));
         self.election_due_ms = self.now_ms + self.options.election_ms + spread;
--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -40,6 +40,55 @@
     assert!(after > before);
 }
 
+/// Time until somebody leads, in milliseconds.
+fn time_to_lead(cluster: &mut Cluster) -> u64 {
+    (0..200)
+        .find(|_| {
+            cluster.leader().is_some() || {
+                cluster.settle(10);
+                false
+            }
+        })
+        .unwrap()
+        * 10
+}
+
+#[test]
+fn leader_whose_process_ended_is_replaced_at_once() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(World::default(), seed);
+        cluster.settle(2_000);
+        let leader = cluster.leader().unwrap();
+        cluster.crash(leader);
+        (1..=3).for_each(|it| cluster.say_ended(it, leader));
+        let waited_ms = time_to_lead(&mut cluster);
+        assert!(waited_ms < World::default().options.election_ms / 2, "{seed}: {waited_ms}");
+    }
+}
+
+#[test]
+fn leader_that_is_said_to_have_ended_by_one_member_goes_on() {
+    let mut cluster = started(World::default());
+    let leader = cluster.leader().unwrap();
+    let term = cluster.raft(leader).unwrap().term();
+    cluster.say_ended(1 + leader % 3, leader);
+    cluster.settle(1_000);
+    let after = cluster.leader().unwrap();
+    assert_eq!((after, cluster.raft(after).unwrap().term()), (leader, term));
+}
+
+#[test]
+fn quorum_that_was_killed_at_once_elects_before_an_election_timeout() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::new(World::default(), seed);
+        cluster.settle(2_000);
+        (1..=3).for_each(|it| cluster.crash(it));
+        (1..=3).for_each(|it| cluster.start(it));
+        let waited_ms = time_to_lead(&mut cluster);
+        assert!(waited_ms < World::default().options.election_ms, "{seed}: {waited_ms}");
+    }
+}
+
 #[test]
 fn isolated_leader_steps_down_and_commits_nothing() {
     let mut cluster = started(World::default());
--- a/crates/bilberryloft-coordination/tests/raft_random.rs
+++ b/crates/bilberryloft-coordination/tests/raft_random.rs
@@ -34,6 +34,7 @@
     Isolate(u32),
     CutOneWay(u32, u32),
     Heal,
+    SayEnded(u32, u32),
 }
 
 impl Arbitrary for Step {
@@ -56,6 +57,7 @@
             192..=193 => Step::Isolate(member),
             194 => Step::CutOneWay(member, other),
             195 => Step::Skew(member, 30),
+            196 => Step::SayEnded(member, other),
             _ => Step::Heal,
         }
     }
@@ -78,6 +80,7 @@
         Step::Isolate(member) => cluster.isolate(member),
         Step::CutOneWay(from, to) => cluster.cut(from, to),
         Step::Heal => cluster.heal(),
+        Step::SayEnded(member, other) => cluster.say_ended(member, other),
     }
 }
 
--- a/crates/bilberryloft-coordination/tests/support/mod.rs
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -143,6 +143,16 @@
         state.jobs.clear();
     }
 
+    /// Tells a running member that another one's process has ended, whether that is so or not.
+    pub fn say_ended(&mut self, member: u32, ended: u32) {
+        if self.raft(member).is_none() {
+            return;
+        }
+        let now_ms = self.clock_of(member);
+        self.raft_mut(member).peer_ended(ended, now_ms);
+        self.collect(member);
+    }
+
     /// Ends a member and empties its disk, unless another one has not recovered from that yet.
     pub fn lose_disk(&mut self, member: u32) {
         let has_recovered = self.lost_disk.is_none_or(|it| self.members[&it].disk.may_vote);
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -39,6 +39,9 @@
         message: Message,
         sender_address: Option<String>,
     },
+    PeerEnded {
+        member: u32,
+    },
     Propose {
         command: Command,
         reply: Reply<Outcome>,
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -119,7 +119,13 @@
             machine,
             applied_index: member.applied_index,
             disk: Disk::spawn(member.storage, report_sender.clone())?,
-            peers: Peers::new(daemon, incarnation, settings.member, settings.routes.clone()),
+            peers: Peers::new(
+                daemon,
+                incarnation,
+                settings.member,
+                settings.routes.clone(),
+                input_sender.clone(),
+            ),
             leases: LeaseTable::new(settings.target_lease_ms),
             leased_version: 0,
             upkeep: MemberUpkeep::new(settings.member, settings.voters_wanted),
@@ -256,6 +262,7 @@
                 }
                 self.raft.receive(message, monotonic_ms());
             }
+            Input::PeerEnded { member } => self.raft.peer_ended(member, monotonic_ms()),
             Input::Propose { command, reply } => {
                 self.propose(command, PendingReply::Outcome(reply))
             }
--- a/crates/bilberryloft-daemon/src/control/peers.rs
+++ b/crates/bilberryloft-daemon/src/control/peers.rs
@@ -10,6 +10,10 @@
 use bilberryloft_transport::client::Client;
 use tokio::sync::mpsc;
 
+use crate::control::handle::Input;
+use crate::events::Event;
+use crate::log_event;
+
 /// Messages that wait for one member; more are dropped, and the algorithm sends them again.
 const QUEUE_MAX: usize = 4_096;
 
@@ -30,15 +34,17 @@
     /// Addresses that members have named themselves, for those that the log does not name yet.
     heard: BTreeMap<u32, String>,
     own_address: Option<String>,
+    ended: mpsc::Sender<Input>,
 }
 
 impl Peers {
-    /// Starts without links.
+    /// Starts without links; members whose process has ended are told to `ended`.
     pub fn new(
         daemon: &str,
         incarnation: u64,
         member: u32,
         routes: BTreeMap<u32, String>,
+        ended: mpsc::Sender<Input>,
     ) -> Peers {
         Peers {
             daemon: daemon.to_string(),
@@ -48,6 +54,7 @@
             links: BTreeMap::new(),
             heard: BTreeMap::new(),
             own_address: None,
+            ended,
         }
     }
 
@@ -64,16 +71,16 @@
                 continue;
             };
             if !self.links.contains_key(&member) {
-                let link = self.connect(address.clone());
+                let link = self.connect(member, address.clone());
                 self.links.insert(member, link);
             }
         }
     }
 
-    fn connect(&self, address: String) -> Link {
+    fn connect(&self, member: u32, address: String) -> Link {
         let (queue, messages) = mpsc::channel(QUEUE_MAX);
         let client = Client::new(address.clone(), &self.daemon, self.incarnation);
-        tokio::spawn(forward(client, messages));
+        tokio::spawn(forward(client, messages, member, self.ended.clone()));
         Link { address, queue }
     }
 
@@ -92,7 +99,7 @@
         if !self.links.contains_key(&to)
             && let Some(address) = self.heard.get(&to).cloned()
         {
-            let link = self.connect(address);
+            let link = self.connect(to, address);
             self.links.insert(to, link);
         }
         if let Some(link) = self.links.get(&to) {
@@ -103,9 +110,26 @@
     }
 }
 
-async fn forward(client: Client, mut messages: mpsc::Receiver<MemberMessage>) {
-    while let Some(message) = messages.recv().await {
-        // What can't be sent is sent again by the algorithm.
-        let _ = client.notify(Body::Raft(message)).await;
+async fn forward(
+    client: Client,
+    mut messages: mpsc::Receiver<MemberMessage>,
+    member: u32,
+    ended: mpsc::Sender<Input>,
+) {
+    loop {
+        tokio::select! {
+            message = messages.recv() => match message {
+                // What can't be sent is sent again by the algorithm.
+                Some(message) => drop(client.notify(Body::Raft(message)).await),
+                None => return,
+            },
+            () = client.closed() => {
+                if client.is_refused().await {
+                    log_event!(info, Event::MemberEnded, member, address = client.address());
+                    // A full queue drops it: the member's silence tells the same a little later.
+                    let _ = ended.try_send(Input::PeerEnded { member });
+                }
+            }
+        }
     }
 }
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -48,6 +48,8 @@
     DiskReopened = 213,
     /// A member was added, promoted or removed to keep the quorum whole.
     MembersPlanned = 214,
+    /// No process listens any more where a member was.
+    MemberEnded = 215,
     /// The target announced itself.
     TargetAnnounced = 300,
     /// The target stopped announcing itself.
@@ -122,7 +124,7 @@
 }
 
 /// All events in the order of their numbers.
-pub const EVENTS: [Event; 54] = [
+pub const EVENTS: [Event; 55] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -145,6 +147,7 @@
     Event::MembersChanged,
     Event::DiskReopened,
     Event::MembersPlanned,
+    Event::MemberEnded,
     Event::TargetAnnounced,
     Event::TargetSilent,
     Event::TargetCrashed,
--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -37,9 +37,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(80);
 /// Time between looks while ranks copy experts.
 const COPY_LOOK_INTERVAL: Duration = Duration::from_millis(30);
-/// Time for which a new leader changes no map, so that the orders of the one before it have ended: that one
-/// stops leading at the latest twice an election timeout after it last heard a quorum.
-const SETTLE: Duration = Duration::from_millis(800);
+/// Time for the orders that a leader has given to end.
+const ORDERS_END: Duration = Duration::from_millis(100);
 /// Gap between two looks after which this process has stood still and must believe nothing, in milliseconds.
 const STOOD_STILL_MS: u64 = 900;
 /// Time after which ranks that have not copied everything are no longer waited for.
@@ -51,7 +50,10 @@
 
 /// Starts planning on the current runtime; it rests while this host does not lead.
 pub fn spawn_planner(state: Arc<RelayState>, control: ControlHandle) {
+    let settings = &state.daemon.settings;
+    let election_ms = settings.control.as_ref().map_or(0, |it| it.election_ms);
     let planner = Planner {
+        settle: Duration::from_millis(2 * election_ms) + ORDERS_END,
         state,
         control,
         links: BTreeMap::new(),
@@ -65,6 +67,9 @@
 
 struct Planner {
     state: Arc<RelayState>,
+    /// Time for which a new leader changes no map: the one before it stops leading at the latest twice an election
+    /// timeout after it last heard a quorum.
+    settle: Duration,
     control: ControlHandle,
     links: BTreeMap<String, Arc<RankLink>>,
     groups: BTreeMap<String, Group>,
@@ -111,7 +116,7 @@
 
     /// Whether this host has led for long enough to begin something new.
     fn has_settled(&self) -> bool {
-        self.led_since.is_some_and(|it| it.elapsed() >= SETTLE)
+        self.led_since.is_some_and(|it| it.elapsed() >= self.settle)
     }
 
     async fn look(&mut self) {
--- a/crates/bilberryloft-transport/src/client.rs
+++ b/crates/bilberryloft-transport/src/client.rs
@@ -1,8 +1,8 @@
 //! Calls to one peer over one connection that is made when needed and made again after it broke.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicI64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::frame::OUTGOING_FRAMES_MAX;
@@ -60,7 +61,7 @@
     outgoing: mpsc::Sender<Vec<u8>>,
     pending: Mutex<BTreeMap<i64, mpsc::Sender<Body>>>,
     next_call_id: AtomicI64,
-    is_closed: AtomicBool,
+    is_closed: watch::Sender<bool>,
     reader: Mutex<Option<tokio::task::AbortHandle>>,
 }
 
@@ -121,7 +122,7 @@
         let answer =
             Answer { frames, connection: connection.clone(), call_id, step, peer: peer.clone() };
         // The reader may have ended between the look-up and the insertion.
-        if connection.is_closed.load(Ordering::SeqCst) {
+        if connection.is_closed() {
             return Err(Error::Closed { step, peer });
         }
         let sent = connection.outgoing.send(encode_frame(call_id, body)).await;
@@ -137,10 +138,28 @@
         sent.map_err(|_| Error::Closed { step, peer: self.shared.address.clone() })
     }
 
+    /// Waits until the present connection has ended; without one, for ever.
+    pub async fn closed(&self) {
+        let connection = self.shared.slot.lock().await.connection.clone();
+        match connection.filter(|it| !it.is_closed()) {
+            Some(connection) => connection.closed().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Whether the peer's host refuses a new connection, so that no process listens there; any other outcome tells
+    /// nothing.
+    pub async fn is_refused(&self) -> bool {
+        match self.connection("connect").await {
+            Err(Error::Network { source, .. }) => source.kind() == ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+
     async fn connection(&self, step: &'static str) -> Result<Arc<Connection>> {
         let mut slot = self.shared.slot.lock().await;
         if let Some(connection) = &slot.connection
-            && !connection.is_closed.load(Ordering::SeqCst)
+            && !connection.is_closed()
         {
             return Ok(connection.clone());
         }
@@ -175,7 +194,7 @@
             outgoing,
             pending: Mutex::default(),
             next_call_id: AtomicI64::new(1),
-            is_closed: AtomicBool::new(false),
+            is_closed: watch::Sender::new(false),
             reader: Mutex::default(),
         });
         let task = tokio::spawn(read_answers(reader, connection.clone(), address.clone()));
@@ -228,10 +247,21 @@
             connection.pending.lock().remove(&envelope.call_id);
         }
     }
-    connection.is_closed.store(true, Ordering::SeqCst);
+    connection.is_closed.send_replace(true);
     connection.pending.lock().clear();
 }
 
+impl Connection {
+    fn is_closed(&self) -> bool {
+        *self.is_closed.borrow()
+    }
+
+    async fn closed(&self) {
+        // The sender lives as long as the connection, so that waiting can't fail.
+        let _ = self.is_closed.subscribe().wait_for(|it| *it).await;
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         if let Some(reader) = self.reader.lock().take() {
