Streams on a slow rank look again for a place, with a part of the budget of their own

Change: such a stream looks again every 100 ms while its rank is slow; moves may use 70% of the retry budget, repeats of a request for itself 50% as before, since one stream there holds up all.

--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -5,6 +5,7 @@
 
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
+use bilberryloft_routing::budget::RepeatFor;
 use bilberryloft_routing::document::RequestKind;
 use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_routing::targets::Picked;
@@ -226,7 +227,7 @@
         if self.count() == 0 {
             return place::wait(state, request).await;
         }
-        if !self.is_paid && !state.may_repeat(&request.service) {
+        if !self.is_paid && !state.may_repeat(&request.service, RepeatFor::Request) {
             return Err(self.last);
         }
         self.is_paid = false;
@@ -283,7 +284,7 @@
         };
         let may_repeat =
             should_repeat_failure(request, &answered) && tries.ran + 1 < request.route.attempts_max;
-        if !may_repeat || !state.may_repeat(&request.service) {
+        if !may_repeat || !state.may_repeat(&request.service, RepeatFor::Request) {
             return Ok(FinalAnswer { answered, held, attempts });
         }
         held.tell(end.verdict);
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -14,6 +14,7 @@
 use bilberryloft_routing::batch_limit::PauseMeter;
 use bilberryloft_routing::batch_limit::batch_limit;
 use bilberryloft_routing::budget::BudgetLimits;
+use bilberryloft_routing::budget::RepeatFor;
 use bilberryloft_routing::budget::RetryBudget;
 use bilberryloft_routing::document::Engine;
 use bilberryloft_routing::outage::GroupHealth;
@@ -21,6 +22,7 @@
 use bilberryloft_routing::targets::NoTarget;
 use bilberryloft_routing::targets::PickBounds;
 use bilberryloft_routing::targets::Picked;
+use bilberryloft_routing::targets::Stay;
 use bilberryloft_routing::targets::TargetBoard;
 use bilberryloft_routing::targets::TargetFact;
 use bilberryloft_routing::targets::TargetKey;
@@ -42,6 +44,9 @@
 /// Requests that may wait at a target beyond its slots.
 const TARGET_QUEUE_MAX: u32 = 4;
 
+/// Time between two looks for a place for a stream that had better leave its rank.
+const LOOK_FOR_PLACE: Duration = Duration::from_millis(100);
+
 /// Time without a sign of life of this process after which it has stood still, in milliseconds.
 const STANDSTILL_MS: u64 = 300;
 /// Pause for the other tasks after that.
@@ -201,22 +206,24 @@
         let mut changes = self.slow_ranks_changes.subscribe();
         loop {
             changes.mark_unchanged();
-            if let Some(held) = self.try_instead_of_slow(service, key) {
-                return held;
-            }
-            if changes.changed().await.is_err() {
-                std::future::pending::<()>().await;
+            // The sender lives as long as this state, so that waiting for a change can't fail.
+            match self.try_instead_of_slow(service, key) {
+                Ok(held) => return held,
+                Err(Stay::NotSlow) => drop(changes.changed().await),
+                Err(Stay::NoPlace) => {
+                    drop(tokio::time::timeout(LOOK_FOR_PLACE, changes.changed()).await);
+                }
             }
         }
     }
 
-    fn try_instead_of_slow(self: &Arc<Self>, service: &str, key: TargetKey) -> Option<Held> {
-        let idle_load = self.engine(service)?.idle_load();
+    fn try_instead_of_slow(self: &Arc<Self>, service: &str, key: TargetKey) -> Result<Held, Stay> {
+        let idle_load = self.engine(service).map_or(0.0, |it| it.idle_load());
         let now_ms = monotonic_ms();
         let picked =
             self.board.lock().pick_instead_of_slow(key, idle_load, now_ms, fastrand::f64)?;
         let held = Held::new(self, service, picked);
-        self.may_repeat(service).then_some(held)
+        if self.may_repeat(service, RepeatFor::Group) { Ok(held) } else { Err(Stay::NoPlace) }
     }
 
     /// What a step of a service's targets costs, if they are model engines.
@@ -317,9 +324,9 @@
     }
 
     /// Takes one repeat out of the budget of a service.
-    pub fn may_repeat(&self, service: &str) -> bool {
+    pub fn may_repeat(&self, service: &str, purpose: RepeatFor) -> bool {
         let entries = self.entries.load(Ordering::Relaxed);
-        self.with_budget(service, |it| it.take(entries, monotonic_ms()))
+        self.with_budget(service, |it| it.take(purpose, entries, monotonic_ms()))
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -5,6 +5,7 @@
 
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
+use bilberryloft_routing::budget::RepeatFor;
 use bilberryloft_routing::events::EventCutter;
 use bilberryloft_routing::targets::Verdict;
 use bytes::Bytes;
@@ -230,7 +231,7 @@
                 return None;
             }
             let place = match first.take() {
-                None if !self.state.may_repeat(service) => return None,
+                None if !self.state.may_repeat(service, RepeatFor::Request) => return None,
                 None => self.state.pick_again(service, &[]).ok(),
                 Some(instead) => Some(instead),
             };
--- a/crates/bilberryloft-routing/src/budget.rs
+++ b/crates/bilberryloft-routing/src/budget.rs
@@ -5,6 +5,26 @@
 /// Slices of the window; repeats are forgotten a slice at a time.
 const SLICES: u64 = 10;
 
+/// What a repeat is for; the more hangs on it, the more of the budget it may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatFor {
+    /// Its own request.
+    Request,
+    /// All streams of a group, which wait for the one that is moved.
+    Group,
+}
+
+impl RepeatFor {
+    /// Part of the budget that may be in use after it. The rest is left since windows of all entries end at different
+    /// times.
+    fn share(self) -> f64 {
+        match self {
+            RepeatFor::Request => 0.5,
+            RepeatFor::Group => 0.7,
+        }
+    }
+}
+
 /// Limits of the shared budget, for one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetLimits {
@@ -41,15 +61,15 @@
         self.slice(now_ms).requests += 1;
     }
 
-    /// Takes one repeat, if this entry's part of the budget has room: half of what the requests allow, and
-    /// half of an equal part of the slack, since windows of all entries end at different times.
-    pub fn take(&mut self, entries: usize, now_ms: u64) -> bool {
+    /// Takes one repeat, if this entry's part of the budget has room: a share of what the requests allow, and of an
+    /// equal part of the slack.
+    pub fn take(&mut self, purpose: RepeatFor, entries: usize, now_ms: u64) -> bool {
         self.slice(now_ms);
         let requests: u32 = self.slices.iter().map(|it| it.requests).sum();
         let repeats: u32 = self.slices.iter().map(|it| it.repeats).sum();
         let allowed =
             self.limits.ratio * f64::from(requests) + self.limits.slack / entries.max(1) as f64;
-        if f64::from(repeats + 1) > allowed / 2.0 {
+        if f64::from(repeats + 1) > allowed * purpose.share() {
             return false;
         }
         self.slice(now_ms).repeats += 1;
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -163,6 +163,15 @@
     Full,
 }
 
+/// Why a stream stays at its rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stay {
+    /// The rank does not hold up its group.
+    NotSlow,
+    /// No other rank has a free place, or no repeat is allowed; that may change soon.
+    NoPlace,
+}
+
 /// What one entry knows of all targets.
 #[derive(Debug, Default)]
 pub struct TargetBoard {
@@ -334,18 +343,18 @@
         idle_load: f64,
         now_ms: u64,
         draw: impl FnMut() -> f64,
-    ) -> Option<Picked> {
+    ) -> Result<Picked, Stay> {
         let target = &self.targets[key.0];
         let (load, slots, service) = (target.load(), target.fact.slots, &target.fact.service);
         let others = self.candidates(service, &[key], now_ms);
         let fastest = others.iter().map(|it| it.1).fold(f64::INFINITY, f64::min);
         let slowness = self.slow_ranks.of(&target.fact.id, now_ms) / fastest;
         if !is_worth_leaving(idle_load, load, slots, slowness) {
-            return None;
+            return Err(Stay::NotSlow);
         }
         let service = service.clone();
         let bounds = PickBounds { load_max: Some(slots), queue_max: 0, idle_load };
-        self.pick(&service, &[key], &bounds, now_ms, draw).ok()
+        self.pick(&service, &[key], &bounds, now_ms, draw).map_err(|_| Stay::NoPlace)
     }
 
     /// Targets of a service that take work and have not been tried, with how many times as long as usual each takes.
