Clean-up: agents read paths only, connections are shared, settings check themselves, long functions split

- The cap on connections to a target was read and not enforced: with 9 entries, 6 slots and a queue of 4, a flood could open 90 connections where 56 are taken.
Each entry has an equal share now, idle connections included (test: flood at all entries).
- A request that runs at most once no longer drops a kept connection for its own.
- Fields of engines that nothing used are gone, so that a document without them is no longer refused.
- One load for a refusal's line, one check of addresses, one description of a target for measurements.

--- a/crates/bilberryloft-bench/src/commands/fleet.rs
+++ b/crates/bilberryloft-bench/src/commands/fleet.rs
@@ -12,12 +12,12 @@
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_state::configuration::ChangeKind;
 use bilberryloft_state::configuration::ChangeOutcome;
-use bilberryloft_state::membership::TargetDescription;
 use bilberryloft_testing::fleet::Fleet;
 use bilberryloft_testing::fleet::PEER_PORT;
 use clap::Args;
 
 use crate::block_on;
+use crate::sample::target_description;
 use crate::usage::ms;
 use crate::usage::percentile;
 use crate::usage::processor_time;
@@ -63,22 +63,26 @@
         self.wait_for(&views, 2).await;
         tokio::time::sleep(Duration::from_secs(2)).await;
 
-        let processes: Vec<u32> =
-            (1..=3).map(|it| fleet.processes[&format!("control-{it}")].id()).collect();
-        let before: Vec<Duration> = processes.iter().map(|it| processor_time(*it)).collect();
-        let own_before = processor_time(std::process::id());
-        let bytes_before = loopback_bytes();
-        tokio::time::sleep(REST).await;
-        let bytes = loopback_bytes() - bytes_before;
-        let own = processor_time(std::process::id()) - own_before;
-        let used: Vec<f64> = processes
-            .iter()
-            .zip(&before)
-            .map(|(process, before)| {
-                (processor_time(*process) - *before).as_secs_f64() / REST.as_secs_f64()
-            })
-            .collect();
+        let rest = watch_rest(&fleet).await;
+        let mut spreads = self.time_changes(&fleet, &views).await;
+        let a_daemon = |seconds: f64| seconds * 1e6 / daemons as f64;
+        let others: f64 =
+            rest.used.iter().enumerate().filter(|(it, _)| *it != leader).map(|it| it.1).sum();
+        println!(
+            "{daemons} | {} {} | {:.0} {:.0} | {:.0} | {:.0} | {:?}",
+            ms(percentile(&mut spreads, 0.5)),
+            ms(percentile(&mut spreads, 1.0)),
+            a_daemon(rest.used[leader]),
+            a_daemon(others),
+            a_daemon(rest.own),
+            rest.bytes / daemons as f64,
+            rest.processes.iter().map(|it| resident_kib(*it)).collect::<Vec<u64>>(),
+        );
+        Ok(())
+    }
 
+    /// Times until every stand-in daemon has a change.
+    async fn time_changes(&self, fleet: &Fleet, views: &[Arc<View>]) -> Vec<Duration> {
         let mut spreads = Vec::new();
         for number in 0..self.changes {
             let kind = ChangeKind::SetTarget { name: format!("change-{number}"), draining: true };
@@ -86,24 +90,11 @@
                 continue;
             };
             let began = Instant::now();
-            self.wait_for(&views, version).await;
+            self.wait_for(views, version).await;
             spreads.push(began.elapsed());
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
-        let a_daemon = |seconds: f64| seconds * 1e6 / daemons as f64;
-        let others: f64 =
-            used.iter().enumerate().filter(|(it, _)| *it != leader).map(|(_, used)| used).sum();
-        println!(
-            "{daemons} | {} {} | {:.0} {:.0} | {:.0} | {:.0} | {:?}",
-            ms(percentile(&mut spreads, 0.5)),
-            ms(percentile(&mut spreads, 1.0)),
-            a_daemon(used[leader]),
-            a_daemon(others),
-            a_daemon(own.as_secs_f64() / REST.as_secs_f64()),
-            bytes as f64 / REST.as_secs_f64() / daemons as f64,
-            processes.iter().map(|it| resident_kib(*it)).collect::<Vec<u64>>(),
-        );
-        Ok(())
+        spreads
     }
 
     fn spawn_daemons(&self, fleet: &Fleet, daemons: usize) -> Vec<Arc<View>> {
@@ -131,18 +122,35 @@
     }
 }
 
+/// What the fleet uses at rest.
+struct Rest {
+    /// Ids of the control hosts' processes.
+    processes: Vec<u32>,
+    /// Processor time of each of them, in seconds a second.
+    used: Vec<f64>,
+    /// Processor time of all stand-in daemons, in seconds a second.
+    own: f64,
+    /// Bytes a second over the loopback interface.
+    bytes: f64,
+}
+
+async fn watch_rest(fleet: &Fleet) -> Rest {
+    let processes: Vec<u32> =
+        (1..=3).map(|it| fleet.processes[&format!("control-{it}")].id()).collect();
+    let before: Vec<Duration> = processes.iter().map(|it| processor_time(*it)).collect();
+    let own_before = processor_time(std::process::id());
+    let bytes_before = loopback_bytes();
+    tokio::time::sleep(REST).await;
+    let a_second = |used: Duration| used.as_secs_f64() / REST.as_secs_f64();
+    let bytes = (loopback_bytes() - bytes_before) as f64 / REST.as_secs_f64();
+    let own = a_second(processor_time(std::process::id()) - own_before);
+    let used =
+        processes.iter().zip(&before).map(|(it, before)| a_second(processor_time(*it) - *before));
+    Rest { used: used.collect(), processes, own, bytes }
+}
+
 async fn announce(control: ControlClient, target: String) {
-    let description = TargetDescription {
-        agent_address: "10.0.0.1:7402".to_string(),
-        data_center: "a".to_string(),
-        models: vec!["forecast-writer".to_string()],
-        services: Vec::new(),
-        slots: 16,
-        ranks: 32,
-        checks_fencing: true,
-        direct: false,
-        leaving: false,
-    };
+    let description = target_description();
     let description = serde_json::to_vec(&description).unwrap_or_default();
     loop {
         let announce = Announce::new(target.clone(), 1, description.clone(), false, false);
--- a/crates/bilberryloft-bench/src/commands/state.rs
+++ b/crates/bilberryloft-bench/src/commands/state.rs
@@ -8,7 +8,6 @@
 use bilberryloft_state::machine::Machine;
 use bilberryloft_state::machine::StampedCommand;
 use bilberryloft_state::member_set::MemberSet;
-use bilberryloft_state::membership::TargetDescription;
 use bilberryloft_state::snapshot::Snapshot;
 use bilberryloft_state::storage::Storage;
 use bilberryloft_state::wal::HardState;
@@ -20,6 +19,7 @@
 use bilberryloft_testing::fleet::depot_template;
 use clap::Args;
 
+use crate::sample::target_description;
 use crate::sample::team_change;
 use crate::usage::resident_kib;
 
@@ -146,17 +146,7 @@
     Command::Register {
         name: format!("target-{number}"),
         incarnation: 1_796_330_957_045,
-        description: TargetDescription {
-            agent_address: "10.100.100.100:7402".to_string(),
-            data_center: "dc-1".to_string(),
-            models: vec!["forecast-writer".to_string()],
-            services: Vec::new(),
-            slots: 16,
-            ranks: 32,
-            checks_fencing: true,
-            direct: false,
-            leaving: false,
-        },
+        description: target_description(),
     }
 }
 
--- a/crates/bilberryloft-daemon/src/control/peers.rs
+++ b/crates/bilberryloft-daemon/src/control/peers.rs
@@ -13,6 +13,7 @@
 use crate::control::handle::Input;
 use crate::events::Event;
 use crate::log_event;
+use crate::settings::ControlSettings;
 
 /// Messages that wait for one member; more are dropped, and the algorithm sends them again.
 const QUEUE_MAX: usize = 4_096;
@@ -42,15 +43,14 @@
     pub fn new(
         daemon: &str,
         incarnation: u64,
-        member: u32,
-        routes: BTreeMap<u32, String>,
+        settings: &ControlSettings,
         ended: mpsc::Sender<Input>,
     ) -> Peers {
         Peers {
             daemon: daemon.to_string(),
             incarnation,
-            member,
-            routes,
+            member: settings.member,
+            routes: settings.routes.clone(),
             links: BTreeMap::new(),
             heard: BTreeMap::new(),
             own_address: None,
--- a/crates/bilberryloft-daemon/src/settings.rs
+++ b/crates/bilberryloft-daemon/src/settings.rs
@@ -271,49 +271,18 @@
         for address in &self.control_addresses {
             check_address(&mut faults, "control_addresses", address);
         }
-        check_range(
-            &mut faults,
-            "configuration_lease_ms",
-            self.configuration_lease_ms,
-            1_500,
-            3_600_000,
-        );
+        let lease_ms = self.configuration_lease_ms;
+        check_range(&mut faults, "configuration_lease_ms", lease_ms, 1_500, 3_600_000);
         if self.roles().is_empty() {
             faults.push(
                 "entry, agent, control: none is set, at least one role is needed".to_string(),
             );
         }
         if let Some(entry) = &self.entry {
-            check_address(&mut faults, "entry.listen_address", &entry.listen_address);
-            check_range(
-                &mut faults,
-                "entry.body_max_bytes",
-                entry.body_max_bytes as u64,
-                1_024,
-                32 << 20,
-            );
+            entry.find_faults(&mut faults);
         }
         if let Some(agent) = &self.agent {
-            check_name(&mut faults, "agent.target", &agent.target);
-            check_address(&mut faults, "agent.dispatch_address", &agent.dispatch_address);
-            check_address(&mut faults, "agent.announce_address", &agent.announce_address);
-            if let Some(map) = &agent.expert_map {
-                check_range(
-                    &mut faults,
-                    "agent.expert_map.interval_ms",
-                    map.interval_ms,
-                    50,
-                    3_600_000,
-                );
-                check_range(
-                    &mut faults,
-                    "agent.expert_map.margin_steps",
-                    map.margin_steps,
-                    1,
-                    1_000_000,
-                );
-            }
-            check_range(&mut faults, "agent.queue_max", agent.queue_max as u64, 1, 65_536);
+            agent.find_faults(&mut faults);
         }
         if let Some(control) = &self.control {
             control.find_faults(&mut faults);
@@ -322,6 +291,28 @@
     }
 }
 
+impl EntrySettings {
+    fn find_faults(&self, faults: &mut Vec<String>) {
+        check_address(faults, "entry.listen_address", &self.listen_address);
+        let body_max_bytes = self.body_max_bytes as u64;
+        check_range(faults, "entry.body_max_bytes", body_max_bytes, 1_024, 32 << 20);
+    }
+}
+
+impl AgentSettings {
+    fn find_faults(&self, faults: &mut Vec<String>) {
+        check_name(faults, "agent.target", &self.target);
+        check_address(faults, "agent.dispatch_address", &self.dispatch_address);
+        check_address(faults, "agent.announce_address", &self.announce_address);
+        if let Some(map) = &self.expert_map {
+            check_range(faults, "agent.expert_map.interval_ms", map.interval_ms, 50, 3_600_000);
+            let margin_steps = map.margin_steps;
+            check_range(faults, "agent.expert_map.margin_steps", margin_steps, 1, 1_000_000);
+        }
+        check_range(faults, "agent.queue_max", self.queue_max as u64, 1, 65_536);
+    }
+}
+
 impl ControlSettings {
     fn find_faults(&self, faults: &mut Vec<String>) {
         for (member, address) in &self.members {
@@ -348,7 +339,8 @@
     }
 }
 
-fn check_address(faults: &mut Vec<String>, field: &str, value: &str) {
+/// Adds a fault unless the value is an IP number and a port.
+pub fn check_address(faults: &mut Vec<String>, field: &str, value: &str) {
     if value.parse::<SocketAddr>().is_err() {
         faults.push(format!(
             "{field}: {value:?} must be an IP number and a port, such as 10.0.0.1:7400"
--- a/crates/bilberryloft-protocol/src/codec.rs
+++ b/crates/bilberryloft-protocol/src/codec.rs
@@ -75,7 +75,7 @@
         Body::StatusReply(_) => "status_reply",
         Body::Join(_) => "join",
         Body::Redirect(_) => "redirect",
-        Body::TargetCalls(_) => "target_calls",
-        Body::TargetAnswers(_) => "target_answers",
+        Body::TargetRead(_) => "target_read",
+        Body::TargetBodies(_) => "target_bodies",
     }
 }
--- a/crates/bilberryloft-protocol/src/convert.rs
+++ b/crates/bilberryloft-protocol/src/convert.rs
@@ -84,20 +84,7 @@
             granted: it.granted,
             pre_vote: it.pre_vote,
         }),
-        wire::RaftMessage::Append(it) => Message::Append(Append {
-            term: it.term as u64,
-            leader: it.leader as u32,
-            previous_index: it.previous_index as u64,
-            previous_term: it.previous_term as u64,
-            entries: it
-                .entries
-                .into_iter()
-                .map(entry_from_wire)
-                .collect::<Option<Vec<LogEntry>>>()?,
-            commit_index: it.commit_index as u64,
-            last_index: it.last_index as u64,
-            round: it.round as u64,
-        }),
+        wire::RaftMessage::Append(it) => Message::Append(append_from_wire(it)?),
         wire::RaftMessage::AppendReply(it) => Message::AppendReply(AppendReply {
             term: it.term as u64,
             follower: it.follower as u32,
@@ -121,6 +108,20 @@
     Some(message)
 }
 
+fn append_from_wire(append: wire::Append) -> Option<Append> {
+    let entries = append.entries.into_iter().map(entry_from_wire).collect::<Option<_>>()?;
+    Some(Append {
+        term: append.term as u64,
+        leader: append.leader as u32,
+        previous_index: append.previous_index as u64,
+        previous_term: append.previous_term as u64,
+        entries,
+        commit_index: append.commit_index as u64,
+        last_index: append.last_index as u64,
+        round: append.round as u64,
+    })
+}
+
 fn entry_from_wire(entry: wire::LogEntry) -> Option<LogEntry> {
     let payload = match entry.members {
         Some(bytes) => Payload::Members(serde_json::from_slice::<MemberSet>(&bytes).ok()?),
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -3193,177 +3193,29 @@
 }
 
 //
-// TargetCall
+// TargetRead
 //
 
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct TargetCall {
-  pub method: String,
-  pub path: String,
-  pub body: Vec<u8>,
-}
-
-impl TargetCall {
-  pub fn new(method: String, path: String, body: Vec<u8>) -> TargetCall {
-    TargetCall {
-      method,
-      path,
-      body,
-    }
-  }
-}
-
-impl TSerializable for TargetCall {
-  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetCall> {
-    i_prot.read_struct_begin()?;
-    let mut f_1: Option<String> = None;
-    let mut f_2: Option<String> = None;
-    let mut f_3: Option<Vec<u8>> = None;
-    loop {
-      let field_ident = i_prot.read_field_begin()?;
-      if field_ident.field_type == TType::Stop {
-        break;
-      }
-      let field_id = field_id(&field_ident)?;
-      match field_id {
-        1 => {
-          let val = i_prot.read_string()?;
-          f_1 = Some(val);
-        },
-        2 => {
-          let val = i_prot.read_string()?;
-          f_2 = Some(val);
-        },
-        3 => {
-          let val = i_prot.read_bytes()?;
-          f_3 = Some(val);
-        },
-        _ => {
-          i_prot.skip(field_ident.field_type)?;
-        },
-      };
-      i_prot.read_field_end()?;
-    }
-    i_prot.read_struct_end()?;
-    verify_required_field_exists("TargetCall.method", &f_1)?;
-    verify_required_field_exists("TargetCall.path", &f_2)?;
-    verify_required_field_exists("TargetCall.body", &f_3)?;
-    let ret = TargetCall {
-      method: f_1.expect("auto-generated code should have checked for presence of required fields"),
-      path: f_2.expect("auto-generated code should have checked for presence of required fields"),
-      body: f_3.expect("auto-generated code should have checked for presence of required fields"),
-    };
-    Ok(ret)
-  }
-  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-    let struct_ident = TStructIdentifier::new("TargetCall");
-    o_prot.write_struct_begin(&struct_ident)?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("method", TType::String, 1))?;
-    o_prot.write_string(&self.method)?;
-    o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("path", TType::String, 2))?;
-    o_prot.write_string(&self.path)?;
-    o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("body", TType::String, 3))?;
-    o_prot.write_bytes(&self.body)?;
-    o_prot.write_field_end()?;
-    o_prot.write_field_stop()?;
-    o_prot.write_struct_end()
-  }
-}
-
-//
-// TargetAnswer
-//
-
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct TargetAnswer {
-  pub status: i32,
-  pub body: Vec<u8>,
-}
-
-impl TargetAnswer {
-  pub fn new(status: i32, body: Vec<u8>) -> TargetAnswer {
-    TargetAnswer {
-      status,
-      body,
-    }
-  }
-}
-
-impl TSerializable for TargetAnswer {
-  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetAnswer> {
-    i_prot.read_struct_begin()?;
-    let mut f_1: Option<i32> = None;
-    let mut f_2: Option<Vec<u8>> = None;
-    loop {
-      let field_ident = i_prot.read_field_begin()?;
-      if field_ident.field_type == TType::Stop {
-        break;
-      }
-      let field_id = field_id(&field_ident)?;
-      match field_id {
-        1 => {
-          let val = i_prot.read_i32()?;
-          f_1 = Some(val);
-        },
-        2 => {
-          let val = i_prot.read_bytes()?;
-          f_2 = Some(val);
-        },
-        _ => {
-          i_prot.skip(field_ident.field_type)?;
-        },
-      };
-      i_prot.read_field_end()?;
-    }
-    i_prot.read_struct_end()?;
-    verify_required_field_exists("TargetAnswer.status", &f_1)?;
-    verify_required_field_exists("TargetAnswer.body", &f_2)?;
-    let ret = TargetAnswer {
-      status: f_1.expect("auto-generated code should have checked for presence of required fields"),
-      body: f_2.expect("auto-generated code should have checked for presence of required fields"),
-    };
-    Ok(ret)
-  }
-  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-    let struct_ident = TStructIdentifier::new("TargetAnswer");
-    o_prot.write_struct_begin(&struct_ident)?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("status", TType::I32, 1))?;
-    o_prot.write_i32(self.status)?;
-    o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("body", TType::String, 2))?;
-    o_prot.write_bytes(&self.body)?;
-    o_prot.write_field_end()?;
-    o_prot.write_field_stop()?;
-    o_prot.write_struct_end()
-  }
-}
-
-//
-// TargetCalls
-//
-
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct TargetCalls {
+pub struct TargetRead {
   pub target_address: String,
-  pub calls: Vec<TargetCall>,
+  pub paths: Vec<String>,
 }
 
-impl TargetCalls {
-  pub fn new(target_address: String, calls: Vec<TargetCall>) -> TargetCalls {
-    TargetCalls {
+impl TargetRead {
+  pub fn new(target_address: String, paths: Vec<String>) -> TargetRead {
+    TargetRead {
       target_address,
-      calls,
+      paths,
     }
   }
 }
 
-impl TSerializable for TargetCalls {
-  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetCalls> {
+impl TSerializable for TargetRead {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetRead> {
     i_prot.read_struct_begin()?;
     let mut f_1: Option<String> = None;
-    let mut f_2: Option<Vec<TargetCall>> = None;
+    let mut f_2: Option<Vec<String>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3377,9 +3229,9 @@
         },
         2 => {
           let list_ident = i_prot.read_list_begin()?;
-          let mut val: Vec<TargetCall> = Vec::with_capacity(list_ident.size as usize);
+          let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_10 = TargetCall::read_from_in_protocol(i_prot)?;
+            let list_elem_10 = i_prot.read_string()?;
             val.push(list_elem_10);
           }
           i_prot.read_list_end()?;
@@ -3392,24 +3244,24 @@
       i_prot.read_field_end()?;
     }
     i_prot.read_struct_end()?;
-    verify_required_field_exists("TargetCalls.target_address", &f_1)?;
-    verify_required_field_exists("TargetCalls.calls", &f_2)?;
-    let ret = TargetCalls {
+    verify_required_field_exists("TargetRead.target_address", &f_1)?;
+    verify_required_field_exists("TargetRead.paths", &f_2)?;
+    let ret = TargetRead {
       target_address: f_1.expect("auto-generated code should have checked for presence of required fields"),
-      calls: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      paths: f_2.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-    let struct_ident = TStructIdentifier::new("TargetCalls");
+    let struct_ident = TStructIdentifier::new("TargetRead");
     o_prot.write_struct_begin(&struct_ident)?;
     o_prot.write_field_begin(&TFieldIdentifier::new("target_address", TType::String, 1))?;
     o_prot.write_string(&self.target_address)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("calls", TType::List, 2))?;
-    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.calls.len() as i32))?;
-    for e in &self.calls {
-      e.write_to_out_protocol(o_prot)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("paths", TType::List, 2))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.paths.len() as i32))?;
+    for e in &self.paths {
+      o_prot.write_string(e)?;
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
@@ -3419,26 +3271,26 @@
 }
 
 //
-// TargetAnswers
+// TargetBodies
 //
 
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct TargetAnswers {
-  pub answers: Vec<TargetAnswer>,
+pub struct TargetBodies {
+  pub bodies: Vec<Vec<u8>>,
 }
 
-impl TargetAnswers {
-  pub fn new(answers: Vec<TargetAnswer>) -> TargetAnswers {
-    TargetAnswers {
-      answers,
+impl TargetBodies {
+  pub fn new(bodies: Vec<Vec<u8>>) -> TargetBodies {
+    TargetBodies {
+      bodies,
     }
   }
 }
 
-impl TSerializable for TargetAnswers {
-  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetAnswers> {
+impl TSerializable for TargetBodies {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TargetBodies> {
     i_prot.read_struct_begin()?;
-    let mut f_1: Option<Vec<TargetAnswer>> = None;
+    let mut f_1: Option<Vec<Vec<u8>>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3448,9 +3300,9 @@
       match field_id {
         1 => {
           let list_ident = i_prot.read_list_begin()?;
-          let mut val: Vec<TargetAnswer> = Vec::with_capacity(list_ident.size as usize);
+          let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_11 = TargetAnswer::read_from_in_protocol(i_prot)?;
+            let list_elem_11 = i_prot.read_bytes()?;
             val.push(list_elem_11);
           }
           i_prot.read_list_end()?;
@@ -3463,19 +3315,19 @@
       i_prot.read_field_end()?;
     }
     i_prot.read_struct_end()?;
-    verify_required_field_exists("TargetAnswers.answers", &f_1)?;
-    let ret = TargetAnswers {
-      answers: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    verify_required_field_exists("TargetBodies.bodies", &f_1)?;
+    let ret = TargetBodies {
+      bodies: f_1.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-    let struct_ident = TStructIdentifier::new("TargetAnswers");
+    let struct_ident = TStructIdentifier::new("TargetBodies");
     o_prot.write_struct_begin(&struct_ident)?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("answers", TType::List, 1))?;
-    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.answers.len() as i32))?;
-    for e in &self.answers {
-      e.write_to_out_protocol(o_prot)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("bodies", TType::List, 1))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.bodies.len() as i32))?;
+    for e in &self.bodies {
+      o_prot.write_bytes(e)?;
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
@@ -3807,8 +3659,8 @@
   StatusReply(StatusReply),
   Join(Join),
   Redirect(Redirect),
-  TargetCalls(TargetCalls),
-  TargetAnswers(TargetAnswers),
+  TargetRead(TargetRead),
+  TargetBodies(TargetBodies),
 }
 
 impl TSerializable for Body {
@@ -4019,17 +3871,17 @@
           }
           received_field_count += 1;
         },
-        29 => {
-          let val = TargetCalls::read_from_in_protocol(i_prot)?;
+        31 => {
+          let val = TargetRead::read_from_in_protocol(i_prot)?;
           if ret.is_none() {
-            ret = Some(Body::TargetCalls(val));
+            ret = Some(Body::TargetRead(val));
           }
           received_field_count += 1;
         },
-        30 => {
-          let val = TargetAnswers::read_from_in_protocol(i_prot)?;
+        32 => {
+          let val = TargetBodies::read_from_in_protocol(i_prot)?;
           if ret.is_none() {
-            ret = Some(Body::TargetAnswers(val));
+            ret = Some(Body::TargetBodies(val));
           }
           received_field_count += 1;
         },
@@ -4207,13 +4059,13 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
-      Body::TargetCalls(ref f) => {
-        o_prot.write_field_begin(&TFieldIdentifier::new("target_calls", TType::Struct, 29))?;
+      Body::TargetRead(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("target_read", TType::Struct, 31))?;
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
-      Body::TargetAnswers(ref f) => {
-        o_prot.write_field_begin(&TFieldIdentifier::new("target_answers", TType::Struct, 30))?;
+      Body::TargetBodies(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("target_bodies", TType::Struct, 32))?;
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -117,9 +117,15 @@
     picked: &Picked,
 ) -> std::io::Result<Connection> {
     let may_reuse = request.route.kind != RequestKind::AtMostOnce;
-    match state.pool.take(&picked.address).filter(|_| may_reuse) {
+    let kept = if may_reuse { state.pool.take(&picked.address) } else { None };
+    match kept {
         Some(connection) => Ok(connection),
-        None => connect(&picked.address).await,
+        None => {
+            // The new connection and those in use count, too.
+            let share = state.connection_share(&request.service);
+            state.pool.trim(&picked.address, share.saturating_sub(picked.own as usize + 1));
+            connect(&picked.address).await
+        }
     }
 }
 
--- a/crates/bilberryloft-relay/src/pool.rs
+++ b/crates/bilberryloft-relay/src/pool.rs
@@ -68,6 +68,15 @@
         }
     }
 
+    /// Drops idle connections to a target beyond `idle_max`, the oldest first, to make room for a new one.
+    pub fn trim(&self, address: &str, idle_max: usize) {
+        let mut idle = self.idle.lock();
+        if let Some(connections) = idle.get_mut(address) {
+            let surplus = connections.len().saturating_sub(idle_max);
+            connections.drain(..surplus);
+        }
+    }
+
     /// Drops connections that have waited too long or are closed.
     pub fn sweep(&self) {
         let now = Instant::now();
--- a/crates/bilberryloft-relay/src/rank_agent.rs
+++ b/crates/bilberryloft-relay/src/rank_agent.rs
@@ -1,4 +1,4 @@
-//! The process beside a rank: it makes calls to its own target for the planner, where they cost nothing.
+//! The process beside a rank: it reads from its own target for the planner, where that costs nothing.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,21 +13,19 @@
 use bilberryloft_transport::server::Call;
 use bilberryloft_transport::server::Handler;
 use bilberryloft_transport::server::Server;
-use bytes::Bytes;
-use hyper::Method;
 
 use crate::pool::Pool;
 use crate::target_call;
 
-/// Time for the target to answer one call.
-const CALL_LIMIT: Duration = Duration::from_millis(500);
+/// Time for the target to answer one question.
+const READ_LIMIT: Duration = Duration::from_millis(500);
 
 /// Settings of the process beside a rank.
 #[derive(Clone, Debug)]
 pub struct RankAgentSettings {
     /// Unique name of the daemon.
     pub daemon: String,
-    /// Address for calls from the planner.
+    /// Address for questions from the planner.
     pub listen_address: SocketAddr,
 }
 
@@ -59,28 +57,26 @@
             true => Ok(()),
             false => {
                 let detail = "the target is on another host".to_string();
-                Err(Error::protocol("target_calls", target_address, detail))
+                Err(Error::protocol("target_read", target_address, detail))
             }
         }
     }
 
-    async fn make_calls(&self, calls: wire::TargetCalls) -> Result<Vec<wire::TargetAnswer>> {
-        self.check_target(&calls.target_address)?;
-        let mut answers = Vec::with_capacity(calls.calls.len());
-        for call in calls.calls {
-            answers.push(self.make_call(&calls.target_address, call).await?);
+    async fn read_all(&self, read: &wire::TargetRead) -> Result<Vec<Vec<u8>>> {
+        self.check_target(&read.target_address)?;
+        let mut bodies = Vec::with_capacity(read.paths.len());
+        for path in &read.paths {
+            bodies.push(self.read(&read.target_address, path).await?);
         }
-        Ok(answers)
+        Ok(bodies)
     }
 
-    async fn make_call(&self, address: &str, call: wire::TargetCall) -> Result<wire::TargetAnswer> {
-        let failed = |detail: String| Error::protocol("target_call", address, detail);
-        let method: Method = call.method.parse().map_err(|_| failed("bad method".to_string()))?;
-        let body = Bytes::from(call.body);
-        let answered =
-            target_call::call(&self.pool, address, method, &call.path, body, CALL_LIMIT).await;
-        let (status, body) = answered.map_err(|it| failed(it.to_string()))?;
-        Ok(wire::TargetAnswer::new(i32::from(status.as_u16()), body.to_vec()))
+    async fn read(&self, address: &str, path: &str) -> Result<Vec<u8>> {
+        let failed = |detail: String| Error::protocol("target_read", address, detail);
+        match target_call::read(&self.pool, address, path, READ_LIMIT).await {
+            Ok(body) => Ok(body.to_vec()),
+            Err(error) => Err(failed(error.to_string())),
+        }
     }
 }
 
@@ -88,13 +84,13 @@
     async fn handle(self: Arc<Self>, call: Call) {
         let responder = call.responder;
         match call.body {
-            Body::TargetCalls(calls) => match self.make_calls(calls).await {
-                Ok(answers) => {
-                    let answers = Body::TargetAnswers(wire::TargetAnswers::new(answers));
+            Body::TargetRead(read) => match self.read_all(&read).await {
+                Ok(bodies) => {
+                    let bodies = Body::TargetBodies(wire::TargetBodies::new(bodies));
                     // A planner that has gone needs no answer.
-                    let _ = responder.send(answers).await;
+                    let _ = responder.send(bodies).await;
                 }
-                Err(error) => responder.fail("target_calls", error.to_string()).await,
+                Err(error) => responder.fail("target_read", error.to_string()).await,
             },
             other => responder.fail(body_name(&other), "an agent does not serve this call").await,
         }
--- a/crates/bilberryloft-relay/src/rank_link.rs
+++ b/crates/bilberryloft-relay/src/rank_link.rs
@@ -6,7 +6,6 @@
 use bilberryloft_protocol::wire;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_transport::client::Client;
-use bytes::Bytes;
 use hyper::Method;
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -67,9 +66,8 @@
         dialect: &dyn Dialect,
     ) -> Result<(RankReport, Option<ExpertCounts>), String> {
         let paths = [dialect.report_path(), dialect.counts_path()];
-        let questions = paths.map(|it| wire::TargetCall::new("GET".into(), it.into(), Vec::new()));
-        let bodies = match self.ask_agent(questions.to_vec(), QUESTION_LIMIT).await {
-            Some(answers) => answers.into_iter().map(|it| it.body).collect(),
+        let bodies = match self.ask_agent(&paths).await {
+            Some(bodies) => bodies,
             None => vec![self.ask(pool, dialect.report_path()).await?],
         };
         let report = bodies.first().ok_or("no report")?;
@@ -81,9 +79,8 @@
     /// Asks for the experts in the map in use.
     pub async fn experts(&self, pool: &Pool, dialect: &dyn Dialect) -> Result<RankExperts, String> {
         let path = dialect.experts_path();
-        let question = wire::TargetCall::new("GET".into(), path.into(), Vec::new());
-        let body = match self.ask_agent(vec![question], QUESTION_LIMIT).await {
-            Some(mut answers) => answers.pop().map(|it| it.body).ok_or("no answer")?,
+        let body = match self.ask_agent(&[path]).await {
+            Some(mut bodies) => bodies.pop().ok_or("no answer")?,
             None => self.ask(pool, path).await?,
         };
         dialect.decode_experts(&body)
@@ -120,26 +117,18 @@
     }
 
     async fn ask(&self, pool: &Pool, path: &str) -> Result<Vec<u8>, String> {
-        let answered =
-            target_call::call(pool, &self.address, Method::GET, path, Bytes::new(), QUESTION_LIMIT);
-        match answered.await {
-            Ok((status, body)) if status.is_success() => Ok(body.to_vec()),
-            Ok((status, _)) => Err(format!("{} answered {status}", self.address)),
-            Err(error) => Err(error.to_string()),
-        }
+        let read = target_call::read(pool, &self.address, path, QUESTION_LIMIT).await;
+        read.map(|it| it.to_vec()).map_err(|it| it.to_string())
     }
 
-    async fn ask_agent(
-        &self,
-        calls: Vec<wire::TargetCall>,
-        limit: Duration,
-    ) -> Option<Vec<wire::TargetAnswer>> {
+    async fn ask_agent(&self, paths: &[&str]) -> Option<Vec<Vec<u8>>> {
         if self.is_agent_passed_by() {
             return None;
         }
-        let calls = wire::TargetCalls::new(self.address.clone(), calls);
-        match self.agent.call(Body::TargetCalls(calls), limit).await {
-            Ok(Body::TargetAnswers(answers)) => Some(answers.answers),
+        let paths = paths.iter().map(|it| it.to_string()).collect();
+        let read = wire::TargetRead::new(self.address.clone(), paths);
+        match self.agent.call(Body::TargetRead(read), QUESTION_LIMIT).await {
+            Ok(Body::TargetBodies(bodies)) => Some(bodies.bodies),
             Ok(_) => None,
             Err(error) => {
                 tracing::debug!(%error, target_id = self.id, "an agent is passed by");
--- a/crates/bilberryloft-relay/src/settings.rs
+++ b/crates/bilberryloft-relay/src/settings.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use bilberryloft_daemon::settings::Settings;
+use bilberryloft_daemon::settings::check_address;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use serde::Deserialize;
@@ -70,11 +71,7 @@
             ("relay.load_address", &self.load_address),
         ];
         for (field, address) in addresses {
-            if address.parse::<std::net::SocketAddr>().is_err() {
-                faults.push(format!(
-                    "{field}: {address:?} must be an IP number and a port, such as 10.0.0.1:7400"
-                ));
-            }
+            check_address(&mut faults, field, address);
         }
         if self.stop_within_ms < 1_000 {
             faults.push(format!(
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -27,6 +27,7 @@
 use bilberryloft_routing::targets::TargetFact;
 use bilberryloft_routing::targets::TargetKey;
 use bilberryloft_routing::targets::Verdict;
+use bilberryloft_routing::targets::connection_share;
 use bilberryloft_routing::waiting_line::WaitingLine;
 use bilberryloft_state::membership::TargetRecord;
 use bilberryloft_transport::clock::boot_ms;
@@ -178,8 +179,7 @@
         load_max: Option<u32>,
         now_ms: u64,
     ) -> Result<Picked, NoTarget> {
-        let idle_load = self.engine(service).map_or(0.0, |it| it.idle_load());
-        let bounds = PickBounds { load_max, queue_max: TARGET_QUEUE_MAX, idle_load };
+        let bounds = PickBounds { load_max, ..self.pick_bounds(service) };
         self.board.lock().pick(service, tried, &bounds, now_ms, fastrand::f64)
     }
 
@@ -218,14 +218,28 @@
     }
 
     fn try_instead_of_slow(self: &Arc<Self>, service: &str, key: TargetKey) -> Result<Held, Stay> {
-        let idle_load = self.engine(service).map_or(0.0, |it| it.idle_load());
-        let now_ms = monotonic_ms();
-        let picked =
-            self.board.lock().pick_instead_of_slow(key, idle_load, now_ms, fastrand::f64)?;
+        let (bounds, now_ms) = (self.pick_bounds(service), monotonic_ms());
+        let picked = self.board.lock().pick_instead_of_slow(key, &bounds, now_ms, fastrand::f64)?;
         let held = Held::new(self, service, picked);
         if self.may_repeat(service, RepeatFor::Group) { Ok(held) } else { Err(Stay::NoPlace) }
     }
 
+    fn pick_bounds(&self, service: &str) -> PickBounds {
+        PickBounds {
+            load_max: None,
+            queue_max: TARGET_QUEUE_MAX,
+            own_max: u32::try_from(self.connection_share(service)).unwrap_or(u32::MAX),
+            idle_load: self.engine(service).map_or(0.0, |it| it.idle_load()),
+        }
+    }
+
+    /// Connections that this entry may have to each target of a service.
+    pub fn connection_share(&self, service: &str) -> usize {
+        let entries = self.entries.load(Ordering::Relaxed);
+        let table = self.table();
+        table.service(service).map_or(1, |it| connection_share(it.connections_max, entries))
+    }
+
     /// What a step of a service's targets costs, if they are model engines.
     fn engine(&self, service: &str) -> Option<Engine> {
         self.table().service(service)?.engine
@@ -235,24 +249,36 @@
     pub fn load_seen(&self, request: &RelayRequest) -> LoadSeen {
         let now_ms = monotonic_ms();
         let service = &request.service;
-        let pause_ms = self.pauses.lock().get(service).and_then(|it| it.pause_ms(now_ms));
-        let load_max = self.load_max(request, now_ms);
-        let board = self.board.lock();
-        LoadSeen {
-            targets: board.present(service, now_ms).len(),
-            mean_load: board.mean_load(service, now_ms),
-            load_max,
-            pause_ms,
-        }
+        let pause_ms = self.pause_ms(service, now_ms);
+        let (targets, mean_load) = {
+            let board = self.board.lock();
+            (board.present(service, now_ms).len(), board.mean_load(service, now_ms))
+        };
+        let load_max = self.load_max_at(request, pause_ms, mean_load);
+        LoadSeen { targets, mean_load, load_max, pause_ms }
+    }
+
+    /// Latest pauses between events of a service's streams, in milliseconds.
+    fn pause_ms(&self, service: &str, now_ms: u64) -> Option<f64> {
+        self.pauses.lock().get(service)?.pause_ms(now_ms)
     }
 
     /// Requests that each target may have while pauses of streams come near their objective.
     fn load_max(&self, request: &RelayRequest, now_ms: u64) -> Option<u32> {
+        let pause_ms = self.pause_ms(&request.service, now_ms);
+        let mean_load = self.board.lock().mean_load(&request.service, now_ms);
+        self.load_max_at(request, pause_ms, mean_load)
+    }
+
+    fn load_max_at(
+        &self,
+        request: &RelayRequest,
+        pause_ms: Option<f64>,
+        mean_load: f64,
+    ) -> Option<u32> {
         let objective_ms = request.route.gap_objective_ms? as f64;
-        let pause_ms = self.pauses.lock().get(&request.service)?.pause_ms(now_ms)?;
         let engine = self.engine(&request.service)?;
-        let mean_load = self.board.lock().mean_load(&request.service, now_ms);
-        let limit = batch_limit(&engine, objective_ms, pause_ms, mean_load);
+        let limit = batch_limit(&engine, objective_ms, pause_ms?, mean_load);
         (limit < engine.slots as u32).then_some(limit)
     }
 
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -143,6 +143,18 @@
         );
     }
 
+    fn log_resumed(&self, held: &Held, reason: &str, outcome: &str) {
+        log_event!(
+            info,
+            Event::StreamResumed,
+            request_id = self.request.id,
+            target_id = held.picked().id,
+            reason,
+            outcome,
+            after = self.cutter.last_id()
+        );
+    }
+
     async fn give_up(&self, reason: &str) {
         log_event!(
             warn,
@@ -246,15 +258,7 @@
                 held.tell(Verdict::Lost);
                 return None;
             };
-            log_event!(
-                info,
-                Event::StreamResumed,
-                request_id = self.request.id,
-                target_id = held.picked().id,
-                reason,
-                outcome = end.name(),
-                after
-            );
+            self.log_resumed(&held, reason, end.name());
             let verdict = end.verdict();
             match end {
                 AttemptEnd::Answered(it) if it.response.status().is_success() => {
--- a/crates/bilberryloft-relay/src/target_call.rs
+++ b/crates/bilberryloft-relay/src/target_call.rs
@@ -47,6 +47,20 @@
     result.map_err(|error| fail(error.to_string()))
 }
 
+/// Reads the body at a path; a status other than success is an error.
+pub async fn read(
+    pool: &Pool,
+    address: &str,
+    path: &str,
+    limit: Duration,
+) -> Result<Bytes, NoAnswer> {
+    let (status, body) = call(pool, address, Method::GET, path, Bytes::new(), limit).await?;
+    match status.is_success() {
+        true => Ok(body),
+        false => Err(NoAnswer { address: address.to_string(), detail: format!("status {status}") }),
+    }
+}
+
 async fn exchange(
     pool: &Pool,
     address: &str,
--- a/crates/bilberryloft-routing/src/document.rs
+++ b/crates/bilberryloft-routing/src/document.rs
@@ -93,18 +93,10 @@
 pub struct Engine {
     /// Requests that run side by side on one target.
     pub slots: usize,
-    /// Steps of a pass.
-    pub stride: f64,
     /// Time of an empty step in milliseconds.
     pub step_ms: f64,
     /// Time that each running request adds to a step, in milliseconds.
     pub request_ms: f64,
-    /// Time to read a prompt token, in milliseconds.
-    pub read_token_ms: f64,
-    /// Prompt tokens that a step reads at most.
-    pub chunk_tokens: u64,
-    /// Mean tokens of an answer.
-    pub usual_answer_tokens: u64,
     /// Experts, where the targets form a lock-step group.
     pub experts: Option<Experts>,
 }
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -127,6 +127,8 @@
     pub load_max: Option<u32>,
     /// Requests that may wait at a target beyond its slots, where there is no such limit.
     pub queue_max: u32,
+    /// Requests that this entry may have at one target: its share of the connections that the target takes.
+    pub own_max: u32,
     /// Time that a rank takes in a pass without requests, counted in requests; 0 for a plain service.
     pub idle_load: f64,
 }
@@ -163,6 +165,11 @@
     Full,
 }
 
+/// Connections that one entry may have to a target which takes `connections_max` from all entries together.
+pub fn connection_share(connections_max: usize, entries: usize) -> usize {
+    (connections_max / entries.max(1)).max(1)
+}
+
 /// Why a stream stays at its rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stay {
@@ -303,7 +310,8 @@
             let target = &self.targets[key.0];
             let slowness = slowness / fastest;
             let full = bounds.load_max(target.fact.slots);
-            if target.load() >= load_max(bounds.idle_load, full, slowness) {
+            let load_max = load_max(bounds.idle_load, full, slowness);
+            if target.load() >= load_max || target.own >= bounds.own_max {
                 continue;
             }
             if target.rest_until_ms > now_ms {
@@ -340,7 +348,7 @@
     pub fn pick_instead_of_slow(
         &mut self,
         key: TargetKey,
-        idle_load: f64,
+        bounds: &PickBounds,
         now_ms: u64,
         draw: impl FnMut() -> f64,
     ) -> Result<Picked, Stay> {
@@ -349,11 +357,11 @@
         let others = self.candidates(service, &[key], now_ms);
         let fastest = others.iter().map(|it| it.1).fold(f64::INFINITY, f64::min);
         let slowness = self.slow_ranks.of(&target.fact.id, now_ms) / fastest;
-        if !is_worth_leaving(idle_load, load, slots, slowness) {
+        if !is_worth_leaving(bounds.idle_load, load, slots, slowness) {
             return Err(Stay::NotSlow);
         }
         let service = service.clone();
-        let bounds = PickBounds { load_max: Some(slots), queue_max: 0, idle_load };
+        let bounds = PickBounds { load_max: Some(slots), ..*bounds };
         self.pick(&service, &[key], &bounds, now_ms, draw).map_err(|_| Stay::NoPlace)
     }
 
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -16,10 +16,12 @@
 use bilberryloft_routing::targets::TargetBoard;
 use bilberryloft_routing::targets::TargetFact;
 use bilberryloft_routing::targets::Verdict;
+use bilberryloft_routing::targets::connection_share;
 use bilberryloft_routing::waiting_line::WaitingLine;
 use quickcheck::quickcheck;
 
-const BOUNDS: PickBounds = PickBounds { load_max: None, queue_max: 4, idle_load: 0.0 };
+const BOUNDS: PickBounds =
+    PickBounds { load_max: None, queue_max: 4, own_max: u32::MAX, idle_load: 0.0 };
 
 fn fact(number: usize) -> TargetFact {
     TargetFact {
@@ -76,6 +78,29 @@
     assert_eq!(board.pick("nobody", &[], &BOUNDS, 0, || 0.5).unwrap_err(), NoTarget::Absent);
 }
 
+/// Connections that all entries together have at most to each of three targets when all of them flood it.
+fn connections_of_a_flood(entries: usize, connections_max: usize) -> u32 {
+    let own_max = connection_share(connections_max, entries) as u32;
+    let bounds = PickBounds { own_max, ..BOUNDS };
+    let mut boards: Vec<TargetBoard> = (0..entries).map(|_| board(3)).collect();
+    for board in &mut boards {
+        while board.pick("writer", &[], &bounds, 0, || 0.5).is_ok() {}
+    }
+    let loads = boards.iter().flat_map(|it| it.own_loads());
+    let mut sums: BTreeMap<String, u32> = BTreeMap::new();
+    loads.for_each(|(id, load)| *sums.entry(id).or_default() += load);
+    sums.into_values().max().unwrap()
+}
+
+#[test]
+fn pick_keeps_a_flood_at_all_entries_under_the_connections_of_a_target() {
+    for (entries, connections_max) in [(9, 56), (19, 75), (7, 110)] {
+        let most = connections_of_a_flood(entries, connections_max) as usize;
+        assert!(most <= connections_max, "{entries}: {most} > {connections_max}");
+        assert!(most > connections_max / 2, "{entries}: {most} uses too few");
+    }
+}
+
 #[test]
 fn pick_passes_a_leaving_target_by() {
     let mut board = board(2);
@@ -227,16 +252,7 @@
 }
 
 fn engine() -> Engine {
-    Engine {
-        slots: 12,
-        stride: 6.0,
-        step_ms: 4.84,
-        request_ms: 0.362,
-        read_token_ms: 0.0134,
-        chunk_tokens: 512,
-        usual_answer_tokens: 159,
-        experts: None,
-    }
+    Engine { slots: 12, step_ms: 4.84, request_ms: 0.362, experts: None }
 }
 
 /// A pass of a batch, with experts that stretch it.
--- a/crates/bilberryloft-routing/tests/slow_ranks.rs
+++ b/crates/bilberryloft-routing/tests/slow_ranks.rs
@@ -17,7 +17,8 @@
 const SLOTS: u32 = 12;
 /// Requests that add as much to a step as the step takes without any.
 const IDLE_LOAD: f64 = 13.4;
-const BOUNDS: PickBounds = PickBounds { load_max: None, queue_max: 4, idle_load: IDLE_LOAD };
+const BOUNDS: PickBounds =
+    PickBounds { load_max: None, queue_max: 4, own_max: u32::MAX, idle_load: IDLE_LOAD };
 
 fn fact(number: usize) -> TargetFact {
     TargetFact {
@@ -131,10 +132,10 @@
     let streams: Vec<Picked> = (0..RANKS * 6).map(|_| pick(&mut board, 0).unwrap()).collect();
     let (slow, others): (Vec<_>, Vec<_>) = streams.into_iter().partition(|it| it.id == "r3");
     board.note_slow_ranks("leader", [("r3".to_string(), 12.0)].into(), 10);
-    let other = board.pick_instead_of_slow(others[0].key, IDLE_LOAD, 10, || 0.5);
+    let other = board.pick_instead_of_slow(others[0].key, &BOUNDS, 10, || 0.5);
     assert_eq!(other, Err(Stay::NotSlow), "a usual rank keeps its streams");
     for stream in slow {
-        let next = board.pick_instead_of_slow(stream.key, IDLE_LOAD, 10, || 0.5).unwrap();
+        let next = board.pick_instead_of_slow(stream.key, &BOUNDS, 10, || 0.5).unwrap();
         assert_ne!(next.id, "r3");
         board.finish(stream.key, Verdict::Unknown, 10);
     }
@@ -146,15 +147,15 @@
     let mut board = group(&[(3, 1.4)]);
     let streams: Vec<Picked> = (0..RANKS * 8).map(|_| pick(&mut board, 0).unwrap()).collect();
     let slow = streams.iter().find(|it| it.id == "r3").unwrap();
-    let other = board.pick_instead_of_slow(slow.key, IDLE_LOAD, 0, || 0.5);
+    let other = board.pick_instead_of_slow(slow.key, &BOUNDS, 0, || 0.5);
     assert_eq!(other, Err(Stay::NotSlow));
     while pick(&mut board, 0).is_some() {}
     board.note_slow_ranks("leader", [("r3".to_string(), 9.0)].into(), 10);
-    let other = board.pick_instead_of_slow(slow.key, IDLE_LOAD, 10, || 0.5);
+    let other = board.pick_instead_of_slow(slow.key, &BOUNDS, 10, || 0.5);
     assert_eq!(other, Err(Stay::NoPlace));
     let ended = streams.iter().find(|it| it.id == "r5").unwrap();
     board.finish(ended.key, Verdict::Sound, 20);
     (0..4).for_each(|_| board.finish(ended.key, Verdict::Sound, 20));
-    let other = board.pick_instead_of_slow(slow.key, IDLE_LOAD, 20, || 0.5).unwrap();
+    let other = board.pick_instead_of_slow(slow.key, &BOUNDS, 20, || 0.5).unwrap();
     assert_eq!(other.id, "r5", "a place that becomes free is taken");
 }
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -253,25 +253,15 @@
   5: InstallSnapshot install_snapshot
 }
 
-// A call to the target beside the callee, which the callee makes as it is asked.
-struct TargetCall {
-  1: required string method
-  2: required string path
-  3: required binary body
-}
-
-struct TargetAnswer {
-  1: required i32 status
-  2: required binary body
-}
-
-struct TargetCalls {
+// Paths that the callee reads at the target beside it.
+struct TargetRead {
   1: required string target_address
-  2: required list<TargetCall> calls
+  2: required list<string> paths
 }
 
-struct TargetAnswers {
-  1: required list<TargetAnswer> answers
+// Bodies of the target's answers, in the order of the paths.
+struct TargetBodies {
+  1: required list<binary> bodies
 }
 
 // A message between members, with the sender's own address for a member that knows no members yet.
@@ -324,8 +314,9 @@
   26: StatusReply status_reply
   27: Join join
   28: Redirect redirect
-  29: TargetCalls target_calls
-  30: TargetAnswers target_answers
+  // 29 and 30 were calls with a method and a body.
+  31: TargetRead target_read
+  32: TargetBodies target_bodies
 }
 
 // One frame. A call and all frames that answer it carry the same call number.
