Failing targets: learnt after two failures, told to the other entries; streams that may resume are tried elsewhere

An entry needed ten failures of each before it passed it by, each of 17 entries by itself, and errors of streams were final though they may run again.

Change: two failures in a row are enough, a share of failures halves with time (slower after each failure in a row), a target over 0.35 gets nothing while most others are sound, entries tell each other shares over 0.2, and a stream that may resume is sent to another target after an error, out of the budget.

--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -294,9 +294,9 @@
     }
 }
 
-/// A target's own failure is final unless the request is idempotent and plain.
+/// A target's own failure is final unless the request may run again.
 fn should_repeat_failure(request: &RelayRequest, answered: &ReadAnswer) -> bool {
-    request.route.kind == RequestKind::Idempotent && answered.head.status.is_server_error()
+    request.route.may_repeat() && answered.head.status.is_server_error()
 }
 
 enum Run {
--- a/crates/bilberryloft-relay/src/loads.rs
+++ b/crates/bilberryloft-relay/src/loads.rs
@@ -25,6 +25,9 @@
 /// Largest datagram in bytes.
 const DATAGRAM_BYTES_MAX: usize = 16 << 10;
 
+/// Parts in which a share of failures is told, so that it does not change with every look.
+const SHARE_PARTS: f64 = 10.0;
+
 /// One entry's word to another.
 #[derive(Debug, Serialize, Deserialize)]
 struct LoadMessage {
@@ -44,6 +47,9 @@
 struct Word {
     /// Requests in flight by target.
     loads: BTreeMap<String, u32>,
+    /// Shares of failures by target, where they are high, in [`SHARE_PARTS`].
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    failing: BTreeMap<String, u8>,
     /// How many times as long as usual slow ranks take, by target, from one that reads the ranks' reports.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     slow_ranks: Option<BTreeMap<String, f64>>,
@@ -104,7 +110,9 @@
             // One that is known only by hearsay gets datagrams for a while, and answers if it is there.
             self.heard_ms.entry(address).or_insert(now_ms);
         }
-        self.state.board.lock().note_entry(&message.entry, message.word.loads, now_ms);
+        let failing = message.word.failing.into_iter();
+        let failing = failing.map(|(id, parts)| (id, f64::from(parts) / SHARE_PARTS)).collect();
+        self.state.board.lock().note_entry(&message.entry, message.word.loads, failing, now_ms);
         if let Some(slowness) = message.word.slow_ranks {
             self.state.note_slow_ranks(&message.entry, slowness);
         }
@@ -116,7 +124,12 @@
         let (word, entries) = {
             let mut board = self.state.board.lock();
             let slow_ranks = board.slow_ranks_of(self.own_name(), now_ms).cloned();
-            (Word { loads: board.own_loads(), slow_ranks }, board.expire_entries(now_ms))
+            let word = Word {
+                loads: board.own_loads(),
+                failing: rounded(board.own_failing(now_ms)),
+                slow_ranks,
+            };
+            (word, board.expire_entries(now_ms))
         };
         self.state.set_entries(entries);
         self.heard_ms.retain(|_, heard_ms| *heard_ms + SILENT_AFTER_MS > now_ms);
@@ -161,3 +174,7 @@
         peers
     }
 }
+
+fn rounded(failing: BTreeMap<String, f64>) -> BTreeMap<String, u8> {
+    failing.into_iter().map(|(id, share)| (id, (share * SHARE_PARTS).round() as u8)).collect()
+}
--- a/crates/bilberryloft-routing/src/lib.rs
+++ b/crates/bilberryloft-routing/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod document;
 pub mod events;
+pub mod failing;
 pub mod outage;
 pub mod routes;
 pub mod slow_ranks;
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -2,6 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use crate::failing::FailureShare;
+use crate::failing::is_shunned;
+use crate::failing::is_worth_telling;
+use crate::failing::penalty;
 use crate::slow_ranks::SlowRanks;
 use crate::slow_ranks::is_worth_leaving;
 use crate::slow_ranks::load_max;
@@ -19,12 +23,6 @@
 /// Time for which a target whose address another one has gets nothing, in milliseconds; control learns in
 /// that time that it no longer announces itself.
 const MISDIRECTED_MS: u64 = 4_000;
-/// Weight of the latest outcome in a target's share of failures.
-const FAILURE_GAIN: f64 = 0.1;
-/// Requests that a target with only failures counts as having besides those it runs.
-const FAILURE_PENALTY: f64 = 12.0;
-/// Share of failures below which a target counts as sound.
-const FAILURE_TOLERATED: f64 = 0.2;
 /// Time after which another entry's load is no longer believed, in milliseconds.
 const OTHERS_VALID_MS: u64 = 1_500;
 /// Requests by which a target in the same data centre may be busier and still be picked.
@@ -77,7 +75,8 @@
     fact: TargetFact,
     own: u32,
     others: u32,
-    failures: f64,
+    own_failures: FailureShare,
+    others_failures: f64,
     lost_in_a_row: u32,
     rest_until_ms: u64,
     gone_until_ms: u64,
@@ -90,7 +89,8 @@
             fact,
             own: 0,
             others: 0,
-            failures: 0.0,
+            own_failures: FailureShare::default(),
+            others_failures: 0.0,
             lost_in_a_row: 0,
             rest_until_ms: 0,
             gone_until_ms: 0,
@@ -109,8 +109,9 @@
         self.own + self.others
     }
 
-    fn penalty(&self) -> f64 {
-        (self.failures - FAILURE_TOLERATED).max(0.0) * FAILURE_PENALTY
+    /// Share of failures, by own attempts and by what other entries say.
+    fn failures(&self, now_ms: u64) -> f64 {
+        self.own_failures.share(now_ms).max(self.others_failures)
     }
 }
 
@@ -118,6 +119,7 @@
 struct OtherEntry {
     heard_ms: u64,
     loads: BTreeMap<String, u32>,
+    failing: BTreeMap<String, f64>,
 }
 
 /// How much work targets may get.
@@ -229,9 +231,16 @@
         }
     }
 
-    /// Takes another entry's requests in flight, by target.
-    pub fn note_entry(&mut self, entry: &str, loads: BTreeMap<String, u32>, now_ms: u64) {
-        self.entries.insert(entry.to_string(), OtherEntry { heard_ms: now_ms, loads });
+    /// Takes another entry's requests in flight, and its shares of failures where they are high, by target.
+    pub fn note_entry(
+        &mut self,
+        entry: &str,
+        loads: BTreeMap<String, u32>,
+        failing: BTreeMap<String, f64>,
+        now_ms: u64,
+    ) {
+        let word = OtherEntry { heard_ms: now_ms, loads, failing };
+        self.entries.insert(entry.to_string(), word);
         self.sum_others(now_ms);
     }
 
@@ -258,6 +267,7 @@
     fn sum_others(&mut self, now_ms: u64) {
         for target in &mut self.targets {
             target.others = 0;
+            target.others_failures = 0.0;
         }
         for entry in self.entries.values().filter(|it| it.heard_ms + OTHERS_VALID_MS > now_ms) {
             for (id, load) in &entry.loads {
@@ -265,6 +275,12 @@
                     self.targets[key.0].others += load;
                 }
             }
+            for (id, share) in &entry.failing {
+                if let Some(key) = self.by_id.get(id) {
+                    let target = &mut self.targets[key.0];
+                    target.others_failures = target.others_failures.max(*share);
+                }
+            }
         }
     }
 
@@ -274,6 +290,13 @@
         busy.map(|it| (it.fact.id.clone(), it.own)).collect()
     }
 
+    /// Own shares of failures by target, where they are high, for the other entries.
+    pub fn own_failing(&self, now_ms: u64) -> BTreeMap<String, f64> {
+        let shares = self.targets.iter().map(|it| (&it.fact.id, it.own_failures.share(now_ms)));
+        let failing = shares.filter(|it| is_worth_telling(it.1));
+        failing.map(|(id, share)| (id.clone(), share)).collect()
+    }
+
     /// Facts of a service's targets that take work.
     pub fn present(&self, service: &str, now_ms: u64) -> Vec<&TargetFact> {
         let keys = self.by_service.get(service).into_iter().flatten();
@@ -322,7 +345,7 @@
             let is_near = target.fact.data_center == self.data_center;
             let near = if is_near { NEAR_BONUS } else { 0.0 };
             let own_part = own_part(bounds.idle_load, target.load(), slowness);
-            let score = own_part + target.penalty() - near + 0.3 * draw();
+            let score = own_part + penalty(target.failures(now_ms)) - near + 0.3 * draw();
             if best.is_none_or(|it| score < it.0) {
                 best = Some((score, key));
             }
@@ -365,10 +388,16 @@
         self.pick(&service, &[key], &bounds, now_ms, draw).map_err(|_| Stay::NoPlace)
     }
 
-    /// Targets of a service that take work and have not been tried, with how many times as long as usual each takes.
+    /// Targets of a service that take work, do not fail and have not been tried, with how many times as long as usual each takes.
     fn candidates(&self, service: &str, tried: &[TargetKey], now_ms: u64) -> Vec<(TargetKey, f64)> {
         let keys = self.by_service.get(service).into_iter().flatten().copied();
         let keys = keys.filter(|it| self.targets[it.0].is_eligible(now_ms) && !tried.contains(it));
+        let keys: Vec<TargetKey> = keys.collect();
+        let is_sound = |it: &TargetKey| !is_shunned(self.targets[it.0].failures(now_ms));
+        let sound = keys.iter().filter(|it| is_sound(it)).count();
+        // When most fail, the cause is elsewhere, and all go on being used.
+        let may_shun = 2 * sound >= keys.len();
+        let keys = keys.into_iter().filter(|it| !may_shun || is_sound(it));
         keys.map(|it| (it, self.slow_ranks.of(&self.targets[it.0].fact.id, now_ms))).collect()
     }
 
@@ -376,12 +405,11 @@
     pub fn finish(&mut self, key: TargetKey, verdict: Verdict, now_ms: u64) {
         let target = &mut self.targets[key.0];
         target.own = target.own.saturating_sub(1);
-        let failed = match verdict {
-            Verdict::Sound => 0.0,
-            Verdict::Failed | Verdict::Lost => 1.0,
-            Verdict::Full | Verdict::Misdirected | Verdict::Unknown => target.failures,
-        };
-        target.failures += FAILURE_GAIN * (failed - target.failures);
+        match verdict {
+            Verdict::Sound => target.own_failures.note(false, now_ms),
+            Verdict::Failed | Verdict::Lost => target.own_failures.note(true, now_ms),
+            Verdict::Full | Verdict::Misdirected | Verdict::Unknown => {}
+        }
         match verdict {
             Verdict::Sound | Verdict::Failed => {
                 target.sound_ms = Some(now_ms);
