Changes of map are set further ahead while orders go unanswered

A change held the group before the next pass until all 72 ranks had confirmed: seven rounds of 60 ms, each with a look at all ranks between; streams have pauses of 250 ms to 350 ms from 9 s to 16 s.

Change: where orders to copy went unanswered, the pass of the change is set as many passes ahead as the repeats are likely to take; the hold stands at that pass, so nothing else changes. Whether the group still is the same is looked at every third round.

--- a/crates/bilberryloft-coordination/src/expert_map/mod.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/mod.rs
@@ -2,6 +2,7 @@
 //! and how all ranks change to a new map at the same step.
 
 mod bounded;
+mod lead_time;
 mod pack;
 mod placement;
 mod plan;
@@ -14,6 +15,7 @@
 pub use bounded::copies_needed;
 pub use bounded::improve;
 pub use bounded::skew;
+pub use lead_time::passes_ahead;
 pub use pack::align;
 pub use pack::pack;
 pub use placement::ExpertId;
--- a/crates/bilberryloft-relay/src/expert_planner/change.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/change.rs
@@ -20,6 +20,9 @@
 /// Tries to hold the group before a pass that has not begun.
 const HOLDS_TRIED: usize = 10;
 
+/// Rounds of orders between two looks whether the group still is the same.
+const ROUNDS_BETWEEN_LOOKS: usize = 3;
+
 /// A change of all ranks to a map at one pass.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Change {
@@ -110,7 +113,7 @@
         let mut waiting: Vec<&Seen> = ranks.iter().collect();
         let mut refused = Vec::new();
         let mut last_ms = boot_ms();
-        loop {
+        for round in 1_usize.. {
             let dialect = self.state.dialect.as_ref();
             let orders = waiting.iter().map(|it| it.link.order(&self.state.pool, dialect, order));
             let ends = join_all(orders).await;
@@ -129,10 +132,14 @@
             let now_ms = boot_ms();
             let stood_still = now_ms - last_ms > STOOD_STILL_MS;
             last_ms = now_ms;
-            if stood_still || !self.control.status().leads || self.has_ended(ranks).await {
+            // To read all ranks takes as long as to order them again.
+            let looks = round.is_multiple_of(ROUNDS_BETWEEN_LOOKS);
+            let has_ended = looks && self.has_ended(ranks).await;
+            if stood_still || !self.control.status().leads || has_ended {
                 return (true, refused);
             }
         }
+        (true, refused)
     }
 
     /// Whether the group has broken or formed again, which undoes all that was prepared, armed or held.
--- a/crates/bilberryloft-relay/src/expert_planner/group.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/group.rs
@@ -47,6 +47,8 @@
     pub since: Instant,
     /// Ranks that have taken the order to copy.
     pub taken: Vec<bool>,
+    /// Ranks that did not answer when it was given first.
+    pub unanswered: usize,
 }
 
 /// What the planner knows of one group.
--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bilberryloft_coordination::expert_map::SetMap;
+use bilberryloft_coordination::expert_map::passes_ahead;
 use bilberryloft_daemon::control::ControlHandle;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
@@ -29,6 +30,7 @@
 use crate::expert_planner::change::Change;
 use crate::expert_planner::group::Group;
 use crate::expert_planner::group::Pending;
+use crate::rank_link::ORDER_LIMIT;
 use crate::rank_link::OrderEnd;
 use crate::rank_link::RankLink;
 use crate::state::RelayState;
@@ -43,8 +45,6 @@
 const STOOD_STILL_MS: u64 = 900;
 /// Time after which ranks that have not copied everything are no longer waited for.
 const COPY_LIMIT: Duration = Duration::from_millis(4_000);
-/// Passes between the last one that was seen and the one at which a change takes place.
-const STEPS_AHEAD: u64 = 1;
 /// Versions of one term of a leader; two leaders never give the same version to different maps.
 const VERSIONS_PER_TERM: u64 = 10_000;
 
@@ -279,9 +279,11 @@
             log_event!(warn, Event::ExpertMapAbandoned, group = key, version, refused, at);
             return;
         }
-        let taken = ends.iter().map(|it| *it == OrderEnd::Taken).collect();
+        let taken: Vec<bool> = ends.iter().map(|it| *it == OrderEnd::Taken).collect();
+        let unanswered = taken.iter().filter(|it| !**it).count();
         if let Some(group) = self.groups.get_mut(key) {
-            group.pending = Some(Pending { version, map, since: Instant::now(), taken });
+            group.pending =
+                Some(Pending { version, map, since: Instant::now(), taken, unanswered });
         }
     }
 
@@ -309,7 +311,7 @@
         let Some(mut pending) = group.pending.take() else {
             return;
         };
-        let (version, epoch) = (pending.version, group.epoch);
+        let (version, epoch, pass_ms) = (pending.version, group.epoch, group.pass_ms);
         self.prepare_again(ranks, &mut pending, epoch).await;
         let Some(group) = self.groups.get_mut(key) else {
             return;
@@ -328,9 +330,19 @@
         let Some(seen_step) = seen_step else {
             return;
         };
-        let change = Change { version, step: seen_step + STEPS_AHEAD, epoch };
+        let order_ms = ORDER_LIMIT.as_secs_f64() * 1_000.0;
+        let ahead = passes_ahead(ranks.len(), pending.unanswered, order_ms, pass_ms);
+        let change = Change { version, step: seen_step + ahead, epoch };
         if let Some(step) = self.switch(key, ranks, change).await {
-            log_event!(info, Event::ExpertMapSwitched, group = key, version, step, copied_ms);
+            log_event!(
+                info,
+                Event::ExpertMapSwitched,
+                group = key,
+                version,
+                step,
+                ahead,
+                copied_ms
+            );
             if let Some(group) = self.groups.get_mut(key) {
                 group.map = pending.map;
                 group.map_version = Some(version);
--- a/crates/bilberryloft-relay/src/rank_link.rs
+++ b/crates/bilberryloft-relay/src/rank_link.rs
@@ -21,7 +21,7 @@
 /// Time for a rank to answer a question.
 const QUESTION_LIMIT: Duration = Duration::from_millis(250);
 /// Time for a rank to answer an order before it is given again: a held group waits for the answers.
-const ORDER_LIMIT: Duration = Duration::from_millis(60);
+pub const ORDER_LIMIT: Duration = Duration::from_millis(60);
 /// Time for which an agent that did not answer is passed by.
 const AGENT_PASSED_BY: Duration = Duration::from_millis(2_000);
 
