The end of a member's process is noticed in the two cases that were missed

A reply that was being sent when the connection broke made the new connection itself and kept its refusal to itself; and a process that is killed may close its connections before its listener, so that the first new connection is accepted and reset.

Change: a refused connection is told wherever it is met, once for each time that the member was reached; another outcome is tried again, four times at 25 ms.

--- a/crates/bilberryloft-daemon/src/control/peers.rs
+++ b/crates/bilberryloft-daemon/src/control/peers.rs
@@ -116,20 +116,27 @@
     member: u32,
     ended: mpsc::Sender<Input>,
 ) {
+    let mut is_up = false;
     loop {
-        tokio::select! {
+        let has_ended = tokio::select! {
             message = messages.recv() => match message {
-                // What can't be sent is sent again by the algorithm.
-                Some(message) => drop(client.notify(Body::Raft(message)).await),
                 None => return,
+                // What can't be sent is sent again by the algorithm.
+                Some(message) => match client.notify(Body::Raft(message)).await {
+                    Ok(()) => {
+                        is_up = true;
+                        false
+                    }
+                    Err(error) => error.is_refused(),
+                },
             },
-            () = client.closed() => {
-                if client.is_refused().await {
-                    log_event!(info, Event::MemberEnded, member, address = client.address());
-                    // A full queue drops it: the member's silence tells the same a little later.
-                    let _ = ended.try_send(Input::PeerEnded { member });
-                }
-            }
+            () = client.closed() => client.is_refused().await,
+        };
+        if has_ended && is_up {
+            is_up = false;
+            log_event!(info, Event::MemberEnded, member, address = client.address());
+            // A full queue drops it: the member's silence tells the same a little later.
+            let _ = ended.try_send(Input::PeerEnded { member });
         }
     }
 }
--- a/crates/bilberryloft-state/src/error.rs
+++ b/crates/bilberryloft-state/src/error.rs
@@ -109,6 +109,14 @@
 }
 
 impl Error {
+    /// Whether the peer's host refused a connection, so that no process listens there.
+    pub fn is_refused(&self) -> bool {
+        match self {
+            Error::Network { source, .. } => source.kind() == std::io::ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+
     /// Tells the reader what to do about the error.
     pub fn help(&self) -> &'static str {
         match self {
--- a/crates/bilberryloft-transport/src/client.rs
+++ b/crates/bilberryloft-transport/src/client.rs
@@ -1,7 +1,6 @@
 //! Calls to one peer over one connection that is made when needed and made again after it broke.
 
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::AtomicI64;
 use std::sync::atomic::Ordering;
@@ -33,6 +32,9 @@
 const BACKOFF_FIRST_MS: u64 = 20;
 /// Longest pause after a failed connection.
 const BACKOFF_LAST_MS: u64 = 300;
+/// Tries to find out whether a connection is refused, and the pause between them, longer than the first backoff.
+const REFUSAL_TRIES: usize = 4;
+const REFUSAL_PAUSE: Duration = Duration::from_millis(25);
 /// Frames of one answer that wait for a slow reader before the call is given up.
 const ANSWER_FRAMES_MAX: usize = 4_096;
 
@@ -148,12 +150,16 @@
     }
 
     /// Whether the peer's host refuses a new connection, so that no process listens there; any other outcome tells
-    /// nothing.
+    /// nothing. A process that ends may close its connections before its listener, so it is tried a few times.
     pub async fn is_refused(&self) -> bool {
-        match self.connection("connect").await {
-            Err(Error::Network { source, .. }) => source.kind() == ErrorKind::ConnectionRefused,
-            _ => false,
+        for _ in 0..REFUSAL_TRIES {
+            match self.connection("connect").await {
+                Ok(_) => return false,
+                Err(error) if error.is_refused() => return true,
+                Err(_) => tokio::time::sleep(REFUSAL_PAUSE).await,
+            }
         }
+        false
     }
 
     async fn connection(&self, step: &'static str) -> Result<Arc<Connection>> {
