Short orders are given again after less time

A lost order to arm, hold or go on was given again after 60 ms, a time that the order to copy needs for its map; the group is held meanwhile.

Change: the other orders are given again after 20 ms and half a millisecond for each rank asked at once.

--- a/crates/bilberryloft-relay/src/expert_planner/change.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/change.rs
@@ -14,6 +14,7 @@
 use crate::expert_planner::Seen;
 use crate::rank_link::OrderEnd;
 use crate::rank_link::RankLink;
+use crate::rank_link::order_limit;
 
 /// Time for which the order to go on is repeated; after that, the next look finds the hold.
 const GO_LIMIT: Duration = Duration::from_millis(3_000);
@@ -61,7 +62,8 @@
         let mut change = first;
         for _ in 0..HOLDS_TRIED {
             let hold = RankOrder::Hold { step: change.step, epoch: change.epoch };
-            match holder.order(&self.state.pool, dialect, &hold).await {
+            let limit = order_limit(&hold, 1);
+            match holder.order(&self.state.pool, dialect, &hold, limit).await {
                 OrderEnd::Taken => return Some(change),
                 // The pass has begun.
                 OrderEnd::Conflict => change.step += 1,
@@ -114,9 +116,7 @@
         let mut refused = Vec::new();
         let mut last_ms = boot_ms();
         for round in 1_usize.. {
-            let dialect = self.state.dialect.as_ref();
-            let orders = waiting.iter().map(|it| it.link.order(&self.state.pool, dialect, order));
-            let ends = join_all(orders).await;
+            let ends = self.order_all(&waiting, order).await;
             let mut rest = Vec::new();
             for (seen, end) in waiting.into_iter().zip(ends) {
                 match end {
@@ -155,17 +155,20 @@
     pub(super) async fn let_go(&self, holder: &RankLink, step: u64) {
         let until = Instant::now() + GO_LIMIT;
         let dialect = self.state.dialect.as_ref();
+        let go = RankOrder::Go { step };
+        let limit = order_limit(&go, 1);
         while Instant::now() < until && self.control.status().leads {
-            let end = holder.order(&self.state.pool, dialect, &RankOrder::Go { step }).await;
+            let end = holder.order(&self.state.pool, dialect, &go, limit).await;
             if end != OrderEnd::Unknown {
                 return;
             }
         }
     }
 
-    pub(super) async fn order_all(&self, ranks: &[Seen], order: &RankOrder<'_>) -> Vec<OrderEnd> {
-        let dialect = self.state.dialect.as_ref();
-        let orders = ranks.iter().map(|it| it.link.order(&self.state.pool, dialect, order));
-        join_all(orders).await
+    /// Gives an order to some ranks at once.
+    pub(super) async fn order_all(&self, ranks: &[&Seen], order: &RankOrder<'_>) -> Vec<OrderEnd> {
+        let (pool, dialect) = (&self.state.pool, self.state.dialect.as_ref());
+        let limit = order_limit(order, ranks.len());
+        join_all(ranks.iter().map(|it| it.link.order(pool, dialect, order, limit))).await
     }
 }
--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -30,9 +30,9 @@
 use crate::expert_planner::change::Change;
 use crate::expert_planner::group::Group;
 use crate::expert_planner::group::Pending;
-use crate::rank_link::ORDER_LIMIT;
 use crate::rank_link::OrderEnd;
 use crate::rank_link::RankLink;
+use crate::rank_link::order_limit;
 use crate::state::RelayState;
 
 /// Time between two looks at the ranks.
@@ -272,7 +272,7 @@
         );
         let map = better.map;
         let order = RankOrder::Prepare { version, epoch, map: &map };
-        let ends = self.order_all(ranks, &order).await;
+        let ends = self.order_all(&ranks.iter().collect::<Vec<_>>(), &order).await;
         let refused = ends.iter().filter(|it| **it == OrderEnd::Conflict).count();
         if refused > 0 {
             let at = "prepare";
@@ -291,11 +291,9 @@
     /// harm when the first one is carried out, too.
     async fn prepare_again(&self, ranks: &[Seen], pending: &mut Pending, epoch: u64) {
         let order = RankOrder::Prepare { version: pending.version, epoch, map: &pending.map };
-        let dialect = self.state.dialect.as_ref();
         let waiting: Vec<usize> = (0..ranks.len()).filter(|it| !pending.taken[*it]).collect();
-        let orders =
-            waiting.iter().map(|it| ranks[*it].link.order(&self.state.pool, dialect, &order));
-        let ends = join_all(orders).await;
+        let asked: Vec<&Seen> = waiting.iter().map(|it| &ranks[*it]).collect();
+        let ends = self.order_all(&asked, &order).await;
         for (rank, end) in waiting.into_iter().zip(ends) {
             // A refusal says that the first order has been carried out; the report will tell.
             pending.taken[rank] = end != OrderEnd::Unknown;
@@ -330,7 +328,8 @@
         let Some(seen_step) = seen_step else {
             return;
         };
-        let order_ms = ORDER_LIMIT.as_secs_f64() * 1_000.0;
+        let arm = RankOrder::Arm { version, step: seen_step, epoch };
+        let order_ms = order_limit(&arm, ranks.len()).as_secs_f64() * 1_000.0;
         let ahead = passes_ahead(ranks.len(), pending.unanswered, order_ms, pass_ms);
         let change = Change { version, step: seen_step + ahead, epoch };
         if let Some(step) = self.switch(key, ranks, change).await {
--- a/crates/bilberryloft-relay/src/rank_link.rs
+++ b/crates/bilberryloft-relay/src/rank_link.rs
@@ -20,8 +20,24 @@
 
 /// Time for a rank to answer a question.
 const QUESTION_LIMIT: Duration = Duration::from_millis(250);
-/// Time for a rank to answer an order before it is given again: a held group waits for the answers.
-pub const ORDER_LIMIT: Duration = Duration::from_millis(60);
+/// Time for a rank to answer the order to copy, which carries a whole map, before it is given again.
+const PREPARE_LIMIT: Duration = Duration::from_millis(60);
+/// The same for other orders, to one rank alone: a held group waits for the answers.
+const ORDER_LIMIT: Duration = Duration::from_millis(20);
+/// Time by which that grows with each rank that is given an order in the same moment.
+const ORDER_LIMIT_A_RANK: Duration = Duration::from_micros(500);
+
+/// Time for ranks to answer an order that is given to all of them, before it is given again.
+pub fn order_limit(order: &RankOrder<'_>, ranks: usize) -> Duration {
+    match order {
+        RankOrder::Prepare { .. } => PREPARE_LIMIT,
+        RankOrder::Arm { .. }
+        | RankOrder::Disarm { .. }
+        | RankOrder::Hold { .. }
+        | RankOrder::Go { .. } => ORDER_LIMIT + ORDER_LIMIT_A_RANK * ranks as u32,
+    }
+}
+
 /// Time for which an agent that did not answer is passed by.
 const AGENT_PASSED_BY: Duration = Duration::from_millis(2_000);
 
@@ -93,11 +109,12 @@
         pool: &Pool,
         dialect: &dyn Dialect,
         order: &RankOrder<'_>,
+        limit: Duration,
     ) -> OrderEnd {
         let body = dialect.encode_order(order);
         let path = dialect.order_path();
         let answered =
-            target_call::call(pool, &self.address, Method::POST, path, body.into(), ORDER_LIMIT);
+            target_call::call(pool, &self.address, Method::POST, path, body.into(), limit);
         let status = match answered.await {
             Ok((status, _)) => Some(status.as_u16()),
             Err(error) => {
