--- a/crates/bilberryloft-routing/src/failing.rs
+++ b/crates/bilberryloft-routing/src/failing.rs
@@ -15,7 +15,7 @@
 /// Share of failures up to which a target counts as sound.
 const TOLERATED: f64 = 0.2;
 /// Share of failures from which a target gets nothing while most others are sound.
-const SHUNNED_FROM: f64 = 0.35;
+const EJECTED_FROM: f64 = 0.35;
 /// Requests that a target with only failures counts as having besides those it runs.
 const PENALTY: f64 = 60.0;
 
@@ -51,8 +51,8 @@
 }
 
 /// Whether a target gets nothing while most others are sound.
-pub fn is_shunned(share: f64) -> bool {
-    share > SHUNNED_FROM
+pub fn is_ejected(share: f64) -> bool {
+    share > EJECTED_FROM
 }
 
 /// Requests that a target counts as having besides those it runs.
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::failing::FailureShare;
-use crate::failing::is_shunned;
+use crate::failing::is_ejected;
 use crate::failing::is_worth_telling;
 use crate::failing::penalty;
 use crate::slow_ranks::SlowRanks;
@@ -388,16 +388,17 @@
         self.pick(&service, &[key], &bounds, now_ms, draw).map_err(|_| Stay::NoPlace)
     }
 
-    /// Targets of a service that take work, do not fail and have not been tried, with how many times as long as usual each takes.
+    /// Targets of a service that take work, do not fail and have not been tried, with how many times as long as usual
+    /// each takes.
     fn candidates(&self, service: &str, tried: &[TargetKey], now_ms: u64) -> Vec<(TargetKey, f64)> {
         let keys = self.by_service.get(service).into_iter().flatten().copied();
         let keys = keys.filter(|it| self.targets[it.0].is_eligible(now_ms) && !tried.contains(it));
         let keys: Vec<TargetKey> = keys.collect();
-        let is_sound = |it: &TargetKey| !is_shunned(self.targets[it.0].failures(now_ms));
+        let is_sound = |it: &TargetKey| !is_ejected(self.targets[it.0].failures(now_ms));
         let sound = keys.iter().filter(|it| is_sound(it)).count();
         // When most fail, the cause is elsewhere, and all go on being used.
-        let may_shun = 2 * sound >= keys.len();
-        let keys = keys.into_iter().filter(|it| !may_shun || is_sound(it));
+        let may_eject = 2 * sound >= keys.len();
+        let keys = keys.into_iter().filter(|it| !may_eject || is_sound(it));
         keys.map(|it| (it, self.slow_ranks.of(&self.targets[it.0].fact.id, now_ms))).collect()
     }
 
