Test of ranks waits until the long prompt is placed

The test gave the long prompt 100 ms to be placed before the others come; on the busy machine that was not enough, so it came among the last. The bound stays; the test waits for the placement itself.

--- a/crates/bilberryloft-testing/tests/ranks.rs
+++ b/crates/bilberryloft-testing/tests/ranks.rs
@@ -1,6 +1,8 @@
 //! An agent spreads requests over the ranks of its target, long prompts counted.
 #![allow(clippy::unwrap_used)]
 
+use std::time::Duration;
+
 use bilberryloft_testing::caller::Caller;
 use bilberryloft_testing::engine::Engine;
 use bilberryloft_testing::fleet::Fleet;
@@ -26,9 +28,11 @@
         callers.spawn(
             async move { Caller::new("depot-token").complete(&entry, &prompt, false).await },
         );
-        // The long one is placed before the others come.
-        tokio::time::sleep(std::time::Duration::from_millis(if number == 0 { 100 } else { 5 }))
-            .await;
+        // The long one is placed before the others come, however long that takes.
+        while engine.by_rank().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
     }
     while let Some(reply) = callers.join_next().await {
         assert!(reply.unwrap().is_whole);
