Last read: work off the path of every request, one fixture, simpler pieces

- The limit on requests worked out the mean load of a service before it was known that streams had run at all; plain services never need it.
It is asked for the pause first again.
- An order that nobody gives was made to learn how long short orders may take; that time has a function of its own.
- A counter that only its changes were watched is a signal without a value; the end after an endless loop is gone.
- The least slowness among candidates, the next version of a map, and the targets of three test files stand once.
No behaviour, bound or assertion changes.

--- a/crates/bilberryloft-relay/src/expert_planner/change.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/change.rs
@@ -115,7 +115,9 @@
         let mut waiting: Vec<&Seen> = ranks.iter().collect();
         let mut refused = Vec::new();
         let mut last_ms = boot_ms();
-        for round in 1_usize.. {
+        let mut round = 0_usize;
+        loop {
+            round += 1;
             let ends = self.order_all(&waiting, order).await;
             let mut rest = Vec::new();
             for (seen, end) in waiting.into_iter().zip(ends) {
@@ -139,7 +141,6 @@
                 return (true, refused);
             }
         }
-        (true, refused)
     }
 
     /// Whether the group has broken or formed again, which undoes all that was prepared, armed or held.
--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -32,7 +32,7 @@
 use crate::expert_planner::group::Pending;
 use crate::rank_link::OrderEnd;
 use crate::rank_link::RankLink;
-use crate::rank_link::order_limit;
+use crate::rank_link::short_order_limit;
 use crate::state::RelayState;
 
 /// Time between two looks at the ranks.
@@ -255,10 +255,8 @@
         let Some(better) = group.better_map(ranks.len(), experts) else {
             return;
         };
-        let term = self.control.status().term;
-        let highest = ranks.iter().map(|it| it.report.prepared.unwrap_or(0)).max().unwrap_or(0);
-        self.version = (self.version + 1).max(term * VERSIONS_PER_TERM).max(highest + 1);
-        let (version, epoch, pass_ms) = (self.version, group.epoch, group.pass_ms);
+        let (epoch, pass_ms) = (group.epoch, group.pass_ms);
+        let version = self.next_version(ranks);
         log_event!(
             info,
             Event::ExpertMapPlanned,
@@ -287,6 +285,14 @@
         }
     }
 
+    /// A version above all that this leader, those before it and the ranks have had.
+    fn next_version(&mut self, ranks: &[Seen]) -> u64 {
+        let term = self.control.status().term;
+        let highest = ranks.iter().map(|it| it.report.prepared.unwrap_or(0)).max().unwrap_or(0);
+        self.version = (self.version + 1).max(term * VERSIONS_PER_TERM).max(highest + 1);
+        self.version
+    }
+
     /// Repeats the order to copy at ranks that have not answered it; it is the same order, so that it does no
     /// harm when the first one is carried out, too.
     async fn prepare_again(&self, ranks: &[Seen], pending: &mut Pending, epoch: u64) {
@@ -328,8 +334,7 @@
         let Some(seen_step) = seen_step else {
             return;
         };
-        let arm = RankOrder::Arm { version, step: seen_step, epoch };
-        let order_ms = order_limit(&arm, ranks.len()).as_secs_f64() * 1_000.0;
+        let order_ms = short_order_limit(ranks.len()).as_secs_f64() * 1_000.0;
         let ahead = passes_ahead(ranks.len(), pending.unanswered, order_ms, pass_ms);
         let change = Change { version, step: seen_step + ahead, epoch };
         if let Some(step) = self.switch(key, ranks, change).await {
--- a/crates/bilberryloft-relay/src/rank_agent.rs
+++ b/crates/bilberryloft-relay/src/rank_agent.rs
@@ -72,11 +72,9 @@
     }
 
     async fn read(&self, address: &str, path: &str) -> Result<Vec<u8>> {
-        let failed = |detail: String| Error::protocol("target_read", address, detail);
-        match target_call::read(&self.pool, address, path, READ_LIMIT).await {
-            Ok(body) => Ok(body.to_vec()),
-            Err(error) => Err(failed(error.to_string())),
-        }
+        let read = target_call::read(&self.pool, address, path, READ_LIMIT).await;
+        let body = read.map_err(|it| Error::protocol("target_read", address, it.to_string()))?;
+        Ok(body.to_vec())
     }
 }
 
--- a/crates/bilberryloft-relay/src/rank_link.rs
+++ b/crates/bilberryloft-relay/src/rank_link.rs
@@ -34,10 +34,15 @@
         RankOrder::Arm { .. }
         | RankOrder::Disarm { .. }
         | RankOrder::Hold { .. }
-        | RankOrder::Go { .. } => ORDER_LIMIT + ORDER_LIMIT_A_RANK * ranks as u32,
+        | RankOrder::Go { .. } => short_order_limit(ranks),
     }
 }
 
+/// The same for an order that carries no map.
+pub fn short_order_limit(ranks: usize) -> Duration {
+    ORDER_LIMIT + ORDER_LIMIT_A_RANK * ranks as u32
+}
+
 /// Time for which an agent that did not answer is passed by.
 const AGENT_PASSED_BY: Duration = Duration::from_millis(2_000);
 
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -82,7 +82,7 @@
     budgets: Mutex<BTreeMap<String, RetryBudget>>,
     pauses: Mutex<BTreeMap<String, PauseMeter>>,
     lines: Mutex<BTreeMap<String, WaitingLine>>,
-    slow_ranks_changes: watch::Sender<u64>,
+    slow_ranks_changes: watch::Sender<()>,
     groups: Mutex<BTreeMap<String, GroupHealth>>,
     entries: AtomicUsize,
     awake_ms: AtomicU64,
@@ -197,7 +197,7 @@
         board.note_slow_ranks(reporter, slowness, now_ms);
         drop(board);
         if is_new {
-            self.slow_ranks_changes.send_modify(|it| *it += 1);
+            self.slow_ranks_changes.send_replace(());
         }
     }
 
@@ -254,7 +254,7 @@
             let board = self.board.lock();
             (board.present(service, now_ms).len(), board.mean_load(service, now_ms))
         };
-        let load_max = self.load_max_at(request, pause_ms, mean_load);
+        let load_max = pause_ms.and_then(|it| self.load_max_at(request, it, mean_load));
         LoadSeen { targets, mean_load, load_max, pause_ms }
     }
 
@@ -265,20 +265,15 @@
 
     /// Requests that each target may have while pauses of streams come near their objective.
     fn load_max(&self, request: &RelayRequest, now_ms: u64) -> Option<u32> {
-        let pause_ms = self.pause_ms(&request.service, now_ms);
+        let pause_ms = self.pause_ms(&request.service, now_ms)?;
         let mean_load = self.board.lock().mean_load(&request.service, now_ms);
         self.load_max_at(request, pause_ms, mean_load)
     }
 
-    fn load_max_at(
-        &self,
-        request: &RelayRequest,
-        pause_ms: Option<f64>,
-        mean_load: f64,
-    ) -> Option<u32> {
+    fn load_max_at(&self, request: &RelayRequest, pause_ms: f64, mean_load: f64) -> Option<u32> {
         let objective_ms = request.route.gap_objective_ms? as f64;
         let engine = self.engine(&request.service)?;
-        let limit = batch_limit(&engine, objective_ms, pause_ms?, mean_load);
+        let limit = batch_limit(&engine, objective_ms, pause_ms, mean_load);
         (limit < engine.slots as u32).then_some(limit)
     }
 
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -326,7 +326,7 @@
         mut draw: impl FnMut() -> f64,
     ) -> Result<Picked, NoTarget> {
         let candidates = self.candidates(service, tried, now_ms);
-        let fastest = candidates.iter().map(|it| it.1).fold(f64::INFINITY, f64::min);
+        let fastest = fastest(&candidates);
         let mut resting = None;
         let mut best: Option<(f64, TargetKey)> = None;
         for (key, slowness) in candidates.iter().copied() {
@@ -378,8 +378,7 @@
         let target = &self.targets[key.0];
         let (load, slots, service) = (target.load(), target.fact.slots, &target.fact.service);
         let others = self.candidates(service, &[key], now_ms);
-        let fastest = others.iter().map(|it| it.1).fold(f64::INFINITY, f64::min);
-        let slowness = self.slow_ranks.of(&target.fact.id, now_ms) / fastest;
+        let slowness = self.slow_ranks.of(&target.fact.id, now_ms) / fastest(&others);
         if !is_worth_leaving(bounds.idle_load, load, slots, slowness) {
             return Err(Stay::NotSlow);
         }
@@ -430,3 +429,8 @@
         }
     }
 }
+
+/// Least slowness among candidates; infinite without any, so that nothing counts as slow beside them.
+fn fastest(candidates: &[(TargetKey, f64)]) -> f64 {
+    candidates.iter().map(|it| it.1).fold(f64::INFINITY, f64::min)
+}
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -1,6 +1,8 @@
 //! Picking, retries, waiting and cutting of streams, each against the load that it is made for.
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use bilberryloft_routing::batch_limit::PauseMeter;
@@ -24,22 +26,11 @@
     PickBounds { load_max: None, queue_max: 4, own_max: u32::MAX, idle_load: 0.0 };
 
 fn fact(number: usize) -> TargetFact {
-    TargetFact {
-        id: format!("t{number}"),
-        incarnation: 1,
-        service: "writer".to_string(),
-        address: format!("10.0.0.{number}:80"),
-        data_center: "a".to_string(),
-        slots: 12,
-        is_leaving: false,
-        is_announced: true,
-    }
+    support::fact("t", number, 12)
 }
 
 fn board(targets: usize) -> TargetBoard {
-    let mut board = TargetBoard::new("a");
-    (0..targets).for_each(|it| board.apply(fact(it)));
-    board
+    support::board("t", targets, 12)
 }
 
 fn pick(board: &mut TargetBoard, now_ms: u64) -> Result<String, NoTarget> {
--- a/crates/bilberryloft-routing/tests/failing.rs
+++ b/crates/bilberryloft-routing/tests/failing.rs
@@ -1,9 +1,10 @@
 //! A few targets of many that answer at once with an error, and what callers of many entries get meanwhile.
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use bilberryloft_routing::targets::PickBounds;
 use bilberryloft_routing::targets::TargetBoard;
-use bilberryloft_routing::targets::TargetFact;
 use bilberryloft_routing::targets::Verdict;
 
 const BOUNDS: PickBounds =
@@ -15,26 +16,8 @@
 /// Time between two words of an entry, in milliseconds.
 const WORD_EVERY_MS: u64 = 120;
 
-fn fact(number: usize) -> TargetFact {
-    TargetFact {
-        id: format!("t{number}"),
-        incarnation: 1,
-        service: "writer".to_string(),
-        address: format!("10.0.0.{number}:80"),
-        data_center: "a".to_string(),
-        slots: 10,
-        is_leaving: false,
-        is_announced: true,
-    }
-}
-
 fn boards(entries: usize, targets: usize) -> Vec<TargetBoard> {
-    let board = || {
-        let mut board = TargetBoard::new("a");
-        (0..targets).for_each(|it| board.apply(fact(it)));
-        board
-    };
-    (0..entries).map(|_| board()).collect()
+    (0..entries).map(|_| support::board("t", targets, 10)).collect()
 }
 
 fn tell_all(boards: &mut [TargetBoard], now_ms: u64) {
--- a/crates/bilberryloft-routing/tests/slow_ranks.rs
+++ b/crates/bilberryloft-routing/tests/slow_ranks.rs
@@ -1,6 +1,8 @@
 //! A rank that is slow for some seconds, and what its group's passes take meanwhile.
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use bilberryloft_routing::slow_ranks::SlowRanks;
@@ -10,7 +12,6 @@
 use bilberryloft_routing::targets::Picked;
 use bilberryloft_routing::targets::Stay;
 use bilberryloft_routing::targets::TargetBoard;
-use bilberryloft_routing::targets::TargetFact;
 use bilberryloft_routing::targets::Verdict;
 
 const RANKS: usize = 16;
@@ -20,22 +21,8 @@
 const BOUNDS: PickBounds =
     PickBounds { load_max: None, queue_max: 4, own_max: u32::MAX, idle_load: IDLE_LOAD };
 
-fn fact(number: usize) -> TargetFact {
-    TargetFact {
-        id: format!("r{number}"),
-        incarnation: 1,
-        service: "writer".to_string(),
-        address: format!("10.0.0.{number}:80"),
-        data_center: "a".to_string(),
-        slots: SLOTS,
-        is_leaving: false,
-        is_announced: true,
-    }
-}
-
 fn group(slowness: &[(usize, f64)]) -> TargetBoard {
-    let mut board = TargetBoard::new("a");
-    (0..RANKS).for_each(|it| board.apply(fact(it)));
+    let mut board = support::board("r", RANKS, SLOTS);
     let slow = slowness.iter().map(|(rank, slowness)| (format!("r{rank}"), *slowness)).collect();
     board.note_slow_ranks("leader", slow, 0);
     board
