--- a/crates/bilberryloft-coordination/src/run_permission.rs
+++ b/crates/bilberryloft-coordination/src/run_permission.rs
@@ -4,26 +4,31 @@
 //! ended it ends the next one, too, while the others are answered sooner or later, which clears them. So a request is
 //! refused only after targets have ended under it several times in a row, more often than a caller's request is usually
 //! run. Before that, only one copy of it runs at a time: many copies that run at once may end with many targets at
-//! once, which shows little.
+//! once, which shows little. A request that was being answered when its target ended is less likely to have ended it.
 
+use bilberryloft_state::suspect::Rounds;
 use bilberryloft_state::suspect::Suspect;
 
-/// Number of rounds of lost targets after which a request is refused.
-pub const ROUNDS_REFUSED: usize = 4;
+/// Weight of a round of lost targets.
+const ROUND_WEIGHT: usize = 3;
+/// Weight of a round in which the request had been answered in part, which speaks for it.
+const ANSWERED_ROUND_WEIGHT: usize = 2;
+/// Weight of all rounds from which on a request is refused.
+const REFUSED_WEIGHT: usize = 4 * ROUND_WEIGHT;
 /// The same for a request that has ended with [`MANY_LOST_TARGETS`] or more.
-pub const ROUNDS_REFUSED_AFTER_MANY: usize = 3;
-/// Number of lost targets from which on fewer rounds suffice.
-pub const MANY_LOST_TARGETS: usize = 6;
+const REFUSED_AFTER_MANY_WEIGHT: usize = 3 * ROUND_WEIGHT;
+/// Number of lost targets from which on less weight suffices.
+const MANY_LOST_TARGETS: usize = 6;
 /// Number of lost targets from which on a request runs only on trial.
-pub const LOST_TARGETS_ON_TRIAL: usize = 3;
+const LOST_TARGETS_ON_TRIAL: usize = 3;
 
 /// What is known about a request at the time of the decision.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RunHistory {
     /// Number of targets that ended while they ran the request.
     pub lost_targets: usize,
-    /// Number of times that targets did so one after the other, as [`Suspect::rounds`] counts them.
-    pub rounds: usize,
+    /// Number of times that targets did so one after the other.
+    pub rounds: Rounds,
 }
 
 impl RunHistory {
@@ -31,7 +36,7 @@
     pub fn new(suspect: Option<&Suspect>, unrecorded: RunHistory) -> RunHistory {
         RunHistory {
             lost_targets: suspect.map_or(0, |it| it.lost_targets.len()) + unrecorded.lost_targets,
-            rounds: suspect.map_or(0, |it| it.rounds()) + unrecorded.rounds,
+            rounds: suspect.map(Suspect::rounds).unwrap_or_default() + unrecorded.rounds,
         }
     }
 }
@@ -49,11 +54,13 @@
 
 /// Decides whether a request may run.
 pub fn decide(history: RunHistory) -> RunPermission {
-    let rounds_refused = match history.lost_targets {
-        0..MANY_LOST_TARGETS => ROUNDS_REFUSED,
-        MANY_LOST_TARGETS.. => ROUNDS_REFUSED_AFTER_MANY,
+    let refused_weight = match history.lost_targets {
+        0..MANY_LOST_TARGETS => REFUSED_WEIGHT,
+        MANY_LOST_TARGETS.. => REFUSED_AFTER_MANY_WEIGHT,
     };
-    if history.rounds >= rounds_refused {
+    let rounds = history.rounds;
+    let weight = rounds.unanswered * ROUND_WEIGHT + rounds.answered * ANSWERED_ROUND_WEIGHT;
+    if weight >= refused_weight {
         RunPermission::Refuse
     } else if history.lost_targets >= LOST_TARGETS_ON_TRIAL {
         RunPermission::Trial
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -8,6 +8,7 @@
 use bilberryloft_routing::targets::TargetKey;
 use bilberryloft_state::state_machine::Command;
 use bilberryloft_state::suspect::LostRun;
+use bilberryloft_state::suspect::RunSpan;
 use bilberryloft_state::suspect::Suspect;
 use bilberryloft_state::suspect::count_rounds;
 use bilberryloft_transport::clock::monotonic_ms;
@@ -33,6 +34,8 @@
     pub address: String,
     /// Time at which the request was sent.
     pub started: Instant,
+    /// Whether a part of the answer has arrived.
+    pub is_answering: bool,
 }
 
 /// A lost run that the quorum has not recorded yet.
@@ -43,10 +46,14 @@
 }
 
 impl UnrecordedRun {
-    /// Returns the start of the run and the time at which its end was noticed, in milliseconds since this entry's start.
-    fn span_ms(&self) -> (u64, u64) {
+    /// Returns the span of the run in this entry's monotonic time.
+    fn span(&self) -> RunSpan {
         let ms = |it: Instant| monotonic_ms().saturating_sub(it.elapsed().as_millis() as u64);
-        (ms(self.run.started), ms(self.noticed))
+        RunSpan {
+            started_ms: ms(self.run.started),
+            lost_ms: ms(self.noticed),
+            was_answering: self.run.is_answering,
+        }
     }
 }
 
@@ -88,8 +95,8 @@
             targets.iter().any(|lost| lost.target == it.run.target_id)
         };
         let unrecorded = self.unrecorded.iter().filter(|it| it.run.fingerprint == fingerprint);
-        let spans: Vec<(u64, u64)> =
-            unrecorded.filter(|it| !is_recorded(it)).map(UnrecordedRun::span_ms).collect();
+        let spans: Vec<RunSpan> =
+            unrecorded.filter(|it| !is_recorded(it)).map(UnrecordedRun::span).collect();
         RunHistory { lost_targets: spans.len(), rounds: count_rounds(spans) }
     }
 
@@ -139,6 +146,7 @@
             fingerprint: it.run.fingerprint,
             started_ago_ms: it.run.started.elapsed().as_millis() as u64,
             lost_ago_ms: it.noticed.elapsed().as_millis() as u64,
+            was_answering: it.run.is_answering,
         };
         Command::ReportRuns {
             lost: self.unrecorded.iter().take(REPORT_MAX).map(lost).collect(),
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -139,7 +139,8 @@
             fingerprint = %format_args!("{:016x}", request.fingerprint),
             ?permission,
             lost_targets = ?names,
-            rounds = history.rounds,
+            rounds = history.rounds.count(),
+            answered_rounds = history.rounds.answered,
             age_ms = lost_targets.last().map(|it| epoch_ms().saturating_sub(it.lost_ms)),
             unrecorded = history.lost_targets.saturating_sub(lost_targets.len()),
             confirmed_age_ms = self.view.confirmed_age_ms()
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -107,6 +107,7 @@
             target_id: self.picked.id.clone(),
             address: self.picked.address.clone(),
             started: self.started,
+            is_answering: self.first_answer.get().is_some(),
         });
     }
 
--- a/crates/bilberryloft-state/src/suspect.rs
+++ b/crates/bilberryloft-state/src/suspect.rs
@@ -53,10 +53,9 @@
         self.crashes > 0 || self.lost_targets.len() >= LISTED_LOST_TARGETS
     }
 
-    /// Number of times that targets ended under it one after the other: runs that began before the end of an earlier one
-    /// was noticed belong to its round.
-    pub fn rounds(&self) -> usize {
-        count_rounds(self.lost_targets.iter().map(|it| (it.started_ms, it.lost_ms)))
+    /// Counts the times that targets ended under it one after the other.
+    pub fn rounds(&self) -> Rounds {
+        count_rounds(self.lost_targets.iter().map(LostTarget::span))
     }
 
     fn record_lost_target(&mut self, lost: LostTarget, now_ms: u64) {
@@ -78,22 +77,60 @@
     }
 }
 
-/// Counts rounds of runs, each given by its start and the time at which its end was noticed. A run that began before
-/// the first end of a round was noticed belongs to that round.
-pub fn count_rounds(runs: impl IntoIterator<Item = (u64, u64)>) -> usize {
-    let mut runs: Vec<(u64, u64)> = runs.into_iter().collect();
+/// Run whose target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunSpan {
+    /// Start of the run, in milliseconds.
+    pub started_ms: u64,
+    /// Time at which the end of the target was noticed, in milliseconds.
+    pub lost_ms: u64,
+    /// Whether a part of the answer had arrived.
+    pub was_answering: bool,
+}
+
+/// Numbers of rounds in which targets ended under a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Rounds {
+    /// Rounds with a run without any answer.
+    pub unanswered: usize,
+    /// Rounds in which all runs had been answered in part.
+    pub answered: usize,
+}
+
+impl Rounds {
+    /// Returns the number of all rounds.
+    pub fn count(self) -> usize {
+        self.unanswered + self.answered
+    }
+}
+
+impl std::ops::Add for Rounds {
+    type Output = Rounds;
+
+    fn add(self, other: Rounds) -> Rounds {
+        Rounds {
+            unanswered: self.unanswered + other.unanswered,
+            answered: self.answered + other.answered,
+        }
+    }
+}
+
+/// Counts rounds of runs. A run that began before the first end of a round was noticed belongs to that round.
+pub fn count_rounds(runs: impl IntoIterator<Item = RunSpan>) -> Rounds {
+    let mut runs: Vec<RunSpan> = runs.into_iter().collect();
     runs.sort_unstable();
-    let mut rounds = 0;
-    let mut first_end_ms = 0;
-    for (started_ms, lost_ms) in runs {
-        if rounds == 0 || started_ms > first_end_ms {
-            rounds += 1;
-            first_end_ms = lost_ms;
-        } else {
-            first_end_ms = first_end_ms.min(lost_ms);
+    let mut rounds: Vec<RunSpan> = Vec::new();
+    for run in runs {
+        match rounds.last_mut() {
+            Some(round) if run.started_ms <= round.lost_ms => {
+                round.lost_ms = round.lost_ms.min(run.lost_ms);
+                round.was_answering &= run.was_answering;
+            }
+            _ => rounds.push(run),
         }
     }
-    rounds
+    let answered = rounds.iter().filter(|it| it.was_answering).count();
+    Rounds { unanswered: rounds.len() - answered, answered }
 }
 
 /// Target that ended while it ran a suspect.
@@ -105,6 +142,19 @@
     pub started_ms: u64,
     /// Time at which the end of the target was noticed, in milliseconds since the epoch.
     pub lost_ms: u64,
+    /// Whether a part of the answer had arrived.
+    #[serde(default)]
+    pub was_answering: bool,
+}
+
+impl LostTarget {
+    fn span(&self) -> RunSpan {
+        RunSpan {
+            started_ms: self.started_ms,
+            lost_ms: self.lost_ms,
+            was_answering: self.was_answering,
+        }
+    }
 }
 
 /// Run of a request whose target ended before the answer was complete.
@@ -118,6 +168,9 @@
     pub started_ago_ms: u64,
     /// Time since the end of the target was noticed, in milliseconds.
     pub lost_ago_ms: u64,
+    /// Whether a part of the answer had arrived.
+    #[serde(default)]
+    pub was_answering: bool,
 }
 
 /// Trial of a suspect: a run with no other request on the target.
@@ -204,6 +257,7 @@
                 target: run.target.clone(),
                 started_ms: now_ms.saturating_sub(run.started_ago_ms),
                 lost_ms: now_ms.saturating_sub(run.lost_ago_ms),
+                was_answering: run.was_answering,
             };
             self.suspect(run.fingerprint, now_ms).record_lost_target(lost, now_ms);
         }
