Limits that targets name are kept over all entries

Callers' requests went to a target in need as often as to any other: nobody read the limit that its answers name (hypothesis 1), and an equal share at each entry would have let many entries send at once (hypothesis 2).

Each answer's limit is told to the other entries in the load reports, with its age. All paths pick through the table that takes the token. If all targets of a service are limited, what fits is sent and the rest is refused at once with the time of its turn, by priority.

The entries that share a bound have a module of their own (relay/entries), used by the retry budget, the connections to a target and the limits; an entry now also counts those that others have heard. Inputs and results of target selection moved to routing/selection: tests import them from there, asserts as they were.

--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -122,6 +122,10 @@
     SuspectDecided = 541,
     /// Runs whose targets ended or survived a suspect were reported to the quorum.
     RunsReported = 542,
+    /// A target named a limit on its requests, changed it, or no longer names one.
+    TargetLimitChanged = 543,
+    /// A request was sent to a target with a limit, or refused because all targets have reached theirs.
+    LimitDecided = 544,
 }
 
 impl Event {
@@ -132,7 +136,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 59] = [
+pub const EVENTS: [Event; 61] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -192,6 +196,8 @@
     Event::TargetEndChecked,
     Event::SuspectDecided,
     Event::RunsReported,
+    Event::TargetLimitChanged,
+    Event::LimitDecided,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -40,6 +40,12 @@
     pub attempts_cancelled: IntCounter,
     /// Crashes of the target.
     pub target_crashes: IntCounter,
+    /// Targets that name a limit on their requests.
+    pub targets_limited: IntGauge,
+    /// Requests sent to targets with a limit.
+    pub limited_requests: IntCounter,
+    /// Requests refused because all targets had reached their limits.
+    pub limit_refusals: IntCounter,
     /// Configuration version in force.
     pub configuration_version: IntGauge,
     refusals: IntCounterVec,
@@ -106,6 +112,14 @@
                 .counter("bilberryloft_attempts_cancelled_total", "Attempts that were stopped.")?,
             target_crashes: new
                 .counter("bilberryloft_target_crashes_total", "Crashes of the target.")?,
+            targets_limited: new
+                .gauge("bilberryloft_targets_limited", "Targets that name a limit.")?,
+            limited_requests: new
+                .counter("bilberryloft_limited_requests_total", "Requests sent within limits.")?,
+            limit_refusals: new.counter(
+                "bilberryloft_limit_refusals_total",
+                "Requests refused as all targets had reached their limits.",
+            )?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
             refusals: new.counters_by_reason(
--- a/crates/bilberryloft-relay/src/admission.rs
+++ b/crates/bilberryloft-relay/src/admission.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bilberryloft_routing::targets::NoTarget;
+use bilberryloft_daemon::events::Event;
+use bilberryloft_daemon::log_event;
+use bilberryloft_routing::selection::NoTarget;
+use bilberryloft_routing::target_limits::LimitedWait;
 use bilberryloft_routing::wait_queue::Ticket;
 use tokio::time::Instant;
 
@@ -40,22 +43,62 @@
     if !state.services.may_send(service) {
         return Err(Refusal::GroupDown);
     }
-    if state.services.with_queue(service, |it| it.is_empty()) {
-        match state.pick(request, &[]) {
-            Ok(slot) => return Ok(slot),
-            Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
-            Err(NoTarget::Full) => {}
-        }
+    if state.services.with_queue(service, |it| it.is_empty())
+        && let Some(slot) = pick_at_once(state, request)?
+    {
+        return Ok(slot);
     }
     let wait_max = Duration::from_millis(request.route.objective_ms).mul_f64(WAIT_SHARE);
-    let expected_ms =
-        state.services.with_queue(service, |it| it.expected_wait_ms(request.priority));
-    if expected_ms > wait_max.as_secs_f64() * 1_000.0 {
-        return Err(Refusal::Full);
+    let wait_max = wait_max.min(request.time_left());
+    check_expected_wait(state, request, wait_max)?;
+    wait_in_queue(state, request, Instant::now() + wait_max).await
+}
+
+/// Picks a target for a request before which no other one waits; `None` if it may wait for one.
+fn pick_at_once(state: &RelayState, request: &RelayRequest) -> Result<Option<TargetSlot>, Refusal> {
+    let slot = match state.pick(request, &[]) {
+        Ok(slot) => slot,
+        Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
+        Err(NoTarget::Full | NoTarget::Limited(_)) => return Ok(None),
+    };
+    let Some(limit) = slot.picked().limit else {
+        return Ok(Some(slot));
+    };
+    if !state.limits.must_yield(&request.service, request.priority) {
+        return Ok(Some(slot));
+    }
+    slot.cancel();
+    Err(refuse_limited(state, request, limit.wait_for_next()))
+}
+
+/// Refuses a request if the expected wait is too long.
+fn check_expected_wait(
+    state: &RelayState,
+    request: &RelayRequest,
+    wait_max: Duration,
+) -> Result<(), Refusal> {
+    let wait_max_ms = wait_max.as_secs_f64() * 1_000.0;
+    let (ahead, expected_ms) = state.services.with_queue(&request.service, |it| {
+        (it.ahead(request.priority), it.expected_wait_ms(request.priority))
+    });
+    match state.services.limited_wait(&request.service) {
+        Some(wait) if !wait.has_part || wait.expected_ms(ahead) as f64 > wait_max_ms => {
+            Err(refuse_limited(state, request, wait))
+        }
+        None if expected_ms > wait_max_ms => Err(Refusal::Full),
+        Some(_) | None => Ok(()),
     }
+}
+
+/// Waits for a slot behind requests that are more urgent or came before.
+async fn wait_in_queue(
+    state: &Arc<RelayState>,
+    request: &RelayRequest,
+    until: Instant,
+) -> Result<TargetSlot, Refusal> {
+    let service = request.service.as_str();
     let ticket = state.services.with_queue(service, |it| it.join(request.priority));
     let position = QueueGuard { state, service, ticket };
-    let until = (Instant::now() + wait_max).min(request.deadline);
     while Instant::now() < until {
         tokio::time::sleep(POLL_INTERVAL).await;
         if !state.services.with_queue(service, |it| it.is_first(position.ticket)) {
@@ -65,7 +108,32 @@
             Ok(slot) => return Ok(slot),
             Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
             Err(NoTarget::Full) => {}
+            Err(NoTarget::Limited(wait)) => {
+                if !wait.has_part || Instant::now() + Duration::from_millis(wait.first_ms) > until {
+                    return Err(refuse_limited(state, request, wait));
+                }
+            }
         }
     }
-    Err(Refusal::Full)
+    Err(match state.services.limited_wait(service) {
+        Some(wait) => refuse_limited(state, request, wait),
+        None => Refusal::Full,
+    })
+}
+
+/// Refuses a request because all targets have reached their limits.
+fn refuse_limited(state: &RelayState, request: &RelayRequest, wait: LimitedWait) -> Refusal {
+    let retry_after = state.limits.refuse(&request.service, request.priority, wait);
+    log_event!(
+        info,
+        Event::LimitDecided,
+        request_id = request.id,
+        service = request.service,
+        priority = request.priority,
+        has_part = wait.has_part,
+        first_ms = wait.first_ms,
+        interval_ms = wait.interval_ms,
+        outcome = "refused"
+    );
+    Refusal::TargetsLimited { retry_after }
 }
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -44,6 +44,11 @@
     NoTarget,
     /// All targets have reached their load limit.
     Full,
+    /// All targets have reached the limits that they name.
+    TargetsLimited {
+        /// Time after which the caller should come back.
+        retry_after: Duration,
+    },
     /// The service's lock-step group is down.
     GroupDown,
     /// The target answered that it did not run the request, and no further attempt is allowed.
@@ -72,6 +77,7 @@
             Refusal::BadBody => "bad_body",
             Refusal::NoTarget => "no_target",
             Refusal::Full => "full",
+            Refusal::TargetsLimited { .. } => "targets_limited",
             Refusal::GroupDown => "group_down",
             Refusal::NotRun => "not_run",
             Refusal::RunUnknown => "run_unknown",
@@ -87,6 +93,7 @@
             Refusal::NoDocument
             | Refusal::NoTarget
             | Refusal::Full
+            | Refusal::TargetsLimited { .. }
             | Refusal::GroupDown
             | Refusal::SuspectTrial
             | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use bilberryloft_routing::document::RequestKind;
+use bilberryloft_routing::selection::PickedTarget;
 use bilberryloft_routing::targets::AttemptOutcome;
-use bilberryloft_routing::targets::PickedTarget;
+use bilberryloft_transport::clock::monotonic_ms;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -96,8 +97,10 @@
     while let Some(mut connection) = next.take() {
         state.lifecycle.wait_after_stall().await;
         let message = build_message(state, request, picked, resume_after);
+        let sent_ms = monotonic_ms();
         match connection.try_send_request(message).await {
             Ok(response) => {
+                observe_limit(state, request, picked, &response, sent_ms);
                 let address = picked.address.clone();
                 return classify_answer(state, request, Answered { response, connection, address });
             }
@@ -166,6 +169,31 @@
     message
 }
 
+/// Records the limit that an answer names, or that it names none. Only the target's own answer to a request lifts a limit.
+fn observe_limit(
+    state: &RelayState,
+    request: &RelayRequest,
+    picked: &PickedTarget,
+    response: &Response<Incoming>,
+    sent_ms: u64,
+) {
+    let (names, answer) = (state.dialect.headers(), response.headers());
+    let is_other = headers::text(answer, &names.request_id).is_some_and(|it| it != request.id);
+    if is_other || response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let Some(limit) = answer.get(&names.limit) else {
+        if answer.contains_key(&names.signature) {
+            state.limits.record_answer(picked, None, sent_ms);
+        }
+        return;
+    };
+    let per_s = limit.to_str().ok().and_then(|it| it.trim().parse::<f64>().ok());
+    if let Some(per_s) = per_s.filter(|it| it.is_finite() && *it >= 0.0) {
+        state.limits.record_answer(picked, Some(per_s), sent_ms);
+    }
+}
+
 /// Checks that an answer belongs to this request and carries a target's signature, and detects refusals.
 fn classify_answer(
     state: &Arc<RelayState>,
--- a/crates/bilberryloft-relay/src/dialect.rs
+++ b/crates/bilberryloft-relay/src/dialect.rs
@@ -30,6 +30,8 @@
     pub priority: HeaderName,
     /// Id of the last event of a stream that was received.
     pub last_event_id: HeaderName,
+    /// Requests a second that the target takes from all entries together, in its answer.
+    pub limit: HeaderName,
 }
 
 /// A call to the control API.
--- /dev/null
+++ b/crates/bilberryloft-relay/src/entries.rs
@@ -0,0 +1,88 @@
+//! The entries with which this one shares the bounds over all entries.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use bilberryloft_daemon::daemon::Shared;
+use bilberryloft_daemon::events::Event;
+use bilberryloft_daemon::log_event;
+use bilberryloft_daemon::view::View;
+use bilberryloft_routing::sharing_entries::Division;
+use bilberryloft_routing::sharing_entries::Members;
+use bilberryloft_routing::sharing_entries::SharingEntries;
+use bilberryloft_transport::clock::monotonic_ms;
+use parking_lot::Mutex;
+
+/// Time within which a quorum must have confirmed this entry's view, or it counts as cut off, in milliseconds.
+const CONFIRMED_WITHIN_MS: u64 = 4_000;
+/// Entries that share bounds with this one, and whether a quorum answers it.
+pub struct Entries {
+    own: String,
+    sharing: Mutex<SharingEntries>,
+    active: AtomicUsize,
+    view: Arc<View>,
+}
+
+impl Entries {
+    /// Creates a state in which no other entry has been heard.
+    pub fn new(daemon: &Shared) -> Entries {
+        Entries {
+            own: daemon.settings.daemon.clone(),
+            sharing: Mutex::default(),
+            active: AtomicUsize::new(1),
+            view: daemon.view.clone(),
+        }
+    }
+
+    /// Returns the name of this entry.
+    pub fn own(&self) -> &str {
+        &self.own
+    }
+
+    /// Records that another entry was heard, and how many it has heard itself.
+    pub fn record(&self, entry: &str, known: usize) {
+        self.sharing.lock().record_known(entry, known, monotonic_ms());
+    }
+
+    /// Returns the number of entries that share the bounds over all entries, including this one and those that may only
+    /// be cut off.
+    pub fn count(&self) -> usize {
+        self.sharing.lock().count(monotonic_ms())
+    }
+
+    /// Returns the number of entries that this one has heard itself, including itself.
+    pub fn heard_count(&self) -> usize {
+        self.sharing.lock().heard_count(monotonic_ms())
+    }
+
+    /// Returns the number of entries that share the bounds; `None` if this entry has heard no other one and no quorum,
+    /// so that it can't know.
+    pub fn known_count(&self) -> Option<usize> {
+        let count = self.count();
+        (count > 1 || self.is_confirmed()).then_some(count)
+    }
+
+    /// Returns the entries that divide a bound with this one; `None` if it can't know of any.
+    pub fn members(&self) -> Option<Members> {
+        let division = match self.is_confirmed() {
+            true => Division::Active,
+            false => Division::Known,
+        };
+        self.known_count()?;
+        Some(self.sharing.lock().members(&self.own, division, monotonic_ms()))
+    }
+
+    fn is_confirmed(&self) -> bool {
+        self.view.confirmed_age_ms().is_some_and(|it| it <= CONFIRMED_WITHIN_MS)
+    }
+
+    /// Logs the number of active entries, including this one, if it has changed.
+    pub fn set_active(&self, active: usize) {
+        let before = self.active.swap(active, Ordering::Relaxed);
+        if before != active {
+            let sharing = self.count();
+            log_event!(info, Event::EntriesChanged, entries = active, before, sharing);
+        }
+    }
+}
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -4,13 +4,14 @@
 pub mod admission;
 pub mod answer;
 pub mod attempt;
-
 pub mod control_api;
 pub mod dialect;
+pub mod entries;
 pub mod expert_planner;
 pub mod forward;
 pub mod headers;
 pub mod lifecycle;
+pub mod limits;
 pub mod loads;
 pub mod lost_runs;
 pub mod pool;
--- a/crates/bilberryloft-relay/src/loads.rs
+++ b/crates/bilberryloft-relay/src/loads.rs
@@ -1,4 +1,5 @@
-//! Exchange of load reports between entries over UDP: requests in flight, failure rates and slow ranks by target.
+//! Exchange of load reports between entries over UDP: requests in flight, failure rates, slow ranks and
+//! limits by target.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -6,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberryloft_routing::target_limits::LimitReport;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_transport::clock::monotonic_ms;
@@ -38,6 +40,12 @@
     address: SocketAddr,
     /// Addresses of the other entries that the sender knows.
     known: Vec<SocketAddr>,
+    /// Number of entries that the sender has heard within a day, including itself.
+    #[serde(default)]
+    entries: usize,
+    /// Limits of targets.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    limits: BTreeMap<String, LimitReport>,
     /// Report of the sender.
     #[serde(flatten)]
     report: LoadReport,
@@ -63,6 +71,7 @@
     own_address: SocketAddr,
     last_heard_ms: BTreeMap<SocketAddr, u64>,
     sent: LoadReport,
+    sent_limit_changes: u64,
     sent_at: Instant,
 }
 
@@ -78,6 +87,7 @@
         own_address,
         last_heard_ms: BTreeMap::new(),
         sent: LoadReport::default(),
+        sent_limit_changes: 0,
         sent_at: Instant::now(),
     };
     tokio::spawn(exchange.run());
@@ -108,7 +118,7 @@
         };
         let now_ms = monotonic_ms();
         self.last_heard_ms.insert(message.address, now_ms);
-        self.state.retries.record_entry(&message.entry);
+        self.state.entries.record(&message.entry, message.entries);
         for address in message.known {
             // An entry known only from others gets datagrams until it expires, and replies if it is running.
             self.last_heard_ms.entry(address).or_insert(now_ms);
@@ -122,6 +132,7 @@
             failing,
             now_ms,
         );
+        self.state.limits.record_reports(&message.entry, &message.limits);
         if let Some(slowness) = message.report.slow_ranks {
             self.state.services.record_slow_ranks(&message.entry, slowness);
         }
@@ -130,7 +141,7 @@
     async fn check_loads(&mut self) {
         let now_ms = monotonic_ms();
         self.state.lifecycle.record_tick();
-        let (report, entries) = {
+        let (report, limit_changes, entries) = {
             let mut targets = self.state.services.targets.lock();
             let slow_ranks = targets.slow_ranks_from(self.own_name(), now_ms).cloned();
             let report = LoadReport {
@@ -138,20 +149,23 @@
                 failing: rounded(targets.own_failure_rates(now_ms)),
                 slow_ranks,
             };
-            (report, targets.expire_entries(now_ms))
+            (report, targets.limits.changes(), targets.expire_entries(now_ms))
         };
-        self.state.retries.set_active_entries(entries);
+        self.state.entries.set_active(entries);
+        self.state.limits.refresh();
         self.last_heard_ms.retain(|_, last_heard_ms| *last_heard_ms + PEER_EXPIRY_MS > now_ms);
-        if report == self.sent && self.sent_at.elapsed() < RESEND_AFTER {
+        let is_sent = report == self.sent && limit_changes == self.sent_limit_changes;
+        if is_sent && self.sent_at.elapsed() < RESEND_AFTER {
             return;
         }
         self.sent = report;
+        self.sent_limit_changes = limit_changes;
         self.sent_at = Instant::now();
         self.send_report().await;
     }
 
     fn own_name(&self) -> &str {
-        &self.state.daemon.settings.daemon
+        self.state.entries.own()
     }
 
     async fn send_report(&self) {
@@ -159,6 +173,8 @@
             entry: self.own_name().to_string(),
             address: self.own_address,
             known: self.last_heard_ms.keys().copied().collect(),
+            entries: self.state.entries.heard_count(),
+            limits: self.state.services.targets.lock().limits.reports(monotonic_ms()),
             report: self.sent.clone(),
         };
         let Ok(bytes) = serde_json::to_vec(&message) else {
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 
 use bilberryloft_coordination::run_permission::RunHistory;
-use bilberryloft_routing::targets::TargetKey;
+use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_state::state_machine::Command;
 use bilberryloft_state::suspect::LostRun;
 use bilberryloft_state::suspect::RunSpan;
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -8,9 +8,9 @@
 use bilberryloft_daemon::trial::Trial;
 use bilberryloft_routing::document::RequestKind;
 use bilberryloft_routing::retry_budget::RetryPurpose;
+use bilberryloft_routing::selection::PickedTarget;
+use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_routing::targets::AttemptOutcome;
-use bilberryloft_routing::targets::PickedTarget;
-use bilberryloft_routing::targets::TargetKey;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -182,6 +182,7 @@
         tracker.tried.push(slot.picked().key);
         let attempts = tracker.count() + 1;
         log_sent(request, slot.picked(), attempts);
+        state.limits.log_sent(&request.id, slot.picked());
         let Ok((summary, answer)) = run_attempt(state, request, &slot).await else {
             log_ended(request, slot.picked(), "timeout", None);
             slot.release_broken();
--- a/crates/bilberryloft-relay/src/services.rs
+++ b/crates/bilberryloft-relay/src/services.rs
@@ -7,8 +7,9 @@
 use bilberryloft_daemon::log_event;
 use bilberryloft_routing::batch_limit::PauseMeter;
 use bilberryloft_routing::group_health::GroupHealth;
+use bilberryloft_routing::selection::TargetKey;
+use bilberryloft_routing::target_limits::LimitedWait;
 use bilberryloft_routing::targets::AttemptOutcome;
-use bilberryloft_routing::targets::TargetKey;
 use bilberryloft_routing::targets::TargetTable;
 use bilberryloft_routing::wait_queue::WaitQueue;
 use bilberryloft_transport::clock::monotonic_ms;
@@ -90,6 +91,16 @@
         self.with_queue(service, |it| it.record_finished(now_ms));
     }
 
+    /// Returns the wait for a target if all targets of a service name limits; it is 0 if one may get a request now.
+    pub fn limited_wait(&self, service: &str) -> Option<LimitedWait> {
+        self.targets.lock().limited_wait(service, monotonic_ms())
+    }
+
+    /// Takes back a pick whose request was not sent.
+    pub fn cancel(&self, key: TargetKey) {
+        self.targets.lock().cancel(key);
+    }
+
     /// Returns whether a target has answered or another entry has reported within a time in milliseconds.
     pub fn has_heard_within(&self, within_ms: u64) -> bool {
         self.targets.lock().has_heard_since(monotonic_ms().saturating_sub(within_ms))
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -11,20 +11,22 @@
 use bilberryloft_routing::retry_budget::BudgetLimits;
 use bilberryloft_routing::retry_budget::RetryPurpose;
 use bilberryloft_routing::routes::RouteTable;
+use bilberryloft_routing::selection::NoMigration;
+use bilberryloft_routing::selection::NoTarget;
+use bilberryloft_routing::selection::PickLimits;
+use bilberryloft_routing::selection::PickedTarget;
+use bilberryloft_routing::selection::TargetKey;
+use bilberryloft_routing::selection::connection_share;
 use bilberryloft_routing::targets::AttemptOutcome;
-use bilberryloft_routing::targets::NoMigration;
-use bilberryloft_routing::targets::NoTarget;
-use bilberryloft_routing::targets::PickLimits;
-use bilberryloft_routing::targets::PickedTarget;
 use bilberryloft_routing::targets::TargetInfo;
-use bilberryloft_routing::targets::TargetKey;
-use bilberryloft_routing::targets::connection_share;
 use bilberryloft_state::membership::TargetRecord;
 use bilberryloft_transport::clock::monotonic_ms;
 use parking_lot::RwLock;
 
 use crate::dialect::Dialect;
+use crate::entries::Entries;
 use crate::lifecycle::Lifecycle;
+use crate::limits::LimitTracker;
 use crate::pool::Pool;
 use crate::request::RelayRequest;
 use crate::retries::Retries;
@@ -66,6 +68,10 @@
     pub services: Arc<Services>,
     /// Requests under which targets ended.
     pub suspects: Arc<SuspectTracker>,
+    /// Entries that share the bounds over all entries.
+    pub entries: Arc<Entries>,
+    /// Limits that targets name on their requests.
+    pub limits: LimitTracker,
     /// Retry budgets of this entry.
     pub retries: Retries,
     /// Open requests and shutdown.
@@ -87,7 +93,9 @@
         };
         let services = Arc::new(Services::new(&daemon.settings.data_center));
         let is_first_start = settings.is_first_start;
-        let retries = Retries::new(limits, is_first_start, &daemon);
+        let entries = Arc::new(Entries::new(&daemon));
+        let retries = Retries::new(limits, is_first_start, &daemon, entries.clone());
+        let limits = LimitTracker::new(&daemon, services.clone(), entries.clone());
         let pool = Arc::new(Pool::default());
         let suspects = Arc::new(SuspectTracker::new(&daemon, services.clone(), pool.clone()));
         RelayState {
@@ -97,6 +105,8 @@
             pool,
             services,
             suspects,
+            entries,
+            limits,
             retries,
             lifecycle: Arc::default(),
             routes: RwLock::default(),
@@ -197,6 +207,7 @@
         if self.retries.take(&request.service, RetryPurpose::Group, &request.id) {
             Ok(slot)
         } else {
+            slot.cancel();
             Err(NoMigration::NoSlot)
         }
     }
@@ -212,7 +223,7 @@
 
     /// Returns the number of connections that this entry may have to each target of a service.
     pub fn connection_share(&self, service: &str) -> usize {
-        let entries = self.retries.entries();
+        let entries = self.entries.count();
         let routes = self.routes();
         routes.service(service).map_or(1, |it| connection_share(it.connections_max, entries))
     }
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -310,6 +310,7 @@
     /// Asks one target to go on after the last event.
     async fn resume_at(&self, slot: TargetSlot, reason: &str, until: Instant) -> ResumeOutcome {
         let after = self.framer.last_id();
+        self.state.limits.log_sent(&self.request.id, slot.picked());
         let attempt = attempt::send(&self.state, &self.request, slot.picked(), after);
         let Ok(result) = tokio::time::timeout_at(until, attempt).await else {
             slot.release_broken();
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -7,8 +7,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bilberryloft_routing::selection::PickedTarget;
 use bilberryloft_routing::targets::AttemptOutcome;
-use bilberryloft_routing::targets::PickedTarget;
 use tokio::time::Instant;
 
 use crate::lost_runs::TargetRun;
@@ -30,7 +30,7 @@
     suspects: Arc<SuspectTracker>,
     service: String,
     fingerprint: i64,
-    picked: PickedTarget,
+    picked: Box<PickedTarget>,
     started: Instant,
     first_answer: OnceLock<Instant>,
     has_survived: AtomicBool,
@@ -50,7 +50,7 @@
             suspects: suspects.clone(),
             service: request.service.clone(),
             fingerprint: request.fingerprint,
-            picked,
+            picked: Box::new(picked),
             started: Instant::now(),
             first_answer: OnceLock::new(),
             has_survived: AtomicBool::new(false),
@@ -93,6 +93,12 @@
         self.services.finish(&self.service, self.picked.key, outcome);
     }
 
+    /// Frees the slot of a request that was not sent.
+    pub fn cancel(mut self) {
+        self.is_released = true;
+        self.services.cancel(self.picked.key);
+    }
+
     /// Frees the slot after the target broke off a request that it may have run.
     pub fn release_broken(self) {
         self.check_target();
--- a/crates/bilberryloft-relay/src/trial_slot.rs
+++ b/crates/bilberryloft-relay/src/trial_slot.rs
@@ -32,7 +32,7 @@
             decided => return decided.map(|trial| (slot, trial)),
         }
         taken.push(slot.picked().key);
-        drop(slot);
+        slot.cancel();
         // The trial of another copy usually shows within a moment that the request is innocent.
         tokio::time::sleep(TRIAL_POLL_INTERVAL).await;
         slot = match state.pick_for_retry(request, &taken) {
--- /dev/null
+++ b/crates/bilberryloft-routing/src/selection.rs
@@ -0,0 +1,125 @@
+//! Inputs and results of target selection.
+
+use crate::target_limits::AppliedLimit;
+use crate::target_limits::LimitState;
+use crate::target_limits::LimitedWait;
+use crate::target_limits::wait_ms;
+
+/// Index of a target in a table of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TargetKey(pub(crate) usize);
+
+/// Limits on the load of a target that may be picked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PickLimits {
+    /// Requests that each target may have, if that is fewer than its slots.
+    pub load_max: Option<u32>,
+    /// Requests that may wait at a target in addition to its slots, if `load_max` is `None`.
+    pub queue_max: u32,
+    /// Requests that this entry may have at one target: its share of the target's connections.
+    pub own_load_max: u32,
+    /// Time of a rank's forward pass without requests, in units of the time that one request adds; 0 for a plain
+    /// service.
+    pub idle_load: f64,
+}
+
+impl PickLimits {
+    /// Returns the number of requests that a target with this number of slots may have.
+    pub fn load_max(&self, slots: u32) -> u32 {
+        self.load_max.unwrap_or(slots + self.queue_max)
+    }
+}
+
+/// A target that was picked, with the load on which the decision was based.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PickedTarget {
+    /// Index in the table.
+    pub key: TargetKey,
+    /// Name of the target.
+    pub id: String,
+    /// Incarnation of the target.
+    pub incarnation: u64,
+    /// Address of the target.
+    pub address: String,
+    /// This entry's requests at the target, without the new one.
+    pub own_load: u32,
+    /// Other entries' requests at the target, as last reported.
+    pub others_load: u32,
+    /// Number of targets that were considered.
+    pub candidates: usize,
+    /// Limit of the target that the request counts against.
+    pub limit: Option<AppliedLimit>,
+}
+
+/// Reason for which no target was picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTarget {
+    /// The service has no eligible target.
+    Absent,
+    /// All targets have reached their load limit, or some that and the others the limits that they name.
+    Full,
+    /// All targets have reached the limits that they name.
+    Limited(LimitedWait),
+}
+
+/// Returns the number of connections that each entry may have to a target that accepts `connections_max` in total.
+pub fn connection_share(connections_max: usize, entries: usize) -> usize {
+    (connections_max / entries.max(1)).max(1)
+}
+
+/// Reason for which a stream is not moved to another rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoMigration {
+    /// The rank does not slow down its group.
+    NotSlow,
+    /// No other rank has a free slot, or the retry budget is used up; both may change soon.
+    NoSlot,
+}
+
+/// Candidates that name limits.
+#[derive(Debug, Default)]
+pub struct LimitedCandidates {
+    count: usize,
+    first_ms: Option<u64>,
+    own_rate_per_s: f64,
+    others_rate_per_s: f64,
+}
+
+impl LimitedCandidates {
+    /// Adds a candidate if it names a limit; returns whether it does.
+    pub fn add(&mut self, state: LimitState) -> bool {
+        match state {
+            LimitState::Unlimited => return false,
+            LimitState::Limited { wait_ms, rate_per_s } => {
+                self.first_ms = Some(self.first_ms.map_or(wait_ms, |it| it.min(wait_ms)));
+                self.own_rate_per_s += rate_per_s;
+            }
+            LimitState::NoPart { rate_per_s } => self.others_rate_per_s += rate_per_s,
+        }
+        self.count += 1;
+        true
+    }
+
+    /// Returns why none of the candidates was picked.
+    pub fn no_target(&self, candidates: usize) -> NoTarget {
+        match candidates {
+            0 => NoTarget::Absent,
+            _ if self.count < candidates => NoTarget::Full,
+            _ => NoTarget::Limited(self.wait()),
+        }
+    }
+
+    /// Returns the wait for the first of the candidates.
+    pub fn wait(&self) -> LimitedWait {
+        match self.first_ms {
+            Some(first_ms) => {
+                let interval_ms = wait_ms(1.0, self.own_rate_per_s);
+                LimitedWait { has_part: true, first_ms, interval_ms }
+            }
+            None => {
+                let interval_ms = wait_ms(1.0, self.others_rate_per_s);
+                LimitedWait { has_part: false, first_ms: interval_ms, interval_ms }
+            }
+        }
+    }
+}
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -6,10 +6,19 @@
 use crate::failing::is_ejected;
 use crate::failing::penalty;
 use crate::failing::should_report;
+use crate::selection::LimitedCandidates;
+use crate::selection::NoMigration;
+use crate::selection::NoTarget;
+use crate::selection::PickLimits;
+use crate::selection::PickedTarget;
+use crate::selection::TargetKey;
+use crate::sharing_entries::ACTIVE_MS;
 use crate::slow_ranks::SlowRanks;
 use crate::slow_ranks::load_max;
 use crate::slow_ranks::pass_cost;
 use crate::slow_ranks::should_migrate;
+use crate::target_limits::LimitedWait;
+use crate::target_limits::TargetLimits;
 
 /// Time for which a target that no longer announces itself is still used after its last answer, in milliseconds. It
 /// may only have lost its connection to the control hosts.
@@ -23,15 +32,9 @@
 /// Time for which a target is excluded after another one answered at its address, in milliseconds. Within that time,
 /// the control hosts notice that it no longer announces itself.
 const MISDIRECTED_EXCLUSION_MS: u64 = 4_000;
-/// Time for which another entry's report is valid, in milliseconds.
-const ENTRY_REPORT_VALID_MS: u64 = 1_500;
 /// Number of requests by which a target in the entry's data centre may be busier and still be preferred.
 const SAME_DATA_CENTER_BONUS: f64 = 0.4;
 
-/// Index of a target in a [`TargetTable`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct TargetKey(usize);
-
 /// Description and state of a target, as the control hosts know it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetInfo {
@@ -126,66 +129,6 @@
     failure_rates: BTreeMap<String, f64>,
 }
 
-/// Limits on the load of a target that may be picked.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PickLimits {
-    /// Requests that each target may have, if that is fewer than its slots.
-    pub load_max: Option<u32>,
-    /// Requests that may wait at a target in addition to its slots, if `load_max` is `None`.
-    pub queue_max: u32,
-    /// Requests that this entry may have at one target: its share of the target's connections.
-    pub own_load_max: u32,
-    /// Time of a rank's forward pass without requests, in units of the time that one request adds; 0 for a plain
-    /// service.
-    pub idle_load: f64,
-}
-
-impl PickLimits {
-    fn load_max(&self, slots: u32) -> u32 {
-        self.load_max.unwrap_or(slots + self.queue_max)
-    }
-}
-
-/// A target that was picked, with the load on which the decision was based.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PickedTarget {
-    /// Index in the table.
-    pub key: TargetKey,
-    /// Name of the target.
-    pub id: String,
-    /// Address of the target.
-    pub address: String,
-    /// This entry's requests at the target, without the new one.
-    pub own_load: u32,
-    /// Other entries' requests at the target, as last reported.
-    pub others_load: u32,
-    /// Number of targets that were considered.
-    pub candidates: usize,
-}
-
-/// Reason for which no target was picked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoTarget {
-    /// The service has no eligible target.
-    Absent,
-    /// All targets have reached their load limit.
-    Full,
-}
-
-/// Returns the number of connections that each entry may have to a target that accepts `connections_max` in total.
-pub fn connection_share(connections_max: usize, entries: usize) -> usize {
-    (connections_max / entries.max(1)).max(1)
-}
-
-/// Reason for which a stream is not moved to another rank.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoMigration {
-    /// The rank does not slow down its group.
-    NotSlow,
-    /// No other rank has a free slot, or the retry budget is used up; both may change soon.
-    NoSlot,
-}
-
 /// All targets that one entry knows, with their load and health.
 #[derive(Debug, Default)]
 pub struct TargetTable {
@@ -195,6 +138,8 @@
     by_service: BTreeMap<String, Vec<TargetKey>>,
     entries: BTreeMap<String, EntryReport>,
     slow_ranks: SlowRanks,
+    /// Limits that targets name on their requests.
+    pub limits: TargetLimits,
 }
 
 impl TargetTable {
@@ -263,7 +208,7 @@
     /// Removes entries whose reports have expired; returns the number of entries, including this one.
     pub fn expire_entries(&mut self, now_ms: u64) -> usize {
         let before = self.entries.len();
-        self.entries.retain(|_, it| it.received_ms + ENTRY_REPORT_VALID_MS > now_ms);
+        self.entries.retain(|_, it| it.received_ms + ACTIVE_MS > now_ms);
         if self.entries.len() != before {
             self.sum_others(now_ms);
         }
@@ -275,9 +220,7 @@
             target.others_load = 0;
             target.others_failure_rate = 0.0;
         }
-        for entry in
-            self.entries.values().filter(|it| it.received_ms + ENTRY_REPORT_VALID_MS > now_ms)
-        {
+        for entry in self.entries.values().filter(|it| it.received_ms + ACTIVE_MS > now_ms) {
             for (id, load) in &entry.loads {
                 if let Some(key) = self.by_id.get(id) {
                     self.targets[key.0].others_load += load;
@@ -351,6 +294,7 @@
         let candidates = self.candidates(service, tried, now_ms);
         let fastest = fastest(&candidates);
         let mut in_backoff = None;
+        let mut limited = LimitedCandidates::default();
         let mut best: Option<(f64, TargetKey)> = None;
         for (key, slowness) in candidates.iter().copied() {
             let target = &self.targets[key.0];
@@ -360,35 +304,70 @@
             if target.load() >= load_max || target.own_load >= limits.own_load_max {
                 continue;
             }
+            let limit = self.limits.state(&target.info.id, target.info.incarnation, now_ms);
+            if !limit.may_send() {
+                limited.add(limit);
+                continue;
+            }
             if target.backoff_until_ms > now_ms {
                 let sooner =
                     in_backoff.is_none_or(|(until_ms, _)| target.backoff_until_ms < until_ms);
                 in_backoff = if sooner { Some((target.backoff_until_ms, key)) } else { in_backoff };
                 continue;
             }
-            let is_same_data_center = target.info.data_center == self.data_center;
-            let bonus = if is_same_data_center { SAME_DATA_CENTER_BONUS } else { 0.0 };
             let pass_cost = pass_cost(limits.idle_load, target.load(), slowness);
-            let score = pass_cost + penalty(target.failure_rate(now_ms)) - bonus + 0.3 * draw();
+            let score = pass_cost + self.preference(target, now_ms) + 0.3 * draw();
             if best.is_none_or(|it| score < it.0) {
                 best = Some((score, key));
             }
         }
         let chosen = best.map(|it| it.1).or(in_backoff.map(|it| it.1));
-        let Some(key) = chosen else {
-            return Err(if candidates.is_empty() { NoTarget::Absent } else { NoTarget::Full });
-        };
+        let count = candidates.len();
+        match chosen {
+            Some(key) => Ok(self.reserve(key, count, now_ms)),
+            None => Err(limited.no_target(count)),
+        }
+    }
+
+    /// Returns the part of a target's score that does not depend on its load.
+    fn preference(&self, target: &Target, now_ms: u64) -> f64 {
+        let is_same_data_center = target.info.data_center == self.data_center;
+        let bonus = if is_same_data_center { SAME_DATA_CENTER_BONUS } else { 0.0 };
+        penalty(target.failure_rate(now_ms)) - bonus
+    }
+
+    /// Counts one more request at a target, also against its limit.
+    fn reserve(&mut self, key: TargetKey, candidates: usize, now_ms: u64) -> PickedTarget {
         let target = &mut self.targets[key.0];
+        let incarnation = target.info.incarnation;
         let picked = PickedTarget {
             key,
             id: target.info.id.clone(),
+            incarnation,
             address: target.info.address.clone(),
             own_load: target.own_load,
             others_load: target.others_load,
-            candidates: candidates.len(),
+            candidates,
+            limit: self.limits.take(&target.info.id, incarnation, now_ms),
         };
         target.own_load += 1;
-        Ok(picked)
+        picked
+    }
+
+    /// Returns the wait for a target if all targets of a service name limits; it is 0 if one may get a request now.
+    pub fn limited_wait(&self, service: &str, now_ms: u64) -> Option<LimitedWait> {
+        if self.limits.is_empty() {
+            return None;
+        }
+        let candidates = self.candidates(service, &[], now_ms);
+        let mut limited = LimitedCandidates::default();
+        for (key, _) in &candidates {
+            let info = &self.targets[key.0].info;
+            if !limited.add(self.limits.state(&info.id, info.incarnation, now_ms)) {
+                return None;
+            }
+        }
+        (!candidates.is_empty()).then(|| limited.wait())
     }
 
     /// Picks another rank with a free slot for a stream whose rank is so slow that it slows down the group.
@@ -424,6 +403,13 @@
         keys.map(|it| (it, self.slow_ranks.slowness(&self.targets[it.0].info.id, now_ms))).collect()
     }
 
+    /// Takes back a pick whose request was not sent.
+    pub fn cancel(&mut self, key: TargetKey) {
+        let target = &mut self.targets[key.0];
+        target.own_load = target.own_load.saturating_sub(1);
+        self.limits.refund(&target.info.id);
+    }
+
     /// Removes a finished request from its target's load and records the outcome.
     pub fn finish(&mut self, key: TargetKey, outcome: AttemptOutcome, now_ms: u64) {
         let target = &mut self.targets[key.0];
--- a/crates/bilberryloft-routing/src/wait_queue.rs
+++ b/crates/bilberryloft-routing/src/wait_queue.rs
@@ -41,8 +41,12 @@
     /// Returns the estimated wait of a new request with this priority, in milliseconds; very large while no request
     /// has finished yet.
     pub fn expected_wait_ms(&self, priority: u8) -> f64 {
-        let ahead = self.tickets.iter().filter(|it| it.priority <= priority).count();
-        (ahead + 1) as f64 / self.finished_per_ms.max(1e-9)
+        (self.ahead(priority) + 1) as f64 / self.finished_per_ms.max(1e-9)
+    }
+
+    /// Returns the number of requests that a new one with this priority would wait for.
+    pub fn ahead(&self, priority: u8) -> usize {
+        self.tickets.iter().filter(|it| it.priority <= priority).count()
     }
 
     /// Adds a request to the queue.
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -14,12 +14,12 @@
 use bilberryloft_routing::retry_budget::BudgetLimits;
 use bilberryloft_routing::retry_budget::RetryBudget;
 use bilberryloft_routing::retry_budget::RetryPurpose;
+use bilberryloft_routing::selection::NoTarget;
+use bilberryloft_routing::selection::PickLimits;
+use bilberryloft_routing::selection::connection_share;
 use bilberryloft_routing::targets::AttemptOutcome;
-use bilberryloft_routing::targets::NoTarget;
-use bilberryloft_routing::targets::PickLimits;
 use bilberryloft_routing::targets::TargetInfo;
 use bilberryloft_routing::targets::TargetTable;
-use bilberryloft_routing::targets::connection_share;
 use bilberryloft_routing::wait_queue::WaitQueue;
 use quickcheck::quickcheck;
 
--- a/crates/bilberryloft-routing/tests/outlier_ejection.rs
+++ b/crates/bilberryloft-routing/tests/outlier_ejection.rs
@@ -6,8 +6,8 @@
 
 mod support;
 
+use bilberryloft_routing::selection::PickLimits;
 use bilberryloft_routing::targets::AttemptOutcome;
-use bilberryloft_routing::targets::PickLimits;
 use bilberryloft_routing::targets::TargetTable;
 
 const LIMITS: PickLimits =
--- a/crates/bilberryloft-routing/tests/slow_ranks.rs
+++ b/crates/bilberryloft-routing/tests/slow_ranks.rs
@@ -5,13 +5,13 @@
 
 use std::collections::BTreeMap;
 
+use bilberryloft_routing::selection::NoMigration;
+use bilberryloft_routing::selection::PickLimits;
+use bilberryloft_routing::selection::PickedTarget;
 use bilberryloft_routing::slow_ranks::SlowRanks;
 use bilberryloft_routing::slow_ranks::load_max;
 use bilberryloft_routing::slow_ranks::pass_cost;
 use bilberryloft_routing::targets::AttemptOutcome;
-use bilberryloft_routing::targets::NoMigration;
-use bilberryloft_routing::targets::PickLimits;
-use bilberryloft_routing::targets::PickedTarget;
 use bilberryloft_routing::targets::TargetTable;
 
 const RANKS: usize = 16;
