An entry that has just started does not take the connections of all entries

For 800 ms it now assumes 16 entries, or those that it has heard and that these have heard. Same class as LIMIT: a bound over all entries that each computes from what it alone knows.

Test: entry_that_has_heard_no_other_yet_assumes_many; before, the count was 1.

--- a/crates/bilberryloft-relay/src/entries.rs
+++ b/crates/bilberryloft-relay/src/entries.rs
@@ -19,6 +19,7 @@
 /// Entries that share bounds with this one, and whether a quorum answers it.
 pub struct Entries {
     own: String,
+    started_ms: u64,
     sharing: Mutex<SharingEntries>,
     active: AtomicUsize,
     view: Arc<View>,
@@ -29,6 +30,7 @@
     pub fn new(daemon: &Shared) -> Entries {
         Entries {
             own: daemon.settings.daemon.clone(),
+            started_ms: monotonic_ms(),
             sharing: Mutex::default(),
             active: AtomicUsize::new(1),
             view: daemon.view.clone(),
@@ -51,6 +53,11 @@
         self.sharing.lock().count(monotonic_ms())
     }
 
+    /// Returns the same for a bound of which each entry has a part at any time, also before it has heard the others.
+    pub fn count_from_start(&self) -> usize {
+        self.sharing.lock().count_from_start(self.started_ms, monotonic_ms())
+    }
+
     /// Returns the number of entries that this one has heard itself, including itself.
     pub fn heard_count(&self) -> usize {
         self.sharing.lock().heard_count(monotonic_ms())
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -223,7 +223,7 @@
 
     /// Returns the number of connections that this entry may have to each target of a service.
     pub fn connection_share(&self, service: &str) -> usize {
-        let entries = self.entries.count();
+        let entries = self.entries.count_from_start();
         let routes = self.routes();
         routes.service(service).map_or(1, |it| connection_share(it.connections_max, entries))
     }
--- a/crates/bilberryloft-routing/src/sharing_entries.rs
+++ b/crates/bilberryloft-routing/src/sharing_entries.rs
@@ -13,6 +13,10 @@
 const RETENTION_MS: u64 = 24 * 3_600_000;
 /// Time for which an entry that is not heard any more is still taken to be active, in milliseconds.
 pub const ACTIVE_MS: u64 = 1_500;
+/// Time after the start of an entry in which it hears the others, in milliseconds.
+const HEARING_MS: u64 = 800;
+/// Number of entries that are assumed until then.
+const ENTRIES_BEFORE_HEARING: usize = 16;
 /// Largest number of other entries that are kept. Beyond it, those that were not heard for longest are dropped.
 const ENTRIES_MAX: usize = 1_024;
 
@@ -89,6 +93,15 @@
         self.heard_count(now_ms).max(known)
     }
 
+    /// Returns the same for a bound of which each entry has a part at any time: an entry that has just started and has
+    /// heard no other yet assumes that there are many.
+    pub fn count_from_start(&self, started_ms: u64, now_ms: u64) -> usize {
+        match self.count(now_ms) {
+            1 if now_ms < started_ms + HEARING_MS => ENTRIES_BEFORE_HEARING,
+            count => count,
+        }
+    }
+
     /// Returns the entries that divide a bound among themselves, including this one.
     pub fn members(&self, own: &str, division: Division, now_ms: u64) -> Members {
         let within_ms = match division {
--- a/crates/bilberryloft-routing/tests/sharing_entries.rs
+++ b/crates/bilberryloft-routing/tests/sharing_entries.rs
@@ -24,3 +24,24 @@
     }
     assert_eq!(entries.count(2_000), 1_025);
 }
+
+/// Guards against an entry that takes the connections of all entries to a target in the moment after its start.
+#[test]
+fn entry_that_has_heard_no_other_yet_assumes_many() {
+    let mut entries = SharingEntries::default();
+    assert_eq!(entries.count_from_start(1_000, 1_200), 16);
+    // It hears no other: it is the only one.
+    assert_eq!(entries.count_from_start(1_000, 1_800), 1);
+    entries.record("a", 1_300);
+    assert_eq!(entries.count_from_start(1_000, 1_310), 2);
+}
+
+/// Guards against an entry that starts inside a partition and divides a bound among its side only.
+#[test]
+fn entry_counts_those_that_others_have_heard() {
+    let mut entries = SharingEntries::default();
+    entries.record_known("a", 7, 0);
+    assert_eq!((entries.heard_count(0), entries.count(0)), (2, 7));
+    entries.record_known("a", 2, 400);
+    assert_eq!(entries.count(400), 2);
+}
