Limits: no part for an entry that knows of fewer entries than others, without a quorum

An entry that started while the quorum was away computed its part among those that it had heard, while others still counted entries that had ended, so the parts could add up to more than the limit. Failed before: entry_that_knows_of_fewer_than_others_has_no_part_without_a_quorum.

--- a/crates/bilberryloft-relay/src/entries.rs
+++ b/crates/bilberryloft-relay/src/entries.rs
@@ -77,7 +77,7 @@
             false => Division::Known,
         };
         self.known_count()?;
-        Some(self.sharing.lock().members(&self.own, division, monotonic_ms()))
+        self.sharing.lock().members(&self.own, division, monotonic_ms())
     }
 
     fn is_confirmed(&self) -> bool {
--- a/crates/bilberryloft-routing/src/sharing_entries.rs
+++ b/crates/bilberryloft-routing/src/sharing_entries.rs
@@ -102,15 +102,17 @@
         }
     }
 
-    /// Returns the entries that divide a bound among themselves, including this one.
-    pub fn members(&self, own: &str, division: Division, now_ms: u64) -> Members {
+    /// Returns the entries that divide a bound among themselves, including this one; `None` if others have heard more
+    /// of them, so that this one can't know its part.
+    pub fn members(&self, own: &str, division: Division, now_ms: u64) -> Option<Members> {
         let within_ms = match division {
             Division::Active => ACTIVE_MS,
+            Division::Known if self.heard_count(now_ms) < self.count(now_ms) => return None,
             Division::Known => RETENTION_MS,
         };
         let others = self.heard.iter().filter(|it| it.1.last_ms + within_ms > now_ms);
         let others = others.map(|it| it.0.clone());
-        others.chain([own.to_string()]).collect()
+        Some(others.chain([own.to_string()]).collect())
     }
 }
 
--- a/crates/bilberryloft-routing/tests/sharing_entries.rs
+++ b/crates/bilberryloft-routing/tests/sharing_entries.rs
@@ -1,5 +1,6 @@
 //! How many entries share a bound over all entries.
 
+use bilberryloft_routing::sharing_entries::Division;
 use bilberryloft_routing::sharing_entries::SharingEntries;
 
 const HOUR_MS: u64 = 3_600_000;
@@ -45,3 +46,15 @@
     entries.record_known("a", 2, 400);
     assert_eq!(entries.count(400), 2);
 }
+
+/// Guards against a part that is computed among fewer entries than the others count: an entry that has started while
+/// the quorum was away doesn't know those that others still count.
+#[test]
+fn entry_that_knows_of_fewer_than_others_has_no_part_without_a_quorum() {
+    let mut entries = SharingEntries::default();
+    entries.record_known("a", 3, 0);
+    assert_eq!(entries.members("own", Division::Known, 0), None);
+    assert_eq!(entries.members("own", Division::Active, 0).unwrap().len(), 2);
+    entries.record_known("b", 3, 0);
+    assert_eq!(entries.members("own", Division::Known, 0).unwrap().len(), 3);
+}
--- a/crates/bilberryloft-routing/tests/target_limits.rs
+++ b/crates/bilberryloft-routing/tests/target_limits.rs
@@ -59,7 +59,7 @@
 
     /// Divides the limits anew if other entries share them now.
     fn divide(&mut self, now_ms: u64) {
-        let members = self.sharing.members(&self.name, self.division, now_ms);
+        let members = self.sharing.members(&self.name, self.division, now_ms).unwrap();
         if members != self.members {
             let part = |it: &str, parts_max: usize| own_part(&members, &self.name, it, parts_max);
             self.limits.divide(part, now_ms);
