--- a/crates/bilberryloft-daemon/src/admin/explain.rs
+++ b/crates/bilberryloft-daemon/src/admin/explain.rs
@@ -9,7 +9,7 @@
 use bilberryloft_transport::client::Client;
 use futures_util::StreamExt;
 
-use crate::daemon::Shared;
+use crate::shared::Shared;
 
 /// Time for one daemon to return its records.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/crates/bilberryloft-daemon/src/admin/mod.rs
+++ b/crates/bilberryloft-daemon/src/admin/mod.rs
@@ -32,7 +32,7 @@
 use tower::limit::GlobalConcurrencyLimitLayer;
 
 use crate::control::ControlService;
-use crate::daemon::Shared;
+use crate::shared::Shared;
 
 /// Most calls that are served concurrently, so that operators' scripts can't overload the control thread.
 const CONCURRENT_CALLS_MAX: usize = 64;
--- a/crates/bilberryloft-daemon/src/agent/answer_buffer.rs
+++ b/crates/bilberryloft-daemon/src/agent/answer_buffer.rs
@@ -2,16 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use bilberryloft_protocol::wire::Header;
 use bilberryloft_state::refusal::Reason;
 use bilberryloft_state::refusal::RunState;
+use bilberryloft_transport::clock::monotonic_ms;
 use bytes::Bytes;
 use parking_lot::Mutex;
 use parking_lot::MutexGuard;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+/// Time between checks whether an attempt still has readers.
+const ABANDONED_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How an attempt ended at its agent, as reported to the entry.
 ///
 /// Unlike `bilberryloft_routing::targets::AttemptOutcome`, it is not evidence for a target's health.
@@ -250,3 +255,13 @@
         self.cancelled.subscribe()
     }
 }
+
+/// Returns when the answer has had no reader for `after_ms`.
+pub(super) async fn wait_until_abandoned(buffer: &AnswerBuffer, after_ms: u64) {
+    loop {
+        tokio::time::sleep(ABANDONED_POLL_INTERVAL).await;
+        if buffer.abandoned_since_ms().is_some_and(|since| since + after_ms < monotonic_ms()) {
+            return;
+        }
+    }
+}
--- a/crates/bilberryloft-daemon/src/agent/dispatch.rs
+++ b/crates/bilberryloft-daemon/src/agent/dispatch.rs
@@ -18,8 +18,8 @@
 use crate::agent::Agent;
 use crate::agent::Announcement;
 use crate::agent::AnswerBuffer;
+use crate::agent::answer_buffer::wait_until_abandoned;
 use crate::agent::answer_sender::Refusal;
-use crate::agent::run::wait_until_abandoned;
 use crate::agent::state::QueueResult;
 
 /// Longest wait for the configuration version of a dispatch that is newer than the agent's.
--- a/crates/bilberryloft-daemon/src/agent/run.rs
+++ b/crates/bilberryloft-daemon/src/agent/run.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bilberryloft_coordination::admission::BYTES_PER_TOKEN;
 use bilberryloft_coordination::attempts::AttemptState;
@@ -26,14 +25,13 @@
 use crate::agent::answer_buffer::AnswerBuffer;
 use crate::agent::answer_buffer::AnswerHead;
 use crate::agent::answer_buffer::AttemptOutcome;
+use crate::agent::answer_buffer::wait_until_abandoned;
 use crate::agent::dispatch::Slot;
 use crate::events::Event;
 use crate::log_event;
 
 /// Time for which an idempotent attempt continues after its last reader left, in milliseconds.
 const ABANDONED_AFTER_MS: u64 = 10_000;
-/// Time between checks whether an attempt still has readers.
-const ABANDONED_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Answer headers that belong to one connection and are not forwarded.
 const CONNECTION_HEADERS: [&str; 4] =
     ["connection", "transfer-encoding", "content-length", "keep-alive"];
@@ -218,16 +216,6 @@
     Ok(())
 }
 
-/// Returns when the answer has had no reader for `after_ms`.
-pub(super) async fn wait_until_abandoned(buffer: &AnswerBuffer, after_ms: u64) {
-    loop {
-        tokio::time::sleep(ABANDONED_POLL_INTERVAL).await;
-        if buffer.abandoned_since_ms().is_some_and(|since| since + after_ms < monotonic_ms()) {
-            return;
-        }
-    }
-}
-
 fn build_request(
     dispatch: &Dispatch,
     url: &str,
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -1,18 +1,12 @@
 //! A running daemon: one thread for control calls and state, and a thread pool for traffic.
 
 use std::sync::Arc;
-use std::sync::OnceLock;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bilberryloft_protocol::api::DaemonStatus;
-use bilberryloft_protocol::api::WatcherRow;
 use bilberryloft_protocol::wire;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
-use bilberryloft_state::record::DecisionRecord;
 use bilberryloft_transport::clock::epoch_ms;
 use bilberryloft_transport::clock::monotonic_ms;
 use bilberryloft_transport::server::Server;
@@ -20,26 +14,20 @@
 use tokio::sync::oneshot;
 
 use crate::admin::serve_admin;
-use crate::agent::Agent;
 use crate::agent::AgentService;
 use crate::agent::serve_announcements;
 use crate::agent::spawn_announcer;
 use crate::agent::spawn_expert_map_planner;
-use crate::control::ControlHandle;
 use crate::control::ControlNode;
 use crate::control::ControlService;
-use crate::control::QuorumStatus;
 use crate::control_client::ControlClient;
 use crate::entry::CallerServer;
-use crate::entry::Entry;
 use crate::events::Event;
 use crate::log_event;
-use crate::metrics::Metrics;
 use crate::peer_service::PeerService;
 use crate::settings::ControlSettings;
-use crate::settings::RoleName;
 use crate::settings::Settings;
-use crate::view::View;
+use crate::shared::Shared;
 use crate::view_sync::spawn_view_sync;
 
 /// Time between two checks of the work in flight while the daemon drains.
@@ -55,65 +43,6 @@
 /// Target lease reported to agents by a daemon that is not a control host, in milliseconds.
 const NO_TARGET_LEASE_MS: u64 = 0;
 
-/// State that all roles of a daemon share.
-#[derive(Debug)]
-pub struct Shared {
-    /// Settings of the daemon.
-    pub settings: Settings,
-    /// Incarnation of the daemon: its start time in milliseconds since the Unix epoch.
-    pub incarnation: u64,
-    /// Local copy of the replicated state.
-    pub view: Arc<View>,
-    /// Client of the control hosts.
-    pub control: ControlClient,
-    /// Metrics of the daemon.
-    pub metrics: Arc<Metrics>,
-    /// Entry role, if the daemon has it.
-    pub entry: Option<Arc<Entry>>,
-    /// Agent role, if the daemon has it.
-    pub agent: Option<Arc<Agent>>,
-    /// Handle of the control node, once it has started on a control host.
-    pub control_node: OnceLock<ControlHandle>,
-    is_stopping: AtomicBool,
-}
-
-impl Shared {
-    /// Returns whether the daemon is shutting down.
-    pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::SeqCst)
-    }
-
-    /// Returns the decision records of a request that this daemon keeps.
-    pub fn local_records(&self, request_id: &str) -> Vec<DecisionRecord> {
-        let mut records = Vec::new();
-        if let Some(entry) = &self.entry {
-            records.extend(entry.records_of(request_id));
-        }
-        if let Some(agent) = &self.agent {
-            let encoded = agent.records_of(request_id);
-            records.extend(encoded.iter().filter_map(|it| serde_json::from_slice(it).ok()));
-        }
-        records
-    }
-
-    /// Builds the status of this daemon.
-    pub fn status(&self, quorum: Option<QuorumStatus>, watchers: Vec<WatcherRow>) -> DaemonStatus {
-        let role_name = |role: RoleName| format!("{role:?}").to_lowercase();
-        DaemonStatus {
-            daemon: self.settings.daemon.clone(),
-            roles: self.settings.roles().into_iter().map(role_name).collect(),
-            configuration_version: self.view.configuration().version(),
-            confirmed_age_ms: self.view.confirmed_age_ms(),
-            serving: self.view.may_serve() && !self.is_stopping(),
-            leader: quorum.as_ref().and_then(|it| it.leader_address.clone()),
-            term: quorum.as_ref().map(|it| it.term),
-            commit_index: quorum.as_ref().map(|it| it.commit_index),
-            may_vote: quorum.as_ref().map(|it| it.may_vote),
-            watchers,
-        }
-    }
-}
-
 /// Listeners of the traffic threads.
 #[derive(Default)]
 struct Listeners {
@@ -137,7 +66,7 @@
     /// control host can't be opened.
     pub fn spawn(settings: Settings) -> Result<Daemon> {
         let incarnation = epoch_ms();
-        let shared = Arc::new(build_shared(settings, incarnation)?);
+        let shared = Arc::new(Shared::new(settings, incarnation)?);
         let (stop_control, stopped) = oneshot::channel();
         let (started, control_thread) = spawn_control_thread(shared.clone(), stopped)?;
         let traffic = build_traffic_runtime(shared.settings.traffic_threads)?;
@@ -171,7 +100,7 @@
     pub fn shutdown(mut self) {
         let settings = &self.shared.settings;
         log_event!(info, Event::ShutdownBegan, daemon = settings.daemon);
-        self.shared.is_stopping.store(true, Ordering::SeqCst);
+        self.shared.begin_stop();
         std::thread::sleep(Duration::from_millis(settings.shutdown_notice_ms));
         let deadline_ms = monotonic_ms() + settings.shutdown_max_ms;
         self.stop_entry(deadline_ms);
@@ -234,51 +163,6 @@
     }
 }
 
-fn build_shared(settings: Settings, incarnation: u64) -> Result<Shared> {
-    let view = Arc::new(View::new(settings.configuration_lease_ms, settings.on_lost_control));
-    let new_client = match settings.learn_control_addresses {
-        true => ControlClient::learning,
-        false => ControlClient::new,
-    };
-    let control = new_client(&settings.control_addresses, &settings.daemon, incarnation);
-    let metrics = Metrics::new()
-        .map_err(|it| Error::Json { step: "set up metrics", detail: it.to_string() })?;
-    let metrics = Arc::new(metrics);
-    let entry = settings.entry.clone().map(|it| {
-        Arc::new(Entry::new(
-            it,
-            &settings,
-            incarnation,
-            view.clone(),
-            control.clone(),
-            metrics.clone(),
-        ))
-    });
-    let agent = settings.agent.clone().map(|it| {
-        let (daemon, data_center) = (&settings.daemon, &settings.data_center);
-        Arc::new(Agent::new(
-            it,
-            daemon,
-            data_center,
-            incarnation,
-            view.clone(),
-            control.clone(),
-            metrics.clone(),
-        ))
-    });
-    Ok(Shared {
-        settings,
-        incarnation,
-        view,
-        control,
-        metrics,
-        entry,
-        agent,
-        control_node: OnceLock::new(),
-        is_stopping: AtomicBool::new(false),
-    })
-}
-
 type StartReceiver = oneshot::Receiver<Result<()>>;
 
 fn spawn_control_thread(
--- a/crates/bilberryloft-daemon/src/entry/join.rs
+++ b/crates/bilberryloft-daemon/src/entry/join.rs
@@ -11,12 +11,12 @@
 
 use crate::entry::answer_reader::AnswerReader;
 use crate::entry::answer_reader::AttemptRef;
-use crate::entry::attempt::NO_TARGET_RETRY_AFTER_MS;
-use crate::entry::attempt::RESOLVE_TIMEOUT_AT_MOST_ONCE;
-use crate::entry::attempt::StartedAnswer;
-use crate::entry::attempt::read_answer_start;
 use crate::entry::claims::HeldClaim;
 use crate::entry::request::ParsedRequest;
+use crate::entry::started_answer::NO_TARGET_RETRY_AFTER_MS;
+use crate::entry::started_answer::RESOLVE_TIMEOUT_AT_MOST_ONCE;
+use crate::entry::started_answer::StartedAnswer;
+use crate::entry::started_answer::read_answer_start;
 use crate::entry::state::Entry;
 
 /// Result of joining the attempt that holds a claim.
--- a/crates/bilberryloft-daemon/src/entry/mod.rs
+++ b/crates/bilberryloft-daemon/src/entry/mod.rs
@@ -12,6 +12,7 @@
 mod response;
 mod resume;
 mod server;
+mod started_answer;
 mod state;
 mod trial;
 
--- a/crates/bilberryloft-daemon/src/entry/response.rs
+++ b/crates/bilberryloft-daemon/src/entry/response.rs
@@ -15,7 +15,7 @@
 
 use crate::entry::answer_reader::AnswerPart;
 use crate::entry::answer_reader::AnswerReader;
-use crate::entry::attempt::StartedAnswer;
+use crate::entry::started_answer::StartedAnswer;
 use crate::entry::state::Entry;
 use crate::entry::state::OpenRequest;
 use crate::events::Event;
--- a/crates/bilberryloft-daemon/src/entry/resume.rs
+++ b/crates/bilberryloft-daemon/src/entry/resume.rs
@@ -11,8 +11,8 @@
 
 use crate::entry::answer_reader::AnswerReader;
 use crate::entry::answer_reader::AttemptRef;
-use crate::entry::attempt::StartedAnswer;
-use crate::entry::attempt::read_answer_start;
+use crate::entry::started_answer::StartedAnswer;
+use crate::entry::started_answer::read_answer_start;
 use crate::entry::state::Entry;
 
 /// Position in a stream, encoded in the id of each event.
--- a/crates/bilberryloft-daemon/src/entry/server.rs
+++ b/crates/bilberryloft-daemon/src/entry/server.rs
@@ -29,7 +29,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::entry::attempt::StartedAnswer;
 use crate::entry::request::ParsedRequest;
 use crate::entry::request::RawRequest;
 use crate::entry::request::header_text;
@@ -39,6 +38,7 @@
 use crate::entry::response::refusal_response;
 use crate::entry::response::streamed_response;
 use crate::entry::resume::EventId;
+use crate::entry::started_answer::StartedAnswer;
 use crate::entry::state::Entry;
 use crate::entry::state::OpenRequest;
 
--- a/crates/bilberryloft-daemon/src/lib.rs
+++ b/crates/bilberryloft-daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod peer_service;
 pub mod settings;
+pub mod shared;
 pub mod trial;
 pub mod view;
 pub mod view_sync;
--- a/crates/bilberryloft-daemon/src/peer_service.rs
+++ b/crates/bilberryloft-daemon/src/peer_service.rs
@@ -14,7 +14,7 @@
 use bilberryloft_transport::server::Responder;
 
 use crate::control::ControlService;
-use crate::daemon::Shared;
+use crate::shared::Shared;
 
 /// Time for another daemon to return its decision records.
 const EXPLAIN_TIMEOUT: Duration = Duration::from_millis(800);
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/shared.rs
@@ -0,0 +1,132 @@
+//! State that all roles of a daemon share.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use bilberryloft_protocol::api::DaemonStatus;
+use bilberryloft_protocol::api::WatcherRow;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use bilberryloft_state::record::DecisionRecord;
+
+use crate::agent::Agent;
+use crate::control::ControlHandle;
+use crate::control::QuorumStatus;
+use crate::control_client::ControlClient;
+use crate::entry::Entry;
+use crate::metrics::Metrics;
+use crate::settings::RoleName;
+use crate::settings::Settings;
+use crate::view::View;
+
+/// State that all roles of a daemon share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings of the daemon.
+    pub settings: Settings,
+    /// Incarnation of the daemon: its start time in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Local copy of the replicated state.
+    pub view: Arc<View>,
+    /// Client of the control hosts.
+    pub control: ControlClient,
+    /// Metrics of the daemon.
+    pub metrics: Arc<Metrics>,
+    /// Entry role, if the daemon has it.
+    pub entry: Option<Arc<Entry>>,
+    /// Agent role, if the daemon has it.
+    pub agent: Option<Arc<Agent>>,
+    /// Handle of the control node, once it has started on a control host.
+    pub control_node: OnceLock<ControlHandle>,
+    is_stopping: AtomicBool,
+}
+
+impl Shared {
+    /// Creates the state of all roles; fails if two metrics have the same name.
+    pub fn new(settings: Settings, incarnation: u64) -> Result<Shared> {
+        let view = Arc::new(View::new(settings.configuration_lease_ms, settings.on_lost_control));
+        let new_client = match settings.learn_control_addresses {
+            true => ControlClient::learning,
+            false => ControlClient::new,
+        };
+        let control = new_client(&settings.control_addresses, &settings.daemon, incarnation);
+        let metrics = Metrics::new()
+            .map_err(|it| Error::Json { step: "set up metrics", detail: it.to_string() })?;
+        let metrics = Arc::new(metrics);
+        let entry = settings.entry.clone().map(|it| {
+            Arc::new(Entry::new(
+                it,
+                &settings,
+                incarnation,
+                view.clone(),
+                control.clone(),
+                metrics.clone(),
+            ))
+        });
+        let agent = settings.agent.clone().map(|it| {
+            let (daemon, data_center) = (&settings.daemon, &settings.data_center);
+            Arc::new(Agent::new(
+                it,
+                daemon,
+                data_center,
+                incarnation,
+                view.clone(),
+                control.clone(),
+                metrics.clone(),
+            ))
+        });
+        Ok(Shared {
+            settings,
+            incarnation,
+            view,
+            control,
+            metrics,
+            entry,
+            agent,
+            control_node: OnceLock::new(),
+            is_stopping: AtomicBool::new(false),
+        })
+    }
+
+    /// Returns whether the daemon is shutting down.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::SeqCst)
+    }
+
+    /// Records that the daemon is shutting down.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the decision records of a request that this daemon keeps.
+    pub fn local_records(&self, request_id: &str) -> Vec<DecisionRecord> {
+        let mut records = Vec::new();
+        if let Some(entry) = &self.entry {
+            records.extend(entry.records_of(request_id));
+        }
+        if let Some(agent) = &self.agent {
+            let encoded = agent.records_of(request_id);
+            records.extend(encoded.iter().filter_map(|it| serde_json::from_slice(it).ok()));
+        }
+        records
+    }
+
+    /// Builds the status of this daemon.
+    pub fn status(&self, quorum: Option<QuorumStatus>, watchers: Vec<WatcherRow>) -> DaemonStatus {
+        let role_name = |role: RoleName| format!("{role:?}").to_lowercase();
+        DaemonStatus {
+            daemon: self.settings.daemon.clone(),
+            roles: self.settings.roles().into_iter().map(role_name).collect(),
+            configuration_version: self.view.configuration().version(),
+            confirmed_age_ms: self.view.confirmed_age_ms(),
+            serving: self.view.may_serve() && !self.is_stopping(),
+            leader: quorum.as_ref().and_then(|it| it.leader_address.clone()),
+            term: quorum.as_ref().map(|it| it.term),
+            commit_index: quorum.as_ref().map(|it| it.commit_index),
+            may_vote: quorum.as_ref().map(|it| it.may_vote),
+            watchers,
+        }
+    }
+}
--- a/crates/bilberryloft-relay/src/entries.rs
+++ b/crates/bilberryloft-relay/src/entries.rs
@@ -4,9 +4,9 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
-use bilberryloft_daemon::daemon::Shared;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
+use bilberryloft_daemon::shared::Shared;
 use bilberryloft_daemon::view::View;
 use bilberryloft_routing::sharing_entries::Division;
 use bilberryloft_routing::sharing_entries::Members;
--- a/crates/bilberryloft-relay/src/expert_planner/change.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/change.rs
@@ -10,8 +10,8 @@
 
 use crate::dialect::RankOrder;
 use crate::expert_planner::Planner;
-use crate::expert_planner::RankSnapshot;
 use crate::expert_planner::STALL_MS;
+use crate::expert_planner::rank_snapshot::RankSnapshot;
 use crate::rank_client::OrderOutcome;
 use crate::rank_client::RankClient;
 use crate::rank_client::order_timeout;
--- a/crates/bilberryloft-relay/src/expert_planner/group.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/group.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::dialect::RankReport;
-use crate::expert_planner::RankSnapshot;
+use crate::expert_planner::rank_snapshot::RankSnapshot;
 
 /// Half-life of the counts of chosen experts, in milliseconds.
 const POPULARITY_HALF_LIFE_MS: u64 = 500;
--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -7,6 +7,7 @@
 
 mod change;
 mod group;
+mod rank_snapshot;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -23,13 +24,12 @@
 use futures_util::future::join_all;
 use tokio::time::Instant;
 
-use crate::dialect::ExpertCounts;
 use crate::dialect::RankOrder;
-use crate::dialect::RankReport;
 use crate::expert_planner::change::ArmOutcome;
 use crate::expert_planner::change::Change;
 use crate::expert_planner::group::Group;
 use crate::expert_planner::group::PendingMap;
+use crate::expert_planner::rank_snapshot::RankSnapshot;
 use crate::rank_client::OrderOutcome;
 use crate::rank_client::RankClient;
 use crate::rank_client::short_order_timeout;
@@ -79,13 +79,6 @@
     version: u64,
 }
 
-/// State of a rank as read in one poll.
-struct RankSnapshot {
-    client: Arc<RankClient>,
-    report: RankReport,
-    counts: Option<ExpertCounts>,
-}
-
 impl Planner {
     async fn run(mut self) {
         loop {
--- a/crates/bilberryloft-relay/src/limits.rs
+++ b/crates/bilberryloft-relay/src/limits.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bilberryloft_daemon::daemon::Shared;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
 use bilberryloft_daemon::metrics::Metrics;
+use bilberryloft_daemon::shared::Shared;
 use bilberryloft_routing::limit_backlog::LimitBacklog;
 use bilberryloft_routing::selection::PickedTarget;
 use bilberryloft_routing::sharing_entries::Members;
--- a/crates/bilberryloft-relay/src/retries.rs
+++ b/crates/bilberryloft-relay/src/retries.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use bilberryloft_daemon::daemon::Shared;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
 use bilberryloft_daemon::metrics::Metrics;
+use bilberryloft_daemon::shared::Shared;
 use bilberryloft_routing::retry_budget::BudgetLimits;
 use bilberryloft_routing::retry_budget::RetryBudget;
 use bilberryloft_routing::retry_budget::RetryPurpose;
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bilberryloft_daemon::daemon::Shared;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
+use bilberryloft_daemon::shared::Shared;
 use bilberryloft_routing::batch_limit::batch_limit;
 use bilberryloft_routing::document::Engine;
 use bilberryloft_routing::retry_budget::BudgetLimits;
