Suspects: rounds that follow each other too fast to refuse anything count for less

A round that begins within 500 ms of the one before weighs two thirds until the request runs on trial. A request that is sent again at once is refused after five lost targets in place of four.

Failed before: request_beside_fast_ends_of_targets_runs_after_four_rounds.

--- a/crates/bilberryloft-coordination/src/run_permission.rs
+++ b/crates/bilberryloft-coordination/src/run_permission.rs
@@ -4,23 +4,23 @@
 //! ended it ends the next one, too, while the others are answered sooner or later, which clears them. So a request is
 //! refused only after targets have ended under it several times in a row, more often than a caller's request is usually
 //! run. Before that, only one copy of it runs at a time: many copies that run at once may end with many targets at
-//! once, which shows little. A request that was being answered when its target ended is less likely to have ended it.
+//! once, which shows little. A request that was being answered when its target ended is less likely to have ended it,
+//! and so is one whose targets ended fast one after the other, before entries could refuse what ended them.
 
+use bilberryloft_state::suspect::LOST_TARGETS_ON_TRIAL;
 use bilberryloft_state::suspect::Rounds;
 use bilberryloft_state::suspect::Suspect;
 
-/// Weight of a round of lost targets.
+/// Weight of a strong round of lost targets.
 const ROUND_WEIGHT: usize = 3;
-/// Weight of a round in which the request had been answered in part, which speaks for it.
-const ANSWERED_ROUND_WEIGHT: usize = 2;
+/// Weight of a weak round.
+const WEAK_ROUND_WEIGHT: usize = 2;
 /// Weight of all rounds from which on a request is refused.
 const REFUSED_WEIGHT: usize = 4 * ROUND_WEIGHT;
 /// The same for a request that has ended with [`MANY_LOST_TARGETS`] or more.
 const REFUSED_AFTER_MANY_WEIGHT: usize = 3 * ROUND_WEIGHT;
 /// Number of lost targets from which on less weight suffices.
 const MANY_LOST_TARGETS: usize = 6;
-/// Number of lost targets from which on a request runs only on trial.
-const LOST_TARGETS_ON_TRIAL: usize = 3;
 
 /// What is known about a request at the time of the decision.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -59,7 +59,7 @@
         MANY_LOST_TARGETS.. => REFUSED_AFTER_MANY_WEIGHT,
     };
     let rounds = history.rounds;
-    let weight = rounds.unanswered * ROUND_WEIGHT + rounds.answered * ANSWERED_ROUND_WEIGHT;
+    let weight = rounds.strong * ROUND_WEIGHT + rounds.weak * WEAK_ROUND_WEIGHT;
     if weight >= refused_weight {
         RunPermission::Refuse
     } else if history.lost_targets >= LOST_TARGETS_ON_TRIAL {
--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -38,7 +38,7 @@
 
 /// `unrecorded` is the number of rounds that only the entry knows of.
 fn permission(suspects: &Suspects, fingerprint: i64, unrecorded: usize) -> RunPermission {
-    let rounds = Rounds { unanswered: unrecorded, answered: 0 };
+    let rounds = Rounds { strong: unrecorded, weak: 0 };
     let unrecorded = RunHistory { lost_targets: unrecorded, rounds };
     decide(RunHistory::new(suspects.get(fingerprint), unrecorded))
 }
@@ -140,6 +140,36 @@
     assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Refuse);
 }
 
+/// Records that targets ended under a request at the given times.
+fn suspects_after_ends_at(ends_ms: &[u64]) -> Suspects {
+    let mut suspects = Suspects::default();
+    for (number, end_ms) in ends_ms.iter().enumerate() {
+        let run = LostRun { started_ago_ms: 10, ..lost(&format!("t{number}"), INNOCENT) };
+        suspects.report_runs(&[run], &[], *end_ms);
+    }
+    suspects
+}
+
+/// Guards against refusing a request that came back twice to targets which several others ended in the same moment, as
+/// in soak seed 860.
+#[test]
+fn request_beside_fast_ends_of_targets_runs_after_four_rounds() {
+    let suspects = suspects_after_ends_at(&[1_000, 1_160, 2_750, 2_854]);
+    assert_eq!(suspects.get(INNOCENT).unwrap().rounds().count(), 4);
+    assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Trial);
+}
+
+/// Guards against sending a request on and on that is sent again at once each time: on trial, each end counts in full.
+#[test]
+fn request_that_ends_targets_fast_is_refused_after_five() {
+    let ends_ms = [1_000, 1_050, 1_100, 1_150, 1_200];
+    assert_eq!(
+        permission(&suspects_after_ends_at(&ends_ms[..4]), INNOCENT, 0),
+        RunPermission::Trial
+    );
+    assert_eq!(permission(&suspects_after_ends_at(&ends_ms), INNOCENT, 0), RunPermission::Refuse);
+}
+
 #[test]
 fn request_that_a_target_survived_is_cleared() {
     let mut suspects = suspects_after(3, &[INNOCENT]);
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -140,7 +140,7 @@
             ?permission,
             lost_targets = ?names,
             rounds = history.rounds.count(),
-            answered_rounds = history.rounds.answered,
+            weak_rounds = history.rounds.weak,
             age_ms = lost_targets.last().map(|it| epoch_ms().saturating_sub(it.lost_ms)),
             unrecorded = history.lost_targets.saturating_sub(lost_targets.len()),
             confirmed_age_ms = self.view.confirmed_age_ms()
--- a/crates/bilberryloft-state/src/suspect.rs
+++ b/crates/bilberryloft-state/src/suspect.rs
@@ -16,6 +16,10 @@
 /// Number of lost targets from which on a suspect is sent to all entries. Most requests that were running when a target
 /// ended never come near it.
 const LISTED_LOST_TARGETS: usize = 2;
+/// Number of lost targets from which on a suspect runs only on trial.
+pub const LOST_TARGETS_ON_TRIAL: usize = 3;
+/// Time in which all entries learn of the end of a target and of what it ran, in milliseconds.
+const KNOWN_AFTER_MS: u64 = 500;
 /// Time after which a trial counts as ended if its end was not reported, in milliseconds.
 pub const TRIAL_MAX_MS: u64 = 300_000;
 /// The same for a request that entries send to targets themselves, which no agent holds for long.
@@ -88,19 +92,20 @@
     pub was_answering: bool,
 }
 
-/// Numbers of rounds in which targets ended under a request.
+/// Numbers of rounds in which targets ended under a request, by what they say of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Rounds {
-    /// Rounds with a run without any answer.
-    pub unanswered: usize,
-    /// Rounds in which all runs had been answered in part.
-    pub answered: usize,
+    /// Rounds that say as much as one end of a target can.
+    pub strong: usize,
+    /// Rounds in which all runs had been answered in part, or that followed another so fast that no entry could know of
+    /// what had ended the targets before.
+    pub weak: usize,
 }
 
 impl Rounds {
     /// Returns the number of all rounds.
     pub fn count(self) -> usize {
-        self.unanswered + self.answered
+        self.strong + self.weak
     }
 }
 
@@ -108,29 +113,40 @@
     type Output = Rounds;
 
     fn add(self, other: Rounds) -> Rounds {
-        Rounds {
-            unanswered: self.unanswered + other.unanswered,
-            answered: self.answered + other.answered,
-        }
+        Rounds { strong: self.strong + other.strong, weak: self.weak + other.weak }
     }
 }
 
+/// Runs whose targets ended before any of them could be known of.
+struct Round {
+    first_end_ms: u64,
+    was_answering: bool,
+    is_fast: bool,
+}
+
 /// Counts rounds of runs. A run that began before the first end of a round was noticed belongs to that round.
 pub fn count_rounds(runs: impl IntoIterator<Item = RunSpan>) -> Rounds {
     let mut runs: Vec<RunSpan> = runs.into_iter().collect();
     runs.sort_unstable();
-    let mut rounds: Vec<RunSpan> = Vec::new();
-    for run in runs {
+    let mut rounds: Vec<Round> = Vec::new();
+    for (number, run) in runs.iter().enumerate() {
         match rounds.last_mut() {
-            Some(round) if run.started_ms <= round.lost_ms => {
-                round.lost_ms = round.lost_ms.min(run.lost_ms);
+            Some(round) if run.started_ms <= round.first_end_ms => {
+                round.first_end_ms = round.first_end_ms.min(run.lost_ms);
                 round.was_answering &= run.was_answering;
             }
-            _ => rounds.push(run),
+            last => {
+                let known_ms = last.map_or(0, |it| it.first_end_ms + KNOWN_AFTER_MS);
+                rounds.push(Round {
+                    first_end_ms: run.lost_ms,
+                    was_answering: run.was_answering,
+                    is_fast: number < LOST_TARGETS_ON_TRIAL && run.started_ms < known_ms,
+                });
+            }
         }
     }
-    let answered = rounds.iter().filter(|it| it.was_answering).count();
-    Rounds { unanswered: rounds.len() - answered, answered }
+    let weak = rounds.iter().filter(|it| it.was_answering || it.is_fast).count();
+    Rounds { strong: rounds.len() - weak, weak }
 }
 
 /// Target that ended while it ran a suspect.
