A trial that is not granted gives its slot back as not sent

A suspect that was refused a trial used up a token of its target's limit without sending anything. Blank lines between constants and the items after them.

--- a/crates/bilberryloft-relay/src/entries.rs
+++ b/crates/bilberryloft-relay/src/entries.rs
@@ -16,6 +16,7 @@
 
 /// Time within which a quorum must have confirmed this entry's view, or it counts as cut off, in milliseconds.
 const CONFIRMED_WITHIN_MS: u64 = 4_000;
+
 /// Entries that share bounds with this one, and whether a quorum answers it.
 pub struct Entries {
     own: String,
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -42,6 +42,7 @@
 const FIRST_DOCUMENT_WAIT: Duration = Duration::from_millis(700);
 /// Interval at which the first routing document is checked for.
 const FIRST_DOCUMENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Logs on drop that the caller disconnected, unless the request was answered.
 struct CallerGuard<'a> {
     id: &'a str,
--- a/crates/bilberryloft-relay/src/trial_slot.rs
+++ b/crates/bilberryloft-relay/src/trial_slot.rs
@@ -28,8 +28,12 @@
     let mut slot = admission::wait_for_slot(state, request).await?;
     loop {
         match state.suspects.begin_trial(request, &slot.picked().id).await {
+            Ok(trial) => return Ok((slot, trial)),
             Err(Refusal::SuspectTrial) if Instant::now() < until => {}
-            decided => return decided.map(|trial| (slot, trial)),
+            Err(refusal) => {
+                slot.cancel();
+                return Err(refusal);
+            }
         }
         taken.push(slot.picked().key);
         slot.cancel();
