Trials of suspects: decided by what the quorum has recorded, and ended after the record

An entry whose view lacked the last end by 33 ms asked for a trial, and the quorum granted it: the entry before had ended its trial before its report of the lost run was recorded, and the quorum didn't look at the ends it knew of.

The quorum now refuses a trial by its own record, by the same rule as the entries (state/suspect, must_refuse), and an entry waits for the record of a suspect's lost run, 250 ms at most, before its trial ends. Failed before: trial_is_denied_by_what_the_quorum_has_recorded.

--- a/crates/bilberryloft-coordination/src/run_permission.rs
+++ b/crates/bilberryloft-coordination/src/run_permission.rs
@@ -10,17 +10,7 @@
 use bilberryloft_state::suspect::LOST_TARGETS_ON_TRIAL;
 use bilberryloft_state::suspect::Rounds;
 use bilberryloft_state::suspect::Suspect;
-
-/// Weight of a strong round of lost targets.
-const ROUND_WEIGHT: usize = 3;
-/// Weight of a weak round.
-const WEAK_ROUND_WEIGHT: usize = 2;
-/// Weight of all rounds from which on a request is refused.
-const REFUSED_WEIGHT: usize = 4 * ROUND_WEIGHT;
-/// The same for a request that has ended with [`MANY_LOST_TARGETS`] or more.
-const REFUSED_AFTER_MANY_WEIGHT: usize = 3 * ROUND_WEIGHT;
-/// Number of lost targets from which on less weight suffices.
-const MANY_LOST_TARGETS: usize = 6;
+use bilberryloft_state::suspect::must_refuse;
 
 /// What is known about a request at the time of the decision.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -54,13 +44,7 @@
 
 /// Decides whether a request may run.
 pub fn decide(history: RunHistory) -> RunPermission {
-    let refused_weight = match history.lost_targets {
-        0..MANY_LOST_TARGETS => REFUSED_WEIGHT,
-        MANY_LOST_TARGETS.. => REFUSED_AFTER_MANY_WEIGHT,
-    };
-    let rounds = history.rounds;
-    let weight = rounds.strong * ROUND_WEIGHT + rounds.weak * WEAK_ROUND_WEIGHT;
-    if weight >= refused_weight {
+    if must_refuse(history.lost_targets, history.rounds) {
         RunPermission::Refuse
     } else if history.lost_targets >= LOST_TARGETS_ON_TRIAL {
         RunPermission::Trial
--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -8,6 +8,7 @@
 use bilberryloft_state::suspect::Rounds;
 use bilberryloft_state::suspect::SUSPECTS_MAX;
 use bilberryloft_state::suspect::Suspects;
+use bilberryloft_state::suspect::TrialOutcome;
 
 const CRASHING: i64 = 1;
 const INNOCENT: i64 = 2;
@@ -202,3 +203,14 @@
     // A request on one lost target is no news for the entries.
     assert_eq!(suspects.listed().len(), 1);
 }
+
+/// Guards against a trial at an entry that has not heard of the last end of a target yet.
+#[test]
+fn trial_is_denied_by_what_the_quorum_has_recorded() {
+    let mut suspects = suspects_after(3, &[CRASHING]);
+    let granted = suspects.begin_trial(CRASHING, "a", Some("t8"), 4 * INTERVAL_MS);
+    assert_eq!(granted, TrialOutcome::Granted);
+    suspects.report_runs(&[lost("t8", CRASHING)], &[], 4 * INTERVAL_MS + 200);
+    let denied = suspects.begin_trial(CRASHING, "b", Some("t9"), 4 * INTERVAL_MS + 210);
+    assert_eq!(denied, TrialOutcome::Quarantined);
+}
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -83,6 +83,11 @@
         self.unchecked.contains_key(address)
     }
 
+    /// Returns whether a lost run of a request is not recorded yet.
+    pub fn has_unrecorded(&self, fingerprint: i64) -> bool {
+        self.unrecorded.iter().any(|it| it.run.fingerprint == fingerprint)
+    }
+
     /// Takes the runs at a target that has been probed.
     pub fn take_unchecked(&mut self, address: &str) -> Vec<TargetRun> {
         self.unchecked.remove(address).unwrap_or_default()
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -40,7 +40,8 @@
 /// Time within which something must have been heard from another host, so that silence is not this entry's own loss of
 /// the network.
 const CONTACT_WITHIN: Duration = Duration::from_millis(1_500);
-/// Longest wait for the check of a target before a suspect is sent to the next one.
+/// Longest wait for the check of a target, and for the quorum to record its end, before a suspect is sent to the next
+/// one or its trial ends.
 const CHECK_WAIT_MAX: Duration = Duration::from_millis(250);
 /// Interval at which the end of the check is looked for.
 const CHECK_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -206,11 +207,16 @@
             || self.services.has_heard_within(within_ms)
     }
 
-    /// Waits until the target of a suspect's lost run has been checked, so that the next decision knows the result.
+    /// Waits until the target of a suspect's lost run has been checked and its end is recorded, so that the next decision
+    /// on it knows the result, at any entry.
     pub async fn wait_for_check(&self, fingerprint: i64, address: &str) {
         let is_suspect = self.view.suspects().contains_key(&fingerprint);
         let until = Instant::now() + CHECK_WAIT_MAX;
-        while is_suspect && self.runs.lock().is_unchecked(address) {
+        let is_pending = || {
+            let runs = self.runs.lock();
+            runs.is_unchecked(address) || runs.has_unrecorded(fingerprint)
+        };
+        while is_suspect && is_pending() {
             if Instant::now() >= until {
                 return;
             }
--- a/crates/bilberryloft-state/src/suspect.rs
+++ b/crates/bilberryloft-state/src/suspect.rs
@@ -18,6 +18,16 @@
 const LISTED_LOST_TARGETS: usize = 2;
 /// Number of lost targets from which on a suspect runs only on trial.
 pub const LOST_TARGETS_ON_TRIAL: usize = 3;
+/// Weight of a strong round of lost targets.
+const ROUND_WEIGHT: usize = 3;
+/// Weight of a weak round.
+const WEAK_ROUND_WEIGHT: usize = 2;
+/// Weight of all rounds from which on a request is refused.
+const REFUSED_WEIGHT: usize = 4 * ROUND_WEIGHT;
+/// The same for a request that has ended with [`MANY_LOST_TARGETS`] or more.
+const REFUSED_AFTER_MANY_WEIGHT: usize = 3 * ROUND_WEIGHT;
+/// Number of lost targets from which on less weight suffices.
+const MANY_LOST_TARGETS: usize = 6;
 /// Time in which all entries learn of the end of a target and of what it ran, in milliseconds.
 const KNOWN_AFTER_MS: u64 = 500;
 /// Time after which a trial counts as ended if its end was not reported, in milliseconds.
@@ -117,6 +127,15 @@
     }
 }
 
+/// Returns whether a request must not run again after targets have ended under it.
+pub fn must_refuse(lost_targets: usize, rounds: Rounds) -> bool {
+    let refused_weight = match lost_targets {
+        0..MANY_LOST_TARGETS => REFUSED_WEIGHT,
+        MANY_LOST_TARGETS.. => REFUSED_AFTER_MANY_WEIGHT,
+    };
+    rounds.strong * ROUND_WEIGHT + rounds.weak * WEAK_ROUND_WEIGHT >= refused_weight
+}
+
 /// Runs whose targets ended before any of them could be known of.
 struct Round {
     first_end_ms: u64,
@@ -218,7 +237,7 @@
     Granted,
     /// Another trial with the same fingerprint or on the same target is running.
     Running,
-    /// The fingerprint has reached [`QUARANTINE_CRASHES`] and is quarantined.
+    /// The fingerprint has reached [`QUARANTINE_CRASHES`], or [`must_refuse`] says so.
     Quarantined,
 }
 
@@ -312,7 +331,9 @@
         let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else {
             return TrialOutcome::Clear;
         };
-        if suspect.crashes >= QUARANTINE_CRASHES {
+        if suspect.crashes >= QUARANTINE_CRASHES
+            || must_refuse(suspect.lost_targets.len(), suspect.rounds())
+        {
             return TrialOutcome::Quarantined;
         }
         let is_other_trial =
