--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -151,8 +151,7 @@
     suspects
 }
 
-/// Guards against refusing a request that came back twice to targets which several others ended in the same moment, as
-/// in soak seed 860.
+/// Guards against refusing a request that came back twice to targets which several others ended in the same moment.
 #[test]
 fn request_beside_fast_ends_of_targets_runs_after_four_rounds() {
     let suspects = suspects_after_ends_at(&[1_000, 1_160, 2_750, 2_854]);
