Expert planner: compact reads of ranks, orders to copy through agents, copies that pay by number of ranks

In a group of 192 ranks each poll asked for 192 texts of 20 KB within 250 ms over one link of 100 Mbit/s, so polls timed out, the agents were skipped and plans were given up; the order to copy (27 KB of text for each rank) was repeated after 60 ms, again and again. The least gain of a copy did not know the number of ranks: with 192 of them no copy gains 0.0075 of the skew once it is at 1.6.

Agents now send the choices since the planner's last reading (about a byte an expert), and pass on the order to copy, whose compact map takes less than half. Timeouts and the poll interval grow with the ranks; a change is scheduled as many passes ahead as a round of orders takes.

--- a/crates/bilberryloft-coordination/src/expert_map/mod.rs
+++ b/crates/bilberryloft-coordination/src/expert_map/mod.rs
@@ -9,6 +9,7 @@
 mod rebalance;
 mod switch;
 
+pub use lead_time::OrderTiming;
 pub use lead_time::passes_ahead;
 pub use pack::align;
 pub use pack::pack;
--- a/crates/bilberryloft-coordination/tests/rebalance.rs
+++ b/crates/bilberryloft-coordination/tests/rebalance.rs
@@ -114,3 +114,16 @@
     let after = skew(&map, &popularity, &slowness);
     assert!(after < 0.35 * before, "{before} to {after}");
 }
+
+#[test]
+fn map_of_hundreds_of_ranks_becomes_even_in_one_change() {
+    for seed in 0..10 {
+        let popularity = zipf(384, 0.44, seed);
+        let limits = ChangeLimits { slots: 3, new_max: 2, gain_min: 0.001 };
+        let map = round_robin(192, 384);
+        let before = skew(&map, &popularity, &[]);
+        let next = rebalance(&map, &popularity, &[], limits, &mut vec![2; 192]);
+        let after = skew(&next, &popularity, &[]);
+        assert!(before > 3.0 && after < 1.25, "seed {seed}: {before} to {after}");
+    }
+}
--- a/crates/bilberryloft-protocol/src/codec.rs
+++ b/crates/bilberryloft-protocol/src/codec.rs
@@ -79,5 +79,9 @@
         Body::Redirect(_) => "redirect",
         Body::TargetRead(_) => "target_read",
         Body::TargetBodies(_) => "target_bodies",
+        Body::RankRead(_) => "rank_read",
+        Body::RankState(_) => "rank_state",
+        Body::RankPrepare(_) => "rank_prepare",
+        Body::RankPrepared(_) => "rank_prepared",
     }
 }
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -3336,6 +3336,483 @@
   }
 }
 
+//
+// RankRead
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RankRead {
+  pub target_address: String,
+  pub since_step: Option<i64>,
+}
+
+impl RankRead {
+  pub fn new<F2>(target_address: String, since_step: F2) -> RankRead where F2: Into<Option<i64>> {
+    RankRead {
+      target_address,
+      since_step: since_step.into(),
+    }
+  }
+}
+
+impl TSerializable for RankRead {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RankRead> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RankRead.target_address", &f_1)?;
+    let ret = RankRead {
+      target_address: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      since_step: f_2,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RankRead");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("target_address", TType::String, 1))?;
+    o_prot.write_string(&self.target_address)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.since_step {
+      o_prot.write_field_begin(&TFieldIdentifier::new("since_step", TType::I64, 2))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// RankChoices
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RankChoices {
+  pub step: i64,
+  pub epoch: i64,
+  pub counts: Option<Vec<u8>>,
+}
+
+impl RankChoices {
+  pub fn new<F3>(step: i64, epoch: i64, counts: F3) -> RankChoices where F3: Into<Option<Vec<u8>>> {
+    RankChoices {
+      step,
+      epoch,
+      counts: counts.into(),
+    }
+  }
+}
+
+impl TSerializable for RankChoices {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RankChoices> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<Vec<u8>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_bytes()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RankChoices.step", &f_1)?;
+    verify_required_field_exists("RankChoices.epoch", &f_2)?;
+    let ret = RankChoices {
+      step: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      epoch: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      counts: f_3,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RankChoices");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("step", TType::I64, 1))?;
+    o_prot.write_i64(self.step)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("epoch", TType::I64, 2))?;
+    o_prot.write_i64(self.epoch)?;
+    o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.counts {
+      o_prot.write_field_begin(&TFieldIdentifier::new("counts", TType::String, 3))?;
+      o_prot.write_bytes(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// RankState
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RankState {
+  pub group: String,
+  pub epoch: i64,
+  pub rank: i32,
+  pub ranks: i32,
+  pub is_open: bool,
+  pub map_version: i64,
+  pub prepared: Option<i64>,
+  pub is_armed: bool,
+  pub held_step: Option<i64>,
+  pub slowness: OrderedFloat<f64>,
+  pub choices: Option<RankChoices>,
+}
+
+impl RankState {
+  pub fn new<F7, F9, F11>(group: String, epoch: i64, rank: i32, ranks: i32, is_open: bool, map_version: i64, prepared: F7, is_armed: bool, held_step: F9, slowness: OrderedFloat<f64>, choices: F11) -> RankState where F7: Into<Option<i64>>, F9: Into<Option<i64>>, F11: Into<Option<RankChoices>> {
+    RankState {
+      group,
+      epoch,
+      rank,
+      ranks,
+      is_open,
+      map_version,
+      prepared: prepared.into(),
+      is_armed,
+      held_step: held_step.into(),
+      slowness,
+      choices: choices.into(),
+    }
+  }
+}
+
+impl TSerializable for RankState {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RankState> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i32> = None;
+    let mut f_4: Option<i32> = None;
+    let mut f_5: Option<bool> = None;
+    let mut f_6: Option<i64> = None;
+    let mut f_7: Option<i64> = None;
+    let mut f_8: Option<bool> = None;
+    let mut f_9: Option<i64> = None;
+    let mut f_10: Option<OrderedFloat<f64>> = None;
+    let mut f_11: Option<RankChoices> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i32()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i32()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_bool()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_i64()?;
+          f_6 = Some(val);
+        },
+        7 => {
+          let val = i_prot.read_i64()?;
+          f_7 = Some(val);
+        },
+        8 => {
+          let val = i_prot.read_bool()?;
+          f_8 = Some(val);
+        },
+        9 => {
+          let val = i_prot.read_i64()?;
+          f_9 = Some(val);
+        },
+        10 => {
+          let val = OrderedFloat::from(i_prot.read_double()?);
+          f_10 = Some(val);
+        },
+        11 => {
+          let val = RankChoices::read_from_in_protocol(i_prot)?;
+          f_11 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RankState.group", &f_1)?;
+    verify_required_field_exists("RankState.epoch", &f_2)?;
+    verify_required_field_exists("RankState.rank", &f_3)?;
+    verify_required_field_exists("RankState.ranks", &f_4)?;
+    verify_required_field_exists("RankState.is_open", &f_5)?;
+    verify_required_field_exists("RankState.map_version", &f_6)?;
+    verify_required_field_exists("RankState.is_armed", &f_8)?;
+    verify_required_field_exists("RankState.slowness", &f_10)?;
+    let ret = RankState {
+      group: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      epoch: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      rank: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      ranks: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      is_open: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      map_version: f_6.expect("auto-generated code should have checked for presence of required fields"),
+      prepared: f_7,
+      is_armed: f_8.expect("auto-generated code should have checked for presence of required fields"),
+      held_step: f_9,
+      slowness: f_10.expect("auto-generated code should have checked for presence of required fields"),
+      choices: f_11,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RankState");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("group", TType::String, 1))?;
+    o_prot.write_string(&self.group)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("epoch", TType::I64, 2))?;
+    o_prot.write_i64(self.epoch)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("rank", TType::I32, 3))?;
+    o_prot.write_i32(self.rank)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("ranks", TType::I32, 4))?;
+    o_prot.write_i32(self.ranks)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("is_open", TType::Bool, 5))?;
+    o_prot.write_bool(self.is_open)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("map_version", TType::I64, 6))?;
+    o_prot.write_i64(self.map_version)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.prepared {
+      o_prot.write_field_begin(&TFieldIdentifier::new("prepared", TType::I64, 7))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_begin(&TFieldIdentifier::new("is_armed", TType::Bool, 8))?;
+    o_prot.write_bool(self.is_armed)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.held_step {
+      o_prot.write_field_begin(&TFieldIdentifier::new("held_step", TType::I64, 9))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_begin(&TFieldIdentifier::new("slowness", TType::Double, 10))?;
+    o_prot.write_double(self.slowness.into())?;
+    o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.choices {
+      o_prot.write_field_begin(&TFieldIdentifier::new("choices", TType::Struct, 11))?;
+      fld_var.write_to_out_protocol(o_prot)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// RankPrepare
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RankPrepare {
+  pub target_address: String,
+  pub version: i64,
+  pub epoch: i64,
+  pub expert_map: Vec<u8>,
+}
+
+impl RankPrepare {
+  pub fn new(target_address: String, version: i64, epoch: i64, expert_map: Vec<u8>) -> RankPrepare {
+    RankPrepare {
+      target_address,
+      version,
+      epoch,
+      expert_map,
+    }
+  }
+}
+
+impl TSerializable for RankPrepare {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RankPrepare> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<Vec<u8>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_bytes()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RankPrepare.target_address", &f_1)?;
+    verify_required_field_exists("RankPrepare.version", &f_2)?;
+    verify_required_field_exists("RankPrepare.epoch", &f_3)?;
+    verify_required_field_exists("RankPrepare.expert_map", &f_4)?;
+    let ret = RankPrepare {
+      target_address: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      version: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      epoch: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      expert_map: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RankPrepare");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("target_address", TType::String, 1))?;
+    o_prot.write_string(&self.target_address)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 2))?;
+    o_prot.write_i64(self.version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("epoch", TType::I64, 3))?;
+    o_prot.write_i64(self.epoch)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("expert_map", TType::String, 4))?;
+    o_prot.write_bytes(&self.expert_map)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// RankPrepared
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RankPrepared {
+  pub status: i32,
+}
+
+impl RankPrepared {
+  pub fn new(status: i32) -> RankPrepared {
+    RankPrepared {
+      status,
+    }
+  }
+}
+
+impl TSerializable for RankPrepared {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RankPrepared> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i32()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("RankPrepared.status", &f_1)?;
+    let ret = RankPrepared {
+      status: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("RankPrepared");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("status", TType::I32, 1))?;
+    o_prot.write_i32(self.status)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // MemberMessage
 //
@@ -3661,6 +4138,10 @@
   Redirect(Redirect),
   TargetRead(TargetRead),
   TargetBodies(TargetBodies),
+  RankRead(RankRead),
+  RankState(RankState),
+  RankPrepare(RankPrepare),
+  RankPrepared(RankPrepared),
 }
 
 impl TSerializable for Body {
@@ -3885,6 +4366,34 @@
           }
           received_field_count += 1;
         },
+        33 => {
+          let val = RankRead::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::RankRead(val));
+          }
+          received_field_count += 1;
+        },
+        34 => {
+          let val = RankState::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::RankState(val));
+          }
+          received_field_count += 1;
+        },
+        35 => {
+          let val = RankPrepare::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::RankPrepare(val));
+          }
+          received_field_count += 1;
+        },
+        36 => {
+          let val = RankPrepared::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::RankPrepared(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -4069,6 +4578,26 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Body::RankRead(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("rank_read", TType::Struct, 33))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      Body::RankState(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("rank_state", TType::Struct, 34))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      Body::RankPrepare(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("rank_prepare", TType::Struct, 35))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      Body::RankPrepared(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("rank_prepared", TType::Struct, 36))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/bilberryloft-relay/src/expert_planner/change.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/change.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bilberryloft_coordination::expert_map::ExpertSetMap;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
 use bilberryloft_transport::clock::boot_ms;
@@ -12,9 +13,10 @@
 use crate::expert_planner::Planner;
 use crate::expert_planner::STALL_MS;
 use crate::expert_planner::rank_snapshot::RankSnapshot;
-use crate::rank_client::OrderOutcome;
-use crate::rank_client::RankClient;
-use crate::rank_client::order_timeout;
+use crate::ranks::client::OrderOutcome;
+use crate::ranks::client::RankClient;
+use crate::ranks::client::order_timeout;
+use crate::ranks::map_codec;
 
 /// Time for which the order to start the held pass is repeated; after that, the next poll finds the hold.
 const GO_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -84,7 +86,7 @@
     /// Arms all ranks while the group is held. A rank that does not answer may be armed already or later, so the order
     /// is repeated until it answers. The ranks are disarmed only if one has refused.
     pub(super) async fn arm_all(
-        &self,
+        &mut self,
         key: &str,
         ranks: &[RankSnapshot],
         change: Change,
@@ -118,7 +120,7 @@
     /// Sends an order to all ranks until each has answered. Returns whether it stopped before that, because this host
     /// may no longer send orders or the group has ended, and the ranks that refused.
     async fn order_until_answered<'a>(
-        &self,
+        &mut self,
         ranks: &'a [RankSnapshot],
         order: &RankOrder<'_>,
     ) -> (bool, Vec<&'a RankSnapshot>) {
@@ -128,7 +130,11 @@
         let mut round = 0_usize;
         loop {
             round += 1;
+            let started = Instant::now();
             let outcomes = self.order_all(&unconfirmed, order).await;
+            if round == 1 && !outcomes.contains(&OrderOutcome::Unknown) {
+                self.round_ms = started.elapsed().as_secs_f64() * 1_000.0;
+            }
             let mut still_unconfirmed = Vec::new();
             for (snapshot, outcome) in unconfirmed.into_iter().zip(outcomes) {
                 match outcome {
@@ -186,4 +192,24 @@
         let timeout = order_timeout(order, ranks.len());
         join_all(ranks.iter().map(|it| it.client.order(pool, dialect, order, timeout))).await
     }
+
+    /// Sends the order to copy experts for a map to the given ranks concurrently.
+    pub(super) async fn prepare_all(
+        &self,
+        ranks: &[&RankSnapshot],
+        version: u64,
+        epoch: u64,
+        map: &[ExpertSetMap],
+    ) -> Vec<OrderOutcome> {
+        let (pool, dialect) = (&self.state.pool, self.state.dialect.as_ref());
+        let order = RankOrder::Prepare { version, epoch, map };
+        let compact = map_codec::encode(map);
+        let timeout = order_timeout(&order, ranks.len());
+        let prepare = |it: &&RankSnapshot| {
+            let client = it.client.clone();
+            let (order, compact) = (&order, &compact);
+            async move { client.prepare(pool, dialect, order, compact, timeout).await }
+        };
+        join_all(ranks.iter().map(prepare)).await
+    }
 }
--- a/crates/bilberryloft-relay/src/expert_planner/group.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/group.rs
@@ -3,8 +3,6 @@
 //!
 //! The skew of a map measures how unevenly it distributes the expert load over the ranks.
 
-use std::collections::BTreeMap;
-
 use bilberryloft_coordination::expert_map::ChangeLimits;
 use bilberryloft_coordination::expert_map::ExpertSetMap;
 use bilberryloft_coordination::expert_map::Popularity;
@@ -28,10 +26,13 @@
 /// Time that a rank may spend on copying for one change, in milliseconds, because passes take longer meanwhile. One
 /// expert may always be copied.
 const COPY_MAX_MS: f64 = 120.0;
-/// Reduction of a set's skew that justifies copying one more expert, for each millisecond that the copy takes.
-const GAIN_PER_COPY_MS: f64 = 0.000_25;
-/// Smallest reduction of a set's skew that justifies copying one more expert, however fast the copy is.
-const GAIN_PER_COPY_MIN: f64 = 0.015;
+/// Reduction of a set's skew that justifies one more copy of an expert for each millisecond that it takes, if each rank
+/// gets one. Ranks copy at the same time, so in a group with more ranks each copy has to gain less.
+const GAIN_PER_COPY_MS: f64 = 0.004;
+/// The same, however fast the copy is.
+const GAIN_PER_COPY_MIN: f64 = 0.24;
+/// Skew that a search seldom gets below.
+const SKEW_MIN: f64 = 1.02;
 /// Reduction of the mean skew that justifies a change if passes take [`PASS_BUSY_MS`]. Shorter passes delay no stream,
 /// so a change must then gain more.
 const GAIN_PER_CHANGE: f64 = 0.14;
@@ -60,7 +61,6 @@
     pub map_version: Option<u64>,
     pub map: Vec<ExpertSetMap>,
     popularity: Vec<Popularity>,
-    counts: BTreeMap<usize, Vec<u64>>,
     pub pending: Option<PendingMap>,
     /// Slowness of each rank; 1.0 for ranks that do not count as slow.
     slowness: Vec<f64>,
@@ -113,16 +113,11 @@
     fn count_choices(&mut self, ranks: &[RankSnapshot], experts: Experts) {
         let size = experts.sets * experts.experts;
         let mut chosen = vec![0_u64; size];
-        for snapshot in ranks {
-            let Some(counts) = snapshot.counts.as_ref().filter(|it| it.counts.len() == size) else {
-                continue;
-            };
-            if let Some(before) = self.counts.get(&snapshot.report.rank) {
-                for (idx, count) in counts.counts.iter().enumerate() {
-                    chosen[idx] += count.saturating_sub(before[idx]);
-                }
+        let choices = ranks.iter().filter_map(|it| it.choices.as_ref());
+        for choices in choices.filter(|it| it.epoch == self.epoch) {
+            for (sum, number) in chosen.iter_mut().zip(choices.decode(size).unwrap_or_default()) {
+                *sum += number;
             }
-            self.counts.insert(snapshot.report.rank, counts.counts.clone());
         }
         if self.has_shifted(&chosen, experts) {
             let fresh = Popularity::new(experts.experts, POPULARITY_HALF_LIFE_MS);
@@ -158,13 +153,17 @@
         }
         let skews: Vec<f64> =
             self.map.iter().zip(&shares).map(|(map, it)| skew(map, it, &self.slowness)).collect();
+        let mean = |skews: &[f64]| skews.iter().sum::<f64>() / skews.len().max(1) as f64;
+        let before = mean(&skews);
+        if before - SKEW_MIN < self.required_gain() {
+            return None;
+        }
         let mut sets_by_skew: Vec<usize> = (0..experts.sets).collect();
         sets_by_skew.sort_by(|a, b| skews[*b].total_cmp(&skews[*a]));
         let limits = ChangeLimits {
             slots: experts.slots,
             new_max: experts.new_max,
-            gain_min: (GAIN_PER_COPY_MS * experts.copy_ms).max(GAIN_PER_COPY_MIN)
-                * self.gain_factor(),
+            gain_min: self.copy_gain_min(ranks, experts),
         };
         let mut copies_left = vec![copies_per_rank_max(experts); ranks];
         let mut map = self.map.clone();
@@ -172,15 +171,19 @@
             map[set] =
                 rebalance(&self.map[set], &shares[set], &self.slowness, limits, &mut copies_left);
         }
-        let mean = |map: &[ExpertSetMap]| {
-            let skews = map.iter().zip(&shares).map(|(map, it)| skew(map, it, &self.slowness));
-            skews.sum::<f64>() / experts.sets as f64
-        };
-        let (before, after) = (mean(&self.map), mean(&map));
+        let after: Vec<f64> =
+            map.iter().zip(&shares).map(|(map, it)| skew(map, it, &self.slowness)).collect();
+        let after = mean(&after);
         let copies = self.map.iter().zip(&map).map(|(from, to)| copies_needed(from, to)).sum();
         (before - after >= self.required_gain()).then_some(BetterMap { map, before, after, copies })
     }
 
+    /// Returns the reduction of a set's skew that justifies copying one more expert.
+    fn copy_gain_min(&self, ranks: usize, experts: Experts) -> f64 {
+        let for_all = (GAIN_PER_COPY_MS * experts.copy_ms).max(GAIN_PER_COPY_MIN);
+        for_all / ranks.max(1) as f64 * self.gain_factor()
+    }
+
     fn required_gain(&self) -> f64 {
         GAIN_PER_CHANGE * self.gain_factor()
     }
@@ -194,7 +197,7 @@
 
     /// Measures the pass length from the pass numbers and the time between two polls.
     fn measure_pass_time(&mut self, ranks: &[RankSnapshot]) {
-        let step = ranks.iter().filter_map(|it| it.counts.as_ref().map(|it| it.step)).max();
+        let step = ranks.iter().filter_map(|it| it.choices.as_ref().map(|it| it.step)).max();
         let (Some(step), now) = (step, Instant::now()) else {
             return;
         };
--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use bilberryloft_coordination::expert_map::ExpertSetMap;
+use bilberryloft_coordination::expert_map::OrderTiming;
 use bilberryloft_coordination::expert_map::passes_ahead;
 use bilberryloft_daemon::control::ControlHandle;
 use bilberryloft_daemon::events::Event;
@@ -24,21 +25,22 @@
 use futures_util::future::join_all;
 use tokio::time::Instant;
 
-use crate::dialect::RankOrder;
 use crate::expert_planner::change::ArmOutcome;
 use crate::expert_planner::change::Change;
 use crate::expert_planner::group::Group;
 use crate::expert_planner::group::PendingMap;
 use crate::expert_planner::rank_snapshot::RankSnapshot;
-use crate::rank_client::OrderOutcome;
-use crate::rank_client::RankClient;
-use crate::rank_client::short_order_timeout;
+use crate::ranks::client::OrderOutcome;
+use crate::ranks::client::RankClient;
+use crate::ranks::client::short_order_timeout;
 use crate::state::RelayState;
 
 /// Interval at which the ranks are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(80);
 /// Interval at which the ranks are polled while they copy experts.
 const COPY_POLL_INTERVAL: Duration = Duration::from_millis(30);
+/// Time that is added to both intervals for each rank, as each read costs the planner's host processor time.
+const POLL_INTERVAL_PER_RANK: Duration = Duration::from_micros(500);
 /// Time after which the orders that a former leader has sent are no longer in flight.
 const ORDERS_DRAIN_TIME: Duration = Duration::from_millis(100);
 /// Time between two polls above which this process counts as stalled and discards all that it knows, in milliseconds.
@@ -61,6 +63,7 @@
         leader_since: None,
         last_poll_ms: boot_ms(),
         version: 0,
+        round_ms: 0.0,
     };
     tokio::spawn(planner.run());
 }
@@ -77,6 +80,8 @@
     leader_since: Option<Instant>,
     last_poll_ms: u64,
     version: u64,
+    /// Time of the latest round of orders that all ranks of a group answered, in milliseconds; 0 before the first one.
+    round_ms: f64,
 }
 
 impl Planner {
@@ -84,7 +89,8 @@
         loop {
             let is_copying = self.groups.values().any(|it| it.pending.is_some());
             let pause = if is_copying { COPY_POLL_INTERVAL } else { POLL_INTERVAL };
-            tokio::time::sleep(pause).await;
+            let ranks = u32::try_from(self.clients.len()).unwrap_or(u32::MAX);
+            tokio::time::sleep(pause + POLL_INTERVAL_PER_RANK.saturating_mul(ranks)).await;
             if !self.may_send_orders() {
                 continue;
             }
@@ -139,7 +145,9 @@
         let (state, dialect) = (&self.state, self.state.dialect.as_ref());
         let reads = clients.into_iter().map(|client| async move {
             match client.read(&state.pool, dialect).await {
-                Ok((report, counts)) => Some(RankSnapshot { client, report, counts }),
+                Ok((report, choices)) => {
+                    Some(RankSnapshot { client, read_at: Instant::now(), report, choices })
+                }
                 Err(error) => {
                     tracing::debug!(target_id = client.id, error, "failed to read a rank");
                     None
@@ -266,8 +274,8 @@
             pass_ms
         );
         let map = better.map;
-        let order = RankOrder::Prepare { version, epoch, map: &map };
-        let outcomes = self.order_all(&ranks.iter().collect::<Vec<_>>(), &order).await;
+        let all: Vec<&RankSnapshot> = ranks.iter().collect();
+        let outcomes = self.prepare_all(&all, version, epoch, &map).await;
         let refused = outcomes.iter().filter(|it| **it == OrderOutcome::Conflict).count();
         if refused > 0 {
             let at = "prepare";
@@ -293,11 +301,10 @@
     /// Sends the order to copy again to ranks that have not answered. It is the same order, so carrying out both is
     /// harmless.
     async fn resend_prepare(&self, ranks: &[RankSnapshot], pending: &mut PendingMap, epoch: u64) {
-        let order = RankOrder::Prepare { version: pending.version, epoch, map: &pending.map };
         let unconfirmed: Vec<usize> =
             (0..ranks.len()).filter(|it| !pending.answered[*it]).collect();
         let selected: Vec<&RankSnapshot> = unconfirmed.iter().map(|it| &ranks[*it]).collect();
-        let outcomes = self.order_all(&selected, &order).await;
+        let outcomes = self.prepare_all(&selected, pending.version, epoch, &pending.map).await;
         for (rank, outcome) in unconfirmed.into_iter().zip(outcomes) {
             // A conflict means that the rank has carried out the first order, which its report will show.
             pending.answered[rank] = outcome != OrderOutcome::Unknown;
@@ -328,13 +335,18 @@
             return;
         }
         let copied_ms = pending.since.elapsed().as_millis() as u64;
-        let latest_step = ranks.iter().filter_map(|it| it.counts.as_ref().map(|it| it.step)).max();
-        let Some(latest_step) = latest_step else {
+        let current_step = ranks.iter().filter_map(|it| it.current_step(pass_ms)).max();
+        let Some(current_step) = current_step else {
             return;
         };
-        let order_ms = short_order_timeout(ranks.len()).as_secs_f64() * 1_000.0;
-        let ahead = passes_ahead(ranks.len(), pending.unanswered, order_ms, pass_ms);
-        let change = Change { version, step: latest_step + ahead, epoch };
+        let orders = OrderTiming {
+            ranks: ranks.len(),
+            unanswered: pending.unanswered,
+            round_ms: self.round_ms,
+            timeout_ms: short_order_timeout(ranks.len()).as_secs_f64() * 1_000.0,
+        };
+        let ahead = passes_ahead(orders, pass_ms);
+        let change = Change { version, step: current_step + ahead, epoch };
         if let Some(step) = self.switch_map(key, ranks, change).await {
             log_event!(
                 info,
--- a/crates/bilberryloft-relay/src/expert_planner/rank_snapshot.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/rank_snapshot.rs
@@ -2,13 +2,27 @@
 
 use std::sync::Arc;
 
-use crate::dialect::ExpertCounts;
+use tokio::time::Instant;
+
 use crate::dialect::RankReport;
-use crate::rank_client::RankClient;
+use crate::ranks::client::RankClient;
+use crate::ranks::state::RankChoices;
 
 /// State of a rank as read in one poll.
 pub(super) struct RankSnapshot {
     pub client: Arc<RankClient>,
+    pub read_at: Instant,
     pub report: RankReport,
-    pub counts: Option<ExpertCounts>,
+    /// Choices of experts since the last reading, if the rank's agent answers.
+    pub choices: Option<RankChoices>,
+}
+
+impl RankSnapshot {
+    /// Returns the number of the forward pass that has probably started last, if passes take `pass_ms`.
+    pub fn current_step(&self, pass_ms: f64) -> Option<u64> {
+        let step = self.choices.as_ref()?.step;
+        let elapsed_ms = self.read_at.elapsed().as_secs_f64() * 1_000.0;
+        let passes = if pass_ms > 0.0 { (elapsed_ms / pass_ms) as u64 } else { 0 };
+        Some(step + passes)
+    }
 }
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -264,6 +264,50 @@
   1: required list<binary> bodies
 }
 
+// Asks the agent beside a rank for the rank's state and for how often its requests have chosen each expert.
+struct RankRead {
+  1: required string target_address
+  // Forward pass of the counts that the caller has read last; the answer counts from there.
+  2: optional i64 since_step
+}
+
+// Choices of experts by the requests of one rank between two forward passes.
+struct RankChoices {
+  1: required i64 step
+  2: required i64 epoch
+  // Absent if the agent does not have the counts of the pass that the caller named.
+  3: optional binary counts
+}
+
+// State of a rank, its group and its expert maps.
+struct RankState {
+  1: required string group
+  2: required i64 epoch
+  3: required i32 rank
+  4: required i32 ranks
+  5: required bool is_open
+  6: required i64 map_version
+  7: optional i64 prepared
+  8: required bool is_armed
+  9: optional i64 held_step
+  10: required double slowness
+  11: optional RankChoices choices
+}
+
+// Order to the rank beside the callee to copy the experts that it needs for a map.
+struct RankPrepare {
+  1: required string target_address
+  2: required i64 version
+  3: required i64 epoch
+  // The whole map, by set and rank.
+  4: required binary expert_map
+}
+
+// Status of the rank's answer to an order.
+struct RankPrepared {
+  1: required i32 status
+}
+
 // A message between members, with the sender's own address for a member that knows no members yet.
 struct MemberMessage {
   1: required RaftMessage message
@@ -317,6 +361,10 @@
   // 29 and 30 were calls with a method and a body.
   31: TargetRead target_read
   32: TargetBodies target_bodies
+  33: RankRead rank_read
+  34: RankState rank_state
+  35: RankPrepare rank_prepare
+  36: RankPrepared rank_prepared
 }
 
 // One frame. A call and all frames that answer it carry the same call number.
