--- a/crates/bilberryloft-protocol/src/codec.rs
+++ b/crates/bilberryloft-protocol/src/codec.rs
@@ -34,6 +34,25 @@
 ///
 /// Fails with [`Error::Protocol`] if the bytes are not a valid envelope.
 pub fn decode_envelope(bytes: &[u8], peer: &str) -> Result<Envelope> {
+    decode_message(bytes, peer)
+}
+
+/// Encodes a message without a frame, for a datagram.
+pub fn encode_message(message: &impl TSerializable) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut protocol = TCompactOutputProtocol::new(&mut bytes);
+    // Writing to memory fails only if there is not enough of it.
+    if message.write_to_out_protocol(&mut protocol).is_err() {
+        return Vec::new();
+    }
+    drop(protocol);
+    bytes
+}
+
+/// Decodes a message without a frame.
+///
+/// Fails with [`Error::Protocol`] if the bytes are not a valid message of this type.
+pub fn decode_message<T: TSerializable>(bytes: &[u8], peer: &str) -> Result<T> {
     let limits = TConfiguration::builder()
         .max_message_size(Some(FRAME_MAX_BYTES))
         .max_frame_size(Some(FRAME_MAX_BYTES))
@@ -42,7 +61,7 @@
         .build()
         .map_err(|it| Error::protocol("decode", peer, it.to_string()))?;
     let mut protocol = TCompactInputProtocol::with_config(bytes, limits);
-    Envelope::read_from_in_protocol(&mut protocol)
+    T::read_from_in_protocol(&mut protocol)
         .map_err(|it| Error::protocol("decode", peer, it.to_string()))
 }
 
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -3813,6 +3813,356 @@
   }
 }
 
+//
+// ReportedLimit
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ReportedLimit {
+  pub per_s: Option<OrderedFloat<f64>>,
+  pub incarnation: i64,
+  pub age_ms: i64,
+}
+
+impl ReportedLimit {
+  pub fn new<F1>(per_s: F1, incarnation: i64, age_ms: i64) -> ReportedLimit where F1: Into<Option<OrderedFloat<f64>>> {
+    ReportedLimit {
+      per_s: per_s.into(),
+      incarnation,
+      age_ms,
+    }
+  }
+}
+
+impl TSerializable for ReportedLimit {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<ReportedLimit> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<OrderedFloat<f64>> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = OrderedFloat::from(i_prot.read_double()?);
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("ReportedLimit.incarnation", &f_2)?;
+    verify_required_field_exists("ReportedLimit.age_ms", &f_3)?;
+    let ret = ReportedLimit {
+      per_s: f_1,
+      incarnation: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      age_ms: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("ReportedLimit");
+    o_prot.write_struct_begin(&struct_ident)?;
+    if let Some(fld_var) = self.per_s {
+      o_prot.write_field_begin(&TFieldIdentifier::new("per_s", TType::Double, 1))?;
+      o_prot.write_double(fld_var.into())?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+    o_prot.write_i64(self.incarnation)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("age_ms", TType::I64, 3))?;
+    o_prot.write_i64(self.age_ms)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// EntryLoad
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct EntryLoad {
+  pub entry: String,
+  pub address: String,
+  pub data_center: String,
+  pub incarnation: i64,
+  pub number: i64,
+  pub known_entries: i32,
+  pub loads: Vec<u8>,
+  pub failing: Option<BTreeMap<String, i8>>,
+  pub slow_ranks: Option<BTreeMap<String, OrderedFloat<f64>>>,
+  pub limits: Option<BTreeMap<String, ReportedLimit>>,
+}
+
+impl EntryLoad {
+  pub fn new<F8, F9, F10>(entry: String, address: String, data_center: String, incarnation: i64, number: i64, known_entries: i32, loads: Vec<u8>, failing: F8, slow_ranks: F9, limits: F10) -> EntryLoad where F8: Into<Option<BTreeMap<String, i8>>>, F9: Into<Option<BTreeMap<String, OrderedFloat<f64>>>>, F10: Into<Option<BTreeMap<String, ReportedLimit>>> {
+    EntryLoad {
+      entry,
+      address,
+      data_center,
+      incarnation,
+      number,
+      known_entries,
+      loads,
+      failing: failing.into(),
+      slow_ranks: slow_ranks.into(),
+      limits: limits.into(),
+    }
+  }
+}
+
+impl TSerializable for EntryLoad {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<EntryLoad> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<String> = None;
+    let mut f_3: Option<String> = None;
+    let mut f_4: Option<i64> = None;
+    let mut f_5: Option<i64> = None;
+    let mut f_6: Option<i32> = None;
+    let mut f_7: Option<Vec<u8>> = None;
+    let mut f_8: Option<BTreeMap<String, i8>> = None;
+    let mut f_9: Option<BTreeMap<String, OrderedFloat<f64>>> = None;
+    let mut f_10: Option<BTreeMap<String, ReportedLimit>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_string()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_i32()?;
+          f_6 = Some(val);
+        },
+        7 => {
+          let val = i_prot.read_bytes()?;
+          f_7 = Some(val);
+        },
+        8 => {
+          let map_ident = i_prot.read_map_begin()?;
+          let mut val: BTreeMap<String, i8> = BTreeMap::new();
+          for _ in 0..map_ident.size {
+            let map_key_12 = i_prot.read_string()?;
+            let map_val_13 = i_prot.read_i8()?;
+            val.insert(map_key_12, map_val_13);
+          }
+          i_prot.read_map_end()?;
+          f_8 = Some(val);
+        },
+        9 => {
+          let map_ident = i_prot.read_map_begin()?;
+          let mut val: BTreeMap<String, OrderedFloat<f64>> = BTreeMap::new();
+          for _ in 0..map_ident.size {
+            let map_key_14 = i_prot.read_string()?;
+            let map_val_15 = OrderedFloat::from(i_prot.read_double()?);
+            val.insert(map_key_14, map_val_15);
+          }
+          i_prot.read_map_end()?;
+          f_9 = Some(val);
+        },
+        10 => {
+          let map_ident = i_prot.read_map_begin()?;
+          let mut val: BTreeMap<String, ReportedLimit> = BTreeMap::new();
+          for _ in 0..map_ident.size {
+            let map_key_16 = i_prot.read_string()?;
+            let map_val_17 = ReportedLimit::read_from_in_protocol(i_prot)?;
+            val.insert(map_key_16, map_val_17);
+          }
+          i_prot.read_map_end()?;
+          f_10 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("EntryLoad.entry", &f_1)?;
+    verify_required_field_exists("EntryLoad.address", &f_2)?;
+    verify_required_field_exists("EntryLoad.data_center", &f_3)?;
+    verify_required_field_exists("EntryLoad.incarnation", &f_4)?;
+    verify_required_field_exists("EntryLoad.number", &f_5)?;
+    verify_required_field_exists("EntryLoad.known_entries", &f_6)?;
+    verify_required_field_exists("EntryLoad.loads", &f_7)?;
+    let ret = EntryLoad {
+      entry: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      address: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      data_center: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      incarnation: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      number: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      known_entries: f_6.expect("auto-generated code should have checked for presence of required fields"),
+      loads: f_7.expect("auto-generated code should have checked for presence of required fields"),
+      failing: f_8,
+      slow_ranks: f_9,
+      limits: f_10,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("EntryLoad");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("entry", TType::String, 1))?;
+    o_prot.write_string(&self.entry)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("address", TType::String, 2))?;
+    o_prot.write_string(&self.address)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("data_center", TType::String, 3))?;
+    o_prot.write_string(&self.data_center)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 4))?;
+    o_prot.write_i64(self.incarnation)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("number", TType::I64, 5))?;
+    o_prot.write_i64(self.number)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("known_entries", TType::I32, 6))?;
+    o_prot.write_i32(self.known_entries)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("loads", TType::String, 7))?;
+    o_prot.write_bytes(&self.loads)?;
+    o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.failing {
+      o_prot.write_field_begin(&TFieldIdentifier::new("failing", TType::Map, 8))?;
+      o_prot.write_map_begin(&TMapIdentifier::new(TType::String, TType::I08, fld_var.len() as i32))?;
+      for (k, v) in fld_var {
+        o_prot.write_string(k)?;
+        o_prot.write_i8(*v)?;
+      }
+      o_prot.write_map_end()?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.slow_ranks {
+      o_prot.write_field_begin(&TFieldIdentifier::new("slow_ranks", TType::Map, 9))?;
+      o_prot.write_map_begin(&TMapIdentifier::new(TType::String, TType::Double, fld_var.len() as i32))?;
+      for (k, v) in fld_var {
+        o_prot.write_string(k)?;
+        o_prot.write_double((*v).into())?;
+      }
+      o_prot.write_map_end()?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.limits {
+      o_prot.write_field_begin(&TFieldIdentifier::new("limits", TType::Map, 10))?;
+      o_prot.write_map_begin(&TMapIdentifier::new(TType::String, TType::Struct, fld_var.len() as i32))?;
+      for (k, v) in fld_var {
+        o_prot.write_string(k)?;
+        v.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_map_end()?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// LoadDatagram
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LoadDatagram {
+  pub reports: Vec<Vec<u8>>,
+}
+
+impl LoadDatagram {
+  pub fn new(reports: Vec<Vec<u8>>) -> LoadDatagram {
+    LoadDatagram {
+      reports,
+    }
+  }
+}
+
+impl TSerializable for LoadDatagram {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<LoadDatagram> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<Vec<u8>>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_18 = i_prot.read_bytes()?;
+            val.push(list_elem_18);
+          }
+          i_prot.read_list_end()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("LoadDatagram.reports", &f_1)?;
+    let ret = LoadDatagram {
+      reports: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("LoadDatagram");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("reports", TType::List, 1))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.reports.len() as i32))?;
+    for e in &self.reports {
+      o_prot.write_bytes(e)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // MemberMessage
 //
--- /dev/null
+++ b/crates/bilberryloft-relay/src/loads/wire.rs
@@ -0,0 +1,126 @@
+//! Datagrams between entries: conversion of reports to messages and back.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use bilberryloft_protocol::codec::decode_message;
+use bilberryloft_protocol::codec::encode_message;
+use bilberryloft_protocol::wire;
+use bilberryloft_routing::load_exchange::EntryReport;
+use bilberryloft_routing::load_exchange::ReportNumber;
+use bilberryloft_routing::load_exchange::ReportedTargets;
+use bilberryloft_routing::load_exchange::TargetTag;
+use bilberryloft_routing::target_limits::LimitReport;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+
+use crate::ranks::choices::push_number;
+use crate::ranks::choices::take_number;
+
+/// Size of the reports from which the next one goes into another datagram, in bytes.
+const DATAGRAM_BYTES: usize = 8 << 10;
+
+/// Encodes reports as one or more datagrams.
+pub fn encode(reports: &[EntryReport]) -> Vec<Vec<u8>> {
+    let mut datagrams = Vec::new();
+    let mut encoded: Vec<Vec<u8>> = Vec::new();
+    let mut bytes = 0;
+    for report in reports {
+        let report = encode_message(&to_wire(report));
+        if bytes + report.len() > DATAGRAM_BYTES && !encoded.is_empty() {
+            datagrams.push(encode_message(&wire::LoadDatagram::new(std::mem::take(&mut encoded))));
+            bytes = 0;
+        }
+        bytes += report.len();
+        encoded.push(report);
+    }
+    datagrams.push(encode_message(&wire::LoadDatagram::new(encoded)));
+    datagrams
+}
+
+/// Decodes a datagram. Reports that can't be read are left out; the others hold.
+pub fn decode(bytes: &[u8], sender: SocketAddr) -> Result<Vec<EntryReport>> {
+    let peer = sender.to_string();
+    let datagram: wire::LoadDatagram = decode_message(bytes, &peer)?;
+    let read = |it: &Vec<u8>| {
+        let report = decode_message(it, &peer).and_then(|it| from_wire(it, &peer));
+        report.inspect_err(|error| tracing::debug!(%error, "ignoring a load report")).ok()
+    };
+    Ok(datagram.reports.iter().filter_map(read).collect())
+}
+
+fn to_wire(report: &EntryReport) -> wire::EntryLoad {
+    let targets = &report.targets;
+    let failing = targets.failing.iter().map(|(id, rate)| (id.clone(), *rate as i8));
+    let slow_ranks = targets.slow_ranks.as_ref().map(|it| {
+        it.iter().map(|(id, slowness)| (id.clone(), (*slowness).into())).collect::<BTreeMap<_, _>>()
+    });
+    let limits = targets.limits.iter().map(|(id, limit)| {
+        let per_s = limit.per_s.map(Into::into);
+        let limit = wire::ReportedLimit::new(per_s, limit.incarnation as i64, limit.age_ms as i64);
+        (id.clone(), limit)
+    });
+    wire::EntryLoad::new(
+        report.entry.clone(),
+        report.address.to_string(),
+        report.data_center.clone(),
+        report.number.incarnation as i64,
+        report.number.number as i64,
+        report.known_entries as i32,
+        encode_loads(&targets.loads),
+        failing.collect::<BTreeMap<_, _>>(),
+        slow_ranks,
+        limits.collect::<BTreeMap<_, _>>(),
+    )
+}
+
+fn from_wire(load: wire::EntryLoad, peer: &str) -> Result<EntryReport> {
+    let invalid = |detail: &str| Error::protocol("load_report", peer, detail.to_string());
+    let limits = load.limits.unwrap_or_default().into_iter().map(|(id, limit)| {
+        let report = LimitReport {
+            per_s: limit.per_s.map(f64::from),
+            incarnation: limit.incarnation as u64,
+            age_ms: u64::try_from(limit.age_ms).unwrap_or(0),
+        };
+        (id, report)
+    });
+    let slow_ranks =
+        load.slow_ranks.map(|it| it.into_iter().map(|(id, it)| (id, f64::from(it))).collect());
+    let failing = load.failing.unwrap_or_default().into_iter();
+    let targets = ReportedTargets {
+        loads: decode_loads(&load.loads).ok_or_else(|| invalid("the loads can't be read"))?,
+        failing: failing.map(|(id, rate)| (id, rate.max(0) as u8)).collect(),
+        slow_ranks,
+        limits: limits.collect(),
+    };
+    let address = load.address.parse().map_err(|_| invalid("the address can't be read"))?;
+    let (incarnation, number) = (load.incarnation as u64, load.number as u64);
+    Ok(EntryReport {
+        entry: load.entry,
+        address,
+        data_center: load.data_center,
+        number: ReportNumber { incarnation, number },
+        known_entries: usize::try_from(load.known_entries).unwrap_or(0),
+        targets,
+    })
+}
+
+fn encode_loads(loads: &BTreeMap<TargetTag, u32>) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(5 * loads.len());
+    for (tag, load) in loads {
+        bytes.extend(tag.0.to_le_bytes());
+        push_number(&mut bytes, u64::from(*load));
+    }
+    bytes
+}
+
+fn decode_loads(mut bytes: &[u8]) -> Option<BTreeMap<TargetTag, u32>> {
+    let mut loads = BTreeMap::new();
+    while !bytes.is_empty() {
+        let (tag, rest) = bytes.split_first_chunk()?;
+        bytes = rest;
+        let load = u32::try_from(take_number(&mut bytes)?).ok()?;
+        loads.insert(TargetTag(u32::from_le_bytes(*tag)), load);
+    }
+    Some(loads)
+}
--- a/crates/bilberryloft-relay/src/ranks/agent.rs
+++ b/crates/bilberryloft-relay/src/ranks/agent.rs
@@ -84,7 +84,7 @@
             Body::RankPrepare(order) => Ok(Body::RankPrepared(self.prepare(&order).await?)),
             _ => {
                 let detail = "a rank agent does not serve this call".to_string();
-                Err(Error::protocol(step, &self.own_address.to_string(), detail))
+                Err(Error::protocol(step, self.own_address.to_string(), detail))
             }
         }
     }
--- a/crates/bilberryloft-routing/src/lib.rs
+++ b/crates/bilberryloft-routing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod failing;
 pub mod group_health;
 pub mod limit_backlog;
+pub mod load_exchange;
 pub mod retry_budget;
 pub mod routes;
 pub mod selection;
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -6,6 +6,7 @@
 use crate::failing::is_ejected;
 use crate::failing::penalty;
 use crate::failing::should_report;
+use crate::load_exchange::TargetTag;
 use crate::selection::LimitedCandidates;
 use crate::selection::NoMigration;
 use crate::selection::NoTarget;
@@ -78,6 +79,7 @@
 #[derive(Clone, Debug)]
 struct Target {
     info: TargetInfo,
+    tag: TargetTag,
     own_load: u32,
     others_load: u32,
     own_failure_rate: FailureRate,
@@ -91,6 +93,7 @@
 impl Target {
     fn new(info: TargetInfo) -> Target {
         Target {
+            tag: TargetTag::of(&info.id),
             info,
             own_load: 0,
             others_load: 0,
@@ -125,7 +128,7 @@
 #[derive(Clone, Debug)]
 struct EntryReport {
     received_ms: u64,
-    loads: BTreeMap<String, u32>,
+    loads: BTreeMap<TargetTag, u32>,
     failure_rates: BTreeMap<String, f64>,
 }
 
@@ -135,6 +138,7 @@
     data_center: String,
     targets: Vec<Target>,
     by_id: BTreeMap<String, TargetKey>,
+    by_tag: BTreeMap<TargetTag, Vec<TargetKey>>,
     by_service: BTreeMap<String, Vec<TargetKey>>,
     entries: BTreeMap<String, EntryReport>,
     slow_ranks: SlowRanks,
@@ -167,12 +171,15 @@
                 // incarnation. This entry's requests stay counted until they finish.
                 let own_load = target.own_load;
                 *target = Target { own_load, ..Target::new(info.clone()) };
+                self.sum_loads_of(key);
                 key
             }
             None => {
                 let key = TargetKey(self.targets.len());
                 self.targets.push(Target::new(info.clone()));
                 self.by_id.insert(info.id.clone(), key);
+                self.by_tag.entry(self.targets[key.0].tag).or_default().push(key);
+                self.sum_loads_of(key);
                 key
             }
         };
@@ -186,13 +193,62 @@
     pub fn record_entry(
         &mut self,
         entry: &str,
-        loads: BTreeMap<String, u32>,
+        loads: BTreeMap<TargetTag, u32>,
         failure_rates: BTreeMap<String, f64>,
         now_ms: u64,
     ) {
+        self.remove_entry(entry);
+        self.change_others_load(&loads, u32::saturating_add);
+        let has_failures = !failure_rates.is_empty();
         let report = EntryReport { received_ms: now_ms, loads, failure_rates };
         self.entries.insert(entry.to_string(), report);
-        self.sum_others(now_ms);
+        if has_failures {
+            self.merge_failure_rates();
+        }
+    }
+
+    /// Takes an entry's report out of the sums.
+    fn remove_entry(&mut self, entry: &str) {
+        let Some(report) = self.entries.remove(entry) else {
+            return;
+        };
+        self.change_others_load(&report.loads, u32::saturating_sub);
+        if !report.failure_rates.is_empty() {
+            self.merge_failure_rates();
+        }
+    }
+
+    fn change_others_load(
+        &mut self,
+        loads: &BTreeMap<TargetTag, u32>,
+        change: impl Fn(u32, u32) -> u32,
+    ) {
+        for (tag, load) in loads {
+            for key in self.by_tag.get(tag).into_iter().flatten() {
+                let target = &mut self.targets[key.0];
+                target.others_load = change(target.others_load, *load);
+            }
+        }
+    }
+
+    /// Sums the loads that other entries report for a target that is new or has restarted.
+    fn sum_loads_of(&mut self, key: TargetKey) {
+        let target = &mut self.targets[key.0];
+        let loads = self.entries.values().filter_map(|it| it.loads.get(&target.tag));
+        target.others_load = loads.sum();
+    }
+
+    /// Sets the failure rate of each target that other entries report to the highest one.
+    fn merge_failure_rates(&mut self) {
+        for target in &mut self.targets {
+            target.others_failure_rate = 0.0;
+        }
+        for (id, rate) in self.entries.values().flat_map(|it| &it.failure_rates) {
+            if let Some(key) = self.by_id.get(id) {
+                let target = &mut self.targets[key.0];
+                target.others_failure_rate = target.others_failure_rate.max(*rate);
+            }
+        }
     }
 
     /// Stores a host's report of the slowness of slow ranks, by target.
@@ -207,38 +263,18 @@
 
     /// Removes entries whose reports have expired; returns the number of entries, including this one.
     pub fn expire_entries(&mut self, now_ms: u64) -> usize {
-        let before = self.entries.len();
-        self.entries.retain(|_, it| it.received_ms + ACTIVE_MS > now_ms);
-        if self.entries.len() != before {
-            self.sum_others(now_ms);
+        let expired = self.entries.iter().filter(|it| it.1.received_ms + ACTIVE_MS <= now_ms);
+        let expired: Vec<String> = expired.map(|it| it.0.clone()).collect();
+        for entry in expired {
+            self.remove_entry(&entry);
         }
         self.entries.len() + 1
     }
 
-    fn sum_others(&mut self, now_ms: u64) {
-        for target in &mut self.targets {
-            target.others_load = 0;
-            target.others_failure_rate = 0.0;
-        }
-        for entry in self.entries.values().filter(|it| it.received_ms + ACTIVE_MS > now_ms) {
-            for (id, load) in &entry.loads {
-                if let Some(key) = self.by_id.get(id) {
-                    self.targets[key.0].others_load += load;
-                }
-            }
-            for (id, rate) in &entry.failure_rates {
-                if let Some(key) = self.by_id.get(id) {
-                    let target = &mut self.targets[key.0];
-                    target.others_failure_rate = target.others_failure_rate.max(*rate);
-                }
-            }
-        }
-    }
-
     /// Returns this entry's requests in flight by target, to be reported to the other entries.
-    pub fn own_loads(&self) -> BTreeMap<String, u32> {
+    pub fn own_loads(&self) -> BTreeMap<TargetTag, u32> {
         let loaded = self.targets.iter().filter(|it| it.own_load > 0);
-        loaded.map(|it| (it.info.id.clone(), it.own_load)).collect()
+        loaded.map(|it| (it.tag, it.own_load)).collect()
     }
 
     /// Returns this entry's high failure rates by target, to be reported to the other entries.
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -11,6 +11,7 @@
 use bilberryloft_routing::document::Engine;
 use bilberryloft_routing::event_stream::EventFramer;
 use bilberryloft_routing::group_health::GroupHealth;
+use bilberryloft_routing::load_exchange::TargetTag;
 use bilberryloft_routing::retry_budget::BudgetLimits;
 use bilberryloft_routing::retry_budget::RetryBudget;
 use bilberryloft_routing::retry_budget::RetryPurpose;
@@ -51,7 +52,7 @@
 #[test]
 fn pick_counts_the_requests_of_other_entries() {
     let mut table = table(2);
-    table.record_entry("other", [("t0".to_string(), 5)].into(), BTreeMap::new(), 0);
+    table.record_entry("other", [(TargetTag::of("t0"), 5)].into(), BTreeMap::new(), 0);
     for _ in 0..5 {
         assert_eq!(pick(&mut table, 0).unwrap(), "t1");
     }
@@ -80,7 +81,7 @@
         while table.pick("writer", &[], &limits, 0, || 0.5).is_ok() {}
     }
     let loads = tables.iter().flat_map(|it| it.own_loads());
-    let mut sums: BTreeMap<String, u32> = BTreeMap::new();
+    let mut sums: BTreeMap<TargetTag, u32> = BTreeMap::new();
     loads.for_each(|(id, load)| *sums.entry(id).or_default() += load);
     sums.into_values().max().unwrap()
 }
--- a/crates/bilberryloft-routing/tests/slow_ranks.rs
+++ b/crates/bilberryloft-routing/tests/slow_ranks.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 
+use bilberryloft_routing::load_exchange::TargetTag;
 use bilberryloft_routing::selection::NoMigration;
 use bilberryloft_routing::selection::PickLimits;
 use bilberryloft_routing::selection::PickedTarget;
@@ -127,7 +128,7 @@
         assert_ne!(next.id, "r3");
         table.finish(stream.key, AttemptOutcome::Unknown, 10);
     }
-    assert_eq!(table.own_loads().get("r3"), None);
+    assert_eq!(table.own_loads().get(&TargetTag::of("r3")), None);
 }
 
 #[test]
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -308,6 +308,33 @@
   1: required i32 status
 }
 
+// Limit that a target names on its requests.
+struct ReportedLimit {
+  1: optional double per_s
+  2: required i64 incarnation
+  3: required i64 age_ms
+}
+
+// Report of one entry to the others.
+struct EntryLoad {
+  1: required string entry
+  2: required string address
+  3: required string data_center
+  4: required i64 incarnation
+  5: required i64 number
+  6: required i32 known_entries
+  // Requests in flight: for each target its tag, four bytes with the lowest first, and the number.
+  7: required binary loads
+  8: optional map<string, i8> failing
+  9: optional map<string, double> slow_ranks
+  10: optional map<string, ReportedLimit> limits
+}
+
+// Datagram between entries. Each element is an encoded EntryLoad.
+struct LoadDatagram {
+  1: required list<binary> reports
+}
+
 // A message between members, with the sender's own address for a member that knows no members yet.
 struct MemberMessage {
   1: required RaftMessage message
