Report of lost runs: ages count the attempts until it is recorded

The report was built once, and a control host that did not answer took 700 ms of its ages, so one end of a target was recorded as two, 0.7 s apart. The command is now built for each attempt, with the ages of then. Tests: a silent host and one that answers; without the change the second command says 0 ms, as the first.

--- a/crates/bilberryloft-daemon/src/control_client.rs
+++ b/crates/bilberryloft-daemon/src/control_client.rs
@@ -175,14 +175,23 @@
     /// When the time runs out, fails with the error of the last attempt that failed, or with
     /// [`Error::NoControlHost`] if there were only redirects.
     pub async fn call(&self, body: Body, timeout: Duration) -> Result<Body> {
-        let step = body_name(&body);
+        self.call_with(body_name(&body), || Ok(body.clone()), timeout).await
+    }
+
+    /// Like [`ControlClient::call`], with a body that is built anew for each attempt.
+    async fn call_with(
+        &self,
+        step: &'static str,
+        build: impl Fn() -> Result<Body>,
+        timeout: Duration,
+    ) -> Result<Body> {
         let deadline = Instant::now() + timeout;
         let mut tried = 0;
         let mut last_error = Error::NoControlHost { step, tried };
         while Instant::now() < deadline {
             let remaining = deadline - Instant::now();
             let client = self.preferred();
-            match client.call(body.clone(), remaining.min(ATTEMPT_TIMEOUT)).await {
+            match client.call(build()?, remaining.min(ATTEMPT_TIMEOUT)).await {
                 Ok(Body::Redirect(redirect)) => self.follow_redirect(&client, &redirect.addresses),
                 Ok(response) => return Ok(response),
                 Err(error) => {
@@ -206,9 +215,22 @@
     ///
     /// The command may have been applied even when this fails.
     pub async fn propose(&self, command: &Command, timeout: Duration) -> Result<Outcome> {
-        let command = serde_json::to_vec(command)
-            .map_err(|it| Error::Json { step: "encode a command", detail: it.to_string() })?;
-        match self.call(Body::Propose(Propose::new(command, false)), timeout).await? {
+        self.propose_with(|| command.clone(), timeout).await
+    }
+
+    /// Like [`ControlClient::propose`], with a command that is built anew for each attempt, because it holds ages: an
+    /// attempt that a host does not answer takes most of a second.
+    pub async fn propose_with(
+        &self,
+        build: impl Fn() -> Command,
+        timeout: Duration,
+    ) -> Result<Outcome> {
+        let encode = || {
+            let command = serde_json::to_vec(&build())
+                .map_err(|it| Error::Json { step: "encode a command", detail: it.to_string() })?;
+            Ok(Body::Propose(Propose::new(command, false)))
+        };
+        match self.call_with("propose", encode, timeout).await? {
             Body::ProposeReply(reply) => serde_json::from_slice(&reply.outcome)
                 .map_err(|it| Error::Json { step: "read an outcome", detail: it.to_string() }),
             other => Err(Error::protocol("propose", "control", body_name(&other))),
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use bilberryloft_coordination::run_permission::RunHistory;
 use bilberryloft_routing::selection::TargetKey;
@@ -57,6 +58,31 @@
     }
 }
 
+/// Report of runs to the quorum.
+#[derive(Clone, Debug)]
+pub struct RunsReport {
+    /// Runs whose targets have ended, with their ages when the report was built.
+    pub lost: Vec<LostRun>,
+    /// Suspects that a target has survived.
+    pub survived: Vec<i64>,
+}
+
+impl RunsReport {
+    /// Returns the command that records the report, with the ages that the runs have after `elapsed`.
+    pub fn command(&self, elapsed: Duration) -> Command {
+        let elapsed_ms = elapsed.as_millis() as u64;
+        let aged = |it: &LostRun| LostRun {
+            started_ago_ms: it.started_ago_ms + elapsed_ms,
+            lost_ago_ms: it.lost_ago_ms + elapsed_ms,
+            ..it.clone()
+        };
+        Command::ReportRuns {
+            lost: self.lost.iter().map(aged).collect(),
+            survived: self.survived.clone(),
+        }
+    }
+}
+
 /// Runs of this entry that the quorum has to know of.
 #[derive(Debug, Default)]
 pub struct LostRuns {
@@ -145,7 +171,7 @@
     }
 
     /// Builds a report of what is not recorded yet.
-    pub fn build_report(&self) -> Command {
+    pub fn build_report(&self) -> RunsReport {
         let lost = |it: &UnrecordedRun| LostRun {
             target: it.run.target_id.clone(),
             fingerprint: it.run.fingerprint,
@@ -153,7 +179,7 @@
             lost_ago_ms: it.noticed.elapsed().as_millis() as u64,
             was_answering: it.run.is_answering,
         };
-        Command::ReportRuns {
+        RunsReport {
             lost: self.unrecorded.iter().take(REPORT_MAX).map(lost).collect(),
             survived: self.survived_suspects.iter().copied().take(REPORT_MAX).collect(),
         }
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -19,7 +19,6 @@
 use bilberryloft_daemon::trial::TrialDecision;
 use bilberryloft_daemon::trial::begin_trial;
 use bilberryloft_daemon::view::View;
-use bilberryloft_state::state_machine::Command;
 use bilberryloft_state::state_machine::Outcome;
 use bilberryloft_state::suspect::SUSPECT_RETENTION_MS;
 use bilberryloft_transport::clock::epoch_ms;
@@ -226,14 +225,14 @@
 
     async fn report_all(&self) {
         loop {
-            let command = self.runs.lock().build_report();
-            let Command::ReportRuns { lost, survived } = &command else {
-                return;
-            };
+            let report = self.runs.lock().build_report();
+            let (lost, survived) = (&report.lost, &report.survived);
             if lost.is_empty() && survived.is_empty() {
                 return;
             }
-            let outcome = self.control.propose(&command, QUORUM_TIMEOUT).await;
+            let started = Instant::now();
+            let build = || report.command(started.elapsed());
+            let outcome = self.control.propose_with(build, QUORUM_TIMEOUT).await;
             let is_recorded = matches!(outcome, Ok(Outcome::Applied));
             log_event!(
                 info,
--- /dev/null
+++ b/crates/bilberryloft-testing/tests/control_client.rs
@@ -0,0 +1,79 @@
+//! Calls to control hosts of which one does not answer.
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bilberryloft_daemon::control_client::ControlClient;
+use bilberryloft_protocol::wire::Body;
+use bilberryloft_protocol::wire::ProposeReply;
+use bilberryloft_state::state_machine::Command;
+use bilberryloft_state::state_machine::Outcome;
+use bilberryloft_state::suspect::LostRun;
+use bilberryloft_testing::address::unique_ip;
+use bilberryloft_transport::server::Call;
+use bilberryloft_transport::server::Handler;
+use bilberryloft_transport::server::Server;
+use parking_lot::Mutex;
+
+/// Control host that records the commands it gets, and may leave them unanswered.
+struct Host {
+    answers: bool,
+    commands: Mutex<Vec<(Instant, Command)>>,
+}
+
+impl Handler for Host {
+    async fn handle(self: Arc<Self>, call: Call) {
+        let Body::Propose(propose) = call.body else {
+            return;
+        };
+        let command = serde_json::from_slice(&propose.command).unwrap();
+        self.commands.lock().push((Instant::now(), command));
+        if self.answers {
+            let outcome = serde_json::to_vec(&Outcome::Applied).unwrap();
+            call.responder.send(Body::ProposeReply(ProposeReply::new(outcome))).await.unwrap();
+        } else {
+            tokio::time::sleep(Duration::from_secs(5)).await;
+        }
+    }
+}
+
+async fn start(answers: bool) -> (String, Arc<Host>, Server) {
+    let host = Arc::new(Host { answers, commands: Mutex::default() });
+    let address = format!("{}:7300", unique_ip());
+    let server = Server::bind(&address, "control", 1, host.clone()).await.unwrap();
+    (address, host, server)
+}
+
+/// Guards against a report of lost runs whose ages leave out the time until it is recorded: two ends of targets at the
+/// same moment then count as two rounds, and a request that ended nothing is refused.
+#[tokio::test]
+async fn propose_to_a_second_host_counts_the_time_that_the_first_one_took() {
+    let (silent, silent_host, _silent) = start(false).await;
+    let (answering, answering_host, _answering) = start(true).await;
+    let client = ControlClient::new(&[silent, answering], "entry", 1);
+    let started = Instant::now();
+    let build = || Command::ReportRuns {
+        lost: vec![LostRun {
+            target: "t".to_string(),
+            fingerprint: 7,
+            started_ago_ms: 1_000 + started.elapsed().as_millis() as u64,
+            lost_ago_ms: started.elapsed().as_millis() as u64,
+            was_answering: false,
+        }],
+        survived: Vec::new(),
+    };
+    let outcome = client.propose_with(build, Duration::from_secs(4)).await.unwrap();
+    assert_eq!(outcome, Outcome::Applied);
+    let first = silent_host.commands.lock()[0].clone();
+    let second = answering_host.commands.lock()[0].clone();
+    let lost_ago_ms = |command: &Command| match command {
+        Command::ReportRuns { lost, .. } => lost[0].lost_ago_ms,
+        other => panic!("{other:?}"),
+    };
+    let apart_ms = (second.0 - first.0).as_millis() as u64;
+    let counted_ms = lost_ago_ms(&second.1) - lost_ago_ms(&first.1);
+    assert!(apart_ms > 500, "{apart_ms} ms");
+    assert!(counted_ms.abs_diff(apart_ms) < apart_ms / 4, "{counted_ms} of {apart_ms} ms");
+}
