Targets in trouble: bytes without end no longer hold up an entry

Found by a test of our own (platform/tests/bad_answers.rs): a target that sends informational answers without end kept the entry's traffic thread busy in the HTTP library, which skips them in one go; a request had no answer after 6 s (its route's timeout is 4 s), and no other one was served. A chunk size of zeros without end did the same for half a second.

The same test file covers late second copies, bytes after an answer, halves, lost answers, slow and trickling streams: nothing else was found.

--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -15,9 +15,8 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
+use crate::connection::Connection;
 use crate::headers;
-use crate::pool::Connection;
-use crate::pool::connect;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
 
@@ -98,7 +97,7 @@
         state.lifecycle.wait_after_stall().await;
         let message = build_message(state, request, picked, resume_after);
         let sent_ms = monotonic_ms();
-        match connection.try_send_request(message).await {
+        match connection.send(message).await {
             Ok(response) => {
                 observe_limit(state, request, picked, &response, sent_ms);
                 let address = picked.address.clone();
@@ -109,7 +108,7 @@
                     return AttemptResult::Unknown { error: error.into_error().to_string() };
                 }
                 // The connection was closed before any byte of the request was written.
-                match connect(&picked.address).await {
+                match Connection::open(&picked.address).await {
                     Ok(fresh) => next = Some(fresh),
                     Err(error) => return AttemptResult::NotSent { error: error.to_string() },
                 }
@@ -134,7 +133,7 @@
             // The new connection and those in use also count against the share.
             let share = state.connection_share(&request.service);
             state.pool.trim(&picked.address, share.saturating_sub(picked.own_load as usize + 1));
-            connect(&picked.address).await
+            Connection::open(&picked.address).await
         }
     }
 }
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod answer;
 pub mod attempt;
+pub mod connection;
 pub mod control_api;
 pub mod dialect;
 pub mod entries;
--- a/crates/bilberryloft-relay/src/pool.rs
+++ b/crates/bilberryloft-relay/src/pool.rs
@@ -3,21 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::HeaderMap;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
 use hyper::header::HeaderName;
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::connection::Connection;
 use crate::headers;
 
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest number of idle connections to one target.
 const IDLE_MAX: usize = 16;
 /// Time for which a connection is kept if its target states no idle timeout.
@@ -25,9 +18,6 @@
 /// Share of the target's idle timeout for which a connection is kept, so that it is not reused as the target closes it.
 const IDLE_TIME_SHARE: f64 = 0.7;
 
-/// A connection to a target, which carries one request at a time.
-pub type Connection = SendRequest<Full<Bytes>>;
-
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -96,22 +86,6 @@
     }
 }
 
-/// Opens a connection; fails if that takes longer than 400 ms.
-pub async fn connect(address: &str) -> std::io::Result<Connection> {
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, async {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
-        tokio::spawn(async move {
-            // A request on the connection gets the error itself.
-            let _ = connection.await;
-        });
-        Ok(sender)
-    });
-    connected.await.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
-}
-
 /// Returns the time for which a connection is kept, from the target's `keep-alive: timeout=SECONDS` header.
 fn idle_time(answer: &HeaderMap) -> Option<Duration> {
     let text = headers::text(answer, &HeaderName::from_static("keep-alive"))?;
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -12,8 +12,6 @@
 use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_routing::targets::AttemptOutcome;
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
@@ -296,10 +294,10 @@
     }
     let Answered { response, connection, address } = *answered;
     let (parts, body) = response.into_parts();
-    match Limited::new(body, BUFFERED_ANSWER_BYTES_MAX).collect().await {
-        Ok(collected) => {
+    match connection.read_body(body, BUFFERED_ANSWER_BYTES_MAX).await {
+        Ok(bytes) => {
             state.pool.give_back(&address, connection, &parts.headers);
-            let body = AnswerContent::Buffered(collected.to_bytes());
+            let body = AnswerContent::Buffered(bytes);
             (summary, Some(ReceivedAnswer { head, body }))
         }
         Err(error) => {
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -205,7 +205,7 @@
         let mut checked = Instant::now();
         let end = loop {
             let frame = tokio::select! {
-                frame = body.frame() => frame,
+                frame = connection.next_frame(&mut body) => frame,
                 replacement = &mut migration, if may_resume => break BodyEnd::Migrate(replacement),
                 () = self.frames.closed() => break BodyEnd::CallerLeft,
                 () = tokio::time::sleep_until(checked.max(self.last_event) + SILENCE) => {
--- a/crates/bilberryloft-relay/src/target_call.rs
+++ b/crates/bilberryloft-relay/src/target_call.rs
@@ -3,16 +3,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::client::conn::TrySendError;
 use hyper::header;
 
+use crate::connection::Connection;
 use crate::pool::Pool;
-use crate::pool::connect;
 
 /// Largest answer body that is read, in bytes.
 const ANSWER_BYTES_MAX: usize = 1 << 20;
@@ -73,7 +72,7 @@
 ) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error + Send + Sync>> {
     let mut connection = match pool.take(address) {
         Some(connection) => connection,
-        None => connect(address).await?,
+        None => Connection::open(address).await?,
     };
     let mut request = Request::new(Full::new(body.clone()));
     *request.method_mut() = method;
@@ -83,9 +82,9 @@
     if !body.is_empty() {
         headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
     }
-    let response = connection.send_request(request).await?;
+    let response = connection.send(request).await.map_err(TrySendError::into_error)?;
     let (parts, body) = response.into_parts();
-    let bytes = Limited::new(body, ANSWER_BYTES_MAX).collect().await?.to_bytes();
+    let bytes = connection.read_body(body, ANSWER_BYTES_MAX).await?;
     pool.give_back(address, connection, &parts.headers);
     Ok((parts.status, bytes))
 }
--- a/crates/bilberryloft-relay/src/target_probe.rs
+++ b/crates/bilberryloft-relay/src/target_probe.rs
@@ -6,15 +6,15 @@
 use bilberryloft_coordination::target_end::ProbeResult;
 use hyper::HeaderMap;
 
+use crate::connection::Connection;
 use crate::pool::Pool;
-use crate::pool::connect;
 
 /// Time for which a new connection must stay open. A target that is ending may still accept connections.
 const SETTLE_TIME: Duration = Duration::from_millis(150);
 
 /// Opens a connection to a target; a connection that stays open goes to the pool.
 pub async fn probe_target(pool: &Pool, address: &str) -> ProbeResult {
-    let connection = match connect(address).await {
+    let connection = match Connection::open(address).await {
         Ok(connection) => connection,
         Err(error) => return classify(error.kind()),
     };
@@ -27,7 +27,7 @@
         return ProbeResult::Connected;
     }
     // A target with too many connections resets new ones, too, but goes on accepting them.
-    match connect(address).await {
+    match Connection::open(address).await {
         Ok(_) => ProbeResult::Connected,
         Err(error) => classify(error.kind()),
     }
