--- a/crates/bilberryloft-relay/src/entries.rs
+++ b/crates/bilberryloft-relay/src/entries.rs
@@ -85,6 +85,11 @@
         self.view.confirmed_age_ms().is_some_and(|it| it <= CONFIRMED_WITHIN_MS)
     }
 
+    /// Returns the number of active entries, including this one.
+    pub fn active(&self) -> usize {
+        self.active.load(Ordering::Relaxed)
+    }
+
     /// Logs the number of active entries, including this one, if it has changed.
     pub fn set_active(&self, active: usize) {
         let before = self.active.swap(active, Ordering::Relaxed);
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -218,6 +218,7 @@
             queue_max: TARGET_QUEUE_MAX,
             own_load_max: u32::try_from(self.connection_share(service)).unwrap_or(u32::MAX),
             idle_load: self.engine(service).map_or(0.0, |it| it.idle_load()),
+            entries: self.entries.active(),
         }
     }
 
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -23,7 +23,8 @@
         is_leaving: false,
         is_announced: true,
     });
-    let limits = PickLimits { load_max: None, queue_max: 0, own_load_max: 1, idle_load: 0.0 };
+    let limits =
+        PickLimits { load_max: None, queue_max: 0, own_load_max: 1, idle_load: 0.0, entries: 1 };
     let picked = table.pick("writer", &[], &limits, 0, || 0.5).unwrap();
     TargetRun {
         fingerprint: 7,
--- a/crates/bilberryloft-routing/src/selection.rs
+++ b/crates/bilberryloft-routing/src/selection.rs
@@ -5,6 +5,9 @@
 use crate::target_limits::LimitedWait;
 use crate::target_limits::wait_ms;
 
+/// Smallest number of targets that are compared.
+const SAMPLE_MIN: usize = 3;
+
 /// Index of a target in a table of targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TargetKey(pub(crate) usize);
@@ -21,9 +24,19 @@
     /// Time of a rank's forward pass without requests, in units of the time that one request adds; 0 for a plain
     /// service.
     pub idle_load: f64,
+    /// Entries that pick among the same targets, including this one.
+    pub entries: usize,
 }
 
 impl PickLimits {
+    /// Returns the number of targets among which the best one is picked.
+    ///
+    /// Entries that all compare the same targets by the same old loads all pick the same ones. So each compares a random
+    /// part of them, the smaller the more entries there are.
+    pub fn sample_size(&self, targets: usize) -> usize {
+        targets.div_ceil(self.entries.max(1)).max(SAMPLE_MIN)
+    }
+
     /// Returns the number of requests that a target with this number of slots may have.
     pub fn load_max(&self, slots: u32) -> u32 {
         self.load_max.unwrap_or(slots + self.queue_max)
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -317,8 +317,8 @@
     /// Picks the target with the lowest score and counts one more request there.
     ///
     /// The score is the number of requests, or the pass time for ranks, plus a penalty for failures, less a bonus for
-    /// the same data centre. `draw` returns a number in 0..1 that varies the choice among targets with similar scores.
-    /// A target in back-off is picked only if there is no other.
+    /// the same data centre. `draw` returns a number in 0..1 that varies the choice among targets with similar scores and
+    /// selects those that are compared. A target in back-off is picked only if there is no other.
     pub fn pick(
         &mut self,
         service: &str,
@@ -327,12 +327,22 @@
         now_ms: u64,
         mut draw: impl FnMut() -> f64,
     ) -> Result<PickedTarget, NoTarget> {
-        let candidates = self.candidates(service, tried, now_ms);
+        let mut candidates = self.candidates(service, tried, now_ms);
+        let count = candidates.len();
+        let sample = limits.sample_size(count);
         let fastest = fastest(&candidates);
+        let mut compared = 0;
         let mut in_backoff = None;
         let mut limited = LimitedCandidates::default();
         let mut best: Option<(f64, TargetKey)> = None;
-        for (key, slowness) in candidates.iter().copied() {
+        for idx in 0..count {
+            if compared == sample {
+                break;
+            }
+            if sample < count {
+                candidates.swap(idx, idx + ((count - idx) as f64 * draw()) as usize);
+            }
+            let (key, slowness) = candidates[idx];
             let target = &self.targets[key.0];
             let slowness = slowness / fastest;
             let full_load = limits.load_max(target.info.slots);
@@ -352,13 +362,13 @@
                 continue;
             }
             let pass_cost = pass_cost(limits.idle_load, target.load(), slowness);
+            compared += 1;
             let score = pass_cost + self.preference(target, now_ms) + 0.3 * draw();
             if best.is_none_or(|it| score < it.0) {
                 best = Some((score, key));
             }
         }
         let chosen = best.map(|it| it.1).or(in_backoff.map(|it| it.1));
-        let count = candidates.len();
         match chosen {
             Some(key) => Ok(self.reserve(key, count, now_ms)),
             None => Err(limited.no_target(count)),
--- a/crates/bilberryloft-routing/tests/outlier_ejection.rs
+++ b/crates/bilberryloft-routing/tests/outlier_ejection.rs
@@ -10,8 +10,13 @@
 use bilberryloft_routing::targets::AttemptOutcome;
 use bilberryloft_routing::targets::TargetTable;
 
-const LIMITS: PickLimits =
-    PickLimits { load_max: None, queue_max: 4, own_load_max: u32::MAX, idle_load: 13.0 };
+const LIMITS: PickLimits = PickLimits {
+    load_max: None,
+    queue_max: 4,
+    own_load_max: u32::MAX,
+    idle_load: 13.0,
+    entries: 1,
+};
 /// Duration of a request at a healthy target, in milliseconds.
 const HEALTHY_MS: u64 = 1_200;
 /// Duration of a request at a failing target, in milliseconds.
--- a/crates/bilberryloft-routing/tests/slow_ranks.rs
+++ b/crates/bilberryloft-routing/tests/slow_ranks.rs
@@ -19,8 +19,13 @@
 const SLOTS: u32 = 12;
 /// Time of a step without requests, in units of the time that one request adds.
 const IDLE_LOAD: f64 = 13.4;
-const LIMITS: PickLimits =
-    PickLimits { load_max: None, queue_max: 4, own_load_max: u32::MAX, idle_load: IDLE_LOAD };
+const LIMITS: PickLimits = PickLimits {
+    load_max: None,
+    queue_max: 4,
+    own_load_max: u32::MAX,
+    idle_load: IDLE_LOAD,
+    entries: 1,
+};
 
 fn slow_group(slowness: &[(usize, f64)]) -> TargetTable {
     let mut table = support::target_table("r", RANKS, SLOTS);
