--- /dev/null
+++ b/crates/bilberryloft-relay/tests/load_datagrams.rs
@@ -0,0 +1,73 @@
+//! Datagrams with load reports: what is sent arrives, and bytes of any kind do no harm.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use bilberryloft_relay::loads::wire;
+use bilberryloft_routing::load_exchange::EntryReport;
+use bilberryloft_routing::load_exchange::ReportNumber;
+use bilberryloft_routing::load_exchange::ReportedTargets;
+use bilberryloft_routing::load_exchange::TargetTag;
+use bilberryloft_routing::target_limits::LimitReport;
+use quickcheck::quickcheck;
+
+fn sender() -> SocketAddr {
+    "127.0.0.1:7000".parse().unwrap()
+}
+
+fn report(entry: usize, loads: usize, limits: usize) -> EntryReport {
+    let limit = LimitReport { per_s: Some(2.5), incarnation: 3, age_ms: 40 };
+    EntryReport {
+        entry: format!("edge-obihiro-hall-{entry}"),
+        address: sender(),
+        data_center: "obihiro-hall".to_string(),
+        number: ReportNumber { incarnation: 1_800_000_000_000, number: 7 },
+        known_entries: 55,
+        targets: ReportedTargets {
+            loads: (0..loads).map(|it| (TargetTag(it as u32 * 7_777_777), 2)).collect(),
+            failing: BTreeMap::from([("t1".to_string(), 9)]),
+            slow_ranks: Some(BTreeMap::from([("t2".to_string(), 3.5)])),
+            limits: (0..limits).map(|it| (format!("target-{it}"), limit)).collect(),
+        },
+    }
+}
+
+#[test]
+fn reports_arrive_as_they_were() {
+    let reports: Vec<EntryReport> = (0..3).map(|it| report(it, 15, 2)).collect();
+    let datagrams = wire::encode(&reports);
+    assert_eq!(datagrams.len(), 1);
+    assert_eq!(wire::decode(&datagrams[0], sender()).unwrap(), reports);
+}
+
+#[test]
+fn report_of_an_entry_with_15_targets_takes_less_than_200_bytes() {
+    let mut report = report(1, 15, 0);
+    report.targets.failing.clear();
+    report.targets.slow_ranks = None;
+    assert!(wire::encode(&[report])[0].len() < 200);
+}
+
+/// A datagram holds 64 KB at most, and many limits do not fit into one.
+#[test]
+fn reports_with_many_limits_are_split() {
+    let reports: Vec<EntryReport> = (0..40).map(|it| report(it, 192, 128)).collect();
+    let datagrams = wire::encode(&reports);
+    assert!(datagrams.iter().all(|it| it.len() < 16 << 10));
+    let decoded = datagrams.iter().flat_map(|it| wire::decode(it, sender()).unwrap());
+    assert_eq!(decoded.collect::<Vec<_>>(), reports);
+}
+
+quickcheck! {
+    fn bytes_of_any_kind_are_read_or_refused(bytes: Vec<u8>) -> bool {
+        wire::decode(&bytes, sender()).map_or(0, |it| it.len()) <= bytes.len()
+    }
+
+    fn datagram_with_a_changed_byte_is_read_or_refused(at: usize, value: u8) -> bool {
+        let mut datagram = wire::encode(&[report(1, 15, 2), report(2, 3, 0)]).remove(0);
+        let at = at % datagram.len();
+        datagram[at] = value;
+        wire::decode(&datagram, sender()).map_or(0, |it| it.len()) <= datagram.len()
+    }
+}
