--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -335,18 +335,9 @@
             return;
         }
         let copied_ms = pending.since.elapsed().as_millis() as u64;
-        let current_step = ranks.iter().filter_map(|it| it.current_step(pass_ms)).max();
-        let Some(current_step) = current_step else {
+        let Some((change, ahead)) = self.schedule(ranks, &pending, epoch, pass_ms) else {
             return;
         };
-        let orders = OrderTiming {
-            ranks: ranks.len(),
-            unanswered: pending.unanswered,
-            round_ms: self.round_ms,
-            timeout_ms: short_order_timeout(ranks.len()).as_secs_f64() * 1_000.0,
-        };
-        let ahead = passes_ahead(orders, pass_ms);
-        let change = Change { version, step: current_step + ahead, epoch };
         if let Some(step) = self.switch_map(key, ranks, change).await {
             log_event!(
                 info,
@@ -363,6 +354,25 @@
             }
         }
     }
+
+    /// Returns a switch to the pending map, and how many passes ahead it is.
+    fn schedule(
+        &self,
+        ranks: &[RankSnapshot],
+        pending: &PendingMap,
+        epoch: u64,
+        pass_ms: f64,
+    ) -> Option<(Change, u64)> {
+        let current_step = ranks.iter().filter_map(|it| it.current_step(pass_ms)).max()?;
+        let orders = OrderTiming {
+            ranks: ranks.len(),
+            unanswered: pending.unanswered,
+            round_ms: self.round_ms,
+            timeout_ms: short_order_timeout(ranks.len()).as_secs_f64() * 1_000.0,
+        };
+        let ahead = passes_ahead(orders, pass_ms);
+        Some((Change { version: pending.version, step: current_step + ahead, epoch }, ahead))
+    }
 }
 
 /// Reads the map in use from the ranks; returns `None` unless all answer with the given version.
--- a/crates/bilberryloft-routing/src/lib.rs
+++ b/crates/bilberryloft-routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod selection;
 pub mod sharing_entries;
 pub mod slow_ranks;
+mod target;
 pub mod target_limits;
 pub mod targets;
 pub mod wait_queue;
--- /dev/null
+++ b/crates/bilberryloft-routing/src/target.rs
@@ -0,0 +1,61 @@
+//! State of one target at one entry.
+
+use crate::failing::FailureRate;
+use crate::load_exchange::TargetTag;
+use crate::targets::TargetInfo;
+
+/// Time for which a target that no longer announces itself is still used after its last answer, in milliseconds. It
+/// may only have lost its connection to the control hosts.
+const UNANNOUNCED_USE_MS: u64 = 3_000;
+
+/// What one entry knows of a target.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) info: TargetInfo,
+    pub(crate) tag: TargetTag,
+    pub(crate) own_load: u32,
+    pub(crate) others_load: u32,
+    pub(crate) own_failure_rate: FailureRate,
+    pub(crate) others_failure_rate: f64,
+    pub(crate) consecutive_losses: u32,
+    pub(crate) backoff_until_ms: u64,
+    pub(crate) excluded_until_ms: u64,
+    pub(crate) last_answer_ms: Option<u64>,
+}
+
+impl Target {
+    /// Creates the state of a target that has got no request yet.
+    pub(crate) fn new(info: TargetInfo) -> Target {
+        Target {
+            tag: TargetTag::of(&info.id),
+            info,
+            own_load: 0,
+            others_load: 0,
+            own_failure_rate: FailureRate::default(),
+            others_failure_rate: 0.0,
+            consecutive_losses: 0,
+            backoff_until_ms: 0,
+            excluded_until_ms: 0,
+            last_answer_ms: None,
+        }
+    }
+
+    /// Returns whether the target may get requests.
+    pub(crate) fn is_eligible(&self, now_ms: u64) -> bool {
+        let has_answered_recently =
+            self.last_answer_ms.is_some_and(|it| it + UNANNOUNCED_USE_MS > now_ms);
+        !self.info.is_leaving
+            && self.excluded_until_ms <= now_ms
+            && (self.info.is_announced || has_answered_recently)
+    }
+
+    /// Returns the requests of all entries at the target, as far as they are known.
+    pub(crate) fn load(&self) -> u32 {
+        self.own_load + self.others_load
+    }
+
+    /// Returns the higher of this entry's failure rate and the highest one that another entry reports.
+    pub(crate) fn failure_rate(&self, now_ms: u64) -> f64 {
+        self.own_failure_rate.rate(now_ms).max(self.others_failure_rate)
+    }
+}
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use crate::failing::FailureRate;
 use crate::failing::is_ejected;
 use crate::failing::penalty;
 use crate::failing::should_report;
@@ -18,12 +17,11 @@
 use crate::slow_ranks::load_max;
 use crate::slow_ranks::pass_cost;
 use crate::slow_ranks::should_migrate;
+use crate::target::Target;
+use crate::target_limits::LimitState;
 use crate::target_limits::LimitedWait;
 use crate::target_limits::TargetLimits;
 
-/// Time for which a target that no longer announces itself is still used after its last answer, in milliseconds. It
-/// may only have lost its connection to the control hosts.
-const UNANNOUNCED_USE_MS: u64 = 3_000;
 /// First back-off after a target was lost, in milliseconds; doubles with each consecutive loss.
 const BACKOFF_FIRST_MS: u64 = 100;
 /// Longest back-off after a target was lost, in milliseconds.
@@ -33,6 +31,8 @@
 /// Time for which a target is excluded after another one answered at its address, in milliseconds. Within that time,
 /// the control hosts notice that it no longer announces itself.
 const MISDIRECTED_EXCLUSION_MS: u64 = 4_000;
+/// Largest random part of a target's score.
+const DRAW_WEIGHT: f64 = 0.3;
 /// Number of requests by which a target in the entry's data centre may be busier and still be preferred.
 const SAME_DATA_CENTER_BONUS: f64 = 0.4;
 
@@ -76,52 +76,22 @@
     Unknown,
 }
 
-#[derive(Clone, Debug)]
-struct Target {
-    info: TargetInfo,
-    tag: TargetTag,
-    own_load: u32,
-    others_load: u32,
-    own_failure_rate: FailureRate,
-    others_failure_rate: f64,
-    consecutive_losses: u32,
-    backoff_until_ms: u64,
-    excluded_until_ms: u64,
-    last_answer_ms: Option<u64>,
-}
-
-impl Target {
-    fn new(info: TargetInfo) -> Target {
-        Target {
-            tag: TargetTag::of(&info.id),
-            info,
-            own_load: 0,
-            others_load: 0,
-            own_failure_rate: FailureRate::default(),
-            others_failure_rate: 0.0,
-            consecutive_losses: 0,
-            backoff_until_ms: 0,
-            excluded_until_ms: 0,
-            last_answer_ms: None,
-        }
-    }
-
-    fn is_eligible(&self, now_ms: u64) -> bool {
-        let has_answered_recently =
-            self.last_answer_ms.is_some_and(|it| it + UNANNOUNCED_USE_MS > now_ms);
-        !self.info.is_leaving
-            && self.excluded_until_ms <= now_ms
-            && (self.info.is_announced || has_answered_recently)
-    }
-
-    fn load(&self) -> u32 {
-        self.own_load + self.others_load
-    }
-
-    /// Returns the higher of this entry's failure rate and the highest one that another entry reports.
-    fn failure_rate(&self, now_ms: u64) -> f64 {
-        self.own_failure_rate.rate(now_ms).max(self.others_failure_rate)
-    }
+/// Whether a target may get a request.
+enum Assessment {
+    /// It has reached its load limit.
+    NoSlot,
+    /// It has reached the limit that it names.
+    Limited(LimitState),
+    /// It was lost or full a moment ago.
+    InBackoff {
+        /// Time at which the back-off ends, in milliseconds.
+        until_ms: u64,
+    },
+    /// It may get a request; the lower the score, the better it suits.
+    Usable {
+        /// Score without its random part.
+        score: f64,
+    },
 }
 
 /// Latest report of another entry.
@@ -343,29 +313,23 @@
                 candidates.swap(idx, idx + ((count - idx) as f64 * draw()) as usize);
             }
             let (key, slowness) = candidates[idx];
-            let target = &self.targets[key.0];
-            let slowness = slowness / fastest;
-            let full_load = limits.load_max(target.info.slots);
-            let load_max = load_max(limits.idle_load, full_load, slowness);
-            if target.load() >= load_max || target.own_load >= limits.own_load_max {
-                continue;
-            }
-            let limit = self.limits.state(&target.info.id, target.info.incarnation, now_ms);
-            if !limit.may_send() {
-                limited.add(limit);
-                continue;
-            }
-            if target.backoff_until_ms > now_ms {
-                let sooner =
-                    in_backoff.is_none_or(|(until_ms, _)| target.backoff_until_ms < until_ms);
-                in_backoff = if sooner { Some((target.backoff_until_ms, key)) } else { in_backoff };
-                continue;
-            }
-            let pass_cost = pass_cost(limits.idle_load, target.load(), slowness);
-            compared += 1;
-            let score = pass_cost + self.preference(target, now_ms) + 0.3 * draw();
-            if best.is_none_or(|it| score < it.0) {
-                best = Some((score, key));
+            match self.assess(key, slowness / fastest, limits, now_ms) {
+                Assessment::NoSlot => {}
+                Assessment::Limited(limit) => {
+                    limited.add(limit);
+                }
+                Assessment::InBackoff { until_ms } => {
+                    if in_backoff.is_none_or(|(soonest_ms, _)| until_ms < soonest_ms) {
+                        in_backoff = Some((until_ms, key));
+                    }
+                }
+                Assessment::Usable { score } => {
+                    compared += 1;
+                    let score = score + DRAW_WEIGHT * draw();
+                    if best.is_none_or(|it| score < it.0) {
+                        best = Some((score, key));
+                    }
+                }
             }
         }
         let chosen = best.map(|it| it.1).or(in_backoff.map(|it| it.1));
@@ -375,6 +339,31 @@
         }
     }
 
+    /// Returns whether a target may get a request, and how well it suits.
+    fn assess(
+        &self,
+        key: TargetKey,
+        slowness: f64,
+        limits: &PickLimits,
+        now_ms: u64,
+    ) -> Assessment {
+        let target = &self.targets[key.0];
+        let full_load = limits.load_max(target.info.slots);
+        let load_max = load_max(limits.idle_load, full_load, slowness);
+        if target.load() >= load_max || target.own_load >= limits.own_load_max {
+            return Assessment::NoSlot;
+        }
+        let limit = self.limits.state(&target.info.id, target.info.incarnation, now_ms);
+        if !limit.may_send() {
+            return Assessment::Limited(limit);
+        }
+        if target.backoff_until_ms > now_ms {
+            return Assessment::InBackoff { until_ms: target.backoff_until_ms };
+        }
+        let pass_cost = pass_cost(limits.idle_load, target.load(), slowness);
+        Assessment::Usable { score: pass_cost + self.preference(target, now_ms) }
+    }
+
     /// Returns the part of a target's score that does not depend on its load.
     fn preference(&self, target: &Target, now_ms: u64) -> f64 {
         let is_same_data_center = target.info.data_center == self.data_center;
