--- a/crates/bilberryloft-protocol/src/lib.rs
+++ b/crates/bilberryloft-protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod convert;
 pub mod problem;
 pub mod ranks;
+pub mod varint;
 
 /// Thrift messages, generated from `idl/wire.thrift`.
 #[rustfmt::skip]
--- a/crates/bilberryloft-relay/src/loads/wire.rs
+++ b/crates/bilberryloft-relay/src/loads/wire.rs
@@ -5,6 +5,8 @@
 
 use bilberryloft_protocol::codec::decode_message;
 use bilberryloft_protocol::codec::encode_message;
+use bilberryloft_protocol::varint::push_number;
+use bilberryloft_protocol::varint::take_number;
 use bilberryloft_protocol::wire;
 use bilberryloft_routing::load_exchange::EntryReport;
 use bilberryloft_routing::load_exchange::ReportNumber;
@@ -14,9 +16,6 @@
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 
-use crate::ranks::choices::push_number;
-use crate::ranks::choices::take_number;
-
 /// Size of the reports from which the next one goes into another datagram, in bytes.
 const DATAGRAM_BYTES: usize = 8 << 10;
 
--- a/crates/bilberryloft-relay/src/ranks/map_codec.rs
+++ b/crates/bilberryloft-relay/src/ranks/map_codec.rs
@@ -2,9 +2,8 @@
 
 use bilberryloft_coordination::expert_map::ExpertId;
 use bilberryloft_coordination::expert_map::ExpertSetMap;
-
-use crate::ranks::choices::push_number;
-use crate::ranks::choices::take_number;
+use bilberryloft_protocol::varint::push_number;
+use bilberryloft_protocol::varint::take_number;
 
 /// Largest number of sets, ranks or experts that a map may name; larger ones are taken for damaged bytes.
 const ITEMS_MAX: u64 = u16::MAX as u64;
