Planner: clients of replaced ranks are dropped

They stayed for ever, and since the poll interval grows with their number each replaced rank slowed the polls. No test of its own: seen on reading.

--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -10,6 +10,7 @@
 mod rank_snapshot;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -122,12 +123,15 @@
     /// Reads all ranks of all lock-step groups and plans or continues a change for each group.
     async fn poll(&mut self) {
         let routes = self.state.routes();
+        let mut polled = BTreeSet::new();
         for service in routes.services() {
             let Some(experts) = service.engine.and_then(|it| it.experts) else {
                 continue;
             };
             let mut groups: BTreeMap<String, Vec<RankSnapshot>> = BTreeMap::new();
-            let ranks = self.read_ranks(&service.name).await;
+            let clients = self.clients_of(&service.name);
+            polled.extend(clients.iter().map(|it| it.id.clone()));
+            let ranks = self.read_ranks(clients).await;
             self.report_slow_ranks(&ranks);
             for snapshot in ranks {
                 groups.entry(snapshot.report.group.clone()).or_default().push(snapshot);
@@ -138,10 +142,11 @@
                 self.poll_group(&key, &ranks, experts).await;
             }
         }
+        // Ranks that have been replaced don't come back under the same name.
+        self.clients.retain(|id, _| polled.contains(id));
     }
 
-    async fn read_ranks(&mut self, service: &str) -> Vec<RankSnapshot> {
-        let clients = self.clients_of(service);
+    async fn read_ranks(&self, clients: Vec<Arc<RankClient>>) -> Vec<RankSnapshot> {
         let (state, dialect) = (&self.state, self.state.dialect.as_ref());
         let reads = clients.into_iter().map(|client| async move {
             match client.read(&state.pool, dialect).await {
