Logs: the shared parts of a request's prompt, and each run whose target ended with how far its answer had come

What tells hypothesis 1 (the ends are laid to whole requests, though only a part is shared) from the others was not in the logs: events 510 and 545 now hold the parts. No change of logic.

--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -126,6 +126,8 @@
     TargetLimitChanged = 543,
     /// A request was sent to a target with a limit, or refused because all targets have reached theirs.
     LimitDecided = 544,
+    /// A target ended while it ran a request.
+    RunLost = 545,
 }
 
 impl Event {
@@ -136,7 +138,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 61] = [
+pub const EVENTS: [Event; 62] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -198,6 +200,7 @@
     Event::RunsReported,
     Event::TargetLimitChanged,
     Event::LimitDecided,
+    Event::RunLost,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-relay/src/dialect.rs
+++ b/crates/bilberryloft-relay/src/dialect.rs
@@ -32,6 +32,8 @@
     pub last_event_id: HeaderName,
     /// Requests a second that the target takes from all entries together, in its answer.
     pub limit: HeaderName,
+    /// Parts of the request's prompt, in order.
+    pub prompt_parts: HeaderName,
 }
 
 /// A call to the control API.
@@ -157,6 +159,8 @@
     fn readiness_path(&self) -> &'static str;
     /// Maps a method and path to a call.
     fn control_call(&self, method: &Method, path: &str) -> ControlCall;
+    /// Returns the ids of a prompt's parts, in order, that other requests may share.
+    fn decode_shared_parts<'a>(&self, header: &'a str) -> Vec<&'a str>;
     /// Parses a routing document.
     fn decode_document(&self, bytes: &[u8]) -> Result<Document, DocumentError>;
     /// Returns the path of a rank's report.
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod loads;
 pub mod lost_runs;
 pub mod pool;
+pub mod prompt_part;
 pub mod ranks;
 pub mod readiness;
 pub mod relay;
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bilberryloft_coordination::run_permission::RunHistory;
@@ -15,6 +16,8 @@
 use bilberryloft_transport::clock::monotonic_ms;
 use tokio::time::Instant;
 
+use crate::prompt_part::PromptPart;
+
 /// Largest number of lost runs that wait to be recorded by the quorum; beyond it, the oldest are dropped.
 const UNRECORDED_MAX: usize = 1_024;
 /// Largest number of lost runs, and of survived ones, in one report.
@@ -22,11 +25,26 @@
 /// Number of requests that are remembered as answered by targets that survived them.
 const SURVIVED_MAX: usize = 512;
 
+/// How far the answer to a run has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunProgress {
+    /// Nothing of the answer has arrived.
+    Sent,
+    /// The head of the answer has arrived.
+    HeadReceived,
+    /// A part of the body has arrived.
+    Answering,
+}
+
 /// Run of a request on a target.
 #[derive(Clone, Debug)]
 pub struct TargetRun {
+    /// Caller's id of the request.
+    pub request_id: String,
     /// Digest of the request.
     pub fingerprint: i64,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: Arc<[PromptPart]>,
     /// Key of the target.
     pub key: TargetKey,
     /// Name of the target.
@@ -35,8 +53,15 @@
     pub address: String,
     /// Time at which the request was sent.
     pub started: Instant,
-    /// Whether a part of the answer has arrived.
-    pub is_answering: bool,
+    /// How far the answer has come.
+    pub progress: RunProgress,
+}
+
+impl TargetRun {
+    /// Returns whether a part of the answer has arrived.
+    pub fn is_answering(&self) -> bool {
+        self.progress == RunProgress::Answering
+    }
 }
 
 /// A lost run that the quorum has not recorded yet.
@@ -53,7 +78,7 @@
         RunSpan {
             started_ms: ms(self.run.started),
             lost_ms: ms(self.noticed),
-            was_answering: self.run.is_answering,
+            was_answering: self.run.is_answering(),
         }
     }
 }
@@ -177,7 +202,7 @@
             fingerprint: it.run.fingerprint,
             started_ago_ms: it.run.started.elapsed().as_millis() as u64,
             lost_ago_ms: it.noticed.elapsed().as_millis() as u64,
-            was_answering: it.run.is_answering,
+            was_answering: it.run.is_answering(),
         };
         RunsReport {
             lost: self.unrecorded.iter().take(REPORT_MAX).map(lost).collect(),
--- a/crates/bilberryloft-relay/src/request.rs
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -1,5 +1,6 @@
 //! Reads a caller's request completely and checks it against the routing document.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bilberryloft_routing::document::Route;
@@ -22,6 +23,8 @@
 use crate::dialect::Dialect;
 use crate::dialect::HeaderNames;
 use crate::headers;
+use crate::prompt_part::PromptPart;
+use crate::prompt_part::shared_parts;
 
 /// Smallest remaining time that is sent to a target, in milliseconds.
 const TIME_LEFT_MIN_MS: u64 = 1;
@@ -47,6 +50,8 @@
     pub document_version: u64,
     /// Digest of the host, team, method, path and body, by which a request is known when its caller sends it again.
     pub fingerprint: i64,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: Arc<[PromptPart]>,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -97,6 +102,8 @@
     let wait_ms = headers::text(&parts.headers, &names.time_left).and_then(|it| it.parse().ok());
     let wait_ms = wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let service = pick_share(route, fastrand::f64()).ok_or(Refusal::NoTarget)?;
+    let prompt_parts = headers::text(&parts.headers, &names.prompt_parts).unwrap_or_default();
+    let shared_parts = shared_parts(prompt_parts, service, dialect);
     let target_path = parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_string();
     let team_name = team.map_or("", |it| it.name.as_str());
     Ok(RelayRequest {
@@ -109,6 +116,7 @@
         route: route.clone(),
         document_version: routes.version(),
         fingerprint: fingerprint([host, team_name, parts.method.as_str(), &target_path], &body),
+        shared_parts: shared_parts.into(),
         target_path,
         headers: forwarded_headers(&parts.headers, names),
         method: parts.method,
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -24,6 +24,7 @@
 use crate::attempt::Answered;
 use crate::attempt::AttemptResult;
 use crate::headers;
+use crate::prompt_part::part_ids;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
 use crate::target_slot::TargetSlot;
@@ -215,6 +216,7 @@
 ) -> Result<(AttemptSummary, Option<ReceivedAnswer>), Elapsed> {
     let attempt = tokio::time::timeout_at(request.deadline, async {
         let result = attempt::send(state, request, slot.picked(), None).await;
+        record_head(slot, &result);
         read_answer(state, request, result).await
     });
     tokio::select! {
@@ -223,6 +225,13 @@
     }
 }
 
+/// Records that the head of an answer has arrived, if it has.
+pub fn record_head(slot: &TargetSlot, result: &AttemptResult) {
+    if matches!(result, AttemptResult::Answered(_)) {
+        slot.record_head();
+    }
+}
+
 /// Frees the slot of an attempt without an answer. If it may have run, checks whether its target has ended.
 async fn release_failed(
     state: &RelayState,
@@ -327,6 +336,7 @@
         candidates = picked.candidates,
         team = request.team,
         fingerprint = %format_args!("{:016x}", request.fingerprint),
+        shared_parts = ?part_ids(&request.shared_parts),
         version = request.document_version
     );
 }
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::attempt::AttemptResult;
 use crate::lifecycle::OpenRequest;
 use crate::request::RelayRequest;
+use crate::retry_loop::record_head;
 use crate::state::RelayState;
 use crate::target_slot::SILENCE;
 use crate::target_slot::TargetSlot;
@@ -317,6 +318,7 @@
             return ResumeOutcome::GaveUp;
         };
         self.log_resumed(&slot, reason, result.name());
+        record_head(&slot, &result);
         let outcome = result.outcome();
         match result {
             AttemptResult::Answered(it) if it.response.status().is_success() => {
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -30,6 +30,7 @@
 use crate::lost_runs::LostRuns;
 use crate::lost_runs::TargetRun;
 use crate::pool::Pool;
+use crate::prompt_part::part_ids;
 use crate::request::RelayRequest;
 use crate::services::Services;
 use crate::target_probe::probe_target;
@@ -194,6 +195,9 @@
             runs = count,
             waited_ms = started.elapsed().as_millis() as u64
         );
+        if ended {
+            runs.iter().for_each(log_lost_run);
+        }
         if ended && self.runs.lock().add_ended(runs) {
             self.metrics.target_crashes.inc();
             self.has_news.notify_one();
@@ -252,6 +256,19 @@
     }
 }
 
+fn log_lost_run(run: &TargetRun) {
+    log_event!(
+        info,
+        Event::RunLost,
+        request_id = run.request_id,
+        target_id = run.target_id,
+        fingerprint = %format_args!("{:016x}", run.fingerprint),
+        shared_parts = ?part_ids(&run.shared_parts),
+        progress = ?run.progress,
+        age_ms = run.started.elapsed().as_millis() as u64
+    );
+}
+
 /// Starts the task that reports runs to the quorum until it has recorded them.
 pub fn spawn_run_reports(tracker: Arc<SuspectTracker>) {
     let mut versions = tracker.view.versions();
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -11,7 +11,9 @@
 use bilberryloft_routing::targets::AttemptOutcome;
 use tokio::time::Instant;
 
+use crate::lost_runs::RunProgress;
 use crate::lost_runs::TargetRun;
+use crate::prompt_part::PromptPart;
 use crate::request::RelayRequest;
 use crate::services::Services;
 use crate::suspects::SuspectTracker;
@@ -29,9 +31,12 @@
     services: Arc<Services>,
     suspects: Arc<SuspectTracker>,
     service: String,
+    request_id: String,
     fingerprint: i64,
+    shared_parts: Arc<[PromptPart]>,
     picked: Box<PickedTarget>,
     started: Instant,
+    has_head: AtomicBool,
     first_answer: OnceLock<Instant>,
     has_survived: AtomicBool,
     is_released: bool,
@@ -49,9 +54,12 @@
             services: services.clone(),
             suspects: suspects.clone(),
             service: request.service.clone(),
+            request_id: request.id.clone(),
             fingerprint: request.fingerprint,
+            shared_parts: request.shared_parts.clone(),
             picked: Box::new(picked),
             started: Instant::now(),
+            has_head: AtomicBool::new(false),
             first_answer: OnceLock::new(),
             has_survived: AtomicBool::new(false),
             is_released: false,
@@ -63,6 +71,21 @@
         &self.picked
     }
 
+    /// Records that the head of the answer has arrived.
+    pub fn record_head(&self) {
+        self.has_head.store(true, Ordering::Relaxed);
+    }
+
+    fn progress(&self) -> RunProgress {
+        if self.first_answer.get().is_some() {
+            RunProgress::Answering
+        } else if self.has_head.load(Ordering::Relaxed) {
+            RunProgress::HeadReceived
+        } else {
+            RunProgress::Sent
+        }
+    }
+
     /// Records that a part of the answer has arrived. A target that goes on answering for [`SURVIVAL_TIME`] has survived
     /// the request.
     pub fn record_answer(&self) {
@@ -108,12 +131,14 @@
     /// Checks whether the target has ended.
     pub fn check_target(&self) {
         self.suspects.check_target(TargetRun {
+            request_id: self.request_id.clone(),
             fingerprint: self.fingerprint,
+            shared_parts: self.shared_parts.clone(),
             key: self.picked.key,
             target_id: self.picked.id.clone(),
             address: self.picked.address.clone(),
             started: self.started,
-            is_answering: self.first_answer.get().is_some(),
+            progress: self.progress(),
         });
     }
 
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -1,9 +1,11 @@
 //! Runs that the quorum has to know of, until it has recorded them.
 #![allow(clippy::unwrap_used)]
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bilberryloft_relay::lost_runs::LostRuns;
+use bilberryloft_relay::lost_runs::RunProgress;
 use bilberryloft_relay::lost_runs::TargetRun;
 use bilberryloft_routing::selection::PickLimits;
 use bilberryloft_routing::targets::TargetInfo;
@@ -27,12 +29,14 @@
         PickLimits { load_max: None, queue_max: 0, own_load_max: 1, idle_load: 0.0, entries: 1 };
     let picked = table.pick("writer", &[], &limits, 0, || 0.5).unwrap();
     TargetRun {
+        request_id: "r".to_string(),
         fingerprint: 7,
+        shared_parts: Arc::default(),
         key: picked.key,
         target_id: picked.id,
         address: picked.address,
         started: Instant::now(),
-        is_answering: false,
+        progress: RunProgress::Sent,
     }
 }
 
