--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -23,6 +23,8 @@
         started_ago_ms: 100,
         lost_ago_ms: 5,
         was_answering: false,
+        has_head: false,
+        parts: Vec::new(),
     }
 }
 
@@ -32,7 +34,7 @@
     for number in 0..ends {
         let target = format!("t{number}");
         let runs: Vec<LostRun> = fingerprints.iter().map(|it| lost(&target, *it)).collect();
-        suspects.report_runs(&runs, &[], (number as u64 + 1) * INTERVAL_MS);
+        suspects.report_runs(&runs, &[], &[], (number as u64 + 1) * INTERVAL_MS);
     }
     suspects
 }
@@ -71,12 +73,12 @@
 fn copies_that_end_with_many_targets_at_once_count_as_one_round() {
     let mut suspects = Suspects::default();
     let runs: Vec<LostRun> = (0..7).map(|it| lost(&format!("t{it}"), INNOCENT)).collect();
-    suspects.report_runs(&runs[..4], &[], 1_000);
-    suspects.report_runs(&runs[4..], &[], 1_050);
+    suspects.report_runs(&runs[..4], &[], &[], 1_000);
+    suspects.report_runs(&runs[4..], &[], &[], 1_050);
     assert_eq!(suspects.get(INNOCENT).unwrap().rounds().count(), 1);
     assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Trial);
     // A copy that runs on trial survives.
-    assert!(suspects.report_runs(&[], &[INNOCENT], 1_100));
+    assert!(suspects.report_runs(&[], &[INNOCENT], &[], 1_100));
     assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Run);
 }
 
@@ -86,7 +88,7 @@
     for round in 0..3 {
         let runs: Vec<LostRun> =
             (0..2).map(|it| lost(&format!("t{round}-{it}"), CRASHING)).collect();
-        suspects.report_runs(&runs, &[], (round + 1) * INTERVAL_MS);
+        suspects.report_runs(&runs, &[], &[], (round + 1) * INTERVAL_MS);
     }
     assert_eq!(permission(&suspects, CRASHING, 0), RunPermission::Refuse);
 }
@@ -100,10 +102,12 @@
         started_ago_ms,
         lost_ago_ms: started_ago_ms - 500,
         was_answering: false,
+        has_head: false,
+        parts: Vec::new(),
     };
     let mut suspects = Suspects::default();
-    suspects.report_runs(&[run("t2", 7_000), run("t4", 3_000)], &[], 60_000);
-    suspects.report_runs(&[run("t3", 5_000), run("t1", 9_000)], &[], 60_000);
+    suspects.report_runs(&[run("t2", 7_000), run("t4", 3_000)], &[], &[], 60_000);
+    suspects.report_runs(&[run("t3", 5_000), run("t1", 9_000)], &[], &[], 60_000);
     assert_eq!(suspects.get(CRASHING).unwrap().rounds().count(), 4);
 }
 
@@ -113,7 +117,7 @@
     for (number, was_answering) in was_answering.iter().enumerate() {
         let run =
             LostRun { was_answering: *was_answering, ..lost(&format!("t{number}"), INNOCENT) };
-        suspects.report_runs(&[run], &[], (number as u64 + 1) * INTERVAL_MS);
+        suspects.report_runs(&[run], &[], &[], (number as u64 + 1) * INTERVAL_MS);
     }
     suspects
 }
@@ -146,7 +150,7 @@
     let mut suspects = Suspects::default();
     for (number, end_ms) in ends_ms.iter().enumerate() {
         let run = LostRun { started_ago_ms: 10, ..lost(&format!("t{number}"), INNOCENT) };
-        suspects.report_runs(&[run], &[], *end_ms);
+        suspects.report_runs(&[run], &[], &[], *end_ms);
     }
     suspects
 }
@@ -173,8 +177,8 @@
 #[test]
 fn request_that_a_target_survived_is_cleared() {
     let mut suspects = suspects_after(3, &[INNOCENT]);
-    assert!(suspects.report_runs(&[], &[INNOCENT], 5 * INTERVAL_MS));
-    suspects.report_runs(&[lost("t9", INNOCENT)], &[], 6 * INTERVAL_MS);
+    assert!(suspects.report_runs(&[], &[INNOCENT], &[], 5 * INTERVAL_MS));
+    suspects.report_runs(&[lost("t9", INNOCENT)], &[], &[], 6 * INTERVAL_MS);
     assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Run);
 }
 
@@ -182,11 +186,11 @@
 fn end_that_several_entries_report_counts_once() {
     let mut suspects = Suspects::default();
     for at_ms in [1_000, 1_020, 1_090] {
-        suspects.report_runs(&[lost("t1", CRASHING)], &[], at_ms);
+        suspects.report_runs(&[lost("t1", CRASHING)], &[], &[], at_ms);
     }
     assert_eq!(suspects.get(CRASHING).unwrap().lost_targets.len(), 1);
     // The target has returned under the same name and has ended once more.
-    suspects.report_runs(&[lost("t1", CRASHING)], &[], 1_200);
+    suspects.report_runs(&[lost("t1", CRASHING)], &[], &[], 1_200);
     assert_eq!(suspects.get(CRASHING).unwrap().lost_targets.len(), 2);
 }
 
@@ -194,7 +198,7 @@
 fn suspects_are_bounded_and_keep_those_with_most_lost_targets() {
     let mut suspects = suspects_after(2, &[CRASHING]);
     for number in 0..SUSPECTS_MAX as i64 + 100 {
-        suspects.report_runs(&[lost("t3", 1_000 + number)], &[], 10_000);
+        suspects.report_runs(&[lost("t3", 1_000 + number)], &[], &[], 10_000);
     }
     let kept = (0..SUSPECTS_MAX as i64 + 100).filter(|it| suspects.get(1_000 + it).is_some());
     assert_eq!(kept.count(), SUSPECTS_MAX - 1);
@@ -209,7 +213,7 @@
     let mut suspects = suspects_after(3, &[CRASHING]);
     let granted = suspects.begin_trial(CRASHING, "a", Some("t8"), 4 * INTERVAL_MS);
     assert_eq!(granted, TrialOutcome::Granted);
-    suspects.report_runs(&[lost("t8", CRASHING)], &[], 4 * INTERVAL_MS + 200);
+    suspects.report_runs(&[lost("t8", CRASHING)], &[], &[], 4 * INTERVAL_MS + 200);
     let denied = suspects.begin_trial(CRASHING, "b", Some("t9"), 4 * INTERVAL_MS + 210);
     assert_eq!(denied, TrialOutcome::Quarantined);
 }
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -60,8 +60,14 @@
         /// Time until it may run again.
         remaining: Duration,
     },
-    /// The same request runs on trial, after targets ended while they ran it.
+    /// The same request, or another one with the same part of its prompt, runs on trial, after targets ended while they
+    /// ran it.
     SuspectTrial,
+    /// A part of the request's prompt may have ended a target, and it is too early for a trial.
+    TrialPending {
+        /// Time until a trial may begin.
+        remaining: Duration,
+    },
     /// The request timed out after it was sent to a target.
     TimeoutSent,
 }
@@ -83,6 +89,7 @@
             Refusal::RunUnknown => "run_unknown",
             Refusal::Quarantined { .. } => "quarantined",
             Refusal::SuspectTrial => "suspect_trial",
+            Refusal::TrialPending { .. } => "trial_pending",
             Refusal::TimeoutSent => "timeout_sent",
         }
     }
@@ -96,6 +103,7 @@
             | Refusal::TargetsLimited { .. }
             | Refusal::GroupDown
             | Refusal::SuspectTrial
+            | Refusal::TrialPending { .. }
             | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Quarantined { .. } => StatusCode::TOO_MANY_REQUESTS,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -129,7 +129,9 @@
         Refusal::NoDocument | Refusal::NoTarget => RETRY_AFTER_NO_TARGET_MS,
         Refusal::GroupDown => RETRY_AFTER_GROUP_MS,
         Refusal::SuspectTrial => RETRY_AFTER_TRIAL_MS,
-        Refusal::Quarantined { remaining } => return Some(remaining),
+        Refusal::Quarantined { remaining } | Refusal::TrialPending { remaining } => {
+            return Some(remaining);
+        }
         Refusal::TargetsLimited { retry_after } => return Some(retry_after),
         _ if refusal.status() == StatusCode::SERVICE_UNAVAILABLE => RETRY_AFTER_MS,
         _ => return None,
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -9,14 +9,22 @@
 use bilberryloft_coordination::run_permission::RunHistory;
 use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_state::state_machine::Command;
+use bilberryloft_state::suspect::LostPart;
 use bilberryloft_state::suspect::LostRun;
 use bilberryloft_state::suspect::RunSpan;
+use bilberryloft_state::suspect::SurvivedPart;
 use bilberryloft_state::suspect::Suspect;
 use bilberryloft_state::suspect::count_rounds;
+use bilberryloft_state::suspect::prompt_part::EndStrength;
+use bilberryloft_state::suspect::prompt_part::PartEnd;
+use bilberryloft_state::suspect::prompt_part::PartHistory;
+use bilberryloft_state::suspect::prompt_part::PartRecord;
+use bilberryloft_state::suspect::prompt_part::ends_weight;
 use bilberryloft_transport::clock::monotonic_ms;
 use tokio::time::Instant;
 
 use crate::prompt_part::PromptPart;
+use crate::survived_parts::SurvivedParts;
 
 /// Largest number of lost runs that wait to be recorded by the quorum; beyond it, the oldest are dropped.
 const UNRECORDED_MAX: usize = 1_024;
@@ -55,6 +63,8 @@
     pub started: Instant,
     /// How far the answer has come.
     pub progress: RunProgress,
+    /// Whether the target went on answering for so long that no part of the prompt has ended it.
+    pub has_survived_parts: bool,
 }
 
 impl TargetRun {
@@ -62,6 +72,16 @@
     pub fn is_answering(&self) -> bool {
         self.progress == RunProgress::Answering
     }
+
+    /// Returns whether the head of the answer has arrived.
+    pub fn has_head(&self) -> bool {
+        self.progress != RunProgress::Sent
+    }
+}
+
+/// Returns a time in milliseconds of this entry's monotonic clock.
+fn instant_ms(at: Instant) -> u64 {
+    monotonic_ms().saturating_sub(at.elapsed().as_millis() as u64)
 }
 
 /// A lost run that the quorum has not recorded yet.
@@ -74,13 +94,29 @@
 impl UnrecordedRun {
     /// Returns the span of the run in this entry's monotonic time.
     fn span(&self) -> RunSpan {
-        let ms = |it: Instant| monotonic_ms().saturating_sub(it.elapsed().as_millis() as u64);
         RunSpan {
-            started_ms: ms(self.run.started),
-            lost_ms: ms(self.noticed),
+            started_ms: instant_ms(self.run.started),
+            lost_ms: instant_ms(self.noticed),
             was_answering: self.run.is_answering(),
         }
     }
+
+    /// Returns the parts of the prompt that may have ended the target.
+    fn suspected_parts(&self) -> impl Iterator<Item = &PromptPart> {
+        let parts = if self.run.has_survived_parts { &[][..] } else { &self.run.shared_parts };
+        parts.iter()
+    }
+
+    /// Returns the end of the target as it counts against these parts, in this entry's monotonic time.
+    fn part_end(&self) -> PartEnd {
+        PartEnd {
+            target: self.run.target_id.clone(),
+            request: self.run.fingerprint,
+            started_ms: instant_ms(self.run.started),
+            lost_ms: instant_ms(self.noticed),
+            strength: EndStrength::of_run(self.run.has_head(), self.run.is_answering()),
+        }
+    }
 }
 
 /// Report of runs to the quorum.
@@ -90,6 +126,8 @@
     pub lost: Vec<LostRun>,
     /// Suspects that a target has survived.
     pub survived: Vec<i64>,
+    /// Parts of prompts that a target has survived, with the time.
+    pub survived_parts: Vec<(i64, Instant)>,
 }
 
 impl RunsReport {
@@ -104,8 +142,18 @@
         Command::ReportRuns {
             lost: self.lost.iter().map(aged).collect(),
             survived: self.survived.clone(),
+            survived_parts: self.survived_parts.iter().map(survived_part).collect(),
         }
     }
+
+    /// Returns whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.lost.is_empty() && self.survived.is_empty() && self.survived_parts.is_empty()
+    }
+}
+
+fn survived_part((key, at): &(i64, Instant)) -> SurvivedPart {
+    SurvivedPart { key: *key, ago_ms: at.elapsed().as_millis() as u64 }
 }
 
 /// Runs of this entry that the quorum has to know of.
@@ -119,6 +167,12 @@
     survived_suspects: BTreeSet<i64>,
     /// Requests that targets have survived lately, the newest last.
     survived: VecDeque<i64>,
+    /// Parts of prompts that targets have survived.
+    survived_parts: SurvivedParts,
+    /// Suspicious parts that a target has survived, not yet recorded.
+    unrecorded_parts: BTreeMap<i64, Instant>,
+    /// Times of survival that the quorum has recorded.
+    recorded_parts: BTreeMap<i64, Instant>,
 }
 
 impl LostRuns {
@@ -156,6 +210,62 @@
         RunHistory { lost_targets: spans.len(), rounds: count_rounds(spans) }
     }
 
+    /// Returns what is not recorded yet of a part, at other targets than those of its record.
+    pub fn part_history(&self, key: i64, record: Option<&PartRecord>) -> PartHistory {
+        let is_recorded = |it: &UnrecordedRun| {
+            let ends = record.map_or(&[][..], |it| &it.ends);
+            ends.iter().any(|end| end.target == it.run.target_id)
+        };
+        let survived = self.survived_parts.last(key);
+        let counts = |it: &&UnrecordedRun| {
+            it.suspected_parts().any(|part| part.key == key)
+                && survived.is_none_or(|at| at < it.noticed)
+                && !is_recorded(it)
+        };
+        let ends: Vec<PartEnd> =
+            self.unrecorded.iter().filter(counts).map(UnrecordedRun::part_end).collect();
+        let last_end_ms = ends.iter().map(|it| it.lost_ms).max();
+        PartHistory {
+            is_proven: survived.is_some(),
+            weight: ends_weight(&ends),
+            last_end_ago_ms: last_end_ms.map(|it| monotonic_ms().saturating_sub(it)),
+        }
+    }
+
+    /// Records that a target has survived parts of a prompt; returns whether that is news for the quorum.
+    pub fn add_survived_parts(
+        &mut self,
+        parts: &[PromptPart],
+        suspects: &BTreeMap<i64, Suspect>,
+    ) -> bool {
+        let mut is_news = false;
+        for part in parts {
+            self.survived_parts.record(part.key);
+            if suspects.contains_key(&part.key) {
+                self.unrecorded_parts.insert(part.key, Instant::now());
+                is_news = true;
+            }
+        }
+        is_news
+    }
+
+    /// Finds the listed parts of prompts that a target has survived, if the quorum doesn't know; returns whether there
+    /// are any.
+    pub fn find_survived_parts(&mut self, suspects: &BTreeMap<i64, Suspect>) -> bool {
+        let mut is_news = false;
+        self.recorded_parts.retain(|key, _| suspects.contains_key(key));
+        for key in suspects.values().filter(|it| it.part.is_some()).map(|it| it.fingerprint) {
+            let recorded = self.recorded_parts.get(&key).copied();
+            if let Some(at) = self.survived_parts.last(key)
+                && recorded.is_none_or(|it| it < at)
+            {
+                self.unrecorded_parts.insert(key, at);
+                is_news = true;
+            }
+        }
+        is_news
+    }
+
     /// Records that a target has survived a request; returns whether that is news for the quorum.
     pub fn add_survived(&mut self, fingerprint: i64, is_suspect: bool) -> bool {
         if self.survived.len() == SURVIVED_MAX {
@@ -203,16 +313,29 @@
             started_ago_ms: it.run.started.elapsed().as_millis() as u64,
             lost_ago_ms: it.noticed.elapsed().as_millis() as u64,
             was_answering: it.run.is_answering(),
+            has_head: it.run.has_head(),
+            parts: it.suspected_parts().filter_map(|part| self.lost_part(it, part)).collect(),
         };
+        let survived_parts = self.unrecorded_parts.iter().take(REPORT_MAX);
         RunsReport {
             lost: self.unrecorded.iter().take(REPORT_MAX).map(lost).collect(),
             survived: self.survived_suspects.iter().copied().take(REPORT_MAX).collect(),
+            survived_parts: survived_parts.map(|(key, at)| (*key, *at)).collect(),
+        }
+    }
+
+    /// Returns a part of a lost run as it is reported, unless a target has survived it since.
+    fn lost_part(&self, lost: &UnrecordedRun, part: &PromptPart) -> Option<LostPart> {
+        let survived = self.survived_parts.last(part.key);
+        if survived.is_some_and(|at| at >= lost.noticed) {
+            return None;
         }
+        Some(LostPart { key: part.key, is_proven: survived.is_some() })
     }
 
     /// Drops what the quorum has recorded.
-    pub fn remove_recorded(&mut self, lost: &[LostRun], survived: &[i64]) {
-        for recorded in lost {
+    pub fn remove_recorded(&mut self, report: &RunsReport) {
+        for recorded in &report.lost {
             let is_recorded = |it: &UnrecordedRun| {
                 it.run.fingerprint == recorded.fingerprint && it.run.target_id == recorded.target
             };
@@ -220,6 +343,12 @@
                 self.unrecorded.remove(idx);
             }
         }
-        self.survived_suspects.retain(|it| !survived.contains(it));
+        self.survived_suspects.retain(|it| !report.survived.contains(it));
+        for (key, at) in &report.survived_parts {
+            self.recorded_parts.insert(*key, *at);
+            if self.unrecorded_parts.get(key).is_some_and(|it| it <= at) {
+                self.unrecorded_parts.remove(key);
+            }
+        }
     }
 }
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -2,10 +2,8 @@
 
 use std::sync::Arc;
 
-use bilberryloft_coordination::run_permission::RunPermission;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
-use bilberryloft_daemon::trial::Trial;
 use bilberryloft_routing::document::RequestKind;
 use bilberryloft_routing::retry_budget::RetryPurpose;
 use bilberryloft_routing::selection::PickedTarget;
@@ -24,9 +22,11 @@
 use crate::attempt::Answered;
 use crate::attempt::AttemptResult;
 use crate::headers;
+use crate::held_trial::HeldTrial;
 use crate::prompt_part::part_ids;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
+use crate::suspects::Permission;
 use crate::target_slot::TargetSlot;
 use crate::trial_slot::wait_for_trial;
 
@@ -79,7 +79,7 @@
     /// Number of attempts that were made.
     pub attempts: u32,
     /// Trial of the request, if it is a suspect.
-    pub trial: Option<Trial>,
+    pub trial: Option<HeldTrial>,
 }
 
 /// Progress of the attempts of one request.
@@ -93,7 +93,7 @@
     has_reserved_retry: bool,
     last_refusal: Refusal,
     /// Trial of the request, if it is a suspect.
-    trial: Option<Trial>,
+    trial: Option<HeldTrial>,
 }
 
 impl AttemptTracker {
@@ -122,7 +122,7 @@
         if self.count() == 0 {
             return self.pick_first(state, request).await;
         }
-        if !state.suspects.may_retry(request.fingerprint) {
+        if !state.suspects.may_retry(request) {
             return Err(self.last_refusal);
         }
         if !self.has_reserved_retry && !take_retry(state, request) {
@@ -137,10 +137,10 @@
         state: &Arc<RelayState>,
         request: &RelayRequest,
     ) -> Result<TargetSlot, Refusal> {
-        if state.suspects.admit(request)? == RunPermission::Run {
+        let Permission::Trial { key } = state.suspects.admit(request)? else {
             return admission::wait_for_slot(state, request).await;
-        }
-        let (slot, trial) = wait_for_trial(state, request).await?;
+        };
+        let (slot, trial) = wait_for_trial(state, request, key).await?;
         self.trial = trial;
         Ok(slot)
     }
@@ -196,7 +196,7 @@
         };
         let may_retry = should_retry_failure(request, &received)
             && tracker.ran + 1 < request.route.attempts_max
-            && state.suspects.may_retry(request.fingerprint);
+            && state.suspects.may_retry(request);
         if !may_retry || !take_retry(state, request) {
             let trial = tracker.trial;
             return Ok(FinalAnswer { received, slot, attempts, trial });
@@ -242,9 +242,8 @@
     match summary.did_run {
         DidRun::No => slot.release(summary.outcome),
         DidRun::Unknown => {
-            let address = slot.picked().address.clone();
-            slot.release_broken();
-            state.suspects.wait_for_check(request.fingerprint, &address).await;
+            let ended = slot.release_broken();
+            state.suspects.wait_for_check(request, &ended).await;
         }
     }
 }
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -5,7 +5,6 @@
 
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
-use bilberryloft_daemon::trial::Trial;
 use bilberryloft_routing::event_stream::EventFramer;
 use bilberryloft_routing::retry_budget::RetryPurpose;
 use bilberryloft_routing::targets::AttemptOutcome;
@@ -22,6 +21,7 @@
 use crate::attempt;
 use crate::attempt::Answered;
 use crate::attempt::AttemptResult;
+use crate::held_trial::HeldTrial;
 use crate::lifecycle::OpenRequest;
 use crate::request::RelayRequest;
 use crate::retry_loop::record_head;
@@ -70,7 +70,7 @@
     /// Counts the stream as open.
     pub _open: OpenRequest,
     /// Trial of the request, if it is a suspect.
-    pub _trial: Option<Trial>,
+    pub _trial: Option<HeldTrial>,
 }
 
 /// State of a stream that is forwarded to its caller.
@@ -138,9 +138,8 @@
                     Some(replacement)
                 }
                 BodyEnd::Broken => {
-                    let address = slot.picked().address.clone();
-                    slot.release_broken();
-                    self.state.suspects.wait_for_check(self.request.fingerprint, &address).await;
+                    let ended = slot.release_broken();
+                    self.state.suspects.wait_for_check(&self.request, &ended).await;
                     None
                 }
             };
@@ -266,7 +265,7 @@
     fn may_resume(&self, attempts_made: u32) -> bool {
         self.request.route.is_resumable
             && attempts_made < self.request.route.attempts_max
-            && self.state.suspects.may_retry(self.request.fingerprint)
+            && self.state.suspects.may_retry(&self.request)
     }
 
     /// Resumes the stream after its last event at another target, before callers disconnect. Tries `replacement` first,
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -1,6 +1,7 @@
 //! Requests that were running when their targets ended: finds out whether a target has ended, reports it to the quorum,
 //! and says whether a request may run.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,25 +16,31 @@
 use bilberryloft_daemon::metrics::Metrics;
 use bilberryloft_daemon::shared::Shared;
 use bilberryloft_daemon::trial::QUORUM_TIMEOUT;
-use bilberryloft_daemon::trial::Trial;
 use bilberryloft_daemon::trial::TrialDecision;
 use bilberryloft_daemon::trial::begin_trial;
 use bilberryloft_daemon::view::View;
 use bilberryloft_state::state_machine::Outcome;
 use bilberryloft_state::suspect::SUSPECT_RETENTION_MS;
+use bilberryloft_state::suspect::Suspect;
+use bilberryloft_state::suspect::prompt_part::PartHistory;
+use bilberryloft_state::suspect::prompt_part::PartPermission;
 use bilberryloft_transport::clock::epoch_ms;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::answer::Refusal;
+use crate::held_trial::HeldTrial;
+use crate::held_trial::LocalTrials;
 use crate::lost_runs::LostRuns;
 use crate::lost_runs::TargetRun;
 use crate::pool::Pool;
+use crate::prompt_part::PromptPart;
 use crate::prompt_part::part_ids;
 use crate::request::RelayRequest;
 use crate::services::Services;
 use crate::target_probe::probe_target;
+use crate::target_slot::EndedSlot;
 
 /// Pause after a report that the quorum did not record.
 const REPORT_PAUSE: Duration = Duration::from_millis(300);
@@ -46,6 +53,28 @@
 /// Interval at which the end of the check is looked for.
 const CHECK_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Whether a request may be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permission {
+    /// It may run.
+    Run,
+    /// It may run on a trial of the request, or of a part of its prompt.
+    Trial {
+        /// Key of the trial.
+        key: i64,
+    },
+    /// It may run on trial later.
+    Wait {
+        /// Time until then.
+        remaining: Duration,
+    },
+    /// It must not run.
+    Refuse {
+        /// Time for which it is refused.
+        remaining: Duration,
+    },
+}
+
 /// Suspects that this entry knows, and the runs of which it has to tell the quorum.
 pub struct SuspectTracker {
     view: Arc<View>,
@@ -54,6 +83,7 @@
     services: Arc<Services>,
     pool: Arc<Pool>,
     runs: Mutex<LostRuns>,
+    local_trials: LocalTrials,
     has_news: Notify,
 }
 
@@ -67,18 +97,45 @@
             services,
             pool,
             runs: Mutex::default(),
+            local_trials: LocalTrials::default(),
             has_news: Notify::new(),
         }
     }
 
     /// Returns whether a request may run as far as this entry knows.
-    pub fn permission(&self, fingerprint: i64) -> RunPermission {
-        decide(self.history(fingerprint))
+    pub fn permission(&self, request: &RelayRequest) -> Permission {
+        match decide(self.history(request.fingerprint)) {
+            RunPermission::Run => self.part_permission(request),
+            RunPermission::Trial => Permission::Trial { key: request.fingerprint },
+            RunPermission::Refuse => self.quarantined(request.fingerprint),
+        }
+    }
+
+    /// Returns whether a request may run with the parts that its prompt has. The last part decides first: it is shared by
+    /// the fewest requests.
+    fn part_permission(&self, request: &RelayRequest) -> Permission {
+        let mut permission = Permission::Run;
+        for part in request.shared_parts.iter().rev() {
+            match self.part_history(part.key).permission() {
+                PartPermission::Run => {}
+                PartPermission::Refuse { remaining_ms } => {
+                    return Permission::Refuse { remaining: Duration::from_millis(remaining_ms) };
+                }
+                PartPermission::Trial { pause_ms: 0 } if permission == Permission::Run => {
+                    permission = Permission::Trial { key: part.key };
+                }
+                PartPermission::Trial { pause_ms: 0 } => {}
+                PartPermission::Trial { pause_ms } => {
+                    permission = Permission::Wait { remaining: Duration::from_millis(pause_ms) };
+                }
+            }
+        }
+        permission
     }
 
     /// Returns whether a request may be sent to a further target.
-    pub fn may_retry(&self, fingerprint: i64) -> bool {
-        self.permission(fingerprint) == RunPermission::Run
+    pub fn may_retry(&self, request: &RelayRequest) -> bool {
+        self.permission(request) == Permission::Run
     }
 
     fn history(&self, fingerprint: i64) -> RunHistory {
@@ -87,47 +144,67 @@
         RunHistory::new(suspect, self.runs.lock().history(fingerprint, suspect))
     }
 
+    fn part_history(&self, key: i64) -> PartHistory {
+        let suspects = self.view.suspects();
+        let record = suspects.get(&key).and_then(|it| it.part.as_ref());
+        let recorded = record.map(|it| it.history(epoch_ms())).unwrap_or_default();
+        recorded.plus(self.runs.lock().part_history(key, record))
+    }
+
     /// Lets a new request run, on trial if need be, or refuses it.
-    pub fn admit(&self, request: &RelayRequest) -> Result<RunPermission, Refusal> {
-        let permission = self.permission(request.fingerprint);
-        if permission != RunPermission::Run {
+    pub fn admit(&self, request: &RelayRequest) -> Result<Permission, Refusal> {
+        let permission = self.permission(request);
+        if permission != Permission::Run {
             self.log_decision(request, permission);
         }
         match permission {
-            RunPermission::Run | RunPermission::Trial => Ok(permission),
-            RunPermission::Refuse => Err(self.quarantined(request.fingerprint)),
+            Permission::Run | Permission::Trial { .. } => Ok(permission),
+            Permission::Wait { remaining } => Err(Refusal::TrialPending { remaining }),
+            Permission::Refuse { remaining } => Err(Refusal::Quarantined { remaining }),
         }
     }
 
-    /// Asks the quorum for a trial of a request at a target.
+    /// Asks the quorum for a trial at a target of a request, or of a part of its prompt, by its key.
     pub async fn begin_trial(
         &self,
         request: &RelayRequest,
+        key: i64,
         target_id: &str,
-    ) -> Result<Option<Trial>, Refusal> {
+    ) -> Result<Option<HeldTrial>, Refusal> {
+        let Some(local) = self.local_trials.begin(key) else {
+            return Err(Refusal::SuspectTrial);
+        };
         let timeout = QUORUM_TIMEOUT.min(request.time_left());
-        let (fingerprint, id) = (request.fingerprint, &request.id);
-        match begin_trial(&self.control, fingerprint, id, Some(target_id), timeout).await {
+        match begin_trial(&self.control, key, &request.id, Some(target_id), timeout).await {
             Ok(TrialDecision::NotNeeded) => Ok(None),
-            Ok(TrialDecision::Granted(trial)) => Ok(Some(trial)),
+            Ok(TrialDecision::Granted(trial)) => Ok(Some(HeldTrial::new(local, Some(trial)))),
             Ok(TrialDecision::Running) => Err(Refusal::SuspectTrial),
-            Ok(TrialDecision::Quarantined) => Err(self.quarantined(request.fingerprint)),
+            Ok(TrialDecision::Quarantined) => {
+                Err(Refusal::Quarantined { remaining: self.remaining_quarantine(key) })
+            }
             Err(error) => {
-                // The request may be innocent, and without a quorum nothing shows it.
-                tracing::warn!(%error, request_id = request.id, "no trial, the request runs without");
-                Ok(None)
+                // The request may be innocent, and without a quorum nothing else shows it.
+                tracing::warn!(%error, request_id = request.id, "no trial, one copy runs without");
+                Ok(Some(HeldTrial::new(local, None)))
             }
         }
     }
 
-    fn quarantined(&self, fingerprint: i64) -> Refusal {
-        let last_crash_ms = self.view.suspects().get(&fingerprint).map(|it| it.last_crash_ms);
+    fn quarantined(&self, fingerprint: i64) -> Permission {
+        Permission::Refuse { remaining: self.remaining_quarantine(fingerprint) }
+    }
+
+    /// Returns the time for which a request, or a part, is still refused.
+    fn remaining_quarantine(&self, key: i64) -> Duration {
+        if let PartPermission::Refuse { remaining_ms } = self.part_history(key).permission() {
+            return Duration::from_millis(remaining_ms);
+        }
+        let last_crash_ms = self.view.suspects().get(&key).map(|it| it.last_crash_ms);
         let until_ms = last_crash_ms.unwrap_or_else(epoch_ms) + SUSPECT_RETENTION_MS;
-        let remaining = Duration::from_millis(until_ms.saturating_sub(epoch_ms()));
-        Refusal::Quarantined { remaining }
+        Duration::from_millis(until_ms.saturating_sub(epoch_ms()))
     }
 
-    fn log_decision(&self, request: &RelayRequest, permission: RunPermission) {
+    fn log_decision(&self, request: &RelayRequest, permission: Permission) {
         let history = self.history(request.fingerprint);
         let suspects = self.view.suspects();
         let lost_targets = suspects.get(&request.fingerprint).map(|it| it.lost_targets.as_slice());
@@ -144,10 +221,26 @@
             weak_rounds = history.rounds.weak,
             age_ms = lost_targets.last().map(|it| epoch_ms().saturating_sub(it.lost_ms)),
             unrecorded = history.lost_targets.saturating_sub(lost_targets.len()),
+            parts = ?self.describe_parts(request, &suspects),
             confirmed_age_ms = self.view.confirmed_age_ms()
         );
     }
 
+    /// Describes for the log the parts of a prompt that something counts against.
+    fn describe_parts(
+        &self,
+        request: &RelayRequest,
+        suspects: &BTreeMap<i64, Suspect>,
+    ) -> Vec<String> {
+        let describe = |part: &PromptPart| {
+            let record = suspects.get(&part.key).and_then(|it| it.part.as_ref());
+            let recorded = record.map(|it| it.history(epoch_ms())).unwrap_or_default();
+            let history = recorded.plus(self.runs.lock().part_history(part.key, record));
+            (history.weight > 0).then(|| format!("{}: {history:?}", part.id))
+        };
+        request.shared_parts.iter().filter_map(describe).collect()
+    }
+
     /// Records that a target has answered a request, and so has survived it.
     pub fn record_survived(&self, fingerprint: i64) {
         let is_suspect = self.view.suspects().contains_key(&fingerprint);
@@ -156,10 +249,21 @@
         }
     }
 
+    /// Records that a target has survived all parts of a prompt.
+    pub fn record_survived_parts(&self, parts: &[PromptPart]) {
+        let suspects = self.view.suspects();
+        if self.runs.lock().add_survived_parts(parts, &suspects) {
+            self.has_news.notify_one();
+        }
+    }
+
     /// Reports the listed suspects that a target of this entry has survived lately.
     fn clear_survived_suspects(&self) {
         let suspects = self.view.suspects();
-        if self.runs.lock().find_survived(&suspects) {
+        let mut runs = self.runs.lock();
+        let has_requests = runs.find_survived(&suspects);
+        let has_parts = runs.find_survived_parts(&suspects);
+        if has_requests || has_parts {
             self.has_news.notify_one();
         }
     }
@@ -210,16 +314,19 @@
             || self.services.has_heard_within(within_ms)
     }
 
-    /// Waits until the target of a suspect's lost run has been checked and its end is recorded, so that the next decision
-    /// on it knows the result, at any entry.
-    pub async fn wait_for_check(&self, fingerprint: i64, address: &str) {
+    /// Waits until the target of a lost run has been checked, if the request may have ended it: it is a suspect, or its
+    /// prompt has parts that the target had just begun to answer on. For a suspect, waits until the end is recorded, too,
+    /// so that the next decision knows the result at any entry.
+    pub async fn wait_for_check(&self, request: &RelayRequest, ended: &EndedSlot) {
+        let fingerprint = request.fingerprint;
         let is_suspect = self.view.suspects().contains_key(&fingerprint);
+        let may_have_ended_target = !ended.has_survived_parts && !request.shared_parts.is_empty();
         let until = Instant::now() + CHECK_WAIT_MAX;
         let is_pending = || {
             let runs = self.runs.lock();
-            runs.is_unchecked(address) || runs.has_unrecorded(fingerprint)
+            runs.is_unchecked(&ended.address) || is_suspect && runs.has_unrecorded(fingerprint)
         };
-        while is_suspect && is_pending() {
+        while (is_suspect || may_have_ended_target) && is_pending() {
             if Instant::now() >= until {
                 return;
             }
@@ -230,8 +337,7 @@
     async fn report_all(&self) {
         loop {
             let report = self.runs.lock().build_report();
-            let (lost, survived) = (&report.lost, &report.survived);
-            if lost.is_empty() && survived.is_empty() {
+            if report.is_empty() {
                 return;
             }
             let started = Instant::now();
@@ -241,14 +347,15 @@
             log_event!(
                 info,
                 Event::RunsReported,
-                lost = lost.len(),
-                survived = survived.len(),
-                oldest_ms = lost.iter().map(|it| it.lost_ago_ms).max(),
+                lost = report.lost.len(),
+                survived = report.survived.len(),
+                survived_parts = report.survived_parts.len(),
+                oldest_ms = report.lost.iter().map(|it| it.lost_ago_ms).max(),
                 is_recorded,
                 error = outcome.as_ref().err().map(|it| it.to_string())
             );
             if is_recorded {
-                self.runs.lock().remove_recorded(lost, survived);
+                self.runs.lock().remove_recorded(&report);
             } else {
                 tokio::time::sleep(REPORT_PAUSE).await;
             }
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -24,6 +24,10 @@
 /// Time for which a target must go on answering a request to have survived it.
 const SURVIVAL_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time for which a target must go on answering a request to have survived all parts of its prompt. A part ends targets
+/// as they begin to answer.
+const PART_SURVIVAL_TIME: Duration = Duration::from_millis(300);
+
 /// A slot that a request occupies at a target, until its outcome is recorded.
 ///
 /// Dropping it without an outcome, usually because the caller disconnected, records [`AttemptOutcome::Unknown`].
@@ -39,9 +43,19 @@
     has_head: AtomicBool,
     first_answer: OnceLock<Instant>,
     has_survived: AtomicBool,
+    has_survived_parts: AtomicBool,
     is_released: bool,
 }
 
+/// What is known of a run whose target broke off.
+#[derive(Clone, Debug)]
+pub struct EndedSlot {
+    /// Address of the target.
+    pub address: String,
+    /// Whether the target went on answering for so long that no part of the prompt has ended it.
+    pub has_survived_parts: bool,
+}
+
 impl TargetSlot {
     /// Wraps a target whose load already includes the request.
     pub fn new(
@@ -62,6 +76,7 @@
             has_head: AtomicBool::new(false),
             first_answer: OnceLock::new(),
             has_survived: AtomicBool::new(false),
+            has_survived_parts: AtomicBool::new(false),
             is_released: false,
         }
     }
@@ -93,6 +108,15 @@
         if first_answer.elapsed() >= SURVIVAL_TIME {
             self.record_survived();
         }
+        if first_answer.elapsed() >= PART_SURVIVAL_TIME {
+            self.record_survived_parts();
+        }
+    }
+
+    fn record_survived_parts(&self) {
+        if !self.has_survived_parts.swap(true, Ordering::Relaxed) {
+            self.suspects.record_survived_parts(&self.shared_parts);
+        }
     }
 
     fn record_survived(&self) {
@@ -105,9 +129,11 @@
     pub fn release(mut self, outcome: AttemptOutcome) {
         self.is_released = true;
         match outcome {
-            AttemptOutcome::Success | AttemptOutcome::Failed => {
+            AttemptOutcome::Success => {
                 self.record_survived();
+                self.record_survived_parts();
             }
+            AttemptOutcome::Failed => self.record_survived(),
             AttemptOutcome::Full
             | AttemptOutcome::Misdirected
             | AttemptOutcome::Lost
@@ -122,10 +148,15 @@
         self.services.cancel(self.picked.key);
     }
 
-    /// Frees the slot after the target broke off a request that it may have run.
-    pub fn release_broken(self) {
+    /// Frees the slot after the target broke off a request that it may have run, and has it checked.
+    pub fn release_broken(self) -> EndedSlot {
         self.check_target();
+        let ended = EndedSlot {
+            address: self.picked.address.clone(),
+            has_survived_parts: self.has_survived_parts.load(Ordering::Relaxed),
+        };
         self.release(AttemptOutcome::Lost);
+        ended
     }
 
     /// Checks whether the target has ended.
@@ -139,6 +170,7 @@
             address: self.picked.address.clone(),
             started: self.started,
             progress: self.progress(),
+            has_survived_parts: self.has_survived_parts.load(Ordering::Relaxed),
         });
     }
 
--- a/crates/bilberryloft-relay/src/trial_slot.rs
+++ b/crates/bilberryloft-relay/src/trial_slot.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bilberryloft_coordination::run_permission::RunPermission;
-use bilberryloft_daemon::trial::Trial;
 use tokio::time::Instant;
 
 use crate::admission;
 use crate::answer::Refusal;
+use crate::held_trial::HeldTrial;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
+use crate::suspects::Permission;
 use crate::target_slot::TargetSlot;
 
 /// Longest wait for other trials.
@@ -18,16 +18,17 @@
 /// Interval at which the trial is asked for again.
 const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Reserves a slot and begins a trial there. The trial is `None` if the request turns out to need none.
+/// Reserves a slot and begins a trial there of the request, or of a part of its prompt, by its key. The trial is `None` if the request turns out to need none.
 pub async fn wait_for_trial(
     state: &Arc<RelayState>,
     request: &RelayRequest,
-) -> Result<(TargetSlot, Option<Trial>), Refusal> {
+    key: i64,
+) -> Result<(TargetSlot, Option<HeldTrial>), Refusal> {
     let until = Instant::now() + TRIAL_WAIT_MAX;
     let mut taken = Vec::new();
     let mut slot = admission::wait_for_slot(state, request).await?;
     loop {
-        match state.suspects.begin_trial(request, &slot.picked().id).await {
+        match state.suspects.begin_trial(request, key, &slot.picked().id).await {
             Ok(trial) => return Ok((slot, trial)),
             Err(Refusal::SuspectTrial) if Instant::now() < until => {}
             Err(refusal) => {
@@ -46,8 +47,13 @@
                 admission::wait_for_slot(state, request).await?
             }
         };
-        if state.suspects.admit(request)? == RunPermission::Run {
-            return Ok((slot, None));
+        match state.suspects.admit(request) {
+            Ok(Permission::Run) => return Ok((slot, None)),
+            Ok(_) => {}
+            Err(refusal) => {
+                slot.cancel();
+                return Err(refusal);
+            }
         }
     }
 }
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -37,6 +37,7 @@
         address: picked.address,
         started: Instant::now(),
         progress: RunProgress::Sent,
+        has_survived_parts: false,
     }
 }
 
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -16,6 +16,7 @@
 use crate::membership::Membership;
 use crate::membership::TargetDescription;
 use crate::suspect::LostRun;
+use crate::suspect::SurvivedPart;
 use crate::suspect::Suspects;
 use crate::suspect::TrialOutcome;
 
@@ -94,6 +95,9 @@
         lost: Vec<LostRun>,
         /// Digests of requests whose targets survived them.
         survived: Vec<i64>,
+        /// Parts of prompts that targets survived.
+        #[serde(default)]
+        survived_parts: Vec<SurvivedPart>,
     },
     /// Asks for a trial of a suspect, which runs alone on its target.
     BeginTrial {
@@ -248,7 +252,11 @@
                 self.suspects.report_crash(&target, crash_number, &fingerprints, now_ms);
                 self.suspects_version += 1;
             }
-            Command::ReportRuns { lost, survived } => self.report_runs(&lost, &survived),
+            Command::ReportRuns { lost, survived, survived_parts } => {
+                let (suspects, now_ms) = (&mut self.suspects, self.now_ms);
+                let is_changed = suspects.report_runs(&lost, &survived, &survived_parts, now_ms);
+                self.suspects_version += u64::from(is_changed);
+            }
             Command::BeginTrial { fingerprint, request_id, target } => {
                 return self.begin_trial(fingerprint, &request_id, target.as_deref());
             }
@@ -273,11 +281,6 @@
         Outcome::Document { version: self.document.version }
     }
 
-    fn report_runs(&mut self, lost: &[LostRun], survived: &[i64]) {
-        let is_changed = self.suspects.report_runs(lost, survived, self.now_ms);
-        self.suspects_version += u64::from(is_changed);
-    }
-
     fn begin_trial(&mut self, fingerprint: i64, request_id: &str, target: Option<&str>) -> Outcome {
         Outcome::Trial(self.suspects.begin_trial(fingerprint, request_id, target, self.now_ms))
     }
--- a/crates/bilberryloft-state/src/suspect.rs
+++ b/crates/bilberryloft-state/src/suspect/mod.rs
@@ -1,10 +1,24 @@
-//! Suspects: requests that were in flight when a target crashed, and their trials and quarantine.
+//! Suspects: requests that were in flight when a target crashed, and parts of their prompts, with their trials and
+//! quarantine.
+
+pub mod prompt_part;
+mod rounds;
 
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use self::prompt_part::EndStrength;
+use self::prompt_part::PartEnd;
+use self::prompt_part::PartPermission;
+use self::prompt_part::PartRecord;
+pub use self::rounds::LOST_TARGETS_ON_TRIAL;
+pub use self::rounds::Rounds;
+pub use self::rounds::RunSpan;
+pub use self::rounds::count_rounds;
+pub use self::rounds::must_refuse;
+
 /// Number of crashes after which a fingerprint is quarantined.
 pub const QUARANTINE_CRASHES: u32 = 2;
 /// Time after its last crash at which a suspect or quarantined fingerprint is dropped, in milliseconds.
@@ -16,35 +30,24 @@
 /// Number of lost targets from which on a suspect is sent to all entries. Most requests that were running when a target
 /// ended never come near it.
 const LISTED_LOST_TARGETS: usize = 2;
-/// Number of lost targets from which on a suspect runs only on trial.
-pub const LOST_TARGETS_ON_TRIAL: usize = 3;
-/// Weight of a strong round of lost targets.
-const ROUND_WEIGHT: usize = 3;
-/// Weight of a weak round.
-const WEAK_ROUND_WEIGHT: usize = 2;
-/// Weight of all rounds from which on a request is refused.
-const REFUSED_WEIGHT: usize = 4 * ROUND_WEIGHT;
-/// The same for a request that has ended with [`MANY_LOST_TARGETS`] or more.
-const REFUSED_AFTER_MANY_WEIGHT: usize = 3 * ROUND_WEIGHT;
-/// Number of lost targets from which on less weight suffices.
-const MANY_LOST_TARGETS: usize = 6;
-/// Time in which all entries learn of the end of a target and of what it ran, in milliseconds.
-const KNOWN_AFTER_MS: u64 = 500;
 /// Time after which a trial counts as ended if its end was not reported, in milliseconds.
 pub const TRIAL_MAX_MS: u64 = 300_000;
 /// The same for a request that entries send to targets themselves, which no agent holds for long.
 pub const DIRECT_TRIAL_MAX_MS: u64 = 15_000;
 
-/// A request, identified by its fingerprint, that may have caused a crash.
+/// A request, identified by its fingerprint, that may have caused a crash; or a part of prompts, identified by its key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
-    /// Digest of the request.
+    /// Digest of the request, or key of the part.
     pub fingerprint: i64,
     /// Number of crashes that an agent reported while it was in flight.
     pub crashes: u32,
     /// Targets that ended while they ran it for an entry.
     #[serde(default)]
     pub lost_targets: Vec<LostTarget>,
+    /// What is known of a part of prompts; `None` for a request.
+    #[serde(default)]
+    pub part: Option<PartRecord>,
     /// The current trial, if one is running.
     pub trial: Option<Trial>,
     /// Time of the last crash, in milliseconds since the epoch.
@@ -57,6 +60,7 @@
             fingerprint,
             crashes: 0,
             lost_targets: Vec::new(),
+            part: None,
             trial: None,
             last_crash_ms: now_ms,
         }
@@ -64,7 +68,37 @@
 
     /// Whether entries have to know of it.
     fn is_listed(&self) -> bool {
-        self.crashes > 0 || self.lost_targets.len() >= LISTED_LOST_TARGETS
+        self.crashes > 0
+            || self.lost_targets.len() >= LISTED_LOST_TARGETS
+            || self.part.as_ref().is_some_and(PartRecord::is_suspicious)
+    }
+
+    /// Returns whether a request that is suspect for this may run at `now_ms`.
+    fn outcome(&self, now_ms: u64) -> TrialOutcome {
+        if let Some(part) = &self.part {
+            return match part.history(now_ms).permission() {
+                PartPermission::Run => TrialOutcome::Clear,
+                PartPermission::Trial { pause_ms: 0 } => TrialOutcome::Granted,
+                PartPermission::Trial { .. } => TrialOutcome::Running,
+                PartPermission::Refuse { .. } => TrialOutcome::Quarantined,
+            };
+        }
+        let is_refused = self.crashes >= QUARANTINE_CRASHES
+            || must_refuse(self.lost_targets.len(), self.rounds());
+        if is_refused { TrialOutcome::Quarantined } else { TrialOutcome::Granted }
+    }
+
+    /// Number of crashes and lost targets, by which suspects are kept.
+    fn weight(&self) -> usize {
+        let part_ends = self.part.as_ref().map_or(0, |it| it.ends.len());
+        self.crashes as usize + self.lost_targets.len() + part_ends
+    }
+
+    /// Whether its trial runs at a target.
+    fn is_on_trial_at(&self, target: &str, now_ms: u64) -> bool {
+        self.trial
+            .as_ref()
+            .is_some_and(|it| it.target.as_deref() == Some(target) && it.is_running(now_ms))
     }
 
     /// Counts the times that targets ended under it one after the other.
@@ -91,83 +125,6 @@
     }
 }
 
-/// Run whose target ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RunSpan {
-    /// Start of the run, in milliseconds.
-    pub started_ms: u64,
-    /// Time at which the end of the target was noticed, in milliseconds.
-    pub lost_ms: u64,
-    /// Whether a part of the answer had arrived.
-    pub was_answering: bool,
-}
-
-/// Numbers of rounds in which targets ended under a request, by what they say of it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Rounds {
-    /// Rounds that say as much as one end of a target can.
-    pub strong: usize,
-    /// Rounds in which all runs had been answered in part, or that followed another so fast that no entry could know of
-    /// what had ended the targets before.
-    pub weak: usize,
-}
-
-impl Rounds {
-    /// Returns the number of all rounds.
-    pub fn count(self) -> usize {
-        self.strong + self.weak
-    }
-}
-
-impl std::ops::Add for Rounds {
-    type Output = Rounds;
-
-    fn add(self, other: Rounds) -> Rounds {
-        Rounds { strong: self.strong + other.strong, weak: self.weak + other.weak }
-    }
-}
-
-/// Returns whether a request must not run again after targets have ended under it.
-pub fn must_refuse(lost_targets: usize, rounds: Rounds) -> bool {
-    let refused_weight = match lost_targets {
-        0..MANY_LOST_TARGETS => REFUSED_WEIGHT,
-        MANY_LOST_TARGETS.. => REFUSED_AFTER_MANY_WEIGHT,
-    };
-    rounds.strong * ROUND_WEIGHT + rounds.weak * WEAK_ROUND_WEIGHT >= refused_weight
-}
-
-/// Runs whose targets ended before any of them could be known of.
-struct Round {
-    first_end_ms: u64,
-    was_answering: bool,
-    is_fast: bool,
-}
-
-/// Counts rounds of runs. A run that began before the first end of a round was noticed belongs to that round.
-pub fn count_rounds(runs: impl IntoIterator<Item = RunSpan>) -> Rounds {
-    let mut runs: Vec<RunSpan> = runs.into_iter().collect();
-    runs.sort_unstable();
-    let mut rounds: Vec<Round> = Vec::new();
-    for (number, run) in runs.iter().enumerate() {
-        match rounds.last_mut() {
-            Some(round) if run.started_ms <= round.first_end_ms => {
-                round.first_end_ms = round.first_end_ms.min(run.lost_ms);
-                round.was_answering &= run.was_answering;
-            }
-            last => {
-                let known_ms = last.map_or(0, |it| it.first_end_ms + KNOWN_AFTER_MS);
-                rounds.push(Round {
-                    first_end_ms: run.lost_ms,
-                    was_answering: run.was_answering,
-                    is_fast: number < LOST_TARGETS_ON_TRIAL && run.started_ms < known_ms,
-                });
-            }
-        }
-    }
-    let weak = rounds.iter().filter(|it| it.was_answering || it.is_fast).count();
-    Rounds { strong: rounds.len() - weak, weak }
-}
-
 /// Target that ended while it ran a suspect.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LostTarget {
@@ -206,6 +163,30 @@
     /// Whether a part of the answer had arrived.
     #[serde(default)]
     pub was_answering: bool,
+    /// Whether the head of the answer had arrived.
+    #[serde(default)]
+    pub has_head: bool,
+    /// Shared parts of the prompt that may have ended the target, in the order of the prompt.
+    #[serde(default)]
+    pub parts: Vec<LostPart>,
+}
+
+/// Part of the prompt of a lost run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostPart {
+    /// Key of the part.
+    pub key: i64,
+    /// Whether a target is known to have survived the part earlier.
+    pub is_proven: bool,
+}
+
+/// Part of a prompt that a target has survived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SurvivedPart {
+    /// Key of the part.
+    pub key: i64,
+    /// Time since then, in milliseconds.
+    pub ago_ms: u64,
 }
 
 /// Trial of a suspect: a run with no other request on the target.
@@ -235,9 +216,9 @@
     Clear,
     /// The trial is granted: run the request alone and report how it ended.
     Granted,
-    /// Another trial with the same fingerprint or on the same target is running.
+    /// Another trial with the same fingerprint or on the same target is running, or it is too early for one.
     Running,
-    /// The fingerprint has reached [`QUARANTINE_CRASHES`], or [`must_refuse`] says so.
+    /// The fingerprint has reached [`QUARANTINE_CRASHES`], [`must_refuse`] says so, or the part is refused.
     Quarantined,
 }
 
@@ -282,9 +263,15 @@
         self.drop_surplus();
     }
 
-    /// Records runs that ended with their targets, and clears requests that were answered by a target that survived.
+    /// Records runs that ended with their targets, and clears requests and parts of prompts that a target survived.
     /// Returns whether the listed suspects changed.
-    pub fn report_runs(&mut self, lost: &[LostRun], survived: &[i64], now_ms: u64) -> bool {
+    pub fn report_runs(
+        &mut self,
+        lost: &[LostRun],
+        survived: &[i64],
+        survived_parts: &[SurvivedPart],
+        now_ms: u64,
+    ) -> bool {
         let before = self.listed();
         self.by_fingerprint.retain(|_, it| it.last_crash_ms + SUSPECT_RETENTION_MS > now_ms);
         for run in lost {
@@ -295,23 +282,78 @@
                 was_answering: run.was_answering,
             };
             self.suspect(run.fingerprint, now_ms).record_lost_target(lost, now_ms);
+            self.record_part_ends(run, now_ms);
         }
         for fingerprint in survived {
             self.by_fingerprint.remove(fingerprint);
         }
+        for survived in survived_parts {
+            self.record_survived_part(*survived, now_ms);
+        }
         self.drop_surplus();
         self.listed() != before
     }
 
+    /// Counts the end of a target against the parts of a prompt that ran there, the last one first: it is shared by the
+    /// fewest requests. Once a part is refused, its ends no longer count against the parts before it.
+    fn record_part_ends(&mut self, run: &LostRun, now_ms: u64) {
+        let end = PartEnd {
+            target: run.target.clone(),
+            request: run.fingerprint,
+            started_ms: now_ms.saturating_sub(run.started_ago_ms),
+            lost_ms: now_ms.saturating_sub(run.lost_ago_ms),
+            strength: EndStrength::of_run(run.has_head, run.was_answering),
+        };
+        for (idx, lost) in run.parts.iter().enumerate().rev() {
+            let suspect = self.suspect(lost.key, now_ms);
+            let was_on_trial = suspect.is_on_trial_at(&run.target, now_ms);
+            let part = suspect.part.get_or_insert_default();
+            part.is_proven |= lost.is_proven;
+            let strength = if was_on_trial { EndStrength::Strong } else { end.strength };
+            if !part.record(PartEnd { strength, ..end.clone() }) {
+                continue;
+            }
+            let history = part.history(now_ms);
+            let explained = history.is_refused().then(|| part.ends.clone());
+            suspect.last_crash_ms = now_ms;
+            suspect.trial = None;
+            if let Some(explained) = explained {
+                self.drop_explained(&run.parts[..idx], &explained);
+                return;
+            }
+        }
+    }
+
+    /// Drops ends that another part of the same prompts explains.
+    fn drop_explained(&mut self, parts: &[LostPart], explained: &[PartEnd]) {
+        for lost in parts {
+            let suspect = self.by_fingerprint.get_mut(&lost.key);
+            if let Some(part) = suspect.and_then(|it| it.part.as_mut()) {
+                part.ends.retain(|end| !explained.iter().any(|it| it.is_same_run(end)));
+            }
+        }
+    }
+
+    fn record_survived_part(&mut self, survived: SurvivedPart, now_ms: u64) {
+        let Some(suspect) = self.by_fingerprint.get_mut(&survived.key) else {
+            return;
+        };
+        if let Some(part) = &mut suspect.part {
+            part.record_survived(now_ms.saturating_sub(survived.ago_ms));
+            if !part.is_suspicious() {
+                suspect.trial = None;
+            }
+        }
+    }
+
     fn suspect(&mut self, fingerprint: i64, now_ms: u64) -> &mut Suspect {
         self.by_fingerprint.entry(fingerprint).or_insert_with(|| Suspect::new(fingerprint, now_ms))
     }
 
     fn drop_surplus(&mut self) {
         while self.by_fingerprint.len() > SUSPECTS_MAX {
-            let weight =
-                |it: &Suspect| (it.crashes as usize + it.lost_targets.len(), it.last_crash_ms);
-            let least = self.by_fingerprint.values().min_by_key(|it| weight(it));
+            let least =
+                self.by_fingerprint.values().min_by_key(|it| (it.weight(), it.last_crash_ms));
             let Some(fingerprint) = least.map(|it| it.fingerprint) else {
                 return;
             };
@@ -331,10 +373,9 @@
         let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else {
             return TrialOutcome::Clear;
         };
-        if suspect.crashes >= QUARANTINE_CRASHES
-            || must_refuse(suspect.lost_targets.len(), suspect.rounds())
-        {
-            return TrialOutcome::Quarantined;
+        let outcome = suspect.outcome(now_ms);
+        if outcome != TrialOutcome::Granted {
+            return outcome;
         }
         let is_other_trial =
             |trial: &Trial| trial.request_id != request_id && trial.is_running(now_ms);
@@ -351,9 +392,8 @@
 
     /// Whether another suspect is on trial at a target.
     fn is_on_trial_at(&self, target: &str, fingerprint: i64, now_ms: u64) -> bool {
-        let others = self.by_fingerprint.values().filter(|it| it.fingerprint != fingerprint);
-        let mut trials = others.filter_map(|it| it.trial.as_ref());
-        trials.any(|it| it.target.as_deref() == Some(target) && it.is_running(now_ms))
+        let mut others = self.by_fingerprint.values().filter(|it| it.fingerprint != fingerprint);
+        others.any(|it| it.is_on_trial_at(target, now_ms))
     }
 
     /// Ends the trial of the given request; a clean run clears the suspect.
--- /dev/null
+++ b/crates/bilberryloft-state/src/suspect/rounds.rs
@@ -0,0 +1,105 @@
+//! Counts the times that targets ended one after the other under the same request.
+
+/// Number of lost targets from which on a suspect runs only on trial.
+pub const LOST_TARGETS_ON_TRIAL: usize = 3;
+/// Weight of a strong round of lost targets.
+const ROUND_WEIGHT: usize = 3;
+/// Weight of a weak round.
+const WEAK_ROUND_WEIGHT: usize = 2;
+/// Weight of all rounds from which on a request is refused.
+const REFUSED_WEIGHT: usize = 4 * ROUND_WEIGHT;
+/// The same for a request that has ended with [`MANY_LOST_TARGETS`] or more.
+const REFUSED_AFTER_MANY_WEIGHT: usize = 3 * ROUND_WEIGHT;
+/// Number of lost targets from which on less weight suffices.
+const MANY_LOST_TARGETS: usize = 6;
+/// Time in which all entries learn of the end of a target and of what it ran, in milliseconds.
+const KNOWN_AFTER_MS: u64 = 500;
+
+/// Run whose target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunSpan {
+    /// Start of the run, in milliseconds.
+    pub started_ms: u64,
+    /// Time at which the end of the target was noticed, in milliseconds.
+    pub lost_ms: u64,
+    /// Whether a part of the answer had arrived.
+    pub was_answering: bool,
+}
+
+/// Numbers of rounds in which targets ended under a request, by what they say of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Rounds {
+    /// Rounds that say as much as one end of a target can.
+    pub strong: usize,
+    /// Rounds in which all runs had been answered in part, or that followed another so fast that no entry could know of
+    /// what had ended the targets before.
+    pub weak: usize,
+}
+
+impl Rounds {
+    /// Returns the number of all rounds.
+    pub fn count(self) -> usize {
+        self.strong + self.weak
+    }
+}
+
+impl std::ops::Add for Rounds {
+    type Output = Rounds;
+
+    fn add(self, other: Rounds) -> Rounds {
+        Rounds { strong: self.strong + other.strong, weak: self.weak + other.weak }
+    }
+}
+
+/// Returns whether a request must not run again after targets have ended under it.
+pub fn must_refuse(lost_targets: usize, rounds: Rounds) -> bool {
+    let refused_weight = match lost_targets {
+        0..MANY_LOST_TARGETS => REFUSED_WEIGHT,
+        MANY_LOST_TARGETS.. => REFUSED_AFTER_MANY_WEIGHT,
+    };
+    rounds.strong * ROUND_WEIGHT + rounds.weak * WEAK_ROUND_WEIGHT >= refused_weight
+}
+
+/// Counts rounds of runs.
+pub fn count_rounds(runs: impl IntoIterator<Item = RunSpan>) -> Rounds {
+    let runs: Vec<RunSpan> = runs.into_iter().collect();
+    let mut counted = Rounds::default();
+    let mut runs_before = 0;
+    let mut known_ms = 0;
+    for round in group_rounds(&runs, |it| (it.started_ms, it.lost_ms)) {
+        let was_answering = round.iter().all(|it| it.was_answering);
+        let is_fast = runs_before < LOST_TARGETS_ON_TRIAL && round[0].started_ms < known_ms;
+        if was_answering || is_fast {
+            counted.weak += 1;
+        } else {
+            counted.strong += 1;
+        }
+        runs_before += round.len();
+        let first_end_ms = round.iter().map(|it| it.lost_ms).min().unwrap_or(0);
+        known_ms = first_end_ms + KNOWN_AFTER_MS;
+    }
+    counted
+}
+
+/// Groups runs into rounds, given the start of a run and the time at which its end was noticed. A run that began before
+/// the first end of a round was noticed belongs to that round.
+pub fn group_rounds<T>(runs: &[T], span_ms: impl Fn(&T) -> (u64, u64)) -> Vec<Vec<&T>> {
+    let mut sorted: Vec<&T> = runs.iter().collect();
+    sorted.sort_by_key(|it| span_ms(it));
+    let mut rounds: Vec<Vec<&T>> = Vec::new();
+    let mut first_end_ms = 0;
+    for run in sorted {
+        let (started_ms, lost_ms) = span_ms(run);
+        match rounds.last_mut() {
+            Some(round) if started_ms <= first_end_ms => {
+                first_end_ms = first_end_ms.min(lost_ms);
+                round.push(run);
+            }
+            _ => {
+                first_end_ms = lost_ms;
+                rounds.push(vec![run]);
+            }
+        }
+    }
+    rounds
+}
--- a/crates/bilberryloft-testing/tests/control_client.rs
+++ b/crates/bilberryloft-testing/tests/control_client.rs
@@ -61,8 +61,11 @@
             started_ago_ms: 1_000 + started.elapsed().as_millis() as u64,
             lost_ago_ms: started.elapsed().as_millis() as u64,
             was_answering: false,
+            has_head: false,
+            parts: Vec::new(),
         }],
         survived: Vec::new(),
+        survived_parts: Vec::new(),
     };
     let outcome = client.propose_with(build, Duration::from_secs(4)).await.unwrap();
     assert_eq!(outcome, Outcome::Applied);
