A stream without length, chunks and events is broken off, and its target is looked at

Cause: the end of the connection of an unframed body was taken for its end whatever had come before. Change: such a stream without any event is broken off and resumed; after an event it is complete, but proves nothing about the target, which is checked if it had not gone on answering.

--- a/crates/bilberryloft-relay/src/headers.rs
+++ b/crates/bilberryloft-relay/src/headers.rs
@@ -42,3 +42,8 @@
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|it| it.to_str().ok())
 }
+
+/// Returns whether an answer tells where its body ends. Otherwise, it ends with its connection.
+pub fn is_framed(answer: &HeaderMap) -> bool {
+    answer.contains_key(header::CONTENT_LENGTH) || answer.contains_key(header::TRANSFER_ENCODING)
+}
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -21,6 +21,7 @@
 use crate::attempt;
 use crate::attempt::Answered;
 use crate::attempt::AttemptResult;
+use crate::headers;
 use crate::held_trial::HeldTrial;
 use crate::lifecycle::OpenRequest;
 use crate::request::RelayRequest;
@@ -45,6 +46,8 @@
 enum BodyEnd {
     /// The target sent the complete body.
     Complete,
+    /// The target closed the connection of a body that has no other end, after a whole event.
+    Closed,
     /// The target disconnected before the end or sent an event that is too large.
     Broken,
     /// The rank slows down its group, and a slot at another rank is reserved.
@@ -123,6 +126,12 @@
                     self.log_end();
                     return;
                 }
+                BodyEnd::Closed => {
+                    slot.release_closed();
+                    self.state.daemon.metrics.answers.inc();
+                    self.log_end();
+                    return;
+                }
                 BodyEnd::CallerLeft => {
                     log_event!(
                         info,
@@ -198,6 +207,8 @@
     ) -> BodyEnd {
         let Answered { response, connection, address } = answered;
         let (parts, mut body) = response.into_parts();
+        let is_framed = headers::is_framed(&parts.headers);
+        let sent_before = self.bytes_sent;
         let may_resume = self.may_resume(attempts_made);
         let (state, request) = (self.state.clone(), self.request.clone());
         let migration = state.wait_for_migration(&request, slot.picked().key);
@@ -217,7 +228,9 @@
             };
             match frame {
                 None if self.framer.has_partial() => break BodyEnd::Broken,
-                None => break BodyEnd::Complete,
+                None if is_framed => break BodyEnd::Complete,
+                None if self.bytes_sent == sent_before => break BodyEnd::Broken,
+                None => break BodyEnd::Closed,
                 Some(Err(_)) => break BodyEnd::Broken,
                 Some(Ok(frame)) => {
                     if let Some(end) = self.forward_frame(frame, slot).await {
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -142,6 +142,15 @@
         self.services.finish(&self.service, self.picked.key, outcome);
     }
 
+    /// Frees the slot after an answer that ended with its connection, so that it may also have ended with its target.
+    pub fn release_closed(mut self) {
+        if !self.has_survived_parts.load(Ordering::Relaxed) {
+            self.check_target();
+        }
+        self.is_released = true;
+        self.services.finish(&self.service, self.picked.key, AttemptOutcome::Success);
+    }
+
     /// Frees the slot of a request that was not sent.
     pub fn cancel(mut self) {
         self.is_released = true;
