Entries tell each other of lost runs that the quorum has not recorded

Entries now put runs that stay unrecorded for a second into their reports, eight at most, and pass on those they hear; all of them report to the quorum once it is back, which counts an end once.

--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -3910,10 +3910,11 @@
   pub failing: Option<BTreeMap<String, i8>>,
   pub slow_ranks: Option<BTreeMap<String, OrderedFloat<f64>>>,
   pub limits: Option<BTreeMap<String, ReportedLimit>>,
+  pub lost_runs: Option<Vec<Vec<u8>>>,
 }
 
 impl EntryLoad {
-  pub fn new<F8, F9, F10>(entry: String, address: String, data_center: String, incarnation: i64, number: i64, known_entries: i32, loads: Vec<u8>, failing: F8, slow_ranks: F9, limits: F10) -> EntryLoad where F8: Into<Option<BTreeMap<String, i8>>>, F9: Into<Option<BTreeMap<String, OrderedFloat<f64>>>>, F10: Into<Option<BTreeMap<String, ReportedLimit>>> {
+  pub fn new<F8, F9, F10, F11>(entry: String, address: String, data_center: String, incarnation: i64, number: i64, known_entries: i32, loads: Vec<u8>, failing: F8, slow_ranks: F9, limits: F10, lost_runs: F11) -> EntryLoad where F8: Into<Option<BTreeMap<String, i8>>>, F9: Into<Option<BTreeMap<String, OrderedFloat<f64>>>>, F10: Into<Option<BTreeMap<String, ReportedLimit>>>, F11: Into<Option<Vec<Vec<u8>>>> {
     EntryLoad {
       entry,
       address,
@@ -3925,6 +3926,7 @@
       failing: failing.into(),
       slow_ranks: slow_ranks.into(),
       limits: limits.into(),
+      lost_runs: lost_runs.into(),
     }
   }
 }
@@ -3942,6 +3944,7 @@
     let mut f_8: Option<BTreeMap<String, i8>> = None;
     let mut f_9: Option<BTreeMap<String, OrderedFloat<f64>>> = None;
     let mut f_10: Option<BTreeMap<String, ReportedLimit>> = None;
+    let mut f_11: Option<Vec<Vec<u8>>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -4010,6 +4013,16 @@
           i_prot.read_map_end()?;
           f_10 = Some(val);
         },
+        11 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_18 = i_prot.read_bytes()?;
+            val.push(list_elem_18);
+          }
+          i_prot.read_list_end()?;
+          f_11 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -4035,6 +4048,7 @@
       failing: f_8,
       slow_ranks: f_9,
       limits: f_10,
+      lost_runs: f_11,
     };
     Ok(ret)
   }
@@ -4092,6 +4106,15 @@
       o_prot.write_map_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.lost_runs {
+      o_prot.write_field_begin(&TFieldIdentifier::new("lost_runs", TType::List, 11))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::String, fld_var.len() as i32))?;
+      for e in fld_var {
+        o_prot.write_bytes(e)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -4129,8 +4152,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_18 = i_prot.read_bytes()?;
-            val.push(list_elem_18);
+            let list_elem_19 = i_prot.read_bytes()?;
+            val.push(list_elem_19);
           }
           i_prot.read_list_end()?;
           f_1 = Some(val);
--- a/crates/bilberryloft-relay/src/loads/mod.rs
+++ b/crates/bilberryloft-relay/src/loads/mod.rs
@@ -98,6 +98,7 @@
             monotonic_ms(),
         );
         self.state.limits.record_reports(&entry, &targets.limits);
+        self.state.suspects.record_heard_runs(&targets.lost_runs);
         if let Some(slowness) = targets.slow_ranks {
             self.state.services.record_slow_ranks(&entry, slowness);
         }
@@ -123,6 +124,7 @@
             failing: rounded(targets.own_failure_rates(now_ms)),
             slow_ranks: targets.slow_ranks_from(self.state.entries.own(), now_ms).cloned(),
             limits: targets.limits.reports(now_ms),
+            lost_runs: self.state.suspects.unrecorded_runs(wire::LOST_RUNS_MAX),
         };
         (reported, targets.expire_entries(now_ms))
     }
--- a/crates/bilberryloft-relay/src/loads/wire.rs
+++ b/crates/bilberryloft-relay/src/loads/wire.rs
@@ -15,10 +15,14 @@
 use bilberryloft_routing::target_limits::LimitReport;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
+use bilberryloft_state::suspect::LostRun;
 
 /// Size of the reports from which the next one goes into another datagram, in bytes.
 const DATAGRAM_BYTES: usize = 8 << 10;
 
+/// Largest number of lost runs in a report.
+pub const LOST_RUNS_MAX: usize = 8;
+
 /// Encodes reports as one or more datagrams.
 pub fn encode(reports: &[EntryReport]) -> Vec<Vec<u8>> {
     let mut datagrams = Vec::new();
@@ -70,6 +74,7 @@
         failing.collect::<BTreeMap<_, _>>(),
         slow_ranks,
         limits.collect::<BTreeMap<_, _>>(),
+        encode_lost_runs(&targets.lost_runs),
     )
 }
 
@@ -91,6 +96,7 @@
         failing: failing.map(|(id, rate)| (id, rate.max(0) as u8)).collect(),
         slow_ranks,
         limits: limits.collect(),
+        lost_runs: decode_lost_runs(&load.lost_runs.unwrap_or_default()),
     };
     let address = load.address.parse().map_err(|_| invalid("the address can't be read"))?;
     let (incarnation, number) = (load.incarnation as u64, load.number as u64);
@@ -104,6 +110,21 @@
     })
 }
 
+fn encode_lost_runs(runs: &[LostRun]) -> Option<Vec<Vec<u8>>> {
+    // A lost run consists of numbers and strings, so encoding it cannot fail.
+    let encoded = runs.iter().map(|it| serde_json::to_vec(it).unwrap_or_default());
+    (!runs.is_empty()).then(|| encoded.collect())
+}
+
+/// Decodes lost runs; those that can't be read are left out.
+fn decode_lost_runs(encoded: &[Vec<u8>]) -> Vec<LostRun> {
+    let read = |it: &Vec<u8>| {
+        let run = serde_json::from_slice(it);
+        run.inspect_err(|error| tracing::debug!(%error, "ignoring a lost run")).ok()
+    };
+    encoded.iter().take(LOST_RUNS_MAX).filter_map(read).collect()
+}
+
 fn encode_loads(loads: &BTreeMap<TargetTag, u32>) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(5 * loads.len());
     for (tag, load) in loads {
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -33,6 +33,9 @@
 /// Number of requests that are remembered as answered by targets that survived them.
 const SURVIVED_MAX: usize = 512;
 
+/// Time by which a run seems to be later when another entry tells of it.
+const HEARD_DELAY_MAX: Duration = Duration::from_millis(500);
+
 /// How far the answer to a run has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunProgress {
@@ -87,34 +90,70 @@
 /// A lost run that the quorum has not recorded yet.
 #[derive(Debug)]
 struct UnrecordedRun {
-    run: TargetRun,
+    target_id: String,
+    fingerprint: i64,
+    /// Parts of the prompt that may have ended the target.
+    parts: Vec<LostPart>,
+    started: Instant,
     noticed: Instant,
+    has_head: bool,
+    was_answering: bool,
 }
 
 impl UnrecordedRun {
+    fn of_run(run: TargetRun) -> UnrecordedRun {
+        let part = |it: &PromptPart| LostPart { key: it.key, is_proven: false };
+        let parts = if run.has_survived_parts { &[][..] } else { &run.shared_parts };
+        UnrecordedRun {
+            parts: parts.iter().map(part).collect(),
+            has_head: run.has_head(),
+            was_answering: run.is_answering(),
+            target_id: run.target_id,
+            fingerprint: run.fingerprint,
+            started: run.started,
+            noticed: Instant::now(),
+        }
+    }
+
+    /// Returns a run that another entry has told of; `None` if it began before this host started.
+    fn of_heard(lost: &LostRun) -> Option<UnrecordedRun> {
+        let ago = |ms: u64| Instant::now().checked_sub(Duration::from_millis(ms));
+        Some(UnrecordedRun {
+            target_id: lost.target.clone(),
+            fingerprint: lost.fingerprint,
+            parts: lost.parts.clone(),
+            started: ago(lost.started_ago_ms)?,
+            noticed: ago(lost.lost_ago_ms)?,
+            has_head: lost.has_head,
+            was_answering: lost.was_answering,
+        })
+    }
+
+    /// Returns whether both are the same run, or runs of the same request that ended with the target at once.
+    fn is_same_end(&self, other: &UnrecordedRun) -> bool {
+        self.fingerprint == other.fingerprint
+            && self.target_id == other.target_id
+            && self.started <= other.noticed + HEARD_DELAY_MAX
+            && other.started <= self.noticed + HEARD_DELAY_MAX
+    }
+
     /// Returns the span of the run in this entry's monotonic time.
     fn span(&self) -> RunSpan {
         RunSpan {
-            started_ms: instant_ms(self.run.started),
+            started_ms: instant_ms(self.started),
             lost_ms: instant_ms(self.noticed),
-            was_answering: self.run.is_answering(),
+            was_answering: self.was_answering,
         }
     }
 
-    /// Returns the parts of the prompt that may have ended the target.
-    fn suspected_parts(&self) -> impl Iterator<Item = &PromptPart> {
-        let parts = if self.run.has_survived_parts { &[][..] } else { &self.run.shared_parts };
-        parts.iter()
-    }
-
     /// Returns the end of the target as it counts against these parts, in this entry's monotonic time.
     fn part_end(&self) -> PartEnd {
         PartEnd {
-            target: self.run.target_id.clone(),
-            request: self.run.fingerprint,
-            started_ms: instant_ms(self.run.started),
+            target: self.target_id.clone(),
+            request: self.fingerprint,
+            started_ms: instant_ms(self.started),
             lost_ms: instant_ms(self.noticed),
-            strength: EndStrength::of_run(self.run.has_head(), self.run.is_answering()),
+            strength: EndStrength::of_run(self.has_head, self.was_answering),
         }
     }
 }
@@ -134,13 +173,8 @@
     /// Returns the command that records the report, with the ages that the runs have after `elapsed`.
     pub fn command(&self, elapsed: Duration) -> Command {
         let elapsed_ms = elapsed.as_millis() as u64;
-        let aged = |it: &LostRun| LostRun {
-            started_ago_ms: it.started_ago_ms + elapsed_ms,
-            lost_ago_ms: it.lost_ago_ms + elapsed_ms,
-            ..it.clone()
-        };
         Command::ReportRuns {
-            lost: self.lost.iter().map(aged).collect(),
+            lost: self.lost.iter().map(|it| it.aged(elapsed_ms)).collect(),
             survived: self.survived.clone(),
             survived_parts: self.survived_parts.iter().map(survived_part).collect(),
         }
@@ -190,7 +224,7 @@
 
     /// Returns whether a lost run of a request is not recorded yet.
     pub fn has_unrecorded(&self, fingerprint: i64) -> bool {
-        self.unrecorded.iter().any(|it| it.run.fingerprint == fingerprint)
+        self.unrecorded.iter().any(|it| it.fingerprint == fingerprint)
     }
 
     /// Takes the runs at a target that has been probed.
@@ -202,9 +236,9 @@
     pub fn history(&self, fingerprint: i64, suspect: Option<&Suspect>) -> RunHistory {
         let is_recorded = |it: &UnrecordedRun| {
             let targets = suspect.map_or(&[][..], |it| &it.lost_targets);
-            targets.iter().any(|lost| lost.target == it.run.target_id)
+            targets.iter().any(|lost| lost.target == it.target_id)
         };
-        let unrecorded = self.unrecorded.iter().filter(|it| it.run.fingerprint == fingerprint);
+        let unrecorded = self.unrecorded.iter().filter(|it| it.fingerprint == fingerprint);
         let spans: Vec<RunSpan> =
             unrecorded.filter(|it| !is_recorded(it)).map(UnrecordedRun::span).collect();
         RunHistory { lost_targets: spans.len(), rounds: count_rounds(spans) }
@@ -214,19 +248,21 @@
     pub fn part_history(&self, key: i64, record: Option<&PartRecord>) -> PartHistory {
         let is_recorded = |it: &UnrecordedRun| {
             let ends = record.map_or(&[][..], |it| &it.ends);
-            ends.iter().any(|end| end.target == it.run.target_id)
+            ends.iter().any(|end| end.target == it.target_id)
         };
         let survived = self.survived_parts.last(key);
         let counts = |it: &&UnrecordedRun| {
-            it.suspected_parts().any(|part| part.key == key)
+            it.parts.iter().any(|part| part.key == key)
                 && survived.is_none_or(|at| at < it.noticed)
                 && !is_recorded(it)
         };
         let ends: Vec<PartEnd> =
             self.unrecorded.iter().filter(counts).map(UnrecordedRun::part_end).collect();
         let last_end_ms = ends.iter().map(|it| it.lost_ms).max();
+        let mut parts = self.unrecorded.iter().filter(counts).flat_map(|it| &it.parts);
+        let is_heard_proven = parts.any(|it| it.key == key && it.is_proven);
         PartHistory {
-            is_proven: survived.is_some(),
+            is_proven: survived.is_some() || is_heard_proven,
             weight: ends_weight(&ends),
             last_end_ago_ms: last_end_ms.map(|it| monotonic_ms().saturating_sub(it)),
         }
@@ -272,7 +308,7 @@
             self.survived.pop_front();
         }
         self.survived.push_back(fingerprint);
-        self.unrecorded.retain(|it| it.run.fingerprint != fingerprint);
+        self.unrecorded.retain(|it| it.fingerprint != fingerprint);
         is_suspect && self.survived_suspects.insert(fingerprint)
     }
 
@@ -286,58 +322,76 @@
 
     /// Adds runs whose target has ended; returns whether any of them is new.
     pub fn add_ended(&mut self, runs: Vec<TargetRun>) -> bool {
-        let before = self.unrecorded.back().map(|it| it.noticed);
-        runs.into_iter().for_each(|it| self.add_unrecorded(it));
-        self.unrecorded.back().map(|it| it.noticed) != before
+        let runs: Vec<UnrecordedRun> = runs.into_iter().map(UnrecordedRun::of_run).collect();
+        self.add_unrecorded(runs)
     }
 
-    fn add_unrecorded(&mut self, run: TargetRun) {
-        let ended_with = |it: &UnrecordedRun| {
-            let is_same = it.run.fingerprint == run.fingerprint && it.run.address == run.address;
-            is_same && it.noticed >= run.started
-        };
-        if self.survived.contains(&run.fingerprint) || self.unrecorded.iter().any(ended_with) {
-            return;
-        }
-        if self.unrecorded.len() == UNRECORDED_MAX {
-            self.unrecorded.pop_front();
+    /// Adds runs whose targets ended, as another entry told of them; returns whether any of them is new.
+    pub fn add_heard(&mut self, lost: &[LostRun]) -> bool {
+        let runs: Vec<UnrecordedRun> = lost.iter().filter_map(UnrecordedRun::of_heard).collect();
+        self.add_unrecorded(runs)
+    }
+
+    fn add_unrecorded(&mut self, runs: Vec<UnrecordedRun>) -> bool {
+        let mut is_news = false;
+        for run in runs {
+            let is_known = self.unrecorded.iter().any(|it| it.is_same_end(&run));
+            if is_known || self.survived.contains(&run.fingerprint) {
+                continue;
+            }
+            if self.unrecorded.len() == UNRECORDED_MAX {
+                self.unrecorded.pop_front();
+            }
+            self.unrecorded.push_back(run);
+            is_news = true;
         }
-        self.unrecorded.push_back(UnrecordedRun { run, noticed: Instant::now() });
+        is_news
+    }
+
+    /// Returns the newest runs that have not been recorded for some time and may have ended their targets.
+    pub fn unrecorded_for(&self, time: Duration, count_max: usize) -> Vec<LostRun> {
+        let is_due = |it: &&UnrecordedRun| it.noticed.elapsed() >= time && !it.was_answering;
+        let due = self.unrecorded.iter().rev().filter(is_due);
+        due.take(count_max).map(|it| self.lost_run(it)).collect()
     }
 
     /// Builds a report of what is not recorded yet.
     pub fn build_report(&self) -> RunsReport {
-        let lost = |it: &UnrecordedRun| LostRun {
-            target: it.run.target_id.clone(),
-            fingerprint: it.run.fingerprint,
-            started_ago_ms: it.run.started.elapsed().as_millis() as u64,
-            lost_ago_ms: it.noticed.elapsed().as_millis() as u64,
-            was_answering: it.run.is_answering(),
-            has_head: it.run.has_head(),
-            parts: it.suspected_parts().filter_map(|part| self.lost_part(it, part)).collect(),
-        };
         let survived_parts = self.unrecorded_parts.iter().take(REPORT_MAX);
         RunsReport {
-            lost: self.unrecorded.iter().take(REPORT_MAX).map(lost).collect(),
+            lost: self.unrecorded.iter().take(REPORT_MAX).map(|it| self.lost_run(it)).collect(),
             survived: self.survived_suspects.iter().copied().take(REPORT_MAX).collect(),
             survived_parts: survived_parts.map(|(key, at)| (*key, *at)).collect(),
         }
     }
 
+    /// Returns a lost run with its present ages, as it is reported.
+    fn lost_run(&self, run: &UnrecordedRun) -> LostRun {
+        LostRun {
+            target: run.target_id.clone(),
+            fingerprint: run.fingerprint,
+            started_ago_ms: run.started.elapsed().as_millis() as u64,
+            lost_ago_ms: run.noticed.elapsed().as_millis() as u64,
+            was_answering: run.was_answering,
+            has_head: run.has_head,
+            parts: run.parts.iter().filter_map(|it| self.lost_part(run, *it)).collect(),
+        }
+    }
+
     /// Returns a part of a lost run as it is reported, unless a target has survived it since.
-    fn lost_part(&self, lost: &UnrecordedRun, part: &PromptPart) -> Option<LostPart> {
+    fn lost_part(&self, run: &UnrecordedRun, part: LostPart) -> Option<LostPart> {
         let survived = self.survived_parts.last(part.key);
-        if survived.is_some_and(|at| at >= lost.noticed) {
+        if survived.is_some_and(|at| at >= run.noticed) {
             return None;
         }
-        Some(LostPart { key: part.key, is_proven: survived.is_some() })
+        Some(LostPart { is_proven: part.is_proven || survived.is_some(), ..part })
     }
 
     /// Drops what the quorum has recorded.
     pub fn remove_recorded(&mut self, report: &RunsReport) {
         for recorded in &report.lost {
             let is_recorded = |it: &UnrecordedRun| {
-                it.run.fingerprint == recorded.fingerprint && it.run.target_id == recorded.target
+                it.fingerprint == recorded.fingerprint && it.target_id == recorded.target
             };
             if let Some(idx) = self.unrecorded.iter().position(is_recorded) {
                 self.unrecorded.remove(idx);
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -20,6 +20,7 @@
 use bilberryloft_daemon::trial::begin_trial;
 use bilberryloft_daemon::view::View;
 use bilberryloft_state::state_machine::Outcome;
+use bilberryloft_state::suspect::LostRun;
 use bilberryloft_state::suspect::SUSPECT_RETENTION_MS;
 use bilberryloft_state::suspect::Suspect;
 use bilberryloft_state::suspect::prompt_part::PartHistory;
@@ -47,6 +48,8 @@
 /// Time within which something must have been heard from another host, so that silence is not this entry's own loss of
 /// the network.
 const CONTACT_WITHIN: Duration = Duration::from_millis(1_500);
+/// Time after which other entries are told of lost runs that the quorum has not recorded.
+const GOSSIP_AFTER: Duration = Duration::from_millis(1_000);
 /// Longest wait for the check of a target, and for the quorum to record its end, before a suspect is sent to the next
 /// one or its trial ends.
 const CHECK_WAIT_MAX: Duration = Duration::from_millis(250);
@@ -268,6 +271,19 @@
         }
     }
 
+    /// Returns runs whose targets ended and that the quorum has not recorded for some time, the newest, for the other
+    /// entries.
+    pub fn unrecorded_runs(&self, count_max: usize) -> Vec<LostRun> {
+        self.runs.lock().unrecorded_for(GOSSIP_AFTER, count_max)
+    }
+
+    /// Records runs whose targets ended and that another entry could not report to the quorum.
+    pub fn record_heard_runs(&self, lost: &[LostRun]) {
+        if !lost.is_empty() && self.runs.lock().add_heard(lost) {
+            self.has_news.notify_one();
+        }
+    }
+
     /// Checks whether the target of a run that broke off or is silent has ended, and if so, records the run.
     pub fn check_target(self: &Arc<Self>, run: TargetRun) {
         let address = run.address.clone();
--- a/crates/bilberryloft-relay/tests/load_datagrams.rs
+++ b/crates/bilberryloft-relay/tests/load_datagrams.rs
@@ -10,12 +10,26 @@
 use bilberryloft_routing::load_exchange::ReportedTargets;
 use bilberryloft_routing::load_exchange::TargetTag;
 use bilberryloft_routing::target_limits::LimitReport;
+use bilberryloft_state::suspect::LostPart;
+use bilberryloft_state::suspect::LostRun;
 use quickcheck::quickcheck;
 
 fn sender() -> SocketAddr {
     "127.0.0.1:7000".parse().unwrap()
 }
 
+fn lost_run(number: usize) -> LostRun {
+    LostRun {
+        target: format!("target-{number}"),
+        fingerprint: -7,
+        started_ago_ms: 300,
+        lost_ago_ms: 40,
+        was_answering: false,
+        has_head: true,
+        parts: vec![LostPart { key: i64::MIN, is_proven: true }],
+    }
+}
+
 fn report(entry: usize, loads: usize, limits: usize) -> EntryReport {
     let limit = LimitReport { per_s: Some(2.5), incarnation: 3, age_ms: 40 };
     EntryReport {
@@ -29,6 +43,7 @@
             failing: BTreeMap::from([("t1".to_string(), 9)]),
             slow_ranks: Some(BTreeMap::from([("t2".to_string(), 3.5)])),
             limits: (0..limits).map(|it| (format!("target-{it}"), limit)).collect(),
+            lost_runs: (0..limits.min(8)).map(lost_run).collect(),
         },
     }
 }
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -1,16 +1,19 @@
 //! Runs that the quorum has to know of, until it has recorded them.
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bilberryloft_relay::lost_runs::LostRuns;
 use bilberryloft_relay::lost_runs::RunProgress;
 use bilberryloft_relay::lost_runs::TargetRun;
+use bilberryloft_relay::prompt_part::PromptPart;
 use bilberryloft_routing::selection::PickLimits;
 use bilberryloft_routing::targets::TargetInfo;
 use bilberryloft_routing::targets::TargetTable;
 use bilberryloft_state::state_machine::Command;
+use bilberryloft_state::suspect::prompt_part::PartPermission;
 use tokio::time::Instant;
 
 fn run() -> TargetRun {
@@ -41,6 +44,54 @@
     }
 }
 
+/// Shared part of a prompt.
+const PART: i64 = 11;
+
+/// Run whose target had just begun to answer on a prompt with [`PART`].
+fn run_with_part(fingerprint: i64) -> TargetRun {
+    let part = PromptPart { key: PART, id: "p".to_string() };
+    let shared_parts = Arc::from([part]);
+    TargetRun { fingerprint, shared_parts, progress: RunProgress::HeadReceived, ..run() }
+}
+
+/// Guards against an entry that sends requests on under whose part a target of another entry ended, while no quorum can
+/// record it.
+#[test]
+fn end_that_another_entry_told_of_counts_and_is_told_on() {
+    let mut first = LostRuns::default();
+    first.add_ended(vec![run_with_part(7)]);
+    let told = first.unrecorded_for(Duration::ZERO, 8);
+    let mut second = LostRuns::default();
+    assert!(second.add_heard(&told));
+    assert!(!second.add_heard(&told));
+    let permission = second.part_history(PART, None).permission();
+    assert!(matches!(permission, PartPermission::Trial { .. }), "{permission:?}");
+    assert_eq!(second.unrecorded_for(Duration::ZERO, 8).len(), 1);
+    // Told to its first entry again, it is no news there.
+    assert!(!first.add_heard(&second.unrecorded_for(Duration::ZERO, 8)));
+    second.remove_recorded(&second.build_report());
+    assert_eq!(second.part_history(PART, None).permission(), PartPermission::Run);
+}
+
+#[test]
+fn part_that_a_target_survived_since_counts_no_longer() {
+    let mut runs = LostRuns::default();
+    runs.add_ended(vec![run_with_part(7)]);
+    assert_ne!(runs.part_history(PART, None).permission(), PartPermission::Run);
+    let part = PromptPart { key: PART, id: "p".to_string() };
+    runs.add_survived_parts(&[part], &BTreeMap::new());
+    assert_eq!(runs.part_history(PART, None).permission(), PartPermission::Run);
+    assert!(runs.build_report().lost[0].parts.is_empty());
+}
+
+/// Guards against counting an end against a part on which the target had gone on answering.
+#[test]
+fn run_that_went_on_answering_counts_against_no_part() {
+    let mut runs = LostRuns::default();
+    runs.add_ended(vec![TargetRun { has_survived_parts: true, ..run_with_part(7) }]);
+    assert!(runs.build_report().lost[0].parts.is_empty());
+}
+
 /// Guards against a report of lost runs whose ages leave out the time until it is recorded.
 #[test]
 fn report_that_takes_long_counts_the_time_in_its_ages() {
--- a/crates/bilberryloft-routing/src/load_exchange/mod.rs
+++ b/crates/bilberryloft-routing/src/load_exchange/mod.rs
@@ -337,23 +337,29 @@
     }
 }
 
-/// Returns whether two reports say the same. The ages of limits grow all the time and don't count.
+/// Returns whether two reports say the same. The ages of limits and lost runs grow all the time and don't count.
 fn has_same_content(one: &ReportedTargets, other: &ReportedTargets) -> bool {
     let limits = |it: &ReportedTargets| -> Vec<(String, u64, Option<f64>)> {
         it.limits.iter().map(|it| (it.0.clone(), it.1.incarnation, it.1.per_s)).collect()
     };
+    let lost_runs = |it: &ReportedTargets| -> Vec<(String, i64)> {
+        it.lost_runs.iter().map(|it| (it.target.clone(), it.fingerprint)).collect()
+    };
     one.loads == other.loads
         && one.failing == other.failing
         && one.slow_ranks == other.slow_ranks
         && limits(one) == limits(other)
+        && lost_runs(one) == lost_runs(other)
 }
 
-/// Returns a report with the ages that its limits have by now, if they had those that it says at `since_ms`.
+/// Returns a report with the ages that its limits and lost runs have by now, if they had those that it says at `since_ms`.
 fn aged(report: &EntryReport, since_ms: u64, now_ms: u64) -> EntryReport {
     let mut report = report.clone();
     for limit in report.targets.limits.values_mut() {
         limit.age_ms += now_ms.saturating_sub(since_ms);
     }
+    let elapsed_ms = now_ms.saturating_sub(since_ms);
+    report.targets.lost_runs.iter_mut().for_each(|it| *it = it.aged(elapsed_ms));
     report
 }
 
--- a/crates/bilberryloft-routing/src/load_exchange/report.rs
+++ b/crates/bilberryloft-routing/src/load_exchange/report.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use bilberryloft_state::key::digest;
+use bilberryloft_state::suspect::LostRun;
 
 use crate::target_limits::LimitReport;
 
@@ -41,6 +42,8 @@
     pub slow_ranks: Option<BTreeMap<String, f64>>,
     /// Limits that targets name, by target.
     pub limits: BTreeMap<String, LimitReport>,
+    /// Runs whose targets ended and that the quorum has not recorded for some time.
+    pub lost_runs: Vec<LostRun>,
 }
 
 /// Report of one entry.
--- a/crates/bilberryloft-state/src/suspect/mod.rs
+++ b/crates/bilberryloft-state/src/suspect/mod.rs
@@ -171,6 +171,17 @@
     pub parts: Vec<LostPart>,
 }
 
+impl LostRun {
+    /// Returns the run with the ages that it has after `elapsed_ms`.
+    pub fn aged(&self, elapsed_ms: u64) -> LostRun {
+        LostRun {
+            started_ago_ms: self.started_ago_ms + elapsed_ms,
+            lost_ago_ms: self.lost_ago_ms + elapsed_ms,
+            ..self.clone()
+        }
+    }
+}
+
 /// Part of the prompt of a lost run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LostPart {
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -328,6 +328,8 @@
   8: optional map<string, i8> failing
   9: optional map<string, double> slow_ranks
   10: optional map<string, ReportedLimit> limits
+  // Runs whose targets ended and that the quorum has not recorded, in JSON.
+  11: optional list<binary> lost_runs
 }
 
 // Datagram between entries. Each element is an encoded EntryLoad.
