Logs: what a target says of itself in an answer, rest and leaving (event 546)

Event 511 told only the status of a 503, so an answer that asks for rest looked like one of a full target or of a group that is down. No change of logic.

--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -128,6 +128,8 @@
     LimitDecided = 544,
     /// A target ended while it ran a request.
     RunLost = 545,
+    /// A target said in an answer that it wants rest or is leaving.
+    TargetNoticed = 546,
 }
 
 impl Event {
@@ -138,7 +140,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 62] = [
+pub const EVENTS: [Event; 63] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -201,6 +203,7 @@
     Event::TargetLimitChanged,
     Event::LimitDecided,
     Event::RunLost,
+    Event::TargetNoticed,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::headers;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
+use crate::target_notice::TargetNotice;
 
 /// A target's answer whose body has not been read yet.
 pub struct Answered {
@@ -100,6 +101,7 @@
         match connection.send(message).await {
             Ok(response) => {
                 observe_limit(state, request, picked, &response, sent_ms);
+                observe_notice(state, request, picked, &response);
                 let address = picked.address.clone();
                 return classify_answer(state, request, Answered { response, connection, address });
             }
@@ -193,6 +195,18 @@
     }
 }
 
+/// Records what an answer says of its target.
+fn observe_notice(
+    state: &RelayState,
+    request: &RelayRequest,
+    picked: &PickedTarget,
+    response: &Response<Incoming>,
+) {
+    let names = state.dialect.headers();
+    let notice = TargetNotice::read(response.status(), response.headers(), names);
+    notice.log(request, &picked.id);
+}
+
 /// Checks that an answer belongs to this request and carries a target's signature, and detects refusals.
 fn classify_answer(
     state: &Arc<RelayState>,
--- a/crates/bilberryloft-relay/src/dialect.rs
+++ b/crates/bilberryloft-relay/src/dialect.rs
@@ -34,6 +34,8 @@
     pub limit: HeaderName,
     /// Parts of the request's prompt, in order.
     pub prompt_parts: HeaderName,
+    /// Present in an answer, with the value `1`, if the target is leaving.
+    pub leaving: HeaderName,
 }
 
 /// A call to the control API.
