Targets that ask for rest get no request until its end

Class: what a target says of itself is not read, and one target's state is taken for that of all.

Change: the rest is kept a target and incarnation, at this entry only, since it was asked of it; resting targets are not picked on any path; a 503 with rest says nothing of the group; while all targets rest a caller is refused at once with the time until the first may be used again. Restarted targets don't rest.

--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -40,6 +40,8 @@
     pub attempts_cancelled: IntCounter,
     /// Crashes of the target.
     pub target_crashes: IntCounter,
+    /// Answers in which a target turned a request away and asked for rest.
+    pub target_rests: IntCounter,
     /// Targets that name a limit on their requests.
     pub targets_limited: IntGauge,
     /// Requests sent to targets with a limit.
@@ -112,6 +114,8 @@
                 .counter("bilberryloft_attempts_cancelled_total", "Attempts that were stopped.")?,
             target_crashes: new
                 .counter("bilberryloft_target_crashes_total", "Crashes of the target.")?,
+            target_rests: new
+                .counter("bilberryloft_target_rests_total", "Answers that asked for rest.")?,
             targets_limited: new
                 .gauge("bilberryloft_targets_limited", "Targets that name a limit.")?,
             limited_requests: new
--- a/crates/bilberryloft-relay/src/admission.rs
+++ b/crates/bilberryloft-relay/src/admission.rs
@@ -21,6 +21,9 @@
 /// caller does better to retry.
 const WAIT_SHARE: f64 = 0.6;
 
+/// Longest time after the end of the first rest at which a refused caller is told to come back, in milliseconds.
+const RESTED_SPREAD_MS: u64 = 300;
+
 /// A request's position in the queue, which is given up on drop.
 struct QueueGuard<'a> {
     state: &'a RelayState,
@@ -43,6 +46,9 @@
     if !state.services.may_send(service) {
         return Err(Refusal::GroupDown);
     }
+    if let Some(wait_ms) = state.services.rest_wait_ms(service) {
+        return Err(refuse_resting(wait_ms));
+    }
     if state.services.with_queue(service, |it| it.is_empty())
         && let Some(slot) = pick_at_once(state, request)?
     {
@@ -59,6 +65,7 @@
     let slot = match state.pick(request, &[]) {
         Ok(slot) => slot,
         Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
+        Err(NoTarget::Resting { wait_ms }) => return Err(refuse_resting(wait_ms)),
         Err(NoTarget::Full | NoTarget::Limited(_)) => return Ok(None),
     };
     let Some(limit) = slot.picked().limit else {
@@ -107,6 +114,7 @@
         match state.pick(request, &[]) {
             Ok(slot) => return Ok(slot),
             Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
+            Err(NoTarget::Resting { wait_ms }) => return Err(refuse_resting(wait_ms)),
             Err(NoTarget::Full) => {}
             Err(NoTarget::Limited(wait)) => {
                 if !wait.has_part || Instant::now() + Duration::from_millis(wait.first_ms) > until {
@@ -121,6 +129,12 @@
     })
 }
 
+/// Refuses a request because all targets rest. Callers come back at different times after the first rest.
+pub fn refuse_resting(wait_ms: u64) -> Refusal {
+    let spread_ms = fastrand::u64(0..=RESTED_SPREAD_MS);
+    Refusal::TargetsResting { retry_after: Duration::from_millis(wait_ms + spread_ms) }
+}
+
 /// Refuses a request because all targets have reached their limits.
 fn refuse_limited(state: &RelayState, request: &RelayRequest, wait: LimitedWait) -> Refusal {
     let retry_after = state.limits.refuse(&request.service, request.priority, wait);
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -49,6 +49,11 @@
         /// Time after which the caller should come back.
         retry_after: Duration,
     },
+    /// All targets rest, as they asked.
+    TargetsResting {
+        /// Time after which the caller should come back.
+        retry_after: Duration,
+    },
     /// The service's lock-step group is down.
     GroupDown,
     /// The target answered that it did not run the request, and no further attempt is allowed.
@@ -84,6 +89,7 @@
             Refusal::NoTarget => "no_target",
             Refusal::Full => "full",
             Refusal::TargetsLimited { .. } => "targets_limited",
+            Refusal::TargetsResting { .. } => "targets_resting",
             Refusal::GroupDown => "group_down",
             Refusal::NotRun => "not_run",
             Refusal::RunUnknown => "run_unknown",
@@ -101,6 +107,7 @@
             | Refusal::NoTarget
             | Refusal::Full
             | Refusal::TargetsLimited { .. }
+            | Refusal::TargetsResting { .. }
             | Refusal::GroupDown
             | Refusal::SuspectTrial
             | Refusal::TrialPending { .. }
--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -41,6 +41,8 @@
     NotRun {
         /// Status of the answer.
         status: StatusCode,
+        /// Whether the target asked for rest.
+        wants_rest: bool,
     },
     /// The request was not sent.
     NotSent {
@@ -72,9 +74,10 @@
                 AttemptOutcome::Failed
             }
             AttemptResult::Answered(_) => AttemptOutcome::Success,
-            AttemptResult::NotRun { status } if *status == StatusCode::MISDIRECTED_REQUEST => {
+            AttemptResult::NotRun { status, .. } if *status == StatusCode::MISDIRECTED_REQUEST => {
                 AttemptOutcome::Misdirected
             }
+            AttemptResult::NotRun { wants_rest: true, .. } => AttemptOutcome::Resting,
             AttemptResult::NotRun { .. } => AttemptOutcome::Full,
             AttemptResult::NotSent { .. } | AttemptResult::Unknown { .. } => AttemptOutcome::Lost,
         }
@@ -205,6 +208,12 @@
     let names = state.dialect.headers();
     let notice = TargetNotice::read(response.status(), response.headers(), names);
     notice.log(request, &picked.id);
+    if let Some(rest) = notice.rest {
+        let until_ms = monotonic_ms() + rest.as_millis() as u64;
+        let mut targets = state.services.targets.lock();
+        targets.record_rest(picked.key, picked.incarnation, until_ms);
+        state.daemon.metrics.target_rests.inc();
+    }
 }
 
 /// Checks that an answer belongs to this request and carries a target's signature, and detects refusals.
@@ -223,7 +232,8 @@
         };
     }
     if answer.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
-        return AttemptResult::NotRun { status };
+        let notice = TargetNotice::read(status, answer, names);
+        return AttemptResult::NotRun { status, wants_rest: notice.rest.is_some() };
     }
     let is_signed = answer.contains_key(&names.signature) && answer_request_id.is_some();
     if status.is_success() && !is_signed {
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -174,6 +174,17 @@
 pub async fn run_attempts(
     state: &Arc<RelayState>,
     request: &RelayRequest,
+) -> Result<FinalAnswer, Refusal> {
+    let result = attempt_targets(state, request).await;
+    result.map_err(|refusal| match (refusal, state.services.rest_wait_ms(&request.service)) {
+        (Refusal::NotRun, Some(wait_ms)) => admission::refuse_resting(wait_ms),
+        (refusal, _) => refusal,
+    })
+}
+
+async fn attempt_targets(
+    state: &Arc<RelayState>,
+    request: &RelayRequest,
 ) -> Result<FinalAnswer, Refusal> {
     let mut tracker = AttemptTracker::new();
     loop {
@@ -289,7 +300,9 @@
     };
     let answered = match result {
         AttemptResult::Answered(answered) => answered,
-        AttemptResult::NotRun { status } => return (failed(DidRun::No, status.to_string()), None),
+        AttemptResult::NotRun { status, .. } => {
+            return (failed(DidRun::No, status.to_string()), None);
+        }
         AttemptResult::NotSent { error } => return (failed(DidRun::No, error), None),
         AttemptResult::Unknown { error } => return (failed(DidRun::Unknown, error), None),
     };
--- a/crates/bilberryloft-relay/src/services.rs
+++ b/crates/bilberryloft-relay/src/services.rs
@@ -96,6 +96,11 @@
         self.targets.lock().limited_wait(service, monotonic_ms())
     }
 
+    /// Returns the time until the first of a service's targets may get a request, if all of them rest, in milliseconds.
+    pub fn rest_wait_ms(&self, service: &str) -> Option<u64> {
+        self.targets.lock().rest_wait_ms(service, monotonic_ms())
+    }
+
     /// Takes back a pick whose request was not sent.
     pub fn cancel(&self, key: TargetKey) {
         self.targets.lock().cancel(key);
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -275,6 +275,7 @@
                 false
             }
             AttemptOutcome::Failed
+            | AttemptOutcome::Resting
             | AttemptOutcome::Misdirected
             | AttemptOutcome::Lost
             | AttemptOutcome::Unknown => false,
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -135,6 +135,7 @@
             }
             AttemptOutcome::Failed => self.record_survived(),
             AttemptOutcome::Full
+            | AttemptOutcome::Resting
             | AttemptOutcome::Misdirected
             | AttemptOutcome::Lost
             | AttemptOutcome::Unknown => {}
--- a/crates/bilberryloft-routing/src/selection.rs
+++ b/crates/bilberryloft-routing/src/selection.rs
@@ -73,6 +73,11 @@
     Full,
     /// All targets have reached the limits that they name.
     Limited(LimitedWait),
+    /// All targets rest, or some do and the others have reached the limits that they name.
+    Resting {
+        /// Time until the first of them may get a request, in milliseconds.
+        wait_ms: u64,
+    },
 }
 
 /// Returns the number of connections that each entry may have to a target that accepts `connections_max` in total.
@@ -89,10 +94,12 @@
     NoSlot,
 }
 
-/// Candidates that name limits.
+/// Candidates that name limits or rest.
 #[derive(Debug, Default)]
 pub struct LimitedCandidates {
     count: usize,
+    resting: usize,
+    first_rested_ms: Option<u64>,
     first_ms: Option<u64>,
     own_rate_per_s: f64,
     others_rate_per_s: f64,
@@ -113,12 +120,24 @@
         true
     }
 
+    /// Adds a candidate that rests for a time in milliseconds.
+    pub fn add_resting(&mut self, wait_ms: u64) {
+        self.resting += 1;
+        self.first_rested_ms = Some(self.first_rested_ms.map_or(wait_ms, |it| it.min(wait_ms)));
+    }
+
     /// Returns why none of the candidates was picked.
     pub fn no_target(&self, candidates: usize) -> NoTarget {
         match candidates {
             0 => NoTarget::Absent,
-            _ if self.count < candidates => NoTarget::Full,
-            _ => NoTarget::Limited(self.wait()),
+            _ if self.count + self.resting < candidates => NoTarget::Full,
+            _ => match self.first_rested_ms {
+                Some(rested_ms) => {
+                    let limited_ms = self.first_ms.unwrap_or(rested_ms);
+                    NoTarget::Resting { wait_ms: rested_ms.min(limited_ms) }
+                }
+                None => NoTarget::Limited(self.wait()),
+            },
         }
     }
 
--- a/crates/bilberryloft-routing/src/target.rs
+++ b/crates/bilberryloft-routing/src/target.rs
@@ -20,6 +20,8 @@
     pub(crate) consecutive_losses: u32,
     pub(crate) backoff_until_ms: u64,
     pub(crate) excluded_until_ms: u64,
+    /// End of the rest that the target has asked for.
+    pub(crate) rest_until_ms: u64,
     pub(crate) last_answer_ms: Option<u64>,
 }
 
@@ -36,6 +38,7 @@
             consecutive_losses: 0,
             backoff_until_ms: 0,
             excluded_until_ms: 0,
+            rest_until_ms: 0,
             last_answer_ms: None,
         }
     }
@@ -49,6 +52,11 @@
             && (self.info.is_announced || has_answered_recently)
     }
 
+    /// Returns whether the target has asked for a rest that is not over.
+    pub(crate) fn is_resting(&self, now_ms: u64) -> bool {
+        self.rest_until_ms > now_ms
+    }
+
     /// Returns the requests of all entries at the target, as far as they are known.
     pub(crate) fn load(&self) -> u32 {
         self.own_load + self.others_load
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -68,6 +68,8 @@
     Failed,
     /// The target was full and did not run the request.
     Full,
+    /// The target did not run the request and asked for rest.
+    Resting,
     /// Another target answered at the target's address.
     Misdirected,
     /// The target could not be reached, timed out, or closed the connection before the end of its answer.
@@ -82,6 +84,11 @@
     NoSlot,
     /// It has reached the limit that it names.
     Limited(LimitState),
+    /// It has asked for rest.
+    Resting {
+        /// Time at which the rest ends, in milliseconds.
+        until_ms: u64,
+    },
     /// It was lost or full a moment ago.
     InBackoff {
         /// Time at which the back-off ends, in milliseconds.
@@ -273,11 +280,12 @@
         answers.any(|it| it >= since_ms) || reports.any(|it| it >= since_ms)
     }
 
-    /// Returns the mean number of requests at the eligible targets of a service.
+    /// Returns the mean number of requests at the eligible targets of a service that don't rest.
     pub fn mean_load(&self, service: &str, now_ms: u64) -> f64 {
         let keys = self.by_service.get(service).into_iter().flatten();
         let (mut sum, mut count) = (0, 0);
-        for target in keys.map(|it| &self.targets[it.0]).filter(|it| it.is_eligible(now_ms)) {
+        let targets = keys.map(|it| &self.targets[it.0]);
+        for target in targets.filter(|it| it.is_eligible(now_ms) && !it.is_resting(now_ms)) {
             sum += target.load();
             count += 1;
         }
@@ -318,6 +326,7 @@
                 Assessment::Limited(limit) => {
                     limited.add(limit);
                 }
+                Assessment::Resting { until_ms } => limited.add_resting(until_ms - now_ms),
                 Assessment::InBackoff { until_ms } => {
                     if in_backoff.is_none_or(|(soonest_ms, _)| until_ms < soonest_ms) {
                         in_backoff = Some((until_ms, key));
@@ -348,6 +357,9 @@
         now_ms: u64,
     ) -> Assessment {
         let target = &self.targets[key.0];
+        if target.is_resting(now_ms) {
+            return Assessment::Resting { until_ms: target.rest_until_ms };
+        }
         let full_load = limits.load_max(target.info.slots);
         let load_max = load_max(limits.idle_load, full_load, slowness);
         if target.load() >= load_max || target.own_load >= limits.own_load_max {
@@ -445,6 +457,22 @@
         self.limits.refund(&target.info.id);
     }
 
+    /// Records that an incarnation of a target wants no request of this entry before a time.
+    pub fn record_rest(&mut self, key: TargetKey, incarnation: u64, until_ms: u64) {
+        let target = &mut self.targets[key.0];
+        if target.info.incarnation == incarnation {
+            target.rest_until_ms = target.rest_until_ms.max(until_ms);
+        }
+    }
+
+    /// Returns the time until the first of a service's targets may get a request, if all of them rest, in milliseconds.
+    pub fn rest_wait_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+        let candidates = self.candidates(service, &[], now_ms);
+        let waits = candidates.iter().map(|it| &self.targets[it.0.0]);
+        let waits = waits.map(|it| it.rest_until_ms.saturating_sub(now_ms));
+        waits.min().filter(|it| *it > 0)
+    }
+
     /// Removes a finished request from its target's load and records the outcome.
     pub fn finish(&mut self, key: TargetKey, outcome: AttemptOutcome, now_ms: u64) {
         let target = &mut self.targets[key.0];
@@ -454,7 +482,10 @@
             AttemptOutcome::Failed | AttemptOutcome::Lost => {
                 target.own_failure_rate.record(true, now_ms)
             }
-            AttemptOutcome::Full | AttemptOutcome::Misdirected | AttemptOutcome::Unknown => {}
+            AttemptOutcome::Full
+            | AttemptOutcome::Resting
+            | AttemptOutcome::Misdirected
+            | AttemptOutcome::Unknown => {}
         }
         match outcome {
             AttemptOutcome::Success | AttemptOutcome::Failed => {
@@ -472,7 +503,7 @@
                 target.consecutive_losses += 1;
                 target.backoff_until_ms = now_ms + backoff_ms;
             }
-            AttemptOutcome::Unknown => {}
+            AttemptOutcome::Resting | AttemptOutcome::Unknown => {}
         }
     }
 }
