Targets that say leaving in their answers get no request from any entry

Change: the entry that hears it sends nothing more to that incarnation, tells the quorum, so all entries know and those that start later, and puts it into its reports until the control hosts know, for when there is no quorum. A restarted target is used.

--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -3911,10 +3911,11 @@
   pub slow_ranks: Option<BTreeMap<String, OrderedFloat<f64>>>,
   pub limits: Option<BTreeMap<String, ReportedLimit>>,
   pub lost_runs: Option<Vec<Vec<u8>>>,
+  pub leaving: Option<BTreeMap<String, i64>>,
 }
 
 impl EntryLoad {
-  pub fn new<F8, F9, F10, F11>(entry: String, address: String, data_center: String, incarnation: i64, number: i64, known_entries: i32, loads: Vec<u8>, failing: F8, slow_ranks: F9, limits: F10, lost_runs: F11) -> EntryLoad where F8: Into<Option<BTreeMap<String, i8>>>, F9: Into<Option<BTreeMap<String, OrderedFloat<f64>>>>, F10: Into<Option<BTreeMap<String, ReportedLimit>>>, F11: Into<Option<Vec<Vec<u8>>>> {
+  pub fn new<F8, F9, F10, F11, F12>(entry: String, address: String, data_center: String, incarnation: i64, number: i64, known_entries: i32, loads: Vec<u8>, failing: F8, slow_ranks: F9, limits: F10, lost_runs: F11, leaving: F12) -> EntryLoad where F8: Into<Option<BTreeMap<String, i8>>>, F9: Into<Option<BTreeMap<String, OrderedFloat<f64>>>>, F10: Into<Option<BTreeMap<String, ReportedLimit>>>, F11: Into<Option<Vec<Vec<u8>>>>, F12: Into<Option<BTreeMap<String, i64>>> {
     EntryLoad {
       entry,
       address,
@@ -3927,6 +3928,7 @@
       slow_ranks: slow_ranks.into(),
       limits: limits.into(),
       lost_runs: lost_runs.into(),
+      leaving: leaving.into(),
     }
   }
 }
@@ -3945,6 +3947,7 @@
     let mut f_9: Option<BTreeMap<String, OrderedFloat<f64>>> = None;
     let mut f_10: Option<BTreeMap<String, ReportedLimit>> = None;
     let mut f_11: Option<Vec<Vec<u8>>> = None;
+    let mut f_12: Option<BTreeMap<String, i64>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -4023,6 +4026,17 @@
           i_prot.read_list_end()?;
           f_11 = Some(val);
         },
+        12 => {
+          let map_ident = i_prot.read_map_begin()?;
+          let mut val: BTreeMap<String, i64> = BTreeMap::new();
+          for _ in 0..map_ident.size {
+            let map_key_19 = i_prot.read_string()?;
+            let map_val_20 = i_prot.read_i64()?;
+            val.insert(map_key_19, map_val_20);
+          }
+          i_prot.read_map_end()?;
+          f_12 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -4049,6 +4063,7 @@
       slow_ranks: f_9,
       limits: f_10,
       lost_runs: f_11,
+      leaving: f_12,
     };
     Ok(ret)
   }
@@ -4115,6 +4130,16 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.leaving {
+      o_prot.write_field_begin(&TFieldIdentifier::new("leaving", TType::Map, 12))?;
+      o_prot.write_map_begin(&TMapIdentifier::new(TType::String, TType::I64, fld_var.len() as i32))?;
+      for (k, v) in fld_var {
+        o_prot.write_string(k)?;
+        o_prot.write_i64(*v)?;
+      }
+      o_prot.write_map_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -4152,8 +4177,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_19 = i_prot.read_bytes()?;
-            val.push(list_elem_19);
+            let list_elem_21 = i_prot.read_bytes()?;
+            val.push(list_elem_21);
           }
           i_prot.read_list_end()?;
           f_1 = Some(val);
--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -17,6 +17,7 @@
 
 use crate::connection::Connection;
 use crate::headers;
+use crate::leaving;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
 use crate::target_notice::TargetNotice;
@@ -200,7 +201,7 @@
 
 /// Records what an answer says of its target.
 fn observe_notice(
-    state: &RelayState,
+    state: &Arc<RelayState>,
     request: &RelayRequest,
     picked: &PickedTarget,
     response: &Response<Incoming>,
@@ -208,6 +209,9 @@
     let names = state.dialect.headers();
     let notice = TargetNotice::read(response.status(), response.headers(), names);
     notice.log(request, &picked.id);
+    if notice.is_leaving {
+        leaving::record(state, &picked.id, picked.incarnation, "answer");
+    }
     if let Some(rest) = notice.rest {
         let until_ms = monotonic_ms() + rest.as_millis() as u64;
         let mut targets = state.services.targets.lock();
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -190,7 +190,7 @@
 
 async fn leave(state: &RelayState, id: &str) -> Response {
     log_event!(info, Event::TargetLeaves, target_id = id, at = "end");
-    let command = Command::Leave { name: id.to_string() };
+    let command = Command::Leave { name: id.to_string(), incarnation: None };
     match state.daemon.control.propose(&command, COMMIT_TIMEOUT).await {
         Ok(_) => axum::Json(json!({})).into_response(),
         Err(error) => error_response(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod headers;
 pub mod held_trial;
+pub mod leaving;
 pub mod lifecycle;
 pub mod limits;
 pub mod loads;
--- a/crates/bilberryloft-relay/src/loads/mod.rs
+++ b/crates/bilberryloft-relay/src/loads/mod.rs
@@ -20,6 +20,7 @@
 use bilberryloft_transport::clock::monotonic_ms;
 use tokio::net::UdpSocket;
 
+use crate::leaving;
 use crate::state::RelayState;
 
 /// Interval at which this entry's loads are checked for changes.
@@ -98,6 +99,9 @@
             monotonic_ms(),
         );
         self.state.limits.record_reports(&entry, &targets.limits);
+        for (id, incarnation) in &targets.leaving {
+            leaving::record(&self.state, id, *incarnation, &entry);
+        }
         self.state.suspects.record_heard_runs(&targets.lost_runs);
         if let Some(slowness) = targets.slow_ranks {
             self.state.services.record_slow_ranks(&entry, slowness);
@@ -124,6 +128,7 @@
             failing: rounded(targets.own_failure_rates(now_ms)),
             slow_ranks: targets.slow_ranks_from(self.state.entries.own(), now_ms).cloned(),
             limits: targets.limits.reports(now_ms),
+            leaving: targets.unrecorded_leaving(),
             lost_runs: self.state.suspects.unrecorded_runs(wire::LOST_RUNS_MAX),
         };
         (reported, targets.expire_entries(now_ms))
--- a/crates/bilberryloft-relay/src/loads/wire.rs
+++ b/crates/bilberryloft-relay/src/loads/wire.rs
@@ -55,6 +55,7 @@
 fn to_wire(report: &EntryReport) -> wire::EntryLoad {
     let targets = &report.targets;
     let failing = targets.failing.iter().map(|(id, rate)| (id.clone(), *rate as i8));
+    let leaving = targets.leaving.iter().map(|(id, incarnation)| (id.clone(), *incarnation as i64));
     let slow_ranks = targets.slow_ranks.as_ref().map(|it| {
         it.iter().map(|(id, slowness)| (id.clone(), (*slowness).into())).collect::<BTreeMap<_, _>>()
     });
@@ -75,6 +76,7 @@
         slow_ranks,
         limits.collect::<BTreeMap<_, _>>(),
         encode_lost_runs(&targets.lost_runs),
+        leaving.collect::<BTreeMap<_, _>>(),
     )
 }
 
@@ -91,11 +93,13 @@
     let slow_ranks =
         load.slow_ranks.map(|it| it.into_iter().map(|(id, it)| (id, f64::from(it))).collect());
     let failing = load.failing.unwrap_or_default().into_iter();
+    let leaving = load.leaving.unwrap_or_default().into_iter();
     let targets = ReportedTargets {
         loads: decode_loads(&load.loads).ok_or_else(|| invalid("the loads can't be read"))?,
         failing: failing.map(|(id, rate)| (id, rate.max(0) as u8)).collect(),
         slow_ranks,
         limits: limits.collect(),
+        leaving: leaving.map(|(id, incarnation)| (id, incarnation as u64)).collect(),
         lost_runs: decode_lost_runs(&load.lost_runs.unwrap_or_default()),
     };
     let address = load.address.parse().map_err(|_| invalid("the address can't be read"))?;
--- a/crates/bilberryloft-relay/tests/load_datagrams.rs
+++ b/crates/bilberryloft-relay/tests/load_datagrams.rs
@@ -43,6 +43,7 @@
             failing: BTreeMap::from([("t1".to_string(), 9)]),
             slow_ranks: Some(BTreeMap::from([("t2".to_string(), 3.5)])),
             limits: (0..limits).map(|it| (format!("target-{it}"), limit)).collect(),
+            leaving: BTreeMap::from([("t3".to_string(), 1_800_000_000_001)]),
             lost_runs: (0..limits.min(8)).map(lost_run).collect(),
         },
     }
@@ -61,6 +62,7 @@
     let mut report = report(1, 15, 0);
     report.targets.failing.clear();
     report.targets.slow_ranks = None;
+    report.targets.leaving.clear();
     assert!(wire::encode(&[report])[0].len() < 200);
 }
 
--- a/crates/bilberryloft-routing/src/load_exchange/mod.rs
+++ b/crates/bilberryloft-routing/src/load_exchange/mod.rs
@@ -349,6 +349,7 @@
         && one.failing == other.failing
         && one.slow_ranks == other.slow_ranks
         && limits(one) == limits(other)
+        && one.leaving == other.leaving
         && lost_runs(one) == lost_runs(other)
 }
 
--- a/crates/bilberryloft-routing/src/load_exchange/report.rs
+++ b/crates/bilberryloft-routing/src/load_exchange/report.rs
@@ -42,6 +42,9 @@
     pub slow_ranks: Option<BTreeMap<String, f64>>,
     /// Limits that targets name, by target.
     pub limits: BTreeMap<String, LimitReport>,
+    /// Targets that have said in an answer that they are leaving, with their incarnations, as long as the control hosts
+    /// don't know it.
+    pub leaving: BTreeMap<String, u64>,
     /// Runs whose targets ended and that the quorum has not recorded for some time.
     pub lost_runs: Vec<LostRun>,
 }
--- a/crates/bilberryloft-routing/src/target.rs
+++ b/crates/bilberryloft-routing/src/target.rs
@@ -20,6 +20,8 @@
     pub(crate) consecutive_losses: u32,
     pub(crate) backoff_until_ms: u64,
     pub(crate) excluded_until_ms: u64,
+    /// Whether the target has said in an answer, to this entry or another one, that it is leaving.
+    pub(crate) said_leaving: bool,
     /// End of the rest that the target has asked for.
     pub(crate) rest_until_ms: u64,
     pub(crate) last_answer_ms: Option<u64>,
@@ -38,6 +40,7 @@
             consecutive_losses: 0,
             backoff_until_ms: 0,
             excluded_until_ms: 0,
+            said_leaving: false,
             rest_until_ms: 0,
             last_answer_ms: None,
         }
@@ -47,11 +50,16 @@
     pub(crate) fn is_eligible(&self, now_ms: u64) -> bool {
         let has_answered_recently =
             self.last_answer_ms.is_some_and(|it| it + UNANNOUNCED_USE_MS > now_ms);
-        !self.info.is_leaving
+        !self.is_leaving()
             && self.excluded_until_ms <= now_ms
             && (self.info.is_announced || has_answered_recently)
     }
 
+    /// Returns whether the target is leaving.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.info.is_leaving || self.said_leaving
+    }
+
     /// Returns whether the target has asked for a rest that is not over.
     pub(crate) fn is_resting(&self, now_ms: u64) -> bool {
         self.rest_until_ms > now_ms
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -31,6 +31,8 @@
 /// Time for which a target is excluded after another one answered at its address, in milliseconds. Within that time,
 /// the control hosts notice that it no longer announces itself.
 const MISDIRECTED_EXCLUSION_MS: u64 = 4_000;
+/// Largest number of leaving targets in a report.
+const REPORTED_LEAVING_MAX: usize = 64;
 /// Largest random part of a target's score.
 const DRAW_WEIGHT: f64 = 0.3;
 /// Number of requests by which a target in the entry's data centre may be busier and still be preferred.
@@ -270,7 +272,7 @@
 
     /// Returns whether a target is draining.
     pub fn is_leaving(&self, key: TargetKey) -> bool {
-        self.targets[key.0].info.is_leaving
+        self.targets[key.0].is_leaving()
     }
 
     /// Returns whether a target has answered or another entry has reported since the given time.
@@ -465,6 +467,27 @@
         }
     }
 
+    /// Records that an incarnation of a target has said in an answer that it is leaving; returns whether that is news.
+    pub fn record_leaving(&mut self, id: &str, incarnation: u64) -> bool {
+        let key = self.by_id.get(id).copied();
+        let Some(target) = key.map(|it| &mut self.targets[it.0]) else {
+            return false;
+        };
+        if target.info.incarnation != incarnation || target.is_leaving() {
+            return false;
+        }
+        target.said_leaving = true;
+        true
+    }
+
+    /// Returns targets that have said in an answer that they are leaving, with their incarnations, as long as the control
+    /// hosts don't know it.
+    pub fn unrecorded_leaving(&self) -> BTreeMap<String, u64> {
+        let leaving = self.targets.iter().filter(|it| it.said_leaving && !it.info.is_leaving);
+        let announced = leaving.filter(|it| it.info.is_announced).take(REPORTED_LEAVING_MAX);
+        announced.map(|it| (it.info.id.clone(), it.info.incarnation)).collect()
+    }
+
     /// Returns the time until the first of a service's targets may get a request, if all of them rest, in milliseconds.
     pub fn rest_wait_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
         let candidates = self.candidates(service, &[], now_ms);
--- a/crates/bilberryloft-state/src/membership.rs
+++ b/crates/bilberryloft-state/src/membership.rs
@@ -169,9 +169,13 @@
         self.targets.insert(name.to_string(), record);
     }
 
-    /// Marks a target as leaving; ignores a target that is unknown or already leaving.
-    pub fn mark_leaving(&mut self, name: &str, at_ms: u64) {
-        let Some(record) = self.targets.get_mut(name).filter(|it| !it.description.leaving) else {
+    /// Marks a target as leaving; ignores a target that is unknown or already leaving, and any other incarnation than the
+    /// given one.
+    pub fn mark_leaving(&mut self, name: &str, incarnation: Option<u64>, at_ms: u64) {
+        let is_meant =
+            |it: &TargetRecord| incarnation.is_none_or(|number| number == it.incarnation);
+        let record = self.targets.get_mut(name);
+        let Some(record) = record.filter(|it| !it.description.leaving && is_meant(it)) else {
             return;
         };
         self.version += 1;
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -70,10 +70,13 @@
         /// Description that the target announced.
         description: TargetDescription,
     },
-    /// Marks the present incarnation of a target as leaving.
+    /// Marks a target as leaving.
     Leave {
         /// Name of the target.
         name: String,
+        /// Incarnation that is leaving; `None` for the present one.
+        #[serde(default)]
+        incarnation: Option<u64>,
     },
     /// Marks targets as unreachable whose leases have expired.
     Lose {
@@ -246,7 +249,9 @@
             Command::Register { name, incarnation, description } => {
                 self.membership.register(&name, incarnation, description, now_ms);
             }
-            Command::Leave { name } => self.membership.mark_leaving(&name, now_ms),
+            Command::Leave { name, incarnation } => {
+                self.membership.mark_leaving(&name, incarnation, now_ms);
+            }
             Command::Lose { targets } => self.membership.mark_unreachable(&targets, now_ms),
             Command::ReportCrash { target, crash_number, fingerprints } => {
                 self.suspects.report_crash(&target, crash_number, &fingerprints, now_ms);
--- a/crates/bilberryloft-state/tests/state_machine.rs
+++ b/crates/bilberryloft-state/tests/state_machine.rs
@@ -382,7 +382,10 @@
     assert!(announce(1, true));
     assert!(announce(1, false), "a late announcement must not revoke the leaving");
     assert!(!announce(2, false), "a new incarnation is not leaving");
-    machine.apply(StampedCommand { at_ms: 2, command: Command::Leave { name: "t".to_string() } });
+    machine.apply(StampedCommand {
+        at_ms: 2,
+        command: Command::Leave { name: "t".to_string(), incarnation: None },
+    });
     assert!(machine.membership.targets()["t"].description.leaving);
 }
 
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -330,6 +330,8 @@
   10: optional map<string, ReportedLimit> limits
   // Runs whose targets ended and that the quorum has not recorded, in JSON.
   11: optional list<binary> lost_runs
+  // Targets that are leaving, with their incarnations.
+  12: optional map<string, i64> leaving
 }
 
 // Datagram between entries. Each element is an encoded EntryLoad.
