A run that was no trial and followed the end of a target at once counts two thirds after three ends, too

Cause: from the third end on a round counted in full, since a request runs on trial by then; but an entry that has not heard of the third end runs it without. Now a run tells whether it was a trial, and a fast one that wasn't counts two thirds as before.

--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -24,6 +24,7 @@
         lost_ago_ms: 5,
         was_answering: false,
         has_head: false,
+        was_on_trial: false,
         parts: Vec::new(),
     }
 }
@@ -103,6 +104,7 @@
         lost_ago_ms: started_ago_ms - 500,
         was_answering: false,
         has_head: false,
+        was_on_trial: false,
         parts: Vec::new(),
     };
     let mut suspects = Suspects::default();
@@ -145,11 +147,18 @@
     assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Refuse);
 }
 
-/// Records that targets ended under a request at the given times.
+/// Records that targets ended under a request at the given times, without trials.
 fn suspects_after_ends_at(ends_ms: &[u64]) -> Suspects {
+    suspects_after_trials_at(ends_ms, ends_ms.len())
+}
+
+/// Records that targets ended under a request at the given times, which ran on trial from a number of ends on.
+fn suspects_after_trials_at(ends_ms: &[u64], trials_from: usize) -> Suspects {
     let mut suspects = Suspects::default();
     for (number, end_ms) in ends_ms.iter().enumerate() {
-        let run = LostRun { started_ago_ms: 10, ..lost(&format!("t{number}"), INNOCENT) };
+        let was_on_trial = number >= trials_from;
+        let run =
+            LostRun { started_ago_ms: 10, was_on_trial, ..lost(&format!("t{number}"), INNOCENT) };
         suspects.report_runs(&[run], &[], &[], *end_ms);
     }
     suspects
@@ -163,15 +172,25 @@
     assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Trial);
 }
 
+/// Guards against refusing a request that an entry sent to a fourth target beside the one that ends targets, before it
+/// had heard of the third end, and so without a trial.
+#[test]
+fn request_that_ran_before_its_third_end_was_known_runs_after_four_rounds() {
+    for ends_ms in [[49_970, 51_698, 53_724, 54_103], [45_462, 46_992, 49_082, 49_573]] {
+        let suspects = suspects_after_ends_at(&ends_ms);
+        assert_eq!(suspects.get(INNOCENT).unwrap().rounds().count(), 4);
+        assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Trial, "{ends_ms:?}");
+    }
+}
+
 /// Guards against sending a request on and on that is sent again at once each time: on trial, each end counts in full.
 #[test]
 fn request_that_ends_targets_fast_is_refused_after_five() {
     let ends_ms = [1_000, 1_050, 1_100, 1_150, 1_200];
-    assert_eq!(
-        permission(&suspects_after_ends_at(&ends_ms[..4]), INNOCENT, 0),
-        RunPermission::Trial
-    );
-    assert_eq!(permission(&suspects_after_ends_at(&ends_ms), INNOCENT, 0), RunPermission::Refuse);
+    let permission_after =
+        |ends: usize| permission(&suspects_after_trials_at(&ends_ms[..ends], 3), INNOCENT, 0);
+    assert_eq!(permission_after(4), RunPermission::Trial);
+    assert_eq!(permission_after(5), RunPermission::Refuse);
 }
 
 #[test]
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -68,6 +68,8 @@
     pub progress: RunProgress,
     /// Whether the target went on answering for so long that no part of the prompt has ended it.
     pub has_survived_parts: bool,
+    /// Whether the run is a trial.
+    pub is_on_trial: bool,
 }
 
 impl TargetRun {
@@ -98,6 +100,7 @@
     noticed: Instant,
     has_head: bool,
     was_answering: bool,
+    was_on_trial: bool,
 }
 
 impl UnrecordedRun {
@@ -108,6 +111,7 @@
             parts: parts.iter().map(part).collect(),
             has_head: run.has_head(),
             was_answering: run.is_answering(),
+            was_on_trial: run.is_on_trial,
             target_id: run.target_id,
             fingerprint: run.fingerprint,
             started: run.started,
@@ -126,6 +130,7 @@
             noticed: ago(lost.lost_ago_ms)?,
             has_head: lost.has_head,
             was_answering: lost.was_answering,
+            was_on_trial: lost.was_on_trial,
         })
     }
 
@@ -143,6 +148,7 @@
             started_ms: instant_ms(self.started),
             lost_ms: instant_ms(self.noticed),
             was_answering: self.was_answering,
+            was_on_trial: self.was_on_trial,
         }
     }
 
@@ -374,6 +380,7 @@
             lost_ago_ms: run.noticed.elapsed().as_millis() as u64,
             was_answering: run.was_answering,
             has_head: run.has_head,
+            was_on_trial: run.was_on_trial,
             parts: run.parts.iter().filter_map(|it| self.lost_part(run, *it)).collect(),
         }
     }
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -44,6 +44,7 @@
     first_answer: OnceLock<Instant>,
     has_survived: AtomicBool,
     has_survived_parts: AtomicBool,
+    is_on_trial: bool,
     is_released: bool,
 }
 
@@ -77,6 +78,7 @@
             first_answer: OnceLock::new(),
             has_survived: AtomicBool::new(false),
             has_survived_parts: AtomicBool::new(false),
+            is_on_trial: false,
             is_released: false,
         }
     }
@@ -86,6 +88,11 @@
         &self.picked
     }
 
+    /// Records that the request runs on trial.
+    pub fn record_trial(&mut self) {
+        self.is_on_trial = true;
+    }
+
     /// Records that the head of the answer has arrived.
     pub fn record_head(&self) {
         self.has_head.store(true, Ordering::Relaxed);
@@ -181,6 +188,7 @@
             started: self.started,
             progress: self.progress(),
             has_survived_parts: self.has_survived_parts.load(Ordering::Relaxed),
+            is_on_trial: self.is_on_trial,
         });
     }
 
--- a/crates/bilberryloft-relay/src/trial_slot.rs
+++ b/crates/bilberryloft-relay/src/trial_slot.rs
@@ -29,7 +29,11 @@
     let mut slot = admission::wait_for_slot(state, request).await?;
     loop {
         match state.suspects.begin_trial(request, key, &slot.picked().id).await {
-            Ok(trial) => return Ok((slot, trial)),
+            Ok(None) => return Ok((slot, None)),
+            Ok(Some(trial)) => {
+                slot.record_trial();
+                return Ok((slot, Some(trial)));
+            }
             Err(Refusal::SuspectTrial) if Instant::now() < until => {}
             Err(refusal) => {
                 slot.cancel();
--- a/crates/bilberryloft-relay/tests/load_datagrams.rs
+++ b/crates/bilberryloft-relay/tests/load_datagrams.rs
@@ -26,6 +26,7 @@
         lost_ago_ms: 40,
         was_answering: false,
         has_head: true,
+        was_on_trial: false,
         parts: vec![LostPart { key: i64::MIN, is_proven: true }],
     }
 }
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -41,6 +41,7 @@
         started: Instant::now(),
         progress: RunProgress::Sent,
         has_survived_parts: false,
+        is_on_trial: false,
     }
 }
 
--- a/crates/bilberryloft-state/src/suspect/mod.rs
+++ b/crates/bilberryloft-state/src/suspect/mod.rs
@@ -137,6 +137,9 @@
     /// Whether a part of the answer had arrived.
     #[serde(default)]
     pub was_answering: bool,
+    /// Whether the run was a trial.
+    #[serde(default)]
+    pub was_on_trial: bool,
 }
 
 impl LostTarget {
@@ -145,6 +148,7 @@
             started_ms: self.started_ms,
             lost_ms: self.lost_ms,
             was_answering: self.was_answering,
+            was_on_trial: self.was_on_trial,
         }
     }
 }
@@ -166,6 +170,9 @@
     /// Whether the head of the answer had arrived.
     #[serde(default)]
     pub has_head: bool,
+    /// Whether the run was a trial.
+    #[serde(default)]
+    pub was_on_trial: bool,
     /// Shared parts of the prompt that may have ended the target, in the order of the prompt.
     #[serde(default)]
     pub parts: Vec<LostPart>,
@@ -291,6 +298,7 @@
                 started_ms: now_ms.saturating_sub(run.started_ago_ms),
                 lost_ms: now_ms.saturating_sub(run.lost_ago_ms),
                 was_answering: run.was_answering,
+                was_on_trial: run.was_on_trial,
             };
             self.suspect(run.fingerprint, now_ms).record_lost_target(lost, now_ms);
             self.record_part_ends(run, now_ms);
@@ -317,7 +325,7 @@
         };
         for (idx, lost) in run.parts.iter().enumerate().rev() {
             let suspect = self.suspect(lost.key, now_ms);
-            let was_on_trial = suspect.is_on_trial_at(&run.target, now_ms);
+            let was_on_trial = run.was_on_trial && suspect.is_on_trial_at(&run.target, now_ms);
             let part = suspect.part.get_or_insert_default();
             part.is_proven |= lost.is_proven;
             let strength = if was_on_trial { EndStrength::Strong } else { end.strength };
--- a/crates/bilberryloft-state/src/suspect/rounds.rs
+++ b/crates/bilberryloft-state/src/suspect/rounds.rs
@@ -24,6 +24,8 @@
     pub lost_ms: u64,
     /// Whether a part of the answer had arrived.
     pub was_answering: bool,
+    /// Whether the run was a trial.
+    pub was_on_trial: bool,
 }
 
 /// Numbers of rounds in which targets ended under a request, by what they say of it.
@@ -31,8 +33,8 @@
 pub struct Rounds {
     /// Rounds that say as much as one end of a target can.
     pub strong: usize,
-    /// Rounds in which all runs had been answered in part, or that followed another so fast that no entry could know of
-    /// what had ended the targets before.
+    /// Rounds in which all runs had been answered in part, or that followed another so fast that not all entries could
+    /// know of what had ended the targets before, and that were no trials.
     pub weak: usize,
 }
 
@@ -68,7 +70,9 @@
     let mut known_ms = 0;
     for round in group_rounds(&runs, |it| (it.started_ms, it.lost_ms)) {
         let was_answering = round.iter().all(|it| it.was_answering);
-        let is_fast = runs_before < LOST_TARGETS_ON_TRIAL && round[0].started_ms < known_ms;
+        let was_on_trial =
+            runs_before >= LOST_TARGETS_ON_TRIAL && round.iter().any(|it| it.was_on_trial);
+        let is_fast = !was_on_trial && round[0].started_ms < known_ms;
         if was_answering || is_fast {
             counted.weak += 1;
         } else {
--- a/crates/bilberryloft-state/tests/prompt_parts.rs
+++ b/crates/bilberryloft-state/tests/prompt_parts.rs
@@ -27,6 +27,7 @@
         lost_ago_ms: 5,
         was_answering: false,
         has_head: true,
+        was_on_trial: false,
         parts: parts.to_vec(),
     }
 }
@@ -148,7 +149,11 @@
         let expected = if number == 3 { TrialOutcome::Granted } else { TrialOutcome::Clear };
         assert_eq!(outcome, expected, "before end {number}");
         let parts = [unproven(CRASHING)];
-        let run = LostRun { has_head: false, ..lost(&target, 100 + number as i64, &parts) };
+        let run = LostRun {
+            has_head: false,
+            was_on_trial: number == 3,
+            ..lost(&target, 100 + number as i64, &parts)
+        };
         suspects.report_runs(&[run], &[], &[], now_ms + 300);
     }
     assert!(is_refused(&suspects, CRASHING, 3 * INTERVAL_MS + 300));
--- a/crates/bilberryloft-testing/tests/control_client.rs
+++ b/crates/bilberryloft-testing/tests/control_client.rs
@@ -62,6 +62,7 @@
             lost_ago_ms: started.elapsed().as_millis() as u64,
             was_answering: false,
             has_head: false,
+            was_on_trial: false,
             parts: Vec::new(),
         }],
         survived: Vec::new(),
