--- a/crates/bilberryloft-coordination/src/run_permission.rs
+++ b/crates/bilberryloft-coordination/src/run_permission.rs
@@ -5,12 +5,13 @@
 //! refused only after targets have ended under it several times in a row, more often than a caller's request is usually
 //! run. Before that, only one copy of it runs at a time: many copies that run at once may end with many targets at
 //! once, which shows little. A request that was being answered when its target ended is less likely to have ended it,
-//! and so is one whose targets ended fast one after the other, before entries could refuse what ended them.
+//! while one whose targets end each time as they have just begun to answer is more likely to. Less likely, too, is one
+//! whose targets ended fast one after the other, before entries could refuse what ended them.
 
-use bilberryloft_state::suspect::LOST_TARGETS_ON_TRIAL;
 use bilberryloft_state::suspect::Rounds;
 use bilberryloft_state::suspect::Suspect;
 use bilberryloft_state::suspect::must_refuse;
+use bilberryloft_state::suspect::needs_trial;
 
 /// What is known about a request at the time of the decision.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -46,7 +47,7 @@
 pub fn decide(history: RunHistory) -> RunPermission {
     if must_refuse(history.lost_targets, history.rounds) {
         RunPermission::Refuse
-    } else if history.lost_targets >= LOST_TARGETS_ON_TRIAL {
+    } else if needs_trial(history.lost_targets, history.rounds) {
         RunPermission::Trial
     } else {
         RunPermission::Run
--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -4,6 +4,7 @@
 use bilberryloft_coordination::run_permission::RunHistory;
 use bilberryloft_coordination::run_permission::RunPermission;
 use bilberryloft_coordination::run_permission::decide;
+use bilberryloft_state::suspect::BEGUN_TRIAL_PAUSE_MS;
 use bilberryloft_state::suspect::LostRun;
 use bilberryloft_state::suspect::Rounds;
 use bilberryloft_state::suspect::SUSPECTS_MAX;
@@ -42,7 +43,7 @@
 
 /// `unrecorded` is the number of rounds that only the entry knows of.
 fn permission(suspects: &Suspects, fingerprint: i64, unrecorded: usize) -> RunPermission {
-    let rounds = Rounds { strong: unrecorded, weak: 0 };
+    let rounds = Rounds { strong: unrecorded, ..Rounds::default() };
     let unrecorded = RunHistory { lost_targets: unrecorded, rounds };
     decide(RunHistory::new(suspects.get(fingerprint), unrecorded))
 }
@@ -147,6 +148,31 @@
     assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Refuse);
 }
 
+/// Records that targets ended one after the other as they had just begun to answer a request.
+fn suspects_after_begun(ends: u64) -> Suspects {
+    let mut suspects = Suspects::default();
+    for number in 1..=ends {
+        let run = LostRun { has_head: true, ..lost(&format!("t{number}"), CRASHING) };
+        suspects.report_runs(&[run], &[], &[], number * INTERVAL_MS);
+    }
+    suspects
+}
+
+/// Guards against ending a group of ranks four times, each time for seconds, by one request that ends its target each time
+/// as the answer begins.
+#[test]
+fn request_that_ends_targets_as_they_begin_to_answer_waits_after_two_and_is_refused_after_three() {
+    assert_eq!(permission(&suspects_after_begun(1), CRASHING, 0), RunPermission::Run);
+    let mut suspects = suspects_after_begun(2);
+    assert_eq!(permission(&suspects, CRASHING, 0), RunPermission::Trial);
+    let early = suspects.begin_trial(CRASHING, "a", Some("t8"), 3 * INTERVAL_MS);
+    assert_eq!(early, TrialOutcome::Running);
+    let later_ms = 2 * INTERVAL_MS + BEGUN_TRIAL_PAUSE_MS;
+    let later = suspects.begin_trial(CRASHING, "a", Some("t8"), later_ms);
+    assert_eq!(later, TrialOutcome::Granted);
+    assert_eq!(permission(&suspects_after_begun(3), CRASHING, 0), RunPermission::Refuse);
+}
+
 /// Records that targets ended under a request at the given times, without trials.
 fn suspects_after_ends_at(ends_ms: &[u64]) -> Suspects {
     suspects_after_trials_at(ends_ms, ends_ms.len())
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -68,7 +68,7 @@
     /// The same request, or another one with the same part of its prompt, runs on trial, after targets ended while they
     /// ran it.
     SuspectTrial,
-    /// A part of the request's prompt may have ended a target, and it is too early for a trial.
+    /// The request, or a part of its prompt, may have ended targets, and it is too early for a trial.
     TrialPending {
         /// Time until a trial may begin.
         remaining: Duration,
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -149,6 +149,7 @@
             lost_ms: instant_ms(self.noticed),
             was_answering: self.was_answering,
             was_on_trial: self.was_on_trial,
+            has_head: self.has_head,
         }
     }
 
@@ -250,6 +251,12 @@
         RunHistory { lost_targets: spans.len(), rounds: count_rounds(spans) }
     }
 
+    /// Returns the time since the last end of a target under a request that is not recorded yet, in milliseconds.
+    pub fn last_end_ago_ms(&self, fingerprint: i64) -> Option<u64> {
+        let ends = self.unrecorded.iter().filter(|it| it.fingerprint == fingerprint);
+        ends.map(|it| it.noticed.elapsed().as_millis() as u64).min()
+    }
+
     /// Returns what is not recorded yet of a part, at other targets than those of its record.
     pub fn part_history(&self, key: i64, record: Option<&PartRecord>) -> PartHistory {
         let is_recorded = |it: &UnrecordedRun| {
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -25,6 +25,7 @@
 use bilberryloft_state::suspect::Suspect;
 use bilberryloft_state::suspect::prompt_part::PartHistory;
 use bilberryloft_state::suspect::prompt_part::PartPermission;
+use bilberryloft_state::suspect::trial_pause_ms;
 use bilberryloft_transport::clock::epoch_ms;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -107,13 +108,26 @@
 
     /// Returns whether a request may run as far as this entry knows.
     pub fn permission(&self, request: &RelayRequest) -> Permission {
-        match decide(self.history(request.fingerprint)) {
+        let history = self.history(request.fingerprint);
+        match decide(history) {
             RunPermission::Run => self.part_permission(request),
-            RunPermission::Trial => Permission::Trial { key: request.fingerprint },
+            RunPermission::Trial => match self.trial_pause(request.fingerprint, history) {
+                Duration::ZERO => Permission::Trial { key: request.fingerprint },
+                remaining => Permission::Wait { remaining },
+            },
             RunPermission::Refuse => self.quarantined(request.fingerprint),
         }
     }
 
+    /// Returns the time until a trial of a request may begin.
+    fn trial_pause(&self, fingerprint: i64, history: RunHistory) -> Duration {
+        let suspects = self.view.suspects();
+        let recorded = suspects.get(&fingerprint).and_then(|it| it.last_end_ago_ms(epoch_ms()));
+        let unrecorded = self.runs.lock().last_end_ago_ms(fingerprint);
+        let last_end_ago_ms = recorded.into_iter().chain(unrecorded).min().unwrap_or(0);
+        Duration::from_millis(trial_pause_ms(history.rounds, last_end_ago_ms))
+    }
+
     /// Returns whether a request may run with the parts that its prompt has. The last part decides first: it is shared by
     /// the fewest requests.
     fn part_permission(&self, request: &RelayRequest) -> Permission {
--- a/crates/bilberryloft-state/src/suspect/mod.rs
+++ b/crates/bilberryloft-state/src/suspect/mod.rs
@@ -13,11 +13,13 @@
 use self::prompt_part::PartEnd;
 use self::prompt_part::PartPermission;
 use self::prompt_part::PartRecord;
-pub use self::rounds::LOST_TARGETS_ON_TRIAL;
+pub use self::rounds::BEGUN_TRIAL_PAUSE_MS;
 pub use self::rounds::Rounds;
 pub use self::rounds::RunSpan;
 pub use self::rounds::count_rounds;
 pub use self::rounds::must_refuse;
+pub use self::rounds::needs_trial;
+pub use self::rounds::trial_pause_ms;
 
 /// Number of crashes after which a fingerprint is quarantined.
 pub const QUARANTINE_CRASHES: u32 = 2;
@@ -83,9 +85,21 @@
                 PartPermission::Refuse { .. } => TrialOutcome::Quarantined,
             };
         }
-        let is_refused = self.crashes >= QUARANTINE_CRASHES
-            || must_refuse(self.lost_targets.len(), self.rounds());
-        if is_refused { TrialOutcome::Quarantined } else { TrialOutcome::Granted }
+        let rounds = self.rounds();
+        if self.crashes >= QUARANTINE_CRASHES || must_refuse(self.lost_targets.len(), rounds) {
+            return TrialOutcome::Quarantined;
+        }
+        let last_end_ago_ms = self.last_end_ago_ms(now_ms).unwrap_or(0);
+        match trial_pause_ms(rounds, last_end_ago_ms) {
+            0 => TrialOutcome::Granted,
+            _ => TrialOutcome::Running,
+        }
+    }
+
+    /// Returns the time since the last end of a target under a request, in milliseconds.
+    pub fn last_end_ago_ms(&self, now_ms: u64) -> Option<u64> {
+        let last_ms = self.lost_targets.iter().map(|it| it.lost_ms).max();
+        last_ms.map(|it| now_ms.saturating_sub(it))
     }
 
     /// Number of crashes and lost targets, by which suspects are kept.
@@ -140,6 +154,9 @@
     /// Whether the run was a trial.
     #[serde(default)]
     pub was_on_trial: bool,
+    /// Whether the head of the answer had arrived.
+    #[serde(default)]
+    pub has_head: bool,
 }
 
 impl LostTarget {
@@ -149,6 +166,7 @@
             lost_ms: self.lost_ms,
             was_answering: self.was_answering,
             was_on_trial: self.was_on_trial,
+            has_head: self.has_head,
         }
     }
 }
@@ -299,6 +317,7 @@
                 lost_ms: now_ms.saturating_sub(run.lost_ago_ms),
                 was_answering: run.was_answering,
                 was_on_trial: run.was_on_trial,
+                has_head: run.has_head,
             };
             self.suspect(run.fingerprint, now_ms).record_lost_target(lost, now_ms);
             self.record_part_ends(run, now_ms);
--- a/crates/bilberryloft-state/src/suspect/rounds.rs
+++ b/crates/bilberryloft-state/src/suspect/rounds.rs
@@ -12,6 +12,13 @@
 const REFUSED_AFTER_MANY_WEIGHT: usize = 3 * ROUND_WEIGHT;
 /// Number of lost targets from which on less weight suffices.
 const MANY_LOST_TARGETS: usize = 6;
+/// Number of rounds whose targets had just begun to answer from which on a request runs only on trial.
+pub const BEGUN_ROUNDS_ON_TRIAL: usize = 2;
+/// Number of such rounds from which on it is refused.
+const BEGUN_ROUNDS_REFUSED: usize = 3;
+/// Time from the end of a target to the trial of a request after [`BEGUN_ROUNDS_ON_TRIAL`], in milliseconds. A trial that
+/// takes a group away for five seconds costs less than a tenth of that.
+pub const BEGUN_TRIAL_PAUSE_MS: u64 = 60_000;
 /// Time in which all entries learn of the end of a target and of what it ran, in milliseconds.
 const KNOWN_AFTER_MS: u64 = 500;
 
@@ -26,6 +33,15 @@
     pub was_answering: bool,
     /// Whether the run was a trial.
     pub was_on_trial: bool,
+    /// Whether the head of the answer had arrived.
+    pub has_head: bool,
+}
+
+impl RunSpan {
+    /// Returns whether the target ended as it had just begun to answer.
+    fn has_just_begun(&self) -> bool {
+        self.has_head && !self.was_answering
+    }
 }
 
 /// Numbers of rounds in which targets ended under a request, by what they say of it.
@@ -36,6 +52,8 @@
     /// Rounds in which all runs had been answered in part, or that followed another so fast that not all entries could
     /// know of what had ended the targets before, and that were no trials.
     pub weak: usize,
+    /// Rounds, of either kind, in which all targets ended as they had just begun to answer.
+    pub begun: usize,
 }
 
 impl Rounds {
@@ -49,7 +67,11 @@
     type Output = Rounds;
 
     fn add(self, other: Rounds) -> Rounds {
-        Rounds { strong: self.strong + other.strong, weak: self.weak + other.weak }
+        Rounds {
+            strong: self.strong + other.strong,
+            weak: self.weak + other.weak,
+            begun: self.begun + other.begun,
+        }
     }
 }
 
@@ -59,7 +81,21 @@
         0..MANY_LOST_TARGETS => REFUSED_WEIGHT,
         MANY_LOST_TARGETS.. => REFUSED_AFTER_MANY_WEIGHT,
     };
-    rounds.strong * ROUND_WEIGHT + rounds.weak * WEAK_ROUND_WEIGHT >= refused_weight
+    rounds.begun >= BEGUN_ROUNDS_REFUSED
+        || rounds.strong * ROUND_WEIGHT + rounds.weak * WEAK_ROUND_WEIGHT >= refused_weight
+}
+
+/// Returns whether a request runs only on trial.
+pub fn needs_trial(lost_targets: usize, rounds: Rounds) -> bool {
+    lost_targets >= LOST_TARGETS_ON_TRIAL || rounds.begun >= BEGUN_ROUNDS_ON_TRIAL
+}
+
+/// Returns the time until a trial of a request may begin after targets have ended under it, in milliseconds.
+pub fn trial_pause_ms(rounds: Rounds, last_end_ago_ms: u64) -> u64 {
+    match rounds.begun {
+        0..BEGUN_ROUNDS_ON_TRIAL => 0,
+        BEGUN_ROUNDS_ON_TRIAL.. => BEGUN_TRIAL_PAUSE_MS.saturating_sub(last_end_ago_ms),
+    }
 }
 
 /// Counts rounds of runs.
@@ -78,6 +114,7 @@
         } else {
             counted.strong += 1;
         }
+        counted.begun += usize::from(round.iter().all(|it| it.has_just_begun()));
         runs_before += round.len();
         let first_end_ms = round.iter().map(|it| it.lost_ms).min().unwrap_or(0);
         known_ms = first_end_ms + KNOWN_AFTER_MS;
