A group counts as down only if two of its ranks refuse; a target that refuses everything is picked less and less

Cause: a 503 of one rank with free slots counted as the state of its group; and such a rank, having the least load, was picked after each back-off of 60 ms. Change: two ranks must refuse without an answer in between; the back-off after refusals doubles up to 480 ms.

--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -199,7 +199,8 @@
             return Err(Refusal::TimeoutSent);
         };
         log_ended(request, slot.picked(), summary.name, summary.detail.as_deref());
-        let is_group_down = state.record_group_outcome(&request.service, summary.outcome);
+        let rank = slot.picked().key;
+        let is_group_down = state.record_group_outcome(&request.service, rank, summary.outcome);
         let Some(received) = answer else {
             release_failed(state, request, slot, &summary).await;
             tracker.record_failure(request, summary.did_run, is_group_down)?;
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -262,14 +262,21 @@
     }
 
     /// Records the outcome of an attempt at a lock-step group; returns whether the group is down.
-    pub fn record_group_outcome(&self, service: &str, outcome: AttemptOutcome) -> bool {
+    pub fn record_group_outcome(
+        &self,
+        service: &str,
+        rank: TargetKey,
+        outcome: AttemptOutcome,
+    ) -> bool {
         let Some(engine) = self.engine(service).filter(|it| it.experts.is_some()) else {
             return false;
         };
         let now_ms = monotonic_ms();
         let mean_load = self.services.mean_load(service);
         self.services.with_group(service, |group| match outcome {
-            AttemptOutcome::Full => group.record_refusal(mean_load, engine.slots as u32, now_ms),
+            AttemptOutcome::Full => {
+                group.record_refusal(rank, mean_load, engine.slots as u32, now_ms)
+            }
             AttemptOutcome::Success => {
                 group.record_answer();
                 false
--- a/crates/bilberryloft-routing/src/group_health.rs
+++ b/crates/bilberryloft-routing/src/group_health.rs
@@ -3,6 +3,11 @@
 //! After a rank crashes, the group refuses every request for some seconds. Callers that retry after the usual short
 //! delay find it down again and give up. So the entry refuses requests itself, without asking the group, and sends the
 //! longest retry delay that callers accept. Single probe requests find out when the group is back.
+//!
+//! A single rank may turn requests away for reasons of its own, so the group counts as down only if two ranks refuse
+//! without an answer in between.
+
+use crate::selection::TargetKey;
 
 /// Time between two probe requests, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 250;
@@ -13,12 +18,22 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GroupHealth {
     next_probe_ms: Option<u64>,
+    /// Rank that refused a request since the last answer.
+    refused_by: Option<TargetKey>,
 }
 
 impl GroupHealth {
     /// Records that a rank refused a request; returns whether the group counts as down.
-    pub fn record_refusal(&mut self, mean_load: f64, slots: u32, now_ms: u64) -> bool {
-        let is_down = mean_load < FULL_LOAD_SHARE * f64::from(slots);
+    pub fn record_refusal(
+        &mut self,
+        rank: TargetKey,
+        mean_load: f64,
+        slots: u32,
+        now_ms: u64,
+    ) -> bool {
+        let first = *self.refused_by.get_or_insert(rank);
+        let is_by_several = first != rank || self.next_probe_ms.is_some();
+        let is_down = is_by_several && mean_load < FULL_LOAD_SHARE * f64::from(slots);
         if is_down {
             self.next_probe_ms = Some(now_ms + PROBE_INTERVAL_MS);
         }
@@ -28,6 +43,7 @@
     /// Records that a rank answered a request.
     pub fn record_answer(&mut self) {
         self.next_probe_ms = None;
+        self.refused_by = None;
     }
 
     /// Returns whether a request may be sent: always while the group is up, every 250 ms as a probe while it is down.
--- a/crates/bilberryloft-routing/src/target.rs
+++ b/crates/bilberryloft-routing/src/target.rs
@@ -18,6 +18,7 @@
     pub(crate) own_failure_rate: FailureRate,
     pub(crate) others_failure_rate: f64,
     pub(crate) consecutive_losses: u32,
+    pub(crate) consecutive_refusals: u32,
     pub(crate) backoff_until_ms: u64,
     pub(crate) excluded_until_ms: u64,
     /// Whether the target has said in an answer, to this entry or another one, that it is leaving.
@@ -38,6 +39,7 @@
             own_failure_rate: FailureRate::default(),
             others_failure_rate: 0.0,
             consecutive_losses: 0,
+            consecutive_refusals: 0,
             backoff_until_ms: 0,
             excluded_until_ms: 0,
             said_leaving: false,
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets.rs
@@ -26,8 +26,11 @@
 const BACKOFF_FIRST_MS: u64 = 100;
 /// Longest back-off after a target was lost, in milliseconds.
 const BACKOFF_MAX_MS: u64 = 1_600;
-/// Back-off after a target refused a request because it was full, in milliseconds.
-const BACKOFF_FULL_MS: u64 = 60;
+/// First back-off after a target refused a request because it was full, in milliseconds; doubles with each consecutive
+/// refusal. One that refuses all requests has few of them, and would be picked again and again.
+const BACKOFF_FULL_FIRST_MS: u64 = 60;
+/// Longest back-off after a target refused a request, in milliseconds.
+const BACKOFF_FULL_MAX_MS: u64 = 480;
 /// Time for which a target is excluded after another one answered at its address, in milliseconds. Within that time,
 /// the control hosts notice that it no longer announces itself.
 const MISDIRECTED_EXCLUSION_MS: u64 = 4_000;
@@ -514,12 +517,17 @@
             AttemptOutcome::Success | AttemptOutcome::Failed => {
                 target.last_answer_ms = Some(now_ms);
                 target.consecutive_losses = 0;
+                target.consecutive_refusals = 0;
             }
             AttemptOutcome::Misdirected => {
                 target.last_answer_ms = None;
                 target.excluded_until_ms = now_ms + MISDIRECTED_EXCLUSION_MS;
             }
-            AttemptOutcome::Full => target.backoff_until_ms = now_ms + BACKOFF_FULL_MS,
+            AttemptOutcome::Full => {
+                let backoff_ms = BACKOFF_FULL_FIRST_MS << target.consecutive_refusals.min(6);
+                target.consecutive_refusals += 1;
+                target.backoff_until_ms = now_ms + backoff_ms.min(BACKOFF_FULL_MAX_MS);
+            }
             AttemptOutcome::Lost => {
                 let backoff_ms =
                     (BACKOFF_FIRST_MS << target.consecutive_losses.min(6)).min(BACKOFF_MAX_MS);
