--- a/crates/bilberryloft-state/src/suspect/rounds.rs
+++ b/crates/bilberryloft-state/src/suspect/rounds.rs
@@ -12,7 +12,7 @@
 const REFUSED_AFTER_MANY_WEIGHT: usize = 3 * ROUND_WEIGHT;
 /// Number of lost targets from which on less weight suffices.
 const MANY_LOST_TARGETS: usize = 6;
-/// Number of rounds whose targets had just begun to answer from which on a request runs only on trial.
+/// Number of rounds with a target that had just begun to answer from which on a request runs only on trial.
 pub const BEGUN_ROUNDS_ON_TRIAL: usize = 2;
 /// Number of such rounds from which on it is refused.
 const BEGUN_ROUNDS_REFUSED: usize = 3;
@@ -52,7 +52,7 @@
     /// Rounds in which all runs had been answered in part, or that followed another so fast that not all entries could
     /// know of what had ended the targets before, and that were no trials.
     pub weak: usize,
-    /// Rounds, of either kind, in which all targets ended as they had just begun to answer.
+    /// Rounds, of either kind, in which a target ended as it had just begun to answer.
     pub begun: usize,
 }
 
@@ -114,7 +114,7 @@
         } else {
             counted.strong += 1;
         }
-        counted.begun += usize::from(round.iter().all(|it| it.has_just_begun()));
+        counted.begun += usize::from(round.iter().any(|it| it.has_just_begun()));
         runs_before += round.len();
         let first_end_ms = round.iter().map(|it| it.lost_ms).min().unwrap_or(0);
         known_ms = first_end_ms + KNOWN_AFTER_MS;
