--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -114,8 +114,7 @@
                 .counter("bilberryloft_attempts_cancelled_total", "Attempts that were stopped.")?,
             target_crashes: new
                 .counter("bilberryloft_target_crashes_total", "Crashes of the target.")?,
-            target_rests: new
-                .counter("bilberryloft_target_rests_total", "Answers that asked for rest.")?,
+            target_rests: new.counter("bilberryloft_target_rests_total", "Requests for rest.")?,
             targets_limited: new
                 .gauge("bilberryloft_targets_limited", "Targets that name a limit.")?,
             limited_requests: new
--- a/crates/bilberryloft-routing/src/targets.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -1,5 +1,8 @@
 //! Load and health of each service's targets, as one entry knows them, and target selection.
 
+mod entry_reports;
+mod notices;
+
 use std::collections::BTreeMap;
 
 use crate::failing::is_ejected;
@@ -12,15 +15,14 @@
 use crate::selection::PickLimits;
 use crate::selection::PickedTarget;
 use crate::selection::TargetKey;
-use crate::sharing_entries::ACTIVE_MS;
 use crate::slow_ranks::SlowRanks;
 use crate::slow_ranks::load_max;
 use crate::slow_ranks::pass_cost;
 use crate::slow_ranks::should_migrate;
 use crate::target::Target;
 use crate::target_limits::LimitState;
-use crate::target_limits::LimitedWait;
 use crate::target_limits::TargetLimits;
+use crate::targets::entry_reports::EntryReport;
 
 /// First back-off after a target was lost, in milliseconds; doubles with each consecutive loss.
 const BACKOFF_FIRST_MS: u64 = 100;
@@ -34,8 +36,6 @@
 /// Time for which a target is excluded after another one answered at its address, in milliseconds. Within that time,
 /// the control hosts notice that it no longer announces itself.
 const MISDIRECTED_EXCLUSION_MS: u64 = 4_000;
-/// Largest number of leaving targets in a report.
-const REPORTED_LEAVING_MAX: usize = 64;
 /// Largest random part of a target's score.
 const DRAW_WEIGHT: f64 = 0.3;
 /// Number of requests by which a target in the entry's data centre may be busier and still be preferred.
@@ -106,14 +106,6 @@
     },
 }
 
-/// Latest report of another entry.
-#[derive(Clone, Debug)]
-struct EntryReport {
-    received_ms: u64,
-    loads: BTreeMap<TargetTag, u32>,
-    failure_rates: BTreeMap<String, f64>,
-}
-
 /// All targets that one entry knows, with their load and health.
 #[derive(Debug, Default)]
 pub struct TargetTable {
@@ -171,68 +163,6 @@
         }
     }
 
-    /// Stores another entry's report: its requests in flight and its high failure rates, by target.
-    pub fn record_entry(
-        &mut self,
-        entry: &str,
-        loads: BTreeMap<TargetTag, u32>,
-        failure_rates: BTreeMap<String, f64>,
-        now_ms: u64,
-    ) {
-        self.remove_entry(entry);
-        self.change_others_load(&loads, u32::saturating_add);
-        let has_failures = !failure_rates.is_empty();
-        let report = EntryReport { received_ms: now_ms, loads, failure_rates };
-        self.entries.insert(entry.to_string(), report);
-        if has_failures {
-            self.merge_failure_rates();
-        }
-    }
-
-    /// Takes an entry's report out of the sums.
-    fn remove_entry(&mut self, entry: &str) {
-        let Some(report) = self.entries.remove(entry) else {
-            return;
-        };
-        self.change_others_load(&report.loads, u32::saturating_sub);
-        if !report.failure_rates.is_empty() {
-            self.merge_failure_rates();
-        }
-    }
-
-    fn change_others_load(
-        &mut self,
-        loads: &BTreeMap<TargetTag, u32>,
-        change: impl Fn(u32, u32) -> u32,
-    ) {
-        for (tag, load) in loads {
-            for key in self.by_tag.get(tag).into_iter().flatten() {
-                let target = &mut self.targets[key.0];
-                target.others_load = change(target.others_load, *load);
-            }
-        }
-    }
-
-    /// Sums the loads that other entries report for a target that is new or has restarted.
-    fn sum_loads_of(&mut self, key: TargetKey) {
-        let target = &mut self.targets[key.0];
-        let loads = self.entries.values().filter_map(|it| it.loads.get(&target.tag));
-        target.others_load = loads.sum();
-    }
-
-    /// Sets the failure rate of each target that other entries report to the highest one.
-    fn merge_failure_rates(&mut self) {
-        for target in &mut self.targets {
-            target.others_failure_rate = 0.0;
-        }
-        for (id, rate) in self.entries.values().flat_map(|it| &it.failure_rates) {
-            if let Some(key) = self.by_id.get(id) {
-                let target = &mut self.targets[key.0];
-                target.others_failure_rate = target.others_failure_rate.max(*rate);
-            }
-        }
-    }
-
     /// Stores a host's report of the slowness of slow ranks, by target.
     pub fn record_slow_ranks(&mut self, host: &str, slowness: BTreeMap<String, f64>, now_ms: u64) {
         self.slow_ranks.record(host, slowness, now_ms);
@@ -243,16 +173,6 @@
         self.slow_ranks.reported_by(host, now_ms)
     }
 
-    /// Removes entries whose reports have expired; returns the number of entries, including this one.
-    pub fn expire_entries(&mut self, now_ms: u64) -> usize {
-        let expired = self.entries.iter().filter(|it| it.1.received_ms + ACTIVE_MS <= now_ms);
-        let expired: Vec<String> = expired.map(|it| it.0.clone()).collect();
-        for entry in expired {
-            self.remove_entry(&entry);
-        }
-        self.entries.len() + 1
-    }
-
     /// Returns this entry's requests in flight by target, to be reported to the other entries.
     pub fn own_loads(&self) -> BTreeMap<TargetTag, u32> {
         let loaded = self.targets.iter().filter(|it| it.own_load > 0);
@@ -406,22 +326,6 @@
         picked
     }
 
-    /// Returns the wait for a target if all targets of a service name limits; it is 0 if one may get a request now.
-    pub fn limited_wait(&self, service: &str, now_ms: u64) -> Option<LimitedWait> {
-        if self.limits.is_empty() {
-            return None;
-        }
-        let candidates = self.candidates(service, &[], now_ms);
-        let mut limited = LimitedCandidates::default();
-        for (key, _) in &candidates {
-            let info = &self.targets[key.0].info;
-            if !limited.add(self.limits.state(&info.id, info.incarnation, now_ms)) {
-                return None;
-            }
-        }
-        (!candidates.is_empty()).then(|| limited.wait())
-    }
-
     /// Picks another rank with a free slot for a stream whose rank is so slow that it slows down the group.
     pub fn pick_migration(
         &mut self,
@@ -462,43 +366,6 @@
         self.limits.refund(&target.info.id);
     }
 
-    /// Records that an incarnation of a target wants no request of this entry before a time.
-    pub fn record_rest(&mut self, key: TargetKey, incarnation: u64, until_ms: u64) {
-        let target = &mut self.targets[key.0];
-        if target.info.incarnation == incarnation {
-            target.rest_until_ms = target.rest_until_ms.max(until_ms);
-        }
-    }
-
-    /// Records that an incarnation of a target has said in an answer that it is leaving; returns whether that is news.
-    pub fn record_leaving(&mut self, id: &str, incarnation: u64) -> bool {
-        let key = self.by_id.get(id).copied();
-        let Some(target) = key.map(|it| &mut self.targets[it.0]) else {
-            return false;
-        };
-        if target.info.incarnation != incarnation || target.is_leaving() {
-            return false;
-        }
-        target.said_leaving = true;
-        true
-    }
-
-    /// Returns targets that have said in an answer that they are leaving, with their incarnations, as long as the control
-    /// hosts don't know it.
-    pub fn unrecorded_leaving(&self) -> BTreeMap<String, u64> {
-        let leaving = self.targets.iter().filter(|it| it.said_leaving && !it.info.is_leaving);
-        let announced = leaving.filter(|it| it.info.is_announced).take(REPORTED_LEAVING_MAX);
-        announced.map(|it| (it.info.id.clone(), it.info.incarnation)).collect()
-    }
-
-    /// Returns the time until the first of a service's targets may get a request, if all of them rest, in milliseconds.
-    pub fn rest_wait_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
-        let candidates = self.candidates(service, &[], now_ms);
-        let waits = candidates.iter().map(|it| &self.targets[it.0.0]);
-        let waits = waits.map(|it| it.rest_until_ms.saturating_sub(now_ms));
-        waits.min().filter(|it| *it > 0)
-    }
-
     /// Removes a finished request from its target's load and records the outcome.
     pub fn finish(&mut self, key: TargetKey, outcome: AttemptOutcome, now_ms: u64) {
         let target = &mut self.targets[key.0];
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -249,18 +249,14 @@
             Command::Register { name, incarnation, description } => {
                 self.membership.register(&name, incarnation, description, now_ms);
             }
-            Command::Leave { name, incarnation } => {
-                self.membership.mark_leaving(&name, incarnation, now_ms);
-            }
+            Command::Leave { name, incarnation } => self.leave(&name, incarnation),
             Command::Lose { targets } => self.membership.mark_unreachable(&targets, now_ms),
             Command::ReportCrash { target, crash_number, fingerprints } => {
                 self.suspects.report_crash(&target, crash_number, &fingerprints, now_ms);
                 self.suspects_version += 1;
             }
             Command::ReportRuns { lost, survived, survived_parts } => {
-                let (suspects, now_ms) = (&mut self.suspects, self.now_ms);
-                let is_changed = suspects.report_runs(&lost, &survived, &survived_parts, now_ms);
-                self.suspects_version += u64::from(is_changed);
+                self.report_runs(&lost, &survived, &survived_parts);
             }
             Command::BeginTrial { fingerprint, request_id, target } => {
                 return self.begin_trial(fingerprint, &request_id, target.as_deref());
@@ -286,6 +282,15 @@
         Outcome::Document { version: self.document.version }
     }
 
+    fn leave(&mut self, name: &str, incarnation: Option<u64>) {
+        self.membership.mark_leaving(name, incarnation, self.now_ms);
+    }
+
+    fn report_runs(&mut self, lost: &[LostRun], survived: &[i64], survived_parts: &[SurvivedPart]) {
+        let is_changed = self.suspects.report_runs(lost, survived, survived_parts, self.now_ms);
+        self.suspects_version += u64::from(is_changed);
+    }
+
     fn begin_trial(&mut self, fingerprint: i64, request_id: &str, target: Option<&str>) -> Outcome {
         Outcome::Trial(self.suspects.begin_trial(fingerprint, request_id, target, self.now_ms))
     }
