Leaving targets: only entries that heard it from the target tell the quorum at once

With 55 entries each would have proposed the same change; those that another entry told wait half a second to a second first, by when it is recorded.

--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::connection::Connection;
 use crate::headers;
 use crate::leaving;
+use crate::leaving::LeavingSource;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
 use crate::target_notice::TargetNotice;
@@ -210,7 +211,7 @@
     let notice = TargetNotice::read(response.status(), response.headers(), names);
     notice.log(request, &picked.id);
     if notice.is_leaving {
-        leaving::record(state, &picked.id, picked.incarnation, "answer");
+        leaving::record(state, &picked.id, picked.incarnation, LeavingSource::Answer);
     }
     if let Some(rest) = notice.rest {
         let until_ms = monotonic_ms() + rest.as_millis() as u64;
--- a/crates/bilberryloft-relay/src/loads/mod.rs
+++ b/crates/bilberryloft-relay/src/loads/mod.rs
@@ -21,6 +21,7 @@
 use tokio::net::UdpSocket;
 
 use crate::leaving;
+use crate::leaving::LeavingSource;
 use crate::state::RelayState;
 
 /// Interval at which this entry's loads are checked for changes.
@@ -100,7 +101,7 @@
         );
         self.state.limits.record_reports(&entry, &targets.limits);
         for (id, incarnation) in &targets.leaving {
-            leaving::record(&self.state, id, *incarnation, &entry);
+            leaving::record(&self.state, id, *incarnation, LeavingSource::Entry(&entry));
         }
         self.state.suspects.record_heard_runs(&targets.lost_runs);
         if let Some(slowness) = targets.slow_ranks {
