--- a/crates/bilberryloft-relay/src/trial_slot.rs
+++ b/crates/bilberryloft-relay/src/trial_slot.rs
@@ -18,7 +18,8 @@
 /// Interval at which the trial is asked for again.
 const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Reserves a slot and begins a trial there of the request, or of a part of its prompt, by its key. The trial is `None` if the request turns out to need none.
+/// Reserves a slot and begins a trial there of the request, or of a part of its prompt, by its key. The trial is `None` if
+/// the request turns out to need none.
 pub async fn wait_for_trial(
     state: &Arc<RelayState>,
     request: &RelayRequest,
