A run that should have waited for its trial, but began too early to know, doesn't refuse a request

Cause: a stream's head arrives at once, so each target that others end beside it counts as one that had just begun to answer. After two such rounds the request waits a minute for a trial, after three it is refused.

Change: from the second such round on, one that began before entries could know adds nothing; the request waits for its trial. Rounds still count as before towards the refusal after four.

Measured: request_that_ran_before_its_second_begun_end_was_known_is_not_refused failed before (Refuse).

--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -173,6 +173,26 @@
     assert_eq!(permission(&suspects_after_begun(3), CRASHING, 0), RunPermission::Refuse);
 }
 
+/// Guards against refusing a stream whose second run went on at another target at once, beside the request that ended both:
+/// its entry had not heard of the end before, and so could not let it wait.
+#[test]
+fn request_that_ran_before_its_second_begun_end_was_known_is_not_refused() {
+    let mut suspects = Suspects::default();
+    for (target, started_ms, lost_ms) in
+        [("t0", 50_268, 50_274), ("t1", 51_831, 51_836), ("t2", 51_837, 51_845)]
+    {
+        let run = LostRun {
+            started_ago_ms: lost_ms - started_ms,
+            lost_ago_ms: 0,
+            has_head: true,
+            ..lost(target, INNOCENT)
+        };
+        suspects.report_runs(&[run], &[], &[], lost_ms);
+    }
+    assert_eq!(suspects.get(INNOCENT).unwrap().rounds().count(), 3);
+    assert_eq!(permission(&suspects, INNOCENT, 0), RunPermission::Trial);
+}
+
 /// Records that targets ended under a request at the given times, without trials.
 fn suspects_after_ends_at(ends_ms: &[u64]) -> Suspects {
     suspects_after_trials_at(ends_ms, ends_ms.len())
--- a/crates/bilberryloft-state/src/suspect/rounds.rs
+++ b/crates/bilberryloft-state/src/suspect/rounds.rs
@@ -52,7 +52,8 @@
     /// Rounds in which all runs had been answered in part, or that followed another so fast that not all entries could
     /// know of what had ended the targets before, and that were no trials.
     pub weak: usize,
-    /// Rounds, of either kind, in which a target ended as it had just begun to answer.
+    /// Rounds, of either kind, in which a target ended as it had just begun to answer; from [`BEGUN_ROUNDS_ON_TRIAL`] on
+    /// only those that began after entries could know of the ones before.
     pub begun: usize,
 }
 
@@ -114,7 +115,9 @@
         } else {
             counted.strong += 1;
         }
-        counted.begun += usize::from(round.iter().any(|it| it.has_just_begun()));
+        // A run that should have waited for a trial, but began before entries could know, adds nothing.
+        let is_early = is_fast && counted.begun >= BEGUN_ROUNDS_ON_TRIAL;
+        counted.begun += usize::from(!is_early && round.iter().any(|it| it.has_just_begun()));
         runs_before += round.len();
         let first_end_ms = round.iter().map(|it| it.lost_ms).min().unwrap_or(0);
         known_ms = first_end_ms + KNOWN_AFTER_MS;
