An end of a target counts less against a request that ran beside one as suspicious

Cause: each request was judged by its own ends alone. An end is evidence against one of the requests that ran there, yet it counted in full against all of them.

Change: when an end is recorded, the requests on that target are compared by the targets that they had lost before. For one that has a companion with as many or more (at least one), the end counts two thirds, like an answered one. So two requests that are always together are refused after six ends instead of four; one beside others that change is refused after four as before. Stored as LostTarget.is_shared; the marks depend on the log only, so all members agree.

Ruled out: leaving the end out for the less suspicious one altogether. Two requests that end targets and always meet would free each other.

--- a/crates/bilberryloft-coordination/src/run_permission.rs
+++ b/crates/bilberryloft-coordination/src/run_permission.rs
@@ -6,7 +6,8 @@
 //! run. Before that, only one copy of it runs at a time: many copies that run at once may end with many targets at
 //! once, which shows little. A request that was being answered when its target ended is less likely to have ended it,
 //! while one whose targets end each time as they have just begun to answer is more likely to. Less likely, too, is one
-//! whose targets ended fast one after the other, before entries could refuse what ended them.
+//! whose targets ended fast one after the other, before entries could refuse what ended them, or whose targets each ran a
+//! request that is as suspicious.
 
 use bilberryloft_state::suspect::Rounds;
 use bilberryloft_state::suspect::Suspect;
--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -64,6 +64,46 @@
     assert_eq!(permission(&suspects, INNOCENT), RunPermission::Trial);
 }
 
+/// Guards against refusing a request that was on the same four targets as one that ends targets: nothing tells the two
+/// apart until one of them runs without the other.
+#[test]
+fn request_that_ended_each_time_beside_one_as_suspicious_runs_after_four_rounds() {
+    let suspects = suspects_after(4, &[CRASHING, INNOCENT]);
+    assert_eq!(permission(&suspects, INNOCENT), RunPermission::Trial);
+    let suspects = suspects_after(6, &[CRASHING, INNOCENT]);
+    assert_eq!(permission(&suspects, CRASHING), RunPermission::Refuse);
+}
+
+/// Guards against the same when another entry reports the end of the other request later.
+#[test]
+fn request_that_ended_beside_one_that_is_reported_later_runs_after_four_rounds() {
+    let mut suspects = Suspects::default();
+    for fingerprint in [INNOCENT, CRASHING] {
+        for number in 0..4 {
+            let ago_ms = (4 - number) * INTERVAL_MS;
+            let run = LostRun {
+                started_ago_ms: ago_ms + 10,
+                lost_ago_ms: ago_ms,
+                ..lost(&format!("t{number}"), fingerprint)
+            };
+            suspects.report_runs(&[run], &[], &[], 10 * INTERVAL_MS);
+        }
+    }
+    assert_eq!(permission(&suspects, INNOCENT), RunPermission::Trial);
+}
+
+/// Guards against letting a request run longer because others, each of them once, were on the targets that it ended.
+#[test]
+fn request_that_ends_targets_beside_others_that_change_is_refused_after_four_rounds() {
+    let mut suspects = Suspects::default();
+    for number in 0..4 {
+        let target = format!("t{number}");
+        let runs = [lost(&target, CRASHING), lost(&target, 100 + number)];
+        suspects.report_runs(&runs, &[], &[], (number as u64 + 1) * INTERVAL_MS);
+    }
+    assert_eq!(permission(&suspects, CRASHING), RunPermission::Refuse);
+}
+
 /// Guards against refusing a popular request because many targets that ran copies of it ended at once.
 #[test]
 fn copies_that_end_with_many_targets_at_once_count_as_one_round() {
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -141,6 +141,19 @@
     assert_eq!(permission_after(&lost[..2], &lost[2..3], 7), RunPermission::Trial);
 }
 
+/// Guards against refusing a request for a moment, until the quorum has recorded its last end, too, which it shares with a
+/// request that is as suspicious.
+#[test]
+fn unrecorded_end_beside_a_request_that_is_as_suspicious_counts_less() {
+    let both = |target: &str, ago_ms: u64| [7, 8].map(|it| heard_run(target, it, ago_ms));
+    let recorded = [both("t1", 4_000), both("t2", 3_000), both("t3", 2_000)].concat();
+    assert_eq!(permission_after(&recorded, &both("t4", 1_000), 7), RunPermission::Trial);
+    // Alone, it is refused.
+    let alone = [heard_run("t1", 7, 4_000), heard_run("t2", 7, 3_000), heard_run("t3", 7, 2_000)];
+    let last = [heard_run("t4", 7, 1_000)];
+    assert_eq!(permission_after(&alone, &last, 7), RunPermission::Refuse);
+}
+
 /// Guards against counting an end in full that follows the recorded one before it at once.
 #[test]
 fn unrecorded_end_that_follows_a_recorded_one_at_once_counts_less() {
--- a/crates/bilberryloft-state/src/suspect/lost_target.rs
+++ b/crates/bilberryloft-state/src/suspect/lost_target.rs
@@ -24,6 +24,9 @@
     /// Whether the head of the answer had arrived.
     #[serde(default)]
     pub has_head: bool,
+    /// Whether the target ran another request, too, under which at least as many targets had ended before.
+    #[serde(default)]
+    pub is_shared: bool,
 }
 
 impl LostTarget {
@@ -36,6 +39,7 @@
             was_answering: run.was_answering,
             was_on_trial: run.was_on_trial,
             has_head: run.has_head,
+            is_shared: false,
         }
     }
 
@@ -53,6 +57,7 @@
             was_answering: self.was_answering,
             was_on_trial: self.was_on_trial,
             has_head: self.has_head,
+            is_shared: self.is_shared,
         }
     }
 }
--- a/crates/bilberryloft-state/src/suspect/mod.rs
+++ b/crates/bilberryloft-state/src/suspect/mod.rs
@@ -122,10 +122,11 @@
         count_rounds(self.lost_targets.iter().map(LostTarget::span))
     }
 
-    fn record_lost_target(&mut self, lost: LostTarget, now_ms: u64) {
+    /// Records the end of a target; returns whether it is new.
+    fn record_lost_target(&mut self, lost: LostTarget, now_ms: u64) -> bool {
         // Another entry may have reported the same end of the target, or this is a repeated report.
         if self.lost_targets.iter().any(|it| it.is_same_end(&lost)) {
-            return;
+            return false;
         }
         if self.lost_targets.len() == LOST_TARGETS_MAX {
             self.lost_targets.remove(0);
@@ -133,6 +134,12 @@
         self.lost_targets.push(lost);
         self.last_crash_ms = now_ms;
         self.trial = None;
+        true
+    }
+
+    /// Number of targets that had ended under it before a run began.
+    fn ends_before(&self, started_ms: u64) -> usize {
+        self.lost_targets.iter().filter(|it| it.lost_ms <= started_ms).count()
     }
 }
 
@@ -289,7 +296,9 @@
         self.by_fingerprint.retain(|_, it| it.last_crash_ms + SUSPECT_RETENTION_MS > now_ms);
         for run in lost {
             let lost = LostTarget::of_run(run, now_ms);
-            self.suspect(run.fingerprint, now_ms).record_lost_target(lost, now_ms);
+            if self.suspect(run.fingerprint, now_ms).record_lost_target(lost.clone(), now_ms) {
+                self.mark_shared_end(run.fingerprint, &lost);
+            }
             self.record_part_ends(run, now_ms);
         }
         for fingerprint in survived {
@@ -302,6 +311,26 @@
         self.listed() != before
     }
 
+    /// Marks the end of a target for each request under which no more targets had ended before than under another one that
+    /// ran there, too.
+    fn mark_shared_end(&mut self, fingerprint: i64, lost: &LostTarget) {
+        let ends_before = |it: &Suspect| it.ends_before(lost.started_ms);
+        let own_ends = self.by_fingerprint.get(&fingerprint).map_or(0, ends_before);
+        let mut is_shared = false;
+        for other in self.by_fingerprint.values_mut().filter(|it| it.fingerprint != fingerprint) {
+            let Some(idx) = other.lost_targets.iter().position(|it| it.is_same_end(lost)) else {
+                continue;
+            };
+            let other_ends = other.ends_before(other.lost_targets[idx].started_ms);
+            is_shared |= other_ends > 0 && other_ends >= own_ends;
+            other.lost_targets[idx].is_shared |= own_ends > 0 && own_ends >= other_ends;
+        }
+        let own = self.by_fingerprint.get_mut(&fingerprint);
+        if let Some(own) = own.and_then(|it| it.lost_targets.last_mut()) {
+            own.is_shared = is_shared;
+        }
+    }
+
     /// Counts the end of a target against the parts of a prompt that ran there, the last one first: it is shared by the
     /// fewest requests. Once a part is refused, its ends no longer count against the parts before it.
     fn record_part_ends(&mut self, run: &LostRun, now_ms: u64) {
--- a/crates/bilberryloft-state/src/suspect/rounds.rs
+++ b/crates/bilberryloft-state/src/suspect/rounds.rs
@@ -35,6 +35,8 @@
     pub was_on_trial: bool,
     /// Whether the head of the answer had arrived.
     pub has_head: bool,
+    /// Whether the target ran another request, too, under which at least as many targets had ended before.
+    pub is_shared: bool,
 }
 
 impl RunSpan {
@@ -49,8 +51,9 @@
 pub struct Rounds {
     /// Rounds that say as much as one end of a target can.
     pub strong: usize,
-    /// Rounds in which all runs had been answered in part, or that followed another so fast that not all entries could
-    /// know of what had ended the targets before, and that were no trials.
+    /// Rounds in which all runs had been answered in part or ran beside a request that is at least as suspicious, or that
+    /// followed another so fast that not all entries could know of what had ended the targets before, and that were no
+    /// trials.
     pub weak: usize,
     /// Rounds, of either kind, in which a target ended as it had just begun to answer; from [`BEGUN_ROUNDS_ON_TRIAL`] on
     /// only those that began after entries could know of the ones before.
@@ -106,11 +109,11 @@
     let mut runs_before = 0;
     let mut known_ms = 0;
     for round in group_rounds(&runs, |it| (it.started_ms, it.lost_ms)) {
-        let was_answering = round.iter().all(|it| it.was_answering);
+        let says_less = round.iter().all(|it| it.was_answering || it.is_shared);
         let was_on_trial =
             runs_before >= LOST_TARGETS_ON_TRIAL && round.iter().any(|it| it.was_on_trial);
         let is_fast = !was_on_trial && round[0].started_ms < known_ms;
-        if was_answering || is_fast {
+        if says_less || is_fast {
             counted.weak += 1;
         } else {
             counted.strong += 1;
