A request that was refused after targets ended under it runs on trial after ten minutes

Parts of prompts were tried again after ten minutes.

Cause: what targets said of a request was looked at without its time; only forgetting it ended the quarantine.

Change: requests and parts share one RunPermission and one quarantine: ten minutes after the last end, doubled by each further one, at most 24 hours; then one copy runs on trial, which clears the request or ends one target. Retry-After says the time that is left. RunHistory holds the age of the last end, so the pause before a trial is decided in the same place (trial_pause and must_refuse are gone). Two crashes that agents report still refuse for 24 hours.

Observability: event 541 counts shared_ends.

Measured: refused_request_runs_on_trial_after_its_quarantine (begin_trial said quarantined at any time within 24 hours before); the prompt part's tests of the same times pass unchanged but for the name of the type.

Tests changed: run_permission.rs compares kinds of permissions (Run, Trial, Refuse), since the type now holds times.

--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -237,7 +237,7 @@
         let targets: BTreeSet<&str> =
             own.filter(|it| !is_recorded(it)).map(|it| it.target_id.as_str()).collect();
         if targets.is_empty() {
-            return RunHistory::new(suspect);
+            return RunHistory::new(suspect, epoch_ms());
         }
         // Only what ran at the same targets has a say in what their ends mean.
         let ran_there = |it: &&Suspect| {
@@ -249,14 +249,9 @@
             self.unrecorded.iter().filter(|it| targets.contains(it.target_id.as_str()));
         let lost: Vec<LostRun> =
             unrecorded.map(|it| LostRun { parts: Vec::new(), ..self.lost_run(it) }).collect();
-        let preview = Suspects::preview(listed, &lost, epoch_ms());
-        RunHistory::new(preview.get(fingerprint))
-    }
-
-    /// Returns the time since the last end of a target under a request that is not recorded yet, in milliseconds.
-    pub fn last_end_ago_ms(&self, fingerprint: i64) -> Option<u64> {
-        let ends = self.unrecorded.iter().filter(|it| it.fingerprint == fingerprint);
-        ends.map(|it| it.noticed.elapsed().as_millis() as u64).min()
+        let now_ms = epoch_ms();
+        let preview = Suspects::preview(listed, &lost, now_ms);
+        RunHistory::new(preview.get(fingerprint), now_ms)
     }
 
     /// Returns what is not recorded yet of a part, at other targets than those of its record.
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bilberryloft_coordination::run_permission::RunHistory;
-use bilberryloft_coordination::run_permission::RunPermission;
 use bilberryloft_coordination::run_permission::decide;
 use bilberryloft_coordination::target_end::EndEvidence;
 use bilberryloft_coordination::target_end::has_ended;
@@ -21,11 +20,10 @@
 use bilberryloft_daemon::view::View;
 use bilberryloft_state::state_machine::Outcome;
 use bilberryloft_state::suspect::LostRun;
+use bilberryloft_state::suspect::RunPermission;
 use bilberryloft_state::suspect::SUSPECT_RETENTION_MS;
 use bilberryloft_state::suspect::Suspect;
 use bilberryloft_state::suspect::prompt_part::PartHistory;
-use bilberryloft_state::suspect::prompt_part::PartPermission;
-use bilberryloft_state::suspect::trial_pause_ms;
 use bilberryloft_transport::clock::epoch_ms;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -108,41 +106,33 @@
 
     /// Returns whether a request may run as far as this entry knows.
     pub fn permission(&self, request: &RelayRequest) -> Permission {
-        let history = self.history(request.fingerprint);
-        match decide(history) {
+        match decide(self.history(request.fingerprint)) {
             RunPermission::Run => self.part_permission(request),
-            RunPermission::Trial => match self.trial_pause(request.fingerprint, history) {
-                Duration::ZERO => Permission::Trial { key: request.fingerprint },
-                remaining => Permission::Wait { remaining },
-            },
-            RunPermission::Refuse => self.quarantined(request.fingerprint),
+            RunPermission::Trial { pause_ms: 0 } => Permission::Trial { key: request.fingerprint },
+            RunPermission::Trial { pause_ms } => {
+                Permission::Wait { remaining: Duration::from_millis(pause_ms) }
+            }
+            RunPermission::Refuse { remaining_ms } => {
+                Permission::Refuse { remaining: Duration::from_millis(remaining_ms) }
+            }
         }
     }
 
-    /// Returns the time until a trial of a request may begin.
-    fn trial_pause(&self, fingerprint: i64, history: RunHistory) -> Duration {
-        let suspects = self.view.suspects();
-        let recorded = suspects.get(&fingerprint).and_then(|it| it.last_end_ago_ms(epoch_ms()));
-        let unrecorded = self.runs.lock().last_end_ago_ms(fingerprint);
-        let last_end_ago_ms = recorded.into_iter().chain(unrecorded).min().unwrap_or(0);
-        Duration::from_millis(trial_pause_ms(history.rounds, last_end_ago_ms))
-    }
-
     /// Returns whether a request may run with the parts that its prompt has. The last part decides first: it is shared by
     /// the fewest requests.
     fn part_permission(&self, request: &RelayRequest) -> Permission {
         let mut permission = Permission::Run;
         for part in request.shared_parts.iter().rev() {
             match self.part_history(part.key).permission() {
-                PartPermission::Run => {}
-                PartPermission::Refuse { remaining_ms } => {
+                RunPermission::Run => {}
+                RunPermission::Refuse { remaining_ms } => {
                     return Permission::Refuse { remaining: Duration::from_millis(remaining_ms) };
                 }
-                PartPermission::Trial { pause_ms: 0 } if permission == Permission::Run => {
+                RunPermission::Trial { pause_ms: 0 } if permission == Permission::Run => {
                     permission = Permission::Trial { key: part.key };
                 }
-                PartPermission::Trial { pause_ms: 0 } => {}
-                PartPermission::Trial { pause_ms } => {
+                RunPermission::Trial { pause_ms: 0 } => {}
+                RunPermission::Trial { pause_ms } => {
                     permission = Permission::Wait { remaining: Duration::from_millis(pause_ms) };
                 }
             }
@@ -205,14 +195,12 @@
         }
     }
 
-    fn quarantined(&self, fingerprint: i64) -> Permission {
-        Permission::Refuse { remaining: self.remaining_quarantine(fingerprint) }
-    }
-
     /// Returns the time for which a request, or a part, is still refused.
     fn remaining_quarantine(&self, key: i64) -> Duration {
-        if let PartPermission::Refuse { remaining_ms } = self.part_history(key).permission() {
-            return Duration::from_millis(remaining_ms);
+        for permission in [self.part_history(key).permission(), decide(self.history(key))] {
+            if let RunPermission::Refuse { remaining_ms } = permission {
+                return Duration::from_millis(remaining_ms);
+            }
         }
         let last_crash_ms = self.view.suspects().get(&key).map(|it| it.last_crash_ms);
         let until_ms = last_crash_ms.unwrap_or_else(epoch_ms) + SUSPECT_RETENTION_MS;
@@ -234,6 +222,7 @@
             lost_targets = ?names,
             rounds = history.rounds.count(),
             weak_rounds = history.rounds.weak,
+            shared_ends = lost_targets.iter().filter(|it| it.is_shared).count(),
             age_ms = lost_targets.last().map(|it| epoch_ms().saturating_sub(it.lost_ms)),
             unrecorded = history.lost_targets.saturating_sub(lost_targets.len()),
             parts = ?self.describe_parts(request, &suspects),
--- a/crates/bilberryloft-state/src/suspect/mod.rs
+++ b/crates/bilberryloft-state/src/suspect/mod.rs
@@ -2,6 +2,7 @@
 //! quarantine.
 
 mod lost_target;
+mod permission;
 pub mod prompt_part;
 mod rounds;
 
@@ -11,17 +12,16 @@
 use serde::Serialize;
 
 pub use self::lost_target::LostTarget;
+pub use self::permission::QUARANTINE_MIN_MS;
+pub use self::permission::RunPermission;
 use self::prompt_part::EndStrength;
 use self::prompt_part::PartEnd;
-use self::prompt_part::PartPermission;
 use self::prompt_part::PartRecord;
 pub use self::rounds::BEGUN_TRIAL_PAUSE_MS;
 pub use self::rounds::Rounds;
 pub use self::rounds::RunSpan;
 pub use self::rounds::count_rounds;
-pub use self::rounds::must_refuse;
-pub use self::rounds::needs_trial;
-pub use self::rounds::trial_pause_ms;
+pub use self::rounds::request_permission;
 
 /// Number of crashes after which a fingerprint is quarantined.
 pub const QUARANTINE_CRASHES: u32 = 2;
@@ -79,23 +79,22 @@
 
     /// Returns whether a request that is suspect for this may run at `now_ms`.
     fn outcome(&self, now_ms: u64) -> TrialOutcome {
-        if let Some(part) = &self.part {
-            return match part.history(now_ms).permission() {
-                PartPermission::Run => TrialOutcome::Clear,
-                PartPermission::Trial { pause_ms: 0 } => TrialOutcome::Granted,
-                PartPermission::Trial { .. } => TrialOutcome::Running,
-                PartPermission::Refuse { .. } => TrialOutcome::Quarantined,
-            };
-        }
-        let rounds = self.rounds();
-        if self.crashes >= QUARANTINE_CRASHES || must_refuse(self.lost_targets.len(), rounds) {
-            return TrialOutcome::Quarantined;
+        let permission = match &self.part {
+            Some(part) => part.history(now_ms).permission(),
+            None if self.crashes >= QUARANTINE_CRASHES => return TrialOutcome::Quarantined,
+            None => self.request_permission(now_ms),
+        };
+        match permission {
+            RunPermission::Run if self.part.is_some() => TrialOutcome::Clear,
+            RunPermission::Run | RunPermission::Trial { pause_ms: 0 } => TrialOutcome::Granted,
+            RunPermission::Trial { .. } => TrialOutcome::Running,
+            RunPermission::Refuse { .. } => TrialOutcome::Quarantined,
         }
+    }
+
+    fn request_permission(&self, now_ms: u64) -> RunPermission {
         let last_end_ago_ms = self.last_end_ago_ms(now_ms).unwrap_or(0);
-        match trial_pause_ms(rounds, last_end_ago_ms) {
-            0 => TrialOutcome::Granted,
-            _ => TrialOutcome::Running,
-        }
+        request_permission(self.lost_targets.len(), self.rounds(), last_end_ago_ms)
     }
 
     /// Returns the time since the last end of a target under a request, in milliseconds.
@@ -226,7 +225,7 @@
     Granted,
     /// Another trial with the same fingerprint or on the same target is running, or it is too early for one.
     Running,
-    /// The fingerprint has reached [`QUARANTINE_CRASHES`], [`must_refuse`] says so, or the part is refused.
+    /// The fingerprint has reached [`QUARANTINE_CRASHES`], [`RunPermission::Refuse`] holds, or the part is refused.
     Quarantined,
 }
 
--- a/crates/bilberryloft-state/src/suspect/prompt_part.rs
+++ b/crates/bilberryloft-state/src/suspect/prompt_part.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::permission::RunPermission;
 use super::rounds::group_rounds;
 
 /// Largest number of ends that are kept of a part, the newest.
@@ -33,11 +34,6 @@
 /// Time from the end of a target to the next trial of the part, in milliseconds. A trial may end a target once more, with
 /// which a whole group is away for about five seconds.
 pub const TRIAL_PAUSE_MS: u64 = 10_000;
-/// Time for which a part is refused at first, in milliseconds. It doubles with each further end on trial.
-pub const QUARANTINE_MIN_MS: u64 = 600_000;
-/// Longest such time, in milliseconds.
-const QUARANTINE_MAX_MS: u64 = 24 * 3_600_000;
-
 /// How much the end of a target says of the parts of a prompt that it ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -144,7 +140,7 @@
 
     /// Returns whether requests with the part need a trial or are refused.
     pub fn is_suspicious(&self) -> bool {
-        self.history(0).permission() != PartPermission::Run
+        self.history(0).permission() != RunPermission::Run
     }
 }
 
@@ -159,23 +155,6 @@
     pub last_end_ago_ms: Option<u64>,
 }
 
-/// Whether requests with a part may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PartPermission {
-    /// They may.
-    Run,
-    /// One of them may run at a time, after a pause.
-    Trial {
-        /// Time until then, in milliseconds.
-        pause_ms: u64,
-    },
-    /// They must not run.
-    Refuse {
-        /// Time until one of them may run on trial, in milliseconds.
-        remaining_ms: u64,
-    },
-}
-
 impl PartHistory {
     /// Adds what else is known, of other ends.
     pub fn plus(self, other: PartHistory) -> PartHistory {
@@ -197,19 +176,15 @@
     }
 
     /// Decides whether requests with the part may run.
-    pub fn permission(self) -> PartPermission {
+    pub fn permission(self) -> RunPermission {
         let ago_ms = self.last_end_ago_ms.unwrap_or(0);
         if self.is_refused() {
             let further_ends = (self.weight - REFUSED_WEIGHT - self.added_weight()) / STRONG_WEIGHT;
-            let quarantine_ms = QUARANTINE_MIN_MS << further_ends.min(ENDS_MAX as u32);
-            return match quarantine_ms.min(QUARANTINE_MAX_MS).saturating_sub(ago_ms) {
-                0 => PartPermission::Trial { pause_ms: 0 },
-                remaining_ms => PartPermission::Refuse { remaining_ms },
-            };
+            return RunPermission::quarantined(further_ends, ago_ms);
         }
         if self.weight >= TRIAL_WEIGHT + self.added_weight() {
-            return PartPermission::Trial { pause_ms: TRIAL_PAUSE_MS.saturating_sub(ago_ms) };
+            return RunPermission::Trial { pause_ms: TRIAL_PAUSE_MS.saturating_sub(ago_ms) };
         }
-        PartPermission::Run
+        RunPermission::Run
     }
 }
--- a/crates/bilberryloft-state/src/suspect/rounds.rs
+++ b/crates/bilberryloft-state/src/suspect/rounds.rs
@@ -1,5 +1,7 @@
 //! Counts the times that targets ended one after the other under the same request.
 
+use super::permission::RunPermission;
+
 /// Number of lost targets from which on a suspect runs only on trial.
 pub const LOST_TARGETS_ON_TRIAL: usize = 3;
 /// Weight of a strong round of lost targets.
@@ -79,27 +81,34 @@
     }
 }
 
-/// Returns whether a request must not run again after targets have ended under it.
-pub fn must_refuse(lost_targets: usize, rounds: Rounds) -> bool {
+/// Decides whether a request may run after targets have ended under it, the last of them some time ago.
+pub fn request_permission(
+    lost_targets: usize,
+    rounds: Rounds,
+    last_end_ago_ms: u64,
+) -> RunPermission {
+    if let Some(further_rounds) = further_rounds(lost_targets, rounds) {
+        return RunPermission::quarantined(further_rounds as u32, last_end_ago_ms);
+    }
+    if rounds.begun >= BEGUN_ROUNDS_ON_TRIAL {
+        let pause_ms = BEGUN_TRIAL_PAUSE_MS.saturating_sub(last_end_ago_ms);
+        return RunPermission::Trial { pause_ms };
+    }
+    if lost_targets >= LOST_TARGETS_ON_TRIAL {
+        return RunPermission::Trial { pause_ms: 0 };
+    }
+    RunPermission::Run
+}
+
+/// Returns the number of rounds beyond those after which a request is refused first; `None` if it is not.
+fn further_rounds(lost_targets: usize, rounds: Rounds) -> Option<usize> {
     let refused_weight = match lost_targets {
         0..MANY_LOST_TARGETS => REFUSED_WEIGHT,
         MANY_LOST_TARGETS.. => REFUSED_AFTER_MANY_WEIGHT,
     };
-    rounds.begun >= BEGUN_ROUNDS_REFUSED
-        || rounds.strong * ROUND_WEIGHT + rounds.weak * WEAK_ROUND_WEIGHT >= refused_weight
-}
-
-/// Returns whether a request runs only on trial.
-pub fn needs_trial(lost_targets: usize, rounds: Rounds) -> bool {
-    lost_targets >= LOST_TARGETS_ON_TRIAL || rounds.begun >= BEGUN_ROUNDS_ON_TRIAL
-}
-
-/// Returns the time until a trial of a request may begin after targets have ended under it, in milliseconds.
-pub fn trial_pause_ms(rounds: Rounds, last_end_ago_ms: u64) -> u64 {
-    match rounds.begun {
-        0..BEGUN_ROUNDS_ON_TRIAL => 0,
-        BEGUN_ROUNDS_ON_TRIAL.. => BEGUN_TRIAL_PAUSE_MS.saturating_sub(last_end_ago_ms),
-    }
+    let weight = rounds.strong * ROUND_WEIGHT + rounds.weak * WEAK_ROUND_WEIGHT;
+    let by_weight = weight.checked_sub(refused_weight).map(|it| it / ROUND_WEIGHT);
+    by_weight.max(rounds.begun.checked_sub(BEGUN_ROUNDS_REFUSED))
 }
 
 /// Counts rounds of runs.
