A lost run counts once however many entries report it

Cause: entries tell each other of runs that the quorum has not recorded for a second, and each reports what it heard. The quorum knew a repeated report by the target and by times that overlap. Entries that had reported such a run took it up again and again when others still told of it, too.

Change: a lost run has a random number of its own, which each report of it carries; ends with the same number are the same end, for requests and parts. An entry remembers the last 1,024 runs that the quorum recorded for it and takes them up no more.

--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -21,6 +21,7 @@
     LostRun {
         target: target.to_string(),
         fingerprint,
+        run_id: 0,
         started_ago_ms: 100,
         lost_ago_ms: 5,
         was_answering: false,
@@ -149,6 +150,7 @@
     let run = |target: &str, started_ago_ms: u64| LostRun {
         target: target.to_string(),
         fingerprint: CRASHING,
+        run_id: 0,
         started_ago_ms,
         lost_ago_ms: started_ago_ms - 500,
         was_answering: false,
@@ -333,6 +335,26 @@
     assert_eq!(suspects.get(CRASHING).unwrap().lost_targets.len(), 2);
 }
 
+/// Guards against counting one end of a target several times because other entries were told of the run and reported it,
+/// too, with an age that leaves out the time on the way.
+#[test]
+fn run_that_other_entries_report_late_counts_once() {
+    let mut suspects = Suspects::default();
+    for delay_ms in [0, 110, 35, 640, 3_000] {
+        let age_ms = 1_000;
+        let run = LostRun {
+            run_id: 5,
+            started_ago_ms: age_ms + 7,
+            lost_ago_ms: age_ms,
+            has_head: true,
+            ..lost("t1", INNOCENT)
+        };
+        suspects.report_runs(&[run], &[], &[], 10_000 + delay_ms);
+    }
+    assert_eq!(suspects.get(INNOCENT).unwrap().lost_targets.len(), 1);
+    assert_eq!(permission(&suspects, INNOCENT), Kind::Run);
+}
+
 #[test]
 fn suspects_are_bounded_and_keep_those_with_most_lost_targets() {
     let mut suspects = suspects_after(2, &[CRASHING]);
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -26,7 +26,8 @@
 use crate::prompt_part::PromptPart;
 use crate::survived_parts::SurvivedParts;
 
-/// Largest number of lost runs that wait to be recorded by the quorum; beyond it, the oldest are dropped.
+/// Largest number of lost runs that wait to be recorded by the quorum, and that are remembered as recorded; beyond it, the
+/// oldest are dropped.
 const UNRECORDED_MAX: usize = 1_024;
 /// Largest number of lost runs, and of survived ones, in one report.
 const REPORT_MAX: usize = 256;
@@ -94,6 +95,7 @@
 struct UnrecordedRun {
     target_id: String,
     fingerprint: i64,
+    run_id: i64,
     /// Parts of the prompt that may have ended the target.
     parts: Vec<LostPart>,
     started: Instant,
@@ -114,6 +116,7 @@
             was_on_trial: run.is_on_trial,
             target_id: run.target_id,
             fingerprint: run.fingerprint,
+            run_id: fastrand::i64(..),
             started: run.started,
             noticed: Instant::now(),
         }
@@ -125,6 +128,7 @@
         Some(UnrecordedRun {
             target_id: lost.target.clone(),
             fingerprint: lost.fingerprint,
+            run_id: lost.run_id,
             parts: lost.parts.clone(),
             started: ago(lost.started_ago_ms)?,
             noticed: ago(lost.lost_ago_ms)?,
@@ -147,6 +151,7 @@
         PartEnd {
             target: self.target_id.clone(),
             request: self.fingerprint,
+            run_id: self.run_id,
             started_ms: instant_ms(self.started),
             lost_ms: instant_ms(self.noticed),
             strength: EndStrength::of_run(self.has_head, self.was_answering),
@@ -193,6 +198,8 @@
     unchecked: BTreeMap<String, Vec<TargetRun>>,
     /// Runs whose targets have ended, not yet recorded.
     unrecorded: VecDeque<UnrecordedRun>,
+    /// Runs that the quorum has recorded lately, the newest last. Other entries may still tell of them.
+    recorded: VecDeque<i64>,
     /// Suspects that a target has survived, not yet recorded.
     survived_suspects: BTreeSet<i64>,
     /// Requests that targets have survived lately, the newest last.
@@ -346,7 +353,8 @@
         let mut is_news = false;
         for run in runs {
             let is_known = self.unrecorded.iter().any(|it| it.is_same_end(&run));
-            if is_known || self.survived.contains(&run.fingerprint) {
+            let is_recorded = run.run_id != 0 && self.recorded.contains(&run.run_id);
+            if is_known || is_recorded || self.survived.contains(&run.fingerprint) {
                 continue;
             }
             if self.unrecorded.len() == UNRECORDED_MAX {
@@ -380,6 +388,7 @@
         LostRun {
             target: run.target_id.clone(),
             fingerprint: run.fingerprint,
+            run_id: run.run_id,
             started_ago_ms: run.started.elapsed().as_millis() as u64,
             lost_ago_ms: run.noticed.elapsed().as_millis() as u64,
             was_answering: run.was_answering,
@@ -402,11 +411,17 @@
     pub fn remove_recorded(&mut self, report: &RunsReport) {
         for recorded in &report.lost {
             let is_recorded = |it: &UnrecordedRun| {
-                it.fingerprint == recorded.fingerprint && it.target_id == recorded.target
+                it.run_id == recorded.run_id
+                    && it.fingerprint == recorded.fingerprint
+                    && it.target_id == recorded.target
             };
             if let Some(idx) = self.unrecorded.iter().position(is_recorded) {
                 self.unrecorded.remove(idx);
             }
+            if self.recorded.len() == UNRECORDED_MAX {
+                self.recorded.pop_front();
+            }
+            self.recorded.push_back(recorded.run_id);
         }
         self.survived_suspects.retain(|it| !report.survived.contains(it));
         for (key, at) in &report.survived_parts {
--- a/crates/bilberryloft-relay/tests/load_datagrams.rs
+++ b/crates/bilberryloft-relay/tests/load_datagrams.rs
@@ -22,6 +22,7 @@
     LostRun {
         target: format!("target-{number}"),
         fingerprint: -7,
+        run_id: i64::MIN,
         started_ago_ms: 300,
         lost_ago_ms: 40,
         was_answering: false,
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -77,6 +77,22 @@
     assert!(!first.add_heard(&second.unrecorded_for(Duration::ZERO, 8)));
     second.remove_recorded(&second.build_report());
     assert_eq!(second.part_history(PART, None).permission(), RunPermission::Run);
+    // Told once more by an entry that has not heard of the record, it is no news either.
+    assert!(!second.add_heard(&told));
+}
+
+/// Guards against a run that counts once for each entry that was told of it.
+#[test]
+fn run_that_another_entry_told_of_keeps_its_id() {
+    let mut first = LostRuns::default();
+    first.add_ended(vec![run_with_part(7)]);
+    let mut second = LostRuns::default();
+    second.add_heard(&first.unrecorded_for(Duration::ZERO, 8));
+    let ids = |runs: &LostRuns| -> Vec<i64> {
+        runs.build_report().lost.iter().map(|it| it.run_id).collect()
+    };
+    assert_eq!(ids(&first), ids(&second));
+    assert_ne!(ids(&first), [0]);
 }
 
 #[test]
@@ -103,6 +119,7 @@
     LostRun {
         target: target.to_string(),
         fingerprint,
+        run_id: 0,
         started_ago_ms: lost_ago_ms + 10,
         lost_ago_ms,
         was_answering: false,
--- a/crates/bilberryloft-state/src/suspect/lost_target.rs
+++ b/crates/bilberryloft-state/src/suspect/lost_target.rs
@@ -11,6 +11,9 @@
 pub struct LostTarget {
     /// Name of the target.
     pub target: String,
+    /// Number of the run; 0 if it is unknown.
+    #[serde(default)]
+    pub run_id: i64,
     /// Time at which the run began, in milliseconds since the epoch.
     pub started_ms: u64,
     /// Time at which the end of the target was noticed, in milliseconds since the epoch.
@@ -34,6 +37,7 @@
     pub(super) fn of_run(run: &LostRun, now_ms: u64) -> LostTarget {
         LostTarget {
             target: run.target.clone(),
+            run_id: run.run_id,
             started_ms: now_ms.saturating_sub(run.started_ago_ms),
             lost_ms: now_ms.saturating_sub(run.lost_ago_ms),
             was_answering: run.was_answering,
@@ -43,11 +47,13 @@
         }
     }
 
-    /// Returns whether both are the same end of a target.
+    /// Returns whether both are the same end of a target. Reports of one run may differ in its times by as long as they
+    /// were on the way.
     pub(super) fn is_same_end(&self, other: &LostTarget) -> bool {
-        self.target == other.target
-            && self.lost_ms >= other.started_ms
-            && other.lost_ms >= self.started_ms
+        is_same_run_id(self.run_id, other.run_id)
+            || self.target == other.target
+                && self.lost_ms >= other.started_ms
+                && other.lost_ms >= self.started_ms
     }
 
     pub(super) fn span(&self) -> RunSpan {
@@ -61,3 +67,8 @@
         }
     }
 }
+
+/// Returns whether two numbers are known and name the same run.
+pub(super) fn is_same_run_id(one: i64, other: i64) -> bool {
+    one != 0 && one == other
+}
--- a/crates/bilberryloft-state/src/suspect/mod.rs
+++ b/crates/bilberryloft-state/src/suspect/mod.rs
@@ -149,6 +149,9 @@
     pub target: String,
     /// Digest of the request.
     pub fingerprint: i64,
+    /// Random number of the run, the same in each report of it; 0 if it comes from an earlier version.
+    #[serde(default)]
+    pub run_id: i64,
     /// Time since the request was sent to the target, in milliseconds.
     pub started_ago_ms: u64,
     /// Time since the end of the target was noticed, in milliseconds.
@@ -336,6 +339,7 @@
         let end = PartEnd {
             target: run.target.clone(),
             request: run.fingerprint,
+            run_id: run.run_id,
             started_ms: now_ms.saturating_sub(run.started_ago_ms),
             lost_ms: now_ms.saturating_sub(run.lost_ago_ms),
             strength: EndStrength::of_run(run.has_head, run.was_answering),
--- a/crates/bilberryloft-state/src/suspect/prompt_part.rs
+++ b/crates/bilberryloft-state/src/suspect/prompt_part.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::lost_target::is_same_run_id;
 use super::permission::RunPermission;
 use super::rounds::group_rounds;
 
@@ -65,6 +66,9 @@
     pub target: String,
     /// Digest of the request.
     pub request: i64,
+    /// Number of the run; 0 if it is unknown.
+    #[serde(default)]
+    pub run_id: i64,
     /// Time at which the run began, in milliseconds.
     pub started_ms: u64,
     /// Time at which the end of the target was noticed, in milliseconds.
@@ -76,10 +80,11 @@
 impl PartEnd {
     /// Returns whether both are reports of the same run.
     pub fn is_same_run(&self, other: &PartEnd) -> bool {
-        self.target == other.target
-            && self.request == other.request
-            && self.started_ms <= other.lost_ms
-            && other.started_ms <= self.lost_ms
+        is_same_run_id(self.run_id, other.run_id)
+            || self.target == other.target
+                && self.request == other.request
+                && self.started_ms <= other.lost_ms
+                && other.started_ms <= self.lost_ms
     }
 }
 
--- a/crates/bilberryloft-state/tests/prompt_parts.rs
+++ b/crates/bilberryloft-state/tests/prompt_parts.rs
@@ -23,6 +23,7 @@
     LostRun {
         target: target.to_string(),
         fingerprint: request,
+        run_id: 0,
         started_ago_ms: 200,
         lost_ago_ms: 5,
         was_answering: false,
@@ -197,3 +198,16 @@
     }
     assert_eq!(suspects.get(TOPIC).unwrap().part.as_ref().unwrap().ends.len(), 1);
 }
+
+/// Guards against counting one end of a target several times against a part because other entries were told of the run and
+/// reported it, too, with an age that leaves out the time on the way.
+#[test]
+fn run_that_other_entries_report_late_counts_once_against_its_parts() {
+    let mut suspects = Suspects::default();
+    for delay_ms in [0, 700, 300] {
+        let run = LostRun { run_id: 5, ..lost("t1", 100, &[unproven(CRASHING)]) };
+        suspects.report_runs(&[run], &[], &[], 10_000 + delay_ms);
+    }
+    let part = suspects.get(CRASHING).unwrap().part.as_ref().unwrap();
+    assert_eq!(part.ends.len(), 1);
+}
--- a/crates/bilberryloft-testing/tests/control_client.rs
+++ b/crates/bilberryloft-testing/tests/control_client.rs
@@ -58,6 +58,7 @@
         lost: vec![LostRun {
             target: "t".to_string(),
             fingerprint: 7,
+            run_id: 0,
             started_ago_ms: 1_000 + started.elapsed().as_millis() as u64,
             lost_ago_ms: started.elapsed().as_millis() as u64,
             was_answering: false,
