An entry tells unrecorded ends from recorded ones by the run, not by the name of the target

Without a quorum, ends of targets that come back under the same name as recorded ones did not count at the entries.

Cause: an unrecorded end was taken for recorded if any recorded one had its target's name.

Change: it is recorded if its run is, by its number. What is known of a part is now counted like that of a request: recorded and unrecorded ends together, so an end at which the quorum already knows of another run counts once (PartHistory::plus is gone).

Measured: unrecorded_ends_of_a_target_that_ended_before_count failed before (Run in place of Refuse).

unrecorded_end_of_a_recorded_round_adds_nothing_to_its_part is new beside it; it was not run on the code before.

--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -18,9 +18,7 @@
 use bilberryloft_state::suspect::prompt_part::PartEnd;
 use bilberryloft_state::suspect::prompt_part::PartHistory;
 use bilberryloft_state::suspect::prompt_part::PartRecord;
-use bilberryloft_state::suspect::prompt_part::ends_weight;
 use bilberryloft_transport::clock::epoch_ms;
-use bilberryloft_transport::clock::monotonic_ms;
 use tokio::time::Instant;
 
 use crate::prompt_part::PromptPart;
@@ -85,9 +83,9 @@
     }
 }
 
-/// Returns a time in milliseconds of this entry's monotonic clock.
+/// Returns a time in milliseconds since the epoch.
 fn instant_ms(at: Instant) -> u64 {
-    monotonic_ms().saturating_sub(at.elapsed().as_millis() as u64)
+    epoch_ms().saturating_sub(at.elapsed().as_millis() as u64)
 }
 
 /// A lost run that the quorum has not recorded yet.
@@ -146,7 +144,7 @@
             && other.started <= self.noticed + HEARD_DELAY_MAX
     }
 
-    /// Returns the end of the target as it counts against these parts, in this entry's monotonic time.
+    /// Returns the end of the target as it counts against these parts.
     fn part_end(&self) -> PartEnd {
         PartEnd {
             target: self.target_id.clone(),
@@ -239,7 +237,11 @@
     pub fn history(&self, fingerprint: i64, suspects: &BTreeMap<i64, Suspect>) -> RunHistory {
         let suspect = suspects.get(&fingerprint);
         let recorded = suspect.map_or(&[][..], |it| &it.lost_targets);
-        let is_recorded = |it: &&UnrecordedRun| recorded.iter().any(|at| at.target == it.target_id);
+        // A run of an earlier version has no number.
+        let is_recorded = |it: &&UnrecordedRun| match it.run_id {
+            0 => recorded.iter().any(|end| end.target == it.target_id),
+            run_id => recorded.iter().any(|end| end.run_id == run_id),
+        };
         let own = self.unrecorded.iter().filter(|it| it.fingerprint == fingerprint);
         let targets: BTreeSet<&str> =
             own.filter(|it| !is_recorded(it)).map(|it| it.target_id.as_str()).collect();
@@ -261,28 +263,19 @@
         RunHistory::new(preview.get(fingerprint), now_ms)
     }
 
-    /// Returns what is not recorded yet of a part, at other targets than those of its record.
+    /// Returns what is known of a part: what the quorum has recorded, and what it has not yet.
     pub fn part_history(&self, key: i64, record: Option<&PartRecord>) -> PartHistory {
-        let is_recorded = |it: &UnrecordedRun| {
-            let ends = record.map_or(&[][..], |it| &it.ends);
-            ends.iter().any(|end| end.target == it.target_id)
-        };
+        let mut known = record.cloned().unwrap_or_default();
         let survived = self.survived_parts.last(key);
-        let counts = |it: &&UnrecordedRun| {
-            it.parts.iter().any(|part| part.key == key)
-                && survived.is_none_or(|at| at < it.noticed)
-                && !is_recorded(it)
-        };
-        let ends: Vec<PartEnd> =
-            self.unrecorded.iter().filter(counts).map(UnrecordedRun::part_end).collect();
-        let last_end_ms = ends.iter().map(|it| it.lost_ms).max();
-        let mut parts = self.unrecorded.iter().filter(counts).flat_map(|it| &it.parts);
-        let is_heard_proven = parts.any(|it| it.key == key && it.is_proven);
-        PartHistory {
-            is_proven: survived.is_some() || is_heard_proven,
-            weight: ends_weight(&ends),
-            last_end_ago_ms: last_end_ms.map(|it| monotonic_ms().saturating_sub(it)),
+        known.is_proven |= survived.is_some();
+        for run in &self.unrecorded {
+            let is_older = survived.is_some_and(|at| at >= run.noticed);
+            if let Some(part) = run.parts.iter().find(|it| it.key == key && !is_older) {
+                known.is_proven |= part.is_proven;
+                known.record(run.part_end());
+            }
         }
+        known.history(epoch_ms())
     }
 
     /// Records that a target has survived parts of a prompt; returns whether that is news for the quorum.
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -152,8 +152,7 @@
     fn part_history(&self, key: i64) -> PartHistory {
         let suspects = self.view.suspects();
         let record = suspects.get(&key).and_then(|it| it.part.as_ref());
-        let recorded = record.map(|it| it.history(epoch_ms())).unwrap_or_default();
-        recorded.plus(self.runs.lock().part_history(key, record))
+        self.runs.lock().part_history(key, record)
     }
 
     /// Lets a new request run, on trial if need be, or refuses it.
@@ -238,8 +237,7 @@
     ) -> Vec<String> {
         let describe = |part: &PromptPart| {
             let record = suspects.get(&part.key).and_then(|it| it.part.as_ref());
-            let recorded = record.map(|it| it.history(epoch_ms())).unwrap_or_default();
-            let history = recorded.plus(self.runs.lock().part_history(part.key, record));
+            let history = self.runs.lock().part_history(part.key, record);
             (history.weight > 0).then(|| format!("{}: {history:?}", part.id))
         };
         request.shared_parts.iter().filter_map(describe).collect()
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -14,6 +14,7 @@
 use bilberryloft_routing::targets::TargetInfo;
 use bilberryloft_routing::targets::TargetTable;
 use bilberryloft_state::state_machine::Command;
+use bilberryloft_state::suspect::LostPart;
 use bilberryloft_state::suspect::LostRun;
 use bilberryloft_state::suspect::RunPermission;
 use bilberryloft_state::suspect::Suspect;
@@ -177,6 +178,37 @@
     assert!(is_refused(permission_after(&alone, &last, 7)));
 }
 
+/// Guards against overlooking, without a quorum, the ends of targets that come back under the same name.
+#[test]
+fn unrecorded_ends_of_a_target_that_ended_before_count() {
+    let run =
+        |target: &str, run_id: i64, ago_ms: u64| LostRun { run_id, ..heard_run(target, 7, ago_ms) };
+    let recorded = [run("t1", 1, 8_000), run("t2", 2, 6_000)];
+    let unrecorded = [run("t1", 3, 4_000), run("t2", 4, 2_000)];
+    assert!(is_refused(permission_after(&recorded, &unrecorded, 7)));
+    let again = [run("t1", 1, 7_500), run("t2", 2, 5_500)];
+    assert_eq!(permission_after(&recorded, &again, 7), RunPermission::Run);
+}
+
+/// Guards against counting an end twice against a part for a moment, because another entry's run on that target is recorded
+/// already.
+#[test]
+fn unrecorded_end_of_a_recorded_round_adds_nothing_to_its_part() {
+    let part = LostPart { key: PART, is_proven: false };
+    let run = |target: &str, fingerprint: i64| LostRun {
+        run_id: fingerprint,
+        has_head: true,
+        parts: vec![part],
+        ..heard_run(target, fingerprint, 1_000)
+    };
+    let recorded = listed(&[run("t1", 7)]);
+    let mut runs = LostRuns::default();
+    runs.add_heard(&[run("t1", 8)]);
+    let record = recorded[&PART].part.as_ref();
+    let history = runs.part_history(PART, record);
+    assert!(matches!(history.permission(), RunPermission::Trial { .. }), "{history:?}");
+}
+
 /// Guards against counting an end in full that follows the recorded one before it at once.
 #[test]
 fn unrecorded_end_that_follows_a_recorded_one_at_once_counts_less() {
--- a/crates/bilberryloft-state/src/suspect/prompt_part.rs
+++ b/crates/bilberryloft-state/src/suspect/prompt_part.rs
@@ -89,7 +89,7 @@
 }
 
 /// Returns the weight of ends. Ends of one round and repeated ends of one request count once.
-pub fn ends_weight(ends: &[PartEnd]) -> u32 {
+fn ends_weight(ends: &[PartEnd]) -> u32 {
     let mut counted: Vec<i64> = Vec::new();
     let mut weight = 0;
     for round in group_rounds(ends, |it| (it.started_ms, it.lost_ms)) {
@@ -161,16 +161,6 @@
 }
 
 impl PartHistory {
-    /// Adds what else is known, of other ends.
-    pub fn plus(self, other: PartHistory) -> PartHistory {
-        let ages = [self.last_end_ago_ms, other.last_end_ago_ms];
-        PartHistory {
-            is_proven: self.is_proven || other.is_proven,
-            weight: self.weight + other.weight,
-            last_end_ago_ms: ages.into_iter().flatten().min(),
-        }
-    }
-
     fn added_weight(self) -> u32 {
         if self.is_proven { PROVEN_WEIGHT } else { 0 }
     }
