The history of a request is read with the view locked before the lost runs, as everywhere

Cause: in one expression the lost runs were locked before the view. Others lock the view for reading first; with a new view waiting to be written in between, both would wait for ever.

Change: the view comes first.

--- a/crates/bilberryloft-coordination/src/run_permission.rs
+++ b/crates/bilberryloft-coordination/src/run_permission.rs
@@ -3,8 +3,8 @@
 //! A target that ends takes all its requests with it, and most of them have nothing to do with its end. The request that
 //! ended it ends the next one, too, while the others are answered sooner or later, which clears them. So a request is
 //! refused only after targets have ended under it several times in a row, more often than a caller's request is usually
-//! run, and only for a time, after which one copy may run again. Before that, only one copy of it runs at a time: many copies that run at once may end with many targets at
-//! once, which shows little. A request that was being answered when its target ended is less likely to have ended it,
+//! run, and only for a time, after which one copy may run again. Before it is refused, only one copy runs at a time: many
+//! copies that run at once may end with many targets at once, which shows little. A request that was being answered when its target ended is less likely to have ended it,
 //! while one whose targets end each time as they have just begun to answer is more likely to. Less likely, too, is one
 //! whose targets ended fast one after the other, before entries could refuse what ended them, or whose targets each ran a
 //! request that is as suspicious.
--- a/crates/bilberryloft-relay/src/suspects.rs
+++ b/crates/bilberryloft-relay/src/suspects.rs
@@ -146,7 +146,9 @@
     }
 
     fn history(&self, fingerprint: i64) -> RunHistory {
-        self.runs.lock().history(fingerprint, &self.view.suspects())
+        // Locked in this order everywhere.
+        let suspects = self.view.suspects();
+        self.runs.lock().history(fingerprint, &suspects)
     }
 
     fn part_history(&self, key: i64) -> PartHistory {
