Copies of a request on one target count as one end also if another entry reports one of them late

Cause: a copy of the request from another entry is another run with a number of its own; it is the same end if the times overlap. Told by a third entry, its times are late by the time on the way, so it counted as a second end.

Change: a run that another entry told of says by how much it may be older than it seems (500 ms), and ends are compared with that. A target that comes back under its name and ends again within that time counts once then.

--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -24,6 +24,7 @@
         run_id: 0,
         started_ago_ms: 100,
         lost_ago_ms: 5,
+        delay_max_ms: 0,
         was_answering: false,
         has_head: false,
         was_on_trial: false,
@@ -153,6 +154,7 @@
         run_id: 0,
         started_ago_ms,
         lost_ago_ms: started_ago_ms - 500,
+        delay_max_ms: 0,
         was_answering: false,
         has_head: false,
         was_on_trial: false,
@@ -355,6 +357,27 @@
     assert_eq!(permission(&suspects, INNOCENT), Kind::Run);
 }
 
+/// Guards against counting one end of a target twice because copies of a request were on it from two entries, and a third
+/// entry reports the second copy with an age that leaves out the time on the way.
+#[test]
+fn copies_on_one_target_that_another_entry_reports_late_count_once() {
+    let copy = |run_id: i64, delay_max_ms: u64| LostRun {
+        run_id,
+        started_ago_ms: 1_007,
+        lost_ago_ms: 1_000,
+        delay_max_ms,
+        ..lost("t1", INNOCENT)
+    };
+    for copies in [[(1, 0, 0), (2, 500, 110)], [(2, 500, 110), (1, 0, 0)]] {
+        let mut suspects = Suspects::default();
+        for (run_id, delay_max_ms, delay_ms) in copies {
+            let run = copy(run_id, delay_max_ms);
+            suspects.report_runs(&[run], &[], &[], 10_000 + delay_ms);
+        }
+        assert_eq!(suspects.get(INNOCENT).unwrap().lost_targets.len(), 1, "{copies:?}");
+    }
+}
+
 #[test]
 fn suspects_are_bounded_and_keep_those_with_most_lost_targets() {
     let mut suspects = suspects_after(2, &[CRASHING]);
--- a/crates/bilberryloft-relay/src/lost_runs.rs
+++ b/crates/bilberryloft-relay/src/lost_runs.rs
@@ -98,6 +98,8 @@
     parts: Vec<LostPart>,
     started: Instant,
     noticed: Instant,
+    /// Longest time by which the run may be older than it seems.
+    delay_max: Duration,
     has_head: bool,
     was_answering: bool,
     was_on_trial: bool,
@@ -117,6 +119,7 @@
             run_id: fastrand::i64(..),
             started: run.started,
             noticed: Instant::now(),
+            delay_max: Duration::ZERO,
         }
     }
 
@@ -130,6 +133,7 @@
             parts: lost.parts.clone(),
             started: ago(lost.started_ago_ms)?,
             noticed: ago(lost.lost_ago_ms)?,
+            delay_max: HEARD_DELAY_MAX,
             has_head: lost.has_head,
             was_answering: lost.was_answering,
             was_on_trial: lost.was_on_trial,
@@ -384,6 +388,7 @@
             run_id: run.run_id,
             started_ago_ms: run.started.elapsed().as_millis() as u64,
             lost_ago_ms: run.noticed.elapsed().as_millis() as u64,
+            delay_max_ms: run.delay_max.as_millis() as u64,
             was_answering: run.was_answering,
             has_head: run.has_head,
             was_on_trial: run.was_on_trial,
--- a/crates/bilberryloft-relay/tests/load_datagrams.rs
+++ b/crates/bilberryloft-relay/tests/load_datagrams.rs
@@ -25,6 +25,7 @@
         run_id: i64::MIN,
         started_ago_ms: 300,
         lost_ago_ms: 40,
+        delay_max_ms: 0,
         was_answering: false,
         has_head: true,
         was_on_trial: false,
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -123,6 +123,7 @@
         run_id: 0,
         started_ago_ms: lost_ago_ms + 10,
         lost_ago_ms,
+        delay_max_ms: 0,
         was_answering: false,
         has_head: false,
         was_on_trial: false,
--- a/crates/bilberryloft-state/src/suspect/lost_target.rs
+++ b/crates/bilberryloft-state/src/suspect/lost_target.rs
@@ -18,6 +18,9 @@
     pub started_ms: u64,
     /// Time at which the end of the target was noticed, in milliseconds since the epoch.
     pub lost_ms: u64,
+    /// Longest time by which the run may be older than it says, in milliseconds.
+    #[serde(default)]
+    pub delay_max_ms: u64,
     /// Whether a part of the answer had arrived.
     #[serde(default)]
     pub was_answering: bool,
@@ -40,6 +43,7 @@
             run_id: run.run_id,
             started_ms: now_ms.saturating_sub(run.started_ago_ms),
             lost_ms: now_ms.saturating_sub(run.lost_ago_ms),
+            delay_max_ms: run.delay_max_ms,
             was_answering: run.was_answering,
             was_on_trial: run.was_on_trial,
             has_head: run.has_head,
@@ -52,8 +56,8 @@
     pub(super) fn is_same_end(&self, other: &LostTarget) -> bool {
         is_same_run_id(self.run_id, other.run_id)
             || self.target == other.target
-                && self.lost_ms >= other.started_ms
-                && other.lost_ms >= self.started_ms
+                && self.lost_ms + other.delay_max_ms >= other.started_ms
+                && other.lost_ms + self.delay_max_ms >= self.started_ms
     }
 
     pub(super) fn span(&self) -> RunSpan {
--- a/crates/bilberryloft-state/src/suspect/mod.rs
+++ b/crates/bilberryloft-state/src/suspect/mod.rs
@@ -156,6 +156,9 @@
     pub started_ago_ms: u64,
     /// Time since the end of the target was noticed, in milliseconds.
     pub lost_ago_ms: u64,
+    /// Longest time by which the run may be older than it says, in milliseconds: another entry told of it.
+    #[serde(default)]
+    pub delay_max_ms: u64,
     /// Whether a part of the answer had arrived.
     #[serde(default)]
     pub was_answering: bool,
--- a/crates/bilberryloft-state/tests/prompt_parts.rs
+++ b/crates/bilberryloft-state/tests/prompt_parts.rs
@@ -26,6 +26,7 @@
         run_id: 0,
         started_ago_ms: 200,
         lost_ago_ms: 5,
+        delay_max_ms: 0,
         was_answering: false,
         has_head: true,
         was_on_trial: false,
--- a/crates/bilberryloft-testing/tests/control_client.rs
+++ b/crates/bilberryloft-testing/tests/control_client.rs
@@ -61,6 +61,7 @@
             run_id: 0,
             started_ago_ms: 1_000 + started.elapsed().as_millis() as u64,
             lost_ago_ms: started.elapsed().as_millis() as u64,
+            delay_max_ms: 0,
             was_answering: false,
             has_head: false,
             was_on_trial: false,
