--- a/crates/bilberryloft-coordination/tests/run_permission.rs
+++ b/crates/bilberryloft-coordination/tests/run_permission.rs
@@ -291,6 +291,14 @@
     assert_eq!(permission_after(5), Kind::Refuse);
 }
 
+/// Guards against letting a request run on and on that is sent again at once each time and never on trial.
+#[test]
+fn request_that_ends_targets_fast_without_trials_is_refused_after_six() {
+    let ends_ms = [1_000, 1_050, 1_100, 1_150, 1_200, 1_250];
+    assert_eq!(permission(&suspects_after_ends_at(&ends_ms[..5]), INNOCENT), Kind::Trial);
+    assert_eq!(permission(&suspects_after_ends_at(&ends_ms), INNOCENT), Kind::Refuse);
+}
+
 /// Guards against refusing a request for a day that may have been beside another one each time: after its quarantine one
 /// copy may run, and each further end doubles the time.
 #[test]
