Logs: what a control host sends of a document to whom, and watches without a usable answer

The lines of before (114, 520) told none of the hypotheses of the incident apart. Event 116 names daemon, versions and bytes, event 117 host, time, version held and error; 114 has the size. No logic is changed.

--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -19,6 +19,8 @@
 use crate::control::handle::ControlHandle;
 use crate::control::handle::ProposeError;
 use crate::control::watchers::Watchers;
+use crate::events::Event;
+use crate::log_event;
 
 /// Time for which a follower waits for the leader's response.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(500);
@@ -196,6 +198,16 @@
             () = responder.closed() => return,
         }
         let update = self.build_update(&watch, confirmed);
+        if let Some(document) = &update.document {
+            log_event!(
+                info,
+                Event::DocumentSent,
+                daemon = watch.daemon,
+                from = watch.document_version,
+                version = update.document_version,
+                bytes = document.len()
+            );
+        }
         let _ = responder.send(Body::Update(update)).await;
     }
 
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -24,6 +24,10 @@
     DocumentApplied = 114,
     /// The settings were reloaded.
     SettingsReloaded = 115,
+    /// A control host sent a document of routes and services to a daemon.
+    DocumentSent = 116,
+    /// A control host gave no usable answer to a watch.
+    WatchFailed = 117,
     /// The member became the leader.
     LeaderElected = 200,
     /// The member is no longer the leader.
@@ -140,7 +144,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 63] = [
+pub const EVENTS: [Event; 65] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -151,6 +155,8 @@
     Event::ConfigurationGap,
     Event::DocumentApplied,
     Event::SettingsReloaded,
+    Event::DocumentSent,
+    Event::WatchFailed,
     Event::LeaderElected,
     Event::LeaderSteppedDown,
     Event::TornTailCut,
--- a/crates/bilberryloft-daemon/src/view.rs
+++ b/crates/bilberryloft-daemon/src/view.rs
@@ -205,7 +205,8 @@
         let document = StoredDocument { version: version as u64, text };
         let mut current = self.document.write();
         if document.version > current.version {
-            log_event!(info, Event::DocumentApplied, version, before = current.version);
+            let bytes = document.text.len();
+            log_event!(info, Event::DocumentApplied, version, before = current.version, bytes);
             *current = Arc::new(document);
         }
     }
--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberryloft_protocol::codec::body_name;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_protocol::wire::Watch;
 use bilberryloft_transport::clock::monotonic_ms;
@@ -61,9 +62,23 @@
 async fn sync_once(view: &View, control: &ControlClient, watch: Watch) -> bool {
     let requested_ms = monotonic_ms();
     let client = control.preferred();
-    match client.call(Body::Watch(watch), RESPONSE_TIMEOUT).await {
+    let document = watch.document_version;
+    let result = client.call(Body::Watch(watch), RESPONSE_TIMEOUT).await;
+    let elapsed_ms = monotonic_ms() - requested_ms;
+    match result {
         Ok(Body::Update(update)) => {
             let is_confirmed = update.confirmed;
+            if !is_confirmed {
+                let error = "no quorum has confirmed the answer";
+                log_event!(
+                    warn,
+                    Event::WatchFailed,
+                    host = client.address(),
+                    elapsed_ms,
+                    document,
+                    error
+                );
+            }
             control.learn(update.control_addresses.as_deref().unwrap_or_default());
             view.apply(update, requested_ms);
             if !is_confirmed {
@@ -76,7 +91,21 @@
             control.follow_redirect(&client, &redirect.addresses);
             false
         }
-        Ok(_) | Err(_) => {
+        Ok(other) => {
+            let error = format!("unexpected answer {}", body_name(&other));
+            log_event!(
+                warn,
+                Event::WatchFailed,
+                host = client.address(),
+                elapsed_ms,
+                document,
+                error
+            );
+            control.avoid(&client);
+            false
+        }
+        Err(error) => {
+            log_event!(warn, Event::WatchFailed, host = client.address(), elapsed_ms, document, %error);
             control.avoid(&client);
             false
         }
