--- a/crates/bilberryloft-testing/src/proxy.rs
+++ b/crates/bilberryloft-testing/src/proxy.rs
@@ -13,6 +13,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Most bytes that are passed on at once.
+const CHUNK_BYTES: usize = 16 << 10;
+
 /// Fault that a proxy injects into its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -26,6 +29,8 @@
     HoldToClient,
     /// Each chunk of bytes is delayed by this time in milliseconds.
     DelayMs(u64),
+    /// Each connection passes this many bytes a second in each direction.
+    BytesPerS(u64),
     /// Open connections are closed, and so are new ones.
     Reset,
 }
@@ -113,7 +118,7 @@
     mut faults: watch::Receiver<Fault>,
     direction_hold: Fault,
 ) {
-    let mut buffer = vec![0; 64 << 10];
+    let mut buffer = vec![0; CHUNK_BYTES];
     loop {
         let Ok(len) = reader.read(&mut buffer).await else {
             return;
@@ -126,8 +131,19 @@
             Ok(fault) => *fault,
             Err(_) => return,
         };
-        if let Fault::DelayMs(delay_ms) = fault {
-            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        match fault {
+            Fault::DelayMs(delay_ms) => {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            }
+            Fault::BytesPerS(bytes_per_s) => {
+                let micros = len as u64 * 1_000_000 / bytes_per_s.max(1);
+                tokio::time::sleep(Duration::from_micros(micros)).await;
+            }
+            Fault::Pass
+            | Fault::Hold
+            | Fault::HoldToServer
+            | Fault::HoldToClient
+            | Fault::Reset => {}
         }
         if writer.write_all(&buffer[..len]).await.is_err() {
             return;
