A change of the document is logged as what differs from the version before

Callers saw: changes were acknowledged up to 4 s after they were sent, and so came into force late at all entries. Cause: the entry that took a change sent the whole text, escaped in JSON, to the leader, and the leader sent it to each member, for every change. Now a command holds the difference to the version that the entry holds (PatchDocument). The distribution to entries is unchanged.

--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -12,6 +12,7 @@
 use bilberryloft_coordination::raft::Output;
 use bilberryloft_coordination::raft::Raft;
 use bilberryloft_coordination::raft::Role;
+use bilberryloft_state::compression;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::key::digest;
@@ -276,7 +277,7 @@
 
     pub(super) fn propose(&mut self, command: Command, reply: PendingReply) {
         let stamped = StampedCommand { at_ms: epoch_ms(), command };
-        let Ok(bytes) = serde_json::to_vec(&stamped) else {
+        let Ok(bytes) = compression::encode(&stamped) else {
             return;
         };
         match self.raft.propose(bytes) {
@@ -351,7 +352,7 @@
     }
 
     fn install(&mut self, snapshot: Snapshot, persist_number: u64, messages: Vec<Outbound>) {
-        match serde_json::from_slice::<StateMachine>(&snapshot.data) {
+        match compression::decode::<StateMachine>(&snapshot.data) {
             Ok(machine) => *self.lock_machine() = machine,
             Err(error) => {
                 log_event!(error, Event::DiskFailed, detail = "the snapshot from the leader can't be decoded and is not installed", %error);
@@ -458,7 +459,7 @@
                 configuration: machine.configuration.version(),
                 membership: machine.membership.version(),
                 suspects: machine.suspects_version(),
-                document: machine.document.version,
+                document: machine.document.document().version,
             }
         };
         self.applied.send_if_modified(|it| std::mem::replace(it, applied) != applied);
@@ -492,7 +493,7 @@
     mut snapshot: Snapshot,
     machine: &StateMachine,
 ) -> Result<Snapshot> {
-    snapshot.data = serde_json::to_vec(machine)
+    snapshot.data = compression::encode(machine)
         .map_err(|it| Error::Json { step: "encode a snapshot", detail: it.to_string() })?;
     write_snapshot(folder, &snapshot)?;
     Ok(snapshot)
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -7,6 +7,7 @@
 use bilberryloft_protocol::convert::raft_from_wire;
 use bilberryloft_protocol::wire;
 use bilberryloft_protocol::wire::Body;
+use bilberryloft_state::compression;
 use bilberryloft_state::record::DecisionRecord;
 use bilberryloft_state::record::RecordRing;
 use bilberryloft_state::state_machine::StateMachine;
@@ -90,7 +91,7 @@
 
     /// Serves a proposal; a follower forwards it to the leader.
     pub async fn propose(&self, propose: wire::Propose, responder: &Responder) {
-        let command = match serde_json::from_slice(&propose.command) {
+        let command = match compression::decode(&propose.command) {
             Ok(command) => command,
             Err(error) => return responder.fail("propose", error.to_string()).await,
         };
@@ -249,7 +250,7 @@
             targets: encode_all(&delta.targets),
             suspects_version: suspects_version as i64,
             suspects: encode_all(&suspects),
-            document_version: Some(machine.document.version as i64),
+            document_version: Some(machine.document.document().version as i64),
             document: document_after(&machine, watch.document_version),
             control_addresses: Some(self.node.status().addresses()),
         }
@@ -258,8 +259,9 @@
 
 /// Returns the text of the document if the watcher knows an older version of it.
 fn document_after(machine: &StateMachine, version: Option<i64>) -> Option<Vec<u8>> {
-    let is_newer = version.is_some_and(|it| machine.document.version > it as u64);
-    is_newer.then(|| machine.document.text.as_bytes().to_vec())
+    let document = machine.document.document();
+    let is_newer = version.is_some_and(|it| document.version > it as u64);
+    is_newer.then(|| document.text.as_bytes().to_vec())
 }
 
 /// Returns the configuration changes after a version, or a snapshot when those changes are no longer kept.
--- a/crates/bilberryloft-daemon/src/control_client.rs
+++ b/crates/bilberryloft-daemon/src/control_client.rs
@@ -9,6 +9,7 @@
 use bilberryloft_protocol::codec::body_name;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_protocol::wire::Propose;
+use bilberryloft_state::compression;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::state_machine::Command;
@@ -233,7 +234,7 @@
         timeout: Duration,
     ) -> Result<Outcome> {
         let encode = || {
-            let command = serde_json::to_vec(&build())
+            let command = compression::encode(&build())
                 .map_err(|it| Error::Json { step: "encode a command", detail: it.to_string() })?;
             Ok(Body::Propose(Propose::new(command, false)))
         };
--- a/crates/bilberryloft-daemon/src/view.rs
+++ b/crates/bilberryloft-daemon/src/view.rs
@@ -126,6 +126,13 @@
         matches!(tokio::time::timeout(wait, reached).await, Ok(Ok(_)))
     }
 
+    /// Waits until the document has at least the given version; returns false if the time runs out first.
+    pub async fn wait_for_document(&self, version: u64, wait: Duration) -> bool {
+        let mut versions = self.versions();
+        let reached = versions.wait_for(|it| it.document >= version);
+        matches!(tokio::time::timeout(wait, reached).await, Ok(Ok(_)))
+    }
+
     /// Applies an update whose request was sent at `requested_ms`. Versions never go back.
     pub fn apply(&self, update: Update, requested_ms: u64) {
         self.apply_configuration(&update);
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -18,6 +18,7 @@
 use bilberryloft_protocol::wire;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_routing::targets::TargetInfo;
+use bilberryloft_state::document::DocumentPatch;
 use bilberryloft_state::document::StoredDocument;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
@@ -35,6 +36,10 @@
 const DOCUMENT_BYTES_MAX: usize = 8 << 20;
 /// Timeout for committing a document or an announcement; callers wait for one second.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Patches of a document that are tried before the whole text is proposed.
+const PATCH_ATTEMPTS: usize = 2;
+/// Time to wait for the version in force after a patch was made for an older one.
+const REBASE_WAIT: Duration = Duration::from_millis(200);
 /// Timeout for a quorum to confirm which document is the newest.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// Timeout for one control host to confirm which document is the newest.
@@ -82,8 +87,7 @@
     let version = document.version;
     // Decoding has succeeded, so the text is valid UTF-8.
     let text = String::from_utf8_lossy(body).into_owned();
-    let command = Command::PutDocument(StoredDocument { version, text });
-    match state.daemon.control.propose(&command, COMMIT_TIMEOUT).await {
+    match commit_document(state, StoredDocument { version, text }).await {
         Ok(Outcome::Document { version: in_force }) => {
             log_event!(info, Event::DocumentDecided, outcome = "accepted", version, in_force);
             axum::Json(json!({"version": in_force})).into_response()
@@ -102,6 +106,40 @@
     }
 }
 
+/// Proposes a document until its outcome is known: as a patch of the version that this entry holds, or as a whole if
+/// patches don't fit because other operators were faster.
+async fn commit_document(state: &RelayState, document: StoredDocument) -> Result<Outcome> {
+    let (control, view) = (&state.daemon.control, &state.daemon.view);
+    let until = Instant::now() + COMMIT_TIMEOUT;
+    for _ in 0..PATCH_ATTEMPTS {
+        let base = view.document();
+        if base.version == 0 {
+            break;
+        }
+        let patch = DocumentPatch::between(&base, &document);
+        let remaining = until.saturating_duration_since(Instant::now());
+        match control.propose(&Command::PatchDocument(patch), remaining).await? {
+            Outcome::DocumentBase { version: in_force } => {
+                let (base, version) = (base.version, document.version);
+                log_event!(
+                    info,
+                    Event::DocumentDecided,
+                    outcome = "rebased",
+                    version,
+                    base,
+                    in_force
+                );
+                view.wait_for_document(in_force, REBASE_WAIT).await;
+            }
+            // A control host of an earlier version doesn't know patches.
+            Outcome::Unreadable => break,
+            outcome => return Ok(outcome),
+        }
+    }
+    let remaining = until.saturating_duration_since(Instant::now());
+    control.propose(&Command::PutDocument(document), remaining).await
+}
+
 async fn read_document(state: &RelayState) -> Response {
     let until = Instant::now() + READ_TIMEOUT;
     while Instant::now() < until {
--- a/crates/bilberryloft-state/src/lib.rs
+++ b/crates/bilberryloft-state/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 pub mod claim;
+pub mod compression;
 pub mod configuration;
 pub mod document;
 pub mod error;
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -6,9 +6,12 @@
 use crate::claim::ClaimOutcome;
 use crate::claim::ClaimSite;
 use crate::claim::Claims;
+use crate::compression;
 use crate::configuration::ChangeOutcome;
 use crate::configuration::ChangeRequest;
 use crate::configuration::Configuration;
+use crate::document::DocumentPatch;
+use crate::document::DocumentStore;
 use crate::document::StoredDocument;
 use crate::expert_map_register::Decision;
 use crate::expert_map_register::ExpertMapRegisters;
@@ -28,6 +31,8 @@
     Change(ChangeRequest),
     /// Replaces the routes and services document, unless the present one has the same or a higher version.
     PutDocument(StoredDocument),
+    /// Like [`Command::PutDocument`], with what differs from the version that the sender holds.
+    PatchDocument(DocumentPatch),
     /// Claims a request, so that only one attempt may run it.
     Claim {
         /// Key of the claim.
@@ -166,6 +171,11 @@
         /// Version of the document.
         version: u64,
     },
+    /// The patch of [`Command::PatchDocument`] was made for another version and changed nothing.
+    DocumentBase {
+        /// Version of the document in force.
+        version: u64,
+    },
     /// Outcome of claiming a request or moving its claim.
     Claim(ClaimOutcome),
     /// Outcome of asking for a trial.
@@ -194,7 +204,7 @@
     pub configuration: Configuration,
     /// Routes and services document.
     #[serde(default)]
-    pub document: StoredDocument,
+    pub document: DocumentStore,
     /// Known targets.
     pub membership: Membership,
     /// Claims of non-idempotent requests.
@@ -214,7 +224,7 @@
         if bytes.is_empty() {
             return Outcome::Applied;
         }
-        match serde_json::from_slice::<StampedCommand>(bytes) {
+        match compression::decode::<StampedCommand>(bytes) {
             Ok(stamped) => self.apply(stamped),
             Err(_) => Outcome::Unreadable,
         }
@@ -234,6 +244,7 @@
                 return Outcome::Change(self.configuration.decide(&request, now_ms));
             }
             Command::PutDocument(document) => return self.put_document(document),
+            Command::PatchDocument(patch) => return self.patch_document(patch),
             Command::Claim { key, request_id, fingerprint, site } => {
                 let claimed = self.claims.claim(&key, &request_id, fingerprint, &site, now_ms);
                 return Outcome::Claim(claimed);
@@ -279,7 +290,13 @@
 
     fn put_document(&mut self, document: StoredDocument) -> Outcome {
         self.document.replace(document);
-        Outcome::Document { version: self.document.version }
+        Outcome::Document { version: self.document.document().version }
+    }
+
+    fn patch_document(&mut self, patch: DocumentPatch) -> Outcome {
+        let fits = self.document.patch(patch);
+        let version = self.document.document().version;
+        if fits { Outcome::Document { version } } else { Outcome::DocumentBase { version } }
     }
 
     fn leave(&mut self, name: &str, incarnation: Option<u64>) {
