Followers get what changed of the document, in parts that are kept

Callers saw 404 on routes and answers for revoked keys, over 3 s after the acknowledgement. Cause: each watch was answered with the whole text, and an answer that didn't pass within the watch's 1.1 s was thrown away and asked for again at the next host, so that load grew when links were full. Now a host sends the patch from the follower's version, joined over all versions between, compressed, with the watch's answer if it is short. A long one is asked for in parts of 32 KiB beside the watch; a part that has arrived is kept, and the next host goes on where the last one stopped, since equal patches are encoded alike. Checksums of patch and text guard against mixtures; a follower whose patch doesn't fit asks for the whole text. What to send and to ask for is decided in coordination/document_transfer, without network. A read of the document waits for the confirmed version instead of fetching the text once more. One commit for both, as the part is the unit of either.

--- a/crates/bilberryloft-coordination/src/lib.rs
+++ b/crates/bilberryloft-coordination/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod document_transfer;
 pub mod expert_map;
 pub mod freshness;
 pub mod leases;
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use bilberryloft_coordination::document_transfer::DocumentSender;
 use bilberryloft_protocol::api::WatcherRow;
+use bilberryloft_protocol::convert::part_request_from_wire;
+use bilberryloft_protocol::convert::part_to_wire;
 use bilberryloft_protocol::convert::raft_from_wire;
 use bilberryloft_protocol::wire;
 use bilberryloft_protocol::wire::Body;
@@ -38,6 +41,7 @@
     leader_clients: Mutex<BTreeMap<String, Client>>,
     watchers: Mutex<Watchers>,
     records: Mutex<RecordRing>,
+    documents: Mutex<DocumentSender>,
 }
 
 impl ControlService {
@@ -50,6 +54,7 @@
             leader_clients: Mutex::default(),
             watchers: Mutex::default(),
             records: Mutex::new(RecordRing::with_capacity(STORED_RECORDS_MAX)),
+            documents: Mutex::default(),
         }
     }
 
@@ -192,21 +197,23 @@
             it.configuration > watch.configuration_version as u64
                 || it.membership > watch.membership_version as u64
                 || it.suspects > watch.suspects_version as u64
-                || watch.document_version.is_some_and(|version| it.document > version as u64)
+                || known_document(&watch).is_some_and(|version| it.document > version)
         };
         tokio::select! {
             _ = tokio::time::timeout_at(deadline, applied.wait_for(has_changes)) => {}
             () = responder.closed() => return,
         }
         let update = self.build_update(&watch, confirmed);
-        if let Some(document) = &update.document {
+        let whole = update.document.as_ref().map(Vec::len);
+        let patch = update.document_part.as_ref().map(|it| it.data.len());
+        if let Some(bytes) = whole.or(patch) {
             log_event!(
                 info,
                 Event::DocumentSent,
                 daemon = watch.daemon,
                 from = watch.document_version,
                 version = update.document_version,
-                bytes = document.len()
+                bytes
             );
         }
         let _ = responder.send(Body::Update(update)).await;
@@ -251,17 +258,65 @@
             suspects_version: suspects_version as i64,
             suspects: encode_all(&suspects),
             document_version: Some(machine.document.document().version as i64),
-            document: document_after(&machine, watch.document_version),
+            document: document_after(&machine, watch),
+            document_part: self.short_patch(&machine, watch),
+            suspects_are_changes: None,
+            removed_suspects: None,
             control_addresses: Some(self.node.status().addresses()),
         }
     }
+
+    /// Returns the patch after the watcher's version of the document, if it is short.
+    fn short_patch(
+        &self,
+        machine: &StateMachine,
+        watch: &wire::Watch,
+    ) -> Option<wire::DocumentPart> {
+        let held = u64::try_from(watch.document_version?).ok()?;
+        watch.known_document_version?;
+        let newest = machine.document.document().version;
+        if newest <= held {
+            return None;
+        }
+        let build = |version| machine.document.patch_since(version);
+        self.documents.lock().short_patch(held, newest, build).map(part_to_wire)
+    }
+
+    /// Serves a request for a part of the document.
+    pub async fn read_document(
+        &self,
+        request: &wire::ReadDocument,
+        peer: &str,
+        responder: &Responder,
+    ) {
+        let Some(request) = part_request_from_wire(request) else {
+            return responder.fail("read_document", "a number is out of range").await;
+        };
+        let part = {
+            let machine = self.node.machine();
+            let newest = machine.document.document().version;
+            let build = |version| machine.document.patch_since(version);
+            self.documents.lock().part(request, newest, build)
+        };
+        let (from, version, offset, bytes) =
+            (request.held_version, part.version, part.offset, part.data.len());
+        log_event!(info, Event::DocumentSent, daemon = peer, from, version, offset, bytes);
+        let _ = responder.send(Body::DocumentPart(part_to_wire(part))).await;
+    }
+}
+
+/// Returns the newest version of the document that a watcher knows of.
+fn known_document(watch: &wire::Watch) -> Option<u64> {
+    let version = watch.known_document_version.or(watch.document_version)?;
+    Some(version as u64)
 }
 
-/// Returns the text of the document if the watcher knows an older version of it.
-fn document_after(machine: &StateMachine, version: Option<i64>) -> Option<Vec<u8>> {
+/// Returns the text of the document if a watcher that takes no parts holds an older version.
+fn document_after(machine: &StateMachine, watch: &wire::Watch) -> Option<Vec<u8>> {
     let document = machine.document.document();
-    let is_newer = version.is_some_and(|it| document.version > it as u64);
-    is_newer.then(|| document.text.as_bytes().to_vec())
+    let is_newer = watch.document_version.is_some_and(|it| document.version > it as u64);
+    let takes_parts = watch.known_document_version.is_some();
+    (is_newer && !takes_parts).then(|| document.text.as_bytes().to_vec())
 }
 
 /// Returns the configuration changes after a version, or a snapshot when those changes are no longer kept.
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -212,8 +212,8 @@
     let server =
         Server::bind(&settings.peer_address, &settings.daemon, shared.incarnation, service).await?;
     serve_admin(shared.clone(), control).await?;
-    let handles = (shared.view.clone(), shared.control.clone());
-    spawn_view_sync(handles.0, handles.1, settings.daemon.clone(), settings.peer_address.clone());
+    let (view, client) = (shared.view.clone(), shared.control.clone());
+    spawn_view_sync(view, client, settings.daemon.clone(), settings.peer_address.clone());
     if let Some(agent) = &shared.agent {
         spawn_announcer(agent.clone());
     }
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -28,6 +28,10 @@
     DocumentSent = 116,
     /// A control host gave no usable answer to a watch.
     WatchFailed = 117,
+    /// A patch of the document was damaged or didn't fit the version held.
+    DocumentDamaged = 118,
+    /// A control host did not send the next part of the document.
+    DocumentReadFailed = 119,
     /// The member became the leader.
     LeaderElected = 200,
     /// The member is no longer the leader.
@@ -144,7 +148,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 65] = [
+pub const EVENTS: [Event; 67] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -157,6 +161,8 @@
     Event::SettingsReloaded,
     Event::DocumentSent,
     Event::WatchFailed,
+    Event::DocumentDamaged,
+    Event::DocumentReadFailed,
     Event::LeaderElected,
     Event::LeaderSteppedDown,
     Event::TornTailCut,
--- a/crates/bilberryloft-daemon/src/peer_service.rs
+++ b/crates/bilberryloft-daemon/src/peer_service.rs
@@ -91,15 +91,23 @@
                 control.read_index(request, &responder).await
             }
             (Body::Watch(watch), Some(control)) => control.watch(watch, &responder).await,
+            (Body::ReadDocument(request), Some(control)) => {
+                control.read_document(&request, &call.peer.daemon, &responder).await;
+            }
             (Body::Join(join), Some(control)) => control.join(join, &responder).await,
             (Body::Join(join), None) => {
                 // The caller is a control host, and may be the only one that this daemon learns about.
                 self.shared.control.add(&join.address);
                 self.send_redirect(&responder).await;
             }
-            (Body::Propose(_) | Body::Announce(_) | Body::ReadIndex(_) | Body::Watch(_), None) => {
-                self.send_redirect(&responder).await
-            }
+            (
+                Body::Propose(_)
+                | Body::Announce(_)
+                | Body::ReadIndex(_)
+                | Body::Watch(_)
+                | Body::ReadDocument(_),
+                None,
+            ) => self.send_redirect(&responder).await,
             (Body::StoreRecords(store), Some(control)) => {
                 control.store_records(&store.records);
                 let _ = responder.send(Body::Done(wire::Done::new())).await;
--- a/crates/bilberryloft-daemon/src/view.rs
+++ b/crates/bilberryloft-daemon/src/view.rs
@@ -4,8 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberryloft_coordination::document_transfer::DocumentReceiver;
+use bilberryloft_coordination::document_transfer::Part;
+use bilberryloft_coordination::document_transfer::PartRequest;
+use bilberryloft_coordination::document_transfer::Received;
 use bilberryloft_coordination::freshness::Freshness;
 use bilberryloft_coordination::freshness::OnLostControl;
+use bilberryloft_protocol::convert::part_from_wire;
 use bilberryloft_protocol::wire::Update;
 use bilberryloft_state::configuration::ChangeRecord;
 use bilberryloft_state::configuration::Configuration;
@@ -34,6 +39,8 @@
     pub suspects: u64,
     /// Version of the document of routes and services.
     pub document: u64,
+    /// Newest version of that document that the daemon knows of.
+    pub known_document: u64,
 }
 
 /// Local copy of the configuration, target membership, suspect requests and document of routes and services.
@@ -42,7 +49,7 @@
     configuration: RwLock<Configuration>,
     membership: RwLock<Membership>,
     suspects: RwLock<BTreeMap<i64, Suspect>>,
-    document: RwLock<Arc<StoredDocument>>,
+    document: Mutex<DocumentReceiver>,
     freshness: Mutex<Freshness>,
     versions: watch::Sender<ViewVersions>,
     needs_snapshot: Mutex<bool>,
@@ -58,7 +65,7 @@
             configuration: RwLock::default(),
             membership: RwLock::default(),
             suspects: RwLock::default(),
-            document: RwLock::default(),
+            document: Mutex::default(),
             freshness: Mutex::new(Freshness::new(lease_ms, on_lost_control)),
             versions: watch::channel(ViewVersions::default()).0,
             needs_snapshot: Mutex::new(false),
@@ -77,7 +84,7 @@
 
     /// Returns the document of routes and services in force.
     pub fn document(&self) -> Arc<StoredDocument> {
-        self.document.read().clone()
+        self.document.lock().document().clone()
     }
 
     /// Returns the suspect request with the given fingerprint.
@@ -139,7 +146,8 @@
         self.apply_membership(&update);
         self.apply_suspects(&update);
         self.apply_document(&update);
-        let is_caught_up = self.configuration().version() >= update.configuration_version as u64;
+        let is_caught_up = self.configuration().version() >= update.configuration_version as u64
+            && self.document().version >= update.document_version.unwrap_or(0) as u64;
         if update.confirmed && is_caught_up {
             self.confirm(requested_ms);
         }
@@ -147,7 +155,8 @@
             configuration: self.configuration().version(),
             membership: self.membership().version(),
             suspects: update.suspects_version as u64,
-            document: self.document.read().version,
+            document: self.document().version,
+            known_document: self.known_document_version(),
         };
         self.versions.send_if_modified(|it| std::mem::replace(it, versions) != versions);
     }
@@ -204,18 +213,62 @@
         self.membership.write().apply_delta(delta);
     }
 
-    fn apply_document(&self, update: &Update) {
-        let (Some(version), Some(bytes)) = (update.document_version, &update.document) else {
-            return;
-        };
-        let text = String::from_utf8_lossy(bytes).into_owned();
-        let document = StoredDocument { version: version as u64, text };
-        let mut current = self.document.write();
-        if document.version > current.version {
-            let bytes = document.text.len();
-            log_event!(info, Event::DocumentApplied, version, before = current.version, bytes);
-            *current = Arc::new(document);
+    /// Takes what an update says of the document: a short patch, the whole text, or only that there is a newer version.
+    pub fn apply_document(&self, update: &Update) {
+        let version = update.document_version.unwrap_or(0) as u64;
+        if let Some(part) = update.document_part.clone().and_then(part_from_wire) {
+            self.receive_part(part);
         }
+        if let Some(bytes) = &update.document {
+            let text = String::from_utf8_lossy(bytes).into_owned();
+            let before = self.document().version;
+            if self.document.lock().replace(StoredDocument { version, text }) {
+                self.log_document(before, bytes.len());
+            }
+        }
+        self.document.lock().announce(version);
+        self.publish_document();
+    }
+
+    /// Takes a part of a patch of the document; returns whether it was of use.
+    pub fn receive_part(&self, part: Part) -> bool {
+        let received = self.document.lock().receive(part);
+        match received {
+            Received::Applied { before, patch_bytes } => self.log_document(before, patch_bytes),
+            Received::Damaged => {
+                log_event!(warn, Event::DocumentDamaged, version = self.document().version);
+            }
+            Received::Stored | Received::Unused => {}
+        }
+        self.publish_document();
+        matches!(received, Received::Applied { .. } | Received::Stored)
+    }
+
+    /// Returns the request for the next part of the document; `None` if the newest known version is held.
+    pub fn next_document_request(&self) -> Option<PartRequest> {
+        self.document.lock().next_request()
+    }
+
+    /// Returns the newest version of the document that the daemon knows of.
+    pub fn known_document_version(&self) -> u64 {
+        self.document.lock().known_version()
+    }
+
+    fn log_document(&self, before: u64, bytes: usize) {
+        log_event!(info, Event::DocumentApplied, version = self.document().version, before, bytes);
+    }
+
+    /// Publishes the held and the known version of the document, if they have changed.
+    fn publish_document(&self) {
+        let (document, known_document) = {
+            let receiver = self.document.lock();
+            (receiver.document().version, receiver.known_version())
+        };
+        self.versions.send_if_modified(|it| {
+            let is_modified = (it.document, it.known_document) != (document, known_document);
+            (it.document, it.known_document) = (document, known_document);
+            is_modified
+        });
     }
 
     fn apply_suspects(&self, update: &Update) {
--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -3,9 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberryloft_coordination::document_transfer::PartRequest;
 use bilberryloft_protocol::codec::body_name;
+use bilberryloft_protocol::convert::part_from_wire;
+use bilberryloft_protocol::convert::part_request_to_wire;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_protocol::wire::Watch;
+use bilberryloft_state::error::Error;
 use bilberryloft_transport::clock::monotonic_ms;
 
 use crate::control_client::ControlClient;
@@ -17,16 +21,19 @@
 pub const WATCH_WAIT_MS: u64 = 500;
 /// Time for a control host to respond to a watch: the time that it is held open, and 600 ms.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(WATCH_WAIT_MS + 600);
+/// Time for a control host to send one part of the document.
+const PART_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Shortest pause after a failed watch, in milliseconds; the longest is three times that.
 const RETRY_PAUSE_MS: u64 = 30;
 
-/// Starts a task on the current runtime that keeps the view in sync.
+/// Starts tasks on the current runtime that keep the view in sync.
 pub fn spawn_view_sync(
     view: Arc<View>,
     control: ControlClient,
     daemon: String,
     peer_address: String,
 ) {
+    spawn_document_sync(view.clone(), control.clone());
     tokio::spawn(async move {
         let mut was_serving = false;
         loop {
@@ -44,6 +51,47 @@
     });
 }
 
+/// Starts a task on the current runtime that asks for the document in parts while a newer version is known.
+///
+/// A long document thus holds up nothing else, and an interrupted transfer goes on at another host.
+fn spawn_document_sync(view: Arc<View>, control: ControlClient) {
+    tokio::spawn(async move {
+        let mut versions = view.versions();
+        loop {
+            let Some(request) = view.next_document_request() else {
+                if versions.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            };
+            if !read_part(&view, &control, request).await {
+                pause_before_retry().await;
+            }
+        }
+    });
+}
+
+/// Asks a control host for one part of the document; returns whether it was of use.
+async fn read_part(view: &View, control: &ControlClient, request: PartRequest) -> bool {
+    let client = control.preferred();
+    let body = Body::ReadDocument(part_request_to_wire(request));
+    let error = match client.call(body, PART_TIMEOUT).await {
+        Ok(Body::DocumentPart(part)) => {
+            return part_from_wire(part).is_some_and(|it| view.receive_part(it));
+        }
+        Ok(Body::Redirect(redirect)) => {
+            control.follow_redirect(&client, &redirect.addresses);
+            return false;
+        }
+        Ok(other) => Error::protocol("read_document", client.address(), body_name(&other)),
+        Err(error) => error,
+    };
+    let (host, version) = (client.address(), request.held_version);
+    log_event!(warn, Event::DocumentReadFailed, host, version, offset = request.offset, %error);
+    control.avoid(&client);
+    false
+}
+
 /// Builds a watch for all changes after the versions that the view holds.
 fn build_watch(view: &View, daemon: &str, peer_address: &str) -> Watch {
     let versions = view.requested_versions();
@@ -55,6 +103,7 @@
         suspects_version: versions.suspects as i64,
         peer_address: peer_address.to_string(),
         document_version: Some(versions.document as i64),
+        known_document_version: Some(versions.known_document as i64),
     }
 }
 
--- a/crates/bilberryloft-protocol/src/codec.rs
+++ b/crates/bilberryloft-protocol/src/codec.rs
@@ -102,5 +102,7 @@
         Body::RankState(_) => "rank_state",
         Body::RankPrepare(_) => "rank_prepare",
         Body::RankPrepared(_) => "rank_prepared",
+        Body::ReadDocument(_) => "read_document",
+        Body::DocumentPart(_) => "document_part",
     }
 }
--- a/crates/bilberryloft-protocol/src/convert.rs
+++ b/crates/bilberryloft-protocol/src/convert.rs
@@ -1,5 +1,7 @@
-//! Conversion between wire messages and the Raft messages of the coordination crate.
+//! Conversion between wire messages and the types of the coordination crate.
 
+use bilberryloft_coordination::document_transfer::Part;
+use bilberryloft_coordination::document_transfer::PartRequest;
 use bilberryloft_coordination::raft::Append;
 use bilberryloft_coordination::raft::AppendReply;
 use bilberryloft_coordination::raft::InstallSnapshot;
@@ -131,3 +133,45 @@
     };
     Some(LogEntry { term: entry.term as u64, index: entry.index as u64, payload })
 }
+
+/// Converts a part of a document's patch to its wire form.
+pub fn part_to_wire(part: Part) -> wire::DocumentPart {
+    wire::DocumentPart {
+        base_version: part.base_version as i64,
+        version: part.version as i64,
+        checksum: i64::from(part.checksum),
+        length_bytes: part.length as i64,
+        offset_bytes: part.offset as i64,
+        data: part.data,
+    }
+}
+
+/// Converts a part of a document's patch from its wire form; `None` if a number is out of range.
+pub fn part_from_wire(part: wire::DocumentPart) -> Option<Part> {
+    Some(Part {
+        base_version: u64::try_from(part.base_version).ok()?,
+        version: u64::try_from(part.version).ok()?,
+        checksum: u32::try_from(part.checksum).ok()?,
+        length: usize::try_from(part.length_bytes).ok()?,
+        offset: usize::try_from(part.offset_bytes).ok()?,
+        data: part.data,
+    })
+}
+
+/// Converts a request for a part of a document's patch to its wire form.
+pub fn part_request_to_wire(request: PartRequest) -> wire::ReadDocument {
+    wire::ReadDocument {
+        held_version: request.held_version as i64,
+        version: request.version as i64,
+        offset_bytes: request.offset as i64,
+    }
+}
+
+/// Converts a request for a part of a document's patch from its wire form; `None` if a number is out of range.
+pub fn part_request_from_wire(request: &wire::ReadDocument) -> Option<PartRequest> {
+    Some(PartRequest {
+        held_version: u64::try_from(request.held_version).ok()?,
+        version: u64::try_from(request.version).ok()?,
+        offset: usize::try_from(request.offset_bytes).ok()?,
+    })
+}
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -35,15 +35,17 @@
   pub daemon: String,
   pub incarnation: i64,
   pub configuration_version: i64,
+  pub data_center: Option<String>,
 }
 
 impl Hello {
-  pub fn new(protocol_version: i32, daemon: String, incarnation: i64, configuration_version: i64) -> Hello {
+  pub fn new<F5>(protocol_version: i32, daemon: String, incarnation: i64, configuration_version: i64, data_center: F5) -> Hello where F5: Into<Option<String>> {
     Hello {
       protocol_version,
       daemon,
       incarnation,
       configuration_version,
+      data_center: data_center.into(),
     }
   }
 }
@@ -55,6 +57,7 @@
     let mut f_2: Option<String> = None;
     let mut f_3: Option<i64> = None;
     let mut f_4: Option<i64> = None;
+    let mut f_5: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -78,6 +81,10 @@
           let val = i_prot.read_i64()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_string()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -94,6 +101,7 @@
       daemon: f_2.expect("auto-generated code should have checked for presence of required fields"),
       incarnation: f_3.expect("auto-generated code should have checked for presence of required fields"),
       configuration_version: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      data_center: f_5,
     };
     Ok(ret)
   }
@@ -112,6 +120,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("configuration_version", TType::I64, 4))?;
     o_prot.write_i64(self.configuration_version)?;
     o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.data_center {
+      o_prot.write_field_begin(&TFieldIdentifier::new("data_center", TType::String, 5))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1482,10 +1495,11 @@
   pub suspects_version: i64,
   pub peer_address: String,
   pub document_version: Option<i64>,
+  pub known_document_version: Option<i64>,
 }
 
 impl Watch {
-  pub fn new<F7>(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String, document_version: F7) -> Watch where F7: Into<Option<i64>> {
+  pub fn new<F7, F8>(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String, document_version: F7, known_document_version: F8) -> Watch where F7: Into<Option<i64>>, F8: Into<Option<i64>> {
     Watch {
       daemon,
       configuration_version,
@@ -1494,6 +1508,7 @@
       suspects_version,
       peer_address,
       document_version: document_version.into(),
+      known_document_version: known_document_version.into(),
     }
   }
 }
@@ -1508,6 +1523,7 @@
     let mut f_5: Option<i64> = None;
     let mut f_6: Option<String> = None;
     let mut f_7: Option<i64> = None;
+    let mut f_8: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1543,6 +1559,10 @@
           let val = i_prot.read_i64()?;
           f_7 = Some(val);
         },
+        8 => {
+          let val = i_prot.read_i64()?;
+          f_8 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1564,6 +1584,7 @@
       suspects_version: f_5.expect("auto-generated code should have checked for presence of required fields"),
       peer_address: f_6.expect("auto-generated code should have checked for presence of required fields"),
       document_version: f_7,
+      known_document_version: f_8,
     };
     Ok(ret)
   }
@@ -1593,6 +1614,207 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.known_document_version {
+      o_prot.write_field_begin(&TFieldIdentifier::new("known_document_version", TType::I64, 8))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// DocumentPart
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct DocumentPart {
+  pub base_version: i64,
+  pub version: i64,
+  pub checksum: i64,
+  pub length_bytes: i64,
+  pub offset_bytes: i64,
+  pub data: Vec<u8>,
+}
+
+impl DocumentPart {
+  pub fn new(base_version: i64, version: i64, checksum: i64, length_bytes: i64, offset_bytes: i64, data: Vec<u8>) -> DocumentPart {
+    DocumentPart {
+      base_version,
+      version,
+      checksum,
+      length_bytes,
+      offset_bytes,
+      data,
+    }
+  }
+}
+
+impl TSerializable for DocumentPart {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<DocumentPart> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<i64> = None;
+    let mut f_5: Option<i64> = None;
+    let mut f_6: Option<Vec<u8>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_bytes()?;
+          f_6 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("DocumentPart.base_version", &f_1)?;
+    verify_required_field_exists("DocumentPart.version", &f_2)?;
+    verify_required_field_exists("DocumentPart.checksum", &f_3)?;
+    verify_required_field_exists("DocumentPart.length_bytes", &f_4)?;
+    verify_required_field_exists("DocumentPart.offset_bytes", &f_5)?;
+    verify_required_field_exists("DocumentPart.data", &f_6)?;
+    let ret = DocumentPart {
+      base_version: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      version: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      checksum: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      length_bytes: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      offset_bytes: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      data: f_6.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("DocumentPart");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("base_version", TType::I64, 1))?;
+    o_prot.write_i64(self.base_version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 2))?;
+    o_prot.write_i64(self.version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("checksum", TType::I64, 3))?;
+    o_prot.write_i64(self.checksum)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("length_bytes", TType::I64, 4))?;
+    o_prot.write_i64(self.length_bytes)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("offset_bytes", TType::I64, 5))?;
+    o_prot.write_i64(self.offset_bytes)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("data", TType::String, 6))?;
+    o_prot.write_bytes(&self.data)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// ReadDocument
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ReadDocument {
+  pub held_version: i64,
+  pub version: i64,
+  pub offset_bytes: i64,
+}
+
+impl ReadDocument {
+  pub fn new(held_version: i64, version: i64, offset_bytes: i64) -> ReadDocument {
+    ReadDocument {
+      held_version,
+      version,
+      offset_bytes,
+    }
+  }
+}
+
+impl TSerializable for ReadDocument {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<ReadDocument> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("ReadDocument.held_version", &f_1)?;
+    verify_required_field_exists("ReadDocument.version", &f_2)?;
+    verify_required_field_exists("ReadDocument.offset_bytes", &f_3)?;
+    let ret = ReadDocument {
+      held_version: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      version: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      offset_bytes: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("ReadDocument");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("held_version", TType::I64, 1))?;
+    o_prot.write_i64(self.held_version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 2))?;
+    o_prot.write_i64(self.version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("offset_bytes", TType::I64, 3))?;
+    o_prot.write_i64(self.offset_bytes)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1616,10 +1838,13 @@
   pub document_version: Option<i64>,
   pub document: Option<Vec<u8>>,
   pub control_addresses: Option<Vec<String>>,
+  pub document_part: Option<DocumentPart>,
+  pub suspects_are_changes: Option<bool>,
+  pub removed_suspects: Option<Vec<i64>>,
 }
 
 impl Update {
-  pub fn new<F3, F10, F11, F12>(confirmed: bool, configuration_version: i64, configuration_snapshot: F3, configuration_changes: Vec<Vec<u8>>, membership_version: i64, membership_whole: bool, targets: Vec<Vec<u8>>, suspects_version: i64, suspects: Vec<Vec<u8>>, document_version: F10, document: F11, control_addresses: F12) -> Update where F3: Into<Option<Vec<u8>>>, F10: Into<Option<i64>>, F11: Into<Option<Vec<u8>>>, F12: Into<Option<Vec<String>>> {
+  pub fn new<F3, F10, F11, F12, F13, F14, F15>(confirmed: bool, configuration_version: i64, configuration_snapshot: F3, configuration_changes: Vec<Vec<u8>>, membership_version: i64, membership_whole: bool, targets: Vec<Vec<u8>>, suspects_version: i64, suspects: Vec<Vec<u8>>, document_version: F10, document: F11, control_addresses: F12, document_part: F13, suspects_are_changes: F14, removed_suspects: F15) -> Update where F3: Into<Option<Vec<u8>>>, F10: Into<Option<i64>>, F11: Into<Option<Vec<u8>>>, F12: Into<Option<Vec<String>>>, F13: Into<Option<DocumentPart>>, F14: Into<Option<bool>>, F15: Into<Option<Vec<i64>>> {
     Update {
       confirmed,
       configuration_version,
@@ -1633,6 +1858,9 @@
       document_version: document_version.into(),
       document: document.into(),
       control_addresses: control_addresses.into(),
+      document_part: document_part.into(),
+      suspects_are_changes: suspects_are_changes.into(),
+      removed_suspects: removed_suspects.into(),
     }
   }
 }
@@ -1652,6 +1880,9 @@
     let mut f_10: Option<i64> = None;
     let mut f_11: Option<Vec<u8>> = None;
     let mut f_12: Option<Vec<String>> = None;
+    let mut f_13: Option<DocumentPart> = None;
+    let mut f_14: Option<bool> = None;
+    let mut f_15: Option<Vec<i64>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1731,6 +1962,24 @@
           i_prot.read_list_end()?;
           f_12 = Some(val);
         },
+        13 => {
+          let val = DocumentPart::read_from_in_protocol(i_prot)?;
+          f_13 = Some(val);
+        },
+        14 => {
+          let val = i_prot.read_bool()?;
+          f_14 = Some(val);
+        },
+        15 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_8 = i_prot.read_i64()?;
+            val.push(list_elem_8);
+          }
+          i_prot.read_list_end()?;
+          f_15 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1759,6 +2008,9 @@
       document_version: f_10,
       document: f_11,
       control_addresses: f_12,
+      document_part: f_13,
+      suspects_are_changes: f_14,
+      removed_suspects: f_15,
     };
     Ok(ret)
   }
@@ -1825,6 +2077,25 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.document_part {
+      o_prot.write_field_begin(&TFieldIdentifier::new("document_part", TType::Struct, 13))?;
+      fld_var.write_to_out_protocol(o_prot)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.suspects_are_changes {
+      o_prot.write_field_begin(&TFieldIdentifier::new("suspects_are_changes", TType::Bool, 14))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.removed_suspects {
+      o_prot.write_field_begin(&TFieldIdentifier::new("removed_suspects", TType::List, 15))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::I64, fld_var.len() as i32))?;
+      for e in fld_var {
+        o_prot.write_i64(*e)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1942,8 +2213,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_8 = i_prot.read_string()?;
-            val.push(list_elem_8);
+            let list_elem_9 = i_prot.read_string()?;
+            val.push(list_elem_9);
           }
           i_prot.read_list_end()?;
           f_1 = Some(val);
@@ -2742,8 +3013,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<LogEntry> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_9 = LogEntry::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_9);
+            let list_elem_10 = LogEntry::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_10);
           }
           i_prot.read_list_end()?;
           f_5 = Some(val);
@@ -3231,8 +3502,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_10 = i_prot.read_string()?;
-            val.push(list_elem_10);
+            let list_elem_11 = i_prot.read_string()?;
+            val.push(list_elem_11);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -3302,8 +3573,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_11 = i_prot.read_bytes()?;
-            val.push(list_elem_11);
+            let list_elem_12 = i_prot.read_bytes()?;
+            val.push(list_elem_12);
           }
           i_prot.read_list_end()?;
           f_1 = Some(val);
@@ -3987,9 +4258,9 @@
           let map_ident = i_prot.read_map_begin()?;
           let mut val: BTreeMap<String, i8> = BTreeMap::new();
           for _ in 0..map_ident.size {
-            let map_key_12 = i_prot.read_string()?;
-            let map_val_13 = i_prot.read_i8()?;
-            val.insert(map_key_12, map_val_13);
+            let map_key_13 = i_prot.read_string()?;
+            let map_val_14 = i_prot.read_i8()?;
+            val.insert(map_key_13, map_val_14);
           }
           i_prot.read_map_end()?;
           f_8 = Some(val);
@@ -3998,9 +4269,9 @@
           let map_ident = i_prot.read_map_begin()?;
           let mut val: BTreeMap<String, OrderedFloat<f64>> = BTreeMap::new();
           for _ in 0..map_ident.size {
-            let map_key_14 = i_prot.read_string()?;
-            let map_val_15 = OrderedFloat::from(i_prot.read_double()?);
-            val.insert(map_key_14, map_val_15);
+            let map_key_15 = i_prot.read_string()?;
+            let map_val_16 = OrderedFloat::from(i_prot.read_double()?);
+            val.insert(map_key_15, map_val_16);
           }
           i_prot.read_map_end()?;
           f_9 = Some(val);
@@ -4009,9 +4280,9 @@
           let map_ident = i_prot.read_map_begin()?;
           let mut val: BTreeMap<String, ReportedLimit> = BTreeMap::new();
           for _ in 0..map_ident.size {
-            let map_key_16 = i_prot.read_string()?;
-            let map_val_17 = ReportedLimit::read_from_in_protocol(i_prot)?;
-            val.insert(map_key_16, map_val_17);
+            let map_key_17 = i_prot.read_string()?;
+            let map_val_18 = ReportedLimit::read_from_in_protocol(i_prot)?;
+            val.insert(map_key_17, map_val_18);
           }
           i_prot.read_map_end()?;
           f_10 = Some(val);
@@ -4020,8 +4291,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_18 = i_prot.read_bytes()?;
-            val.push(list_elem_18);
+            let list_elem_19 = i_prot.read_bytes()?;
+            val.push(list_elem_19);
           }
           i_prot.read_list_end()?;
           f_11 = Some(val);
@@ -4030,9 +4301,9 @@
           let map_ident = i_prot.read_map_begin()?;
           let mut val: BTreeMap<String, i64> = BTreeMap::new();
           for _ in 0..map_ident.size {
-            let map_key_19 = i_prot.read_string()?;
-            let map_val_20 = i_prot.read_i64()?;
-            val.insert(map_key_19, map_val_20);
+            let map_key_20 = i_prot.read_string()?;
+            let map_val_21 = i_prot.read_i64()?;
+            val.insert(map_key_20, map_val_21);
           }
           i_prot.read_map_end()?;
           f_12 = Some(val);
@@ -4177,8 +4448,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_21 = i_prot.read_bytes()?;
-            val.push(list_elem_21);
+            let list_elem_22 = i_prot.read_bytes()?;
+            val.push(list_elem_22);
           }
           i_prot.read_list_end()?;
           f_1 = Some(val);
@@ -4540,6 +4811,8 @@
   RankState(RankState),
   RankPrepare(RankPrepare),
   RankPrepared(RankPrepared),
+  ReadDocument(ReadDocument),
+  DocumentPart(DocumentPart),
 }
 
 impl TSerializable for Body {
@@ -4792,6 +5065,20 @@
           }
           received_field_count += 1;
         },
+        37 => {
+          let val = ReadDocument::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::ReadDocument(val));
+          }
+          received_field_count += 1;
+        },
+        38 => {
+          let val = DocumentPart::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::DocumentPart(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -4996,6 +5283,16 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Body::ReadDocument(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("read_document", TType::Struct, 37))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      Body::DocumentPart(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("document_part", TType::Struct, 38))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -140,31 +140,26 @@
     control.propose(&Command::PutDocument(document), remaining).await
 }
 
+/// Returns the newest document, once a quorum has confirmed its version and this entry holds it.
 async fn read_document(state: &RelayState) -> Response {
     let until = Instant::now() + READ_TIMEOUT;
+    let (view, control) = (&state.daemon.view, &state.daemon.control);
     while Instant::now() < until {
-        let known_document = state.daemon.view.document();
-        let client = state.daemon.control.preferred();
-        let watch = wire::Watch {
-            daemon: state.daemon.settings.daemon.clone(),
-            configuration_version: i64::MAX,
-            membership_version: i64::MAX,
-            wait_ms: 0,
-            suspects_version: i64::MAX,
-            peer_address: state.daemon.settings.peer_address.clone(),
-            document_version: Some(known_document.version as i64),
-        };
-        match client.call(Body::Watch(watch), READ_ATTEMPT_TIMEOUT).await {
+        let client = control.preferred();
+        match client.call(Body::Watch(version_request(state)), READ_ATTEMPT_TIMEOUT).await {
             Ok(Body::Update(update)) if update.confirmed => {
-                return newest_document(&known_document, update);
+                view.apply_document(&update);
+                let version = update.document_version.unwrap_or_default() as u64;
+                let remaining = until.saturating_duration_since(Instant::now());
+                if view.wait_for_document(version, remaining).await {
+                    return document_response(&view.document());
+                }
             }
-            Ok(Body::Redirect(redirect)) => {
-                state.daemon.control.follow_redirect(&client, &redirect.addresses)
-            }
-            Ok(_) => state.daemon.control.avoid(&client),
+            Ok(Body::Redirect(redirect)) => control.follow_redirect(&client, &redirect.addresses),
+            Ok(_) => control.avoid(&client),
             Err(error) => {
                 tracing::debug!(%error, "a control host did not confirm the newest document");
-                state.daemon.control.avoid(&client);
+                control.avoid(&client);
             }
         }
     }
@@ -174,18 +169,25 @@
     )
 }
 
-fn newest_document(known_document: &StoredDocument, update: wire::Update) -> Response {
-    let version = update.document_version.unwrap_or_default() as u64;
-    let bytes = match update.document {
-        Some(bytes) => bytes,
-        None if version == known_document.version && version > 0 => {
-            known_document.text.clone().into_bytes()
-        }
-        None => {
-            return error_response(StatusCode::SERVICE_UNAVAILABLE, "there is no document yet");
-        }
-    };
-    ([(header::CONTENT_TYPE, "application/json")], bytes).into_response()
+/// Builds a watch that asks only for the confirmed version of the document.
+fn version_request(state: &RelayState) -> wire::Watch {
+    wire::Watch {
+        daemon: state.daemon.settings.daemon.clone(),
+        configuration_version: i64::MAX,
+        membership_version: i64::MAX,
+        wait_ms: 0,
+        suspects_version: i64::MAX,
+        peer_address: state.daemon.settings.peer_address.clone(),
+        document_version: Some(state.daemon.view.document().version as i64),
+        known_document_version: Some(i64::MAX),
+    }
+}
+
+fn document_response(document: &StoredDocument) -> Response {
+    if document.version == 0 {
+        return error_response(StatusCode::SERVICE_UNAVAILABLE, "there is no document yet");
+    }
+    ([(header::CONTENT_TYPE, "application/json")], document.text.clone()).into_response()
 }
 
 async fn announce(state: &RelayState, id: &str, body: &Bytes) -> Response {
--- a/crates/bilberryloft-testing/tests/linearizable.rs
+++ b/crates/bilberryloft-testing/tests/linearizable.rs
@@ -115,6 +115,7 @@
                 suspects_version: 0,
                 peer_address: String::new(),
                 document_version: None,
+                known_document_version: None,
             };
             let client = &self.clients[self.random.usize(0..self.clients.len())];
             let answer = client.call(Body::Watch(watch), Duration::from_millis(800)).await;
--- a/crates/bilberryloft-transport/src/client.rs
+++ b/crates/bilberryloft-transport/src/client.rs
@@ -81,7 +81,7 @@
 impl Client {
     /// Creates a client without connecting to the peer.
     pub fn new(address: impl Into<String>, daemon: &str, incarnation: u64) -> Client {
-        let hello = Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0);
+        let hello = Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0, None);
         let shared =
             Shared { address: address.into(), hello, state: tokio::sync::Mutex::default() };
         Client { shared: Arc::new(shared) }
--- a/crates/bilberryloft-transport/src/server.rs
+++ b/crates/bilberryloft-transport/src/server.rs
@@ -112,7 +112,7 @@
             TcpListener::bind(address).await.map_err(|it| Error::network("listen", address, it))?;
         let local_address =
             listener.local_addr().map_err(|it| Error::network("listen", address, it))?;
-        let hello = Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0);
+        let hello = Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0, None);
         let task = tokio::spawn(accept_connections(listener, hello, handler));
         Ok(Server { address: local_address, task })
     }
--- a/crates/bilberryloft-transport/tests/calls.rs
+++ b/crates/bilberryloft-transport/tests/calls.rs
@@ -63,7 +63,7 @@
 #[tokio::test]
 async fn call_without_a_response_fails_at_its_deadline() {
     let (_server, client) = start_server_and_client().await;
-    let hello = Body::Hello(Hello::new(1, "x".to_string(), 1, 0));
+    let hello = Body::Hello(Hello::new(1, "x".to_string(), 1, 0, None));
     let response = client.call(hello, Duration::from_millis(50)).await;
     assert!(matches!(response, Err(Error::Deadline { step: "hello", .. })), "{response:?}");
 }
@@ -101,7 +101,7 @@
     let (server, client) = start_server_and_client().await;
     let address = server.address().to_string();
     let mut open =
-        client.open_stream(Body::Hello(Hello::new(1, "x".to_string(), 1, 0))).await.unwrap();
+        client.open_stream(Body::Hello(Hello::new(1, "x".to_string(), 1, 0, None))).await.unwrap();
     drop(server);
     assert!(matches!(open.next().await, Err(Error::Closed { .. })));
     let _server = Server::bind(&address, "server", 2, Arc::new(TestHandler)).await.unwrap();
@@ -120,7 +120,7 @@
     let address = listener.local_addr().unwrap().to_string();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let hello = Body::Hello(Hello::new(99, "newer".to_string(), 1, 0));
+        let hello = Body::Hello(Hello::new(99, "newer".to_string(), 1, 0, None));
         stream.write_all(&encode_frame(0, hello)).await.unwrap();
         tokio::time::sleep(Duration::from_secs(5)).await;
     });
@@ -137,7 +137,7 @@
 async fn oversized_frame_closes_its_connection() {
     let (server, client) = start_server_and_client().await;
     let mut stream = TcpStream::connect(server.address()).await.unwrap();
-    let hello = Body::Hello(Hello::new(1, "oversized".to_string(), 1, 0));
+    let hello = Body::Hello(Hello::new(1, "oversized".to_string(), 1, 0, None));
     stream.write_all(&encode_frame(0, hello)).await.unwrap();
     stream.write_all(&u32::MAX.to_be_bytes()).await.unwrap();
     let mut bytes = Vec::new();
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -9,6 +9,7 @@
   2: required string daemon
   3: required i64 incarnation
   4: required i64 configuration_version
+  5: optional string data_center
 }
 
 struct Header {
@@ -130,6 +131,27 @@
   5: required i64 suspects_version
   6: required string peer_address
   7: optional i64 document_version
+  // Newest version of the document that the daemon knows of. It takes the document in parts if this is set.
+  8: optional i64 known_document_version
+}
+
+// Part of an encoded patch from one version of the document to another.
+struct DocumentPart {
+  1: required i64 base_version
+  2: required i64 version
+  // Checksum and length of the whole encoded patch.
+  3: required i64 checksum
+  4: required i64 length_bytes
+  5: required i64 offset_bytes
+  6: required binary data
+}
+
+// Asks for the next part of the patch after a version that the caller holds.
+struct ReadDocument {
+  1: required i64 held_version
+  // Version to which the patch leads whose first parts the caller has; 0 for the newest version.
+  2: required i64 version
+  3: required i64 offset_bytes
 }
 
 struct Update {
@@ -145,6 +167,11 @@
   10: optional i64 document_version
   11: optional binary document
   12: optional list<string> control_addresses
+  // Whole patch of the document, if it is short.
+  13: optional DocumentPart document_part
+  // Whether `suspects` holds only those that were added or changed.
+  14: optional bool suspects_are_changes
+  15: optional list<i64> removed_suspects
 }
 
 // A host with a data folder that wants to be a member of the quorum, and is alive.
@@ -396,6 +423,8 @@
   34: RankState rank_state
   35: RankPrepare rank_prepare
   36: RankPrepared rank_prepared
+  37: ReadDocument read_document
+  38: DocumentPart document_part
 }
 
 // One frame. A call and all frames that answer it carry the same call number.
