A daemon follows the control host of its own data centre

Callers saw versions come into force late. Cause: all daemons prefer the first control host of the list that they learn, and move together to the next one when it fails, so that one link carries most updates, and most cross between data centres. Now a host names its data centre in the handshake; a daemon moves to itself, then to a host of its data centre, else to one by hash, once a quorum answers through that host, and comes back the same way after a failure.

--- a/crates/bilberryloft-coordination/src/lib.rs
+++ b/crates/bilberryloft-coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod document_transfer;
 pub mod expert_map;
 pub mod freshness;
+pub mod host_choice;
 pub mod leases;
 pub mod member_planner;
 pub mod pick;
--- a/crates/bilberryloft-daemon/src/control_client.rs
+++ b/crates/bilberryloft-daemon/src/control_client.rs
@@ -6,6 +6,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bilberryloft_coordination::host_choice::HostRank;
+use bilberryloft_coordination::host_choice::Place;
+use bilberryloft_coordination::host_choice::host_rank;
 use bilberryloft_protocol::codec::body_name;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_protocol::wire::Propose;
@@ -36,8 +39,9 @@
 struct Shared {
     daemon: String,
     incarnation: u64,
-    /// Whether addresses of further hosts may be learnt in addition to the seeds.
-    learns_addresses: bool,
+    /// Place of this daemon, if addresses of further hosts may be learnt in addition to the seeds. The client then
+    /// prefers hosts that are near.
+    place: Option<Place>,
     /// Addresses from the settings; they always stay in the list.
     seeds: Mutex<Vec<String>>,
     clients: RwLock<Vec<Client>>,
@@ -49,26 +53,32 @@
 impl ControlClient {
     /// Creates a client that calls only the given peer addresses and prefers the first one.
     pub fn new(addresses: &[String], daemon: &str, incarnation: u64) -> ControlClient {
-        ControlClient::build(addresses, daemon, incarnation, false)
+        ControlClient::build(addresses, daemon, incarnation, None)
     }
 
-    /// Creates a client that starts with the given peer addresses and learns others from the responses.
-    pub fn learning(addresses: &[String], daemon: &str, incarnation: u64) -> ControlClient {
-        ControlClient::build(addresses, daemon, incarnation, true)
+    /// Creates a client that starts with the given peer addresses, learns others from the responses, and prefers hosts
+    /// near the daemon's place.
+    pub fn learning(
+        addresses: &[String],
+        daemon: &str,
+        incarnation: u64,
+        place: Place,
+    ) -> ControlClient {
+        ControlClient::build(addresses, daemon, incarnation, Some(place))
     }
 
     fn build(
         addresses: &[String],
         daemon: &str,
         incarnation: u64,
-        learns_addresses: bool,
+        place: Option<Place>,
     ) -> ControlClient {
         let clients =
             addresses.iter().map(|it| Client::new(it.clone(), daemon, incarnation)).collect();
         let shared = Shared {
             daemon: daemon.to_string(),
             incarnation,
-            learns_addresses,
+            place,
             seeds: Mutex::new(addresses.to_vec()),
             clients: RwLock::new(clients),
             avoided: Mutex::default(),
@@ -94,18 +104,28 @@
         self.shared.clients.read().iter().map(|it| it.address().to_string()).collect()
     }
 
-    /// Returns the host to call next: the preferred one, or the next in the list that has not failed lately.
+    /// Returns the host to call next: the preferred one, or the best other one that has not failed lately.
     pub fn preferred(&self) -> Client {
         let clients = self.shared.clients.read();
+        let current = self.shared.preferred.load(Ordering::Relaxed) % clients.len();
+        match self.is_avoided(&clients[current]) {
+            true => clients[self.best(&clients, current).unwrap_or(current)].clone(),
+            false => clients[current].clone(),
+        }
+    }
+
+    /// Returns the best host that has not failed lately; without a place, the next one in the list.
+    fn best(&self, clients: &[Client], current: usize) -> Option<usize> {
+        let available = (0..clients.len()).filter(|idx| !self.is_avoided(&clients[*idx]));
+        match &self.shared.place {
+            Some(place) => available.min_by_key(|idx| rank(place, &clients[*idx])),
+            None => available.min_by_key(|idx| (idx + clients.len() - current) % clients.len()),
+        }
+    }
+
+    fn is_avoided(&self, client: &Client) -> bool {
         let avoided = self.shared.avoided.lock();
-        let first = self.shared.preferred.load(Ordering::Relaxed);
-        let now = Instant::now();
-        let is_available = |idx: &usize| {
-            let address = clients[idx % clients.len()].address();
-            avoided.get(address).is_none_or(|until| *until <= now)
-        };
-        let idx = (first..first + clients.len()).find(is_available).unwrap_or(first);
-        clients[idx % clients.len()].clone()
+        avoided.get(client.address()).is_some_and(|until| *until > Instant::now())
     }
 
     /// Records that a host did not serve a call, so that for a while it is called only after all others.
@@ -113,16 +133,38 @@
         let until = Instant::now() + AVOID_DURATION;
         self.shared.avoided.lock().insert(client.address().to_string(), until);
         let clients = self.shared.clients.read();
-        let idx = self.shared.preferred.load(Ordering::Relaxed) % clients.len();
-        if clients[idx].address() == client.address() {
-            self.shared.preferred.store(idx + 1, Ordering::Relaxed);
+        let current = self.shared.preferred.load(Ordering::Relaxed) % clients.len();
+        if clients[current].address() == client.address()
+            && let Some(best) = self.best(&clients, current)
+        {
+            self.shared.preferred.store(best, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the hosts that are nearer than the preferred one and have not failed lately, the nearest first.
+    pub fn nearer(&self) -> Vec<Client> {
+        let Some(place) = &self.shared.place else {
+            return Vec::new();
+        };
+        let current = rank(place, &self.preferred());
+        let mut clients = self.clients();
+        clients.retain(|it| rank(place, it) < current && !self.is_avoided(it));
+        clients.sort_by_key(|it| rank(place, it));
+        clients
+    }
+
+    /// Makes a host the preferred one, if it is still in the list.
+    pub fn prefer(&self, client: &Client) {
+        let clients = self.shared.clients.read();
+        if let Some(idx) = clients.iter().position(|it| it.address() == client.address()) {
+            self.shared.preferred.store(idx, Ordering::Relaxed);
         }
     }
 
     /// Replaces the list of hosts by addresses that a control host reported; seeds are kept at its end.
     /// Does nothing if the client does not learn addresses.
     pub fn learn(&self, addresses: &[String]) {
-        if addresses.is_empty() || !self.shared.learns_addresses {
+        if addresses.is_empty() || self.shared.place.is_none() {
             return;
         }
         let mut addresses = addresses.to_vec();
@@ -137,7 +179,7 @@
     /// Adds a control host that reported its own address to the front of the list.
     pub fn add(&self, address: &str) {
         let mut addresses = self.addresses();
-        if self.shared.learns_addresses && !addresses.iter().any(|it| it == address) {
+        if self.shared.place.is_some() && !addresses.iter().any(|it| it == address) {
             addresses.insert(0, address.to_string());
             self.replace(addresses);
         }
@@ -153,7 +195,7 @@
     /// Replaces the seeds after new settings were loaded; addresses learnt earlier stay in the list.
     pub fn set_seeds(&self, seeds: &[String]) {
         *self.shared.seeds.lock() = seeds.to_vec();
-        if !self.shared.learns_addresses {
+        if self.shared.place.is_none() {
             return self.replace(seeds.to_vec());
         }
         let known = self.addresses();
@@ -245,3 +287,7 @@
         }
     }
 }
+
+fn rank(place: &Place, client: &Client) -> HostRank {
+    host_rank(place, client.address(), client.peer_data_center().as_deref())
+}
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -209,8 +209,10 @@
     if let Some(control) = &control {
         service.add_control(control.clone());
     }
+    let (daemon, data_center) = (&settings.daemon, Some(settings.data_center.as_str()));
     let server =
-        Server::bind(&settings.peer_address, &settings.daemon, shared.incarnation, service).await?;
+        Server::bind(&settings.peer_address, daemon, shared.incarnation, data_center, service)
+            .await?;
     serve_admin(shared.clone(), control).await?;
     let (view, client) = (shared.view.clone(), shared.control.clone());
     spawn_view_sync(view, client, settings.daemon.clone(), settings.peer_address.clone());
@@ -278,7 +280,8 @@
         let service = Arc::new(AgentService::new(agent.clone()));
         let address = &agent.settings.dispatch_address;
         let server =
-            Server::bind(address, &shared.settings.daemon, shared.incarnation, service).await?;
+            Server::bind(address, &shared.settings.daemon, shared.incarnation, None, service)
+                .await?;
         serve_announcements(agent.clone()).await?;
         spawn_expert_map_planner(agent.clone());
         listeners.dispatch = Some(server);
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -32,6 +32,8 @@
     DocumentDamaged = 118,
     /// A control host did not send the next part of the document.
     DocumentReadFailed = 119,
+    /// The daemon follows a nearer control host.
+    ControlHostChosen = 120,
     /// The member became the leader.
     LeaderElected = 200,
     /// The member is no longer the leader.
@@ -148,7 +150,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 67] = [
+pub const EVENTS: [Event; 68] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -163,6 +165,7 @@
     Event::WatchFailed,
     Event::DocumentDamaged,
     Event::DocumentReadFailed,
+    Event::ControlHostChosen,
     Event::LeaderElected,
     Event::LeaderSteppedDown,
     Event::TornTailCut,
--- a/crates/bilberryloft-daemon/src/shared.rs
+++ b/crates/bilberryloft-daemon/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use bilberryloft_coordination::host_choice::Place;
 use bilberryloft_protocol::api::DaemonStatus;
 use bilberryloft_protocol::api::WatcherRow;
 use bilberryloft_state::error::Error;
@@ -47,11 +48,15 @@
     /// Creates the state of all roles; fails if two metrics have the same name.
     pub fn new(settings: Settings, incarnation: u64) -> Result<Shared> {
         let view = Arc::new(View::new(settings.configuration_lease_ms, settings.on_lost_control));
-        let new_client = match settings.learn_control_addresses {
-            true => ControlClient::learning,
-            false => ControlClient::new,
+        let (addresses, daemon) = (&settings.control_addresses, &settings.daemon);
+        let place = Place {
+            address: settings.peer_address.clone(),
+            data_center: settings.data_center.clone(),
+        };
+        let control = match settings.learn_control_addresses {
+            true => ControlClient::learning(addresses, daemon, incarnation, place),
+            false => ControlClient::new(addresses, daemon, incarnation),
         };
-        let control = new_client(&settings.control_addresses, &settings.daemon, incarnation);
         let metrics = Metrics::new()
             .map_err(|it| Error::Json { step: "set up metrics", detail: it.to_string() })?;
         let metrics = Arc::new(metrics);
--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -8,6 +8,7 @@
 use bilberryloft_protocol::convert::part_from_wire;
 use bilberryloft_protocol::convert::part_request_to_wire;
 use bilberryloft_protocol::wire::Body;
+use bilberryloft_protocol::wire::ReadIndex;
 use bilberryloft_protocol::wire::Watch;
 use bilberryloft_state::error::Error;
 use bilberryloft_transport::clock::monotonic_ms;
@@ -23,6 +24,10 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(WATCH_WAIT_MS + 600);
 /// Time for a control host to send one part of the document.
 const PART_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest interval between checks for a nearer control host, in milliseconds; the shortest is half of it.
+const HOST_CHOICE_INTERVAL_MS: u64 = 2_000;
+/// Time for a nearer control host to show that a quorum answers through it.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Shortest pause after a failed watch, in milliseconds; the longest is three times that.
 const RETRY_PAUSE_MS: u64 = 30;
 
@@ -34,6 +39,7 @@
     peer_address: String,
 ) {
     spawn_document_sync(view.clone(), control.clone());
+    spawn_host_choice(control.clone());
     tokio::spawn(async move {
         let mut was_serving = false;
         loop {
@@ -51,6 +57,41 @@
     });
 }
 
+/// Starts a task on the current runtime that moves to the nearest control host once a quorum answers through it.
+fn spawn_host_choice(control: ControlClient) {
+    tokio::spawn(async move {
+        loop {
+            let pause_ms = fastrand::u64(HOST_CHOICE_INTERVAL_MS / 2..=HOST_CHOICE_INTERVAL_MS);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            learn_data_centers(&control).await;
+            move_nearer(&control).await;
+        }
+    });
+}
+
+/// Prefers the nearest control host through which a quorum answers.
+async fn move_nearer(control: &ControlClient) {
+    for nearer in control.nearer() {
+        let request = Body::ReadIndex(ReadIndex::new(false));
+        if let Ok(Body::ReadIndexReply(_)) = nearer.call(request, PROBE_TIMEOUT).await {
+            let (host, before) = (nearer.address(), control.preferred());
+            log_event!(info, Event::ControlHostChosen, host, before = before.address());
+            return control.prefer(&nearer);
+        }
+    }
+}
+
+/// Connects to the control hosts whose data centres are not known yet; they name them when a connection is opened.
+async fn learn_data_centers(control: &ControlClient) {
+    for client in control.clients() {
+        if client.peer_data_center().is_none()
+            && let Err(error) = client.open().await
+        {
+            tracing::debug!(host = client.address(), %error, "a control host's data centre is not known");
+        }
+    }
+}
+
 /// Starts a task on the current runtime that asks for the document in parts while a newer version is known.
 ///
 /// A long document thus holds up nothing else, and an interrupted transfer goes on at another host.
--- a/crates/bilberryloft-relay/src/ranks/agent.rs
+++ b/crates/bilberryloft-relay/src/ranks/agent.rs
@@ -68,7 +68,7 @@
             readings: Mutex::default(),
         });
         let address = settings.listen_address.to_string();
-        let server = Server::bind(&address, &settings.daemon, epoch_ms(), service).await?;
+        let server = Server::bind(&address, &settings.daemon, epoch_ms(), None, service).await?;
         Ok(RankAgent { _server: server })
     }
 }
--- a/crates/bilberryloft-testing/tests/control_client.rs
+++ b/crates/bilberryloft-testing/tests/control_client.rs
@@ -42,7 +42,7 @@
 async fn start(answers: bool) -> (String, Arc<Host>, Server) {
     let host = Arc::new(Host { answers, commands: Mutex::default() });
     let address = format!("{}:7300", unique_ip());
-    let server = Server::bind(&address, "control", 1, host.clone()).await.unwrap();
+    let server = Server::bind(&address, "control", 1, None, host.clone()).await.unwrap();
     (address, host, server)
 }
 
--- a/crates/bilberryloft-transport/src/client.rs
+++ b/crates/bilberryloft-transport/src/client.rs
@@ -50,6 +50,8 @@
     address: String,
     hello: Hello,
     state: tokio::sync::Mutex<ConnectionState>,
+    /// Data centre that the peer named in its last handshake.
+    peer_data_center: Mutex<Option<String>>,
 }
 
 #[derive(Debug, Default)]
@@ -82,8 +84,12 @@
     /// Creates a client without connecting to the peer.
     pub fn new(address: impl Into<String>, daemon: &str, incarnation: u64) -> Client {
         let hello = Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0, None);
-        let shared =
-            Shared { address: address.into(), hello, state: tokio::sync::Mutex::default() };
+        let shared = Shared {
+            address: address.into(),
+            hello,
+            state: tokio::sync::Mutex::default(),
+            peer_data_center: Mutex::default(),
+        };
         Client { shared: Arc::new(shared) }
     }
 
@@ -92,6 +98,16 @@
         &self.shared.address
     }
 
+    /// Returns the data centre that the peer named when it was last connected, if it did.
+    pub fn peer_data_center(&self) -> Option<String> {
+        self.shared.peer_data_center.lock().clone()
+    }
+
+    /// Opens the connection, if there is none.
+    pub async fn open(&self) -> Result<()> {
+        self.connection("connect").await.map(drop)
+    }
+
     /// Makes a call with a single response.
     ///
     /// Fails with [`Error::Deadline`] if there is no response within `deadline`, and with [`Error::Remote`] if the
@@ -238,6 +254,7 @@
         let _ = outgoing.send(hello).await;
         match read_envelope(&mut reader, address).await?.map(|it| it.body) {
             Some(Body::Hello(hello)) if hello.protocol_version == PROTOCOL_VERSION => {
+                *self.shared.peer_data_center.lock() = hello.data_center;
                 Ok((reader, outgoing))
             }
             Some(Body::Hello(hello)) => {
--- a/crates/bilberryloft-transport/src/server.rs
+++ b/crates/bilberryloft-transport/src/server.rs
@@ -99,20 +99,24 @@
 }
 
 impl Server {
-    /// Listens on an address and passes the calls of each connection to the handler.
+    /// Listens on an address and passes the calls of each connection to the handler. Peers are told the data centre, if
+    /// one is given.
     ///
     /// Fails with [`Error::Network`] if it can't listen on the address.
     pub async fn bind<H: Handler>(
         address: &str,
         daemon: &str,
         incarnation: u64,
+        data_center: Option<&str>,
         handler: Arc<H>,
     ) -> Result<Server> {
         let listener =
             TcpListener::bind(address).await.map_err(|it| Error::network("listen", address, it))?;
         let local_address =
             listener.local_addr().map_err(|it| Error::network("listen", address, it))?;
-        let hello = Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0, None);
+        let data_center = data_center.map(str::to_string);
+        let hello =
+            Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0, data_center);
         let task = tokio::spawn(accept_connections(listener, hello, handler));
         Ok(Server { address: local_address, task })
     }
--- a/crates/bilberryloft-transport/tests/calls.rs
+++ b/crates/bilberryloft-transport/tests/calls.rs
@@ -46,7 +46,8 @@
 }
 
 async fn start_server_and_client() -> (Server, Client) {
-    let server = Server::bind("127.0.0.1:0", "server", 1, Arc::new(TestHandler)).await.unwrap();
+    let server =
+        Server::bind("127.0.0.1:0", "server", 1, None, Arc::new(TestHandler)).await.unwrap();
     let client = Client::new(server.address().to_string(), "client", 1);
     (server, client)
 }
@@ -104,7 +105,7 @@
         client.open_stream(Body::Hello(Hello::new(1, "x".to_string(), 1, 0, None))).await.unwrap();
     drop(server);
     assert!(matches!(open.next().await, Err(Error::Closed { .. })));
-    let _server = Server::bind(&address, "server", 2, Arc::new(TestHandler)).await.unwrap();
+    let _server = Server::bind(&address, "server", 2, None, Arc::new(TestHandler)).await.unwrap();
     for _ in 0..100 {
         if client.call(Body::Status(Status::new()), Duration::from_secs(5)).await.is_ok() {
             return;
