Followers get what changed of the suspects, not the whole list

Callers would have seen requests run at targets that a suspect had just ended, and late configurations beside it. Now a control host keeps with each listed suspect the version at which its last change was seen (coordination/suspect_feed, without network), and sends what a follower lacks; the whole list only to one whose version is not known. A version of a lagging host doesn't set the follower's back any more. Old and new daemons understand each other: a daemon says in its watch that it takes changes.

--- a/crates/bilberryloft-coordination/src/lib.rs
+++ b/crates/bilberryloft-coordination/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod rank_choice;
 pub mod retry;
 pub mod run_permission;
+pub mod suspect_feed;
 pub mod target_end;
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bilberryloft_coordination::document_transfer::DocumentSender;
+use bilberryloft_coordination::suspect_feed::SuspectChanges;
+use bilberryloft_coordination::suspect_feed::SuspectFeed;
 use bilberryloft_protocol::api::WatcherRow;
 use bilberryloft_protocol::convert::part_request_from_wire;
 use bilberryloft_protocol::convert::part_to_wire;
@@ -42,6 +44,7 @@
     watchers: Mutex<Watchers>,
     records: Mutex<RecordRing>,
     documents: Mutex<DocumentSender>,
+    suspects: Mutex<SuspectFeed>,
 }
 
 impl ControlService {
@@ -55,6 +58,7 @@
             watchers: Mutex::default(),
             records: Mutex::new(RecordRing::with_capacity(STORED_RECORDS_MAX)),
             documents: Mutex::default(),
+            suspects: Mutex::default(),
         }
     }
 
@@ -243,10 +247,7 @@
         let (snapshot, changes) = configuration_after(&machine, watch.configuration_version as u64);
         let delta = machine.membership.delta_after(watch.membership_version as u64);
         let suspects_version = machine.suspects_version();
-        let suspects = match suspects_version == watch.suspects_version as u64 {
-            true => Vec::new(),
-            false => machine.suspects.listed(),
-        };
+        let suspects = self.suspects_after(&machine, watch);
         wire::Update {
             confirmed,
             configuration_version: machine.configuration.version() as i64,
@@ -256,16 +257,33 @@
             membership_whole: delta.is_full,
             targets: encode_all(&delta.targets),
             suspects_version: suspects_version as i64,
-            suspects: encode_all(&suspects),
+            suspects: encode_all(&suspects.suspects),
             document_version: Some(machine.document.document().version as i64),
             document: document_after(&machine, watch),
             document_part: self.short_patch(&machine, watch),
-            suspects_are_changes: None,
-            removed_suspects: None,
+            suspects_are_changes: Some(!suspects.is_whole),
+            removed_suspects: Some(suspects.removed),
             control_addresses: Some(self.node.status().addresses()),
         }
     }
 
+    /// Returns the suspects that the watcher does not know of yet.
+    fn suspects_after(&self, machine: &StateMachine, watch: &wire::Watch) -> SuspectChanges {
+        let version = machine.suspects_version();
+        let mut feed = self.suspects.lock();
+        feed.update(version, || machine.suspects.listed());
+        let known_version = watch.suspects_version as u64;
+        match watch.takes_suspect_changes {
+            Some(true) => feed.changes_after(known_version),
+            _ if known_version == version => SuspectChanges::default(),
+            _ => SuspectChanges {
+                is_whole: true,
+                suspects: machine.suspects.listed(),
+                removed: Vec::new(),
+            },
+        }
+    }
+
     /// Returns the patch after the watcher's version of the document, if it is short.
     fn short_patch(
         &self,
--- a/crates/bilberryloft-daemon/src/view.rs
+++ b/crates/bilberryloft-daemon/src/view.rs
@@ -154,7 +154,7 @@
         let versions = ViewVersions {
             configuration: self.configuration().version(),
             membership: self.membership().version(),
-            suspects: update.suspects_version as u64,
+            suspects: self.versions.borrow().suspects.max(update.suspects_version as u64),
             document: self.document().version,
             known_document: self.known_document_version(),
         };
@@ -276,8 +276,13 @@
             return;
         }
         let decode = |bytes: &Vec<u8>| serde_json::from_slice::<Suspect>(bytes).ok();
-        let suspects =
-            update.suspects.iter().filter_map(decode).map(|it| (it.fingerprint, it)).collect();
-        *self.suspects.write() = suspects;
+        let mut suspects = self.suspects.write();
+        if update.suspects_are_changes != Some(true) {
+            suspects.clear();
+        }
+        for fingerprint in update.removed_suspects.iter().flatten() {
+            suspects.remove(fingerprint);
+        }
+        suspects.extend(update.suspects.iter().filter_map(decode).map(|it| (it.fingerprint, it)));
     }
 }
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -1496,10 +1496,11 @@
   pub peer_address: String,
   pub document_version: Option<i64>,
   pub known_document_version: Option<i64>,
+  pub takes_suspect_changes: Option<bool>,
 }
 
 impl Watch {
-  pub fn new<F7, F8>(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String, document_version: F7, known_document_version: F8) -> Watch where F7: Into<Option<i64>>, F8: Into<Option<i64>> {
+  pub fn new<F7, F8, F9>(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String, document_version: F7, known_document_version: F8, takes_suspect_changes: F9) -> Watch where F7: Into<Option<i64>>, F8: Into<Option<i64>>, F9: Into<Option<bool>> {
     Watch {
       daemon,
       configuration_version,
@@ -1509,6 +1510,7 @@
       peer_address,
       document_version: document_version.into(),
       known_document_version: known_document_version.into(),
+      takes_suspect_changes: takes_suspect_changes.into(),
     }
   }
 }
@@ -1524,6 +1526,7 @@
     let mut f_6: Option<String> = None;
     let mut f_7: Option<i64> = None;
     let mut f_8: Option<i64> = None;
+    let mut f_9: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1563,6 +1566,10 @@
           let val = i_prot.read_i64()?;
           f_8 = Some(val);
         },
+        9 => {
+          let val = i_prot.read_bool()?;
+          f_9 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1585,6 +1592,7 @@
       peer_address: f_6.expect("auto-generated code should have checked for presence of required fields"),
       document_version: f_7,
       known_document_version: f_8,
+      takes_suspect_changes: f_9,
     };
     Ok(ret)
   }
@@ -1619,6 +1627,11 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.takes_suspect_changes {
+      o_prot.write_field_begin(&TFieldIdentifier::new("takes_suspect_changes", TType::Bool, 9))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -133,6 +133,8 @@
   7: optional i64 document_version
   // Newest version of the document that the daemon knows of. It takes the document in parts if this is set.
   8: optional i64 known_document_version
+  // Whether the daemon takes suspects as changes.
+  9: optional bool takes_suspect_changes
 }
 
 // Part of an encoded patch from one version of the document to another.
