An update that is arriving when the time of its watch runs out is not thrown away

Now a watch, and a request for a part of a document, goes on while bytes of an answer arrive, and fails 300 ms after the last one. A peer that is silent is noticed as before. Tests with a peer that sends slowly, and with one that stops in the middle: transport/tests/calls.rs (the first can't pass with a fixed time: 600 ms are needed where 200 ms are allowed).

--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -22,6 +22,8 @@
 pub const WATCH_WAIT_MS: u64 = 500;
 /// Time for a control host to respond to a watch: the time that it is held open, and 600 ms.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(WATCH_WAIT_MS + 600);
+/// Time without any further byte after which an answer that is late counts as lost.
+const STALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for a control host to send one part of the document.
 const PART_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest interval between checks for a nearer control host, in milliseconds; the shortest is half of it.
@@ -116,7 +118,7 @@
 async fn read_part(view: &View, control: &ControlClient, request: PartRequest) -> bool {
     let client = control.preferred();
     let body = Body::ReadDocument(part_request_to_wire(request));
-    let error = match client.call(body, PART_TIMEOUT).await {
+    let error = match client.call_while_arriving(body, PART_TIMEOUT, STALL_TIMEOUT).await {
         Ok(Body::DocumentPart(part)) => {
             return part_from_wire(part).is_some_and(|it| view.receive_part(it));
         }
@@ -154,7 +156,8 @@
     let requested_ms = monotonic_ms();
     let client = control.preferred();
     let document = watch.document_version;
-    let result = client.call(Body::Watch(watch), RESPONSE_TIMEOUT).await;
+    let result =
+        client.call_while_arriving(Body::Watch(watch), RESPONSE_TIMEOUT, STALL_TIMEOUT).await;
     let elapsed_ms = monotonic_ms() - requested_ms;
     match result {
         Ok(Body::Update(update)) => {
--- a/crates/bilberryloft-transport/src/client.rs
+++ b/crates/bilberryloft-transport/src/client.rs
@@ -22,7 +22,9 @@
 use tokio::time::Instant;
 
 use crate::frame::OUTGOING_FRAMES_MAX;
+use crate::frame::Progress;
 use crate::frame::read_envelope;
+use crate::frame::read_with_progress;
 use crate::frame::write_frames;
 use crate::socket::set_tcp_options;
 
@@ -68,6 +70,7 @@
     next_call_id: AtomicI64,
     is_closed: watch::Sender<bool>,
     reader: Mutex<Option<tokio::task::AbortHandle>>,
+    progress: Progress,
 }
 
 /// Stream of the response frames of one call; frames that arrive after it is dropped are discarded.
@@ -119,11 +122,41 @@
             stream.next().await
         };
         let result = tokio::time::timeout(deadline, call).await;
-        let body = result.map_err(|_| Error::Deadline {
-            step,
-            peer: self.shared.address.clone(),
-            deadline_ms: deadline.as_millis() as u64,
-        })??;
+        self.checked(step, result.map_err(|_| self.deadline_error(step, deadline))??)
+    }
+
+    /// Like [`Client::call`], but a response that is arriving at the deadline isn't cut off: it may take until nothing
+    /// more of it has come for `stall_timeout`. So a long response passes over a slow link, and a dead peer is noticed.
+    pub async fn call_while_arriving(
+        &self,
+        body: Body,
+        deadline: Duration,
+        stall_timeout: Duration,
+    ) -> Result<Body> {
+        let step = body_name(&body);
+        let mut until = Instant::now() + deadline;
+        let opened = tokio::time::timeout_at(until, self.open_stream(body)).await;
+        let mut stream = opened.map_err(|_| self.deadline_error(step, deadline))??;
+        let connection = stream.connection.clone();
+        loop {
+            let received_bytes = connection.progress.received_bytes();
+            match tokio::time::timeout_at(until, stream.next()).await {
+                Ok(body) => return self.checked(step, body?),
+                Err(_) if connection.progress.is_arriving_since(received_bytes) => {
+                    until = Instant::now() + stall_timeout;
+                }
+                Err(_) => return Err(self.deadline_error(step, deadline)),
+            }
+        }
+    }
+
+    fn deadline_error(&self, step: &'static str, deadline: Duration) -> Error {
+        let (peer, deadline_ms) = (self.shared.address.clone(), deadline.as_millis() as u64);
+        Error::Deadline { step, peer, deadline_ms }
+    }
+
+    /// Returns the body of a response, or the error that it reports.
+    fn checked(&self, step: &'static str, body: Body) -> Result<Body> {
         match body {
             Body::Fault(fault) => Err(Error::Remote {
                 step: format!("{step} ({})", fault.step),
@@ -234,6 +267,7 @@
             next_call_id: AtomicI64::new(1),
             is_closed: watch::Sender::new(false),
             reader: Mutex::default(),
+            progress: Progress::default(),
         });
         let task = tokio::spawn(read_responses(reader, connection.clone(), address.clone()));
         *connection.reader.lock() = Some(task.abort_handle());
@@ -278,7 +312,8 @@
     connection: Arc<Connection>,
     peer: String,
 ) {
-    while let Ok(Some(envelope)) = read_envelope(&mut reader, &peer).await {
+    let progress = &connection.progress;
+    while let Ok(Some(envelope)) = read_with_progress(&mut reader, &peer, progress).await {
         let sender = connection.pending.lock().get(&envelope.call_id).cloned();
         let Some(sender) = sender else { continue };
         // A call whose reader is too slow is closed, so that it doesn't block the other calls on the connection.
--- a/crates/bilberryloft-transport/tests/calls.rs
+++ b/crates/bilberryloft-transport/tests/calls.rs
@@ -149,3 +149,49 @@
         "other connections must still work"
     );
 }
+
+/// Returns the address of a peer that answers its first call by a long frame, of which it sends a piece each
+/// `pause` and stops after `pieces_sent` of [`LONG_ANSWER_PIECES`].
+async fn start_slow_peer(pause: Duration, pieces_sent: usize) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let hello = Body::Hello(Hello::new(1, "slow".to_string(), 1, 0, None));
+        stream.write_all(&encode_frame(0, hello)).await.unwrap();
+        let _ = stream.read(&mut [0; 4_096]).await.unwrap();
+        let frame = encode_frame(1, Body::Piece(Piece::new(1, 0, vec![7; 100 << 10])));
+        for piece in frame.chunks(frame.len().div_ceil(LONG_ANSWER_PIECES)).take(pieces_sent) {
+            stream.write_all(piece).await.unwrap();
+            tokio::time::sleep(pause).await;
+        }
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+/// Pieces of the answer of [`start_slow_peer`].
+const LONG_ANSWER_PIECES: usize = 20;
+
+/// Guards against a long answer that is thrown away when its time runs out, and asked for again from the start: over a
+/// slow link it would never arrive.
+#[tokio::test]
+async fn answer_that_is_arriving_at_the_deadline_is_not_cut_off() {
+    let address = start_slow_peer(Duration::from_millis(30), LONG_ANSWER_PIECES).await;
+    let client = Client::new(address, "test", 1);
+    let (deadline, stall_timeout) = (Duration::from_millis(200), Duration::from_secs(10));
+    let status = Body::Status(Status::new());
+    let answer = client.call_while_arriving(status, deadline, stall_timeout).await;
+    assert!(matches!(answer, Ok(Body::Piece(piece)) if piece.data.len() == 100 << 10));
+}
+
+/// Guards against a caller that waits for ever for a peer that stopped in the middle of its answer.
+#[tokio::test]
+async fn answer_that_stops_arriving_fails_after_the_stall_timeout() {
+    let address = start_slow_peer(Duration::from_millis(30), LONG_ANSWER_PIECES / 2).await;
+    let client = Client::new(address, "test", 1);
+    let (deadline, stall_timeout) = (Duration::from_millis(200), Duration::from_millis(300));
+    let status = Body::Status(Status::new());
+    let answer = client.call_while_arriving(status, deadline, stall_timeout).await;
+    assert!(matches!(answer, Err(Error::Deadline { .. })));
+}
