Configurations and targets for a restarted daemon are compressed; members of the earlier format get what they can read

Both are compressed for daemons that say that they take it: 2,600 targets in under 156 KB (daemon/tests/view.rs). A version of a lagging host can't set versions of a view back. An update of control hosts one after the other: while a member is known that reads only commands of the first format, the leader logs whole documents, uncompressed, as before. A member that a new leader has never met counts as updated.

--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -18,6 +18,7 @@
 use bilberryloft_state::key::digest;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::snapshot::Snapshot;
+use bilberryloft_state::state_machine::COMMAND_FORMAT;
 use bilberryloft_state::state_machine::Command;
 use bilberryloft_state::state_machine::Outcome;
 use bilberryloft_state::state_machine::StampedCommand;
@@ -276,8 +277,21 @@
     }
 
     pub(super) fn propose(&mut self, command: Command, reply: PendingReply) {
+        let is_compact = self.peers.understand(COMMAND_FORMAT);
+        let command = match is_compact {
+            true => Ok(command),
+            false => self.lock_machine().for_first_format(command),
+        };
+        let command = match command {
+            Ok(command) => command,
+            Err(outcome) => return reply.finish(Ok(outcome)),
+        };
         let stamped = StampedCommand { at_ms: epoch_ms(), command };
-        let Ok(bytes) = compression::encode(&stamped) else {
+        let encoded = match is_compact {
+            true => compression::encode(&stamped),
+            false => serde_json::to_vec(&stamped),
+        };
+        let Ok(bytes) = encoded else {
             return;
         };
         match self.raft.propose(bytes) {
--- a/crates/bilberryloft-daemon/src/control/peers.rs
+++ b/crates/bilberryloft-daemon/src/control/peers.rs
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 struct Link {
     address: String,
+    client: Client,
     queue: mpsc::Sender<MemberMessage>,
 }
 
@@ -80,8 +81,14 @@
     fn connect(&self, member: u32, address: String) -> Link {
         let (queue, messages) = mpsc::channel(LINK_QUEUE_MAX);
         let client = Client::new(address.clone(), &self.daemon, self.incarnation);
-        tokio::spawn(run_link(client, messages, member, self.inputs.clone()));
-        Link { address, queue }
+        tokio::spawn(run_link(client.clone(), messages, member, self.inputs.clone()));
+        Link { address, client, queue }
+    }
+
+    /// Returns whether no other member is known to read only commands of an earlier format.
+    pub fn understand(&self, command_format: i32) -> bool {
+        let mut formats = self.links.values().filter_map(|it| it.client.peer_command_format());
+        formats.all(|it| it >= command_format)
     }
 
     /// Records the address that a member reports for itself.
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -244,7 +244,8 @@
 
     fn build_update(&self, watch: &wire::Watch, confirmed: bool) -> wire::Update {
         let machine = self.node.machine();
-        let (snapshot, changes) = configuration_after(&machine, watch.configuration_version as u64);
+        let is_compact = watch.takes_compact_updates == Some(true);
+        let (snapshot, changes) = configuration_after(&machine, watch);
         let delta = machine.membership.delta_after(watch.membership_version as u64);
         let suspects_version = machine.suspects_version();
         let suspects = self.suspects_after(&machine, watch);
@@ -255,7 +256,8 @@
             configuration_changes: changes,
             membership_version: delta.version as i64,
             membership_whole: delta.is_full,
-            targets: encode_all(&delta.targets),
+            targets: if is_compact { Vec::new() } else { encode_all(&delta.targets) },
+            packed_targets: is_compact.then(|| compression::encode(&delta.targets).ok()).flatten(),
             suspects_version: suspects_version as i64,
             suspects: encode_all(&suspects.suspects),
             document_version: Some(machine.document.document().version as i64),
@@ -273,7 +275,7 @@
         let mut feed = self.suspects.lock();
         feed.update(version, || machine.suspects.listed());
         let known_version = watch.suspects_version as u64;
-        match watch.takes_suspect_changes {
+        match watch.takes_compact_updates {
             Some(true) => feed.changes_after(known_version),
             _ if known_version == version => SuspectChanges::default(),
             _ => SuspectChanges {
@@ -338,11 +340,19 @@
 }
 
 /// Returns the configuration changes after a version, or a snapshot when those changes are no longer kept.
-fn configuration_after(machine: &StateMachine, version: u64) -> (Option<Vec<u8>>, Vec<Vec<u8>>) {
-    match machine.configuration.changes_after(version) {
-        Some(changes) => (None, encode_all(&changes)),
-        None => (serde_json::to_vec(&machine.configuration.for_followers()).ok(), Vec::new()),
+fn configuration_after(
+    machine: &StateMachine,
+    watch: &wire::Watch,
+) -> (Option<Vec<u8>>, Vec<Vec<u8>>) {
+    if let Some(changes) = machine.configuration.changes_after(watch.configuration_version as u64) {
+        return (None, encode_all(&changes));
     }
+    let snapshot = machine.configuration.for_followers();
+    let encoded = match watch.takes_compact_updates {
+        Some(true) => compression::encode(&snapshot),
+        _ => serde_json::to_vec(&snapshot),
+    };
+    (encoded.ok(), Vec::new())
 }
 
 fn encode_all<T: serde::Serialize>(values: &[T]) -> Vec<Vec<u8>> {
--- a/crates/bilberryloft-daemon/src/view.rs
+++ b/crates/bilberryloft-daemon/src/view.rs
@@ -12,6 +12,7 @@
 use bilberryloft_coordination::freshness::OnLostControl;
 use bilberryloft_protocol::convert::part_from_wire;
 use bilberryloft_protocol::wire::Update;
+use bilberryloft_state::compression;
 use bilberryloft_state::configuration::ChangeRecord;
 use bilberryloft_state::configuration::Configuration;
 use bilberryloft_state::document::StoredDocument;
@@ -177,7 +178,7 @@
         let mut configuration = self.configuration.write();
         let before = configuration.version();
         if let Some(bytes) = &update.configuration_snapshot
-            && let Ok(snapshot) = serde_json::from_slice::<Configuration>(bytes)
+            && let Ok(snapshot) = compression::decode::<Configuration>(bytes)
             && snapshot.version() >= before
         {
             *configuration = snapshot;
@@ -205,10 +206,13 @@
 
     fn apply_membership(&self, update: &Update) {
         let decode = |bytes: &Vec<u8>| serde_json::from_slice::<TargetRecord>(bytes).ok();
+        let packed = update.packed_targets.as_ref();
+        let packed: Option<Vec<TargetRecord>> = packed.and_then(|it| compression::decode(it).ok());
+        let targets = packed.unwrap_or_else(|| update.targets.iter().filter_map(decode).collect());
         let delta = MembershipDelta {
             version: update.membership_version as u64,
             is_full: update.membership_whole,
-            targets: update.targets.iter().filter_map(decode).collect(),
+            targets,
         };
         self.membership.write().apply_delta(delta);
     }
--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -147,7 +147,7 @@
         peer_address: peer_address.to_string(),
         document_version: Some(versions.document as i64),
         known_document_version: Some(versions.known_document as i64),
-        takes_suspect_changes: Some(true),
+        takes_compact_updates: Some(true),
     }
 }
 
--- /dev/null
+++ b/crates/bilberryloft-daemon/tests/view.rs
@@ -0,0 +1,82 @@
+//! Tests of what a daemon takes from the updates of control hosts.
+#![allow(clippy::unwrap_used)]
+
+use bilberryloft_coordination::freshness::OnLostControl;
+use bilberryloft_daemon::view::View;
+use bilberryloft_protocol::wire::Update;
+use bilberryloft_state::compression;
+use bilberryloft_state::configuration::Configuration;
+use bilberryloft_state::membership::Membership;
+use bilberryloft_state::membership::TargetDescription;
+
+/// Targets of one service at the size that the system has to carry.
+const TARGETS: usize = 2_600;
+/// Bytes that an update may need for each of them.
+const TARGET_BYTES_MAX: usize = 60;
+
+fn membership() -> Membership {
+    let mut membership = Membership::default();
+    for number in 0..TARGETS {
+        let description = TargetDescription {
+            agent_address: format!("10.{}.{}.{}:8080", number % 5, number / 250, number % 250),
+            data_center: format!("dc-{}", number % 5),
+            models: Vec::new(),
+            services: vec!["writer".to_string()],
+            slots: 6,
+            ranks: 1,
+            checks_fencing: false,
+            direct: true,
+            leaving: false,
+        };
+        membership.register(&format!("i-{:x}", number * 7_919), 1_700_000_000_000, description, 1);
+    }
+    membership
+}
+
+fn update(configuration: &Configuration, membership: &Membership) -> Update {
+    let delta = membership.delta_after(0);
+    Update {
+        confirmed: true,
+        configuration_version: configuration.version() as i64,
+        configuration_snapshot: compression::encode(&configuration.for_followers()).ok(),
+        configuration_changes: Vec::new(),
+        membership_version: delta.version as i64,
+        membership_whole: delta.is_full,
+        targets: Vec::new(),
+        suspects_version: 0,
+        suspects: Vec::new(),
+        document_version: None,
+        document: None,
+        control_addresses: None,
+        document_part: None,
+        suspects_are_changes: Some(true),
+        removed_suspects: None,
+        packed_targets: compression::encode(&delta.targets).ok(),
+    }
+}
+
+/// Guards against a restart of all entries at once that fills the links of control hosts: each gets all targets.
+#[test]
+fn all_targets_of_a_restarted_daemon_are_compressed() {
+    let membership = membership();
+    let update = update(&Configuration::default(), &membership);
+    let bytes = update.packed_targets.as_ref().unwrap().len();
+    assert!(bytes < TARGETS * TARGET_BYTES_MAX, "{bytes} bytes");
+    let view = View::new(4_000, OnLostControl::Serve);
+    view.apply(update, 1);
+    assert_eq!(*view.membership().targets(), *membership.targets());
+}
+
+/// Guards against versions that go back when a control host that lags behind answers.
+#[test]
+fn update_of_a_lagging_host_leaves_newer_versions() {
+    let view = View::new(4_000, OnLostControl::Serve);
+    let membership = membership();
+    view.apply(Update { suspects_version: 9, ..update(&Configuration::default(), &membership) }, 1);
+    view.apply(
+        Update { suspects_version: 4, ..update(&Configuration::default(), &Membership::default()) },
+        2,
+    );
+    let versions = *view.versions().borrow();
+    assert_eq!((versions.suspects, versions.membership), (9, membership.version()));
+}
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -36,16 +36,18 @@
   pub incarnation: i64,
   pub configuration_version: i64,
   pub data_center: Option<String>,
+  pub command_format: Option<i32>,
 }
 
 impl Hello {
-  pub fn new<F5>(protocol_version: i32, daemon: String, incarnation: i64, configuration_version: i64, data_center: F5) -> Hello where F5: Into<Option<String>> {
+  pub fn new<F5, F6>(protocol_version: i32, daemon: String, incarnation: i64, configuration_version: i64, data_center: F5, command_format: F6) -> Hello where F5: Into<Option<String>>, F6: Into<Option<i32>> {
     Hello {
       protocol_version,
       daemon,
       incarnation,
       configuration_version,
       data_center: data_center.into(),
+      command_format: command_format.into(),
     }
   }
 }
@@ -58,6 +60,7 @@
     let mut f_3: Option<i64> = None;
     let mut f_4: Option<i64> = None;
     let mut f_5: Option<String> = None;
+    let mut f_6: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -85,6 +88,10 @@
           let val = i_prot.read_string()?;
           f_5 = Some(val);
         },
+        6 => {
+          let val = i_prot.read_i32()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -102,6 +109,7 @@
       incarnation: f_3.expect("auto-generated code should have checked for presence of required fields"),
       configuration_version: f_4.expect("auto-generated code should have checked for presence of required fields"),
       data_center: f_5,
+      command_format: f_6,
     };
     Ok(ret)
   }
@@ -125,6 +133,11 @@
       o_prot.write_string(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.command_format {
+      o_prot.write_field_begin(&TFieldIdentifier::new("command_format", TType::I32, 6))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1496,11 +1509,11 @@
   pub peer_address: String,
   pub document_version: Option<i64>,
   pub known_document_version: Option<i64>,
-  pub takes_suspect_changes: Option<bool>,
+  pub takes_compact_updates: Option<bool>,
 }
 
 impl Watch {
-  pub fn new<F7, F8, F9>(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String, document_version: F7, known_document_version: F8, takes_suspect_changes: F9) -> Watch where F7: Into<Option<i64>>, F8: Into<Option<i64>>, F9: Into<Option<bool>> {
+  pub fn new<F7, F8, F9>(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String, document_version: F7, known_document_version: F8, takes_compact_updates: F9) -> Watch where F7: Into<Option<i64>>, F8: Into<Option<i64>>, F9: Into<Option<bool>> {
     Watch {
       daemon,
       configuration_version,
@@ -1510,7 +1523,7 @@
       peer_address,
       document_version: document_version.into(),
       known_document_version: known_document_version.into(),
-      takes_suspect_changes: takes_suspect_changes.into(),
+      takes_compact_updates: takes_compact_updates.into(),
     }
   }
 }
@@ -1592,7 +1605,7 @@
       peer_address: f_6.expect("auto-generated code should have checked for presence of required fields"),
       document_version: f_7,
       known_document_version: f_8,
-      takes_suspect_changes: f_9,
+      takes_compact_updates: f_9,
     };
     Ok(ret)
   }
@@ -1627,8 +1640,8 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
-    if let Some(fld_var) = self.takes_suspect_changes {
-      o_prot.write_field_begin(&TFieldIdentifier::new("takes_suspect_changes", TType::Bool, 9))?;
+    if let Some(fld_var) = self.takes_compact_updates {
+      o_prot.write_field_begin(&TFieldIdentifier::new("takes_compact_updates", TType::Bool, 9))?;
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
@@ -1854,10 +1867,11 @@
   pub document_part: Option<DocumentPart>,
   pub suspects_are_changes: Option<bool>,
   pub removed_suspects: Option<Vec<i64>>,
+  pub packed_targets: Option<Vec<u8>>,
 }
 
 impl Update {
-  pub fn new<F3, F10, F11, F12, F13, F14, F15>(confirmed: bool, configuration_version: i64, configuration_snapshot: F3, configuration_changes: Vec<Vec<u8>>, membership_version: i64, membership_whole: bool, targets: Vec<Vec<u8>>, suspects_version: i64, suspects: Vec<Vec<u8>>, document_version: F10, document: F11, control_addresses: F12, document_part: F13, suspects_are_changes: F14, removed_suspects: F15) -> Update where F3: Into<Option<Vec<u8>>>, F10: Into<Option<i64>>, F11: Into<Option<Vec<u8>>>, F12: Into<Option<Vec<String>>>, F13: Into<Option<DocumentPart>>, F14: Into<Option<bool>>, F15: Into<Option<Vec<i64>>> {
+  pub fn new<F3, F10, F11, F12, F13, F14, F15, F16>(confirmed: bool, configuration_version: i64, configuration_snapshot: F3, configuration_changes: Vec<Vec<u8>>, membership_version: i64, membership_whole: bool, targets: Vec<Vec<u8>>, suspects_version: i64, suspects: Vec<Vec<u8>>, document_version: F10, document: F11, control_addresses: F12, document_part: F13, suspects_are_changes: F14, removed_suspects: F15, packed_targets: F16) -> Update where F3: Into<Option<Vec<u8>>>, F10: Into<Option<i64>>, F11: Into<Option<Vec<u8>>>, F12: Into<Option<Vec<String>>>, F13: Into<Option<DocumentPart>>, F14: Into<Option<bool>>, F15: Into<Option<Vec<i64>>>, F16: Into<Option<Vec<u8>>> {
     Update {
       confirmed,
       configuration_version,
@@ -1874,6 +1888,7 @@
       document_part: document_part.into(),
       suspects_are_changes: suspects_are_changes.into(),
       removed_suspects: removed_suspects.into(),
+      packed_targets: packed_targets.into(),
     }
   }
 }
@@ -1896,6 +1911,7 @@
     let mut f_13: Option<DocumentPart> = None;
     let mut f_14: Option<bool> = None;
     let mut f_15: Option<Vec<i64>> = None;
+    let mut f_16: Option<Vec<u8>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1993,6 +2009,10 @@
           i_prot.read_list_end()?;
           f_15 = Some(val);
         },
+        16 => {
+          let val = i_prot.read_bytes()?;
+          f_16 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2024,6 +2044,7 @@
       document_part: f_13,
       suspects_are_changes: f_14,
       removed_suspects: f_15,
+      packed_targets: f_16,
     };
     Ok(ret)
   }
@@ -2109,6 +2130,11 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.packed_targets {
+      o_prot.write_field_begin(&TFieldIdentifier::new("packed_targets", TType::String, 16))?;
+      o_prot.write_bytes(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -180,7 +180,7 @@
         peer_address: state.daemon.settings.peer_address.clone(),
         document_version: Some(state.daemon.view.document().version as i64),
         known_document_version: Some(i64::MAX),
-        takes_suspect_changes: Some(true),
+        takes_compact_updates: Some(true),
     }
 }
 
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -23,6 +23,9 @@
 use crate::suspect::Suspects;
 use crate::suspect::TrialOutcome;
 
+/// Format of the commands that this version reads. From format 2 on, they may be patches and compressed.
+pub const COMMAND_FORMAT: i32 = 2;
+
 /// One command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -219,6 +222,20 @@
 }
 
 impl StateMachine {
+    /// Returns a command that members of an earlier format understand and that has the same effect, or the outcome if
+    /// there is none.
+    pub fn for_first_format(&self, command: Command) -> Result<Command, Outcome> {
+        match command {
+            Command::PatchDocument(patch) => {
+                let present = self.document.document();
+                let document = patch.apply(present);
+                let outcome = Outcome::DocumentBase { version: present.version };
+                document.map(Command::PutDocument).ok_or(outcome)
+            }
+            other => Ok(other),
+        }
+    }
+
     /// Applies one encoded command; empty bytes are the no-op of a new leader.
     pub fn apply_bytes(&mut self, bytes: &[u8]) -> Outcome {
         if bytes.is_empty() {
--- a/crates/bilberryloft-state/tests/document_changes.rs
+++ b/crates/bilberryloft-state/tests/document_changes.rs
@@ -6,6 +6,9 @@
 use bilberryloft_state::document::DocumentStore;
 use bilberryloft_state::document::StoredDocument;
 use bilberryloft_state::document::TextDelta;
+use bilberryloft_state::state_machine::Command;
+use bilberryloft_state::state_machine::Outcome;
+use bilberryloft_state::state_machine::StateMachine;
 use quickcheck::quickcheck;
 
 /// Routes of a long document.
@@ -138,3 +141,17 @@
     bytes.truncate(bytes.len() / 2);
     assert!(compression::decode::<StoredDocument>(&bytes).is_err());
 }
+
+/// Guards against members of one quorum with different documents while they are updated one after the other: what the
+/// earlier version can't read is logged as it was before.
+#[test]
+fn patch_for_members_of_the_first_format_is_a_whole_document() {
+    let mut machine = StateMachine::default();
+    let (base, next) = (long_document(1, 1), long_document(2, 2));
+    machine.document.replace(base.clone());
+    let patch = Command::PatchDocument(DocumentPatch::between(&base, &next));
+    assert_eq!(machine.for_first_format(patch), Ok(Command::PutDocument(next)));
+    let unknown = long_document(9, 9);
+    let misfit = Command::PatchDocument(DocumentPatch::between(&unknown, &long_document(10, 3)));
+    assert_eq!(machine.for_first_format(misfit), Err(Outcome::DocumentBase { version: 1 }));
+}
--- a/crates/bilberryloft-testing/tests/linearizable.rs
+++ b/crates/bilberryloft-testing/tests/linearizable.rs
@@ -116,7 +116,7 @@
                 peer_address: String::new(),
                 document_version: None,
                 known_document_version: None,
-                takes_suspect_changes: None,
+                takes_compact_updates: None,
             };
             let client = &self.clients[self.random.usize(0..self.clients.len())];
             let answer = client.call(Body::Watch(watch), Duration::from_millis(800)).await;
--- a/crates/bilberryloft-transport/src/client.rs
+++ b/crates/bilberryloft-transport/src/client.rs
@@ -38,6 +38,8 @@
 const REFUSAL_CHECK_ATTEMPTS: usize = 4;
 /// Interval between these attempts; longer than the first backoff, during which no connection is attempted.
 const REFUSAL_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Format of commands of peers that don't name one.
+const FIRST_COMMAND_FORMAT: i32 = 1;
 /// Largest number of response frames of one call that are queued for a slow reader before the call is closed.
 const RESPONSE_FRAMES_MAX: usize = 4_096;
 
@@ -52,8 +54,8 @@
     address: String,
     hello: Hello,
     state: tokio::sync::Mutex<ConnectionState>,
-    /// Data centre that the peer named in its last handshake.
-    peer_data_center: Mutex<Option<String>>,
+    /// The peer's part of the last handshake.
+    peer_hello: Mutex<Option<Hello>>,
 }
 
 #[derive(Debug, Default)]
@@ -86,12 +88,13 @@
 impl Client {
     /// Creates a client without connecting to the peer.
     pub fn new(address: impl Into<String>, daemon: &str, incarnation: u64) -> Client {
-        let hello = Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0, None);
+        let hello =
+            Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0, None, None);
         let shared = Shared {
             address: address.into(),
             hello,
             state: tokio::sync::Mutex::default(),
-            peer_data_center: Mutex::default(),
+            peer_hello: Mutex::default(),
         };
         Client { shared: Arc::new(shared) }
     }
@@ -103,7 +106,13 @@
 
     /// Returns the data centre that the peer named when it was last connected, if it did.
     pub fn peer_data_center(&self) -> Option<String> {
-        self.shared.peer_data_center.lock().clone()
+        self.shared.peer_hello.lock().as_ref()?.data_center.clone()
+    }
+
+    /// Returns the format of commands that the peer reads; `None` if it was never connected.
+    pub fn peer_command_format(&self) -> Option<i32> {
+        let hello = self.shared.peer_hello.lock();
+        Some(hello.as_ref()?.command_format.unwrap_or(FIRST_COMMAND_FORMAT))
     }
 
     /// Opens the connection, if there is none.
@@ -288,7 +297,7 @@
         let _ = outgoing.send(hello).await;
         match read_envelope(&mut reader, address).await?.map(|it| it.body) {
             Some(Body::Hello(hello)) if hello.protocol_version == PROTOCOL_VERSION => {
-                *self.shared.peer_data_center.lock() = hello.data_center;
+                *self.shared.peer_hello.lock() = Some(hello);
                 Ok((reader, outgoing))
             }
             Some(Body::Hello(hello)) => {
--- a/crates/bilberryloft-transport/src/server.rs
+++ b/crates/bilberryloft-transport/src/server.rs
@@ -12,6 +12,7 @@
 use bilberryloft_protocol::wire::Hello;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
+use bilberryloft_state::state_machine::COMMAND_FORMAT;
 use tokio::io::BufReader;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -115,8 +116,14 @@
         let local_address =
             listener.local_addr().map_err(|it| Error::network("listen", address, it))?;
         let data_center = data_center.map(str::to_string);
-        let hello =
-            Hello::new(PROTOCOL_VERSION, daemon.to_string(), incarnation as i64, 0, data_center);
+        let hello = Hello {
+            protocol_version: PROTOCOL_VERSION,
+            daemon: daemon.to_string(),
+            incarnation: incarnation as i64,
+            configuration_version: 0,
+            data_center,
+            command_format: Some(COMMAND_FORMAT),
+        };
         let task = tokio::spawn(accept_connections(listener, hello, handler));
         Ok(Server { address: local_address, task })
     }
--- a/crates/bilberryloft-transport/tests/calls.rs
+++ b/crates/bilberryloft-transport/tests/calls.rs
@@ -64,7 +64,7 @@
 #[tokio::test]
 async fn call_without_a_response_fails_at_its_deadline() {
     let (_server, client) = start_server_and_client().await;
-    let hello = Body::Hello(Hello::new(1, "x".to_string(), 1, 0, None));
+    let hello = Body::Hello(Hello::new(1, "x".to_string(), 1, 0, None, None));
     let response = client.call(hello, Duration::from_millis(50)).await;
     assert!(matches!(response, Err(Error::Deadline { step: "hello", .. })), "{response:?}");
 }
@@ -101,8 +101,10 @@
 async fn lost_connection_fails_open_calls_and_reconnects() {
     let (server, client) = start_server_and_client().await;
     let address = server.address().to_string();
-    let mut open =
-        client.open_stream(Body::Hello(Hello::new(1, "x".to_string(), 1, 0, None))).await.unwrap();
+    let mut open = client
+        .open_stream(Body::Hello(Hello::new(1, "x".to_string(), 1, 0, None, None)))
+        .await
+        .unwrap();
     drop(server);
     assert!(matches!(open.next().await, Err(Error::Closed { .. })));
     let _server = Server::bind(&address, "server", 2, None, Arc::new(TestHandler)).await.unwrap();
@@ -121,7 +123,7 @@
     let address = listener.local_addr().unwrap().to_string();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let hello = Body::Hello(Hello::new(99, "newer".to_string(), 1, 0, None));
+        let hello = Body::Hello(Hello::new(99, "newer".to_string(), 1, 0, None, None));
         stream.write_all(&encode_frame(0, hello)).await.unwrap();
         tokio::time::sleep(Duration::from_secs(5)).await;
     });
@@ -138,7 +140,7 @@
 async fn oversized_frame_closes_its_connection() {
     let (server, client) = start_server_and_client().await;
     let mut stream = TcpStream::connect(server.address()).await.unwrap();
-    let hello = Body::Hello(Hello::new(1, "oversized".to_string(), 1, 0, None));
+    let hello = Body::Hello(Hello::new(1, "oversized".to_string(), 1, 0, None, None));
     stream.write_all(&encode_frame(0, hello)).await.unwrap();
     stream.write_all(&u32::MAX.to_be_bytes()).await.unwrap();
     let mut bytes = Vec::new();
@@ -157,7 +159,7 @@
     let address = listener.local_addr().unwrap().to_string();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let hello = Body::Hello(Hello::new(1, "slow".to_string(), 1, 0, None));
+        let hello = Body::Hello(Hello::new(1, "slow".to_string(), 1, 0, None, None));
         stream.write_all(&encode_frame(0, hello)).await.unwrap();
         let _ = stream.read(&mut [0; 4_096]).await.unwrap();
         let frame = encode_frame(1, Body::Piece(Piece::new(1, 0, vec![7; 100 << 10])));
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -10,6 +10,8 @@
   3: required i64 incarnation
   4: required i64 configuration_version
   5: optional string data_center
+  // Format of the commands of the log that the daemon reads; absent for the first one.
+  6: optional i32 command_format
 }
 
 struct Header {
@@ -133,8 +135,8 @@
   7: optional i64 document_version
   // Newest version of the document that the daemon knows of. It takes the document in parts if this is set.
   8: optional i64 known_document_version
-  // Whether the daemon takes suspects as changes.
-  9: optional bool takes_suspect_changes
+  // Whether the daemon takes suspects as changes, and compressed snapshots and targets.
+  9: optional bool takes_compact_updates
 }
 
 // Part of an encoded patch from one version of the document to another.
@@ -174,6 +176,8 @@
   // Whether `suspects` holds only those that were added or changed.
   14: optional bool suspects_are_changes
   15: optional list<i64> removed_suspects
+  // In place of `targets`: all of them in one list, compressed.
+  16: optional binary packed_targets
 }
 
 // A host with a data folder that wants to be a member of the quorum, and is alive.
