--- a/crates/bilberryloft-coordination/tests/document_transfer.rs
+++ b/crates/bilberryloft-coordination/tests/document_transfer.rs
@@ -32,7 +32,7 @@
     let routes: Vec<String> = (0..routes).map(route).collect();
     StoredDocument {
         version,
-        text: format!(r#"{{"version":{version},"route_table":[{}]}}"#, routes.join(",")),
+        text: format!(r#"{{"version":{version},"routes":[{}]}}"#, routes.join(",")),
     }
 }
 
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -1,7 +1,6 @@
 //! The event loop of a control host: drives Raft, applies committed log entries and replies to callers.
 
 use std::collections::BTreeMap;
-use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +12,6 @@
 use bilberryloft_coordination::raft::Raft;
 use bilberryloft_coordination::raft::Role;
 use bilberryloft_state::compression;
-use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::key::digest;
 use bilberryloft_state::member_set::MemberSet;
@@ -23,7 +21,6 @@
 use bilberryloft_state::state_machine::Outcome;
 use bilberryloft_state::state_machine::StampedCommand;
 use bilberryloft_state::state_machine::StateMachine;
-use bilberryloft_state::storage::write_snapshot;
 use bilberryloft_state::wal::LogEntry;
 use bilberryloft_state::wal::Payload;
 use bilberryloft_transport::clock::epoch_ms;
@@ -57,8 +54,6 @@
 const INPUT_QUEUE_MAX: usize = 8_192;
 /// Pause before the data folder is opened again after its disk failed.
 const REOPEN_PAUSE: Duration = Duration::from_millis(300);
-/// Bytes by which the log must grow before the next snapshot, as a multiple of the last snapshot's size.
-const SNAPSHOT_GROWTH_FACTOR: usize = 4;
 
 /// A proposed log entry that is not applied yet, with the term in which it was proposed.
 pub(super) struct Pending {
@@ -70,8 +65,8 @@
 pub struct ControlNode {
     pub(super) raft: Raft,
     machine: Arc<Mutex<StateMachine>>,
-    applied_index: u64,
-    disk: DiskWriter,
+    pub(super) applied_index: u64,
+    pub(super) disk: DiskWriter,
     pub(super) peers: Peers,
     pub(super) leases: LeaseTable,
     /// Latest membership version whose reachable targets have all been given leases.
@@ -80,13 +75,13 @@
     settings: ControlSettings,
     seed: u64,
     report_sender: mpsc::UnboundedSender<DiskReport>,
-    snapshot_entries: u64,
-    data_folder: PathBuf,
-    input_sender: mpsc::Sender<Input>,
-    is_snapshotting: bool,
+    pub(super) snapshot_entries: u64,
+    pub(super) data_folder: PathBuf,
+    pub(super) input_sender: mpsc::Sender<Input>,
+    pub(super) is_snapshotting: bool,
     /// Payload bytes of the log entries applied since the last snapshot was started.
-    log_bytes: usize,
-    snapshot_bytes: usize,
+    pub(super) log_bytes: usize,
+    pub(super) snapshot_bytes: usize,
     pub(super) was_leader: bool,
     pub(super) pending: BTreeMap<u64, Pending>,
     reads: BTreeMap<u64, Reply<u64>>,
@@ -333,7 +328,7 @@
         }
     }
 
-    fn process_output(&mut self, output: Output) {
+    pub(super) fn process_output(&mut self, output: Output) {
         if let Some(snapshot) = output.install {
             self.install(snapshot, output.persist_number, output.after_sync);
         } else if output.persist_number > 0 || !output.after_sync.is_empty() {
@@ -408,62 +403,6 @@
         pending.reply.finish(if is_own { Ok(outcome) } else { Err(ProposeError::Lost) });
     }
 
-    /// Starts a snapshot once the log has grown well beyond the size of the last one, so that snapshots stay a
-    /// small share of all writes. A copy of the machine is encoded and written on a blocking thread.
-    fn start_snapshot_if_due(&mut self) {
-        let log = self.raft.log();
-        let is_due = self.applied_index >= log.snapshot_index() + self.snapshot_entries
-            && self.log_bytes >= SNAPSHOT_GROWTH_FACTOR * self.snapshot_bytes;
-        if !is_due || self.is_snapshotting {
-            return;
-        }
-        let Some(last_term) = log.term_at(self.applied_index) else {
-            return;
-        };
-        let members = log.members_up_to(self.applied_index).0.clone();
-        let machine = self.lock_machine().clone();
-        let snapshot =
-            Snapshot { last_index: self.applied_index, last_term, members, data: Vec::new() };
-        let folder = self.data_folder.clone();
-        let inputs = self.input_sender.clone();
-        self.is_snapshotting = true;
-        self.log_bytes = 0;
-        tokio::task::spawn_blocking(move || {
-            let written = write_machine_snapshot(&folder, snapshot, &machine);
-            let _ = inputs.blocking_send(Input::SnapshotWritten(written));
-        });
-    }
-
-    /// Compacts the log after a snapshot was written; a failed snapshot leaves the log as it is.
-    fn finish_snapshot(&mut self, written: Result<Snapshot>) {
-        self.is_snapshotting = false;
-        let snapshot = match written {
-            Ok(snapshot) => snapshot,
-            Err(error) => {
-                // The log is not compacted; the next snapshot is tried when the log has grown further.
-                log_event!(error, Event::SnapshotFailed, %error);
-                return;
-            }
-        };
-        if snapshot.last_index <= self.raft.log().snapshot_index() {
-            return;
-        }
-        let (snapshot_index, bytes) = (snapshot.last_index, snapshot.data.len());
-        log_event!(info, Event::SnapshotWritten, index = snapshot_index, bytes);
-        self.snapshot_bytes = bytes;
-        // Records that Raft has not handed over yet must reach the old log first; otherwise they would be
-        // written twice, because the new log starts with all entries after the snapshot.
-        let output = self.raft.take_output();
-        self.process_output(output);
-        self.raft.compact(snapshot);
-        self.disk.submit(DiskJob::Rotate {
-            snapshot_index,
-            hard_state: self.raft.hard_state(),
-            may_vote: self.raft.may_vote(),
-            entries: self.raft.log().entries().to_vec(),
-        });
-    }
-
     /// Publishes the applied versions and the quorum status to their watchers, if they have changed.
     fn publish_status(&mut self) {
         let applied = {
@@ -500,15 +439,3 @@
         self.machine.lock()
     }
 }
-
-/// Encodes the machine as the data of a snapshot and writes the snapshot to the data folder.
-fn write_machine_snapshot(
-    folder: &Path,
-    mut snapshot: Snapshot,
-    machine: &StateMachine,
-) -> Result<Snapshot> {
-    snapshot.data = compression::encode(machine)
-        .map_err(|it| Error::Json { step: "encode a snapshot", detail: it.to_string() })?;
-    write_snapshot(folder, &snapshot)?;
-    Ok(snapshot)
-}
--- /dev/null
+++ b/crates/bilberryloft-daemon/src/control/snapshots.rs
@@ -0,0 +1,89 @@
+//! Snapshots of a control node: when they are written, and what is dropped from the log after them.
+
+use std::path::Path;
+
+use bilberryloft_state::compression;
+use bilberryloft_state::error::Error;
+use bilberryloft_state::error::Result;
+use bilberryloft_state::snapshot::Snapshot;
+use bilberryloft_state::state_machine::StateMachine;
+use bilberryloft_state::storage::write_snapshot;
+
+use crate::control::disk::DiskJob;
+use crate::control::handle::Input;
+use crate::control::node::ControlNode;
+use crate::events::Event;
+use crate::log_event;
+
+/// Bytes by which the log must grow before the next snapshot, as a multiple of the last snapshot's size.
+const SNAPSHOT_GROWTH_FACTOR: usize = 4;
+
+impl ControlNode {
+    /// Starts a snapshot once the log has grown well beyond the size of the last one, so that snapshots stay a
+    /// small share of all writes. A copy of the machine is encoded and written on a blocking thread.
+    pub(super) fn start_snapshot_if_due(&mut self) {
+        let log = self.raft.log();
+        let is_due = self.applied_index >= log.snapshot_index() + self.snapshot_entries
+            && self.log_bytes >= SNAPSHOT_GROWTH_FACTOR * self.snapshot_bytes;
+        if !is_due || self.is_snapshotting {
+            return;
+        }
+        let Some(last_term) = log.term_at(self.applied_index) else {
+            return;
+        };
+        let members = log.members_up_to(self.applied_index).0.clone();
+        let machine = self.lock_machine().clone();
+        let snapshot =
+            Snapshot { last_index: self.applied_index, last_term, members, data: Vec::new() };
+        let folder = self.data_folder.clone();
+        let inputs = self.input_sender.clone();
+        self.is_snapshotting = true;
+        self.log_bytes = 0;
+        tokio::task::spawn_blocking(move || {
+            let written = write_machine_snapshot(&folder, snapshot, &machine);
+            let _ = inputs.blocking_send(Input::SnapshotWritten(written));
+        });
+    }
+
+    /// Compacts the log after a snapshot was written; a failed snapshot leaves the log as it is.
+    pub(super) fn finish_snapshot(&mut self, written: Result<Snapshot>) {
+        self.is_snapshotting = false;
+        let snapshot = match written {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                // The log is not compacted; the next snapshot is tried when the log has grown further.
+                log_event!(error, Event::SnapshotFailed, %error);
+                return;
+            }
+        };
+        if snapshot.last_index <= self.raft.log().snapshot_index() {
+            return;
+        }
+        let (snapshot_index, bytes) = (snapshot.last_index, snapshot.data.len());
+        log_event!(info, Event::SnapshotWritten, index = snapshot_index, bytes);
+        self.snapshot_bytes = bytes;
+        // Records that Raft has not handed over yet must reach the old log first; otherwise they would be
+        // written twice, because the new log starts with all entries after the snapshot.
+        let output = self.raft.take_output();
+        self.process_output(output);
+        self.raft.compact(snapshot);
+        self.disk.submit(DiskJob::Rotate {
+            snapshot_index,
+            hard_state: self.raft.hard_state(),
+            may_vote: self.raft.may_vote(),
+            entries: self.raft.log().entries().to_vec(),
+        });
+    }
+}
+
+/// Encodes the machine as the data of a snapshot and writes the snapshot to the data folder.
+fn write_machine_snapshot(
+    folder: &Path,
+    mut snapshot: Snapshot,
+    machine: &StateMachine,
+) -> Result<Snapshot> {
+    snapshot.data = compression::encode(machine)
+        .map_err(|it| Error::Json { step: "encode a snapshot", detail: it.to_string() })?;
+    write_snapshot(folder, &snapshot)?;
+    Ok(snapshot)
+}
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -280,8 +280,7 @@
             Command::Leave { name, incarnation } => self.leave(&name, incarnation),
             Command::Lose { targets } => self.membership.mark_unreachable(&targets, now_ms),
             Command::ReportCrash { target, crash_number, fingerprints } => {
-                self.suspects.report_crash(&target, crash_number, &fingerprints, now_ms);
-                self.suspects_version += 1;
+                self.report_crash(&target, crash_number, &fingerprints);
             }
             Command::ReportRuns { lost, survived, survived_parts } => {
                 self.report_runs(&lost, &survived, &survived_parts);
@@ -320,6 +319,11 @@
         self.membership.mark_leaving(name, incarnation, self.now_ms);
     }
 
+    fn report_crash(&mut self, target: &str, crash_number: u64, fingerprints: &[i64]) {
+        self.suspects.report_crash(target, crash_number, fingerprints, self.now_ms);
+        self.suspects_version += 1;
+    }
+
     fn report_runs(&mut self, lost: &[LostRun], survived: &[i64], survived_parts: &[SurvivedPart]) {
         let is_changed = self.suspects.report_runs(lost, survived, survived_parts, self.now_ms);
         self.suspects_version += u64::from(is_changed);
--- a/crates/bilberryloft-state/tests/document_changes.rs
+++ b/crates/bilberryloft-state/tests/document_changes.rs
@@ -20,13 +20,13 @@
 fn document(version: u64, timeouts_ms: &[u64]) -> StoredDocument {
     let route = |(idx, timeout_ms): (usize, &u64)| {
         format!(
-            r#"{{"name":"r-{idx}","host":"h{}.example","timeout_ms":{timeout_ms},"traffic_split":[{{"service":"a","weight":90}},{{"service":"b","weight":10}}],"public":false}}"#,
+            r#"{{"name":"r-{idx}","host":"h{}.example","timeout_ms":{timeout_ms},"shares":[{{"service":"a","weight":90}},{{"service":"b","weight":10}}],"public":false}}"#,
             idx * 7919
         )
     };
     let routes: Vec<String> = timeouts_ms.iter().enumerate().map(route).collect();
     let text = format!(
-        r#"{{"version":{version},"route_table":[{}],"tenants":[{{"name":"t","api_keys":["k{version}"]}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"teams":[{{"name":"t","api_keys":["k{version}"]}}]}}"#,
         routes.join(",")
     );
     StoredDocument { version, text }
