--- a/crates/bilberryloft-daemon/src/control/mod.rs
+++ b/crates/bilberryloft-daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod recovery;
 mod service;
+pub mod shared_read;
 mod snapshots;
 mod target_leases;
 mod watchers;
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -24,6 +24,7 @@
 use crate::control::handle::AppliedVersions;
 use crate::control::handle::ControlHandle;
 use crate::control::handle::ProposeError;
+use crate::control::shared_read::SharedRead;
 use crate::control::watchers::Watchers;
 use crate::events::Event;
 use crate::log_event;
@@ -44,6 +45,7 @@
     watchers: Mutex<Watchers>,
     records: Mutex<RecordRing>,
     documents: Mutex<DocumentSender>,
+    reads: SharedRead<Option<u64>>,
     suspects: Mutex<SuspectFeed>,
 }
 
@@ -58,6 +60,7 @@
             watchers: Mutex::default(),
             records: Mutex::new(RecordRing::with_capacity(STORED_RECORDS_MAX)),
             documents: Mutex::default(),
+            reads: SharedRead::default(),
             suspects: Mutex::default(),
         }
     }
@@ -192,7 +195,10 @@
 
     /// Serves a watch: confirms the applied state with a quorum first, then waits for a change.
     pub async fn watch(&self, watch: wire::Watch, responder: &Responder) {
-        self.watchers.lock().record(&watch, monotonic_ms());
+        // A request that is answered at once only asks for a confirmation, and doesn't name the versions held.
+        if watch.wait_ms > 0 {
+            self.watchers.lock().record(&watch, monotonic_ms());
+        }
         let wait = Duration::from_millis(watch.wait_ms.clamp(0, WATCH_MAX_MS) as u64);
         let deadline = tokio::time::Instant::now() + wait;
         let confirmed = self.confirm_applied().await;
@@ -225,7 +231,17 @@
 
     /// Returns whether this host has applied everything that a quorum had committed when the call began.
     async fn confirm_applied(&self) -> bool {
-        let index = match self.node.read_index().await {
+        let Some(index) = self.reads.join(self.confirmed_index()).await else {
+            return false;
+        };
+        let mut applied = self.node.applied();
+        let reached = applied.wait_for(|it| it.index >= index);
+        matches!(tokio::time::timeout(FORWARD_TIMEOUT, reached).await, Ok(Ok(_)))
+    }
+
+    /// Returns an index that a quorum has confirmed since the call began; `None` if none could be reached.
+    async fn confirmed_index(&self) -> Option<u64> {
+        match self.node.read_index().await {
             Ok(index) => Some(index),
             Err(ProposeError::NotLeader { leader_address: Some(address) }) => {
                 let request = Body::ReadIndex(wire::ReadIndex::new(true));
@@ -235,11 +251,7 @@
                 }
             }
             Err(_) => None,
-        };
-        let Some(index) = index else { return false };
-        let mut applied = self.node.applied();
-        let reached = applied.wait_for(|it| it.index >= index);
-        matches!(tokio::time::timeout(FORWARD_TIMEOUT, reached).await, Ok(Ok(_)))
+        }
     }
 
     fn build_update(&self, watch: &wire::Watch, confirmed: bool) -> wire::Update {
--- a/crates/bilberryloft-daemon/src/host_choice.rs
+++ b/crates/bilberryloft-daemon/src/host_choice.rs
@@ -1,13 +1,15 @@
 //! Moves a daemon to the nearest control host, from the one that served it first or after a failure.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bilberryloft_protocol::wire::Body;
-use bilberryloft_protocol::wire::ReadIndex;
 
 use crate::control_client::ControlClient;
 use crate::events::Event;
 use crate::log_event;
+use crate::view::View;
+use crate::view_sync::confirmation_request;
 
 /// Longest interval between checks for a nearer control host, in milliseconds; the shortest is half of it.
 const HOST_CHOICE_INTERVAL_MS: u64 = 2_000;
@@ -15,22 +17,24 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Starts a task on the current runtime that moves to the nearest control host once a quorum answers through it.
-pub fn spawn_host_choice(control: ControlClient) {
+pub fn spawn_host_choice(view: Arc<View>, control: ControlClient, daemon: String) {
     tokio::spawn(async move {
         loop {
             let pause_ms = fastrand::u64(HOST_CHOICE_INTERVAL_MS / 2..=HOST_CHOICE_INTERVAL_MS);
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             learn_data_centers(&control).await;
-            move_nearer(&control).await;
+            move_nearer(&view, &control, &daemon).await;
         }
     });
 }
 
-/// Prefers the nearest control host through which a quorum answers.
-async fn move_nearer(control: &ControlClient) {
+/// Prefers the nearest control host that has applied what a quorum confirms. One that lags behind, as with a slow disk,
+/// is left alone.
+async fn move_nearer(view: &View, control: &ControlClient, daemon: &str) {
     for nearer in control.nearer() {
-        let request = Body::ReadIndex(ReadIndex::new(false));
-        if let Ok(Body::ReadIndexReply(_)) = nearer.call(request, PROBE_TIMEOUT).await {
+        let request = Body::Watch(confirmation_request(view, daemon, ""));
+        let answer = nearer.call(request, PROBE_TIMEOUT).await;
+        if matches!(answer, Ok(Body::Update(update)) if update.confirmed) {
             let (host, before) = (nearer.address(), control.preferred());
             log_event!(info, Event::ControlHostChosen, host, before = before.address());
             return control.prefer(&nearer);
--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -33,7 +33,7 @@
     peer_address: String,
 ) {
     spawn_document_sync(view.clone(), control.clone());
-    spawn_host_choice(control.clone());
+    spawn_host_choice(view.clone(), control.clone(), daemon.clone());
     tokio::spawn(async move {
         let mut was_serving = false;
         loop {
@@ -67,6 +67,19 @@
     }
 }
 
+/// Builds a watch that is answered at once and asks only whether a quorum confirms what the host has applied, and for the
+/// version of the document.
+pub fn confirmation_request(view: &View, daemon: &str, peer_address: &str) -> Watch {
+    Watch {
+        configuration_version: i64::MAX,
+        membership_version: i64::MAX,
+        suspects_version: i64::MAX,
+        known_document_version: Some(i64::MAX),
+        wait_ms: 0,
+        ..build_watch(view, daemon, peer_address)
+    }
+}
+
 /// Sends one watch to a control host and applies its update; returns whether a quorum has confirmed the update.
 async fn sync_once(view: &View, control: &ControlClient, watch: Watch) -> bool {
     let requested_ms = monotonic_ms();
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -15,6 +15,7 @@
 use axum::response::Response;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
+use bilberryloft_daemon::view_sync::confirmation_request;
 use bilberryloft_protocol::wire;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_routing::targets::TargetInfo;
@@ -143,10 +144,12 @@
 /// Returns the newest document, once a quorum has confirmed its version and this entry holds it.
 async fn read_document(state: &RelayState) -> Response {
     let until = Instant::now() + READ_TIMEOUT;
-    let (view, control) = (&state.daemon.view, &state.daemon.control);
+    let (view, control, settings) =
+        (&state.daemon.view, &state.daemon.control, &state.daemon.settings);
     while Instant::now() < until {
         let client = control.preferred();
-        match client.call(Body::Watch(version_request(state)), READ_ATTEMPT_TIMEOUT).await {
+        let request = confirmation_request(view, &settings.daemon, &settings.peer_address);
+        match client.call(Body::Watch(request), READ_ATTEMPT_TIMEOUT).await {
             Ok(Body::Update(update)) if update.confirmed => {
                 view.apply_document(&update);
                 let version = update.document_version.unwrap_or_default() as u64;
@@ -169,21 +172,6 @@
     )
 }
 
-/// Builds a watch that asks only for the confirmed version of the document.
-fn version_request(state: &RelayState) -> wire::Watch {
-    wire::Watch {
-        daemon: state.daemon.settings.daemon.clone(),
-        configuration_version: i64::MAX,
-        membership_version: i64::MAX,
-        wait_ms: 0,
-        suspects_version: i64::MAX,
-        peer_address: state.daemon.settings.peer_address.clone(),
-        document_version: Some(state.daemon.view.document().version as i64),
-        known_document_version: Some(i64::MAX),
-        takes_compact_updates: Some(true),
-    }
-}
-
 fn document_response(document: &StoredDocument) -> Response {
     if document.version == 0 {
         return error_response(StatusCode::SERVICE_UNAVAILABLE, "there is no document yet");
