A daemon that has just started takes no state that no quorum has confirmed

Cause: an update that no quorum confirmed was applied by a daemon that held nothing. What it takes afterwards can only be newer. Class: state that was valid once is taken for the present one.

--- a/crates/bilberryloft-coordination/src/document_transfer/receiver.rs
+++ b/crates/bilberryloft-coordination/src/document_transfer/receiver.rs
@@ -44,6 +44,8 @@
 pub struct DocumentReceiver {
     document: Arc<StoredDocument>,
     known_version: u64,
+    /// First version that the follower has known to be in force; it takes no older one.
+    first_known_version: u64,
     partial: Option<Partial>,
     needs_whole: bool,
 }
@@ -62,6 +64,14 @@
     /// Records that a version is in force.
     pub fn announce(&mut self, version: u64) {
         self.known_version = self.known_version.max(version);
+        if self.first_known_version == 0 {
+            self.first_known_version = version;
+        }
+    }
+
+    /// Returns whether a version may replace the document held.
+    fn is_newer(&self, version: u64) -> bool {
+        version > self.document.version && version >= self.first_known_version
     }
 
     /// Returns the request for the next part; `None` if the document is the newest one known.
@@ -77,7 +87,7 @@
 
     /// Replaces the document by a newer one; returns whether it is newer.
     pub fn replace(&mut self, document: StoredDocument) -> bool {
-        let is_newer = document.version > self.document.version;
+        let is_newer = self.is_newer(document.version);
         if is_newer {
             self.announce(document.version);
             self.document = Arc::new(document);
@@ -89,7 +99,7 @@
 
     /// Stores a part, and applies the patch if it is complete.
     pub fn receive(&mut self, part: Part) -> Received {
-        if part.version <= self.document.version || part.length > PATCH_BYTES_MAX {
+        if !self.is_newer(part.version) || part.length > PATCH_BYTES_MAX {
             return Received::Unused;
         }
         self.announce(part.version);
--- a/crates/bilberryloft-coordination/tests/document_transfer.rs
+++ b/crates/bilberryloft-coordination/tests/document_transfer.rs
@@ -200,6 +200,24 @@
     assert_eq!(**follower.document(), documents[0]);
 }
 
+/// Guards against a daemon that starts with an older version than one in force, from a host that lags behind.
+#[test]
+fn first_document_is_no_older_than_the_one_known_first() {
+    let documents =
+        [document(1, FEW_ROUTES, 0), document(2, MANY_ROUTES, 1), document(3, FEW_ROUTES, 2)];
+    let (mut lagging, mut host) = (hosts_with(&documents[..1]), hosts_with(&documents[..2]));
+    let mut follower = DocumentReceiver::default();
+    follower.announce(2);
+    assert_eq!(follower.receive(lagging.part(follower.next_request().unwrap())), Received::Unused);
+    assert!(!follower.replace(documents[0].clone()));
+    follower.receive(host.part(follower.next_request().unwrap()));
+    follower.announce(3);
+    while follower.document().version == 0 {
+        follower.receive(host.part(follower.next_request().unwrap()));
+    }
+    assert_eq!(**follower.document(), documents[1], "a transfer that has begun is finished");
+}
+
 quickcheck! {
     /// Guards against mixtures and lost versions whatever is lost, repeated, delayed or sent by whichever host.
     fn followers_hold_only_whole_versions(steps: Vec<(u8, u8, u8)>) -> bool {
--- a/crates/bilberryloft-daemon/src/view.rs
+++ b/crates/bilberryloft-daemon/src/view.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bilberryloft_coordination::document_transfer::DocumentReceiver;
@@ -54,6 +56,8 @@
     freshness: Mutex<Freshness>,
     versions: watch::Sender<ViewVersions>,
     needs_snapshot: Mutex<bool>,
+    /// Whether any update was confirmed by a quorum.
+    was_confirmed: AtomicBool,
 }
 
 impl View {
@@ -70,6 +74,7 @@
             freshness: Mutex::new(Freshness::new(lease_ms, on_lost_control)),
             versions: watch::channel(ViewVersions::default()).0,
             needs_snapshot: Mutex::new(false),
+            was_confirmed: AtomicBool::new(false),
         }
     }
 
@@ -141,8 +146,15 @@
         matches!(tokio::time::timeout(wait, reached).await, Ok(Ok(_)))
     }
 
-    /// Applies an update whose request was sent at `requested_ms`. Versions never go back.
+    /// Applies an update whose request was sent at `requested_ms`. Versions never go back; a daemon that has just started
+    /// takes only what a quorum has confirmed.
     pub fn apply(&self, update: Update, requested_ms: u64) {
+        if update.confirmed {
+            self.was_confirmed.store(true, Ordering::Relaxed);
+        }
+        if !self.was_confirmed.load(Ordering::Relaxed) {
+            return;
+        }
         self.apply_configuration(&update);
         self.apply_membership(&update);
         self.apply_suspects(&update);
--- a/crates/bilberryloft-daemon/tests/view.rs
+++ b/crates/bilberryloft-daemon/tests/view.rs
@@ -80,3 +80,28 @@
     let versions = *view.versions().borrow();
     assert_eq!((versions.suspects, versions.membership), (9, membership.version()));
 }
+
+/// Guards against a restarted entry that serves an older configuration than one that was acknowledged: a control host
+/// that has restarted, too, or is cut off, holds what its last snapshot had.
+#[test]
+fn unconfirmed_update_is_not_used_by_a_daemon_that_has_just_started() {
+    let view = View::new(4_000, OnLostControl::Serve);
+    let older = Update { confirmed: false, ..document_update(132) };
+    view.apply(older.clone(), 1);
+    assert_eq!(view.document().version, 0);
+    assert!(view.membership().targets().is_empty());
+    view.apply(document_update(435), 2);
+    assert_eq!(view.document().version, 435);
+    view.apply(Update { confirmed: false, ..document_update(436) }, 3);
+    assert_eq!(view.document().version, 436, "what is newer than a confirmed version is used");
+    view.apply(older, 4);
+    assert_eq!(view.document().version, 436);
+}
+
+fn document_update(version: u64) -> Update {
+    Update {
+        document_version: Some(version as i64),
+        document: Some(b"{}".to_vec()),
+        ..update(&Configuration::default(), &membership())
+    }
+}
