--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -21,7 +21,7 @@
 /// Time for a control host to respond to a watch: the time that it is held open, and 600 ms.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(WATCH_WAIT_MS + 600);
 /// Time without any further byte after which an answer that is late counts as lost.
-pub const STALL_TIMEOUT: Duration = Duration::from_millis(300);
+pub const STALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Shortest pause after a failed watch, in milliseconds; the longest is three times that.
 const RETRY_PAUSE_MS: u64 = 30;
 
--- a/crates/bilberryloft-testing/src/proxy.rs
+++ b/crates/bilberryloft-testing/src/proxy.rs
@@ -14,7 +14,9 @@
 use tokio::task::JoinHandle;
 
 /// Most bytes that are passed on at once.
-const CHUNK_BYTES: usize = 16 << 10;
+const CHUNK_BYTES: usize = 64 << 10;
+/// Bytes that a slow link passes at once.
+const PACKET_BYTES: usize = 1 << 10;
 
 /// Fault that a proxy injects into its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +37,23 @@
     Reset,
 }
 
+impl Fault {
+    /// Returns the time for which some bytes are held back.
+    fn delay(self, bytes: usize) -> Duration {
+        match self {
+            Fault::DelayMs(delay_ms) => Duration::from_millis(delay_ms),
+            Fault::BytesPerS(bytes_per_s) => {
+                Duration::from_micros(bytes as u64 * 1_000_000 / bytes_per_s.max(1))
+            }
+            Fault::Pass
+            | Fault::Hold
+            | Fault::HoldToServer
+            | Fault::HoldToClient
+            | Fault::Reset => Duration::ZERO,
+        }
+    }
+}
+
 /// A running proxy; dropping it stops it and closes its connections.
 #[derive(Debug)]
 pub struct Proxy {
@@ -131,22 +150,15 @@
             Ok(fault) => *fault,
             Err(_) => return,
         };
-        match fault {
-            Fault::DelayMs(delay_ms) => {
-                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-            }
-            Fault::BytesPerS(bytes_per_s) => {
-                let micros = len as u64 * 1_000_000 / bytes_per_s.max(1);
-                tokio::time::sleep(Duration::from_micros(micros)).await;
+        let packet_bytes = match fault {
+            Fault::BytesPerS(_) => PACKET_BYTES,
+            _ => CHUNK_BYTES,
+        };
+        for packet in buffer[..len].chunks(packet_bytes) {
+            tokio::time::sleep(fault.delay(packet.len())).await;
+            if writer.write_all(packet).await.is_err() {
+                return;
             }
-            Fault::Pass
-            | Fault::Hold
-            | Fault::HoldToServer
-            | Fault::HoldToClient
-            | Fault::Reset => {}
-        }
-        if writer.write_all(&buffer[..len]).await.is_err() {
-            return;
         }
     }
 }
