A follower leaves the form of a command to the leader; small corrections on reading the diff

A follower that knew of a member of the earlier version could have answered a patch from its own, older state.

--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -272,6 +272,10 @@
     }
 
     pub(super) fn propose(&mut self, command: Command, reply: PendingReply) {
+        if self.raft.role() != Role::Leader {
+            return self.reject(reply);
+        }
+        // While a member of an earlier version is left, the log holds only what it can read.
         let is_compact = self.peers.understand(COMMAND_FORMAT);
         let command = match is_compact {
             true => Ok(command),
--- a/crates/bilberryloft-state/src/document/mod.rs
+++ b/crates/bilberryloft-state/src/document/mod.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-pub use crate::document::history::DocumentHistory;
+use crate::document::history::DocumentHistory;
 pub use crate::document::text_delta::TextDelta;
 
 /// One version of the document. The text is kept byte for byte, so that operators read back what they sent.
