--- a/crates/bilberryctl/src/commands/data.rs
+++ b/crates/bilberryctl/src/commands/data.rs
@@ -64,7 +64,7 @@
 /// log may not be committed.
 fn export(recovered: &RecoveredState) -> Result<(), Failure> {
     let mut machine = match &recovered.snapshot {
-        Some(snapshot) => serde_json::from_slice(&snapshot.data).map_err(|it| {
+        Some(snapshot) => StateMachine::from_snapshot(&snapshot.data).map_err(|it| {
             Failure::Invalid(format!("the state in the snapshot can't be decoded: {it}"))
         })?,
         None => StateMachine::default(),
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -365,7 +365,7 @@
     }
 
     fn install(&mut self, snapshot: Snapshot, persist_number: u64, messages: Vec<Outbound>) {
-        match compression::decode::<StateMachine>(&snapshot.data) {
+        match StateMachine::from_snapshot(&snapshot.data) {
             Ok(machine) => *self.lock_machine() = machine,
             Err(error) => {
                 log_event!(error, Event::DiskFailed, detail = "the snapshot from the leader can't be decoded and is not installed", %error);
--- a/crates/bilberryloft-daemon/src/control/recovery.rs
+++ b/crates/bilberryloft-daemon/src/control/recovery.rs
@@ -5,7 +5,6 @@
 use bilberryloft_coordination::raft::InitialState;
 use bilberryloft_coordination::raft::Options;
 use bilberryloft_coordination::raft::Raft;
-use bilberryloft_state::compression;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::member_set::MemberSet;
@@ -69,7 +68,7 @@
 }
 
 fn decode_machine(folder: &Path, data: &[u8]) -> Result<StateMachine> {
-    compression::decode(data).map_err(|error| Error::Damaged {
+    StateMachine::from_snapshot(data).map_err(|error| Error::Damaged {
         path: folder.to_path_buf(),
         offset: 0,
         detail: format!("the state in the snapshot can't be decoded: {error}"),
--- a/crates/bilberryloft-daemon/src/control/snapshots.rs
+++ b/crates/bilberryloft-daemon/src/control/snapshots.rs
@@ -2,7 +2,6 @@
 
 use std::path::Path;
 
-use bilberryloft_state::compression;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::snapshot::Snapshot;
@@ -82,7 +81,8 @@
     mut snapshot: Snapshot,
     machine: &StateMachine,
 ) -> Result<Snapshot> {
-    snapshot.data = compression::encode(machine)
+    snapshot.data = machine
+        .to_snapshot()
         .map_err(|it| Error::Json { step: "encode a snapshot", detail: it.to_string() })?;
     write_snapshot(folder, &snapshot)?;
     Ok(snapshot)
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -236,6 +236,16 @@
         }
     }
 
+    /// Encodes the machine as the data of a snapshot.
+    pub fn to_snapshot(&self) -> serde_json::Result<Vec<u8>> {
+        compression::encode(self)
+    }
+
+    /// Decodes the data of a snapshot, also of one that was written before long ones were compressed.
+    pub fn from_snapshot(data: &[u8]) -> serde_json::Result<StateMachine> {
+        compression::decode(data)
+    }
+
     /// Applies one encoded command; empty bytes are the no-op of a new leader.
     pub fn apply_bytes(&mut self, bytes: &[u8]) -> Outcome {
         if bytes.is_empty() {
