A control host that lags behind a follower sends it nothing, in place of the whole text

Cause: a watch that was sent while a long text was still on its way names the version held then, so its answer can only announce the next version; the follower then asks for the patch, and the host that it asks may not have applied that version yet: it knew no change after the follower's version and so began with the whole text. Test host_that_lags_behind_sends_nothing: failed before (32768, 1). The follower doesn't use such a part and asks again.

--- a/crates/bilberryloft-bench/src/commands/state.rs
+++ b/crates/bilberryloft-bench/src/commands/state.rs
@@ -101,7 +101,7 @@
         let read_ms = began.elapsed().as_millis();
         let began = Instant::now();
         let mut machine = match &recovered.snapshot {
-            Some(snapshot) => serde_json::from_slice(&snapshot.data)?,
+            Some(snapshot) => StateMachine::from_snapshot(&snapshot.data)?,
             None => StateMachine::default(),
         };
         for entry in &recovered.entries {
--- a/crates/bilberryloft-coordination/src/document_transfer/mod.rs
+++ b/crates/bilberryloft-coordination/src/document_transfer/mod.rs
@@ -42,3 +42,10 @@
     /// Bytes of the part.
     pub data: Vec<u8>,
 }
+
+impl Part {
+    /// Returns a part without data, which says only which version the host has.
+    fn empty(version: u64) -> Part {
+        Part { base_version: 0, version, checksum: 0, length: 0, offset: 0, data: Vec::new() }
+    }
+}
--- a/crates/bilberryloft-coordination/src/document_transfer/sender.rs
+++ b/crates/bilberryloft-coordination/src/document_transfer/sender.rs
@@ -46,7 +46,7 @@
     }
 
     /// Returns the part that a follower asks for. A patch that this host doesn't have is replaced by the one to the
-    /// newest version, from its start.
+    /// newest version, from its start. A host that lags behind the follower has nothing to send.
     pub fn part(
         &mut self,
         request: PartRequest,
@@ -54,6 +54,9 @@
         build: impl FnOnce(u64) -> DocumentPatch,
     ) -> Part {
         let held_version = request.held_version;
+        if newest_version <= held_version {
+            return Part::empty(newest_version);
+        }
         if let Some(patch) = self.find(held_version, request.version) {
             return patch.part(request.offset, PART_BYTES_MAX);
         }
--- a/crates/bilberryloft-coordination/tests/document_transfer.rs
+++ b/crates/bilberryloft-coordination/tests/document_transfer.rs
@@ -218,6 +218,19 @@
     assert_eq!(**follower.document(), documents[1], "a transfer that has begun is finished");
 }
 
+/// Guards against the whole text that a host sends because it lags behind and knows no change after the follower's version.
+#[test]
+fn host_that_lags_behind_sends_nothing() {
+    let documents = [document(1, MANY_ROUTES, 0), document(2, MANY_ROUTES, 1)];
+    let mut lagging = hosts_with(&documents[..1]);
+    let mut follower = follower_of(&documents[0]);
+    follower.announce(2);
+    let part = lagging.part(follower.next_request().unwrap());
+    assert_eq!((part.data.len(), part.version), (0, 1));
+    assert_eq!(follower.receive(part), Received::Unused);
+    assert_eq!(follower.next_request().unwrap().held_version, 1);
+}
+
 quickcheck! {
     /// Guards against mixtures and lost versions whatever is lost, repeated, delayed or sent by whichever host.
     fn followers_hold_only_whole_versions(steps: Vec<(u8, u8, u8)>) -> bool {
--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -74,6 +74,7 @@
         configuration_version: i64::MAX,
         membership_version: i64::MAX,
         suspects_version: i64::MAX,
+        document_version: None,
         known_document_version: Some(i64::MAX),
         wait_ms: 0,
         ..build_watch(view, daemon, peer_address)
