--- a/crates/bilberryloft-testing/tests/control_client.rs
+++ b/crates/bilberryloft-testing/tests/control_client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bilberryloft_coordination::host_choice::Place;
 use bilberryloft_daemon::control_client::ControlClient;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_protocol::wire::ProposeReply;
@@ -40,9 +41,13 @@
 }
 
 async fn start(answers: bool) -> (String, Arc<Host>, Server) {
+    start_in(answers, None).await
+}
+
+async fn start_in(answers: bool, data_center: Option<&str>) -> (String, Arc<Host>, Server) {
     let host = Arc::new(Host { answers, commands: Mutex::default() });
     let address = format!("{}:7300", unique_ip());
-    let server = Server::bind(&address, "control", 1, None, host.clone()).await.unwrap();
+    let server = Server::bind(&address, "control", 1, data_center, host.clone()).await.unwrap();
     (address, host, server)
 }
 
@@ -83,3 +88,25 @@
     assert!(apart_ms > 500, "{apart_ms} ms");
     assert!(counted_ms.abs_diff(apart_ms) < apart_ms / 4, "{counted_ms} of {apart_ms} ms");
 }
+
+/// Guards against all daemons at one control host: one moves to the host of its data centre, leaves it when it fails, and
+/// doesn't come back to it at once.
+#[tokio::test]
+async fn client_prefers_the_host_of_its_data_center_until_it_fails() {
+    let (far, _, _far) = start_in(true, Some("dc-1")).await;
+    let (near, _, _near) = start_in(true, Some("dc-2")).await;
+    let place = Place { address: "127.0.0.1:9".to_string(), data_center: "dc-2".to_string() };
+    let client = ControlClient::learning(&[far.clone(), near.clone()], "entry", 1, place);
+    assert_eq!(client.preferred().address(), far);
+    for host in client.clients() {
+        host.open().await.unwrap();
+    }
+    let nearer = client.nearer();
+    let addresses: Vec<&str> = nearer.iter().map(|it| it.address()).collect();
+    assert_eq!(addresses, [near.as_str()]);
+    client.prefer(&nearer[0]);
+    assert_eq!(client.preferred().address(), near);
+    client.avoid(&nearer[0]);
+    assert_eq!(client.preferred().address(), far);
+    assert!(client.nearer().is_empty());
+}
