A daemon whose control hosts have all failed lately asks them in turn again

Now the host that failed first is asked first. Test client_whose_hosts_have_all_failed_tries_the_first_of_them_again: failed before (one host three times).

--- a/crates/bilberryloft-daemon/src/control_client.rs
+++ b/crates/bilberryloft-daemon/src/control_client.rs
@@ -109,18 +109,25 @@
         let clients = self.shared.clients.read();
         let current = self.shared.preferred.load(Ordering::Relaxed) % clients.len();
         match self.is_avoided(&clients[current]) {
-            true => clients[self.best(&clients, current).unwrap_or(current)].clone(),
+            true => clients[self.best(&clients, current)].clone(),
             false => clients[current].clone(),
         }
     }
 
-    /// Returns the best host that has not failed lately; without a place, the next one in the list.
-    fn best(&self, clients: &[Client], current: usize) -> Option<usize> {
-        let available = (0..clients.len()).filter(|idx| !self.is_avoided(&clients[*idx]));
-        match &self.shared.place {
-            Some(place) => available.min_by_key(|idx| rank(place, &clients[*idx])),
-            None => available.min_by_key(|idx| (idx + clients.len() - current) % clients.len()),
-        }
+    /// Returns the best host that has not failed lately, or the one that failed first if all have. Without a place, the
+    /// next one in the list is the best.
+    fn best(&self, clients: &[Client], current: usize) -> usize {
+        let now = Instant::now();
+        let avoided = self.shared.avoided.lock();
+        let avoided_until = |idx: &usize| {
+            avoided.get(clients[*idx].address()).copied().filter(|until| *until > now)
+        };
+        let place = self.shared.place.as_ref();
+        let preference = |idx: &usize| {
+            let distance = (idx + clients.len() - current) % clients.len();
+            (avoided_until(idx), place.map(|it| rank(it, &clients[*idx])), distance)
+        };
+        (0..clients.len()).min_by_key(preference).unwrap_or(current)
     }
 
     fn is_avoided(&self, client: &Client) -> bool {
@@ -134,9 +141,8 @@
         self.shared.avoided.lock().insert(client.address().to_string(), until);
         let clients = self.shared.clients.read();
         let current = self.shared.preferred.load(Ordering::Relaxed) % clients.len();
-        if clients[current].address() == client.address()
-            && let Some(best) = self.best(&clients, current)
-        {
+        if clients[current].address() == client.address() {
+            let best = self.best(&clients, current);
             self.shared.preferred.store(best, Ordering::Relaxed);
         }
     }
--- a/crates/bilberryloft-testing/tests/control_client.rs
+++ b/crates/bilberryloft-testing/tests/control_client.rs
@@ -1,6 +1,7 @@
 //! Calls to control hosts of which one does not answer.
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -110,3 +111,20 @@
     assert_eq!(client.preferred().address(), far);
     assert!(client.nearer().is_empty());
 }
+
+/// Guards against a client that stays with a dead host while all others failed only for a moment, as during an election.
+#[tokio::test]
+async fn client_whose_hosts_have_all_failed_tries_the_first_of_them_again() {
+    let addresses = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"].map(str::to_string);
+    let place = Place { address: "127.0.0.1:9".to_string(), data_center: "dc-2".to_string() };
+    let client = ControlClient::learning(&addresses, "entry", 1, place);
+    let mut failed = Vec::new();
+    for _ in 0..6 {
+        let host = client.preferred();
+        failed.push(host.address().to_string());
+        client.avoid(&host);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    assert_eq!(failed[..3].iter().collect::<BTreeSet<_>>().len(), 3, "{failed:?}");
+    assert_eq!(failed[..3], failed[3..]);
+}
