--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -132,7 +132,7 @@
                 );
                 view.wait_for_document(in_force, REBASE_WAIT).await;
             }
-            // A control host of an earlier version doesn't know patches.
+            // The member that applied the patch could not read it.
             Outcome::Unreadable => break,
             outcome => return Ok(outcome),
         }
