--- a/review/stands/src/main.rs
+++ b/review/stands/src/main.rs
@@ -4,6 +4,7 @@
 
 mod config;
 mod fleet;
+mod founding;
 mod group;
 mod http;
 mod json;
@@ -29,6 +30,7 @@
     let record = Record::create(&path);
     record.line(&format!("case {name}, with the disruption: {trouble}"));
     let ran = std::panic::catch_unwind(|| match name.as_str() {
+        "founding" => founding::run(&record, trouble),
         "second-answers" => second_answers::run(&record, trouble),
         _ => cannot_run("no such case"),
     });
