--- a/review/stands/src/fleet.rs
+++ b/review/stands/src/fleet.rs
@@ -50,6 +50,8 @@
 
 pub struct Fleet {
     pub hosts: Vec<Host>,
+    /// `fault_tolerance.machines`.
+    pub tolerance: usize,
     folder: PathBuf,
 }
 
@@ -68,7 +70,7 @@
             let has_disk = idx < with_disk;
             Host { name, ip, has_disk, is_side: false, child: None, _guard: Some(guard) }
         };
-        Fleet { hosts: (0..with_disk + without_disk).map(host).collect(), folder }
+        Fleet { hosts: (0..with_disk + without_disk).map(host).collect(), tolerance: 1, folder }
     }
 
     /// Adds `side` machines at the addresses of replicas; returns their indexes.
@@ -270,7 +272,7 @@
             "heartbeat_ms=1200".to_string(),
             "contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,experts"
                 .to_string(),
-            "fault_tolerance.machines=1".to_string(),
+            format!("fault_tolerance.machines={}", self.tolerance),
             "fault_tolerance.zones=0".to_string(),
             "fault_tolerance.regions=0".to_string(),
             "bounds.seed_lag_s=3".to_string(),
--- a/review/stands/src/main.rs
+++ b/review/stands/src/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod replica;
 mod second_answers;
+mod two_disks;
 
 use record::Record;
 
@@ -32,6 +33,7 @@
     let ran = std::panic::catch_unwind(|| match name.as_str() {
         "founding" => founding::run(&record, trouble),
         "second-answers" => second_answers::run(&record, trouble),
+        "two-disks" => two_disks::run(&record, trouble),
         _ => cannot_run("no such case"),
     });
     let (text, code) = match ran {
--- a/review/stands/src/replica.rs
+++ b/review/stands/src/replica.rs
@@ -5,7 +5,6 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use crate::fleet::free_ip;
@@ -37,8 +36,6 @@
 pub type Work = Arc<dyn Fn(&Request) -> Vec<u8> + Send + Sync>;
 
 pub struct Replica {
-    /// Attempt ids in the order in which they began to run.
-    pub runs: Arc<Mutex<Vec<String>>>,
     _guard: TcpListener,
 }
 
@@ -49,23 +46,16 @@
         let address = format!("{ip}:{PORT}");
         let listener = TcpListener::bind(&address);
         let listener = listener.unwrap_or_else(|_| crate::cannot_run("a replica can't listen"));
-        let runs: Arc<Mutex<Vec<String>>> = Arc::default();
-        let (own, log, record) = (id.to_string(), runs.clone(), record.clone());
+        let (own, record) = (id.to_string(), record.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (own, work, log, record) =
-                    (own.clone(), work.clone(), log.clone(), record.clone());
-                std::thread::spawn(move || serve(stream, &own, &work, &log, &record));
+                let (own, work, record) = (own.clone(), work.clone(), record.clone());
+                std::thread::spawn(move || serve(stream, &own, &work, &record));
             }
         });
         let own = id.to_string();
         std::thread::spawn(move || announce(&own, &address, &control));
-        Replica { runs, _guard: guard }
-    }
-
-    pub fn count_runs(&self, attempt_id: &str) -> usize {
-        let runs = self.runs.lock().map(|it| it.iter().filter(|it| *it == attempt_id).count());
-        runs.unwrap_or(0)
+        Replica { _guard: guard }
     }
 }
 
@@ -90,7 +80,7 @@
 }
 
 /// Serves one request after the other on a connection.
-fn serve(mut stream: TcpStream, id: &str, work: &Work, runs: &Mutex<Vec<String>>, record: &Record) {
+fn serve(mut stream: TcpStream, id: &str, work: &Work, record: &Record) {
     let _ = stream.set_nodelay(true);
     let mut bytes = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut bytes) {
@@ -103,9 +93,6 @@
             format!("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n")
                 .into_bytes()
         } else {
-            if let Ok(mut runs) = runs.lock() {
-                runs.push(attempt.clone());
-            }
             record.line(&format!("{id} runs {} {} ({attempt})", request.method, request.path));
             let body = work(&request);
             let mut answer = format!(
