--- a/review/stands/src/main.rs
+++ b/review/stands/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 
 mod config;
+mod first_start;
 mod fleet;
 mod founding;
 mod group;
@@ -34,6 +35,7 @@
         "founding" => founding::run(&record, trouble),
         "second-answers" => second_answers::run(&record, trouble),
         "two-disks" => two_disks::run(&record, trouble),
+        "first-start" => first_start::run(&record, trouble),
         _ => cannot_run("no such case"),
     });
     let (text, code) = match ran {
