--- a/review/stands/src/main.rs
+++ b/review/stands/src/main.rs
@@ -8,10 +8,10 @@
 mod founding;
 mod group;
 mod http;
-mod invalid_config;
 mod json;
 mod random;
 mod record;
+mod replaced;
 mod replica;
 mod second_answers;
 mod two_disks;
@@ -36,7 +36,7 @@
         "founding" => founding::run(&record, trouble),
         "second-answers" => second_answers::run(&record, trouble),
         "two-disks" => two_disks::run(&record, trouble),
-        "invalid-config" => invalid_config::run(&record, trouble),
+        "replaced" => replaced::run(&record, trouble),
         "first-start" => first_start::run(&record, trouble),
         _ => cannot_run("no such case"),
     });
