--- a/review/stands/src/founding.rs
+++ b/review/stands/src/founding.rs
@@ -54,9 +54,7 @@
         record.line("edge-b starts again at its address with an empty disk, bootstrap=false");
     }
     std::thread::sleep(CATCH_UP);
-    if trouble {
-        restart(&mut fleet, A, record);
-    }
+    restart(&mut fleet, A, record);
     std::thread::sleep(RECOVER);
     record.line("recover_s after all are back: the operator reads the configuration back");
     let until = std::time::Instant::now() + READ_BACK;
--- a/review/stands/src/second_answers.rs
+++ b/review/stands/src/second_answers.rs
@@ -18,10 +18,12 @@
 
 /// `garble`, how "extra late": share 0.6 of the replicas spoil x 0.03 of their answers; over all of them 0.018.
 const SECOND_ANSWERS: f64 = 0.6 * 0.03;
-/// `applied_late`: x 0.35 of the orders.
-const LATE_ORDERS: f64 = 0.35;
-/// Time for which both last.
-const LENGTH: Duration = Duration::from_secs(85);
+/// `applied_late`: x 0.5 of the orders.
+const LATE_ORDERS: f64 = 0.5;
+/// Time for which both last at once (`for_s`), the pause after that, and how often they come.
+const SPELL: Duration = Duration::from_millis(5_000);
+const PAUSE: Duration = Duration::from_millis(1_500);
+const SPELLS: usize = 15;
 /// Callers, each with one stream after the other.
 const CALLERS: usize = 48;
 
@@ -46,14 +48,15 @@
         })
         .collect();
     std::thread::sleep(Duration::from_secs(5));
-    if trouble {
-        record.line("garble (extra late) and applied_late begin");
-        let (second_answers, late_orders) = (SECOND_ANSWERS, LATE_ORDERS);
-        group.set_trouble(Trouble { second_answers, late_orders });
-    }
-    let until = Instant::now() + LENGTH;
-    while Instant::now() < until && group.counts().0 == 0 {
-        std::thread::sleep(Duration::from_millis(100));
+    for _ in 0..SPELLS {
+        if trouble {
+            record.line("garble (extra late) and applied_late begin");
+            let (second_answers, late_orders) = (SECOND_ANSWERS, LATE_ORDERS);
+            group.set_trouble(Trouble { second_answers, late_orders });
+        }
+        wait_for_mixed_pass(&group, SPELL);
+        group.set_trouble(Trouble::default());
+        wait_for_mixed_pass(&group, PAUSE);
     }
     is_over.store(true, Ordering::Relaxed);
     callers.into_iter().for_each(|it| drop(it.join()));
@@ -68,6 +71,14 @@
     mixed == 0
 }
 
+/// Waits until a pass has begun with different maps, at most for the given time.
+fn wait_for_mixed_pass(group: &Group, limit: Duration) {
+    let until = Instant::now() + limit;
+    while Instant::now() < until && group.counts().0 == 0 {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 fn send_streams(caller: usize, frontend: &str, is_over: &AtomicBool, served: &AtomicU64) {
     let mut number = 0;
     while !is_over.load(Ordering::Relaxed) {
