A voter that is being dropped can still be elected

Cause: the entry that drops a voter is in force as soon as it is in a log. If only the leader and the dropped voter have it when the leader's disk is lost, the dropped voter has the longest log of those left: the others may not be elected over it, and it never stood for election, as it is no voter by its own last entry.

Change: a member stands as long as it is a voter by its latest committed member set, too. Its own vote doesn't count (Ongaro 2014, 4.2.2).

--- a/crates/bilberryloft-coordination/src/raft/election.rs
+++ b/crates/bilberryloft-coordination/src/raft/election.rs
@@ -18,8 +18,7 @@
             return;
         }
         self.reset_election_timer();
-        let is_voter = self.members().voters.contains_key(&self.member);
-        if !is_voter || !(self.may_vote || self.has_empty_log()) {
+        if !self.may_stand() || !(self.may_vote || self.has_empty_log()) {
             return;
         }
         match self.options.pre_vote {
@@ -28,6 +27,14 @@
         }
     }
 
+    /// Whether this member is a voter, or was one until an entry that may not be committed. In the second case it may be
+    /// the only one left that can win an election, although its own vote doesn't count.
+    fn may_stand(&self) -> bool {
+        let committed = self.log.members_up_to(self.commit_index).0;
+        self.members().voters.contains_key(&self.member)
+            || committed.voters.contains_key(&self.member)
+    }
+
     fn has_empty_log(&self) -> bool {
         self.log.last_index() == 0
     }
--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -218,3 +218,27 @@
         assert!(cluster.leader().is_some_and(|it| it != leader), "seed {seed}");
     }
 }
+
+// Guards against members that can elect nobody, because the only one with the latest entry is dropped from the voters by it.
+#[test]
+fn voter_that_is_being_dropped_can_still_be_elected() {
+    let mut cluster = started(Setup { members: 4, ..Setup::default() });
+    let leader = cluster.leader().unwrap();
+    let dropped = 1 + leader % 4;
+    for other in (1..=4).filter(|it| *it != dropped) {
+        cluster.cut(leader, other);
+    }
+    let mut members = cluster.raft(leader).unwrap().members().clone();
+    let address = members.voters.remove(&dropped).unwrap();
+    members.learners.insert(dropped, address);
+    assert!(cluster.propose_members(leader, members));
+    cluster.settle(20);
+    cluster.crash(leader);
+    cluster.settle(3_000);
+    let next = cluster.leader().expect("three of four voters are left");
+    let before = cluster.committed_count();
+    assert!(cluster.propose(next));
+    cluster.settle(500);
+    assert!(cluster.committed_count() > before);
+    assert_eq!(cluster.violation, None);
+}
