A member that lost its disk catches up with the leader of the term, not with an earlier one

A member that comes back with an empty disk may not vote until its log is as long as that of the first leader it meets. If that leader fails with entries that no other member has, the goal may never be reached: the quorum then stays one vote short for good.

Cause: the goal was set once. Also, a log that was long enough but differed from the leader's counted as caught up.

Change: the goal is set anew in each term, and only the part of the log that matches the leader's counts. Each leader has all committed entries at its election, so its last index is always enough.

Evidence: member_with_a_lost_disk_votes_again_under_the_next_leader fails on (the member may not vote 3 s after the next election) and passes here.

--- a/crates/bilberryloft-coordination/src/raft/follower.rs
+++ b/crates/bilberryloft-coordination/src/raft/follower.rs
@@ -8,6 +8,7 @@
 use crate::raft::InstallSnapshot;
 use crate::raft::Message;
 use crate::raft::Raft;
+use crate::raft::node::CatchUp;
 
 impl Raft {
     pub(super) fn on_append(&mut self, append: Append) {
@@ -24,24 +25,26 @@
                 let match_index = append.previous_index + append.entries.len() as u64;
                 self.store_entries(append.entries);
                 self.commit_index = self.commit_index.max(append.commit_index.min(match_index));
-                self.finish_catch_up();
+                self.finish_catch_up(match_index);
                 self.reply_to_leader(append.leader, true, match_index, append.round);
             }
         }
     }
 
-    /// Accepts a leader. A member that may not vote yet has to reach the last index in the first message from a leader.
+    /// Accepts a leader. A member that may not vote yet has to reach the last index in the first message from a leader
+    /// of the term. Each leader has all committed entries, but the last ones of an earlier leader may be lost.
     fn follow(&mut self, term: u64, leader: u32, leader_last_index: u64) {
         self.become_follower(term, Some(leader));
         self.leader_heard_ms = Some(self.now_ms);
-        if !self.may_vote && self.catch_up_index.is_none() {
-            self.catch_up_index = Some(leader_last_index);
+        let has_goal = self.catch_up.is_some_and(|it| it.term == term);
+        if !self.may_vote && !has_goal {
+            self.catch_up = Some(CatchUp { term, index: leader_last_index });
         }
     }
 
-    /// Allows this member to vote once it has caught up.
-    fn finish_catch_up(&mut self) {
-        let has_caught_up = self.catch_up_index.is_some_and(|it| self.log.last_index() >= it);
+    /// Allows this member to vote once its log matches the leader's up to the index that it has to reach.
+    fn finish_catch_up(&mut self, match_index: u64) {
+        let has_caught_up = self.catch_up.is_some_and(|it| match_index >= it.index);
         if !self.may_vote && has_caught_up {
             self.may_vote = true;
             self.output.records.push(WalRecord::MayVote);
@@ -100,7 +103,7 @@
             self.output.install = Some(install.snapshot.clone());
             self.snapshot = Some(install.snapshot);
         }
-        self.finish_catch_up();
+        self.finish_catch_up(index);
         self.reply_to_leader(install.leader, true, index, install.round);
     }
 
--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -100,6 +100,13 @@
     pub last_term: u64,
 }
 
+/// Index up to which the log must match the one of a term's leader before the member may vote.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CatchUp {
+    pub term: u64,
+    pub index: u64,
+}
+
 /// A read that waits until a quorum has answered its heartbeat round.
 #[derive(Debug)]
 pub(super) struct PendingRead {
@@ -116,8 +123,8 @@
     pub(super) role: Role,
     pub(super) hard_state: HardState,
     pub(super) may_vote: bool,
-    /// Index that the log must reach before this member may vote, if it may not vote yet.
-    pub(super) catch_up_index: Option<u64>,
+    /// What this member has to reach before it may vote, if it may not vote yet.
+    pub(super) catch_up: Option<CatchUp>,
     pub(super) log: Log,
     pub(super) commit_index: u64,
     /// Index up to which committed entries were handed to the driver.
@@ -153,7 +160,7 @@
             role: Role::Follower,
             hard_state: initial.hard_state,
             may_vote: initial.may_vote || !options.abstain_when_empty,
-            catch_up_index: None,
+            catch_up: None,
             durable_index: log.last_index(),
             log,
             commit_index: index,
--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use bilberryloft_coordination::raft::Append;
+use bilberryloft_coordination::raft::Message;
 use bilberryloft_coordination::raft::Options;
 use support::Cluster;
 use support::Setup;
@@ -242,3 +244,33 @@
     assert!(cluster.committed_count() > before);
     assert_eq!(cluster.violation, None);
 }
+
+// Guards against a member that never votes again, because it waits for entries that were lost with an earlier leader.
+#[test]
+fn member_with_a_lost_disk_votes_again_under_the_next_leader() {
+    let mut cluster = started(Setup { members: 5, ..Setup::default() });
+    let leader = cluster.leader().unwrap();
+    let lost = 1 + leader % 5;
+    cluster.lose_disk(lost);
+    cluster.settle(50);
+    cluster.start(lost);
+    let raft = cluster.raft(leader).unwrap();
+    let last_index = raft.log().last_index();
+    let heartbeat = Append {
+        term: raft.term(),
+        leader,
+        previous_index: last_index,
+        previous_term: raft.log().last_term(),
+        entries: Vec::new(),
+        commit_index: last_index,
+        // The leader has ten more entries, which no other member gets.
+        last_index: last_index + 10,
+        round: 1,
+    };
+    cluster.crash(leader);
+    cluster.inject(leader, lost, Message::Append(heartbeat));
+    cluster.settle(3_000);
+    assert!(cluster.leader().is_some());
+    assert!(cluster.raft(lost).unwrap().may_vote());
+    assert_eq!(cluster.violation, None);
+}
