A voter whose process stops is replaced before it ends

A disk that another host lost within 3 s of the old one's end ended the quorum for good: no leader, reads and changes of the configuration answered 503. Two planned replacements in a row did the same without any loss.

Cause: the leader learnt that a voter had stopped only from 3 s of silence, beginning anew with each term. Until then the successor, which had all entries, was a learner: of three voters one was gone, so the quorum tolerated no failure. The platform counts the old host as replaced by then.

Change: on SIGTERM the host reports that it is leaving. The leader promotes a learner that is in sync and may vote, and then makes the leaving voter a learner, also if that is itself; the process ends once that is committed, or no spare host is there, at most after half of its time to stop. While both vote, every voter is alive, so each step tolerates as many losses as before (docs/design/quorum.md). Without a spare host the voters stay as they are. A leader that drops itself tells the others with a last heartbeat, and they elect at once. A new leader counts the silence of the leader before it from that one's last message, so a host that is gone without SIGTERM is replaced within 3 s of it, too. AppendReply says whether the follower may vote; old members don't, and count as if they did.

Ruled out: a shorter timeout and promotion before the removal only move the window (four voters, one ended and one wiped, elect nobody either).

--- a/crates/bilberryloft-coordination/src/raft/follower.rs
+++ b/crates/bilberryloft-coordination/src/raft/follower.rs
@@ -5,6 +5,7 @@
 
 use crate::raft::Append;
 use crate::raft::AppendReply;
+use crate::raft::HeardLeader;
 use crate::raft::InstallSnapshot;
 use crate::raft::Message;
 use crate::raft::Raft;
@@ -27,6 +28,7 @@
                 self.commit_index = self.commit_index.max(append.commit_index.min(match_index));
                 self.finish_catch_up(match_index);
                 self.reply_to_leader(append.leader, true, match_index, append.round);
+                self.note_removed_leader(append.leader);
             }
         }
     }
@@ -35,13 +37,21 @@
     /// of the term. Each leader has all committed entries, but the last ones of an earlier leader may be lost.
     fn follow(&mut self, term: u64, leader: u32, leader_last_index: u64) {
         self.become_follower(term, Some(leader));
-        self.leader_heard_ms = Some(self.now_ms);
+        self.heard_leader = Some(HeardLeader { member: leader, heard_ms: self.now_ms });
         let has_goal = self.catch_up.is_some_and(|it| it.term == term);
         if !self.may_vote && !has_goal {
             self.catch_up = Some(CatchUp { term, index: leader_last_index });
         }
     }
 
+    /// Starts an election early if the leader has just committed a member set in which it is no voter.
+    fn note_removed_leader(&mut self, leader: u32) {
+        let (members, index) = self.log.members();
+        if index <= self.commit_index && !members.voters.contains_key(&leader) {
+            self.leader_ended(leader);
+        }
+    }
+
     /// Allows this member to vote once its log matches the leader's up to the index that it has to reach.
     fn finish_catch_up(&mut self, match_index: u64) {
         let has_caught_up = self.catch_up.is_some_and(|it| match_index >= it.index);
@@ -114,6 +124,7 @@
             success,
             match_index,
             round,
+            may_vote: self.may_vote,
         });
         match self.nothing_to_persist() {
             true => self.send_now(leader, reply),
--- a/crates/bilberryloft-coordination/src/raft/leader.rs
+++ b/crates/bilberryloft-coordination/src/raft/leader.rs
@@ -23,6 +23,9 @@
     next_index: u64,
     acked_round: u64,
     heard_ms: u64,
+    /// Time of the latest answer that showed all entries committed until then.
+    synced_ms: Option<u64>,
+    may_vote: bool,
     snapshot_sent_ms: Option<u64>,
 }
 
@@ -37,6 +40,8 @@
                 next_index: self.log.last_index() + 1,
                 acked_round: 0,
                 heard_ms: self.now_ms,
+                synced_ms: None,
+                may_vote: false,
                 snapshot_sent_ms: None,
             });
         }
@@ -55,12 +60,29 @@
         }
     }
 
-    /// Whether a majority of the voters answered within the last two election timeouts.
+    /// Time without an answer after which a member counts as out of contact, in milliseconds.
+    fn contact_timeout_ms(&self) -> u64 {
+        2 * self.options.election_ms
+    }
+
+    /// Returns whether a member may vote and has lately had all committed entries, as far as this leader knows.
+    pub fn is_in_sync(&self, member: u32) -> bool {
+        let timeout_ms = self.contact_timeout_ms();
+        match self.progress.get(&member) {
+            Some(progress) => {
+                let is_recent = progress.synced_ms.is_some_and(|it| it + timeout_ms > self.now_ms);
+                progress.may_vote && is_recent
+            }
+            None => member == self.member,
+        }
+    }
+
+    /// Whether a majority of the voters is in contact.
     fn has_quorum_contact(&self) -> bool {
         let members = self.members();
-        let lease_ms = 2 * self.options.election_ms;
+        let timeout_ms = self.contact_timeout_ms();
         let is_in_contact = |it: &&u32| match self.progress.get(it) {
-            Some(progress) => progress.heard_ms + lease_ms > self.now_ms,
+            Some(progress) => progress.heard_ms + timeout_ms > self.now_ms,
             None => **it == self.member,
         };
         members.voters.keys().filter(is_in_contact).count() >= members.majority()
@@ -166,11 +188,15 @@
             return;
         };
         progress.heard_ms = now_ms;
+        progress.may_vote = reply.may_vote;
         progress.acked_round = progress.acked_round.max(reply.round);
         if reply.success {
             progress.match_index = progress.match_index.max(reply.match_index.min(last_index));
             progress.next_index = progress.next_index.max(progress.match_index + 1);
             progress.snapshot_sent_ms = None;
+            if progress.match_index >= self.commit_index {
+                progress.synced_ms = Some(now_ms);
+            }
         } else {
             // A follower that lost its disk has fewer entries than it acknowledged before.
             progress.match_index = progress.match_index.min(reply.match_index);
@@ -190,11 +216,12 @@
         }
     }
 
-    /// Steps down once a member set without this member is committed.
+    /// Steps down once a member set in which this member is no voter is committed; a last heartbeat tells the others.
     fn step_down_if_removed(&mut self) {
         let (members, index) = self.log.members();
         if index <= self.commit_index && !members.voters.contains_key(&self.member) {
             self.replicate();
+            self.broadcast_heartbeat();
             self.become_follower(self.hard_state.term, None);
         }
     }
--- a/crates/bilberryloft-coordination/src/raft/message.rs
+++ b/crates/bilberryloft-coordination/src/raft/message.rs
@@ -65,6 +65,8 @@
     pub match_index: u64,
     /// Round of the message that is answered.
     pub round: u64,
+    /// Whether the follower may vote: it may not between the loss of its disk and the end of its catch-up.
+    pub may_vote: bool,
 }
 
 /// Snapshot for a follower that lacks entries which the leader has already compacted.
--- a/crates/bilberryloft-coordination/src/raft/mod.rs
+++ b/crates/bilberryloft-coordination/src/raft/mod.rs
@@ -18,6 +18,7 @@
 pub use message::Message;
 pub use message::VoteReply;
 pub use message::VoteRequest;
+pub use node::HeardLeader;
 pub use node::InitialState;
 pub use node::NotLeader;
 pub use node::Options;
--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -100,6 +100,15 @@
     pub last_term: u64,
 }
 
+/// Another member that leads or has led, and the time of its latest message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeardLeader {
+    /// Id of the member.
+    pub member: u32,
+    /// Time of its latest message in milliseconds.
+    pub heard_ms: u64,
+}
+
 /// Index up to which the log must match the one of a term's leader before the member may vote.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CatchUp {
@@ -133,7 +142,7 @@
     pub(super) leader: Option<u32>,
     pub(super) now_ms: u64,
     pub(super) election_due_ms: u64,
-    pub(super) leader_heard_ms: Option<u64>,
+    pub(super) heard_leader: Option<HeardLeader>,
     pub(super) votes: BTreeSet<u32>,
     pub(super) progress: BTreeMap<u32, Progress>,
     pub(super) round: u64,
@@ -168,7 +177,7 @@
             leader: None,
             now_ms: initial.now_ms,
             election_due_ms: 0,
-            leader_heard_ms: None,
+            heard_leader: None,
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             round: 0,
@@ -219,6 +228,11 @@
         self.now_ms
     }
 
+    /// Other member from which the latest message of a leader came.
+    pub fn heard_leader(&self) -> Option<HeardLeader> {
+        self.heard_leader
+    }
+
     /// Index up to which another member has acknowledged the log of this leader.
     pub fn match_index(&self, member: u32) -> Option<u64> {
         self.progress.get(&member).map(|it| it.match_index)
@@ -428,8 +442,8 @@
     /// Whether this member leads or heard from its leader within one election timeout; false if pre-vote is off.
     pub(super) fn has_live_leader(&self) -> bool {
         let is_leader = self.role == Role::Leader;
-        let has_heard =
-            self.leader_heard_ms.is_some_and(|it| it + self.options.election_ms > self.now_ms);
+        let election_ms = self.options.election_ms;
+        let has_heard = self.heard_leader.is_some_and(|it| it.heard_ms + election_ms > self.now_ms);
         self.options.pre_vote && (is_leader || (self.leader.is_some() && has_heard))
     }
 
@@ -437,6 +451,11 @@
     /// starts without waiting for the election timeout. A wrong report costs one refused pre-vote.
     pub fn peer_ended(&mut self, member: u32, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
+        self.leader_ended(member);
+    }
+
+    /// Shortens the time until the next election if the member is the leader that this member follows.
+    pub(super) fn leader_ended(&mut self, member: u32) {
         if self.role != Role::Follower || self.leader != Some(member) {
             return;
         }
--- a/crates/bilberryloft-coordination/tests/support/mod.rs
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 mod checks;
 mod disk;
+pub mod hosts;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -33,12 +34,21 @@
     pub loses_disks: bool,
     /// Seed of all members, if they have the same one.
     pub equal_seed: Option<u64>,
+    /// Whether a member that starts with an empty disk later than the others is not told who the first members were.
+    pub forgets_members: bool,
 }
 
 impl Default for Setup {
     fn default() -> Self {
         let options = Options { heartbeat_ms: 20, election_ms: 100, ..Options::default() };
-        Setup { members: 3, options, skips_sync: false, loses_disks: true, equal_seed: None }
+        Setup {
+            members: 3,
+            options,
+            skips_sync: false,
+            loses_disks: true,
+            equal_seed: None,
+            forgets_members: false,
+        }
     }
 }
 
@@ -121,7 +131,10 @@
 
     pub fn start(&mut self, member: u32) {
         self.seed += 1;
-        let members = self.initial_members();
+        let members = match self.setup.forgets_members && self.now_ms > 0 {
+            true => MemberSet::default(),
+            false => self.initial_members(),
+        };
         let (options, now_ms) = (self.setup.options, self.now_ms);
         let seed = self.setup.equal_seed.unwrap_or(self.seed);
         let state = self.members.get_mut(&member).unwrap();
@@ -159,6 +172,12 @@
         self.collect(member);
     }
 
+    /// Crashes a member and empties its disk.
+    pub fn empty_disk(&mut self, member: u32) {
+        self.crash(member);
+        self.members.get_mut(&member).unwrap().disk = Disk::default();
+    }
+
     /// Crashes a member and empties its disk, unless another member has not recovered from a lost disk yet.
     pub fn lose_disk(&mut self, member: u32) {
         let has_recovered = self.lost_disk.is_none_or(|it| self.members[&it].disk.may_vote);
@@ -167,8 +186,7 @@
         if !self.setup.loses_disks || !has_recovered || !others_have_recovered {
             return;
         }
-        self.crash(member);
-        self.members.get_mut(&member).unwrap().disk = Disk::default();
+        self.empty_disk(member);
         self.lost_disk = Some(member);
     }
 
@@ -177,7 +195,8 @@
     }
 
     pub fn isolate(&mut self, member: u32) {
-        for other in 1..=self.setup.members {
+        let others: Vec<u32> = self.members.keys().copied().collect();
+        for other in others {
             self.cut.insert((member, other));
             self.cut.insert((other, member));
         }
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -58,7 +58,8 @@
     Join {
         member: u32,
         address: String,
-        reply: Reply<()>,
+        is_leaving: bool,
+        reply: Reply<bool>,
     },
     Announce {
         name: String,
@@ -153,13 +154,15 @@
         self.request(|reply| Input::ChangeMembers { members, reply }).await
     }
 
-    /// Reports to the leader that a host which can become a member is alive.
+    /// Reports to the leader that a host which can become a member is alive, or that its process is stopping. Returns
+    /// whether the quorum doesn't need the host any more.
     pub async fn join(
         &self,
         member: u32,
         address: String,
-    ) -> std::result::Result<(), ProposeError> {
-        self.request(|reply| Input::Join { member, address, reply }).await
+        is_leaving: bool,
+    ) -> std::result::Result<bool, ProposeError> {
+        self.request(|reply| Input::Join { member, address, is_leaving, reply }).await
     }
 
     /// Returns a commit index that a quorum has confirmed, for a linearizable read.
--- a/crates/bilberryloft-daemon/src/control/member_changes.rs
+++ b/crates/bilberryloft-daemon/src/control/member_changes.rs
@@ -10,13 +10,35 @@
 use crate::log_event;
 
 impl ControlNode {
-    /// Records that a host which can become a member is alive; only the leader accepts this.
-    pub(super) fn join(&mut self, member: u32, address: String, reply: Reply<()>) {
+    /// Records that a host which can become a member is alive or leaving, and replies whether the quorum doesn't need it
+    /// any more; only the leader accepts this.
+    pub(super) fn join(
+        &mut self,
+        member: u32,
+        address: String,
+        is_leaving: bool,
+        reply: Reply<bool>,
+    ) {
         if self.raft.role() != Role::Leader {
             return drop(reply.send(Err(self.not_leader())));
         }
-        self.member_planner.note_alive(member, address, self.raft.now_ms());
-        let _ = reply.send(Ok(()));
+        let now_ms = self.raft.now_ms();
+        if !is_leaving {
+            self.member_planner.note_alive(member, address, now_ms);
+            return drop(reply.send(Ok(false)));
+        }
+        if !self.member_planner.is_leaving(member) {
+            log_event!(info, Event::MemberLeaving, member, address);
+        }
+        self.member_planner.note_leaving(member, address, now_ms);
+        let _ = reply.send(Ok(self.may_stop(member)));
+    }
+
+    /// Whether the process of a leaving host may end, by the committed members.
+    fn may_stop(&self, member: u32) -> bool {
+        let (members, index) = self.raft.log().members();
+        let is_committed = index <= self.raft.commit_index();
+        is_committed && self.member_planner.may_stop(member, members, self.raft.now_ms())
     }
 
     /// Proposes the next change of a single member, if this member leads and a change is due.
@@ -25,9 +47,8 @@
             return;
         }
         let raft = &self.raft;
-        let is_caught_up =
-            |member: u32| raft.match_index(member).is_some_and(|it| it >= raft.commit_index());
-        let next = self.member_planner.next_members(raft.members(), is_caught_up, raft.now_ms());
+        let is_in_sync = |member: u32| raft.is_in_sync(member);
+        let next = self.member_planner.next_members(raft.members(), is_in_sync, raft.now_ms());
         let Some(members) = next else {
             return;
         };
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -263,7 +263,9 @@
             }
             Input::ChangeMembers { members, reply } => self.change_members(members, reply),
             Input::Read { reply } => self.read(reply),
-            Input::Join { member, address, reply } => self.join(member, address, reply),
+            Input::Join { member, address, is_leaving, reply } => {
+                self.join(member, address, is_leaving, reply)
+            }
             Input::SnapshotWritten(written) => self.finish_snapshot(written),
             Input::Announce { name, incarnation, description, leaving, reply } => {
                 self.announce(name, incarnation, description, leaving, reply);
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -142,10 +142,17 @@
         }
     }
 
-    /// Serves a join: a host with a data folder is alive and wants to be a member of the quorum.
+    /// Serves a join: a host with a data folder is alive and wants to be a member of the quorum, or is leaving.
     pub async fn join(&self, join: wire::Join, responder: &Responder) {
-        match self.node.join(join.member as u32, join.address.clone()).await {
-            Ok(()) => drop(responder.send(Body::Done(wire::Done::new())).await),
+        let is_leaving = join.leaving == Some(true);
+        match self.node.join(join.member as u32, join.address.clone(), is_leaving).await {
+            Ok(may_stop) => {
+                let answer = match is_leaving {
+                    true => Body::LeaveReply(wire::LeaveReply::new(may_stop)),
+                    false => Body::Done(wire::Done::new()),
+                };
+                let _ = responder.send(answer).await;
+            }
             Err(error) => {
                 let body = Body::Join(wire::Join { forwarded: true, ..join.clone() });
                 self.forward(error, join.forwarded, body, "join", responder).await;
--- a/crates/bilberryloft-daemon/src/control/target_leases.rs
+++ b/crates/bilberryloft-daemon/src/control/target_leases.rs
@@ -53,7 +53,9 @@
         if leads && !self.was_leader {
             log_event!(info, Event::LeaderElected, term = self.raft.term());
             self.leases.start_term(self.reachable_targets(), monotonic_ms());
-            self.member_planner.start_term(self.raft.members(), self.raft.now_ms());
+            let previous_leader = self.raft.heard_leader();
+            let (members, now_ms) = (self.raft.members(), self.raft.now_ms());
+            self.member_planner.start_term(members, previous_leader, now_ms);
         }
         if !leads && self.was_leader {
             log_event!(warn, Event::LeaderSteppedDown, term = self.raft.term());
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bilberryloft_protocol::wire;
-use bilberryloft_protocol::wire::Body;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_transport::clock::epoch_ms;
@@ -20,9 +18,9 @@
 use crate::agent::spawn_expert_map_planner;
 use crate::control::ControlNode;
 use crate::control::ControlService;
-use crate::control_client::ControlClient;
 use crate::entry::CallerServer;
 use crate::events::Event;
+use crate::host_reporter::HostReporter;
 use crate::log_event;
 use crate::peer_service::PeerService;
 use crate::settings::ControlSettings;
@@ -36,12 +34,6 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time for the last frames to be written to the sockets.
 const FLUSH_WAIT: Duration = Duration::from_millis(50);
-/// Time between two join calls, which tell the leader that this host can be a member of the quorum.
-const JOIN_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for one join call to reach the leader.
-const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
-/// Interval at which a control host tells the seeds that it is one.
-const SEED_NOTICE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Target lease reported to agents by a daemon that is not a control host, in milliseconds.
 const NO_TARGET_LEASE_MS: u64 = 0;
 
@@ -97,16 +89,41 @@
         self.traffic.as_ref()
     }
 
+    /// Tells the quorum that this host is leaving, so that another host takes its place; returns at once.
+    pub fn begin_leave(&self) {
+        if let Some(reporter) = self.shared.host_reporter.get() {
+            reporter.begin_leave();
+        }
+    }
+
+    /// Waits until the quorum doesn't need this host any more, at most until the deadline.
+    pub fn wait_for_replacement(&self, deadline_ms: u64) {
+        let Some(reporter) = self.shared.host_reporter.get() else {
+            return;
+        };
+        let started_ms = monotonic_ms();
+        while !reporter.may_stop() && monotonic_ms() < deadline_ms {
+            std::thread::sleep(DRAIN_POLL_INTERVAL);
+        }
+        let is_released = reporter.may_stop();
+        let waited_ms = monotonic_ms() - started_ms;
+        log_event!(info, Event::QuorumLeft, is_released, waited_ms);
+    }
+
     /// Shuts down gracefully: reports not ready for `shutdown_notice_ms`, then refuses new work, drains the work
-    /// in flight and stops. Work that is still in flight after `shutdown_max_ms` is abandoned.
+    /// in flight and stops. Work that is still in flight after `shutdown_max_ms` is abandoned. A voter also waits until
+    /// another host votes in its place, at most for half of that time.
     pub fn shutdown(mut self) {
         let settings = &self.shared.settings;
         log_event!(info, Event::ShutdownBegan, daemon = settings.daemon);
         self.shared.begin_stop();
+        self.begin_leave();
+        let leave_deadline_ms = monotonic_ms() + settings.shutdown_max_ms / 2;
         std::thread::sleep(Duration::from_millis(settings.shutdown_notice_ms));
         let deadline_ms = monotonic_ms() + settings.shutdown_max_ms;
         self.stop_entry(deadline_ms);
         self.stop_agent(deadline_ms);
+        self.wait_for_replacement(leave_deadline_ms);
         log_event!(info, Event::ShutdownEnded, daemon = self.shared.settings.daemon);
         self.stop();
     }
@@ -222,41 +239,14 @@
     if let Some(control) = settings.control.as_ref().filter(|it| it.voters_wanted > 0) {
         // All seeds may be daemons that are not control hosts.
         shared.control.add(&settings.peer_address);
-        spawn_joiner(shared.control.clone(), control.member, settings.peer_address.clone());
-        spawn_seed_notices(shared.control.clone(), control.member, settings.peer_address.clone());
+        let address = settings.peer_address.clone();
+        let reporter = HostReporter::spawn(shared.control.clone(), control.member, address);
+        // Setting it fails only for a second reporter; a daemon starts its control role once.
+        let _ = shared.host_reporter.set(reporter);
     }
     Ok(server)
 }
 
-/// Periodically tells the leader that this host can be a member of the quorum.
-fn spawn_joiner(control: ControlClient, member: u32, address: String) {
-    tokio::spawn(async move {
-        loop {
-            let join = wire::Join::new(member as i32, address.clone(), false);
-            if let Err(error) = control.call(Body::Join(join), JOIN_TIMEOUT).await {
-                tracing::debug!(%error, "join call failed, the leader was not told that this host can be a member; retrying");
-            }
-            tokio::time::sleep(JOIN_INTERVAL).await;
-        }
-    });
-}
-
-/// Periodically tells each seed of this host. A seed that is no control host and starts later than all of them learns from
-/// this that there are any; other calls go to hosts that have answered, and these need not be seeds.
-fn spawn_seed_notices(control: ControlClient, member: u32, address: String) {
-    tokio::spawn(async move {
-        loop {
-            for seed in control.seeds().into_iter().filter(|it| it.address() != address) {
-                let join = wire::Join::new(member as i32, address.clone(), false);
-                if let Err(error) = seed.call(Body::Join(join), JOIN_TIMEOUT).await {
-                    tracing::debug!(%error, "a seed was not told of this control host; retrying");
-                }
-            }
-            tokio::time::sleep(SEED_NOTICE_INTERVAL).await;
-        }
-    });
-}
-
 fn start_node(control: &ControlSettings, shared: &Shared) -> Result<Arc<ControlService>> {
     let daemon = &shared.settings.daemon;
     let node = ControlNode::spawn(control, daemon, shared.incarnation)?;
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -60,6 +60,10 @@
     MembersPlanned = 214,
     /// The process of a member has ended: its host refuses connections.
     MemberEnded = 215,
+    /// A host that can be a member said that its process is stopping.
+    MemberLeaving = 216,
+    /// A stopping host has waited until another one votes in its place.
+    QuorumLeft = 217,
     /// The target announced itself.
     TargetAnnounced = 300,
     /// The target stopped announcing itself.
@@ -150,7 +154,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 68] = [
+pub const EVENTS: [Event; 70] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -179,6 +183,8 @@
     Event::DiskReopened,
     Event::MembersPlanned,
     Event::MemberEnded,
+    Event::MemberLeaving,
+    Event::QuorumLeft,
     Event::TargetAnnounced,
     Event::TargetSilent,
     Event::TargetCrashed,
--- a/crates/bilberryloft-daemon/src/lib.rs
+++ b/crates/bilberryloft-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod events;
 pub mod host_choice;
+pub mod host_reporter;
 pub mod logging;
 pub mod metrics;
 pub mod peer_service;
--- a/crates/bilberryloft-daemon/src/shared.rs
+++ b/crates/bilberryloft-daemon/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::control::QuorumStatus;
 use crate::control_client::ControlClient;
 use crate::entry::Entry;
+use crate::host_reporter::HostReporter;
 use crate::metrics::Metrics;
 use crate::settings::RoleName;
 use crate::settings::Settings;
@@ -41,6 +42,8 @@
     pub agent: Option<Arc<Agent>>,
     /// Handle of the control node, once it has started on a control host.
     pub control_node: OnceLock<ControlHandle>,
+    /// Reports to the leader, on a control host of a quorum that chooses its members by itself.
+    pub host_reporter: OnceLock<HostReporter>,
     is_stopping: AtomicBool,
 }
 
@@ -91,6 +94,7 @@
             entry,
             agent,
             control_node: OnceLock::new(),
+            host_reporter: OnceLock::new(),
             is_stopping: AtomicBool::new(false),
         })
     }
--- a/crates/bilberryloft-protocol/src/codec.rs
+++ b/crates/bilberryloft-protocol/src/codec.rs
@@ -95,6 +95,7 @@
         Body::Status(_) => "status",
         Body::StatusReply(_) => "status_reply",
         Body::Join(_) => "join",
+        Body::LeaveReply(_) => "leave_reply",
         Body::Redirect(_) => "redirect",
         Body::TargetRead(_) => "target_read",
         Body::TargetBodies(_) => "target_bodies",
--- a/crates/bilberryloft-protocol/src/convert.rs
+++ b/crates/bilberryloft-protocol/src/convert.rs
@@ -48,6 +48,7 @@
             success: reply.success,
             match_index: reply.match_index as i64,
             round: reply.round as i64,
+            may_vote: Some(reply.may_vote),
         }),
         Message::InstallSnapshot(install) => {
             wire::RaftMessage::InstallSnapshot(wire::InstallSnapshot {
@@ -95,6 +96,8 @@
             success: reply.success,
             match_index: reply.match_index as u64,
             round: reply.round as u64,
+            // Members of an earlier version don't say it.
+            may_vote: reply.may_vote.unwrap_or(true),
         }),
         wire::RaftMessage::InstallSnapshot(install) => Message::InstallSnapshot(InstallSnapshot {
             term: install.term as u64,
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -2149,14 +2149,16 @@
   pub member: i32,
   pub address: String,
   pub forwarded: bool,
+  pub leaving: Option<bool>,
 }
 
 impl Join {
-  pub fn new(member: i32, address: String, forwarded: bool) -> Join {
+  pub fn new<F4>(member: i32, address: String, forwarded: bool, leaving: F4) -> Join where F4: Into<Option<bool>> {
     Join {
       member,
       address,
       forwarded,
+      leaving: leaving.into(),
     }
   }
 }
@@ -2167,6 +2169,7 @@
     let mut f_1: Option<i32> = None;
     let mut f_2: Option<String> = None;
     let mut f_3: Option<bool> = None;
+    let mut f_4: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2186,6 +2189,10 @@
           let val = i_prot.read_bool()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = i_prot.read_bool()?;
+          f_4 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2200,6 +2207,7 @@
       member: f_1.expect("auto-generated code should have checked for presence of required fields"),
       address: f_2.expect("auto-generated code should have checked for presence of required fields"),
       forwarded: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      leaving: f_4,
     };
     Ok(ret)
   }
@@ -2215,6 +2223,67 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("forwarded", TType::Bool, 3))?;
     o_prot.write_bool(self.forwarded)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.leaving {
+      o_prot.write_field_begin(&TFieldIdentifier::new("leaving", TType::Bool, 4))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// LeaveReply
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LeaveReply {
+  pub may_stop: bool,
+}
+
+impl LeaveReply {
+  pub fn new(may_stop: bool) -> LeaveReply {
+    LeaveReply {
+      may_stop,
+    }
+  }
+}
+
+impl TSerializable for LeaveReply {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<LeaveReply> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<bool> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_bool()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("LeaveReply.may_stop", &f_1)?;
+    let ret = LeaveReply {
+      may_stop: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("LeaveReply");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("may_stop", TType::Bool, 1))?;
+    o_prot.write_bool(self.may_stop)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -3144,16 +3213,18 @@
   pub success: bool,
   pub match_index: i64,
   pub round: i64,
+  pub may_vote: Option<bool>,
 }
 
 impl AppendReply {
-  pub fn new(term: i64, follower: i32, success: bool, match_index: i64, round: i64) -> AppendReply {
+  pub fn new<F6>(term: i64, follower: i32, success: bool, match_index: i64, round: i64, may_vote: F6) -> AppendReply where F6: Into<Option<bool>> {
     AppendReply {
       term,
       follower,
       success,
       match_index,
       round,
+      may_vote: may_vote.into(),
     }
   }
 }
@@ -3166,6 +3237,7 @@
     let mut f_3: Option<bool> = None;
     let mut f_4: Option<i64> = None;
     let mut f_5: Option<i64> = None;
+    let mut f_6: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3193,6 +3265,10 @@
           let val = i_prot.read_i64()?;
           f_5 = Some(val);
         },
+        6 => {
+          let val = i_prot.read_bool()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3211,6 +3287,7 @@
       success: f_3.expect("auto-generated code should have checked for presence of required fields"),
       match_index: f_4.expect("auto-generated code should have checked for presence of required fields"),
       round: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      may_vote: f_6,
     };
     Ok(ret)
   }
@@ -3232,6 +3309,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("round", TType::I64, 5))?;
     o_prot.write_i64(self.round)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.may_vote {
+      o_prot.write_field_begin(&TFieldIdentifier::new("may_vote", TType::Bool, 6))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -4852,6 +4934,7 @@
   RankPrepared(RankPrepared),
   ReadDocument(ReadDocument),
   DocumentPart(DocumentPart),
+  LeaveReply(LeaveReply),
 }
 
 impl TSerializable for Body {
@@ -5118,6 +5201,13 @@
           }
           received_field_count += 1;
         },
+        39 => {
+          let val = LeaveReply::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::LeaveReply(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -5332,6 +5422,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Body::LeaveReply(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("leave_reply", TType::Struct, 39))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -185,6 +185,14 @@
   1: required i32 member
   2: required string address
   3: required bool forwarded
+  // Whether the process of the host is stopping, so that another host must vote in its place.
+  4: optional bool leaving
+}
+
+// Answer to the join of a host that is leaving.
+struct LeaveReply {
+  // Whether the quorum doesn't need the host any more.
+  1: required bool may_stop
 }
 
 // The callee is no control host; these are, as far as it knows.
@@ -265,6 +273,8 @@
   3: required bool success
   4: required i64 match_index
   5: required i64 round
+  // Whether the follower may vote; absent from members of an earlier version.
+  6: optional bool may_vote
 }
 
 struct InstallSnapshot {
@@ -431,6 +441,7 @@
   36: RankPrepared rank_prepared
   37: ReadDocument read_document
   38: DocumentPart document_part
+  39: LeaveReply leave_reply
 }
 
 // One frame. A call and all frames that answer it carry the same call number.
