A refusal is believed only if it belongs to the request that was sent

What callers saw (report of other operators): a replica wrote an earlier refusal once more on a kept connection, without an id, and requests that it had run or was running were answered "not run, try again".

Cause: the head of an answer was checked for a foreign id only, and a refusal without an id was believed on a connection that had answered before. Also, a status that promises that a request has not run (408, 429, 503) was passed on from a target that didn't say so.

Change: one place, relay/src/answer_check.rs, decides whether an answer belongs to the request and what it says of the run. Without an id, only the first answer on a connection is believed; a promise needs the target's word. Anything else is "unknown": a request that may be repeated is retried within its budget, any other gets 502. What such an answer says of its target (limits, rest, leaving) isn't recorded either.

--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -15,8 +15,10 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
+use crate::answer_check::AnswerKind;
+use crate::answer_check::SentRequest;
+use crate::answer_check::check_answer;
 use crate::connection::Connection;
-use crate::headers;
 use crate::leaving;
 use crate::leaving::LeavingSource;
 use crate::request::RelayRequest;
@@ -86,6 +88,13 @@
     }
 }
 
+/// What one attempt sent.
+struct SentAttempt {
+    at_ms: u64,
+    /// Id of the event after which a stream goes on.
+    resume_after: Option<u64>,
+}
+
 /// Sends a request and waits for the head of the answer.
 ///
 /// Dropping the future closes the connection, which cancels the request at the target.
@@ -102,13 +111,12 @@
     while let Some(mut connection) = next.take() {
         state.lifecycle.wait_after_stall().await;
         let message = build_message(state, request, picked, resume_after);
-        let sent_ms = monotonic_ms();
+        let sent = SentAttempt { at_ms: monotonic_ms(), resume_after };
         match connection.send(message).await {
             Ok(response) => {
-                observe_limit(state, request, picked, &response, sent_ms);
-                observe_notice(state, request, picked, &response);
                 let address = picked.address.clone();
-                return classify_answer(state, request, Answered { response, connection, address });
+                let answered = Answered { response, connection, address };
+                return classify_answer(state, request, picked, &sent, answered);
             }
             Err(mut error) => {
                 if error.take_message().is_none() {
@@ -178,14 +186,12 @@
 /// Records the limit that an answer names, or that it names none. Only the target's own answer to a request lifts a limit.
 fn observe_limit(
     state: &RelayState,
-    request: &RelayRequest,
     picked: &PickedTarget,
     response: &Response<Incoming>,
     sent_ms: u64,
 ) {
     let (names, answer) = (state.dialect.headers(), response.headers());
-    let is_other = headers::text(answer, &names.request_id).is_some_and(|it| it != request.id);
-    if is_other || response.status() == StatusCode::MISDIRECTED_REQUEST {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
     let Some(limit) = answer.get(&names.limit) else {
@@ -200,13 +206,13 @@
     }
 }
 
-/// Records what an answer says of its target.
+/// Records and returns what an answer says of its target.
 fn observe_notice(
     state: &Arc<RelayState>,
     request: &RelayRequest,
     picked: &PickedTarget,
     response: &Response<Incoming>,
-) {
+) -> TargetNotice {
     let names = state.dialect.headers();
     let notice = TargetNotice::read(response.status(), response.headers(), names);
     notice.log(request, &picked.id);
@@ -219,32 +225,33 @@
         targets.record_rest(picked.key, picked.incarnation, until_ms);
         state.daemon.metrics.target_rests.inc();
     }
+    notice
 }
 
-/// Checks that an answer belongs to this request and carries a target's signature, and detects refusals.
+/// Checks that an answer belongs to this request, records what it says of its target, and detects refusals.
 fn classify_answer(
     state: &Arc<RelayState>,
     request: &RelayRequest,
+    picked: &PickedTarget,
+    sent: &SentAttempt,
     answered: Answered,
 ) -> AttemptResult {
     let names = state.dialect.headers();
-    let answer = answered.response.headers();
-    let status = answered.response.status();
-    let answer_request_id = headers::text(answer, &names.request_id);
-    if answer_request_id.is_some_and(|it| it != request.id) {
-        return AttemptResult::Unknown {
-            error: "the answer belongs to another request".to_string(),
-        };
-    }
-    if answer.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
-        let notice = TargetNotice::read(status, answer, names);
-        return AttemptResult::NotRun { status, wants_rest: notice.rest.is_some() };
-    }
-    let is_signed = answer.contains_key(&names.signature) && answer_request_id.is_some();
-    if status.is_success() && !is_signed {
-        return AttemptResult::Unknown {
-            error: "the answer has no signature of a target".to_string(),
-        };
+    let (status, answer) = (answered.response.status(), answered.response.headers());
+    let expected = SentRequest {
+        id: &request.id,
+        is_first_on_connection: answered.connection.is_first_request(),
+        wants_stream: request.route.kind == RequestKind::Stream,
+        is_continuation: sent.resume_after.is_some(),
+    };
+    let kind = match check_answer(&expected, status, answer, names) {
+        Ok(kind) => kind,
+        Err(mismatch) => return AttemptResult::Unknown { error: mismatch.to_string() },
+    };
+    observe_limit(state, picked, &answered.response, sent.at_ms);
+    let notice = observe_notice(state, request, picked, &answered.response);
+    match kind {
+        AnswerKind::NotRun => AttemptResult::NotRun { status, wants_rest: notice.rest.is_some() },
+        AnswerKind::Ran => AttemptResult::Answered(Box::new(answered)),
     }
-    AttemptResult::Answered(Box::new(answered))
 }
--- a/crates/bilberryloft-relay/src/connection.rs
+++ b/crates/bilberryloft-relay/src/connection.rs
@@ -128,6 +128,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     progress: Arc<Progress>,
+    requests_sent: u64,
 }
 
 impl Connection {
@@ -145,7 +146,7 @@
                 // A request on the connection gets the error itself.
                 let _ = connection.await;
             });
-            Ok(Connection { sender, progress })
+            Ok(Connection { sender, progress, requests_sent: 0 })
         });
         opened.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
@@ -156,6 +157,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         self.progress.begin();
+        self.requests_sent += 1;
         let result = self.sender.try_send_request(request).await;
         self.progress.record();
         result
@@ -186,6 +188,11 @@
         Ok(bytes.freeze())
     }
 
+    /// Returns whether at most one request has been sent on this connection.
+    pub fn is_first_request(&self) -> bool {
+        self.requests_sent <= 1
+    }
+
     /// Returns whether a request can be sent at once.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod answer_check;
 pub mod attempt;
 pub mod connection;
 pub mod control_api;
