A stream that broke off goes on only with its own continuation

What callers saw (report of other operators): a stream broke off, the next replica answered something else, and its text stood in the middle of the stream, or events came twice, and the stream ended as complete. Here: on a success with another type of content, and one that starts again from the first event, are passed on.

Cause: a resumed answer was taken for the continuation by its status alone.

What doesn't fit isn't forwarded, and counts as broken off; event 519 says why.

--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -112,6 +112,8 @@
     StreamBroken = 516,
     /// A stream ended normally.
     StreamEnded = 517,
+    /// A target sent events that don't follow those forwarded before; they were not forwarded.
+    EventsRejected = 519,
     /// A retry was taken out of the retry budget, or denied.
     RetryDecided = 518,
     /// A document from an operator was accepted or refused.
@@ -154,7 +156,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 70] = [
+pub const EVENTS: [Event; 71] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -210,6 +212,7 @@
     Event::StreamBroken,
     Event::StreamEnded,
     Event::RetryDecided,
+    Event::EventsRejected,
     Event::DocumentDecided,
     Event::AnnouncementRefused,
     Event::TargetLeaves,
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -6,6 +6,7 @@
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
 use bilberryloft_routing::event_stream::EventFramer;
+use bilberryloft_routing::event_stream::StreamFault;
 use bilberryloft_routing::retry_budget::RetryPurpose;
 use bilberryloft_routing::targets::AttemptOutcome;
 use bytes::Bytes;
@@ -98,11 +99,13 @@
     in_flight: InFlight,
 ) -> AnswerBody {
     let (frames, mut queue) = mpsc::channel(QUEUED_FRAMES_MAX);
+    // A caller may resume its stream itself.
+    let framer = EventFramer::after(requested_after(&state, &request));
     let relay = StreamRelay {
         state,
         request: Arc::new(request),
         frames,
-        framer: EventFramer::default(),
+        framer,
         last_event: Instant::now(),
         longest_gap: Duration::ZERO,
         bytes_sent: 0,
@@ -113,6 +116,12 @@
     BodyExt::boxed(StreamBody::new(stream.fuse()))
 }
 
+/// Returns the id of the event after which the caller wants the stream to go on.
+fn requested_after(state: &RelayState, request: &RelayRequest) -> Option<u64> {
+    let name = &state.dialect.headers().last_event_id;
+    headers::text(&request.headers, name)?.trim().parse().ok()
+}
+
 impl StreamRelay {
     async fn run(mut self, initial: Answered, slot: TargetSlot, attempts: u32) {
         let mut answered = initial;
@@ -152,7 +161,7 @@
                     None
                 }
             };
-            self.framer.discard_partial();
+            self.framer.begin_continuation();
             match self.resume(attempts_made, replacement).await {
                 Some((next, next_slot)) => {
                     answered = next;
@@ -187,6 +196,17 @@
         );
     }
 
+    fn log_rejected(&self, slot: &TargetSlot, fault: StreamFault) {
+        log_event!(
+            warn,
+            Event::EventsRejected,
+            request_id = self.request.id,
+            target_id = slot.picked().id,
+            ?fault,
+            last_id = self.framer.last_id()
+        );
+    }
+
     async fn abort(&self, reason: &str) {
         log_event!(
             warn,
@@ -249,8 +269,12 @@
         let Ok(bytes) = frame.into_data() else {
             return None;
         };
-        let Ok(events) = self.framer.push(&bytes) else {
-            return Some(BodyEnd::Broken);
+        let events = match self.framer.push(&bytes) {
+            Ok(events) => events,
+            Err(fault) => {
+                self.log_rejected(slot, fault);
+                return Some(BodyEnd::Broken);
+            }
         };
         if events.is_empty() {
             return None;
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -10,6 +10,7 @@
 use bilberryloft_routing::batch_limit::batch_limit;
 use bilberryloft_routing::document::Engine;
 use bilberryloft_routing::event_stream::EventFramer;
+use bilberryloft_routing::event_stream::StreamFault;
 use bilberryloft_routing::group_health::GroupHealth;
 use bilberryloft_routing::load_exchange::TargetTag;
 use bilberryloft_routing::retry_budget::BudgetLimits;
@@ -230,12 +231,35 @@
     assert_eq!(String::from_utf8(forwarded).unwrap(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     assert_eq!(framer.last_id(), Some(2));
     assert!(framer.has_partial());
-    framer.discard_partial();
+    framer.begin_continuation();
     let rest = framer.push(b"id: 3\ndata: c\n\n").unwrap();
     assert_eq!(rest, b"id: 3\ndata: c\n\n");
     assert_eq!(framer.last_id(), Some(3));
 }
 
+#[test]
+fn events_that_do_not_follow_the_last_one_are_not_forwarded() {
+    for (after, events, expected) in [
+        (Some(2), "id: 3\ndata: c\n\n", Ok(())),
+        (Some(2), ": comment\n\nid: 5\ndata: e\n\n", Ok(())),
+        (Some(2), "version: 4\nid: 3\ndata: c\n\ndata: no id\n\n", Ok(())),
+        (None, "data: no id\n\n", Ok(())),
+        (None, "id: 0\ndata: a\n\nid: 7\r\ndata: b\r\n\r\n", Ok(())),
+        (Some(2), "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", Err(StreamFault::OutOfOrder)),
+        (Some(2), "id: 1\ndata: a\n\n", Err(StreamFault::OutOfOrder)),
+        (None, "id: 4\ndata: a\n\nid: 4\ndata: a\n\n", Err(StreamFault::OutOfOrder)),
+        (Some(2), "no such stream\n\n", Err(StreamFault::NoId)),
+        (Some(2), "data: x\n\nid: 3\ndata: c\n\n", Err(StreamFault::NoId)),
+    ] {
+        let mut framer = EventFramer::after(after);
+        let forwarded = framer.push(events.as_bytes());
+        assert_eq!(forwarded.clone().map(|_| ()), expected, "{after:?}: {events:?}");
+        if forwarded.is_err() {
+            assert_eq!(framer.last_id(), after, "events that aren't forwarded don't count");
+        }
+    }
+}
+
 quickcheck! {
     fn events_stay_complete_for_any_chunk_sizes(chunk_lens: Vec<u8>) -> bool {
         let mut stream = Vec::new();
