Operators see how many voters may be lost at this moment, and why fewer than wanted

The leader assesses periodically how many voters are in sync beyond a majority: event 218 when that changes, with the voters that are out of sync and the number that is missing; gauges bilberryloft_quorum_losses_tolerated and _wanted; `bilberryctl members list` (a table now, `--json` as before plus the tolerance; a follower asks the leader).

--- a/crates/bilberryctl/tests/commands.rs
+++ b/crates/bilberryctl/tests/commands.rs
@@ -87,7 +87,8 @@
 
     expect(&admin, &["target", "drain", "target-1", "--base-version", "2"], 0, &["version 3"]);
     expect(&admin, &["target", "resume", "target-1", "--base-version", "2"], 3, &["conflict"]);
-    expect(&admin, &["--json", "members", "list"], 0, &["voters"]);
+    expect(&admin, &["--json", "members", "list"], 0, &["voters", "loss_tolerance"]);
+    expect(&admin, &["members", "list"], 0, &["leader", "voters may be lost now"]);
     expect("127.0.0.1:1", &["target", "list"], 1, &["127.0.0.1:1"]);
     expect("127.0.0.1:1", &["target"], 2, &["Usage"]);
 
--- a/crates/bilberryloft-coordination/src/lib.rs
+++ b/crates/bilberryloft-coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod freshness;
 pub mod host_choice;
 pub mod leases;
+pub mod loss_tolerance;
 pub mod member_planner;
 pub mod pick;
 pub mod raft;
--- a/crates/bilberryloft-coordination/src/raft/leader.rs
+++ b/crates/bilberryloft-coordination/src/raft/leader.rs
@@ -226,7 +226,8 @@
         }
     }
 
-    pub(super) fn has_committed_in_term(&self) -> bool {
+    /// Returns whether an entry of the current term is committed.
+    pub fn has_committed_in_term(&self) -> bool {
         self.log.term_at(self.commit_index) == Some(self.hard_state.term)
     }
 
--- a/crates/bilberryloft-daemon/src/admin/mod.rs
+++ b/crates/bilberryloft-daemon/src/admin/mod.rs
@@ -16,6 +16,7 @@
 use axum::routing::post;
 use bilberryloft_protocol::api::DaemonStatus;
 use bilberryloft_protocol::api::History;
+use bilberryloft_protocol::api::QuorumReport;
 use bilberryloft_protocol::api::TargetRow;
 use bilberryloft_protocol::api::TeamList;
 use bilberryloft_protocol::wire;
@@ -64,6 +65,7 @@
         .route("/operator/targets", get(targets))
         .route("/operator/burn", get(burn))
         .route("/operator/members", get(members).post(change_members))
+        .route("/operator/quorum", get(quorum))
         .route("/operator/explain/{request_id}", get(explain))
         .with_state(AdminState { shared, control })
         .layer(GlobalConcurrencyLimitLayer::new(CONCURRENT_CALLS_MAX));
@@ -81,6 +83,8 @@
 async fn metrics(State(admin): State<AdminState>) -> String {
     let version = admin.shared.view.configuration().version();
     admin.shared.metrics.configuration_version.set(version as i64);
+    let quorum = admin.control.as_ref().map(|it| it.node().status());
+    admin.shared.metrics.set_loss_tolerance(quorum.and_then(|it| it.loss_tolerance).as_ref());
     admin.shared.metrics.render()
 }
 
@@ -190,6 +194,20 @@
     }
 }
 
+/// Reports the members and the losses that the quorum tolerates, which only its leader knows.
+async fn quorum(State(admin): State<AdminState>) -> Response {
+    let Some(control) = &admin.control else {
+        return error_response(StatusCode::NOT_FOUND, "this daemon is not a control host");
+    };
+    let status = control.node().status();
+    let loss_tolerance = match (&status.leader_address, status.leads) {
+        (Some(leader), false) => control.ask_loss_tolerance(leader, STATUS_TIMEOUT).await,
+        _ => status.loss_tolerance,
+    };
+    let (members, leader) = (status.members, status.leader_address);
+    Json(QuorumReport { members, leader, loss_tolerance }).into_response()
+}
+
 async fn change_members(
     State(admin): State<AdminState>,
     Json(members): Json<MemberSet>,
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_coordination::raft::Message;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::member_set::MemberSet;
@@ -100,6 +101,8 @@
     pub may_vote: bool,
     /// Current members.
     pub members: MemberSet,
+    /// Losses that the quorum tolerates, if this member is the leader.
+    pub loss_tolerance: Option<LossTolerance>,
 }
 
 impl QuorumStatus {
--- a/crates/bilberryloft-daemon/src/control/member_changes.rs
+++ b/crates/bilberryloft-daemon/src/control/member_changes.rs
@@ -1,5 +1,6 @@
 //! Automatic membership changes: hosts that ask to join, and the changes that the leader proposes.
 
+use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_coordination::raft::Role;
 
 use crate::control::handle::PendingReply;
@@ -9,6 +10,9 @@
 use crate::events::Event;
 use crate::log_event;
 
+/// Time between two assessments of the losses that the quorum tolerates, in milliseconds.
+const ASSESSMENT_INTERVAL_MS: u64 = 100;
+
 impl ControlNode {
     /// Records that a host which can become a member is alive or leaving, and replies whether the quorum doesn't need it
     /// any more; only the leader accepts this.
@@ -34,6 +38,28 @@
         let _ = reply.send(Ok(self.may_stop(member)));
     }
 
+    /// Assesses periodically how many losses the quorum tolerates, if this member leads it, and logs each change.
+    pub(super) fn assess_loss_tolerance(&mut self) {
+        if self.raft.role() != Role::Leader {
+            self.loss_tolerance = None;
+            return;
+        }
+        // Before, a new leader has not heard from the other members.
+        let now_ms = self.raft.now_ms();
+        if !self.raft.has_committed_in_term() || now_ms < self.assessment_due_ms {
+            return;
+        }
+        self.assessment_due_ms = now_ms + ASSESSMENT_INTERVAL_MS;
+        let (raft, voters_wanted) = (&self.raft, self.settings.voters_wanted);
+        let is_in_sync = |member: u32| raft.is_in_sync(member);
+        let found = LossTolerance::assess(raft.members(), voters_wanted, is_in_sync);
+        if self.loss_tolerance.as_ref() == Some(&found) {
+            return;
+        }
+        log_loss_tolerance(&found);
+        self.loss_tolerance = Some(found);
+    }
+
     /// Whether the process of a leaving host may end, by the committed members.
     fn may_stop(&self, member: u32) -> bool {
         let (members, index) = self.raft.log().members();
@@ -59,3 +85,18 @@
         }
     }
 }
+
+fn log_loss_tolerance(found: &LossTolerance) {
+    let LossTolerance { tolerated, wanted, out_of_sync, missing_voters } = found;
+    match found.is_short() {
+        true => log_event!(
+            warn,
+            Event::LossToleranceChanged,
+            tolerated,
+            wanted,
+            ?out_of_sync,
+            missing_voters
+        ),
+        false => log_event!(info, Event::LossToleranceChanged, tolerated, wanted),
+    }
+}
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bilberryloft_coordination::leases::LeaseTable;
+use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_coordination::member_planner::MemberPlanner;
 use bilberryloft_coordination::raft::Outbound;
 use bilberryloft_coordination::raft::Output;
@@ -72,7 +73,11 @@
     /// Latest membership version whose reachable targets have all been given leases.
     pub(super) leased_version: u64,
     pub(super) member_planner: MemberPlanner,
-    settings: ControlSettings,
+    /// Losses that the quorum tolerates, if this member leads it.
+    pub(super) loss_tolerance: Option<LossTolerance>,
+    /// Time of the next assessment of `loss_tolerance`, in milliseconds.
+    pub(super) assessment_due_ms: u64,
+    pub(super) settings: ControlSettings,
     seed: u64,
     report_sender: mpsc::UnboundedSender<DiskReport>,
     pub(super) snapshot_entries: u64,
@@ -123,6 +128,8 @@
             leases: LeaseTable::new(settings.target_lease_ms),
             leased_version: 0,
             member_planner: MemberPlanner::new(settings.member, settings.voters_wanted),
+            loss_tolerance: None,
+            assessment_due_ms: 0,
             settings: settings.clone(),
             seed,
             report_sender,
@@ -229,6 +236,7 @@
         self.handle_role_change();
         self.expire_leases();
         self.reconcile_members();
+        self.assess_loss_tolerance();
         self.start_snapshot_if_due();
         self.publish_status();
     }
@@ -432,11 +440,20 @@
             (old.term, old.commit_index, old.leads, old.may_vote)
                 != (term, commit_index, leads, may_vote)
                 || old.leader_address != leader_address
+                || old.loss_tolerance != self.loss_tolerance
         };
         if has_changed {
             let members = self.raft.members().clone();
-            let status =
-                QuorumStatus { leader_address, leads, term, commit_index, may_vote, members };
+            let loss_tolerance = self.loss_tolerance.clone();
+            let status = QuorumStatus {
+                leader_address,
+                leads,
+                term,
+                commit_index,
+                may_vote,
+                members,
+                loss_tolerance,
+            };
             self.status.send_replace(status);
         }
     }
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use bilberryloft_coordination::document_transfer::DocumentSender;
+use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_coordination::suspect_feed::SuspectChanges;
 use bilberryloft_coordination::suspect_feed::SuspectFeed;
+use bilberryloft_protocol::api::DaemonStatus;
 use bilberryloft_protocol::api::WatcherRow;
 use bilberryloft_protocol::convert::part_request_from_wire;
 use bilberryloft_protocol::convert::part_to_wire;
@@ -194,6 +196,26 @@
         }
     }
 
+    /// Asks the leader how many losses the quorum tolerates; `None` if it gives no answer in time.
+    pub async fn ask_loss_tolerance(
+        &self,
+        leader: &str,
+        timeout: Duration,
+    ) -> Option<LossTolerance> {
+        let request = Body::Status(wire::Status::new());
+        match self.leader_client(leader).call(request, timeout).await {
+            Ok(Body::StatusReply(reply)) => {
+                let status: DaemonStatus = serde_json::from_slice(&reply.status).ok()?;
+                status.loss_tolerance
+            }
+            Ok(_) => None,
+            Err(error) => {
+                tracing::debug!(leader, %error, "the leader was not asked for the losses that the quorum tolerates");
+                None
+            }
+        }
+    }
+
     fn leader_client(&self, address: &str) -> Client {
         let mut leader_clients = self.leader_clients.lock();
         let client = leader_clients.entry(address.to_string());
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -64,6 +64,8 @@
     MemberLeaving = 216,
     /// A stopping host has waited until another one votes in its place.
     QuorumLeft = 217,
+    /// The number of voters that may be lost at this moment changed, as the leader knows it.
+    LossToleranceChanged = 218,
     /// The target announced itself.
     TargetAnnounced = 300,
     /// The target stopped announcing itself.
@@ -156,7 +158,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 71] = [
+pub const EVENTS: [Event; 72] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -187,6 +189,7 @@
     Event::MemberEnded,
     Event::MemberLeaving,
     Event::QuorumLeft,
+    Event::LossToleranceChanged,
     Event::TargetAnnounced,
     Event::TargetSilent,
     Event::TargetCrashed,
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a daemon in the Prometheus text format.
 
+use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_state::refusal::Reason;
 use prometheus::Encoder;
 use prometheus::Histogram;
@@ -16,6 +17,9 @@
 /// Upper bounds of the time-to-first-byte buckets, in seconds.
 const FIRST_BYTE_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.43, 1.0, 3.0, 10.0];
 
+/// Value of a gauge that only the leader knows, on other hosts.
+const UNKNOWN: i64 = -1;
+
 /// All metrics of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -50,6 +54,8 @@
     pub limit_refusals: IntCounter,
     /// Configuration version in force.
     pub configuration_version: IntGauge,
+    losses_tolerated: IntGauge,
+    losses_wanted: IntGauge,
     refusals: IntCounterVec,
     agent_refusals: IntCounterVec,
     log_lines_dropped: IntCounter,
@@ -125,6 +131,14 @@
             )?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
+            losses_tolerated: new.gauge(
+                "bilberryloft_quorum_losses_tolerated",
+                "Voters that may be lost now, at the leader; -1 elsewhere.",
+            )?,
+            losses_wanted: new.gauge(
+                "bilberryloft_quorum_losses_wanted",
+                "Voters that the quorum is meant to lose, at the leader; -1 elsewhere.",
+            )?,
             refusals: new.counters_by_reason(
                 "bilberryloft_refusals_total",
                 "Requests refused to callers.",
@@ -151,6 +165,12 @@
         self.agent_refusals.with_label_values(&[&reason.name()]).inc();
     }
 
+    /// Sets the losses that the quorum tolerates; only its leader knows them.
+    pub fn set_loss_tolerance(&self, known: Option<&LossTolerance>) {
+        self.losses_tolerated.set(known.map_or(UNKNOWN, |it| it.tolerated as i64));
+        self.losses_wanted.set(known.map_or(UNKNOWN, |it| it.wanted as i64));
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         self.log_lines_dropped.reset();
--- a/crates/bilberryloft-daemon/src/shared.rs
+++ b/crates/bilberryloft-daemon/src/shared.rs
@@ -135,6 +135,7 @@
             term: quorum.as_ref().map(|it| it.term),
             commit_index: quorum.as_ref().map(|it| it.commit_index),
             may_vote: quorum.as_ref().map(|it| it.may_vote),
+            loss_tolerance: quorum.as_ref().and_then(|it| it.loss_tolerance.clone()),
             watchers,
         }
     }
--- a/crates/bilberryloft-protocol/src/api.rs
+++ b/crates/bilberryloft-protocol/src/api.rs
@@ -1,8 +1,10 @@
 //! JSON bodies of the operator API, which every daemon offers to `bilberryctl`.
 
+use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_state::configuration::ChangeRecord;
 use bilberryloft_state::configuration::Team;
 use bilberryloft_state::configuration::Template;
+use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::membership::TargetRecord;
 use bilberryloft_state::record::DecisionRecord;
 use serde::Deserialize;
@@ -58,10 +60,24 @@
     pub commit_index: Option<u64>,
     /// Whether the member may vote, on a control host; a member that lost its disk may not until it has caught up.
     pub may_vote: Option<bool>,
+    /// Losses that the quorum tolerates at this moment, on its leader.
+    #[serde(default)]
+    pub loss_tolerance: Option<LossTolerance>,
     /// Daemons that watch this control host for updates.
     pub watchers: Vec<WatcherRow>,
 }
 
+/// Members of the quorum and the losses that it tolerates, as one control host knows them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct QuorumReport {
+    /// Voters and learners.
+    pub members: MemberSet,
+    /// Peer address of the leader, if known.
+    pub leader: Option<String>,
+    /// Losses that the quorum tolerates at this moment; absent if the leader could not be asked.
+    pub loss_tolerance: Option<LossTolerance>,
+}
+
 /// A daemon that watches a control host for updates.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WatcherRow {
