An agent opens a connection to its target for each request

On the product's own interface targets repeat no id of a request in their answers, so the check of the relay can't be made there.

Cause: the agent's HTTP client used connections again. An answer that a target sends once more, just before the next one, was taken for the answer to the next request, whatever its status.

Change: the agent opens a connection for each request, to a target beside it. Orders of expert maps go the same way.

--- a/crates/bilberryloft-daemon/src/agent/state.rs
+++ b/crates/bilberryloft-daemon/src/agent/state.rs
@@ -132,7 +132,7 @@
             view,
             control,
             metrics,
-            http: HttpClient::new(),
+            http: HttpClient::without_reuse(),
             incarnation: AtomicU64::new(incarnation),
             is_incarnation_confirmed: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
--- a/crates/bilberryloft-transport/src/http.rs
+++ b/crates/bilberryloft-transport/src/http.rs
@@ -1,4 +1,4 @@
-//! HTTP client with a connection pool, used for requests to targets.
+//! HTTP client for requests to targets and daemons.
 
 use axum::serve::ListenerExt;
 use axum::serve::TapIo;
@@ -16,7 +16,10 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-/// A pooled HTTP client; clones share the pool.
+/// Largest number of idle connections to one host.
+const IDLE_MAX: usize = 1_024;
+
+/// An HTTP client; clones share its pool of connections, if it has one.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     inner: Client<HttpConnector, Full<Bytes>>,
@@ -31,13 +34,25 @@
 impl HttpClient {
     /// Creates a client with an empty connection pool.
     pub fn new() -> HttpClient {
+        HttpClient::build(IDLE_MAX)
+    }
+
+    /// Creates a client that opens a connection for each request. A target in trouble may send an earlier answer once more,
+    /// and one that names no request in its answers would then answer another request with it.
+    pub fn without_reuse() -> HttpClient {
+        HttpClient::build(0)
+    }
+
+    fn build(idle_max: usize) -> HttpClient {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(std::time::Duration::from_millis(1_000)));
         // By default the pool retries a request on a new connection when a reused one turns out to be closed.
         // Only the entry may decide whether to retry, so this is disabled.
-        let inner =
-            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
+        let inner = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_max_idle_per_host(idle_max)
+            .build(connector);
         HttpClient { inner }
     }
 
