Stopping voters wait ten seconds at most; metrics of the quorum and refusals in types of their own

A daemon without a leader would have waited for half of shutdown_max_ms, five minutes by default, for a successor that nobody can choose. Raft::match_index had no caller left.

--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -233,11 +233,6 @@
         self.heard_leader
     }
 
-    /// Index up to which another member has acknowledged the log of this leader.
-    pub fn match_index(&self, member: u32) -> Option<u64> {
-        self.progress.get(&member).map(|it| it.match_index)
-    }
-
     /// The log.
     pub fn log(&self) -> &Log {
         &self.log
--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -32,6 +32,10 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for a stopping agent to announce to the control hosts that its target is leaving.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Fraction of the time to stop, as a divisor, for which a voter waits until another host votes in its place.
+const LEAVE_WAIT_DIVISOR: u64 = 2;
+/// Longest such wait, in milliseconds; without a leader it would be in vain.
+const LEAVE_WAIT_MAX_MS: u64 = 10_000;
 /// Time for the last frames to be written to the sockets.
 const FLUSH_WAIT: Duration = Duration::from_millis(50);
 /// Target lease reported to agents by a daemon that is not a control host, in milliseconds.
@@ -89,14 +93,16 @@
         self.traffic.as_ref()
     }
 
-    /// Tells the quorum that this host is leaving, so that another host takes its place; returns at once.
-    pub fn begin_leave(&self) {
+    /// Tells the quorum that this host is leaving, so that another host takes its place. Returns at once, with the time
+    /// until which a process that must stop within the given time waits for that.
+    pub fn begin_leave(&self, stop_within_ms: u64) -> u64 {
         if let Some(reporter) = self.shared.host_reporter.get() {
             reporter.begin_leave();
         }
+        monotonic_ms() + (stop_within_ms / LEAVE_WAIT_DIVISOR).min(LEAVE_WAIT_MAX_MS)
     }
 
-    /// Waits until the quorum doesn't need this host any more, at most until the deadline.
+    /// Waits until the quorum doesn't need this host any more, at most until a time that [`Daemon::begin_leave`] returned.
     pub fn wait_for_replacement(&self, deadline_ms: u64) {
         let Some(reporter) = self.shared.host_reporter.get() else {
             return;
@@ -112,13 +118,12 @@
 
     /// Shuts down gracefully: reports not ready for `shutdown_notice_ms`, then refuses new work, drains the work
     /// in flight and stops. Work that is still in flight after `shutdown_max_ms` is abandoned. A voter also waits until
-    /// another host votes in its place, at most for half of that time.
+    /// another host votes in its place, at most for half of that time and ten seconds.
     pub fn shutdown(mut self) {
         let settings = &self.shared.settings;
         log_event!(info, Event::ShutdownBegan, daemon = settings.daemon);
         self.shared.begin_stop();
-        self.begin_leave();
-        let leave_deadline_ms = monotonic_ms() + settings.shutdown_max_ms / 2;
+        let leave_deadline_ms = self.begin_leave(settings.shutdown_max_ms);
         std::thread::sleep(Duration::from_millis(settings.shutdown_notice_ms));
         let deadline_ms = monotonic_ms() + settings.shutdown_max_ms;
         self.stop_entry(deadline_ms);
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -54,11 +54,53 @@
     pub limit_refusals: IntCounter,
     /// Configuration version in force.
     pub configuration_version: IntGauge,
+    quorum: QuorumGauges,
+    refusals: RefusalCounters,
+    log_lines_dropped: IntCounter,
+}
+
+/// What the leader of the quorum knows of its members.
+#[derive(Debug)]
+struct QuorumGauges {
     losses_tolerated: IntGauge,
     losses_wanted: IntGauge,
-    refusals: IntCounterVec,
-    agent_refusals: IntCounterVec,
-    log_lines_dropped: IntCounter,
+}
+
+impl QuorumGauges {
+    fn register(new: &Registrar) -> prometheus::Result<QuorumGauges> {
+        Ok(QuorumGauges {
+            losses_tolerated: new.gauge(
+                "bilberryloft_quorum_losses_tolerated",
+                "Voters that may be lost now, at the leader; -1 elsewhere.",
+            )?,
+            losses_wanted: new.gauge(
+                "bilberryloft_quorum_losses_wanted",
+                "Voters that the quorum is meant to lose, at the leader; -1 elsewhere.",
+            )?,
+        })
+    }
+}
+
+/// Refusals by their reasons.
+#[derive(Debug)]
+struct RefusalCounters {
+    by_entry: IntCounterVec,
+    by_agent: IntCounterVec,
+}
+
+impl RefusalCounters {
+    fn register(new: &Registrar) -> prometheus::Result<RefusalCounters> {
+        Ok(RefusalCounters {
+            by_entry: new.counters_by_reason(
+                "bilberryloft_refusals_total",
+                "Requests refused to callers.",
+            )?,
+            by_agent: new.counters_by_reason(
+                "bilberryloft_agent_refusals_total",
+                "Dispatches refused to entries.",
+            )?,
+        })
+    }
 }
 
 /// Creates metrics and registers them; each call fails only if two have the same name.
@@ -131,22 +173,8 @@
             )?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
-            losses_tolerated: new.gauge(
-                "bilberryloft_quorum_losses_tolerated",
-                "Voters that may be lost now, at the leader; -1 elsewhere.",
-            )?,
-            losses_wanted: new.gauge(
-                "bilberryloft_quorum_losses_wanted",
-                "Voters that the quorum is meant to lose, at the leader; -1 elsewhere.",
-            )?,
-            refusals: new.counters_by_reason(
-                "bilberryloft_refusals_total",
-                "Requests refused to callers.",
-            )?,
-            agent_refusals: new.counters_by_reason(
-                "bilberryloft_agent_refusals_total",
-                "Dispatches refused to entries.",
-            )?,
+            quorum: QuorumGauges::register(&new)?,
+            refusals: RefusalCounters::register(&new)?,
             log_lines_dropped: new.counter(
                 "bilberryloft_log_lines_dropped_total",
                 "Log lines dropped because the queue was full.",
@@ -157,18 +185,18 @@
 
     /// Counts a request that an entry refused to a caller.
     pub fn count_refusal(&self, reason: Reason) {
-        self.refusals.with_label_values(&[&reason.name()]).inc();
+        self.refusals.by_entry.with_label_values(&[&reason.name()]).inc();
     }
 
     /// Counts a dispatch that the agent refused to an entry.
     pub fn count_agent_refusal(&self, reason: Reason) {
-        self.agent_refusals.with_label_values(&[&reason.name()]).inc();
+        self.refusals.by_agent.with_label_values(&[&reason.name()]).inc();
     }
 
     /// Sets the losses that the quorum tolerates; only its leader knows them.
     pub fn set_loss_tolerance(&self, known: Option<&LossTolerance>) {
-        self.losses_tolerated.set(known.map_or(UNKNOWN, |it| it.tolerated as i64));
-        self.losses_wanted.set(known.map_or(UNKNOWN, |it| it.wanted as i64));
+        self.quorum.losses_tolerated.set(known.map_or(UNKNOWN, |it| it.tolerated as i64));
+        self.quorum.losses_wanted.set(known.map_or(UNKNOWN, |it| it.wanted as i64));
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -8,7 +8,6 @@
 use bilberryloft_daemon::log_event;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
-use bilberryloft_transport::clock::monotonic_ms;
 use tokio::time::Instant;
 
 use crate::control_api::serve_control_api;
@@ -25,8 +24,6 @@
 /// Time for which a stopping relay still accepts connections. The balancer removes it only after two failed readiness
 /// checks, one second apart.
 const CLOSE_NOTICE: Duration = Duration::from_millis(2_300);
-/// Fraction of the time to stop, as a divisor, for which a voter waits until another host votes in its place.
-const LEAVE_WAIT_DIVISOR: u64 = 2;
 /// Interval at which the number of open requests is checked during shutdown.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time reserved for the exit of the process.
@@ -64,9 +61,7 @@
     /// Shuts down gracefully: reports not ready, then stops accepting connections, then waits for open requests. A voter
     /// of the quorum also waits until another host votes in its place.
     pub fn shutdown(self) {
-        let leave_within_ms = self.state.settings.stop_within_ms / LEAVE_WAIT_DIVISOR;
-        let leave_deadline_ms = monotonic_ms() + leave_within_ms;
-        self.daemon.begin_leave();
+        let leave_deadline_ms = self.daemon.begin_leave(self.state.settings.stop_within_ms);
         let until = Instant::now() + Duration::from_millis(self.state.settings.stop_within_ms);
         let until = until - EXIT_RESERVE;
         log_event!(info, Event::RelayStopping, open = self.state.lifecycle.open_requests());
--- a/crates/bilberryloft-transport/tests/http.rs
+++ b/crates/bilberryloft-transport/tests/http.rs
@@ -2,7 +2,6 @@
 #![allow(clippy::unwrap_used)]
 
 use bilberryloft_transport::http::HttpClient;
-use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use tokio::io::AsyncReadExt;
@@ -49,7 +48,7 @@
         let path = format!("/request-{number}");
         let request = Request::get(format!("http://{address}{path}"));
         let (_, body) = client.fetch(request.body(Full::default()).unwrap()).await.unwrap();
-        foreign += usize::from(body != Bytes::from(path));
+        foreign += usize::from(body != path);
     }
     foreign
 }
