--- a/crates/bilberryloft-coordination/src/member_planner.rs
+++ b/crates/bilberryloft-coordination/src/member_planner.rs
@@ -122,6 +122,7 @@
         if members.voters.len() <= self.voters_wanted {
             return None;
         }
+        // The voter with the lowest rank is dropped; in a tuple, false comes before true.
         let rank = |it: &&u32| {
             let stays = !self.is_leaving(**it);
             let is_alive = self.is_alive(**it, now_ms);
--- a/crates/bilberryloft-coordination/tests/member_planner.rs
+++ b/crates/bilberryloft-coordination/tests/member_planner.rs
@@ -177,3 +177,15 @@
     let members = settle(&mut planner, members, &[3, 4], now_ms);
     assert_eq!(voter_ids(&members), [1, 3, 4]);
 }
+
+// Guards against replacing a host that led long ago, and is alive, before it can report to the new leader.
+#[test]
+fn leader_of_long_ago_is_not_replaced_before_it_can_report() {
+    let mut members = voters(&[1, 2, 3]);
+    members.learners.insert(4, address(4));
+    let mut planner = MemberPlanner::new(1, 3);
+    let previous_leader = HeardLeader { member: 2, heard_ms: 1_000 };
+    let now_ms = 60_000;
+    planner.start_term(&members, Some(previous_leader), now_ms);
+    assert_eq!(planner.next_members(&members, |_| true, now_ms), None);
+}
--- a/crates/bilberryloft-daemon/src/control/member_changes.rs
+++ b/crates/bilberryloft-daemon/src/control/member_changes.rs
@@ -44,7 +44,7 @@
             self.loss_tolerance = None;
             return;
         }
-        // Before, a new leader has not heard from the other members.
+        // Until its first commit, a new leader has not heard from the other members.
         let now_ms = self.raft.now_ms();
         if !self.raft.has_committed_in_term() || now_ms < self.assessment_due_ms {
             return;
