A leader of long ago gets the time of a first report before it is replaced

Callers and operators saw: a host that had led long ago and was alive could be swapped for a spare host right after an election, without need. Cause: a new leader counted the silence of the leader before it from that one's last message, however old that was.

--- a/crates/bilberryloft-coordination/src/member_planner.rs
+++ b/crates/bilberryloft-coordination/src/member_planner.rs
@@ -37,7 +37,8 @@
     }
 
     /// Starts a term. A new leader has heard from no member but the leader before it, so all others count as alive for
-    /// the full timeout.
+    /// the full timeout. The leader before it may have led long ago and be alive, so it gets the time in which every
+    /// running host reports.
     pub fn start_term(
         &mut self,
         members: &MemberSet,
@@ -46,9 +47,10 @@
     ) {
         self.hosts.clear();
         self.term_start_ms = now_ms;
+        let first_report_due_ms = (now_ms + FIRST_REPORTS_MS).saturating_sub(MEMBER_TIMEOUT_MS);
         for (member, address) in members.voters.iter().chain(&members.learners) {
             let heard_ms = match previous_leader {
-                Some(it) if it.member == *member => it.heard_ms,
+                Some(it) if it.member == *member => it.heard_ms.max(first_report_due_ms),
                 _ => now_ms,
             };
             self.note_alive(*member, address.clone(), heard_ms);
