--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -307,6 +307,8 @@
             suspects_are_changes: Some(!suspects.is_whole),
             removed_suspects: Some(suspects.removed),
             control_addresses: Some(self.node.status().addresses()),
+            evacuations: None,
+            evacuations_version: None,
         }
     }
 
--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -64,6 +64,7 @@
         document_version: Some(versions.document as i64),
         known_document_version: Some(versions.known_document as i64),
         takes_compact_updates: Some(true),
+        evacuations_version: None,
     }
 }
 
--- a/crates/bilberryloft-daemon/tests/view.rs
+++ b/crates/bilberryloft-daemon/tests/view.rs
@@ -27,6 +27,7 @@
             checks_fencing: false,
             direct: true,
             leaving: false,
+            cold_remaining_ms: 0,
         };
         membership.register(&format!("i-{:x}", number * 7_919), 1_700_000_000_000, description, 1);
     }
@@ -52,6 +53,8 @@
         suspects_are_changes: Some(true),
         removed_suspects: None,
         packed_targets: compression::encode(&delta.targets).ok(),
+        evacuations: None,
+        evacuations_version: None,
     }
 }
 
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -1510,10 +1510,11 @@
   pub document_version: Option<i64>,
   pub known_document_version: Option<i64>,
   pub takes_compact_updates: Option<bool>,
+  pub evacuations_version: Option<i64>,
 }
 
 impl Watch {
-  pub fn new<F7, F8, F9>(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String, document_version: F7, known_document_version: F8, takes_compact_updates: F9) -> Watch where F7: Into<Option<i64>>, F8: Into<Option<i64>>, F9: Into<Option<bool>> {
+  pub fn new<F7, F8, F9, F10>(daemon: String, configuration_version: i64, membership_version: i64, wait_ms: i64, suspects_version: i64, peer_address: String, document_version: F7, known_document_version: F8, takes_compact_updates: F9, evacuations_version: F10) -> Watch where F7: Into<Option<i64>>, F8: Into<Option<i64>>, F9: Into<Option<bool>>, F10: Into<Option<i64>> {
     Watch {
       daemon,
       configuration_version,
@@ -1524,6 +1525,7 @@
       document_version: document_version.into(),
       known_document_version: known_document_version.into(),
       takes_compact_updates: takes_compact_updates.into(),
+      evacuations_version: evacuations_version.into(),
     }
   }
 }
@@ -1540,6 +1542,7 @@
     let mut f_7: Option<i64> = None;
     let mut f_8: Option<i64> = None;
     let mut f_9: Option<bool> = None;
+    let mut f_10: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1583,6 +1586,10 @@
           let val = i_prot.read_bool()?;
           f_9 = Some(val);
         },
+        10 => {
+          let val = i_prot.read_i64()?;
+          f_10 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1606,6 +1613,7 @@
       document_version: f_7,
       known_document_version: f_8,
       takes_compact_updates: f_9,
+      evacuations_version: f_10,
     };
     Ok(ret)
   }
@@ -1645,6 +1653,11 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.evacuations_version {
+      o_prot.write_field_begin(&TFieldIdentifier::new("evacuations_version", TType::I64, 10))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1868,10 +1881,12 @@
   pub suspects_are_changes: Option<bool>,
   pub removed_suspects: Option<Vec<i64>>,
   pub packed_targets: Option<Vec<u8>>,
+  pub evacuations: Option<Vec<u8>>,
+  pub evacuations_version: Option<i64>,
 }
 
 impl Update {
-  pub fn new<F3, F10, F11, F12, F13, F14, F15, F16>(confirmed: bool, configuration_version: i64, configuration_snapshot: F3, configuration_changes: Vec<Vec<u8>>, membership_version: i64, membership_whole: bool, targets: Vec<Vec<u8>>, suspects_version: i64, suspects: Vec<Vec<u8>>, document_version: F10, document: F11, control_addresses: F12, document_part: F13, suspects_are_changes: F14, removed_suspects: F15, packed_targets: F16) -> Update where F3: Into<Option<Vec<u8>>>, F10: Into<Option<i64>>, F11: Into<Option<Vec<u8>>>, F12: Into<Option<Vec<String>>>, F13: Into<Option<DocumentPart>>, F14: Into<Option<bool>>, F15: Into<Option<Vec<i64>>>, F16: Into<Option<Vec<u8>>> {
+  pub fn new<F3, F10, F11, F12, F13, F14, F15, F16, F17, F18>(confirmed: bool, configuration_version: i64, configuration_snapshot: F3, configuration_changes: Vec<Vec<u8>>, membership_version: i64, membership_whole: bool, targets: Vec<Vec<u8>>, suspects_version: i64, suspects: Vec<Vec<u8>>, document_version: F10, document: F11, control_addresses: F12, document_part: F13, suspects_are_changes: F14, removed_suspects: F15, packed_targets: F16, evacuations: F17, evacuations_version: F18) -> Update where F3: Into<Option<Vec<u8>>>, F10: Into<Option<i64>>, F11: Into<Option<Vec<u8>>>, F12: Into<Option<Vec<String>>>, F13: Into<Option<DocumentPart>>, F14: Into<Option<bool>>, F15: Into<Option<Vec<i64>>>, F16: Into<Option<Vec<u8>>>, F17: Into<Option<Vec<u8>>>, F18: Into<Option<i64>> {
     Update {
       confirmed,
       configuration_version,
@@ -1889,6 +1904,8 @@
       suspects_are_changes: suspects_are_changes.into(),
       removed_suspects: removed_suspects.into(),
       packed_targets: packed_targets.into(),
+      evacuations: evacuations.into(),
+      evacuations_version: evacuations_version.into(),
     }
   }
 }
@@ -1912,6 +1929,8 @@
     let mut f_14: Option<bool> = None;
     let mut f_15: Option<Vec<i64>> = None;
     let mut f_16: Option<Vec<u8>> = None;
+    let mut f_17: Option<Vec<u8>> = None;
+    let mut f_18: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2013,6 +2032,14 @@
           let val = i_prot.read_bytes()?;
           f_16 = Some(val);
         },
+        17 => {
+          let val = i_prot.read_bytes()?;
+          f_17 = Some(val);
+        },
+        18 => {
+          let val = i_prot.read_i64()?;
+          f_18 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2045,6 +2072,8 @@
       suspects_are_changes: f_14,
       removed_suspects: f_15,
       packed_targets: f_16,
+      evacuations: f_17,
+      evacuations_version: f_18,
     };
     Ok(ret)
   }
@@ -2135,6 +2164,16 @@
       o_prot.write_bytes(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.evacuations {
+      o_prot.write_field_begin(&TFieldIdentifier::new("evacuations", TType::String, 17))?;
+      o_prot.write_bytes(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.evacuations_version {
+      o_prot.write_field_begin(&TFieldIdentifier::new("evacuations_version", TType::I64, 18))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -4286,6 +4325,176 @@
   }
 }
 
+//
+// PriorityDemand
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PriorityDemand {
+  pub priority: i8,
+  pub running: i32,
+  pub waiting: i32,
+  pub arrivals_per_s: i32,
+}
+
+impl PriorityDemand {
+  pub fn new(priority: i8, running: i32, waiting: i32, arrivals_per_s: i32) -> PriorityDemand {
+    PriorityDemand {
+      priority,
+      running,
+      waiting,
+      arrivals_per_s,
+    }
+  }
+}
+
+impl TSerializable for PriorityDemand {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<PriorityDemand> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i8> = None;
+    let mut f_2: Option<i32> = None;
+    let mut f_3: Option<i32> = None;
+    let mut f_4: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i8()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i32()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i32()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i32()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("PriorityDemand.priority", &f_1)?;
+    verify_required_field_exists("PriorityDemand.running", &f_2)?;
+    verify_required_field_exists("PriorityDemand.waiting", &f_3)?;
+    verify_required_field_exists("PriorityDemand.arrivals_per_s", &f_4)?;
+    let ret = PriorityDemand {
+      priority: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      running: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      waiting: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      arrivals_per_s: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("PriorityDemand");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("priority", TType::I08, 1))?;
+    o_prot.write_i8(self.priority)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("running", TType::I32, 2))?;
+    o_prot.write_i32(self.running)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("waiting", TType::I32, 3))?;
+    o_prot.write_i32(self.waiting)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("arrivals_per_s", TType::I32, 4))?;
+    o_prot.write_i32(self.arrivals_per_s)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// ServiceDemand
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ServiceDemand {
+  pub service_name: String,
+  pub priorities: Vec<PriorityDemand>,
+}
+
+impl ServiceDemand {
+  pub fn new(service_name: String, priorities: Vec<PriorityDemand>) -> ServiceDemand {
+    ServiceDemand {
+      service_name,
+      priorities,
+    }
+  }
+}
+
+impl TSerializable for ServiceDemand {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<ServiceDemand> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<Vec<PriorityDemand>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<PriorityDemand> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_13 = PriorityDemand::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_13);
+          }
+          i_prot.read_list_end()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("ServiceDemand.service_name", &f_1)?;
+    verify_required_field_exists("ServiceDemand.priorities", &f_2)?;
+    let ret = ServiceDemand {
+      service_name: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      priorities: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("ServiceDemand");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 1))?;
+    o_prot.write_string(&self.service_name)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("priorities", TType::List, 2))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.priorities.len() as i32))?;
+    for e in &self.priorities {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // EntryLoad
 //
@@ -4304,10 +4513,11 @@
   pub limits: Option<BTreeMap<String, ReportedLimit>>,
   pub lost_runs: Option<Vec<Vec<u8>>>,
   pub leaving: Option<BTreeMap<String, i64>>,
+  pub demand: Option<Vec<ServiceDemand>>,
 }
 
 impl EntryLoad {
-  pub fn new<F8, F9, F10, F11, F12>(entry: String, address: String, data_center: String, incarnation: i64, number: i64, known_entries: i32, loads: Vec<u8>, failing: F8, slow_ranks: F9, limits: F10, lost_runs: F11, leaving: F12) -> EntryLoad where F8: Into<Option<BTreeMap<String, i8>>>, F9: Into<Option<BTreeMap<String, OrderedFloat<f64>>>>, F10: Into<Option<BTreeMap<String, ReportedLimit>>>, F11: Into<Option<Vec<Vec<u8>>>>, F12: Into<Option<BTreeMap<String, i64>>> {
+  pub fn new<F8, F9, F10, F11, F12, F13>(entry: String, address: String, data_center: String, incarnation: i64, number: i64, known_entries: i32, loads: Vec<u8>, failing: F8, slow_ranks: F9, limits: F10, lost_runs: F11, leaving: F12, demand: F13) -> EntryLoad where F8: Into<Option<BTreeMap<String, i8>>>, F9: Into<Option<BTreeMap<String, OrderedFloat<f64>>>>, F10: Into<Option<BTreeMap<String, ReportedLimit>>>, F11: Into<Option<Vec<Vec<u8>>>>, F12: Into<Option<BTreeMap<String, i64>>>, F13: Into<Option<Vec<ServiceDemand>>> {
     EntryLoad {
       entry,
       address,
@@ -4321,6 +4531,7 @@
       limits: limits.into(),
       lost_runs: lost_runs.into(),
       leaving: leaving.into(),
+      demand: demand.into(),
     }
   }
 }
@@ -4340,6 +4551,7 @@
     let mut f_10: Option<BTreeMap<String, ReportedLimit>> = None;
     let mut f_11: Option<Vec<Vec<u8>>> = None;
     let mut f_12: Option<BTreeMap<String, i64>> = None;
+    let mut f_13: Option<Vec<ServiceDemand>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -4379,9 +4591,9 @@
           let map_ident = i_prot.read_map_begin()?;
           let mut val: BTreeMap<String, i8> = BTreeMap::new();
           for _ in 0..map_ident.size {
-            let map_key_13 = i_prot.read_string()?;
-            let map_val_14 = i_prot.read_i8()?;
-            val.insert(map_key_13, map_val_14);
+            let map_key_14 = i_prot.read_string()?;
+            let map_val_15 = i_prot.read_i8()?;
+            val.insert(map_key_14, map_val_15);
           }
           i_prot.read_map_end()?;
           f_8 = Some(val);
@@ -4390,9 +4602,9 @@
           let map_ident = i_prot.read_map_begin()?;
           let mut val: BTreeMap<String, OrderedFloat<f64>> = BTreeMap::new();
           for _ in 0..map_ident.size {
-            let map_key_15 = i_prot.read_string()?;
-            let map_val_16 = OrderedFloat::from(i_prot.read_double()?);
-            val.insert(map_key_15, map_val_16);
+            let map_key_16 = i_prot.read_string()?;
+            let map_val_17 = OrderedFloat::from(i_prot.read_double()?);
+            val.insert(map_key_16, map_val_17);
           }
           i_prot.read_map_end()?;
           f_9 = Some(val);
@@ -4401,9 +4613,9 @@
           let map_ident = i_prot.read_map_begin()?;
           let mut val: BTreeMap<String, ReportedLimit> = BTreeMap::new();
           for _ in 0..map_ident.size {
-            let map_key_17 = i_prot.read_string()?;
-            let map_val_18 = ReportedLimit::read_from_in_protocol(i_prot)?;
-            val.insert(map_key_17, map_val_18);
+            let map_key_18 = i_prot.read_string()?;
+            let map_val_19 = ReportedLimit::read_from_in_protocol(i_prot)?;
+            val.insert(map_key_18, map_val_19);
           }
           i_prot.read_map_end()?;
           f_10 = Some(val);
@@ -4412,8 +4624,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_19 = i_prot.read_bytes()?;
-            val.push(list_elem_19);
+            let list_elem_20 = i_prot.read_bytes()?;
+            val.push(list_elem_20);
           }
           i_prot.read_list_end()?;
           f_11 = Some(val);
@@ -4422,13 +4634,23 @@
           let map_ident = i_prot.read_map_begin()?;
           let mut val: BTreeMap<String, i64> = BTreeMap::new();
           for _ in 0..map_ident.size {
-            let map_key_20 = i_prot.read_string()?;
-            let map_val_21 = i_prot.read_i64()?;
-            val.insert(map_key_20, map_val_21);
+            let map_key_21 = i_prot.read_string()?;
+            let map_val_22 = i_prot.read_i64()?;
+            val.insert(map_key_21, map_val_22);
           }
           i_prot.read_map_end()?;
           f_12 = Some(val);
         },
+        13 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<ServiceDemand> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_23 = ServiceDemand::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_23);
+          }
+          i_prot.read_list_end()?;
+          f_13 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -4456,6 +4678,7 @@
       limits: f_10,
       lost_runs: f_11,
       leaving: f_12,
+      demand: f_13,
     };
     Ok(ret)
   }
@@ -4532,6 +4755,15 @@
       o_prot.write_map_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.demand {
+      o_prot.write_field_begin(&TFieldIdentifier::new("demand", TType::List, 13))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -4569,8 +4801,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_22 = i_prot.read_bytes()?;
-            val.push(list_elem_22);
+            let list_elem_24 = i_prot.read_bytes()?;
+            val.push(list_elem_24);
           }
           i_prot.read_list_end()?;
           f_1 = Some(val);
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -237,6 +237,7 @@
         checks_fencing: false,
         direct: true,
         leaving: target.is_leaving,
+        cold_remaining_ms: target.cold_remaining_ms,
     }
 }
 
--- a/crates/bilberryloft-relay/src/dialect.rs
+++ b/crates/bilberryloft-relay/src/dialect.rs
@@ -36,6 +36,19 @@
     pub prompt_parts: HeaderName,
     /// Present in an answer, with the value `1`, if the target is leaving.
     pub leaving: HeaderName,
+    /// Number of the prompt's tokens and largest number of the answer's.
+    pub token_counts: HeaderName,
+    /// Time for which the target stays cold, in milliseconds, in its answer to a health check.
+    pub cold_remaining: HeaderName,
+}
+
+/// Numbers of tokens that a caller names for its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenCounts {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Largest number of tokens of the answer.
+    pub answer_max: u64,
 }
 
 /// A call to the control API.
@@ -163,6 +176,8 @@
     fn control_call(&self, method: &Method, path: &str) -> ControlCall;
     /// Returns the ids of a prompt's parts, in order, that other requests may share.
     fn decode_shared_parts<'a>(&self, header: &'a str) -> Vec<&'a str>;
+    /// Returns the numbers of tokens that a request names; `None` if the header can't be read.
+    fn decode_token_counts(&self, header: &str) -> Option<TokenCounts>;
     /// Parses a routing document.
     fn decode_document(&self, bytes: &[u8]) -> Result<Document, DocumentError>;
     /// Returns the path of a rank's report.
--- a/crates/bilberryloft-relay/src/loads/wire.rs
+++ b/crates/bilberryloft-relay/src/loads/wire.rs
@@ -77,6 +77,7 @@
         limits.collect::<BTreeMap<_, _>>(),
         encode_lost_runs(&targets.lost_runs),
         leaving.collect::<BTreeMap<_, _>>(),
+        None,
     )
 }
 
--- a/crates/bilberryloft-relay/src/request.rs
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -22,6 +22,7 @@
 use crate::answer::Refusal;
 use crate::dialect::Dialect;
 use crate::dialect::HeaderNames;
+use crate::dialect::TokenCounts;
 use crate::headers;
 use crate::prompt_part::PromptPart;
 use crate::prompt_part::shared_parts;
@@ -50,6 +51,8 @@
     pub document_version: u64,
     /// Digest of the host, team, method, path and body, by which a request is known when its caller sends it again.
     pub fingerprint: i64,
+    /// Numbers of tokens that the caller names.
+    pub tokens: Option<TokenCounts>,
     /// Parts of the prompt that other requests may share, in order.
     pub shared_parts: Arc<[PromptPart]>,
     /// HTTP method.
@@ -116,6 +119,8 @@
         route: route.clone(),
         document_version: routes.version(),
         fingerprint: fingerprint([host, team_name, parts.method.as_str(), &target_path], &body),
+        tokens: headers::text(&parts.headers, &names.token_counts)
+            .and_then(|it| dialect.decode_token_counts(it)),
         shared_parts: shared_parts.into(),
         target_path,
         headers: forwarded_headers(&parts.headers, names),
--- a/crates/bilberryloft-relay/src/settings.rs
+++ b/crates/bilberryloft-relay/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the relay and its daemon.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 
 use bilberryloft_daemon::settings::Settings;
@@ -44,6 +45,44 @@
     /// Whether the whole system starts for the first time, so that no process before this one has made retries.
     #[serde(default)]
     pub is_first_start: bool,
+    /// Limits of the host on the process.
+    #[serde(default)]
+    pub process_limits: ProcessLimits,
+    /// Limits on requests to cold targets, over all entries.
+    #[serde(default)]
+    pub cold_limits: ColdLimits,
+    /// Region of each data centre; empty if the data centres are not known in advance.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
+}
+
+/// Limits of the host on the process; absent ones are not known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProcessLimits {
+    /// Memory above which the process is ended, in bytes.
+    #[serde(default)]
+    pub memory_bytes: Option<u64>,
+    /// Descriptors that the process may have open.
+    #[serde(default)]
+    pub descriptors: Option<u64>,
+}
+
+/// Limits on the requests that a cold target gets in one second, over all entries: `overshoot` times the rate that it
+/// bears, and `slack` more.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdLimits {
+    /// Factor on the rate, at least 1.
+    pub overshoot: f64,
+    /// Further requests.
+    pub slack: f64,
+}
+
+impl Default for ColdLimits {
+    fn default() -> Self {
+        ColdLimits { overshoot: 1.0, slack: 1.0 }
+    }
 }
 
 impl ProgramSettings {
@@ -88,6 +127,12 @@
         if self.retry_slack < 0.0 {
             faults.push(format!("relay.retry_slack: {} is below 0", self.retry_slack));
         }
+        if self.cold_limits.overshoot < 1.0 || self.cold_limits.slack < 0.0 {
+            faults.push(format!(
+                "relay.cold_limits: {:?} must have an overshoot of at least 1 and a slack of at least 0",
+                self.cold_limits
+            ));
+        }
         if self.retry_window_ms < 100 {
             faults.push(format!("relay.retry_window_ms: {} is under 100", self.retry_window_ms));
         }
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -304,6 +304,7 @@
         data_center: record.description.data_center.clone(),
         slots: record.description.slots,
         is_leaving: record.description.leaving,
+        cold_remaining_ms: record.description.cold_remaining_ms,
         is_announced: record.reachable,
     }
 }
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -33,6 +33,7 @@
         slots: 1,
         is_leaving: false,
         is_announced: true,
+        cold_remaining_ms: 0,
     });
     let limits =
         PickLimits { load_max: None, queue_max: 0, own_load_max: 1, idle_load: 0.0, entries: 1 };
--- a/crates/bilberryloft-routing/src/document.rs
+++ b/crates/bilberryloft-routing/src/document.rs
@@ -97,6 +97,10 @@
     pub step_ms: f64,
     /// Time that each running request adds to a step, in milliseconds.
     pub request_ms: f64,
+    /// Tokens that one target can hold for all its requests together.
+    pub memory_tokens: Option<u64>,
+    /// Mean number of tokens of a request, of its prompt and its answer together.
+    pub usual_tokens: Option<u64>,
     /// Experts, if the targets form a lock-step group.
     pub experts: Option<Experts>,
 }
@@ -108,6 +112,26 @@
     }
 }
 
+/// What the targets of a service bear after they have started.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time for which a target is cold after its start, in milliseconds.
+    pub duration_ms: u64,
+    /// Requests a second that a cold target bears, from all entries together.
+    pub requests_per_s: f64,
+}
+
+/// Delay of the network between two data centres.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Distance {
+    /// One of the data centres.
+    pub from: String,
+    /// The other one.
+    pub to: String,
+    /// Delay one way, in milliseconds.
+    pub delay_ms: f64,
+}
+
 /// A service, whose targets are interchangeable.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -117,6 +141,10 @@
     pub connections_max: usize,
     /// Model engine of the targets; absent for a plain service.
     pub engine: Option<Engine>,
+    /// What a cold target bears; absent if targets are never cold.
+    pub cold_start: Option<ColdStart>,
+    /// Known delays between data centres.
+    pub distances: Vec<Distance>,
 }
 
 /// A team and the keys that identify its callers.
@@ -139,11 +167,18 @@
     pub body_bytes_max: usize,
     /// Time for which a connection may stay idle, in milliseconds.
     pub idle_timeout_ms: u64,
+    /// Time within which a request's head must arrive, in milliseconds.
+    pub header_timeout_ms: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { header_bytes_max: 16 << 10, body_bytes_max: 4 << 20, idle_timeout_ms: 15_000 }
+        Limits {
+            header_bytes_max: 16 << 10,
+            body_bytes_max: 4 << 20,
+            idle_timeout_ms: 15_000,
+            header_timeout_ms: 15_000,
+        }
     }
 }
 
--- a/crates/bilberryloft-routing/src/targets/mod.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -60,6 +60,8 @@
     pub is_leaving: bool,
     /// Whether the target's announcements arrive.
     pub is_announced: bool,
+    /// Time for which the target stays cold, as of its announcement, in milliseconds.
+    pub cold_remaining_ms: u64,
 }
 
 /// Outcome of an attempt, as evidence of the target's health.
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -285,7 +285,14 @@
 }
 
 fn engine() -> Engine {
-    Engine { slots: 12, step_ms: 4.84, request_ms: 0.362, experts: None }
+    Engine {
+        slots: 12,
+        step_ms: 4.84,
+        request_ms: 0.362,
+        memory_tokens: None,
+        usual_tokens: None,
+        experts: None,
+    }
 }
 
 /// Returns the length of a forward pass, which takes six engine steps, for a batch under uneven expert load.
--- a/crates/bilberryloft-routing/tests/documents.rs
+++ b/crates/bilberryloft-routing/tests/documents.rs
@@ -32,7 +32,13 @@
 }
 
 fn service(name: &str) -> Service {
-    Service { name: name.to_string(), connections_max: 10, engine: None }
+    Service {
+        name: name.to_string(),
+        connections_max: 10,
+        engine: None,
+        cold_start: None,
+        distances: Vec::new(),
+    }
 }
 
 fn team(name: &str, keys: &[&str]) -> TeamKeys {
--- a/crates/bilberryloft-state/src/membership.rs
+++ b/crates/bilberryloft-state/src/membership.rs
@@ -32,6 +32,14 @@
     /// Whether the target is leaving and gets no new requests; this can't be revoked within an incarnation.
     #[serde(default)]
     pub leaving: bool,
+    /// Time for which the target stays cold, as of its announcement, in milliseconds. Absent from records of targets
+    /// that are not cold, so that daemons of an earlier version can read them.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_remaining_ms: u64,
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
 
 /// One target as the quorum knows it.
--- a/crates/bilberryloft-state/tests/state_machine.rs
+++ b/crates/bilberryloft-state/tests/state_machine.rs
@@ -400,6 +400,7 @@
         checks_fencing: false,
         direct: false,
         leaving: false,
+        cold_remaining_ms: 0,
     }
 }
 
--- a/crates/bilberryloft-testing/tests/linearizable.rs
+++ b/crates/bilberryloft-testing/tests/linearizable.rs
@@ -117,6 +117,7 @@
                 document_version: None,
                 known_document_version: None,
                 takes_compact_updates: None,
+                evacuations_version: None,
             };
             let client = &self.clients[self.random.usize(0..self.clients.len())];
             let answer = client.call(Body::Watch(watch), Duration::from_millis(800)).await;
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -137,6 +137,8 @@
   8: optional i64 known_document_version
   // Whether the daemon takes suspects as changes, and compressed snapshots and targets.
   9: optional bool takes_compact_updates
+  // Version of the evacuations that the daemon holds; absent from daemons that know none.
+  10: optional i64 evacuations_version
 }
 
 // Part of an encoded patch from one version of the document to another.
@@ -178,6 +180,9 @@
   15: optional list<i64> removed_suspects
   // In place of `targets`: all of them in one list, compressed.
   16: optional binary packed_targets
+  // Evacuations of data centres, in JSON; absent if the watcher holds the newest version.
+  17: optional binary evacuations
+  18: optional i64 evacuations_version
 }
 
 // A host with a data folder that wants to be a member of the quorum, and is alive.
@@ -358,6 +363,21 @@
   3: required i64 age_ms
 }
 
+// Requests of one priority at one entry.
+struct PriorityDemand {
+  1: required i8 priority
+  2: required i32 running
+  3: required i32 waiting
+  // New requests in the last second.
+  4: required i32 arrivals_per_s
+}
+
+// Requests of one service at one entry.
+struct ServiceDemand {
+  1: required string service_name
+  2: required list<PriorityDemand> priorities
+}
+
 // Report of one entry to the others.
 struct EntryLoad {
   1: required string entry
@@ -375,6 +395,7 @@
   11: optional list<binary> lost_runs
   // Targets that are leaving, with their incarnations.
   12: optional map<string, i64> leaving
+  13: optional list<ServiceDemand> demand
 }
 
 // Datagram between entries. Each element is an encoded EntryLoad.
