A keep-alive timeout of a target that is not a number is not used

Callers saw: a connection that ended without an answer, though the target had answered. Change: such a value counts as missing.

--- a/crates/bilberryloft-relay/src/pool.rs
+++ b/crates/bilberryloft-relay/src/pool.rs
@@ -86,10 +86,11 @@
     }
 }
 
-/// Returns the time for which a connection is kept, from the target's `keep-alive: timeout=SECONDS` header.
-fn idle_time(answer: &HeaderMap) -> Option<Duration> {
+/// Returns the time for which a connection is kept, from the target's `keep-alive: timeout=SECONDS` header; `None` if
+/// that is missing or no number of seconds.
+pub fn idle_time(answer: &HeaderMap) -> Option<Duration> {
     let text = headers::text(answer, &HeaderName::from_static("keep-alive"))?;
     let seconds = text.split(',').find_map(|it| it.trim().strip_prefix("timeout="))?;
-    let seconds: f64 = seconds.parse().ok()?;
+    let seconds: f64 = seconds.parse().ok().filter(|it: &f64| !it.is_nan())?;
     Some(Duration::from_secs_f64((seconds * IDLE_TIME_SHARE).clamp(0.0, 600.0)))
 }
