Evacuation of a data centre: state, orders, distribution and selection

Callers and operators saw: there was no way to order that nothing more be sent to the targets of a data centre; an operator had to remove targets one by one.

The log gets orders that compare the version of the data centre's state, members of an earlier version are not sent any (format 3), updates carry the list to all entries, and targets of evacuated data centres are no candidates any more. The control API accepts orders and answers 2xx only after the commit.

--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -84,6 +84,8 @@
     pub suspects: u64,
     /// Version of the document of routes and services.
     pub document: u64,
+    /// Version of the evacuations of data centres.
+    pub evacuations: u64,
 }
 
 /// State of a member within the quorum.
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -17,7 +17,7 @@
 use bilberryloft_state::key::digest;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::snapshot::Snapshot;
-use bilberryloft_state::state_machine::COMMAND_FORMAT;
+use bilberryloft_state::state_machine::COMPACT_COMMAND_FORMAT;
 use bilberryloft_state::state_machine::Command;
 use bilberryloft_state::state_machine::Outcome;
 use bilberryloft_state::state_machine::StampedCommand;
@@ -286,12 +286,9 @@
             return self.reject(reply);
         }
         // While a member of an earlier version is left, the log holds only what it can read.
-        let is_compact = self.peers.understand(COMMAND_FORMAT);
-        let command = match is_compact {
-            true => Ok(command),
-            false => self.lock_machine().for_first_format(command),
-        };
-        let command = match command {
+        let format = self.peers.command_format();
+        let is_compact = format >= COMPACT_COMMAND_FORMAT;
+        let command = match self.lock_machine().for_format(format, command) {
             Ok(command) => command,
             Err(outcome) => return reply.finish(Ok(outcome)),
         };
@@ -427,6 +424,7 @@
                 membership: machine.membership.version(),
                 suspects: machine.suspects_version(),
                 document: machine.document.document().version,
+                evacuations: machine.evacuations.version(),
             }
         };
         self.applied.send_if_modified(|it| std::mem::replace(it, applied) != applied);
--- a/crates/bilberryloft-daemon/src/control/peers.rs
+++ b/crates/bilberryloft-daemon/src/control/peers.rs
@@ -7,6 +7,7 @@
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_protocol::wire::MemberMessage;
 use bilberryloft_state::member_set::MemberSet;
+use bilberryloft_state::state_machine::COMMAND_FORMAT;
 use bilberryloft_transport::client::Client;
 use tokio::sync::mpsc;
 
@@ -85,10 +86,10 @@
         Link { address, client, queue }
     }
 
-    /// Returns whether no other member is known to read only commands of an earlier format.
-    pub fn understand(&self, command_format: i32) -> bool {
-        let mut formats = self.links.values().filter_map(|it| it.client.peer_command_format());
-        formats.all(|it| it >= command_format)
+    /// Returns the format of commands that this member and all others read, as far as it is known.
+    pub fn command_format(&self) -> i32 {
+        let formats = self.links.values().filter_map(|it| it.client.peer_command_format());
+        formats.fold(COMMAND_FORMAT, i32::min)
     }
 
     /// Records the address that a member reports for itself.
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -237,6 +237,7 @@
                 || it.membership > watch.membership_version as u64
                 || it.suspects > watch.suspects_version as u64
                 || known_document(&watch).is_some_and(|version| it.document > version)
+                || watch.evacuations_version.is_some_and(|held| it.evacuations > held as u64)
         };
         tokio::select! {
             _ = tokio::time::timeout_at(deadline, applied.wait_for(has_changes)) => {}
@@ -307,8 +308,8 @@
             suspects_are_changes: Some(!suspects.is_whole),
             removed_suspects: Some(suspects.removed),
             control_addresses: Some(self.node.status().addresses()),
-            evacuations: None,
-            evacuations_version: None,
+            evacuations: evacuations_after(&machine, watch),
+            evacuations_version: Some(machine.evacuations.version() as i64),
         }
     }
 
@@ -382,6 +383,13 @@
     (is_newer && !takes_parts).then(|| document.text.as_bytes().to_vec())
 }
 
+/// Returns the evacuations if a watcher that knows of them holds an older version.
+fn evacuations_after(machine: &StateMachine, watch: &wire::Watch) -> Option<Vec<u8>> {
+    let is_newer = machine.evacuations.version() > watch.evacuations_version? as u64;
+    let listed = machine.evacuations.listed(machine.now_ms());
+    is_newer.then(|| serde_json::to_vec(&listed).ok()).flatten()
+}
+
 /// Returns the configuration changes after a version, or a snapshot when those changes are no longer kept.
 fn configuration_after(
     machine: &StateMachine,
--- a/crates/bilberryloft-daemon/src/control/watchers.rs
+++ b/crates/bilberryloft-daemon/src/control/watchers.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Debug)]
 struct Watcher {
     configuration_version: u64,
+    evacuations_version: Option<u64>,
     peer_address: String,
     last_watch_ms: u64,
 }
@@ -26,6 +27,7 @@
     pub fn record(&mut self, watch: &Watch, now_ms: u64) {
         let watcher = Watcher {
             configuration_version: watch.configuration_version as u64,
+            evacuations_version: watch.evacuations_version.map(|it| it as u64),
             peer_address: watch.peer_address.clone(),
             last_watch_ms: now_ms,
         };
@@ -43,6 +45,7 @@
         let row = |(daemon, watcher): (&String, &Watcher)| WatcherRow {
             daemon: daemon.clone(),
             configuration_version: watcher.configuration_version,
+            evacuations_version: watcher.evacuations_version,
             asked_ago_ms: now_ms.saturating_sub(watcher.last_watch_ms),
         };
         self.by_daemon.iter().map(row).collect()
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -148,6 +148,14 @@
     RunLost = 545,
     /// A target said in an answer that it wants rest or is leaving.
     TargetNoticed = 546,
+    /// An operator's order to evacuate a data centre, or to end an evacuation, was decided.
+    EvacuationOrdered = 550,
+    /// The entry sends nothing more to the targets of a data centre.
+    EvacuationBegan = 551,
+    /// The entry may send to the targets of a data centre again.
+    EvacuationEnded = 552,
+    /// An order was proposed for an older state of the data centre and changed nothing.
+    EvacuationConflict = 553,
 }
 
 impl Event {
@@ -158,7 +166,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 72] = [
+pub const EVENTS: [Event; 76] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -231,6 +239,10 @@
     Event::LimitDecided,
     Event::RunLost,
     Event::TargetNoticed,
+    Event::EvacuationOrdered,
+    Event::EvacuationBegan,
+    Event::EvacuationEnded,
+    Event::EvacuationConflict,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-daemon/src/lib.rs
+++ b/crates/bilberryloft-daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod document_sync;
 pub mod entry;
+pub mod evacuation;
 pub mod events;
 pub mod host_choice;
 pub mod host_reporter;
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -52,6 +52,10 @@
     pub limited_requests: IntCounter,
     /// Requests refused because all targets had reached their limits.
     pub limit_refusals: IntCounter,
+    /// Evacuated data centres, as this daemon knows them.
+    pub evacuated_data_centers: IntGauge,
+    /// Requests refused because all targets were in evacuated data centres.
+    pub evacuation_refusals: IntCounter,
     /// Configuration version in force.
     pub configuration_version: IntGauge,
     quorum: QuorumGauges,
@@ -171,6 +175,12 @@
                 "bilberryloft_limit_refusals_total",
                 "Requests refused as all targets had reached their limits.",
             )?,
+            evacuated_data_centers: new
+                .gauge("bilberryloft_evacuated_data_centers", "Data centres that are evacuated.")?,
+            evacuation_refusals: new.counter(
+                "bilberryloft_evacuation_refusals_total",
+                "Requests refused as all targets were in evacuated data centres.",
+            )?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
             quorum: QuorumGauges::register(&new)?,
--- a/crates/bilberryloft-daemon/src/shared.rs
+++ b/crates/bilberryloft-daemon/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that all roles of a daemon share.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
@@ -11,6 +12,8 @@
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::record::DecisionRecord;
+use bilberryloft_state::record::RecordRing;
+use parking_lot::Mutex;
 
 use crate::agent::Agent;
 use crate::control::ControlHandle;
@@ -23,6 +26,9 @@
 use crate::settings::Settings;
 use crate::view::View;
 
+/// Most records of refused requests that are kept in memory.
+const REFUSAL_RECORDS_MAX: usize = 4_096;
+
 /// State that all roles of a daemon share.
 #[derive(Debug)]
 pub struct Shared {
@@ -44,6 +50,10 @@
     pub control_node: OnceLock<ControlHandle>,
     /// Reports to the leader, on a control host of a quorum that chooses its members by itself.
     pub host_reporter: OnceLock<HostReporter>,
+    /// Data centres that are known from the settings, in addition to those of known targets.
+    pub data_centers: OnceLock<BTreeSet<String>>,
+    /// Records of requests that the relay refused.
+    pub refusals: Mutex<RecordRing>,
     is_stopping: AtomicBool,
 }
 
@@ -95,6 +105,8 @@
             agent,
             control_node: OnceLock::new(),
             host_reporter: OnceLock::new(),
+            data_centers: OnceLock::new(),
+            refusals: Mutex::new(RecordRing::with_capacity(REFUSAL_RECORDS_MAX)),
             is_stopping: AtomicBool::new(false),
         })
     }
@@ -111,7 +123,7 @@
 
     /// Returns the decision records of a request that this daemon keeps.
     pub fn local_records(&self, request_id: &str) -> Vec<DecisionRecord> {
-        let mut records = Vec::new();
+        let mut records = self.refusals.lock().find(request_id);
         if let Some(entry) = &self.entry {
             records.extend(entry.records_of(request_id));
         }
--- a/crates/bilberryloft-daemon/src/view.rs
+++ b/crates/bilberryloft-daemon/src/view.rs
@@ -18,6 +18,7 @@
 use bilberryloft_state::configuration::ChangeRecord;
 use bilberryloft_state::configuration::Configuration;
 use bilberryloft_state::document::StoredDocument;
+use bilberryloft_state::evacuation::ListedEvacuation;
 use bilberryloft_state::membership::Membership;
 use bilberryloft_state::membership::MembershipDelta;
 use bilberryloft_state::membership::TargetRecord;
@@ -28,6 +29,7 @@
 use parking_lot::RwLockReadGuard;
 use tokio::sync::watch;
 
+use crate::evacuation::HeldEvacuations;
 use crate::events::Event;
 use crate::log_event;
 
@@ -44,6 +46,8 @@
     pub document: u64,
     /// Newest version of that document that the daemon knows of.
     pub known_document: u64,
+    /// Version of the evacuations of data centres.
+    pub evacuations: u64,
 }
 
 /// Local copy of the configuration, target membership, suspect requests and document of routes and services.
@@ -53,6 +57,7 @@
     membership: RwLock<Membership>,
     suspects: RwLock<BTreeMap<i64, Suspect>>,
     document: Mutex<DocumentReceiver>,
+    evacuations: Mutex<Arc<HeldEvacuations>>,
     freshness: Mutex<Freshness>,
     versions: watch::Sender<ViewVersions>,
     needs_snapshot: Mutex<bool>,
@@ -71,6 +76,7 @@
             membership: RwLock::default(),
             suspects: RwLock::default(),
             document: Mutex::default(),
+            evacuations: Mutex::default(),
             freshness: Mutex::new(Freshness::new(lease_ms, on_lost_control)),
             versions: watch::channel(ViewVersions::default()).0,
             needs_snapshot: Mutex::new(false),
@@ -93,6 +99,11 @@
         self.document.lock().document().clone()
     }
 
+    /// Returns the evacuations of data centres.
+    pub fn evacuations(&self) -> Arc<HeldEvacuations> {
+        self.evacuations.lock().clone()
+    }
+
     /// Returns the suspect request with the given fingerprint.
     pub fn suspect(&self, fingerprint: i64) -> Option<Suspect> {
         self.suspects.read().get(&fingerprint).cloned()
@@ -155,12 +166,15 @@
         if !self.was_confirmed.load(Ordering::Relaxed) {
             return;
         }
+        // Before targets and routes, so that an entry that has just started sends nothing to an evacuated data centre.
+        self.apply_evacuations(&update);
         self.apply_configuration(&update);
         self.apply_membership(&update);
         self.apply_suspects(&update);
         self.apply_document(&update);
         let is_caught_up = self.configuration().version() >= update.configuration_version as u64
-            && self.document().version >= update.document_version.unwrap_or(0) as u64;
+            && self.document().version >= update.document_version.unwrap_or(0) as u64
+            && self.evacuations().version >= update.evacuations_version.unwrap_or(0) as u64;
         if update.confirmed && is_caught_up {
             self.confirm(requested_ms);
         }
@@ -170,6 +184,7 @@
             suspects: self.versions.borrow().suspects.max(update.suspects_version as u64),
             document: self.document().version,
             known_document: self.known_document_version(),
+            evacuations: self.evacuations().version,
         };
         self.versions.send_if_modified(|it| std::mem::replace(it, versions) != versions);
     }
@@ -287,6 +302,20 @@
         });
     }
 
+    /// Takes the evacuations if they are newer than those held.
+    fn apply_evacuations(&self, update: &Update) {
+        let version = update.evacuations_version.unwrap_or(0) as u64;
+        let Some(bytes) = &update.evacuations else {
+            return;
+        };
+        let mut held = self.evacuations.lock();
+        if let Ok(listed) = serde_json::from_slice::<Vec<ListedEvacuation>>(bytes)
+            && version > held.version
+        {
+            *held = Arc::new(HeldEvacuations::new(version, listed, monotonic_ms()));
+        }
+    }
+
     fn apply_suspects(&self, update: &Update) {
         if update.suspects_version as u64 <= self.versions.borrow().suspects {
             return;
--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -64,7 +64,7 @@
         document_version: Some(versions.document as i64),
         known_document_version: Some(versions.known_document as i64),
         takes_compact_updates: Some(true),
-        evacuations_version: None,
+        evacuations_version: Some(versions.evacuations as i64),
     }
 }
 
@@ -77,6 +77,7 @@
         suspects_version: i64::MAX,
         document_version: None,
         known_document_version: Some(i64::MAX),
+        evacuations_version: None,
         wait_ms: 0,
         ..build_watch(view, daemon, peer_address)
     }
--- a/crates/bilberryloft-protocol/src/api.rs
+++ b/crates/bilberryloft-protocol/src/api.rs
@@ -85,6 +85,9 @@
     pub daemon: String,
     /// Configuration version that the daemon had when it last asked.
     pub configuration_version: u64,
+    /// Version of the evacuations that the daemon had when it last asked; `None` if it knows none.
+    #[serde(default)]
+    pub evacuations_version: Option<u64>,
     /// Time since the daemon last asked, in milliseconds.
     pub asked_ago_ms: u64,
 }
--- a/crates/bilberryloft-relay/src/admission.rs
+++ b/crates/bilberryloft-relay/src/admission.rs
@@ -46,6 +46,9 @@
     if !state.services.may_send(service) {
         return Err(Refusal::GroupDown);
     }
+    if state.services.is_evacuated(service) {
+        return Err(Refusal::Evacuated);
+    }
     if let Some(wait_ms) = state.services.rest_wait_ms(service) {
         return Err(refuse_resting(wait_ms));
     }
@@ -65,6 +68,7 @@
     let slot = match state.pick(request, &[]) {
         Ok(slot) => slot,
         Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
+        Err(NoTarget::Evacuated) => return Err(Refusal::Evacuated),
         Err(NoTarget::Resting { wait_ms }) => return Err(refuse_resting(wait_ms)),
         Err(NoTarget::Full | NoTarget::Limited(_)) => return Ok(None),
     };
@@ -108,12 +112,16 @@
     let position = QueueGuard { state, service, ticket };
     while Instant::now() < until {
         tokio::time::sleep(POLL_INTERVAL).await;
+        if state.services.is_evacuated(service) {
+            return Err(Refusal::Evacuated);
+        }
         if !state.services.with_queue(service, |it| it.is_first(position.ticket)) {
             continue;
         }
         match state.pick(request, &[]) {
             Ok(slot) => return Ok(slot),
             Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
+            Err(NoTarget::Evacuated) => return Err(Refusal::Evacuated),
             Err(NoTarget::Resting { wait_ms }) => return Err(refuse_resting(wait_ms)),
             Err(NoTarget::Full) => {}
             Err(NoTarget::Limited(wait)) => {
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -42,6 +42,8 @@
     BadBody,
     /// The service has no eligible target.
     NoTarget,
+    /// All eligible targets are in evacuated data centres.
+    Evacuated,
     /// All targets have reached their load limit.
     Full,
     /// All targets have reached the limits that they name.
@@ -87,6 +89,7 @@
             Refusal::TooLarge => "too_large",
             Refusal::BadBody => "bad_body",
             Refusal::NoTarget => "no_target",
+            Refusal::Evacuated => "evacuated",
             Refusal::Full => "full",
             Refusal::TargetsLimited { .. } => "targets_limited",
             Refusal::TargetsResting { .. } => "targets_resting",
@@ -105,6 +108,7 @@
         match self {
             Refusal::NoDocument
             | Refusal::NoTarget
+            | Refusal::Evacuated
             | Refusal::Full
             | Refusal::TargetsLimited { .. }
             | Refusal::TargetsResting { .. }
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -1,4 +1,5 @@
-//! Control API, which every daemon serves: operators write and read routing documents, and targets announce themselves.
+//! Control API, which every daemon serves: operators write and read routing documents
+//! and evacuate data centres, and targets announce themselves.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +32,7 @@
 use tokio::time::Instant;
 
 use crate::dialect::ControlCall;
+use crate::evacuation::handle_order;
 use crate::state::RelayState;
 
 /// Largest document in bytes.
@@ -70,6 +72,9 @@
         ControlCall::ReadDocument => read_document(&state).await,
         ControlCall::Announce { id } => announce(&state, &id, &body).await,
         ControlCall::Leave { id } => leave(&state, &id).await,
+        ControlCall::Evacuate { data_center, is_evacuated } => {
+            handle_order(&state, &data_center, is_evacuated).await
+        }
         ControlCall::Unknown => error_response(StatusCode::NOT_FOUND, "no such call"),
     }
 }
--- a/crates/bilberryloft-relay/src/dialect.rs
+++ b/crates/bilberryloft-relay/src/dialect.rs
@@ -68,6 +68,13 @@
         /// Name of the target.
         id: String,
     },
+    /// Begins or ends the evacuation of a data centre.
+    Evacuate {
+        /// Name of the data centre.
+        data_center: String,
+        /// Whether the evacuation begins.
+        is_evacuated: bool,
+    },
     /// Any other method and path.
     Unknown,
 }
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -16,6 +16,7 @@
 use crate::answer::AnswerBody;
 use crate::answer::Refusal;
 use crate::answer::full_body;
+use crate::evacuation;
 use crate::headers;
 use crate::request;
 use crate::request::RelayRequest;
@@ -81,6 +82,7 @@
         Ok(answer) => answer,
         Err(refusal) => {
             let context = state.load_snapshot(&request);
+            evacuation::record_refusal(&state, &request, refusal);
             return refuse(&id, refusal, arrived, Some((&request, context)));
         }
     };
@@ -126,7 +128,7 @@
 /// Returns the delay after which a refused caller may retry, randomized so that callers do not all retry at once.
 fn retry_after(refusal: Refusal) -> Option<Duration> {
     let range_ms = match refusal {
-        Refusal::NoDocument | Refusal::NoTarget => RETRY_AFTER_NO_TARGET_MS,
+        Refusal::NoDocument | Refusal::NoTarget | Refusal::Evacuated => RETRY_AFTER_NO_TARGET_MS,
         Refusal::GroupDown => RETRY_AFTER_GROUP_MS,
         Refusal::SuspectTrial => RETRY_AFTER_TRIAL_MS,
         Refusal::Quarantined { remaining } | Refusal::TrialPending { remaining } => {
@@ -160,6 +162,7 @@
         route = context.as_ref().map(|it| it.0.route.name.as_str()),
         version = context.as_ref().map(|it| it.0.document_version),
         targets = context.as_ref().map(|it| it.1.targets),
+        evacuated = context.as_ref().and_then(|it| it.1.evacuated.clone()),
         mean_load = context.as_ref().map(|it| it.1.mean_load),
         load_max = context.as_ref().and_then(|it| it.1.load_max),
         pause_ms = context.as_ref().and_then(|it| it.1.pause_ms),
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control_api;
 pub mod dialect;
 pub mod entries;
+pub mod evacuation;
 pub mod expert_planner;
 pub mod forward;
 pub mod headers;
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -12,6 +12,7 @@
 
 use crate::control_api::serve_control_api;
 use crate::dialect::Dialect;
+use crate::evacuation;
 use crate::expert_planner::spawn_planner;
 use crate::loads::spawn_load_exchange;
 use crate::readiness::serve_readiness;
@@ -98,6 +99,8 @@
     tokio::spawn(async move {
         let mut versions = state.daemon.view.versions();
         loop {
+            // First, so that no route or target is used that an evacuation excludes.
+            evacuation::refresh(&state);
             state.refresh_routes();
             state.refresh_targets();
             if versions.changed().await.is_err() {
--- a/crates/bilberryloft-relay/src/services.rs
+++ b/crates/bilberryloft-relay/src/services.rs
@@ -101,6 +101,11 @@
         self.targets.lock().rest_wait_ms(service, monotonic_ms())
     }
 
+    /// Returns whether all eligible targets of a service are in evacuated data centres.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        self.targets.lock().is_evacuated(service, monotonic_ms())
+    }
+
     /// Takes back a pick whose request was not sent.
     pub fn cancel(&self, key: TargetKey) {
         self.targets.lock().cancel(key);
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -25,6 +25,7 @@
 
 use crate::dialect::Dialect;
 use crate::entries::Entries;
+use crate::evacuation::EvacuationTracker;
 use crate::lifecycle::Lifecycle;
 use crate::limits::LimitTracker;
 use crate::pool::Pool;
@@ -42,10 +43,12 @@
 const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Load of a service at the time of a decision, for the log.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct LoadSnapshot {
     /// Number of eligible targets.
     pub targets: usize,
+    /// Names of the evacuated data centres; `None` if there are none.
+    pub evacuated: Option<String>,
     /// Mean number of requests at each target.
     pub mean_load: f64,
     /// Limit on the requests at each target, if pauses between events are near their objective.
@@ -70,6 +73,8 @@
     pub suspects: Arc<SuspectTracker>,
     /// Entries that share the bounds over all entries.
     pub entries: Arc<Entries>,
+    /// Evacuations that are in force at this entry.
+    pub evacuations: EvacuationTracker,
     /// Limits that targets name on their requests.
     pub limits: LimitTracker,
     /// Retry budgets of this entry.
@@ -93,6 +98,9 @@
         };
         let services = Arc::new(Services::new(&daemon.settings.data_center));
         let is_first_start = settings.is_first_start;
+        let data_centers = settings.regions.keys().cloned().collect();
+        // Set once, as one daemon has one relay.
+        let _ = daemon.data_centers.set(data_centers);
         let entries = Arc::new(Entries::new(&daemon));
         let retries = Retries::new(limits, is_first_start, &daemon, entries.clone());
         let limits = LimitTracker::new(&daemon, services.clone(), entries.clone());
@@ -106,6 +114,7 @@
             services,
             suspects,
             entries,
+            evacuations: EvacuationTracker::default(),
             limits,
             retries,
             lifecycle: Arc::default(),
@@ -239,12 +248,15 @@
         let now_ms = monotonic_ms();
         let service = &request.service;
         let pause_ms = self.services.pause_ms(service, now_ms);
-        let (targets, mean_load) = {
+        let (targets, evacuated, mean_load) = {
             let targets = self.services.targets.lock();
-            (targets.eligible(service, now_ms).len(), targets.mean_load(service, now_ms))
+            let names: Vec<&str> = targets.evacuated().iter().map(String::as_str).collect();
+            let evacuated = (!names.is_empty()).then(|| names.join(", "));
+            let eligible = targets.eligible(service, now_ms).len();
+            (eligible, evacuated, targets.mean_load(service, now_ms))
         };
         let load_max = pause_ms.and_then(|it| self.load_max_at(request, it, mean_load));
-        LoadSnapshot { targets, mean_load, load_max, pause_ms }
+        LoadSnapshot { targets, evacuated, mean_load, load_max, pause_ms }
     }
 
     /// Returns the limit on the requests at each target, if pauses between events are near their objective.
--- a/crates/bilberryloft-routing/src/selection.rs
+++ b/crates/bilberryloft-routing/src/selection.rs
@@ -69,6 +69,8 @@
 pub enum NoTarget {
     /// The service has no eligible target.
     Absent,
+    /// All eligible targets of the service are in evacuated data centres.
+    Evacuated,
     /// All targets have reached their load limit, or some that and the others the limits that they name.
     Full,
     /// All targets have reached the limits that they name.
--- a/crates/bilberryloft-routing/src/targets/mod.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -1,6 +1,7 @@
 //! Load and health of each service's targets, as one entry knows them, and target selection.
 
 mod entry_reports;
+mod evacuated;
 mod notices;
 
 use std::collections::BTreeMap;
@@ -23,6 +24,7 @@
 use crate::target_limits::LimitState;
 use crate::target_limits::TargetLimits;
 use crate::targets::entry_reports::EntryReport;
+use crate::targets::evacuated::EvacuatedDataCenters;
 
 /// First back-off after a target was lost, in milliseconds; doubles with each consecutive loss.
 const BACKOFF_FIRST_MS: u64 = 100;
@@ -118,6 +120,7 @@
     by_service: BTreeMap<String, Vec<TargetKey>>,
     entries: BTreeMap<String, EntryReport>,
     slow_ranks: SlowRanks,
+    evacuated: EvacuatedDataCenters,
     /// Limits that targets name on their requests.
     pub limits: TargetLimits,
 }
@@ -188,7 +191,7 @@
         failure_rates.map(|(id, rate)| (id.clone(), rate)).collect()
     }
 
-    /// Returns the targets of a service that accept requests.
+    /// Returns the targets of a service that accept requests, also those in evacuated data centres.
     pub fn eligible(&self, service: &str, now_ms: u64) -> Vec<&TargetInfo> {
         let keys = self.by_service.get(service).into_iter().flatten();
         let targets = keys.map(|it| &self.targets[it.0]);
@@ -207,11 +210,12 @@
         answers.any(|it| it >= since_ms) || reports.any(|it| it >= since_ms)
     }
 
-    /// Returns the mean number of requests at the eligible targets of a service that don't rest.
+    /// Returns the mean number of requests at the eligible targets of a service that don't rest and are not evacuated.
     pub fn mean_load(&self, service: &str, now_ms: u64) -> f64 {
         let keys = self.by_service.get(service).into_iter().flatten();
         let (mut sum, mut count) = (0, 0);
         let targets = keys.map(|it| &self.targets[it.0]);
+        let targets = targets.filter(|it| !self.evacuated.contains(it));
         for target in targets.filter(|it| it.is_eligible(now_ms) && !it.is_resting(now_ms)) {
             sum += target.load();
             count += 1;
@@ -271,7 +275,7 @@
         let chosen = best.map(|it| it.1).or(in_backoff.map(|it| it.1));
         match chosen {
             Some(key) => Ok(self.reserve(key, count, now_ms)),
-            None => Err(limited.no_target(count)),
+            None => Err(self.no_target(service, &limited, count, now_ms)),
         }
     }
 
@@ -348,10 +352,12 @@
         self.pick(&service, &[key], &limits, now_ms, draw).map_err(|_| NoMigration::NoSlot)
     }
 
-    /// Returns the eligible targets of a service that have not been tried and are not ejected, each with its slowness.
+    /// Returns the eligible targets of a service that have not been tried, are not evacuated and not ejected, each with its
+    /// slowness.
     fn candidates(&self, service: &str, tried: &[TargetKey], now_ms: u64) -> Vec<(TargetKey, f64)> {
         let keys = self.by_service.get(service).into_iter().flatten().copied();
         let keys = keys.filter(|it| self.targets[it.0].is_eligible(now_ms) && !tried.contains(it));
+        let keys = keys.filter(|it| !self.evacuated.contains(&self.targets[it.0]));
         let keys: Vec<TargetKey> = keys.collect();
         let is_healthy = |it: &TargetKey| !is_ejected(self.targets[it.0].failure_rate(now_ms));
         let healthy = keys.iter().filter(|it| is_healthy(it)).count();
--- a/crates/bilberryloft-state/src/lib.rs
+++ b/crates/bilberryloft-state/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod document;
 pub mod error;
+pub mod evacuation;
 pub mod expert_map_register;
 pub mod folder;
 pub mod intern;
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -13,6 +13,9 @@
 use crate::document::DocumentPatch;
 use crate::document::DocumentStore;
 use crate::document::StoredDocument;
+use crate::evacuation::EvacuationOrder;
+use crate::evacuation::Evacuations;
+use crate::evacuation::OrderOutcome;
 use crate::expert_map_register::Decision;
 use crate::expert_map_register::ExpertMapRegisters;
 use crate::expert_map_register::SettleResult;
@@ -23,8 +26,12 @@
 use crate::suspect::Suspects;
 use crate::suspect::TrialOutcome;
 
-/// Format of the commands that this version reads. From format 2 on, they may be patches and compressed.
-pub const COMMAND_FORMAT: i32 = 2;
+/// Format of the commands that this version reads.
+pub const COMMAND_FORMAT: i32 = EVACUATION_COMMAND_FORMAT;
+/// Format from which on commands may be patches and compressed.
+pub const COMPACT_COMMAND_FORMAT: i32 = 2;
+/// Format from which on commands may be orders to evacuate data centres.
+pub const EVACUATION_COMMAND_FORMAT: i32 = 3;
 
 /// One command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -152,6 +159,8 @@
         /// Whether the target survived the trial.
         clean: bool,
     },
+    /// Begins or ends the evacuation of a data centre, unless a later order says otherwise.
+    Evacuate(EvacuationOrder),
 }
 
 /// A command with the leader's timestamp.
@@ -194,6 +203,10 @@
     ExpertMapDecision(Decision),
     /// State of the expert map that a restarted rank resumes with.
     ExpertMapSettled(SettleResult),
+    /// Outcome of [`Command::Evacuate`].
+    Evacuation(OrderOutcome),
+    /// A member of an earlier version cannot read the command, so it was not proposed.
+    EarlierMember,
     /// The command was applied and has no other result.
     Applied,
     /// The command could not be decoded and changed nothing.
@@ -217,6 +230,9 @@
     /// Decisions on expert map switches.
     #[serde(default)]
     pub expert_maps: ExpertMapRegisters,
+    /// Evacuations of data centres.
+    #[serde(default)]
+    pub evacuations: Evacuations,
     now_ms: u64,
     suspects_version: u64,
 }
@@ -224,9 +240,12 @@
 impl StateMachine {
     /// Returns a command that members of an earlier format understand and that has the same effect, or the outcome if
     /// there is none.
-    pub fn for_first_format(&self, command: Command) -> Result<Command, Outcome> {
+    pub fn for_format(&self, format: i32, command: Command) -> Result<Command, Outcome> {
         match command {
-            Command::PatchDocument(patch) => {
+            Command::Evacuate(_) if format < EVACUATION_COMMAND_FORMAT => {
+                Err(Outcome::EarlierMember)
+            }
+            Command::PatchDocument(patch) if format < COMPACT_COMMAND_FORMAT => {
                 let present = self.document.document();
                 let document = patch.apply(present);
                 let outcome = Outcome::DocumentBase { version: present.version };
@@ -257,6 +276,11 @@
         }
     }
 
+    /// Latest leader's time of an applied command, in milliseconds since the epoch.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
     /// Version of the list of suspects; grows with each reported crash and each ended trial.
     pub fn suspects_version(&self) -> u64 {
         self.suspects_version
@@ -310,6 +334,9 @@
             Command::ExpertMapSettle { group, next_step } => {
                 return self.settle_expert_map(&group, next_step);
             }
+            Command::Evacuate(order) => {
+                return Outcome::Evacuation(self.evacuations.decide(&order, now_ms));
+            }
         }
         Outcome::Applied
     }
--- a/crates/bilberryloft-state/tests/document_changes.rs
+++ b/crates/bilberryloft-state/tests/document_changes.rs
@@ -150,8 +150,8 @@
     let (base, next) = (long_document(1, 1), long_document(2, 2));
     machine.document.replace(base.clone());
     let patch = Command::PatchDocument(DocumentPatch::between(&base, &next));
-    assert_eq!(machine.for_first_format(patch), Ok(Command::PutDocument(next)));
+    assert_eq!(machine.for_format(1, patch), Ok(Command::PutDocument(next)));
     let unknown = long_document(9, 9);
     let misfit = Command::PatchDocument(DocumentPatch::between(&unknown, &long_document(10, 3)));
-    assert_eq!(machine.for_first_format(misfit), Err(Outcome::DocumentBase { version: 1 }));
+    assert_eq!(machine.for_format(1, misfit), Err(Outcome::DocumentBase { version: 1 }));
 }
