--- a/crates/bilberryctl/src/commands/mod.rs
+++ b/crates/bilberryctl/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod data;
+pub mod evacuation;
 pub mod explain;
 pub mod members;
 pub mod report;
--- a/crates/bilberryctl/src/main.rs
+++ b/crates/bilberryctl/src/main.rs
@@ -46,6 +46,9 @@
     /// Lists and changes the members of the quorum.
     #[command(subcommand)]
     Members(commands::members::MembersCommand),
+    /// Lists, begins and ends evacuations of data centres.
+    #[command(subcommand)]
+    Evacuation(commands::evacuation::EvacuationCommand),
     /// Explains why a request was routed to its target or refused.
     Explain(commands::explain::ExplainCommand),
     /// Merges log files into the timeline of one request.
@@ -86,6 +89,7 @@
         Command::Target(command) => command.run(&client, json),
         Command::Config(command) => command.run(&client, json),
         Command::Members(command) => command.run(&client, json),
+        Command::Evacuation(command) => command.run(&client, json),
         Command::Explain(command) => command.run(&client, json),
         Command::Trace(command) => command.run(json),
         Command::Report(command) => command.run(&client, json),
--- a/crates/bilberryloft-daemon/src/admin/mod.rs
+++ b/crates/bilberryloft-daemon/src/admin/mod.rs
@@ -1,5 +1,6 @@
 //! The HTTP interface for operators, metrics and the platform's health checks; it runs on the control thread.
 
+mod evacuations;
 mod explain;
 
 use std::sync::Arc;
@@ -66,6 +67,8 @@
         .route("/operator/burn", get(burn))
         .route("/operator/members", get(members).post(change_members))
         .route("/operator/quorum", get(quorum))
+        .route("/operator/evacuations", get(evacuations::list))
+        .route("/operator/evacuations/{data_center}", post(evacuations::submit))
         .route("/operator/explain/{request_id}", get(explain))
         .with_state(AdminState { shared, control })
         .layer(GlobalConcurrencyLimitLayer::new(CONCURRENT_CALLS_MAX));
@@ -83,8 +86,6 @@
 async fn metrics(State(admin): State<AdminState>) -> String {
     let version = admin.shared.view.configuration().version();
     admin.shared.metrics.configuration_version.set(version as i64);
-    let evacuated = admin.shared.view.evacuations().evacuated().len();
-    admin.shared.metrics.evacuated_data_centers.set(evacuated as i64);
     let quorum = admin.control.as_ref().map(|it| it.node().status());
     admin.shared.metrics.set_loss_tolerance(quorum.and_then(|it| it.loss_tolerance).as_ref());
     admin.shared.metrics.render()
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -52,7 +52,7 @@
     pub limited_requests: IntCounter,
     /// Requests refused because all targets had reached their limits.
     pub limit_refusals: IntCounter,
-    /// Evacuated data centres, as this daemon knows them.
+    /// Evacuated data centres to whose targets this entry sends nothing.
     pub evacuated_data_centers: IntGauge,
     /// Requests refused because all targets were in evacuated data centres.
     pub evacuation_refusals: IntCounter,
--- a/crates/bilberryloft-protocol/src/api.rs
+++ b/crates/bilberryloft-protocol/src/api.rs
@@ -4,6 +4,7 @@
 use bilberryloft_state::configuration::ChangeRecord;
 use bilberryloft_state::configuration::Team;
 use bilberryloft_state::configuration::Template;
+use bilberryloft_state::evacuation::ListedEvacuation;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::membership::TargetRecord;
 use bilberryloft_state::record::DecisionRecord;
@@ -92,6 +93,29 @@
     pub asked_ago_ms: u64,
 }
 
+/// Evacuations of data centres, as one daemon holds them, and the versions that daemons hold.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EvacuationReport {
+    /// Version of the latest order.
+    pub version: u64,
+    /// Time since a quorum last confirmed the list, in milliseconds.
+    pub confirmed_age_ms: Option<u64>,
+    /// Data centres that were named in an order.
+    pub data_centers: Vec<ListedEvacuation>,
+    /// Daemons that watch control hosts.
+    pub watchers: Vec<WatcherRow>,
+    /// Error for each control host that could not be asked, with its address.
+    pub unreachable: Vec<String>,
+}
+
+/// An order to begin or end the evacuation of a data centre.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EvacuationRequest {
+    /// Whether the data centre is to be evacuated.
+    pub is_evacuated: bool,
+}
+
 /// Decision records of one request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Explanation {
--- a/crates/bilberryloft-relay/src/evacuation/mod.rs
+++ b/crates/bilberryloft-relay/src/evacuation/mod.rs
@@ -98,5 +98,8 @@
 
 /// Puts the evacuations that the daemon holds into force.
 pub fn refresh(state: &RelayState) {
-    state.evacuations.apply(state.daemon.view.evacuations(), &state.services, monotonic_ms());
+    let held = state.daemon.view.evacuations();
+    let evacuated = held.evacuated().len();
+    state.evacuations.apply(held, &state.services, monotonic_ms());
+    state.daemon.metrics.evacuated_data_centers.set(evacuated as i64);
 }
