Evacuations also exclude targets with agents; tests of lists at a daemon

Entries with agents went on sending to evacuated targets although the order was acknowledged. Their picker now takes the evacuations from the view.

--- a/crates/bilberryctl/tests/commands.rs
+++ b/crates/bilberryctl/tests/commands.rs
@@ -99,6 +99,49 @@
     expect("", &["data", "export", folder], 0, &["asahikawa", "last_index"]);
 }
 
+/// Guards against orders that are not carried out, and lists that don't show them; targets with agents are evacuated, too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn evacuation_commands_evacuate_a_data_center() {
+    let mut fleet = Fleet::plan("ctl-evacuation", 1, 1, 1);
+    fleet.start_all();
+    fleet.leader().await;
+    let admin = fleet.admin_address(&fleet.control_ips[0]);
+    let template = fleet.folder.path.join("template.json");
+    let depots = bilberryloft_testing::fleet::depot_template();
+    std::fs::write(&template, serde_json::to_string(&depots).unwrap()).unwrap();
+    expect(&admin, &["template", "apply", template.to_str().unwrap()], 0, &["version 1"]);
+    let team = ["team", "set", "asahikawa", "--template", "depots", "--token", "depot-token"];
+    expect(&admin, &team, 0, &["version 2"]);
+    fleet.wait_for_version(2).await;
+    fleet.wait_until_ready().await;
+    let caller = Caller::new("depot-token");
+    let entry = fleet.entry_address(0);
+    assert!(caller.request_completion(&entry, "brief", false).await.is_complete);
+
+    expect(&admin, &["evacuation", "begin", "nowhere"], 5, &["no data centre"]);
+    expect(&admin, &["evacuation", "begin", "a"], 0, &["order 1", "evacuated"]);
+    wait_for_list(&admin, "evacuated").await;
+    let refused = caller.request_completion(&entry, "brief", false).await;
+    assert_eq!(refused.status, 503);
+    let cause = "evacuated data centres: a";
+    expect(&admin, &["explain", &refused.request_id], 0, &[cause]);
+    expect(&admin, &["--json", "evacuation", "end", "a"], 0, &["\"version\": 2"]);
+    wait_for_list(&admin, "in use").await;
+    assert!(caller.request_completion(&entry, "brief", false).await.is_complete);
+}
+
+/// Waits until the list of evacuations shows a state that is in force at all daemons.
+async fn wait_for_list(admin: &str, state: &str) {
+    for _ in 0..300 {
+        let list = text(&bilberryctl(admin, &["evacuation", "list"]));
+        if list.contains(state) && list.contains("confirmed by") && !list.contains("held order") {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    panic!("{state}: {}", text(&bilberryctl(admin, &["evacuation", "list"])));
+}
+
 /// Guards against a check that fails without naming the field at fault and a way to mend it.
 #[test]
 fn settings_check_names_the_fault() {
--- a/crates/bilberryloft-daemon/src/entry/attempt.rs
+++ b/crates/bilberryloft-daemon/src/entry/attempt.rs
@@ -203,7 +203,11 @@
                 Reason::TargetUnreachable,
                 RunState::NotRun,
                 NO_TARGET_RETRY_AFTER_MS,
-                format!("no target that offers {} accepts new requests now", request.offer),
+                format!(
+                    "no target that offers {} accepts new requests now{}",
+                    request.offer,
+                    self.view.evacuations().note(),
+                ),
             )),
             false => Err(Problem::new(
                 Reason::NoTarget,
--- a/crates/bilberryloft-daemon/src/entry/state.rs
+++ b/crates/bilberryloft-daemon/src/entry/state.rs
@@ -162,13 +162,16 @@
         }
         let membership = self.view.membership();
         let configuration = self.view.configuration();
+        let evacuated = self.view.evacuations().evacuated();
         // Targets that are no longer in the membership must not be picked.
         inner.picker.set_all_ineligible();
         for record in membership.targets().values() {
             let description = &record.description;
             let view = TargetView {
                 is_local: description.data_center == self.data_center,
-                is_eligible: record.reachable && !configuration.is_draining(&record.name),
+                is_eligible: record.reachable
+                    && !configuration.is_draining(&record.name)
+                    && !evacuated.contains(&description.data_center),
                 ..TargetView::new(
                     &record.name,
                     &description.agent_address,
--- a/crates/bilberryloft-daemon/src/evacuation.rs
+++ b/crates/bilberryloft-daemon/src/evacuation.rs
@@ -58,6 +58,15 @@
         evacuated.map(|it| it.0.clone()).collect()
     }
 
+    /// Returns the end of a refusal's text that names the evacuated data centres; empty if there are none.
+    pub fn note(&self) -> String {
+        let names: Vec<String> = self.evacuated().into_iter().collect();
+        if names.is_empty() {
+            return String::new();
+        }
+        format!("; evacuated data centres: {}", names.join(", "))
+    }
+
     /// Returns the version of a data centre's state; 0 if no order has named it.
     pub fn version_of(&self, data_center: &str) -> u64 {
         self.by_data_center.get(data_center).map_or(0, |it| it.state.version)
--- a/crates/bilberryloft-daemon/src/shared.rs
+++ b/crates/bilberryloft-daemon/src/shared.rs
@@ -70,9 +70,9 @@
             true => ControlClient::learning(addresses, daemon, incarnation, place),
             false => ControlClient::new(addresses, daemon, incarnation),
         };
-        let metrics = Metrics::new()
-            .map_err(|it| Error::Json { step: "set up metrics", detail: it.to_string() })?;
-        let metrics = Arc::new(metrics);
+        let metrics = Metrics::new().map(Arc::new);
+        let metrics =
+            metrics.map_err(|it| Error::Json { step: "set up metrics", detail: it.to_string() })?;
         let entry = settings.entry.clone().map(|it| {
             Arc::new(Entry::new(
                 it,
@@ -84,11 +84,10 @@
             ))
         });
         let agent = settings.agent.clone().map(|it| {
-            let (daemon, data_center) = (&settings.daemon, &settings.data_center);
             Arc::new(Agent::new(
                 it,
-                daemon,
-                data_center,
+                &settings.daemon,
+                &settings.data_center,
                 incarnation,
                 view.clone(),
                 control.clone(),
--- a/crates/bilberryloft-daemon/tests/view.rs
+++ b/crates/bilberryloft-daemon/tests/view.rs
@@ -6,6 +6,8 @@
 use bilberryloft_protocol::wire::Update;
 use bilberryloft_state::compression;
 use bilberryloft_state::configuration::Configuration;
+use bilberryloft_state::evacuation::EvacuationOrder;
+use bilberryloft_state::evacuation::Evacuations;
 use bilberryloft_state::membership::Membership;
 use bilberryloft_state::membership::TargetDescription;
 
@@ -108,3 +110,48 @@
         ..update(&Configuration::default(), &membership())
     }
 }
+
+/// Returns an update with the evacuations after a number of orders for one data centre, the first of which begins one.
+fn evacuations_update(orders: u64) -> Update {
+    let mut evacuations = Evacuations::default();
+    for number in 0..orders {
+        let (data_center, is_evacuated) = ("hall-b".to_string(), number % 2 == 0);
+        evacuations
+            .decide(&EvacuationOrder { data_center, is_evacuated, held_version: number }, number);
+    }
+    Update {
+        evacuations: serde_json::to_vec(&evacuations.listed(orders)).ok(),
+        evacuations_version: Some(evacuations.version() as i64),
+        ..document_update(1)
+    }
+}
+
+/// Guards against a daemon that does not learn of an evacuation, or forgets one because a control host that lags behind or
+/// runs an earlier version answers.
+#[test]
+fn evacuations_never_go_back() {
+    let view = View::new(4_000, OnLostControl::Serve);
+    let mut versions = view.versions();
+    view.apply(document_update(1), 1);
+    versions.mark_unchanged();
+    view.apply(evacuations_update(1), 2);
+    assert!(versions.has_changed().unwrap(), "a change of the evacuations alone is published");
+    assert!(view.evacuations().evacuated().contains("hall-b"));
+    view.apply(evacuations_update(2), 3);
+    assert!(view.evacuations().evacuated().is_empty());
+    view.apply(evacuations_update(1), 4);
+    view.apply(document_update(1), 5);
+    assert_eq!((view.evacuations().version, view.evacuations().version_of("hall-b")), (2, 2));
+    assert!(view.evacuations().evacuated().is_empty());
+}
+
+/// Guards against a restarted daemon that uses evacuations which no quorum has confirmed.
+#[test]
+fn unconfirmed_evacuations_are_not_used_after_a_start() {
+    let view = View::new(4_000, OnLostControl::Serve);
+    view.apply(Update { confirmed: false, ..evacuations_update(1) }, 1);
+    assert_eq!(view.evacuations().version, 0);
+    view.apply(evacuations_update(2), 2);
+    view.apply(Update { confirmed: false, ..evacuations_update(3) }, 3);
+    assert_eq!(view.evacuations().version, 3, "what is newer than a confirmed version is used");
+}
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -297,8 +297,7 @@
             Command::PutDocument(document) => return self.put_document(document),
             Command::PatchDocument(patch) => return self.patch_document(patch),
             Command::Claim { key, request_id, fingerprint, site } => {
-                let claimed = self.claims.claim(&key, &request_id, fingerprint, &site, now_ms);
-                return Outcome::Claim(claimed);
+                return self.claim(&key, &request_id, fingerprint, &site);
             }
             Command::MoveClaim { key, expected_request_id, expected_attempt, request_id, site } => {
                 let (from, attempt) = (expected_request_id, expected_attempt);
@@ -334,13 +333,25 @@
             Command::ExpertMapSettle { group, next_step } => {
                 return self.settle_expert_map(&group, next_step);
             }
-            Command::Evacuate(order) => {
-                return Outcome::Evacuation(self.evacuations.decide(&order, now_ms));
-            }
+            Command::Evacuate(order) => return self.evacuate(&order),
         }
         Outcome::Applied
     }
 
+    fn claim(
+        &mut self,
+        key: &str,
+        request_id: &str,
+        fingerprint: i64,
+        site: &ClaimSite,
+    ) -> Outcome {
+        Outcome::Claim(self.claims.claim(key, request_id, fingerprint, site, self.now_ms))
+    }
+
+    fn evacuate(&mut self, order: &EvacuationOrder) -> Outcome {
+        Outcome::Evacuation(self.evacuations.decide(order, self.now_ms))
+    }
+
     fn put_document(&mut self, document: StoredDocument) -> Outcome {
         self.document.replace(document);
         Outcome::Document { version: self.document.document().version }
