--- a/crates/bilberryloft-daemon/src/admin/mod.rs
+++ b/crates/bilberryloft-daemon/src/admin/mod.rs
@@ -1,5 +1,6 @@
 //! The HTTP interface for operators, metrics and the platform's health checks; it runs on the control thread.
 
+mod evacuations;
 mod explain;
 
 use std::sync::Arc;
@@ -66,6 +67,8 @@
         .route("/operator/burn", get(burn))
         .route("/operator/members", get(members).post(change_members))
         .route("/operator/quorum", get(quorum))
+        .route("/operator/evacuations", get(evacuations::list))
+        .route("/operator/evacuations/{data_center}", post(evacuations::submit))
         .route("/operator/explain/{request_id}", get(explain))
         .with_state(AdminState { shared, control })
         .layer(GlobalConcurrencyLimitLayer::new(CONCURRENT_CALLS_MAX));
