Cold targets get a bounded number of requests in any second over all entries

What callers saw: after a start, a restart or an evacuation, targets got the same load as warm ones and crashed well above the rate that they bear while cold. Cause: the remaining cold time was decoded but not used; the only shared bound (limits that targets name) saves up a second's tokens in each part. Change: routing/cold_targets counts what an entry sent within 1.25 s against its share of half the bound; targets are cold after they are new, restarted, returned, announced, lost or evacuated, and for entries without a current list. Lost attempts are told to the other entries with the failure rates. The membership takes a remaining cold time for a change only if it is longer than what is left or the target turns cold or warm. Memory of a target bounds the tokens of its requests. Refusals targets_cold (503) and over_memory (413), events 555 to 557. Tests of routing, relay, state and daemon pass.

--- a/crates/bilberryloft-daemon/src/control/target_leases.rs
+++ b/crates/bilberryloft-daemon/src/control/target_leases.rs
@@ -3,6 +3,7 @@
 use bilberryloft_coordination::raft::Role;
 use bilberryloft_state::membership::TargetDescription;
 use bilberryloft_state::state_machine::Command;
+use bilberryloft_transport::clock::epoch_ms;
 use bilberryloft_transport::clock::monotonic_ms;
 
 use crate::control::handle::PendingReply;
@@ -29,7 +30,9 @@
             let machine = self.lock_machine();
             let known_incarnation =
                 machine.membership.targets().get(&name).map_or(0, |it| it.incarnation);
-            (known_incarnation, machine.membership.is_change(&name, incarnation, &description))
+            let is_change =
+                machine.membership.is_change(&name, incarnation, &description, epoch_ms());
+            (known_incarnation, is_change)
         };
         if leaving {
             let command = Command::Lose { targets: vec![(name, incarnation)] };
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -148,6 +148,12 @@
     RunLost = 545,
     /// A target said in an answer that it wants rest or is leaving.
     TargetNoticed = 546,
+    /// Targets became cold, as far as this entry knows.
+    TargetsCold = 555,
+    /// A request was refused because all targets are cold.
+    ColdRefused = 556,
+    /// This entry's share of the bound of cold targets, or its contact with the quorum, changed.
+    ColdShareChanged = 557,
 }
 
 impl Event {
@@ -158,7 +164,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 72] = [
+pub const EVENTS: [Event; 75] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -231,6 +237,9 @@
     Event::LimitDecided,
     Event::RunLost,
     Event::TargetNoticed,
+    Event::TargetsCold,
+    Event::ColdRefused,
+    Event::ColdShareChanged,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -52,6 +52,12 @@
     pub limited_requests: IntCounter,
     /// Requests refused because all targets had reached their limits.
     pub limit_refusals: IntCounter,
+    /// Targets that count as cold.
+    pub targets_cold: IntGauge,
+    /// Requests refused because all targets were cold.
+    pub cold_refusals: IntCounter,
+    /// Requests refused because they have more tokens than a target can hold.
+    pub memory_refusals: IntCounter,
     /// Configuration version in force.
     pub configuration_version: IntGauge,
     quorum: QuorumGauges,
@@ -171,6 +177,15 @@
                 "bilberryloft_limit_refusals_total",
                 "Requests refused as all targets had reached their limits.",
             )?,
+            targets_cold: new.gauge("bilberryloft_targets_cold", "Targets that count as cold.")?,
+            cold_refusals: new.counter(
+                "bilberryloft_cold_refusals_total",
+                "Requests refused as all targets were cold.",
+            )?,
+            memory_refusals: new.counter(
+                "bilberryloft_memory_refusals_total",
+                "Requests refused as larger than the memory of a target.",
+            )?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
             quorum: QuorumGauges::register(&new)?,
--- a/crates/bilberryloft-relay/src/admission.rs
+++ b/crates/bilberryloft-relay/src/admission.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::answer::Refusal;
+use crate::cold;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
 use crate::target_slot::TargetSlot;
@@ -46,6 +47,7 @@
     if !state.services.may_send(service) {
         return Err(Refusal::GroupDown);
     }
+    cold::check_memory(state, request)?;
     if let Some(wait_ms) = state.services.rest_wait_ms(service) {
         return Err(refuse_resting(wait_ms));
     }
@@ -66,6 +68,7 @@
         Ok(slot) => slot,
         Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
         Err(NoTarget::Resting { wait_ms }) => return Err(refuse_resting(wait_ms)),
+        Err(NoTarget::Cold(wait)) => return Err(state.cold.refuse(state, request, wait)),
         Err(NoTarget::Full | NoTarget::Limited(_)) => return Ok(None),
     };
     let Some(limit) = slot.picked().limit else {
@@ -115,6 +118,7 @@
             Ok(slot) => return Ok(slot),
             Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
             Err(NoTarget::Resting { wait_ms }) => return Err(refuse_resting(wait_ms)),
+            Err(NoTarget::Cold(wait)) => return Err(state.cold.refuse(state, request, wait)),
             Err(NoTarget::Full) => {}
             Err(NoTarget::Limited(wait)) => {
                 if !wait.has_part || Instant::now() + Duration::from_millis(wait.first_ms) > until {
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -54,6 +54,13 @@
         /// Time after which the caller should come back.
         retry_after: Duration,
     },
+    /// All targets are cold, and this entry may not send to any of them now.
+    TargetsCold {
+        /// Time after which the caller should come back.
+        retry_after: Duration,
+    },
+    /// The request has more tokens than any target can hold.
+    OverMemory,
     /// The service's lock-step group is down.
     GroupDown,
     /// The target answered that it did not run the request, and no further attempt is allowed.
@@ -90,6 +97,8 @@
             Refusal::Full => "full",
             Refusal::TargetsLimited { .. } => "targets_limited",
             Refusal::TargetsResting { .. } => "targets_resting",
+            Refusal::TargetsCold { .. } => "targets_cold",
+            Refusal::OverMemory => "over_memory",
             Refusal::GroupDown => "group_down",
             Refusal::NotRun => "not_run",
             Refusal::RunUnknown => "run_unknown",
@@ -108,6 +117,7 @@
             | Refusal::Full
             | Refusal::TargetsLimited { .. }
             | Refusal::TargetsResting { .. }
+            | Refusal::TargetsCold { .. }
             | Refusal::GroupDown
             | Refusal::SuspectTrial
             | Refusal::TrialPending { .. }
@@ -115,7 +125,7 @@
             Refusal::Quarantined { .. } => StatusCode::TOO_MANY_REQUESTS,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
-            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::TooLarge | Refusal::OverMemory => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BadBody => StatusCode::BAD_REQUEST,
             Refusal::RunUnknown => StatusCode::BAD_GATEWAY,
             Refusal::TimeoutSent => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod answer;
 pub mod answer_check;
 pub mod attempt;
+pub mod cold;
 pub mod connection;
 pub mod control_api;
 pub mod dialect;
--- a/crates/bilberryloft-relay/src/limits.rs
+++ b/crates/bilberryloft-relay/src/limits.rs
@@ -128,6 +128,12 @@
     /// caller should come back.
     pub fn refuse(&self, service: &str, priority: u8, wait: LimitedWait) -> Duration {
         self.metrics.limit_refusals.inc();
+        self.return_after(service, priority, wait)
+    }
+
+    /// Returns the time after which the caller of a refused request should come back: after those that were refused before
+    /// and are at least as urgent.
+    pub fn return_after(&self, service: &str, priority: u8, wait: LimitedWait) -> Duration {
         let now_ms = monotonic_ms();
         let after_ms = self.with_backlog(service, |it| it.refuse(priority, wait, now_ms));
         Duration::from_millis(after_ms)
--- a/crates/bilberryloft-relay/src/loads/mod.rs
+++ b/crates/bilberryloft-relay/src/loads/mod.rs
@@ -115,6 +115,7 @@
         let (targets, entries) = self.own_targets(now_ms);
         self.state.entries.set_active(entries);
         self.state.limits.refresh();
+        self.state.cold.refresh();
         self.exchange.set_own(targets, self.state.entries.heard_count(), now_ms);
         for outgoing in self.exchange.due(&self.contacts(), now_ms, fastrand::f64) {
             self.send(&outgoing).await;
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -9,6 +9,7 @@
 use bilberryloft_routing::selection::PickedTarget;
 use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_routing::targets::AttemptOutcome;
+use bilberryloft_transport::clock::monotonic_ms;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Response;
@@ -176,9 +177,15 @@
     request: &RelayRequest,
 ) -> Result<FinalAnswer, Refusal> {
     let result = attempt_targets(state, request).await;
-    result.map_err(|refusal| match (refusal, state.services.rest_wait_ms(&request.service)) {
-        (Refusal::NotRun, Some(wait_ms)) => admission::refuse_resting(wait_ms),
-        (refusal, _) => refusal,
+    result.map_err(|refusal| {
+        if refusal != Refusal::NotRun {
+            return refusal;
+        }
+        if let Some(wait_ms) = state.services.rest_wait_ms(&request.service) {
+            return admission::refuse_resting(wait_ms);
+        }
+        let cold_wait = state.services.targets.lock().cold_wait(&request.service, monotonic_ms());
+        cold_wait.map_or(refusal, |it| state.cold.refuse(state, request, it))
     })
 }
 
--- a/crates/bilberryloft-relay/src/services.rs
+++ b/crates/bilberryloft-relay/src/services.rs
@@ -106,6 +106,13 @@
         self.targets.lock().cancel(key);
     }
 
+    /// Releases the tokens of a request that has ended at a target, or was not sent.
+    pub fn release_tokens(&self, key: TargetKey, tokens: u64) {
+        if tokens > 0 {
+            self.targets.lock().release_tokens(key, tokens);
+        }
+    }
+
     /// Returns whether a target has answered or another entry has reported within a time in milliseconds.
     pub fn has_heard_within(&self, within_ms: u64) -> bool {
         self.targets.lock().has_heard_since(monotonic_ms().saturating_sub(within_ms))
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -23,6 +23,8 @@
 use bilberryloft_transport::clock::monotonic_ms;
 use parking_lot::RwLock;
 
+use crate::cold::ColdTracker;
+use crate::cold::memory_need;
 use crate::dialect::Dialect;
 use crate::entries::Entries;
 use crate::lifecycle::Lifecycle;
@@ -72,6 +74,8 @@
     pub entries: Arc<Entries>,
     /// Limits that targets name on their requests.
     pub limits: LimitTracker,
+    /// Cold targets.
+    pub cold: ColdTracker,
     /// Retry budgets of this entry.
     pub retries: Retries,
     /// Open requests and shutdown.
@@ -96,6 +100,8 @@
         let entries = Arc::new(Entries::new(&daemon));
         let retries = Retries::new(limits, is_first_start, &daemon, entries.clone());
         let limits = LimitTracker::new(&daemon, services.clone(), entries.clone());
+        let cold_limits = settings.cold_limits;
+        let cold = ColdTracker::new(cold_limits, &daemon, services.clone(), entries.clone());
         let pool = Arc::new(Pool::default());
         let suspects = Arc::new(SuspectTracker::new(&daemon, services.clone(), pool.clone()));
         RelayState {
@@ -107,6 +113,7 @@
             suspects,
             entries,
             limits,
+            cold,
             retries,
             lifecycle: Arc::default(),
             routes: RwLock::default(),
@@ -128,7 +135,9 @@
         match self.dialect.decode_document(document.text.as_bytes()) {
             Ok(decoded) => {
                 let routes = decoded.routes.len();
-                *self.routes.write() = Arc::new(RouteTable::new(decoded));
+                let routes_in_force = Arc::new(RouteTable::new(decoded));
+                self.cold.set_routes(&routes_in_force);
+                *self.routes.write() = routes_in_force;
                 log_event!(info, Event::RoutesInForce, version = document.version, before, routes);
             }
             Err(error) => {
@@ -140,10 +149,13 @@
     /// Applies the daemon's latest list of targets.
     pub fn refresh_targets(&self) {
         let membership = self.daemon.view.membership();
+        let direct = || membership.targets().values().filter(|it| it.description.direct);
         let mut targets = self.services.targets.lock();
-        for record in membership.targets().values().filter(|it| it.description.direct) {
+        for record in direct() {
             targets.apply(target_info(record));
         }
+        drop(targets);
+        self.cold.record_targets(direct().map(|it| (it.name.as_str(), it.changed_version)));
     }
 
     /// Picks a target for a new request and reserves a slot there.
@@ -154,7 +166,7 @@
     ) -> Result<TargetSlot, NoTarget> {
         let now_ms = monotonic_ms();
         let load_max = self.load_max(request, now_ms);
-        let picked = self.pick_limited(&request.service, tried, load_max, now_ms)?;
+        let picked = self.pick_limited(request, tried, load_max, now_ms)?;
         Ok(TargetSlot::new(&self.services, &self.suspects, request, picked))
     }
 
@@ -164,18 +176,19 @@
         request: &RelayRequest,
         tried: &[TargetKey],
     ) -> Result<TargetSlot, NoTarget> {
-        let picked = self.pick_limited(&request.service, tried, None, monotonic_ms())?;
+        let picked = self.pick_limited(request, tried, None, monotonic_ms())?;
         Ok(TargetSlot::new(&self.services, &self.suspects, request, picked))
     }
 
     fn pick_limited(
         &self,
-        service: &str,
+        request: &RelayRequest,
         tried: &[TargetKey],
         load_max: Option<u32>,
         now_ms: u64,
     ) -> Result<PickedTarget, NoTarget> {
-        let limits = PickLimits { load_max, ..self.pick_limits(service) };
+        let limits = PickLimits { load_max, ..self.pick_limits(request) };
+        let service = &request.service;
         self.services.targets.lock().pick(service, tried, &limits, now_ms, fastrand::f64)
     }
 
@@ -200,7 +213,7 @@
         request: &RelayRequest,
         key: TargetKey,
     ) -> Result<TargetSlot, NoMigration> {
-        let (limits, now_ms) = (self.pick_limits(&request.service), monotonic_ms());
+        let (limits, now_ms) = (self.pick_limits(request), monotonic_ms());
         let picked =
             self.services.targets.lock().pick_migration(key, &limits, now_ms, fastrand::f64)?;
         let slot = TargetSlot::new(&self.services, &self.suspects, request, picked);
@@ -212,13 +225,15 @@
         }
     }
 
-    fn pick_limits(&self, service: &str) -> PickLimits {
+    fn pick_limits(&self, request: &RelayRequest) -> PickLimits {
+        let service = &request.service;
         PickLimits {
             load_max: None,
             queue_max: TARGET_QUEUE_MAX,
             own_load_max: u32::try_from(self.connection_share(service)).unwrap_or(u32::MAX),
             idle_load: self.engine(service).map_or(0.0, |it| it.idle_load()),
             entries: self.entries.active(),
+            memory: memory_need(self, request),
         }
     }
 
@@ -230,7 +245,7 @@
     }
 
     /// Returns the model engine of a service; `None` for a plain service.
-    fn engine(&self, service: &str) -> Option<Engine> {
+    pub fn engine(&self, service: &str) -> Option<Engine> {
         self.routes().service(service)?.engine
     }
 
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -203,6 +203,7 @@
 
 impl Drop for TargetSlot {
     fn drop(&mut self) {
+        self.services.release_tokens(self.picked.key, self.picked.tokens);
         if !self.is_released {
             self.services.finish(&self.service, self.picked.key, AttemptOutcome::Unknown);
         }
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -35,8 +35,14 @@
         is_announced: true,
         cold_remaining_ms: 0,
     });
-    let limits =
-        PickLimits { load_max: None, queue_max: 0, own_load_max: 1, idle_load: 0.0, entries: 1 };
+    let limits = PickLimits {
+        load_max: None,
+        queue_max: 0,
+        own_load_max: 1,
+        idle_load: 0.0,
+        entries: 1,
+        memory: None,
+    };
     let picked = table.pick("writer", &[], &limits, 0, || 0.5).unwrap();
     TargetRun {
         request_id: "r".to_string(),
--- a/crates/bilberryloft-routing/src/lib.rs
+++ b/crates/bilberryloft-routing/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 pub mod batch_limit;
+pub mod cold_targets;
 pub mod document;
 pub mod event_stream;
 pub mod failing;
--- a/crates/bilberryloft-routing/src/selection.rs
+++ b/crates/bilberryloft-routing/src/selection.rs
@@ -26,6 +26,26 @@
     pub idle_load: f64,
     /// Entries that pick among the same targets, including this one.
     pub entries: usize,
+    /// What the request needs of a target's memory, if that is known.
+    pub memory: Option<MemoryNeed>,
+}
+
+/// What a request needs of a target's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryNeed {
+    /// Tokens of the request: those that its caller names, or as many as usual.
+    pub tokens: u64,
+    /// Tokens of a usual request, by which those of other entries are counted.
+    pub usual_tokens: u64,
+    /// Tokens that a target can hold.
+    pub memory_tokens: u64,
+}
+
+impl MemoryNeed {
+    /// Returns whether the request fits into a target that holds no other.
+    pub fn fits(&self) -> bool {
+        self.tokens <= self.memory_tokens
+    }
 }
 
 impl PickLimits {
@@ -60,6 +80,8 @@
     pub others_load: u32,
     /// Number of targets that were considered.
     pub candidates: usize,
+    /// Tokens of the request that count against the target's memory; 0 if that is not known.
+    pub tokens: u64,
     /// Limit of the target that the request counts against.
     pub limit: Option<AppliedLimit>,
 }
@@ -73,6 +95,9 @@
     Full,
     /// All targets have reached the limits that they name.
     Limited(LimitedWait),
+    /// All targets are cold and this entry may not send to any of them now, or some are and the others rest or have reached
+    /// the limits that they name.
+    Cold(LimitedWait),
     /// All targets rest, or some do and the others have reached the limits that they name.
     Resting {
         /// Time until the first of them may get a request, in milliseconds.
@@ -99,6 +124,9 @@
 pub struct LimitedCandidates {
     count: usize,
     resting: usize,
+    cold: usize,
+    first_cold_ms: Option<u64>,
+    cold_rate_per_s: f64,
     first_rested_ms: Option<u64>,
     first_ms: Option<u64>,
     own_rate_per_s: f64,
@@ -126,11 +154,27 @@
         self.first_rested_ms = Some(self.first_rested_ms.map_or(wait_ms, |it| it.min(wait_ms)));
     }
 
+    /// Adds a cold candidate to which this entry may not send for a time in milliseconds.
+    pub fn add_cold(&mut self, wait_ms: u64, rate_per_s: f64) {
+        self.cold += 1;
+        self.first_cold_ms = Some(self.first_cold_ms.map_or(wait_ms, |it| it.min(wait_ms)));
+        self.cold_rate_per_s += rate_per_s;
+    }
+
+    /// Returns the wait for the first of the candidates if some are cold.
+    pub fn cold_wait(&self) -> LimitedWait {
+        let firsts = [self.first_cold_ms, self.first_rested_ms, self.first_ms];
+        let first_ms = firsts.into_iter().flatten().min().unwrap_or_default();
+        let interval_ms = wait_ms(1.0, self.cold_rate_per_s + self.own_rate_per_s);
+        LimitedWait { has_part: true, first_ms, interval_ms }
+    }
+
     /// Returns why none of the candidates was picked.
     pub fn no_target(&self, candidates: usize) -> NoTarget {
         match candidates {
             0 => NoTarget::Absent,
-            _ if self.count + self.resting < candidates => NoTarget::Full,
+            _ if self.count + self.resting + self.cold < candidates => NoTarget::Full,
+            _ if self.cold > 0 => NoTarget::Cold(self.cold_wait()),
             _ => match self.first_rested_ms {
                 Some(rested_ms) => {
                     let limited_ms = self.first_ms.unwrap_or(rested_ms);
--- a/crates/bilberryloft-routing/src/sharing_entries.rs
+++ b/crates/bilberryloft-routing/src/sharing_entries.rs
@@ -110,9 +110,18 @@
             Division::Known if self.heard_count(now_ms) < self.count(now_ms) => return None,
             Division::Known => RETENTION_MS,
         };
+        Some(self.heard_within(own, within_ms, now_ms))
+    }
+
+    /// Returns the entries that this one has heard within a day, including itself.
+    pub fn heard_within_a_day(&self, own: &str, now_ms: u64) -> Members {
+        self.heard_within(own, RETENTION_MS, now_ms)
+    }
+
+    fn heard_within(&self, own: &str, within_ms: u64, now_ms: u64) -> Members {
         let others = self.heard.iter().filter(|it| it.1.last_ms + within_ms > now_ms);
         let others = others.map(|it| it.0.clone());
-        Some(others.chain([own.to_string()]).collect())
+        others.chain([own.to_string()]).collect()
     }
 }
 
--- a/crates/bilberryloft-routing/src/targets/entry_reports.rs
+++ b/crates/bilberryloft-routing/src/targets/entry_reports.rs
@@ -27,6 +27,9 @@
         self.remove_entry(entry);
         self.change_others_load(&loads, u32::saturating_add);
         let has_failures = !failure_rates.is_empty();
+        if has_failures && !self.cold.is_empty() {
+            self.record_failing(&failure_rates.keys().cloned().collect::<Vec<_>>(), now_ms);
+        }
         let report = EntryReport { received_ms: now_ms, loads, failure_rates };
         self.entries.insert(entry.to_string(), report);
         if has_failures {
--- a/crates/bilberryloft-routing/src/targets/mod.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -1,10 +1,13 @@
 //! Load and health of each service's targets, as one entry knows them, and target selection.
 
+mod cold;
 mod entry_reports;
 mod notices;
 
 use std::collections::BTreeMap;
 
+use crate::cold_targets::ColdState;
+use crate::cold_targets::ColdTargets;
 use crate::failing::is_ejected;
 use crate::failing::penalty;
 use crate::failing::should_report;
@@ -91,6 +94,13 @@
     NoSlot,
     /// It has reached the limit that it names.
     Limited(LimitState),
+    /// It is cold, and this entry may not send it a request now.
+    Cold {
+        /// Time until this entry may, in milliseconds.
+        wait_ms: u64,
+        /// Requests a second that this entry may send.
+        rate_per_s: f64,
+    },
     /// It has asked for rest.
     Resting {
         /// Time at which the rest ends, in milliseconds.
@@ -120,6 +130,11 @@
     slow_ranks: SlowRanks,
     /// Limits that targets name on their requests.
     pub limits: TargetLimits,
+    /// Targets that bear only few requests a second.
+    pub cold: ColdTargets,
+    has_cold_services: bool,
+    /// Tokens of this entry's requests by target, of services whose targets have a known memory.
+    tokens: BTreeMap<TargetKey, u64>,
 }
 
 impl TargetTable {
@@ -181,11 +196,19 @@
         loaded.map(|it| (it.tag, it.own_load)).collect()
     }
 
-    /// Returns this entry's high failure rates by target, to be reported to the other entries.
+    /// Returns this entry's high failure rates by target, to be reported to the other entries, and the rates of targets at
+    /// which an attempt was lost a moment ago, which may be cold after a restart.
     pub fn own_failure_rates(&self, now_ms: u64) -> BTreeMap<String, f64> {
         let rates = self.targets.iter().map(|it| (&it.info.id, it.own_failure_rate.rate(now_ms)));
         let failure_rates = rates.filter(|it| should_report(it.1));
-        failure_rates.map(|(id, rate)| (id.clone(), rate)).collect()
+        let mut failure_rates: BTreeMap<String, f64> =
+            failure_rates.map(|(id, rate)| (id.clone(), rate)).collect();
+        for key in self.cold.lost_lately(now_ms) {
+            let target = &self.targets[key.0];
+            let rate = target.own_failure_rate.rate(now_ms);
+            failure_rates.entry(target.info.id.clone()).or_insert(rate);
+        }
+        failure_rates
     }
 
     /// Returns the targets of a service that accept requests.
@@ -253,6 +276,7 @@
                 Assessment::Limited(limit) => {
                     limited.add(limit);
                 }
+                Assessment::Cold { wait_ms, rate_per_s } => limited.add_cold(wait_ms, rate_per_s),
                 Assessment::Resting { until_ms } => limited.add_resting(until_ms - now_ms),
                 Assessment::InBackoff { until_ms } => {
                     if in_backoff.is_none_or(|(soonest_ms, _)| until_ms < soonest_ms) {
@@ -270,7 +294,7 @@
         }
         let chosen = best.map(|it| it.1).or(in_backoff.map(|it| it.1));
         match chosen {
-            Some(key) => Ok(self.reserve(key, count, now_ms)),
+            Some(key) => Ok(self.reserve(key, count, limits, now_ms)),
             None => Err(limited.no_target(count)),
         }
     }
@@ -292,6 +316,14 @@
         if target.load() >= load_max || target.own_load >= limits.own_load_max {
             return Assessment::NoSlot;
         }
+        if !self.has_memory(key, limits) {
+            return Assessment::NoSlot;
+        }
+        if let ColdState::Cold { wait_ms, rate_per_s } = self.cold_state(key, now_ms)
+            && wait_ms > 0
+        {
+            return Assessment::Cold { wait_ms, rate_per_s };
+        }
         let limit = self.limits.state(&target.info.id, target.info.incarnation, now_ms);
         if !limit.may_send() {
             return Assessment::Limited(limit);
@@ -311,7 +343,16 @@
     }
 
     /// Counts one more request at a target, also against its limit.
-    fn reserve(&mut self, key: TargetKey, candidates: usize, now_ms: u64) -> PickedTarget {
+    fn reserve(
+        &mut self,
+        key: TargetKey,
+        candidates: usize,
+        limits: &PickLimits,
+        now_ms: u64,
+    ) -> PickedTarget {
+        let tokens = limits.memory.map_or(0, |it| it.tokens);
+        self.add_tokens(key, tokens);
+        self.cold.take(key, now_ms);
         let target = &mut self.targets[key.0];
         let incarnation = target.info.incarnation;
         let picked = PickedTarget {
@@ -322,6 +363,7 @@
             own_load: target.own_load,
             others_load: target.others_load,
             candidates,
+            tokens,
             limit: self.limits.take(&target.info.id, incarnation, now_ms),
         };
         target.own_load += 1;
@@ -366,6 +408,7 @@
         let target = &mut self.targets[key.0];
         target.own_load = target.own_load.saturating_sub(1);
         self.limits.refund(&target.info.id);
+        self.cold.refund(key);
     }
 
     /// Removes a finished request from its target's load and records the outcome.
@@ -398,6 +441,7 @@
                 target.backoff_until_ms = now_ms + backoff_ms.min(BACKOFF_FULL_MAX_MS);
             }
             AttemptOutcome::Lost => {
+                self.cold.record_lost(key, now_ms);
                 let backoff_ms =
                     (BACKOFF_FIRST_MS << target.consecutive_losses.min(6)).min(BACKOFF_MAX_MS);
                 target.consecutive_losses += 1;
--- a/crates/bilberryloft-routing/tests/decisions.rs
+++ b/crates/bilberryloft-routing/tests/decisions.rs
@@ -26,8 +26,14 @@
 use bilberryloft_routing::wait_queue::WaitQueue;
 use quickcheck::quickcheck;
 
-const LIMITS: PickLimits =
-    PickLimits { load_max: None, queue_max: 4, own_load_max: u32::MAX, idle_load: 0.0, entries: 1 };
+const LIMITS: PickLimits = PickLimits {
+    load_max: None,
+    queue_max: 4,
+    own_load_max: u32::MAX,
+    idle_load: 0.0,
+    entries: 1,
+    memory: None,
+};
 
 fn info(number: usize) -> TargetInfo {
     support::info("t", number, 12)
--- a/crates/bilberryloft-routing/tests/outlier_ejection.rs
+++ b/crates/bilberryloft-routing/tests/outlier_ejection.rs
@@ -16,6 +16,7 @@
     own_load_max: u32::MAX,
     idle_load: 13.0,
     entries: 1,
+    memory: None,
 };
 /// Duration of a request at a healthy target, in milliseconds.
 const HEALTHY_MS: u64 = 1_200;
--- a/crates/bilberryloft-routing/tests/picks_of_many_entries.rs
+++ b/crates/bilberryloft-routing/tests/picks_of_many_entries.rs
@@ -138,6 +138,7 @@
         own_load_max: 13,
         idle_load: 4.84 / 0.797,
         entries: shape.entries_in_picks,
+        memory: None,
     };
     for now_ms in 10_000..10_000 + SECONDS * 1_000 {
         running.retain(|(until_ms, idx, key, _)| {
--- a/crates/bilberryloft-routing/tests/slow_ranks.rs
+++ b/crates/bilberryloft-routing/tests/slow_ranks.rs
@@ -25,6 +25,7 @@
     own_load_max: u32::MAX,
     idle_load: IDLE_LOAD,
     entries: 1,
+    memory: None,
 };
 
 fn slow_group(slowness: &[(usize, f64)]) -> TargetTable {
--- a/crates/bilberryloft-routing/tests/target_leaving.rs
+++ b/crates/bilberryloft-routing/tests/target_leaving.rs
@@ -7,8 +7,14 @@
 use bilberryloft_routing::targets::TargetTable;
 
 const SERVICE: &str = "plain";
-const LIMITS: PickLimits =
-    PickLimits { load_max: None, queue_max: 0, own_load_max: 6, idle_load: 0.0, entries: 1 };
+const LIMITS: PickLimits = PickLimits {
+    load_max: None,
+    queue_max: 0,
+    own_load_max: 6,
+    idle_load: 0.0,
+    entries: 1,
+    memory: None,
+};
 
 fn info(incarnation: u64, is_leaving: bool) -> TargetInfo {
     TargetInfo {
--- a/crates/bilberryloft-routing/tests/target_limits.rs
+++ b/crates/bilberryloft-routing/tests/target_limits.rs
@@ -30,8 +30,14 @@
 const LENGTH_MS: u64 = 30_000;
 const INCARNATION: u64 = 1;
 
-const LIMITS: PickLimits =
-    PickLimits { load_max: None, queue_max: 4, own_load_max: u32::MAX, idle_load: 0.0, entries: 1 };
+const LIMITS: PickLimits = PickLimits {
+    load_max: None,
+    queue_max: 4,
+    own_load_max: u32::MAX,
+    idle_load: 0.0,
+    entries: 1,
+    memory: None,
+};
 
 fn observed(per_s: Option<f64>, sent_ms: u64) -> LimitObservation {
     LimitObservation { per_s, incarnation: INCARNATION, sent_ms }
--- a/crates/bilberryloft-routing/tests/target_rest.rs
+++ b/crates/bilberryloft-routing/tests/target_rest.rs
@@ -31,7 +31,14 @@
 }
 
 fn limits(entries: usize) -> PickLimits {
-    PickLimits { load_max: None, queue_max: 0, own_load_max: 6, idle_load: 0.0, entries }
+    PickLimits {
+        load_max: None,
+        queue_max: 0,
+        own_load_max: 6,
+        idle_load: 0.0,
+        entries,
+        memory: None,
+    }
 }
 
 /// Picks a target and ends its request at once; a resting one answers that it rests.
--- a/crates/bilberryloft-state/src/membership.rs
+++ b/crates/bilberryloft-state/src/membership.rs
@@ -8,6 +8,10 @@
 /// Time after which an unreachable target is removed, in milliseconds.
 pub const TARGET_RETENTION_MS: u64 = 24 * 3_600_000;
 
+/// Difference up to which two remaining times of a cold target count as the same, in milliseconds. Announcements take
+/// different times, so a later one may seem to name a later end.
+pub const COLD_TOLERANCE_MS: u64 = 300;
+
 /// Description that a target announces.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -60,6 +64,10 @@
     /// Membership version at which this incarnation was first recorded.
     #[serde(default)]
     pub joined_version: u64,
+    /// Leader's time at which the description's remaining cold time was recorded, in milliseconds since the epoch. Only
+    /// leaders compare it; entries count the remaining time from when they learn of it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_at_ms: u64,
 }
 
 impl TargetRecord {
@@ -68,6 +76,28 @@
     fn is_late_announcement(&self, incarnation: u64, description: &TargetDescription) -> bool {
         self.incarnation == incarnation && self.description.leaving && !description.leaving
     }
+
+    /// Whether an announcement differs from the recorded one. A remaining cold time differs only if the target is no
+    /// longer or newly cold, or if it stays cold for longer than recorded; else each announcement of a cold target would
+    /// be replicated.
+    fn differs(&self, description: &TargetDescription, at_ms: u64) -> bool {
+        let known = &self.description;
+        let as_recorded =
+            TargetDescription { cold_remaining_ms: known.cold_remaining_ms, ..description.clone() };
+        if as_recorded != *known {
+            return true;
+        }
+        match (known.cold_remaining_ms, description.cold_remaining_ms) {
+            (0, 0) => false,
+            (0, _) | (_, 0) => true,
+            // The clock of a new leader may be behind that of the one before.
+            _ if at_ms < self.cold_at_ms => true,
+            (recorded_ms, remaining_ms) => {
+                let left_ms = recorded_ms.saturating_sub(at_ms - self.cold_at_ms);
+                remaining_ms > left_ms + COLD_TOLERANCE_MS
+            }
+        }
+    }
 }
 
 /// All known targets.
@@ -100,8 +130,14 @@
         &self.targets
     }
 
-    /// Whether an announcement would change the membership; late announcements don't.
-    pub fn is_change(&self, name: &str, incarnation: u64, description: &TargetDescription) -> bool {
+    /// Whether an announcement at the given leader's time would change the membership; late announcements don't.
+    pub fn is_change(
+        &self,
+        name: &str,
+        incarnation: u64,
+        description: &TargetDescription,
+        at_ms: u64,
+    ) -> bool {
         match self.targets.get(name) {
             None => true,
             Some(known) if known.incarnation > incarnation => false,
@@ -110,7 +146,7 @@
             Some(known) => {
                 !known.reachable
                     || known.incarnation != incarnation
-                    || known.description != *description
+                    || known.differs(description, at_ms)
             }
         }
     }
@@ -159,7 +195,7 @@
         description: TargetDescription,
         at_ms: u64,
     ) {
-        if !self.is_change(name, incarnation, &description) {
+        if !self.is_change(name, incarnation, &description, at_ms) {
             return;
         }
         self.version += 1;
@@ -168,6 +204,7 @@
         let record = TargetRecord {
             name: name.to_string(),
             incarnation,
+            cold_at_ms: if description.cold_remaining_ms > 0 { at_ms } else { 0 },
             description,
             reachable: true,
             changed_version: self.version,
