--- a/crates/bilberryloft-state/tests/state_machine.rs
+++ b/crates/bilberryloft-state/tests/state_machine.rs
@@ -437,3 +437,36 @@
     copy.apply_delta(membership.delta_after(copy.version()));
     assert_eq!(copy.targets().keys().collect::<Vec<_>>(), ["b"]);
 }
+
+fn cold(remaining_ms: u64) -> TargetDescription {
+    TargetDescription { cold_remaining_ms: remaining_ms, ..description() }
+}
+
+/// Guards against a log entry for each announcement of a cold target, whose remaining time is smaller each time.
+#[test]
+fn smaller_remaining_cold_time_is_no_change() {
+    let mut membership = Membership::default();
+    membership.register("a", 1, cold(3_000), 10_000);
+    let version = membership.version();
+    // An announcement that is 200 ms faster than the one before seems to name a later end.
+    for (at_ms, remaining_ms) in [(10_800, 2_000), (11_800, 1_000), (12_800, 0)] {
+        let is_change = membership.is_change("a", 1, &cold(remaining_ms), at_ms);
+        assert_eq!(is_change, remaining_ms == 0, "{remaining_ms} ms");
+    }
+    membership.register("a", 1, cold(2_000), 11_200);
+    assert_eq!(membership.version(), version);
+}
+
+/// Guards against a target that turns cold, or stays cold for longer, and is not recorded.
+#[test]
+fn new_or_longer_cold_time_is_a_change() {
+    let mut membership = Membership::default();
+    membership.register("a", 1, description(), 10_000);
+    assert!(membership.is_change("a", 1, &cold(3_000), 11_000));
+    membership.register("a", 1, cold(3_000), 11_000);
+    assert!(membership.is_change("a", 1, &cold(3_000), 12_000), "the target is cold again");
+    // The clock of another leader may be behind.
+    assert!(membership.is_change("a", 1, &cold(3_000), 5_000));
+    membership.register("a", 1, description(), 15_000);
+    assert_eq!(membership.targets()["a"].description.cold_remaining_ms, 0);
+}
