--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -156,6 +156,12 @@
     EvacuationEnded = 552,
     /// An order was proposed for an older state of the data centre and changed nothing.
     EvacuationConflict = 553,
+    /// Targets became cold, as far as this entry knows.
+    TargetsCold = 555,
+    /// A request was refused because all targets are cold.
+    ColdRefused = 556,
+    /// This entry's share of the bound of cold targets, or its contact with the quorum, changed.
+    ColdShareChanged = 557,
 }
 
 impl Event {
@@ -166,7 +172,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 76] = [
+pub const EVENTS: [Event; 79] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -243,6 +249,9 @@
     Event::EvacuationBegan,
     Event::EvacuationEnded,
     Event::EvacuationConflict,
+    Event::TargetsCold,
+    Event::ColdRefused,
+    Event::ColdShareChanged,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-routing/src/targets/evacuated.rs
+++ b/crates/bilberryloft-routing/src/targets/evacuated.rs
@@ -34,9 +34,10 @@
         &self.evacuated.evacuated
     }
 
-    /// Records that the evacuation of a data centre ended at a time in milliseconds.
+    /// Records that the evacuation of a data centre ended at a time in milliseconds. Its targets may be cold.
     pub fn record_evacuation_end(&mut self, data_center: &str, now_ms: u64) {
         self.evacuated.ended_ms.insert(data_center.to_string(), now_ms);
+        self.record_unused_data_center(data_center, now_ms);
     }
 
     /// Returns when the evacuation of a data centre ended last, if that was recorded.
--- a/crates/bilberryloft-routing/tests/evacuations.rs
+++ b/crates/bilberryloft-routing/tests/evacuations.rs
@@ -14,8 +14,14 @@
 
 const SERVICE: &str = "writer";
 const SLOTS: u32 = 4;
-const LIMITS: PickLimits =
-    PickLimits { load_max: None, queue_max: 0, own_load_max: 100, idle_load: 0.0, entries: 1 };
+const LIMITS: PickLimits = PickLimits {
+    load_max: None,
+    queue_max: 0,
+    own_load_max: 100,
+    idle_load: 0.0,
+    entries: 1,
+    memory: None,
+};
 
 fn info(id: &str, data_center: &str) -> TargetInfo {
     TargetInfo {
