Streams that a target ends too soon count as failures; slow targets get their share

Callers saw: of 320 streams of 8 callers before four targets, one of which ends each stream after its first event and closes the connection, 83 were served whole and 237 went to that target (platform/tests/failing_streams.rs on the code before).

Cause: a stream with neither a length nor chunks ends with its connection, so its end counted as a success (stream.rs, BodyEnd::Closed). The target was never ejected, and it always had the fewest requests in flight. A target that breaks off chunked streams was ejected before as well (3 of 320). A server error that is passed on because the request must not be retried counted as a success, too.

Change: an entry learns the sizes and times of answers by target. A stream far shorter than those of the other targets, at a target whose streams all are, counts as a failure. Until that is known, a target that ends requests in under a quarter of the usual time counts its recent requests as load. Plain targets count their requests by the time that they take there, compared with the median target under the same load. The share of requests that leaves a data centre is decided in routing/src/remote; without a price the preference stays at 0.4 requests (the price is not settable yet).

--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -26,6 +26,8 @@
 use crate::state::RelayState;
 use crate::stream;
 use crate::stream::InFlight;
+use crate::target_slot::TargetSlot;
+use crate::target_slot::WholeAnswer;
 
 /// Range of the `retry-after` delay, in milliseconds.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 250..=900;
@@ -90,7 +92,7 @@
     match received.body {
         AnswerContent::Buffered(bytes) => {
             state.daemon.metrics.answers.inc();
-            slot.release(AttemptOutcome::Success);
+            release_plain(slot, received.head.status, bytes.len());
             received.head.into_response(full_body(bytes))
         }
         AnswerContent::Stream(streamed) => {
@@ -101,6 +103,17 @@
     }
 }
 
+/// Frees the slot of a plain answer that is passed on to the caller.
+fn release_plain(slot: TargetSlot, status: StatusCode, bytes: usize) {
+    if status.is_server_error() {
+        slot.release(AttemptOutcome::Failed);
+    } else if status.is_success() {
+        slot.release_answered(WholeAnswer::Plain { bytes });
+    } else {
+        slot.release(AttemptOutcome::Success);
+    }
+}
+
 fn log_answered(request: &RelayRequest, answer: &FinalAnswer) {
     log_event!(
         info,
--- a/crates/bilberryloft-relay/src/services.rs
+++ b/crates/bilberryloft-relay/src/services.rs
@@ -7,6 +7,7 @@
 use bilberryloft_daemon::log_event;
 use bilberryloft_routing::batch_limit::PauseMeter;
 use bilberryloft_routing::group_health::GroupHealth;
+use bilberryloft_routing::learned::AnswerSample;
 use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_routing::target_limits::LimitedWait;
 use bilberryloft_routing::targets::AttemptOutcome;
@@ -91,6 +92,11 @@
         self.with_queue(service, |it| it.record_finished(now_ms));
     }
 
+    /// Records an answer that ended in good order; returns what it says of the target's health.
+    pub fn record_answer(&self, key: TargetKey, sample: &AnswerSample) -> AttemptOutcome {
+        self.targets.lock().record_answer(key, sample, monotonic_ms())
+    }
+
     /// Returns the wait for a target if all targets of a service name limits; it is 0 if one may get a request now.
     pub fn limited_wait(&self, service: &str) -> Option<LimitedWait> {
         self.targets.lock().limited_wait(service, monotonic_ms())
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -282,6 +282,7 @@
                 false
             }
             AttemptOutcome::Failed
+            | AttemptOutcome::Truncated
             | AttemptOutcome::Resting
             | AttemptOutcome::Misdirected
             | AttemptOutcome::Lost
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -30,6 +30,7 @@
 use crate::state::RelayState;
 use crate::target_slot::SILENCE;
 use crate::target_slot::TargetSlot;
+use crate::target_slot::WholeAnswer;
 
 /// Frames that are buffered for a slow caller.
 const QUEUED_FRAMES_MAX: usize = 8;
@@ -86,6 +87,8 @@
     last_event: Instant,
     longest_gap: Duration,
     bytes_sent: usize,
+    /// Whether the caller has had the first events from an earlier request.
+    is_continuation: bool,
     _in_flight: InFlight,
 }
 
@@ -100,7 +103,8 @@
 ) -> AnswerBody {
     let (frames, mut queue) = mpsc::channel(QUEUED_FRAMES_MAX);
     // A caller may resume its stream itself.
-    let framer = EventFramer::after(requested_after(&state, &request));
+    let requested_after = requested_after(&state, &request);
+    let framer = EventFramer::after(requested_after);
     let relay = StreamRelay {
         state,
         request: Arc::new(request),
@@ -109,6 +113,7 @@
         last_event: Instant::now(),
         longest_gap: Duration::ZERO,
         bytes_sent: 0,
+        is_continuation: requested_after.is_some(),
         _in_flight: in_flight,
     };
     tokio::spawn(relay.run(initial, slot, attempts));
@@ -130,16 +135,14 @@
         loop {
             let replacement = match self.forward_body(answered, &slot, attempts_made).await {
                 BodyEnd::Complete => {
-                    slot.release(AttemptOutcome::Success);
-                    self.state.daemon.metrics.answers.inc();
-                    self.log_end();
-                    return;
+                    let answer = self.whole_answer(attempts_made == attempts);
+                    let target_id = slot.picked().id.clone();
+                    return self.end(&target_id, slot.release_answered(answer));
                 }
                 BodyEnd::Closed => {
-                    slot.release_closed();
-                    self.state.daemon.metrics.answers.inc();
-                    self.log_end();
-                    return;
+                    let answer = self.whole_answer(attempts_made == attempts);
+                    let target_id = slot.picked().id.clone();
+                    return self.end(&target_id, slot.release_closed(answer));
                 }
                 BodyEnd::CallerLeft => {
                     log_event!(
@@ -173,11 +176,23 @@
         }
     }
 
-    fn log_end(&self) {
+    /// Returns what the target that ended the stream has sent of it.
+    fn whole_answer(&self, is_first_target: bool) -> WholeAnswer {
+        match is_first_target && !self.is_continuation {
+            true => WholeAnswer::Stream { bytes: self.bytes_sent },
+            false => WholeAnswer::Continuation,
+        }
+    }
+
+    /// Counts and logs a stream that its target has ended in good order.
+    fn end(&self, target_id: &str, is_truncated: bool) {
+        self.state.daemon.metrics.answers.inc();
         log_event!(
             info,
             Event::StreamEnded,
             request_id = self.request.id,
+            target_id,
+            is_truncated,
             bytes = self.bytes_sent,
             longest_gap_ms = self.longest_gap.as_millis() as u64,
             whole_ms = self.request.arrived.elapsed().as_millis() as u64
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bilberryloft_routing::learned::AnswerSample;
 use bilberryloft_routing::selection::PickedTarget;
 use bilberryloft_routing::targets::AttemptOutcome;
 use tokio::time::Instant;
@@ -37,6 +38,7 @@
     service: String,
     request_id: String,
     fingerprint: i64,
+    request_bytes: usize,
     shared_parts: Arc<[PromptPart]>,
     picked: Box<PickedTarget>,
     started: Instant,
@@ -48,6 +50,23 @@
     is_released: bool,
 }
 
+/// An answer that a target has ended in good order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WholeAnswer {
+    /// A plain answer.
+    Plain {
+        /// Size of its body.
+        bytes: usize,
+    },
+    /// A stream from its first event on.
+    Stream {
+        /// Size of its events.
+        bytes: usize,
+    },
+    /// The rest of a stream that another target, or another request of the caller, began.
+    Continuation,
+}
+
 /// What is known of a run whose target broke off.
 #[derive(Clone, Debug)]
 pub struct EndedSlot {
@@ -71,6 +90,7 @@
             service: request.service.clone(),
             request_id: request.id.clone(),
             fingerprint: request.fingerprint,
+            request_bytes: request.body.len(),
             shared_parts: request.shared_parts.clone(),
             picked: Box::new(picked),
             started: Instant::now(),
@@ -142,6 +162,7 @@
             }
             AttemptOutcome::Failed => self.record_survived(),
             AttemptOutcome::Full
+            | AttemptOutcome::Truncated
             | AttemptOutcome::Resting
             | AttemptOutcome::Misdirected
             | AttemptOutcome::Lost
@@ -150,13 +171,39 @@
         self.services.finish(&self.service, self.picked.key, outcome);
     }
 
-    /// Frees the slot after an answer that ended with its connection, so that it may also have ended with its target.
-    pub fn release_closed(mut self) {
+    /// Frees the slot after a whole answer of the target. It counts as a failure if it is a stream that is much shorter
+    /// than usual; returns whether it is.
+    pub fn release_answered(self, answer: WholeAnswer) -> bool {
+        let outcome = self.record_whole(answer);
+        self.release(outcome);
+        outcome == AttemptOutcome::Truncated
+    }
+
+    /// Does the same after an answer that ended with its connection, so that it may also have ended with its target.
+    pub fn release_closed(mut self, answer: WholeAnswer) -> bool {
         if !self.has_survived_parts.load(Ordering::Relaxed) {
             self.check_target();
         }
+        let outcome = self.record_whole(answer);
         self.is_released = true;
-        self.services.finish(&self.service, self.picked.key, AttemptOutcome::Success);
+        self.services.finish(&self.service, self.picked.key, outcome);
+        outcome == AttemptOutcome::Truncated
+    }
+
+    fn record_whole(&self, answer: WholeAnswer) -> AttemptOutcome {
+        let (is_stream, answer_bytes) = match answer {
+            WholeAnswer::Plain { bytes } => (false, bytes),
+            WholeAnswer::Stream { bytes } => (true, bytes),
+            WholeAnswer::Continuation => return AttemptOutcome::Success,
+        };
+        let sample = AnswerSample {
+            elapsed_ms: self.started.elapsed().as_secs_f64() * 1_000.0,
+            load: self.picked.own_load + self.picked.others_load + 1,
+            request_bytes: self.request_bytes,
+            answer_bytes,
+            is_stream,
+        };
+        self.services.record_answer(self.picked.key, &sample)
     }
 
     /// Frees the slot of a request that was not sent.
--- a/crates/bilberryloft-routing/src/selection.rs
+++ b/crates/bilberryloft-routing/src/selection.rs
@@ -1,5 +1,6 @@
 //! Inputs and results of target selection.
 
+use crate::remote::AwayChoice;
 use crate::target_limits::AppliedLimit;
 use crate::target_limits::LimitState;
 use crate::target_limits::LimitedWait;
@@ -54,6 +55,10 @@
     pub incarnation: u64,
     /// Address of the target.
     pub address: String,
+    /// Data centre of the target.
+    pub data_center: String,
+    /// How it was chosen among data centres.
+    pub away: AwayChoice,
     /// This entry's requests at the target, without the new one.
     pub own_load: u32,
     /// Other entries' requests at the target, as last reported.
--- a/crates/bilberryloft-routing/src/target.rs
+++ b/crates/bilberryloft-routing/src/target.rs
@@ -1,6 +1,7 @@
 //! State of one target at one entry.
 
 use crate::failing::FailureRate;
+use crate::learned::LearnedTarget;
 use crate::load_exchange::TargetTag;
 use crate::targets::TargetInfo;
 
@@ -17,6 +18,7 @@
     pub(crate) others_load: u32,
     pub(crate) own_failure_rate: FailureRate,
     pub(crate) others_failure_rate: f64,
+    pub(crate) learned: LearnedTarget,
     pub(crate) consecutive_losses: u32,
     pub(crate) consecutive_refusals: u32,
     pub(crate) backoff_until_ms: u64,
@@ -38,6 +40,7 @@
             others_load: 0,
             own_failure_rate: FailureRate::default(),
             others_failure_rate: 0.0,
+            learned: LearnedTarget::default(),
             consecutive_losses: 0,
             consecutive_refusals: 0,
             backoff_until_ms: 0,
--- a/crates/bilberryloft-routing/src/targets/mod.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -1,5 +1,6 @@
 //! Load and health of each service's targets, as one entry knows them, and target selection.
 
+mod data_centers;
 mod entry_reports;
 mod notices;
 
@@ -9,6 +10,8 @@
 use crate::failing::penalty;
 use crate::failing::should_report;
 use crate::load_exchange::TargetTag;
+use crate::remote::AwayChoice;
+use crate::remote::places::Places;
 use crate::selection::LimitedCandidates;
 use crate::selection::NoMigration;
 use crate::selection::NoTarget;
@@ -17,13 +20,16 @@
 use crate::selection::TargetKey;
 use crate::slow_ranks::SlowRanks;
 use crate::slow_ranks::load_max;
-use crate::slow_ranks::pass_cost;
 use crate::slow_ranks::should_migrate;
 use crate::target::Target;
 use crate::target_limits::LimitState;
 use crate::target_limits::TargetLimits;
+use crate::targets::data_centers::LearnedService;
+use crate::targets::data_centers::Reach;
 use crate::targets::entry_reports::EntryReport;
 
+pub use crate::targets::data_centers::AwayRow;
+
 /// First back-off after a target was lost, in milliseconds; doubles with each consecutive loss.
 const BACKOFF_FIRST_MS: u64 = 100;
 /// Longest back-off after a target was lost, in milliseconds.
@@ -38,8 +44,6 @@
 const MISDIRECTED_EXCLUSION_MS: u64 = 4_000;
 /// Largest random part of a target's score.
 const DRAW_WEIGHT: f64 = 0.3;
-/// Number of requests by which a target in the entry's data centre may be busier and still be preferred.
-const SAME_DATA_CENTER_BONUS: f64 = 0.4;
 
 /// Description and state of a target, as the control hosts know it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,6 +77,8 @@
     Success,
     /// The target answered with a server error.
     Failed,
+    /// The target ended its answer in good order, but much sooner than the others do.
+    Truncated,
     /// The target was full and did not run the request.
     Full,
     /// The target did not run the request and asked for rest.
@@ -108,10 +114,21 @@
     },
 }
 
+/// Best of the targets that were compared.
+#[derive(Default)]
+struct Choice {
+    best: Option<TargetKey>,
+    /// The target in back-off whose back-off ends first.
+    in_backoff: Option<TargetKey>,
+    limited: LimitedCandidates,
+}
+
 /// All targets that one entry knows, with their load and health.
 #[derive(Debug, Default)]
 pub struct TargetTable {
-    data_center: String,
+    places: Places,
+    heard_data_centers: BTreeMap<String, u64>,
+    learned: BTreeMap<String, LearnedService>,
     targets: Vec<Target>,
     by_id: BTreeMap<String, TargetKey>,
     by_tag: BTreeMap<TargetTag, Vec<TargetKey>>,
@@ -125,7 +142,7 @@
 impl TargetTable {
     /// Creates an empty table for an entry in the given data centre.
     pub fn new(data_center: &str) -> TargetTable {
-        TargetTable { data_center: data_center.to_string(), ..TargetTable::default() }
+        TargetTable { places: Places::new(data_center), ..TargetTable::default() }
     }
 
     /// Adds a target or updates its description.
@@ -221,9 +238,10 @@
 
     /// Picks the target with the lowest score and counts one more request there.
     ///
-    /// The score is the number of requests, or the pass time for ranks, plus a penalty for failures, less a bonus for
-    /// the same data centre. `draw` returns a number in 0..1 that varies the choice among targets with similar scores and
-    /// selects those that are compared. A target in back-off is picked only if there is no other.
+    /// The score is the number of requests, weighted by the time that they take there, or the pass time for ranks, plus a
+    /// penalty for failures and the cost of another data centre. `draw` returns a number in 0..1 that varies the choice
+    /// among targets with similar scores and selects those that are compared. A target in back-off is picked only if
+    /// there is no other.
     pub fn pick(
         &mut self,
         service: &str,
@@ -232,13 +250,44 @@
         now_ms: u64,
         mut draw: impl FnMut() -> f64,
     ) -> Result<PickedTarget, NoTarget> {
-        let mut candidates = self.candidates(service, tried, now_ms);
+        let candidates = self.candidates(service, tried, now_ms);
         let count = candidates.len();
-        let sample = limits.sample_size(count);
         let fastest = fastest(&candidates);
+        let reach = self.reach(service, limits, &mut draw);
+        let here = match reach {
+            Reach::Anywhere => None,
+            Reach::HereFirst => {
+                let is_here = |it: &(TargetKey, f64)| !self.is_far(&self.targets[it.0.0]);
+                let here = candidates.iter().copied().filter(is_here).collect();
+                self.choose(here, fastest, limits, now_ms, &mut draw).best
+            }
+        };
+        let chosen = match here {
+            Some(key) => Ok(key),
+            None => {
+                let choice = self.choose(candidates, fastest, limits, now_ms, &mut draw);
+                let chosen = choice.best.or(choice.in_backoff);
+                chosen.ok_or_else(|| choice.limited.no_target(count))
+            }
+        };
+        let picked = self.reserve(chosen?, count, now_ms);
+        Ok(PickedTarget { away: self.away_choice(picked.key, &reach), ..picked })
+    }
+
+    /// Compares candidates, or a random part of them.
+    fn choose(
+        &self,
+        mut candidates: Vec<(TargetKey, f64)>,
+        fastest: f64,
+        limits: &PickLimits,
+        now_ms: u64,
+        draw: &mut impl FnMut() -> f64,
+    ) -> Choice {
+        let count = candidates.len();
+        let sample = limits.sample_size(count);
         let mut compared = 0;
-        let mut in_backoff = None;
-        let mut limited = LimitedCandidates::default();
+        let mut choice = Choice::default();
+        let mut first_in_backoff = None;
         let mut best: Option<(f64, TargetKey)> = None;
         for idx in 0..count {
             if compared == sample {
@@ -251,12 +300,12 @@
             match self.assess(key, slowness / fastest, limits, now_ms) {
                 Assessment::NoSlot => {}
                 Assessment::Limited(limit) => {
-                    limited.add(limit);
+                    choice.limited.add(limit);
                 }
-                Assessment::Resting { until_ms } => limited.add_resting(until_ms - now_ms),
+                Assessment::Resting { until_ms } => choice.limited.add_resting(until_ms - now_ms),
                 Assessment::InBackoff { until_ms } => {
-                    if in_backoff.is_none_or(|(soonest_ms, _)| until_ms < soonest_ms) {
-                        in_backoff = Some((until_ms, key));
+                    if first_in_backoff.is_none_or(|(soonest_ms, _)| until_ms < soonest_ms) {
+                        first_in_backoff = Some((until_ms, key));
                     }
                 }
                 Assessment::Usable { score } => {
@@ -268,11 +317,9 @@
                 }
             }
         }
-        let chosen = best.map(|it| it.1).or(in_backoff.map(|it| it.1));
-        match chosen {
-            Some(key) => Ok(self.reserve(key, count, now_ms)),
-            None => Err(limited.no_target(count)),
-        }
+        choice.best = best.map(|it| it.1);
+        choice.in_backoff = first_in_backoff.map(|it| it.1);
+        choice
     }
 
     /// Returns whether a target may get a request, and how well it suits.
@@ -287,7 +334,7 @@
         if target.is_resting(now_ms) {
             return Assessment::Resting { until_ms: target.rest_until_ms };
         }
-        let full_load = limits.load_max(target.info.slots);
+        let full_load = self.load_max_of(target, limits.load_max(target.info.slots));
         let load_max = load_max(limits.idle_load, full_load, slowness);
         if target.load() >= load_max || target.own_load >= limits.own_load_max {
             return Assessment::NoSlot;
@@ -299,19 +346,18 @@
         if target.backoff_until_ms > now_ms {
             return Assessment::InBackoff { until_ms: target.backoff_until_ms };
         }
-        let pass_cost = pass_cost(limits.idle_load, target.load(), slowness);
-        Assessment::Usable { score: pass_cost + self.preference(target, now_ms) }
+        let load_score = self.load_score(target, limits, slowness, now_ms);
+        Assessment::Usable { score: load_score + self.preference(target, now_ms) }
     }
 
     /// Returns the part of a target's score that does not depend on its load.
     fn preference(&self, target: &Target, now_ms: u64) -> f64 {
-        let is_same_data_center = target.info.data_center == self.data_center;
-        let bonus = if is_same_data_center { SAME_DATA_CENTER_BONUS } else { 0.0 };
-        penalty(target.failure_rate(now_ms)) - bonus
+        penalty(target.failure_rate(now_ms)) + self.remote_cost(target)
     }
 
     /// Counts one more request at a target, also against its limit.
     fn reserve(&mut self, key: TargetKey, candidates: usize, now_ms: u64) -> PickedTarget {
+        self.record_start(key, now_ms);
         let target = &mut self.targets[key.0];
         let incarnation = target.info.incarnation;
         let picked = PickedTarget {
@@ -319,6 +365,8 @@
             id: target.info.id.clone(),
             incarnation,
             address: target.info.address.clone(),
+            data_center: target.info.data_center.clone(),
+            away: AwayChoice::default(),
             own_load: target.own_load,
             others_load: target.others_load,
             candidates,
@@ -374,7 +422,7 @@
         target.own_load = target.own_load.saturating_sub(1);
         match outcome {
             AttemptOutcome::Success => target.own_failure_rate.record(false, now_ms),
-            AttemptOutcome::Failed | AttemptOutcome::Lost => {
+            AttemptOutcome::Failed | AttemptOutcome::Truncated | AttemptOutcome::Lost => {
                 target.own_failure_rate.record(true, now_ms)
             }
             AttemptOutcome::Full
@@ -383,7 +431,7 @@
             | AttemptOutcome::Unknown => {}
         }
         match outcome {
-            AttemptOutcome::Success | AttemptOutcome::Failed => {
+            AttemptOutcome::Success | AttemptOutcome::Failed | AttemptOutcome::Truncated => {
                 target.last_answer_ms = Some(now_ms);
                 target.consecutive_losses = 0;
                 target.consecutive_refusals = 0;
