The decision which requests leave a data centre: a price, a share, hysteresis

Callers saw: a target in another data centre counted as 0.4 requests busier, whatever its distance, the load and the bytes (SAME_DATA_CENTER_BONUS).

Change: with relay.remote_price, a target elsewhere costs the time on the way and the price of the mean bytes of a request and its answer, in units of the time that one more request adds at a target. Data centres that cost more than 0.4 requests are far: a share of the requests may go there, which follows the loads slowly and not for small differences; each request draws whether it belongs to the share. What has no place here may go there as well. A quarter of the slots of a far target, and its queue, are left to its own data centre. Without the setting the preference is 0.4 requests, as before.

Events 580 and 581, metrics bilberryloft_remote_requests_total and bilberryloft_remote_share_percent, bilberryctl report remote, and fields in AttemptSent.

--- a/crates/bilberryctl/tests/commands.rs
+++ b/crates/bilberryctl/tests/commands.rs
@@ -83,6 +83,7 @@
     expect(&admin, &["explain", &reply.request_id], 0, &["pick", "target-1", "least_load"]);
     expect(&admin, &["explain", "entry-1-0-ffff"], 5, &["no record"]);
     expect(&entry_admin, &["report", "burn"], 0, &["asahikawa", "BUDGET_LEFT"]);
+    expect(&entry_admin, &["report", "remote"], 0, &["SERVICE", "COSTS_IN_REQUESTS"]);
     expect(&admin, &["report", "burn"], 5, &["does not have the entry role"]);
 
     expect(&admin, &["target", "drain", "target-1", "--base-version", "2"], 0, &["version 3"]);
--- a/crates/bilberryloft-daemon/src/admin/mod.rs
+++ b/crates/bilberryloft-daemon/src/admin/mod.rs
@@ -17,6 +17,7 @@
 use bilberryloft_protocol::api::DaemonStatus;
 use bilberryloft_protocol::api::History;
 use bilberryloft_protocol::api::QuorumReport;
+use bilberryloft_protocol::api::RemoteRow;
 use bilberryloft_protocol::api::TargetRow;
 use bilberryloft_protocol::api::TeamList;
 use bilberryloft_protocol::wire;
@@ -64,6 +65,7 @@
         .route("/operator/teams", get(teams))
         .route("/operator/targets", get(targets))
         .route("/operator/burn", get(burn))
+        .route("/operator/remote", get(remote))
         .route("/operator/members", get(members).post(change_members))
         .route("/operator/quorum", get(quorum))
         .route("/operator/explain/{request_id}", get(explain))
@@ -187,6 +189,11 @@
     }
 }
 
+/// Reports what share of each service's requests this daemon may send to far data centres, and why.
+async fn remote(State(admin): State<AdminState>) -> Json<Vec<RemoteRow>> {
+    Json(admin.shared.remote_shares.rows())
+}
+
 async fn members(State(admin): State<AdminState>) -> Response {
     match &admin.control {
         Some(control) => Json(control.node().status().members).into_response(),
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -148,6 +148,10 @@
     RunLost = 545,
     /// A target said in an answer that it wants rest or is leaving.
     TargetNoticed = 546,
+    /// Requests of a service begin to be sent to far data centres.
+    AwayBegan = 580,
+    /// Requests of a service are no longer sent to far data centres.
+    AwayEnded = 581,
 }
 
 impl Event {
@@ -158,7 +162,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 72] = [
+pub const EVENTS: [Event; 74] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -231,6 +235,8 @@
     Event::LimitDecided,
     Event::RunLost,
     Event::TargetNoticed,
+    Event::AwayBegan,
+    Event::AwayEnded,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-daemon/src/lib.rs
+++ b/crates/bilberryloft-daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod peer_service;
+pub mod remote_shares;
 pub mod settings;
 pub mod shared;
 pub mod trial;
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -48,6 +49,8 @@
     pub target_rests: IntCounter,
     /// Targets that name a limit on their requests.
     pub targets_limited: IntGauge,
+    /// Requests that leave the data centre.
+    pub remote: RemoteMetrics,
     /// Requests sent to targets with a limit.
     pub limited_requests: IntCounter,
     /// Requests refused because all targets had reached their limits.
@@ -81,6 +84,35 @@
     }
 }
 
+/// Requests that leave their data centre.
+#[derive(Debug)]
+pub struct RemoteMetrics {
+    /// Requests sent to targets in other data centres.
+    pub requests: IntCounter,
+    shares: IntGaugeVec,
+}
+
+impl RemoteMetrics {
+    fn register(new: &Registrar) -> prometheus::Result<RemoteMetrics> {
+        Ok(RemoteMetrics {
+            requests: new.counter(
+                "bilberryloft_remote_requests_total",
+                "Requests sent to targets in other data centres.",
+            )?,
+            shares: new.gauges_by_service(
+                "bilberryloft_remote_share_percent",
+                "Requests that may be sent to far data centres.",
+            )?,
+        })
+    }
+
+    /// Sets the share of a service's requests that may be sent to far data centres.
+    pub fn set_share(&self, service: &str, share: f64) {
+        let percent = (100.0 * share).round() as i64;
+        self.shares.with_label_values(&[service]).set(percent);
+    }
+}
+
 /// Refusals by their reasons.
 #[derive(Debug)]
 struct RefusalCounters {
@@ -128,6 +160,12 @@
         Ok(counters)
     }
 
+    fn gauges_by_service(&self, name: &str, help: &str) -> prometheus::Result<IntGaugeVec> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), &["service"])?;
+        self.registry.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
     fn histogram(&self, name: &str, help: &str, buckets: &[f64]) -> prometheus::Result<Histogram> {
         let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
         let histogram = Histogram::with_opts(options)?;
@@ -165,6 +203,7 @@
             target_rests: new.counter("bilberryloft_target_rests_total", "Requests for rest.")?,
             targets_limited: new
                 .gauge("bilberryloft_targets_limited", "Targets that name a limit.")?,
+            remote: RemoteMetrics::register(&new)?,
             limited_requests: new
                 .counter("bilberryloft_limited_requests_total", "Requests sent within limits.")?,
             limit_refusals: new.counter(
--- a/crates/bilberryloft-daemon/src/shared.rs
+++ b/crates/bilberryloft-daemon/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::entry::Entry;
 use crate::host_reporter::HostReporter;
 use crate::metrics::Metrics;
+use crate::remote_shares::RemoteShares;
 use crate::settings::RoleName;
 use crate::settings::Settings;
 use crate::view::View;
@@ -36,6 +37,8 @@
     pub control: ControlClient,
     /// Metrics of the daemon.
     pub metrics: Arc<Metrics>,
+    /// Shares of requests that may leave the data centre.
+    pub remote_shares: RemoteShares,
     /// Entry role, if the daemon has it.
     pub entry: Option<Arc<Entry>>,
     /// Agent role, if the daemon has it.
@@ -90,6 +93,7 @@
             incarnation,
             view,
             control,
+            remote_shares: RemoteShares::new(metrics.clone()),
             metrics,
             entry,
             agent,
--- a/crates/bilberryloft-protocol/src/api.rs
+++ b/crates/bilberryloft-protocol/src/api.rs
@@ -1,5 +1,7 @@
 //! JSON bodies of the operator API, which every daemon offers to `bilberryctl`.
 
+use std::collections::BTreeMap;
+
 use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_state::configuration::ChangeRecord;
 use bilberryloft_state::configuration::Team;
@@ -111,6 +113,19 @@
     pub budget_left: f64,
 }
 
+/// Share of the requests of a service that an entry may send to far data centres.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RemoteRow {
+    /// Name of the service.
+    pub service: String,
+    /// The share, from 0 to 1.
+    pub share: f64,
+    /// Reason for it.
+    pub reason: String,
+    /// Cost of a target in each other data centre, in requests.
+    pub costs: BTreeMap<String, f64>,
+}
+
 /// Burn rate of a team's error budget over one window.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct BurnWindow {
--- a/crates/bilberryloft-relay/src/loads/mod.rs
+++ b/crates/bilberryloft-relay/src/loads/mod.rs
@@ -89,6 +89,9 @@
     /// Applies a report of another entry.
     fn apply(&self, report: EntryReport) {
         let (entry, targets) = (report.entry, report.targets);
+        let mut table = self.state.services.targets.lock();
+        table.record_entry_data_center(&report.data_center, monotonic_ms());
+        drop(table);
         self.state.entries.record(&entry, report.known_entries);
         let failing = targets.failing.into_iter();
         let failing =
@@ -115,6 +118,7 @@
         let (targets, entries) = self.own_targets(now_ms);
         self.state.entries.set_active(entries);
         self.state.limits.refresh();
+        self.state.services.update_remote(&self.state.daemon);
         self.exchange.set_own(targets, self.state.entries.heard_count(), now_ms);
         for outgoing in self.exchange.due(&self.contacts(), now_ms, fastrand::f64) {
             self.send(&outgoing).await;
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -192,6 +192,7 @@
         tracker.tried.push(slot.picked().key);
         let attempts = tracker.count() + 1;
         log_sent(request, slot.picked(), attempts);
+        state.daemon.remote_shares.count(slot.picked().away.is_away);
         state.limits.log_sent(&request.id, slot.picked());
         let Ok((summary, answer)) = run_attempt(state, request, &slot).await else {
             log_ended(request, slot.picked(), "timeout", None);
@@ -347,6 +348,10 @@
         own = picked.own_load,
         others = picked.others_load,
         candidates = picked.candidates,
+        data_center = picked.data_center,
+        is_away = picked.away.is_away,
+        away_share = picked.away.share,
+        away_reason = picked.away.reason.name(),
         team = request.team,
         fingerprint = %format_args!("{:016x}", request.fingerprint),
         shared_parts = ?part_ids(&request.shared_parts),
--- a/crates/bilberryloft-relay/src/services.rs
+++ b/crates/bilberryloft-relay/src/services.rs
@@ -5,12 +5,16 @@
 
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
+use bilberryloft_daemon::shared::Shared;
+use bilberryloft_protocol::api::RemoteRow;
 use bilberryloft_routing::batch_limit::PauseMeter;
 use bilberryloft_routing::group_health::GroupHealth;
 use bilberryloft_routing::learned::AnswerSample;
+use bilberryloft_routing::remote::AwayChange;
 use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_routing::target_limits::LimitedWait;
 use bilberryloft_routing::targets::AttemptOutcome;
+use bilberryloft_routing::targets::AwayRow;
 use bilberryloft_routing::targets::TargetTable;
 use bilberryloft_routing::wait_queue::WaitQueue;
 use bilberryloft_transport::clock::monotonic_ms;
@@ -97,6 +101,20 @@
         self.targets.lock().record_answer(key, sample, monotonic_ms())
     }
 
+    /// Decides anew what share of the requests may leave the data centre, and reports changes.
+    pub fn update_remote(&self, daemon: &Shared) {
+        let mut targets = self.targets.lock();
+        let now_ms = monotonic_ms();
+        let changes = targets.update_remote(now_ms);
+        let is_due = daemon.remote_shares.is_due(now_ms) || !changes.is_empty();
+        let rows = is_due.then(|| targets.away_rows());
+        drop(targets);
+        if let Some(rows) = rows {
+            daemon.remote_shares.set(rows.into_iter().map(remote_row).collect(), now_ms);
+        }
+        changes.iter().for_each(log_remote_change);
+    }
+
     /// Returns the wait for a target if all targets of a service name limits; it is 0 if one may get a request now.
     pub fn limited_wait(&self, service: &str) -> Option<LimitedWait> {
         self.targets.lock().limited_wait(service, monotonic_ms())
@@ -132,3 +150,26 @@
         update(self.queues.lock().entry(service.to_string()).or_default())
     }
 }
+
+fn remote_row(row: AwayRow) -> RemoteRow {
+    RemoteRow {
+        service: row.service,
+        share: row.share,
+        reason: row.reason.name().to_string(),
+        costs: row.costs,
+    }
+}
+
+fn log_remote_change(change: &AwayChange) {
+    let event = if change.begins { Event::AwayBegan } else { Event::AwayEnded };
+    log_event!(
+        info,
+        event,
+        service = change.service,
+        share = change.share,
+        reason = change.reason.name(),
+        load_here = change.load_here,
+        load_there = change.load_there,
+        data_center = change.data_center
+    );
+}
--- a/crates/bilberryloft-relay/src/settings.rs
+++ b/crates/bilberryloft-relay/src/settings.rs
@@ -5,6 +5,7 @@
 
 use bilberryloft_daemon::settings::Settings;
 use bilberryloft_daemon::settings::check_address;
+use bilberryloft_routing::remote::cost::RemotePrice;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use serde::Deserialize;
@@ -54,6 +55,9 @@
     /// Region of each data centre; empty if the data centres are not known in advance.
     #[serde(default)]
     pub regions: BTreeMap<String, String>,
+    /// Price of bytes between data centres; without one, a target in another data centre costs the same wherever it is.
+    #[serde(default)]
+    pub remote_price: Option<RemotePrice>,
 }
 
 /// Limits of the host on the process; absent ones are not known.
@@ -133,6 +137,9 @@
                 self.cold_limits
             ));
         }
+        if let Some(price) = self.remote_price.filter(|it| !it.is_valid()) {
+            faults.push(format!("relay.remote_price: {price:?} must be numbers of at least 0"));
+        }
         if self.retry_window_ms < 100 {
             faults.push(format!("relay.retry_window_ms: {} is under 100", self.retry_window_ms));
         }
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -92,6 +92,11 @@
             slack: settings.retry_slack,
         };
         let services = Arc::new(Services::new(&daemon.settings.data_center));
+        services
+            .targets
+            .lock()
+            .places_mut()
+            .set_price(settings.remote_price, settings.regions.clone());
         let is_first_start = settings.is_first_start;
         let entries = Arc::new(Entries::new(&daemon));
         let retries = Retries::new(limits, is_first_start, &daemon, entries.clone());
@@ -128,6 +133,7 @@
         match self.dialect.decode_document(document.text.as_bytes()) {
             Ok(decoded) => {
                 let routes = decoded.routes.len();
+                self.services.targets.lock().places_mut().set_distances(decoded.services.iter());
                 *self.routes.write() = Arc::new(RouteTable::new(decoded));
                 log_event!(info, Event::RoutesInForce, version = document.version, before, routes);
             }
--- a/crates/bilberryloft-routing/src/remote/cost.rs
+++ b/crates/bilberryloft-routing/src/remote/cost.rs
@@ -28,6 +28,12 @@
 }
 
 impl RemotePrice {
+    /// Returns whether the prices are finite and not below 0.
+    pub fn is_valid(&self) -> bool {
+        let prices = [Some(self.ms_per_mb), self.ms_per_mb_between_regions];
+        prices.into_iter().flatten().all(|it| it.is_finite() && it >= 0.0)
+    }
+
     /// Returns the price of some bytes, in milliseconds.
     pub fn of_bytes_ms(&self, bytes: f64, is_same_region: bool) -> f64 {
         let ms_per_mb = match is_same_region {
--- a/crates/bilberryloft-routing/src/remote/mod.rs
+++ b/crates/bilberryloft-routing/src/remote/mod.rs
@@ -22,7 +22,7 @@
 /// preferred.
 pub const COST_WITHOUT_PRICE: f64 = 0.4;
 /// Part of the slots of a far target that is left to the callers of its data centre: one in this many, at least one.
-const RESERVED_SLOTS_DIVISOR: u32 = 8;
+const RESERVED_SLOTS_DIVISOR: u32 = 4;
 
 /// Load of the targets of a service in one data centre.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -167,7 +167,9 @@
     }
 }
 
-/// Returns the load up to which a far target gets requests; the rest is left to the callers of its data centre.
-pub fn far_load_max(load_max: u32) -> u32 {
+/// Returns the load up to which a far target gets requests. The rest of its slots, and its queue, are left to the callers of
+/// its data centre: they would otherwise be driven out and take the places of others in turn.
+pub fn far_load_max(load_max: u32, slots: u32) -> u32 {
+    let load_max = load_max.min(slots);
     load_max.saturating_sub((load_max / RESERVED_SLOTS_DIVISOR).max(1))
 }
--- a/crates/bilberryloft-routing/src/remote/share.rs
+++ b/crates/bilberryloft-routing/src/remote/share.rs
@@ -12,7 +12,7 @@
 /// Largest change of the share in one step.
 const STEP_MAX: f64 = 0.1;
 /// Time between two steps, in milliseconds.
-const STEP_MS: u64 = 100;
+pub const STEP_MS: u64 = 100;
 /// Part of the wanted change that is made within the time of one request.
 const GAIN: f64 = 0.5;
 /// Shortest time of a request that is assumed, in milliseconds: the age of reports counts as well.
--- a/crates/bilberryloft-routing/src/targets/data_centers.rs
+++ b/crates/bilberryloft-routing/src/targets/data_centers.rs
@@ -13,6 +13,7 @@
 use crate::remote::far_load_max;
 use crate::remote::places::Places;
 use crate::remote::share::AwayReason;
+use crate::remote::share::STEP_MS;
 use crate::selection::PickLimits;
 use crate::selection::TargetKey;
 use crate::sharing_entries::ACTIVE_MS;
@@ -159,7 +160,7 @@
     /// Returns the load up to which a target gets requests of this entry.
     pub(super) fn load_max_of(&self, target: &Target, load_max: u32) -> u32 {
         match self.is_far(target) {
-            true => far_load_max(load_max),
+            true => far_load_max(load_max, target.info.slots),
             false => load_max,
         }
     }
@@ -202,9 +203,10 @@
     /// Decides anew what share of each service's requests may go to far data centres; returns the changes to be
     /// reported.
     pub fn update_remote(&mut self, now_ms: u64) -> Vec<AwayChange> {
-        if !self.places.has_price() {
+        if !self.places.has_price() || self.remote_due_ms > now_ms {
             return Vec::new();
         }
+        self.remote_due_ms = now_ms + STEP_MS;
         let mut changes = Vec::new();
         for service in self.by_service.keys().cloned().collect::<Vec<_>>() {
             self.refresh_usual(&service, now_ms);
--- a/crates/bilberryloft-routing/src/targets/mod.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -128,6 +128,7 @@
 pub struct TargetTable {
     places: Places,
     heard_data_centers: BTreeMap<String, u64>,
+    remote_due_ms: u64,
     learned: BTreeMap<String, LearnedService>,
     targets: Vec<Target>,
     by_id: BTreeMap<String, TargetKey>,
--- a/crates/bilberryloft-routing/tests/support/mod.rs
+++ b/crates/bilberryloft-routing/tests/support/mod.rs
@@ -1,4 +1,7 @@
-//! Builders for targets in tests.
+//! Builders for targets in tests, and simulated data centres.
+#![allow(dead_code)]
+
+pub mod data_centers;
 
 use bilberryloft_routing::targets::TargetInfo;
 use bilberryloft_routing::targets::TargetTable;
