--- a/crates/bilberryloft-routing/src/targets/data_centers.rs
+++ b/crates/bilberryloft-routing/src/targets/data_centers.rs
@@ -264,7 +264,8 @@
     }
 }
 
-/// Returns the time that one more request adds at a target, in milliseconds. For ranks, each request lengthens all passes.
+/// Returns the time that one more request adds at a target, in milliseconds. One at the busiest rank of a lock-step group
+/// lengthens the passes of all streams, so balance among ranks is worth more than bytes.
 /// A plain target that is not slowed down by its requests runs as many of them at once as it has now.
 fn per_request_ms(
     learned: &LearnedService,
@@ -276,5 +277,6 @@
     let mean_load = requests / f64::from(targets.max(1));
     let shared_ms = elapsed_ms / (learned.idle_load + mean_load + 1.0);
     let measured_ms = learned.usual.line.map_or(0.0, |it| it.per_request_ms);
-    Some(if learned.idle_load > 0.0 { shared_ms } else { shared_ms.max(measured_ms) })
+    let is_group = learned.idle_load > 0.0;
+    Some(if is_group { shared_ms * requests.max(1.0) } else { shared_ms.max(measured_ms) })
 }
--- a/crates/bilberryloft-routing/tests/remote.rs
+++ b/crates/bilberryloft-routing/tests/remote.rs
@@ -6,9 +6,14 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
+use bilberryloft_routing::learned::AnswerSample;
 use bilberryloft_routing::remote::cost::RemotePrice;
 use bilberryloft_routing::remote::cost::RequestSize;
 use bilberryloft_routing::remote::places::Places;
+use bilberryloft_routing::selection::PickLimits;
+use bilberryloft_routing::targets::TargetInfo;
 use support::data_centers::Seen;
 use support::data_centers::World;
 
@@ -17,6 +22,8 @@
 const USUAL_PER_S: f64 = 700.0;
 /// Demand over what a data centre bears.
 const OVER_PER_S: f64 = 2_200.0;
+const LIMITS: PickLimits =
+    PickLimits { load_max: None, queue_max: 0, own_load_max: u32::MAX, idle_load: 0.0, entries: 1 };
 const SETTLE_MS: u64 = 4_000;
 const MEASURED_MS: u64 = 4_000;
 
@@ -176,21 +183,12 @@
     let seen = settled(&mut world);
     assert!(seen.changes.iter().all(Vec::is_empty));
     let mut table = support::target_table("t", 1, 8);
-    let remote = bilberryloft_routing::targets::TargetInfo {
-        data_center: "b".to_string(),
-        ..support::info("r", 0, 8)
-    };
+    let info = support::info("r", 0, 8);
+    let remote = TargetInfo { data_center: "b".to_string(), ..info };
     table.apply(remote);
-    let limits = bilberryloft_routing::selection::PickLimits {
-        load_max: None,
-        queue_max: 0,
-        own_load_max: u32::MAX,
-        idle_load: 0.0,
-        entries: 1,
-    };
     let mut ids = Vec::new();
     for _ in 0..8 {
-        ids.push(table.pick("writer", &[], &limits, 0, || 0.5).unwrap().id);
+        ids.push(table.pick("writer", &[], &LIMITS, 0, || 0.5).unwrap().id);
     }
     assert_eq!(ids, ["t0", "r0", "t0", "r0", "t0", "r0", "t0", "r0"]);
 }
@@ -213,3 +211,31 @@
     assert_eq!(places.cost_requests("b", &size, Some(10_000.0)), 0.4);
     assert!(!RemotePrice { ms_per_mb: f64::NAN, ..price }.is_valid());
 }
+
+/// Load: 12 ranks of a lock-step group in two data centres with 6 streams each. Guards against a price that unbalances the
+/// ranks: the passes of all streams are as long as those of the busiest one.
+#[test]
+fn ranks_of_a_group_keep_the_constant_preference() {
+    let mut table = support::target_table("t", 6, 10);
+    for number in 0..6 {
+        let info = support::info("r", number, 10);
+        table.apply(TargetInfo { data_center: "b".to_string(), ..info });
+    }
+    table.places_mut().set_price(Some(PRICE), BTreeMap::new());
+    let limits = PickLimits { idle_load: 4.2, ..LIMITS };
+    let mut random = fastrand::Rng::with_seed(9);
+    for number in 0..72 {
+        let picked = table.pick("writer", &[], &limits, 1_000 + number, || random.f64()).unwrap();
+        let sample = AnswerSample {
+            elapsed_ms: 2_000.0,
+            load: picked.own_load + 1,
+            request_bytes: 2_000,
+            answer_bytes: 200_000,
+            is_stream: true,
+        };
+        table.record_answer(picked.key, &sample, 1_000 + number);
+    }
+    table.update_remote(1_200);
+    assert_eq!(table.away_rows()[0].costs["b"], 0.4);
+    assert!(table.own_loads().values().all(|it| (5..=7).contains(it)), "{:?}", table.own_loads());
+}
