--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -162,6 +162,10 @@
     ColdRefused = 556,
     /// This entry's share of the bound of cold targets, or its contact with the quorum, changed.
     ColdShareChanged = 557,
+    /// Requests of a service begin to be sent to far data centres.
+    AwayBegan = 580,
+    /// Requests of a service are no longer sent to far data centres.
+    AwayEnded = 581,
 }
 
 impl Event {
@@ -172,7 +176,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 79] = [
+pub const EVENTS: [Event; 81] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -252,6 +256,8 @@
     Event::TargetsCold,
     Event::ColdRefused,
     Event::ColdShareChanged,
+    Event::AwayBegan,
+    Event::AwayEnded,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-daemon/src/shared.rs
+++ b/crates/bilberryloft-daemon/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::entry::Entry;
 use crate::host_reporter::HostReporter;
 use crate::metrics::Metrics;
+use crate::remote_shares::RemoteShares;
 use crate::settings::RoleName;
 use crate::settings::Settings;
 use crate::view::View;
@@ -42,6 +43,8 @@
     pub control: ControlClient,
     /// Metrics of the daemon.
     pub metrics: Arc<Metrics>,
+    /// Shares of requests that may leave the data centre.
+    pub remote_shares: RemoteShares,
     /// Entry role, if the daemon has it.
     pub entry: Option<Arc<Entry>>,
     /// Agent role, if the daemon has it.
@@ -99,6 +102,7 @@
             incarnation,
             view,
             control,
+            remote_shares: RemoteShares::new(metrics.clone()),
             metrics,
             entry,
             agent,
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -101,6 +101,11 @@
             slack: settings.retry_slack,
         };
         let services = Arc::new(Services::new(&daemon.settings.data_center));
+        services
+            .targets
+            .lock()
+            .places_mut()
+            .set_price(settings.remote_price, settings.regions.clone());
         let is_first_start = settings.is_first_start;
         let data_centers = settings.regions.keys().cloned().collect();
         // Set once, as one daemon has one relay.
@@ -144,6 +149,7 @@
         match self.dialect.decode_document(document.text.as_bytes()) {
             Ok(decoded) => {
                 let routes = decoded.routes.len();
+                self.services.targets.lock().places_mut().set_distances(decoded.services.iter());
                 let routes_in_force = Arc::new(RouteTable::new(decoded));
                 self.cold.set_routes(&routes_in_force);
                 *self.routes.write() = routes_in_force;
@@ -309,6 +315,7 @@
                 false
             }
             AttemptOutcome::Failed
+            | AttemptOutcome::Truncated
             | AttemptOutcome::Resting
             | AttemptOutcome::Misdirected
             | AttemptOutcome::Lost
