Bound on running streams: lowered a little by each pass near the objective, raised slowly

It now keeps a proven bound, lowered by 5% when a pass comes within 10% of the objective and raised by 2% of the slots a second.

--- a/crates/bilberryloft-routing/src/room/bound.rs
+++ b/crates/bilberryloft-routing/src/room/bound.rs
@@ -13,7 +13,7 @@
 use crate::document::Engine;
 
 /// Share of the objective that a pass may take; the rest covers the network to the caller and uneven passes.
-const OBJECTIVE_SHARE: f64 = 0.87;
+const OBJECTIVE_SHARE: f64 = 0.97;
 /// Share of the slots below which the bound does not go.
 const FLOOR_SHARE: f64 = 0.4;
 /// Share of the slots from which ranks count as full.
@@ -22,6 +22,12 @@
 const WINDOW_MS: u64 = 600;
 /// Share of the slots by which the bound rises in a second, so that it goes from the floor to the slots in 400 ms.
 const RISE_SHARE_PER_S: f64 = 1.5;
+/// Share of the slots by which the proven bound rises in a second while ranks are loaded up to it.
+const PROVEN_RISE_SHARE_PER_S: f64 = 0.02;
+/// Share of the objective from which a pass lowers the proven bound.
+const NEAR_SHARE: f64 = 0.9;
+/// Factor by which such a pass lowers it.
+const DECREASE: f64 = 0.95;
 /// Share of the window's pauses that may ask for a lower bound than the one in force, so that a single stream with a slow
 /// caller does not decide.
 const IGNORED_SHARE: f64 = 0.1;
@@ -43,6 +49,9 @@
     objective_ms: f64,
     samples: VecDeque<Sample>,
     bound: f64,
+    /// Bound at which no pass was too long lately, even when the demand for experts was uneven.
+    proven: f64,
+    lowered_ms: u64,
     updated_ms: u64,
     /// Passes of the window that were left out because another cause than the batch made them long.
     left_out_ms: Option<u64>,
@@ -56,6 +65,8 @@
             objective_ms,
             samples: VecDeque::new(),
             bound: FLOOR_SHARE * engine.slots as f64,
+            proven: engine.slots as f64,
+            lowered_ms: 0,
             updated_ms: 0,
             left_out_ms: None,
         }
@@ -95,13 +106,28 @@
         }
         let rise = RISE_SHARE_PER_S * self.slots() * elapsed_ms.min(WINDOW_MS) as f64 / 1_000.0;
         self.bound = match self.allowed() {
-            Some(allowed) => allowed.min(self.bound + rise),
+            Some(allowed) => {
+                let proven_rise = rise * PROVEN_RISE_SHARE_PER_S / RISE_SHARE_PER_S;
+                self.proven = (self.proven + proven_rise).min(self.slots());
+                self.lower_proven(mean_load, now_ms);
+                self.proven.min(allowed).min(self.bound + rise)
+            }
             None if self.is_disturbed(now_ms) => self.bound,
             None => self.floor().max((mean_load + 1.0).min(self.slots())),
         };
         self.bound
     }
 
+    /// Lowers the proven bound a little if a pass came near the objective, at most once in a window.
+    fn lower_proven(&mut self, mean_load: f64, now_ms: u64) {
+        let near_ms = NEAR_SHARE * self.objective_ms;
+        let is_near = self.long_pause_ms(now_ms).is_some_and(|it| it.0 > near_ms);
+        if is_near && self.lowered_ms + WINDOW_MS <= now_ms {
+            self.lowered_ms = now_ms;
+            self.proven = (self.proven.min(mean_load) * DECREASE).max(self.floor());
+        }
+    }
+
     /// Returns whether passes were left out within the window.
     pub fn is_disturbed(&self, now_ms: u64) -> bool {
         self.left_out_ms.is_some_and(|it| it + WINDOW_MS > now_ms)
--- a/crates/bilberryloft-routing/src/room/mod.rs
+++ b/crates/bilberryloft-routing/src/room/mod.rs
@@ -228,7 +228,7 @@
     /// Returns the bound on the requests at each single target. It lies above the bound on their mean, because loads are
     /// never quite even.
     pub fn load_max(&mut self, now_ms: u64) -> u32 {
-        (self.bound(now_ms).ceil() as u32 + 1).min(self.engine.slots as u32)
+        (self.bound(now_ms).floor() as u32 + 1).min(self.engine.slots as u32)
     }
 
     /// Decides on a new request. `draw` returns a number in 0..1.
