Among teams of one priority, that of the route decides who is admitted first

Callers saw: in an overload, requests of a route with priority 0 were refused more often than those of a route with priority 2. Cause: a team's priority replaces its route's, and all teams of that deployment have the same, so all requests counted as equal. Change: requests are admitted by their priority, and among equal ones by that of their route.

--- a/crates/bilberryloft-relay/src/request.rs
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberryloft_routing::document::PRIORITY_MAX;
 use bilberryloft_routing::document::Route;
 use bilberryloft_routing::routes::Caller;
 use bilberryloft_routing::routes::RouteTable;
@@ -47,6 +48,9 @@
     pub team: Option<String>,
     /// Priority, from 0 (most urgent) to 9.
     pub priority: u8,
+    /// Order in which requests are admitted, the lowest first: by priority, and among equal priorities by that of the
+    /// route, which a team's priority replaces.
+    pub urgency: u8,
     /// Version of the document that was applied.
     pub document_version: u64,
     /// Digest of the host, team, method, path and body, by which a request is known when its caller sends it again.
@@ -104,6 +108,7 @@
     let names = dialect.headers();
     let wait_ms = headers::text(&parts.headers, &names.time_left).and_then(|it| it.parse().ok());
     let wait_ms = wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let priority = team.and_then(|it| it.priority).unwrap_or(route.priority).min(PRIORITY_MAX);
     let service = pick_share(route, fastrand::f64()).ok_or(Refusal::NoTarget)?;
     let prompt_parts = headers::text(&parts.headers, &names.prompt_parts).unwrap_or_default();
     let shared_parts = shared_parts(prompt_parts, service, dialect);
@@ -115,7 +120,8 @@
         deadline: arrived + Duration::from_millis(wait_ms),
         service: service.to_string(),
         team: team.map(|it| it.name.clone()),
-        priority: team.and_then(|it| it.priority).unwrap_or(route.priority).min(9),
+        priority,
+        urgency: urgency(priority, route.priority),
         route: route.clone(),
         document_version: routes.version(),
         fingerprint: fingerprint([host, team_name, parts.method.as_str(), &target_path], &body),
@@ -129,6 +135,11 @@
     })
 }
 
+/// Returns the order of a request among those with other priorities, or with the same one on other routes.
+fn urgency(priority: u8, route_priority: u8) -> u8 {
+    priority * (PRIORITY_MAX + 1) + route_priority.min(PRIORITY_MAX)
+}
+
 /// Returns a digest of what names the request (host, team, method, path) and of its body.
 fn fingerprint(names: [&str; 4], body: &[u8]) -> i64 {
     let names = names.map(str::as_bytes);
--- a/crates/bilberryloft-relay/src/room/mod.rs
+++ b/crates/bilberryloft-relay/src/room/mod.rs
@@ -231,7 +231,7 @@
 fn applicant(request: &RelayRequest) -> Applicant {
     let time_left_ms = request.time_left().as_secs_f64() * 1_000.0;
     Applicant {
-        priority: request.priority,
+        priority: request.urgency,
         objective_ms: request.route.objective_ms as f64,
         elapsed_ms: (request.route.timeout_ms as f64 - time_left_ms).max(0.0),
         time_left_ms,
@@ -251,11 +251,11 @@
     /// Counts a request that is started; `None` if its service is not admitted by priority.
     pub fn start(rooms: &Arc<Rooms>, request: &RelayRequest) -> Option<RoomRun> {
         let now_ms = monotonic_ms();
-        rooms.with(&request.service, |it| it.record_start(request.priority, now_ms))?;
+        rooms.with(&request.service, |it| it.record_start(request.urgency, now_ms))?;
         Some(RoomRun {
             rooms: rooms.clone(),
             service: request.service.clone(),
-            priority: request.priority,
+            priority: request.urgency,
             started: Instant::now(),
             residence: None,
         })
