--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -52,12 +52,8 @@
     pub limited_requests: IntCounter,
     /// Requests refused because all targets had reached their limits.
     pub limit_refusals: IntCounter,
-    /// Targets that count as cold.
-    pub targets_cold: IntGauge,
-    /// Requests refused because all targets were cold.
-    pub cold_refusals: IntCounter,
-    /// Requests refused because they have more tokens than a target can hold.
-    pub memory_refusals: IntCounter,
+    /// Cold targets and the memory of targets.
+    pub cold: ColdMetrics,
     /// Configuration version in force.
     pub configuration_version: IntGauge,
     quorum: QuorumGauges,
@@ -72,6 +68,33 @@
     losses_wanted: IntGauge,
 }
 
+/// Metrics of cold targets and of the memory of targets.
+#[derive(Debug)]
+pub struct ColdMetrics {
+    /// Targets that count as cold.
+    pub targets: IntGauge,
+    /// Requests refused because all targets were cold.
+    pub refusals: IntCounter,
+    /// Requests refused because they have more tokens than a target can hold.
+    pub memory_refusals: IntCounter,
+}
+
+impl ColdMetrics {
+    fn register(new: &Registrar) -> prometheus::Result<ColdMetrics> {
+        Ok(ColdMetrics {
+            targets: new.gauge("bilberryloft_targets_cold", "Targets that count as cold.")?,
+            refusals: new.counter(
+                "bilberryloft_cold_refusals_total",
+                "Requests refused as all targets were cold.",
+            )?,
+            memory_refusals: new.counter(
+                "bilberryloft_memory_refusals_total",
+                "Requests refused as larger than the memory of a target.",
+            )?,
+        })
+    }
+}
+
 impl QuorumGauges {
     fn register(new: &Registrar) -> prometheus::Result<QuorumGauges> {
         Ok(QuorumGauges {
@@ -177,15 +200,7 @@
                 "bilberryloft_limit_refusals_total",
                 "Requests refused as all targets had reached their limits.",
             )?,
-            targets_cold: new.gauge("bilberryloft_targets_cold", "Targets that count as cold.")?,
-            cold_refusals: new.counter(
-                "bilberryloft_cold_refusals_total",
-                "Requests refused as all targets were cold.",
-            )?,
-            memory_refusals: new.counter(
-                "bilberryloft_memory_refusals_total",
-                "Requests refused as larger than the memory of a target.",
-            )?,
+            cold: ColdMetrics::register(&new)?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
             quorum: QuorumGauges::register(&new)?,
--- a/crates/bilberryloft-relay/src/cold/mod.rs
+++ b/crates/bilberryloft-relay/src/cold/mod.rs
@@ -82,7 +82,7 @@
             return;
         }
         let view = self.entries.cold_view(now_ms);
-        self.metrics.targets_cold.set(targets.cold.cold_targets(now_ms) as i64);
+        self.metrics.cold.targets.set(targets.cold.cold_targets(now_ms) as i64);
         let (share, entries) = match &view.share {
             ColdShare::Known { count, .. } => ("known", *count),
             ColdShare::Unsettled { .. } => ("unsettled", 0),
@@ -99,7 +99,7 @@
 
     /// Refuses a request because all targets are cold and this entry may not send to any of them now.
     pub fn refuse(&self, state: &RelayState, request: &RelayRequest, wait: LimitedWait) -> Refusal {
-        self.metrics.cold_refusals.inc();
+        self.metrics.cold.refusals.inc();
         let retry_after = state.limits.return_after(&request.service, request.priority, wait);
         let cold_targets = self.services.targets.lock().cold.cold_targets(monotonic_ms());
         log_event!(
@@ -132,7 +132,7 @@
 pub fn check_memory(state: &RelayState, request: &RelayRequest) -> Result<(), Refusal> {
     match memory_need(state, request) {
         Some(need) if !need.fits() => {
-            state.daemon.metrics.memory_refusals.inc();
+            state.daemon.metrics.cold.memory_refusals.inc();
             Err(Refusal::OverMemory)
         }
         Some(_) | None => Ok(()),
--- a/crates/bilberryloft-routing/src/cold_targets/mod.rs
+++ b/crates/bilberryloft-routing/src/cold_targets/mod.rs
@@ -286,10 +286,14 @@
         }
         let allowance = target.allowance(&self.view, self.view_number);
         let wait_ms = match allowance {
-            // The target may be warm before this entry gets a part.
-            0 => target.cold_until_ms.saturating_sub(now_ms).clamp(1, NO_PART_WAIT_MS),
+            0 => NO_PART_WAIT_MS,
             allowance => target.wait_ms(allowance, now_ms),
         };
+        // The target may be warm before this entry may send the next request.
+        let wait_ms = match is_current {
+            true => wait_ms.min(target.cold_until_ms - now_ms),
+            false => wait_ms,
+        };
         ColdState::Cold { wait_ms, rate_per_s: allowance as f64 * 1_000.0 / WINDOW_MS as f64 }
     }
 
--- a/crates/bilberryloft-routing/src/selection.rs
+++ b/crates/bilberryloft-routing/src/selection.rs
@@ -165,7 +165,11 @@
     pub fn cold_wait(&self) -> LimitedWait {
         let firsts = [self.first_cold_ms, self.first_rested_ms, self.first_ms];
         let first_ms = firsts.into_iter().flatten().min().unwrap_or_default();
-        let interval_ms = wait_ms(1.0, self.cold_rate_per_s + self.own_rate_per_s);
+        let interval_ms = match self.cold_rate_per_s + self.own_rate_per_s {
+            // The wait is for the first target that is warm again, which takes any number.
+            0.0 => 0,
+            rate_per_s => wait_ms(1.0, rate_per_s),
+        };
         LimitedWait { has_part: true, first_ms, interval_ms }
     }
 
--- a/crates/bilberryloft-routing/src/targets/mod.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -273,9 +273,7 @@
             let (key, slowness) = candidates[idx];
             match self.assess(key, slowness / fastest, limits, now_ms) {
                 Assessment::NoSlot => {}
-                Assessment::Limited(limit) => {
-                    limited.add(limit);
-                }
+                Assessment::Limited(limit) => _ = limited.add(limit),
                 Assessment::Cold { wait_ms, rate_per_s } => limited.add_cold(wait_ms, rate_per_s),
                 Assessment::Resting { until_ms } => limited.add_resting(until_ms - now_ms),
                 Assessment::InBackoff { until_ms } => {
