--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -59,12 +59,8 @@
     pub evacuated_data_centers: IntGauge,
     /// Requests refused because all targets were in evacuated data centres.
     pub evacuation_refusals: IntCounter,
-    /// Targets that count as cold.
-    pub targets_cold: IntGauge,
-    /// Requests refused because all targets were cold.
-    pub cold_refusals: IntCounter,
-    /// Requests refused because they have more tokens than a target can hold.
-    pub memory_refusals: IntCounter,
+    /// Cold targets and the memory of targets.
+    pub cold: ColdMetrics,
     /// Configuration version in force.
     pub configuration_version: IntGauge,
     /// Admission to lock-step groups by priority.
@@ -81,6 +77,33 @@
     losses_wanted: IntGauge,
 }
 
+/// Metrics of cold targets and of the memory of targets.
+#[derive(Debug)]
+pub struct ColdMetrics {
+    /// Targets that count as cold.
+    pub targets: IntGauge,
+    /// Requests refused because all targets were cold.
+    pub refusals: IntCounter,
+    /// Requests refused because they have more tokens than a target can hold.
+    pub memory_refusals: IntCounter,
+}
+
+impl ColdMetrics {
+    fn register(new: &Registrar) -> prometheus::Result<ColdMetrics> {
+        Ok(ColdMetrics {
+            targets: new.gauge("bilberryloft_targets_cold", "Targets that count as cold.")?,
+            refusals: new.counter(
+                "bilberryloft_cold_refusals_total",
+                "Requests refused as all targets were cold.",
+            )?,
+            memory_refusals: new.counter(
+                "bilberryloft_memory_refusals_total",
+                "Requests refused as larger than the memory of a target.",
+            )?,
+        })
+    }
+}
+
 impl QuorumGauges {
     fn register(new: &Registrar) -> prometheus::Result<QuorumGauges> {
         Ok(QuorumGauges {
@@ -276,15 +299,7 @@
                 "bilberryloft_evacuation_refusals_total",
                 "Requests refused as all targets were in evacuated data centres.",
             )?,
-            targets_cold: new.gauge("bilberryloft_targets_cold", "Targets that count as cold.")?,
-            cold_refusals: new.counter(
-                "bilberryloft_cold_refusals_total",
-                "Requests refused as all targets were cold.",
-            )?,
-            memory_refusals: new.counter(
-                "bilberryloft_memory_refusals_total",
-                "Requests refused as larger than the memory of a target.",
-            )?,
+            cold: ColdMetrics::register(&new)?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
             room: RoomMetrics::register(&new)?,
--- a/crates/bilberryloft-routing/src/targets/mod.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -333,9 +333,7 @@
             let (key, slowness) = candidates[idx];
             match self.assess(key, slowness / fastest, limits, now_ms) {
                 Assessment::NoSlot => {}
-                Assessment::Limited(limit) => {
-                    choice.limited.add(limit);
-                }
+                Assessment::Limited(limit) => _ = choice.limited.add(limit),
                 Assessment::Cold { wait_ms, rate_per_s } => {
                     choice.limited.add_cold(wait_ms, rate_per_s);
                 }
