Memory and connections that clients hold are bounded

Callers saw: entries that ended under clients who sent many bodies and stopped short of their end.

Cause: nothing read the memory and descriptors that the host allows. Bodies were kept without a bound on their sum and without a deadline, one-byte chunks as pieces of their own; the control API, frames of other daemons and unread answers had no common bound; a connection without a request stayed for the idle timeout.

Change: one account a process (bilberryloft-transport, account.rs, because frames are read there; the policy is in relay/src/memory), sized from limits.memory_mb. Bodies, documents, frames, buffered answers and events are reserved before they are kept and released with the last reference to their bytes. If there is no room, the holder (address and team) with the most in unfinished bodies loses the largest. Bodies end by the deadline of their request. Connections are counted within limits.max_fds; those without a request, slow bodies, unread answers and idle ones give way in this order. Heads have their own timeout, idle connections keep theirs. New refusals body_late (408), body_dropped (429), memory_short and connections_full (503); events 570 to 573; metrics.

--- a/crates/bilberryloft-daemon/src/daemon.rs
+++ b/crates/bilberryloft-daemon/src/daemon.rs
@@ -8,6 +8,7 @@
 use bilberryloft_transport::clock::epoch_ms;
 use bilberryloft_transport::clock::monotonic_ms;
 use bilberryloft_transport::server::Server;
+use bilberryloft_transport::server::ServerLimits;
 use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
 
@@ -63,10 +64,15 @@
     /// Fails when a thread or runtime can't be started, an address can't be bound, or the data folder of a
     /// control host can't be opened.
     pub fn spawn(settings: Settings) -> Result<Daemon> {
+        Daemon::spawn_within(settings, ServerLimits::default())
+    }
+
+    /// Like [`Daemon::spawn`], under limits on what other daemons may make the process hold.
+    pub fn spawn_within(settings: Settings, peer_limits: ServerLimits) -> Result<Daemon> {
         let incarnation = epoch_ms();
         let shared = Arc::new(Shared::new(settings, incarnation)?);
         let (stop_control, stopped) = oneshot::channel();
-        let (started, control_thread) = spawn_control_thread(shared.clone(), stopped)?;
+        let (started, control_thread) = spawn_control_thread(shared.clone(), peer_limits, stopped)?;
         let traffic = build_traffic_runtime(shared.settings.traffic_threads)?;
         let mut daemon = Daemon {
             shared: shared.clone(),
@@ -191,6 +197,7 @@
 
 fn spawn_control_thread(
     shared: Arc<Shared>,
+    peer_limits: ServerLimits,
     stopped: oneshot::Receiver<()>,
 ) -> Result<(StartReceiver, std::thread::JoinHandle<()>)> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -202,7 +209,7 @@
         .name("control".to_string())
         .spawn(move || {
             runtime.block_on(async move {
-                let server = start_control(shared).await;
+                let server = start_control(shared, peer_limits).await;
                 let (server, result) = match server {
                     Ok(server) => (Some(server), Ok(())),
                     Err(error) => (None, Err(error)),
@@ -220,7 +227,7 @@
 }
 
 /// Starts everything that must keep running even when all traffic threads are busy.
-async fn start_control(shared: Arc<Shared>) -> Result<Server> {
+async fn start_control(shared: Arc<Shared>, peer_limits: ServerLimits) -> Result<Server> {
     let settings = &shared.settings;
     let lease_ms = settings.control.as_ref().map_or(NO_TARGET_LEASE_MS, |it| it.target_lease_ms);
     let service = Arc::new(PeerService::new(shared.clone(), lease_ms));
@@ -232,8 +239,9 @@
         service.add_control(control.clone());
     }
     let (daemon, data_center) = (&settings.daemon, Some(settings.data_center.as_str()));
+    let (address, incarnation) = (&settings.peer_address, shared.incarnation);
     let server =
-        Server::bind(&settings.peer_address, daemon, shared.incarnation, data_center, service)
+        Server::bind_within(address, daemon, incarnation, data_center, service, peer_limits)
             .await?;
     serve_admin(shared.clone(), control).await?;
     let (view, client) = (shared.view.clone(), shared.control.clone());
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -148,6 +148,14 @@
     RunLost = 545,
     /// A target said in an answer that it wants rest or is leaving.
     TargetNoticed = 546,
+    /// A body was dropped or refused because memory is short.
+    MemoryShort = 570,
+    /// A body did not end by its deadline.
+    BodyLate = 571,
+    /// A client's connection was closed because it was slow, unread or needed by another client.
+    ConnectionClosed = 572,
+    /// A client was turned away because all connections were in use.
+    ConnectionsFull = 573,
 }
 
 impl Event {
@@ -158,7 +166,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 72] = [
+pub const EVENTS: [Event; 76] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -231,6 +239,10 @@
     Event::LimitDecided,
     Event::RunLost,
     Event::TargetNoticed,
+    Event::MemoryShort,
+    Event::BodyLate,
+    Event::ConnectionClosed,
+    Event::ConnectionsFull,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -54,6 +55,8 @@
     pub limit_refusals: IntCounter,
     /// Configuration version in force.
     pub configuration_version: IntGauge,
+    /// Memory and connections that clients make the process hold.
+    pub memory: MemoryMetrics,
     quorum: QuorumGauges,
     refusals: RefusalCounters,
     log_lines_dropped: IntCounter,
@@ -103,6 +106,70 @@
     }
 }
 
+/// Memory and connections that clients make the process hold.
+#[derive(Debug)]
+pub struct MemoryMetrics {
+    total_bytes: IntGauge,
+    held_bytes: IntGaugeVec,
+    connections: IntGaugeVec,
+    refused: IntGaugeVec,
+    closed: IntGaugeVec,
+}
+
+impl MemoryMetrics {
+    fn register(new: &Registrar) -> prometheus::Result<MemoryMetrics> {
+        Ok(MemoryMetrics {
+            total_bytes: new
+                .gauge("bilberryloft_memory_bytes", "Memory that clients may make it hold.")?,
+            held_bytes: new.gauges(
+                "bilberryloft_memory_held_bytes",
+                "Memory that is held for clients.",
+                "purpose",
+            )?,
+            connections: new.gauges(
+                "bilberryloft_connections",
+                "Connections that clients have open.",
+                "listener",
+            )?,
+            refused: new.gauges(
+                "bilberryloft_bodies_refused",
+                "Bodies refused since the start.",
+                "cause",
+            )?,
+            closed: new.gauges(
+                "bilberryloft_connections_closed",
+                "Connections of clients closed since the start.",
+                "cause",
+            )?,
+        })
+    }
+
+    /// Sets the memory that clients may make the process hold.
+    pub fn set_total(&self, bytes: u64) {
+        self.total_bytes.set(bytes as i64);
+    }
+
+    /// Sets the memory that is held for a purpose.
+    pub fn set_held(&self, purpose: &str, bytes: u64) {
+        self.held_bytes.with_label_values(&[purpose]).set(bytes as i64);
+    }
+
+    /// Sets the connections of a listener.
+    pub fn set_connections(&self, listener: &str, connections: usize) {
+        self.connections.with_label_values(&[listener]).set(connections as i64);
+    }
+
+    /// Sets the number of bodies refused for a cause.
+    pub fn set_refused(&self, cause: &str, bodies: u64) {
+        self.refused.with_label_values(&[cause]).set(bodies as i64);
+    }
+
+    /// Sets the number of connections closed for a cause.
+    pub fn set_closed(&self, cause: &str, connections: u64) {
+        self.closed.with_label_values(&[cause]).set(connections as i64);
+    }
+}
+
 /// Creates metrics and registers them; each call fails only if two have the same name.
 #[derive(Debug, Default)]
 struct Registrar {
@@ -122,6 +189,12 @@
         Ok(gauge)
     }
 
+    fn gauges(&self, name: &str, help: &str, label: &str) -> prometheus::Result<IntGaugeVec> {
+        let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+        self.registry.register(Box::new(gauges.clone()))?;
+        Ok(gauges)
+    }
+
     fn counters_by_reason(&self, name: &str, help: &str) -> prometheus::Result<IntCounterVec> {
         let counters = IntCounterVec::new(Opts::new(name, help), &["reason"])?;
         self.registry.register(Box::new(counters.clone()))?;
@@ -173,6 +246,7 @@
             )?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
+            memory: MemoryMetrics::register(&new)?,
             quorum: QuorumGauges::register(&new)?,
             refusals: RefusalCounters::register(&new)?,
             log_lines_dropped: new.counter(
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -40,6 +40,14 @@
     TooLarge,
     /// The body could not be read.
     BadBody,
+    /// The body did not end by the deadline of the request.
+    BodyLate,
+    /// Memory is short, and the body was the largest unfinished one of the caller who holds the most in such bodies.
+    BodyDropped,
+    /// Memory is short.
+    MemoryShort,
+    /// All connections to targets that the host allows are in use.
+    ConnectionsFull,
     /// The service has no eligible target.
     NoTarget,
     /// All targets have reached their load limit.
@@ -86,6 +94,10 @@
             Refusal::UnknownKey => "unknown_key",
             Refusal::TooLarge => "too_large",
             Refusal::BadBody => "bad_body",
+            Refusal::BodyLate => "body_late",
+            Refusal::BodyDropped => "body_dropped",
+            Refusal::MemoryShort => "memory_short",
+            Refusal::ConnectionsFull => "connections_full",
             Refusal::NoTarget => "no_target",
             Refusal::Full => "full",
             Refusal::TargetsLimited { .. } => "targets_limited",
@@ -100,10 +112,12 @@
         }
     }
 
-    /// Returns the status; 429 and 503 guarantee that the request has not run and will not run.
+    /// Returns the status; 408, 429 and 503 guarantee that the request has not run and will not run.
     pub fn status(self) -> StatusCode {
         match self {
             Refusal::NoDocument
+            | Refusal::MemoryShort
+            | Refusal::ConnectionsFull
             | Refusal::NoTarget
             | Refusal::Full
             | Refusal::TargetsLimited { .. }
@@ -112,7 +126,8 @@
             | Refusal::SuspectTrial
             | Refusal::TrialPending { .. }
             | Refusal::NotRun => StatusCode::SERVICE_UNAVAILABLE,
-            Refusal::Quarantined { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Refusal::Quarantined { .. } | Refusal::BodyDropped => StatusCode::TOO_MANY_REQUESTS,
+            Refusal::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/bilberryloft-relay/src/connection.rs
+++ b/crates/bilberryloft-relay/src/connection.rs
@@ -14,12 +14,15 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use bilberryloft_transport::account::Reservation;
+use bilberryloft_transport::held_bytes::HeldBytes;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -30,6 +33,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -188,6 +192,27 @@
         Ok(bytes.freeze())
     }
 
+    /// Reads the body of an answer like [`Connection::read_body`], into memory of an account. Waits for room until the
+    /// deadline.
+    pub async fn read_held_body(
+        &self,
+        mut body: Incoming,
+        bytes_max: usize,
+        reservation: Reservation,
+        deadline: Instant,
+    ) -> io::Result<Bytes> {
+        let expected = body.size_hint().exact().map_or(bytes_max, |it| it as usize);
+        let mut held = HeldBytes::new(reservation, expected.min(bytes_max));
+        while let Some(frame) = self.next_frame(&mut body).await {
+            let piece = frame.map_err(io::Error::other)?.into_data().unwrap_or_default();
+            if held.len() + piece.len() > bytes_max {
+                return Err(io::Error::other("the answer is too large"));
+            }
+            held.push(&piece, deadline).await.map_err(io::Error::other)?;
+        }
+        Ok(held.into_bytes())
+    }
+
     /// Returns whether at most one request has been sent on this connection.
     pub fn is_first_request(&self) -> bool {
         self.requests_sent <= 1
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -3,13 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::Router;
 use axum::body::Bytes;
-use axum::extract::DefaultBodyLimit;
-use axum::extract::State;
-use axum::http::Method;
+use axum::http::HeaderValue;
+use axum::http::Request;
 use axum::http::StatusCode;
-use axum::http::Uri;
 use axum::http::header;
 use axum::response::IntoResponse;
 use axum::response::Response;
@@ -21,20 +18,35 @@
 use bilberryloft_routing::targets::TargetInfo;
 use bilberryloft_state::document::DocumentPatch;
 use bilberryloft_state::document::StoredDocument;
-use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::membership::TargetDescription;
 use bilberryloft_state::state_machine::Command;
 use bilberryloft_state::state_machine::Outcome;
+use bilberryloft_transport::account::Holder;
+use bilberryloft_transport::account::Purpose;
+use hyper::body::Incoming;
 use serde_json::json;
-use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 use crate::dialect::ControlCall;
+use crate::memory::body::BodyLimits;
+use crate::memory::caller_connection::CallerConnection;
+use crate::memory::caller_connection::Phase;
+use crate::memory::report::BodyFault;
+use crate::memory::serve::accept;
+use crate::memory::serve::listen;
 use crate::state::RelayState;
 
 /// Largest document in bytes.
 const DOCUMENT_BYTES_MAX: usize = 8 << 20;
+/// Time within which a document must have arrived: the largest one over a link of 1 MB/s. Operators wait for one second.
+const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(8);
+/// Largest announcement of a target, in bytes; they have a few hundred.
+const ANNOUNCEMENT_BYTES_MAX: usize = 64 << 10;
+/// Time within which an announcement must have arrived; targets wait for about a second.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a client comes back that was refused for want of memory.
+const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("0.5");
 /// Timeout for committing a document or an announcement; callers wait for one second.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
 /// Patches of a document that are tried before the whole text is proposed.
@@ -49,32 +61,61 @@
 /// Serves the control API at the configured address.
 pub async fn serve_control_api(state: Arc<RelayState>) -> Result<()> {
     let address = state.settings.control_api_address.clone();
-    let listener =
-        TcpListener::bind(&address).await.map_err(|it| Error::network("listen", &address, it))?;
-    let router = Router::new()
-        .fallback(handle)
-        .layer(DefaultBodyLimit::max(DOCUMENT_BYTES_MAX))
-        .with_state(state);
-    tokio::spawn(async move { axum::serve(listener, router).await });
+    let listener = listen(&address, &state.memory).await?;
+    let (table, served) = (state.memory.operators.clone(), state.clone());
+    let serve = move |request, client: Arc<CallerConnection>| {
+        let state = served.clone();
+        async move { handle(&state, request, &client).await }
+    };
+    tokio::spawn(accept(listener, state, table, serve));
     Ok(())
 }
 
 async fn handle(
-    State(state): State<Arc<RelayState>>,
-    method: Method,
-    uri: Uri,
-    body: Bytes,
+    state: &RelayState,
+    request: Request<Incoming>,
+    client: &CallerConnection,
 ) -> Response {
-    match state.dialect.control_call(&method, uri.path()) {
-        ControlCall::PutDocument => put_document(&state, &body).await,
-        ControlCall::ReadDocument => read_document(&state).await,
-        ControlCall::Announce { id } => announce(&state, &id, &body).await,
-        ControlCall::Leave { id } => leave(&state, &id).await,
+    let call = state.dialect.control_call(request.method(), request.uri().path());
+    let (bytes_max, timeout, purpose) = match call {
+        ControlCall::PutDocument => (DOCUMENT_BYTES_MAX, DOCUMENT_TIMEOUT, Purpose::Document),
+        _ => (ANNOUNCEMENT_BYTES_MAX, ANNOUNCEMENT_TIMEOUT, Purpose::Heartbeat),
+    };
+    let holder = Holder { address: client.address, name: String::new() };
+    let deadline = Instant::now() + timeout;
+    let limits = BodyLimits { bytes_max, deadline, purpose, holder };
+    let body = match state.memory.read_body(request.into_body(), limits).await {
+        Ok(body) => body,
+        Err(fault) => return body_fault_response(fault),
+    };
+    client.set_phase(Phase::Serving);
+    match call {
+        ControlCall::PutDocument => put_document(state, &body).await,
+        ControlCall::ReadDocument => read_document(state).await,
+        ControlCall::Announce { id } => announce(state, &id, &body).await,
+        ControlCall::Leave { id } => leave(state, &id).await,
         ControlCall::Unknown => error_response(StatusCode::NOT_FOUND, "no such call"),
     }
 }
 
+fn body_fault_response(fault: BodyFault) -> Response {
+    let status = match fault {
+        BodyFault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyFault::Broken => StatusCode::BAD_REQUEST,
+        BodyFault::Late => StatusCode::REQUEST_TIMEOUT,
+        BodyFault::Dropped => StatusCode::TOO_MANY_REQUESTS,
+        BodyFault::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = error_response(status, &fault.to_string());
+    if matches!(fault, BodyFault::Dropped | BodyFault::NoRoom) {
+        response.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER_S);
+    }
+    response
+}
+
 async fn put_document(state: &RelayState, body: &Bytes) -> Response {
+    // The semaphore is never closed.
+    let _turn = state.memory.documents.acquire().await;
     let document = match state.dialect.decode_document(body).and_then(|it| {
         it.check()?;
         Ok(it)
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -17,6 +17,8 @@
 use crate::answer::Refusal;
 use crate::answer::full_body;
 use crate::headers;
+use crate::memory::caller_connection::CallerConnection;
+use crate::memory::caller_connection::Phase;
 use crate::request;
 use crate::request::RelayRequest;
 use crate::retry_loop::AnswerContent;
@@ -60,20 +62,29 @@
 }
 
 /// Serves one request of a caller.
-pub async fn serve(state: Arc<RelayState>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub async fn serve(
+    state: Arc<RelayState>,
+    request: Request<Incoming>,
+    caller: Arc<CallerConnection>,
+) -> Response<AnswerBody> {
     let arrived = Instant::now();
     state.daemon.metrics.requests.inc();
     let routes = wait_for_routes(&state).await;
     let names = state.dialect.headers();
     let id = headers::text(request.headers(), &names.request_id).unwrap_or_default().to_string();
-    let read = request::read(request, &routes, state.dialect.as_ref(), arrived).await;
+    let read = request::read(&state, request, &routes, &caller, arrived).await;
+    caller.set_phase(Phase::Serving);
     drop(routes);
     let request = match read {
         Ok(request) => request,
         Err(refusal) => return refuse(&id, refusal, arrived, None),
     };
-    state.retries.record_request(&request.service);
     let open = state.lifecycle.track_request();
+    let open_requests = state.lifecycle.open_requests();
+    if !state.memory.make_connection_room(&state.pool, open_requests, 0).await {
+        return refuse(&id, Refusal::ConnectionsFull, arrived, None);
+    }
+    state.retries.record_request(&request.service);
     let mut guard = CallerGuard { id: &id, arrived, is_answered: false };
     let result = run_attempts(&state, &request).await;
     guard.is_answered = true;
@@ -135,6 +146,7 @@
         Refusal::TargetsLimited { retry_after } | Refusal::TargetsResting { retry_after } => {
             return Some(retry_after);
         }
+        Refusal::BodyDropped => RETRY_AFTER_MS,
         _ if refusal.status() == StatusCode::SERVICE_UNAVAILABLE => RETRY_AFTER_MS,
         _ => return None,
     };
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod limits;
 pub mod loads;
 pub mod lost_runs;
+pub mod memory;
 pub mod pool;
 pub mod prompt_part;
 pub mod ranks;
--- /dev/null
+++ b/crates/bilberryloft-relay/src/memory/connection_table.rs
@@ -0,0 +1,181 @@
+//! Connections of one listener. If there are too many, idle and unfinished ones give way to new ones.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bilberryloft_transport::clock::monotonic_ms;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::memory::caller_connection::CallerConnection;
+use crate::memory::caller_connection::Phase;
+use crate::memory::report::CloseCause;
+
+/// Longest time for which a new connection waits for another one to close.
+const ADMIT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time after which a body that is still arriving, or an answer that is not read, counts as unfinished, in
+/// milliseconds. Those of ordinary callers take less.
+const UNFINISHED_MS: u64 = 1_000;
+
+/// Order in which connections give way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Claim {
+    /// No whole head has arrived on it.
+    Headless,
+    /// A body takes long to arrive.
+    SlowBody,
+    /// Its client does not read its answer.
+    Unread,
+    /// Its client keeps it for the next request.
+    Idle,
+}
+
+#[derive(Debug, Default)]
+struct Records {
+    connections: BTreeMap<u64, Arc<CallerConnection>>,
+    next_id: u64,
+}
+
+/// Connections of one listener.
+#[derive(Debug)]
+pub struct ConnectionTable {
+    connections_max: usize,
+    records: Mutex<Records>,
+    left: Notify,
+}
+
+impl ConnectionTable {
+    /// Creates an empty table.
+    pub fn new(connections_max: usize) -> ConnectionTable {
+        ConnectionTable { connections_max, records: Mutex::default(), left: Notify::new() }
+    }
+
+    /// Returns the number of connections.
+    pub fn len(&self) -> usize {
+        self.records.lock().connections.len()
+    }
+
+    /// Returns whether there are no connections.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Adds a connection. If there are too many, closes one that is idle or unfinished; returns none if all are in use.
+    pub async fn admit(self: &Arc<Self>, address: IpAddr) -> Option<ConnectionGuard> {
+        let until = Instant::now() + ADMIT_TIMEOUT;
+        loop {
+            let left = self.left.notified();
+            tokio::pin!(left);
+            left.as_mut().enable();
+            if let Some(guard) = self.try_add(address) {
+                return Some(guard);
+            }
+            self.close_one();
+            if tokio::time::timeout_at(until, left).await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    /// Closes the connection with the least claim and waits until a connection has closed; returns whether one has.
+    pub async fn close_one_and_wait(&self, until: Instant) -> bool {
+        let left = self.left.notified();
+        tokio::pin!(left);
+        left.as_mut().enable();
+        self.close_one() && tokio::time::timeout_at(until, left).await.is_ok()
+    }
+
+    fn try_add(self: &Arc<Self>, address: IpAddr) -> Option<ConnectionGuard> {
+        let mut records = self.records.lock();
+        if records.connections.len() >= self.connections_max {
+            return None;
+        }
+        records.next_id += 1;
+        let id = records.next_id;
+        let connection = Arc::new(CallerConnection::new(address));
+        records.connections.insert(id, connection.clone());
+        Some(ConnectionGuard { table: self.clone(), id, connection })
+    }
+
+    /// Closes the connection with the least claim, unless one is closing already; returns whether one is.
+    pub fn close_one(&self) -> bool {
+        let records = self.records.lock();
+        let connections = &records.connections;
+        if connections.values().any(|it| it.is_closing()) {
+            return true;
+        }
+        let now_ms = monotonic_ms();
+        let claims: Vec<(Claim, &Arc<CallerConnection>)> =
+            connections.values().filter_map(|it| Some((claim(it, now_ms)?, it))).collect();
+        let Some(least) = claims.iter().map(|it| it.0).min() else {
+            return false;
+        };
+        let mut counts: BTreeMap<IpAddr, usize> = BTreeMap::new();
+        for (_, connection) in claims.iter().filter(|it| it.0 == least) {
+            *counts.entry(connection.address).or_default() += 1;
+        }
+        // Of the address with the most such connections, the one that has been so for longest.
+        // The last of equals is taken, so the order is reversed.
+        let of_least = claims.iter().rev().filter(|it| it.0 == least).map(|it| it.1);
+        let victim = of_least.max_by_key(|it| (counts[&it.address], u64::MAX - it.since_ms()));
+        if let Some(victim) = victim {
+            victim.close(CloseCause::Crowded);
+        }
+        victim.is_some()
+    }
+
+    /// Closes the connection whose client has not read for longest, if that is long.
+    pub fn close_unread(&self) {
+        let records = self.records.lock();
+        let now_ms = monotonic_ms();
+        let unread = records.connections.values().filter(|it| !it.is_closing());
+        let unread = unread.filter_map(|it| Some((it.unread_ms(now_ms)?, it)));
+        let longest = unread.max_by_key(|it| it.0).filter(|it| it.0 >= UNFINISHED_MS);
+        if let Some((_, connection)) = longest {
+            connection.close(CloseCause::Unread);
+        }
+    }
+}
+
+/// Returns the claim of a connection to stay; none if it must.
+fn claim(connection: &CallerConnection, now_ms: u64) -> Option<Claim> {
+    let age_ms = now_ms.saturating_sub(connection.since_ms());
+    let is_unread = connection.unread_ms(now_ms).is_some_and(|it| it >= UNFINISHED_MS);
+    match connection.phase() {
+        Phase::Opened | Phase::Head => Some(Claim::Headless),
+        Phase::Body if age_ms >= UNFINISHED_MS => Some(Claim::SlowBody),
+        _ if is_unread => Some(Claim::Unread),
+        Phase::Idle => Some(Claim::Idle),
+        Phase::Body | Phase::Serving => None,
+    }
+}
+
+/// Keeps a connection in its table.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    table: Arc<ConnectionTable>,
+    id: u64,
+    connection: Arc<CallerConnection>,
+}
+
+impl ConnectionGuard {
+    /// Returns the state of the connection.
+    pub fn connection(&self) -> &Arc<CallerConnection> {
+        &self.connection
+    }
+
+    /// Returns the number of connections in the table.
+    pub fn connections(&self) -> usize {
+        self.table.len()
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.table.records.lock().connections.remove(&self.id);
+        self.table.left.notify_waiters();
+    }
+}
--- a/crates/bilberryloft-relay/src/pool.rs
+++ b/crates/bilberryloft-relay/src/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of idle connections to targets.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::HeaderMap;
@@ -22,15 +23,34 @@
 struct IdleConnection {
     connection: Connection,
     until: Instant,
+    _mark: Arc<()>,
 }
 
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: Mutex<BTreeMap<String, Vec<IdleConnection>>>,
+    /// Each idle connection holds a reference, by which they are counted.
+    idle_mark: Arc<()>,
 }
 
 impl Pool {
+    /// Returns the number of idle connections.
+    pub fn idle_count(&self) -> usize {
+        // One of the references is the pool's own.
+        Arc::strong_count(&self.idle_mark) - 1
+    }
+
+    /// Closes the idle connection that expires first; returns whether there was one.
+    pub fn close_first_idle(&self) -> bool {
+        let mut idle = self.idle.lock();
+        // The first connection to each address is the one that was given back first.
+        let first = idle.iter().filter_map(|(address, it)| Some((it.first()?.until, address)));
+        let address = first.min_by_key(|it| it.0).map(|it| it.1.clone());
+        let connections = address.and_then(|it| idle.get_mut(&it));
+        connections.map(|it| it.remove(0)).is_some()
+    }
+
     /// Takes the most recently used connection that is still usable.
     pub fn take(&self, address: &str) -> Option<Connection> {
         let mut idle = self.idle.lock();
@@ -54,7 +74,8 @@
         let mut idle = self.idle.lock();
         let connections = idle.entry(address.to_string()).or_default();
         if connections.len() < IDLE_MAX {
-            connections.push(IdleConnection { connection, until: Instant::now() + kept });
+            let (until, mark) = (Instant::now() + kept, self.idle_mark.clone());
+            connections.push(IdleConnection { connection, until, _mark: mark });
         }
     }
 
--- a/crates/bilberryloft-relay/src/ranks/agent.rs
+++ b/crates/bilberryloft-relay/src/ranks/agent.rs
@@ -19,11 +19,13 @@
 
 use crate::dialect::Dialect;
 use crate::dialect::RankOrder;
+use crate::memory::Memory;
 use crate::pool::Pool;
 use crate::ranks::choices::Readings;
 use crate::ranks::map_codec;
 use crate::ranks::state::RankChoices;
 use crate::ranks::state::to_wire;
+use crate::settings::ProcessLimits;
 use crate::target_call;
 
 /// Timeout for one read from the target.
@@ -40,6 +42,8 @@
     pub daemon: String,
     /// Address on which the agent takes the planner's calls.
     pub listen_address: SocketAddr,
+    /// Limits of the host on the process.
+    pub process_limits: ProcessLimits,
 }
 
 /// A running agent, which stops on drop.
@@ -68,7 +72,10 @@
             readings: Mutex::default(),
         });
         let address = settings.listen_address.to_string();
-        let server = Server::bind(&address, &settings.daemon, epoch_ms(), None, service).await?;
+        let limits = Memory::new(&settings.process_limits).peer_limits();
+        let (daemon, incarnation) = (&settings.daemon, epoch_ms());
+        let server =
+            Server::bind_within(&address, daemon, incarnation, None, service, limits).await?;
         Ok(RankAgent { _server: server })
     }
 }
--- a/crates/bilberryloft-relay/src/readiness.rs
+++ b/crates/bilberryloft-relay/src/readiness.rs
@@ -4,30 +4,45 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use axum::Router;
-use axum::http::StatusCode;
-use axum::routing::get;
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
-use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
-use tokio::net::TcpListener;
+use http_body_util::Empty;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
 
+use crate::memory::serve::accept;
+use crate::memory::serve::listen;
 use crate::state::RelayState;
 
 /// Serves the readiness endpoint at the configured address.
 pub async fn serve_readiness(state: Arc<RelayState>) -> Result<()> {
     let address = state.settings.ready_address.clone();
-    let listener =
-        TcpListener::bind(&address).await.map_err(|it| Error::network("listen", &address, it))?;
-    let path = state.dialect.readiness_path();
+    let listener = listen(&address, &state.memory).await?;
     let was_ready = Arc::new(AtomicBool::new(false));
-    let router = Router::new().route(path, get(move || answer(state.clone(), was_ready.clone())));
-    tokio::spawn(async move { axum::serve(listener, router).await });
+    let (table, served) = (state.memory.balancers.clone(), state.clone());
+    let serve = move |request: Request<Incoming>, _| {
+        let (state, was_ready) = (served.clone(), was_ready.clone());
+        async move {
+            let is_known = request.uri().path() == state.dialect.readiness_path();
+            let status = match *request.method() {
+                Method::GET | Method::HEAD if is_known => status(&state, &was_ready),
+                _ if is_known => StatusCode::METHOD_NOT_ALLOWED,
+                _ => StatusCode::NOT_FOUND,
+            };
+            let mut answer = Response::new(Empty::new());
+            *answer.status_mut() = status;
+            answer
+        }
+    };
+    tokio::spawn(accept(listener, state, table, serve));
     Ok(())
 }
 
-async fn answer(state: Arc<RelayState>, was_ready: Arc<AtomicBool>) -> StatusCode {
+fn status(state: &RelayState, was_ready: &AtomicBool) -> StatusCode {
     let is_ready = state.is_ready();
     if was_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
         let (version, stopping) = (state.routes().version(), state.lifecycle.is_stopping());
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -14,6 +14,8 @@
 use crate::dialect::Dialect;
 use crate::expert_planner::spawn_planner;
 use crate::loads::spawn_load_exchange;
+use crate::memory::Memory;
+use crate::memory::spawn_upkeep;
 use crate::readiness::serve_readiness;
 use crate::server::CallerServer;
 use crate::server::Stage;
@@ -41,8 +43,10 @@
 impl Relay {
     /// Starts the daemon and the relay; returns once all listeners are bound.
     pub fn spawn(settings: ProgramSettings, dialect: Arc<dyn Dialect>) -> Result<Relay> {
-        let daemon = Daemon::spawn(settings.daemon)?;
-        let state = Arc::new(RelayState::new(daemon.shared().clone(), settings.relay, dialect));
+        let memory = Arc::new(Memory::new(&settings.relay.process_limits));
+        let daemon = Daemon::spawn_within(settings.daemon, memory.peer_limits())?;
+        let state = RelayState::new(daemon.shared().clone(), settings.relay, dialect, memory);
+        let state = Arc::new(state);
         let traffic = daemon
             .traffic()
             .ok_or(Error::Closed { step: "start", peer: "the traffic threads".to_string() })?;
@@ -82,6 +86,7 @@
 async fn start(state: Arc<RelayState>) -> Result<CallerServer> {
     spawn_refresh(state.clone());
     spawn_sweep(state.clone());
+    spawn_upkeep(state.memory.clone(), state.daemon.clone());
     spawn_run_reports(state.suspects.clone());
     spawn_load_exchange(state.clone()).await?;
     serve_control_api(state.clone()).await?;
--- a/crates/bilberryloft-relay/src/request.rs
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -8,24 +8,26 @@
 use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_routing::routes::pick_share;
 use bilberryloft_state::key::digest;
+use bilberryloft_transport::account::Holder;
+use bilberryloft_transport::account::Purpose;
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header;
 use tokio::time::Instant;
 
 use crate::answer::Refusal;
-use crate::dialect::Dialect;
 use crate::dialect::HeaderNames;
 use crate::dialect::TokenCounts;
 use crate::headers;
+use crate::memory::body::BodyLimits;
+use crate::memory::caller_connection::CallerConnection;
+use crate::memory::report::BodyFault;
 use crate::prompt_part::PromptPart;
 use crate::prompt_part::shared_parts;
+use crate::state::RelayState;
 
 /// Smallest remaining time that is sent to a target, in milliseconds.
 const TIME_LEFT_MIN_MS: u64 = 1;
@@ -79,11 +81,13 @@
 
 /// Reads a request and checks it; a refusal is to be sent to the caller.
 pub async fn read(
+    state: &RelayState,
     request: Request<Incoming>,
     routes: &RouteTable,
-    dialect: &dyn Dialect,
+    caller_connection: &CallerConnection,
     arrived: Instant,
 ) -> Result<RelayRequest, Refusal> {
+    let dialect = state.dialect.as_ref();
     if routes.version() == 0 {
         return Err(Refusal::NoDocument);
     }
@@ -100,19 +104,26 @@
         Caller::Team(team) => Some(team),
         Caller::Unknown => return Err(Refusal::UnknownKey),
     };
-    let body = read_body(body, routes.limits().body_bytes_max).await?;
     let names = dialect.headers();
     let wait_ms = headers::text(&parts.headers, &names.time_left).and_then(|it| it.parse().ok());
     let wait_ms = wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let deadline = arrived + Duration::from_millis(wait_ms);
+    let team_name = team.map_or("", |it| it.name.as_str());
+    let limits = BodyLimits {
+        bytes_max: routes.limits().body_bytes_max,
+        deadline,
+        purpose: Purpose::Body,
+        holder: Holder { address: caller_connection.address, name: team_name.to_string() },
+    };
+    let body = read_body(state, body, limits).await?;
     let service = pick_share(route, fastrand::f64()).ok_or(Refusal::NoTarget)?;
     let prompt_parts = headers::text(&parts.headers, &names.prompt_parts).unwrap_or_default();
     let shared_parts = shared_parts(prompt_parts, service, dialect);
     let target_path = parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_string();
-    let team_name = team.map_or("", |it| it.name.as_str());
     Ok(RelayRequest {
         id: headers::text(&parts.headers, &names.request_id).unwrap_or_default().to_string(),
         arrived,
-        deadline: arrived + Duration::from_millis(wait_ms),
+        deadline,
         service: service.to_string(),
         team: team.map(|it| it.name.clone()),
         priority: team.and_then(|it| it.priority).unwrap_or(route.priority).min(9),
@@ -150,13 +161,16 @@
     given_scheme.eq_ignore_ascii_case(scheme).then(|| key.trim())
 }
 
-async fn read_body(body: Incoming, bytes_max: usize) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > bytes_max as u64 {
-        return Err(Refusal::TooLarge);
-    }
-    match Limited::new(body, bytes_max).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        Err(_) => Err(Refusal::BadBody),
-    }
+async fn read_body(
+    state: &RelayState,
+    body: Incoming,
+    limits: BodyLimits,
+) -> Result<Bytes, Refusal> {
+    state.memory.read_body(body, limits).await.map_err(|fault| match fault {
+        BodyFault::TooLarge => Refusal::TooLarge,
+        BodyFault::Broken => Refusal::BadBody,
+        BodyFault::Late => Refusal::BodyLate,
+        BodyFault::Dropped => Refusal::BodyDropped,
+        BodyFault::NoRoom => Refusal::MemoryShort,
+    })
 }
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -9,6 +9,7 @@
 use bilberryloft_routing::selection::PickedTarget;
 use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_routing::targets::AttemptOutcome;
+use bilberryloft_transport::account::Purpose;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Response;
@@ -316,7 +317,9 @@
     }
     let Answered { response, connection, address } = *answered;
     let (parts, body) = response.into_parts();
-    match connection.read_body(body, BUFFERED_ANSWER_BYTES_MAX).await {
+    let reservation = state.memory.open(Purpose::Answer);
+    let (bytes_max, deadline) = (BUFFERED_ANSWER_BYTES_MAX, request.deadline);
+    match connection.read_held_body(body, bytes_max, reservation, deadline).await {
         Ok(bytes) => {
             state.pool.give_back(&address, connection, &parts.headers);
             let body = AnswerContent::Buffered(bytes);
--- a/crates/bilberryloft-relay/src/server.rs
+++ b/crates/bilberryloft-relay/src/server.rs
@@ -1,32 +1,26 @@
 //! HTTP server for callers.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::answer::AnswerBody;
 use crate::forward;
+use crate::memory::connection_table::ConnectionGuard;
+use crate::memory::serve::admit;
+use crate::memory::serve::listen;
+use crate::memory::serve::serve_connection;
 use crate::state::RelayState;
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Size of the read buffer beyond the document's limit on request heads, in bytes.
-const HEAD_BYTES_SPARE: usize = 16 << 10;
-
 /// Stage of the server's shutdown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -48,9 +42,7 @@
     /// Starts a server that listens on the configured address.
     pub async fn bind(state: Arc<RelayState>) -> Result<CallerServer> {
         let address = state.settings.caller_address.clone();
-        let listener = TcpListener::bind(&address)
-            .await
-            .map_err(|it| Error::network("listen", &address, it))?;
+        let listener = listen(&address, &state.memory).await?;
         let (stage, stages) = watch::channel(Stage::Serving);
         tokio::spawn(accept(listener, state, stages));
         Ok(CallerServer { stage })
@@ -69,8 +61,14 @@
             () = wait_for_stage(&mut stages, Stage::Closed) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(stream, state.clone(), stages.clone()));
+            Ok((stream, client)) => {
+                let memory = &state.memory;
+                let open = state.lifecycle.open_requests();
+                memory.make_connection_room(&state.pool, open, 1).await;
+                if let Some((stream, guard)) = admit(stream, client, &memory.callers, memory).await
+                {
+                    tokio::spawn(serve(stream, guard, state.clone(), stages.clone()));
+                }
             }
             Err(error) => {
                 tracing::warn!(%error, "failed to accept a caller's connection");
@@ -80,43 +78,31 @@
     }
 }
 
-async fn serve(stream: TcpStream, state: Arc<RelayState>, mut stages: watch::Receiver<Stage>) {
+async fn serve(
+    stream: TcpStream,
+    guard: ConnectionGuard,
+    state: Arc<RelayState>,
+    mut stages: watch::Receiver<Stage>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "failed to set up a caller's connection, closing it");
         return;
     }
     let limits = state.routes().limits();
     let requests = stages.clone();
-    let service = service_fn(move |request: hyper::Request<Incoming>| {
-        let (state, stages) = (state.clone(), requests.clone());
+    let served = state.clone();
+    let answer = move |request, caller| {
+        let (state, stages) = (served.clone(), requests.clone());
         async move {
-            let mut answer = forward::serve(state, request).await;
+            let mut answer = forward::serve(state, request, caller).await;
             if *stages.borrow() != Stage::Serving {
                 set_connection_close(&mut answer);
             }
-            Ok::<Response<AnswerBody>, Infallible>(answer)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-        .max_buf_size(limits.header_bytes_max + HEAD_BYTES_SPARE)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => Some(ended),
-        () = wait_for_stage(&mut stages, Stage::Closed) => None,
-    };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            answer
         }
     };
-    if let Err(error) = ended {
-        tracing::debug!(%error, "a caller's connection ended with an error");
-    }
+    let closing = wait_for_stage(&mut stages, Stage::Closed);
+    serve_connection(stream, guard, &state.memory, &limits, answer, closing).await;
 }
 
 /// Waits until the server reaches a stage.
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -27,6 +27,7 @@
 use crate::entries::Entries;
 use crate::lifecycle::Lifecycle;
 use crate::limits::LimitTracker;
+use crate::memory::Memory;
 use crate::pool::Pool;
 use crate::request::RelayRequest;
 use crate::retries::Retries;
@@ -74,6 +75,8 @@
     pub limits: LimitTracker,
     /// Retry budgets of this entry.
     pub retries: Retries,
+    /// Memory and connections that clients make this process hold.
+    pub memory: Arc<Memory>,
     /// Open requests and shutdown.
     pub lifecycle: Arc<Lifecycle>,
     routes: RwLock<Arc<RouteTable>>,
@@ -85,6 +88,7 @@
         daemon: Arc<Shared>,
         settings: RelaySettings,
         dialect: Arc<dyn Dialect>,
+        memory: Arc<Memory>,
     ) -> RelayState {
         let limits = BudgetLimits {
             window_ms: settings.retry_window_ms,
@@ -108,6 +112,7 @@
             entries,
             limits,
             retries,
+            memory,
             lifecycle: Arc::default(),
             routes: RwLock::default(),
         }
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -9,6 +9,9 @@
 use bilberryloft_routing::event_stream::StreamFault;
 use bilberryloft_routing::retry_budget::RetryPurpose;
 use bilberryloft_routing::targets::AttemptOutcome;
+use bilberryloft_transport::account::Purpose;
+use bilberryloft_transport::account::Shortage;
+use bilberryloft_transport::held_bytes::HeldBytes;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http_body_util::BodyExt;
@@ -288,12 +291,24 @@
         self.last_event = Instant::now();
         self.bytes_sent += events.len();
         self.state.daemon.metrics.pieces.inc();
-        match self.frames.send(Ok(Frame::data(Bytes::from(events)))).await {
+        // Reserved before the frame is queued, so that callers who don't read hold up their own targets.
+        let Ok(held) = self.hold(&events).await else {
+            return Some(BodyEnd::Timeout);
+        };
+        match self.frames.send(Ok(Frame::data(held))).await {
             Ok(()) => None,
             Err(_) => Some(BodyEnd::CallerLeft),
         }
     }
 
+    /// Holds events in the account until their caller has taken them.
+    async fn hold(&self, events: &[u8]) -> Result<Bytes, Shortage> {
+        let reservation = self.state.memory.open(Purpose::Stream);
+        let mut held = HeldBytes::new(reservation, events.len());
+        held.push(events, self.request.deadline).await?;
+        Ok(held.into_bytes())
+    }
+
     fn take_retry(&self) -> bool {
         self.state.retries.take(&self.request.service, RetryPurpose::Request, &self.request.id)
     }
