Evacuated services are refused as such even while their group is down

A request to a service with evacuated targets only was refused as group_down, and took the group's probe, if the group was down. The evacuation is asked first.

--- a/crates/bilberryloft-relay/src/admission.rs
+++ b/crates/bilberryloft-relay/src/admission.rs
@@ -43,12 +43,12 @@
     request: &RelayRequest,
 ) -> Result<TargetSlot, Refusal> {
     let service = request.service.as_str();
-    if !state.services.may_send(service) {
-        return Err(Refusal::GroupDown);
-    }
     if state.services.is_evacuated(service) {
         return Err(Refusal::Evacuated);
     }
+    if !state.services.may_send(service) {
+        return Err(Refusal::GroupDown);
+    }
     if let Some(wait_ms) = state.services.rest_wait_ms(service) {
         return Err(refuse_resting(wait_ms));
     }
