bilberryctl config check: a configuration is checked before it is sent

Operators saw mistakes that the control API accepts (a route that another one shadows, a team without keys, an objective over the timeout) only once they were in force.

Change: `bilberryctl config check FILE [--against ADDRESS|FILE] [--memory-mb N]` decodes and checks by the code of the control API (platform's config::decode, Document::checked), finds what can't be meant (routing/src/document_check), and lists the differences by name, with keys only counted. bilberryctl depends on the platform crate for the format of the file.

Measured: 11 tests in routing/tests/document_check.rs, one for each finding, and 4 in bilberryctl/tests/config_check.rs pass, the last against a stand-in for an entry.

--- a/crates/bilberryctl/src/client.rs
+++ b/crates/bilberryctl/src/client.rs
@@ -45,6 +45,18 @@
         }
     }
 
+    /// Fetches a path and returns the body; any status but 200 is an error.
+    pub fn get_bytes(&self, path: &str) -> Result<Bytes, Failure> {
+        match self.send(Method::GET, path, Bytes::new())? {
+            (200, body) => Ok(body),
+            (status, body) => Err(Failure::Daemon(format!(
+                "{} responded with status {status}: {}",
+                self.admin,
+                error_text(&body)
+            ))),
+        }
+    }
+
     /// Posts a value as JSON; returns the status and the body of the response, whatever the status is.
     pub fn post<T: Serialize>(&self, path: &str, value: &T) -> Result<(u16, Bytes), Failure> {
         let body = serde_json::to_vec(value).map_err(|it| Failure::Invalid(it.to_string()))?;
--- a/crates/bilberryctl/src/commands/config.rs
+++ b/crates/bilberryctl/src/commands/config.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::client::AdminClient;
+use crate::commands::config_check::ConfigCheck;
 use crate::failure::Failure;
 use crate::table::print_json;
 use crate::table::print_table;
@@ -24,6 +25,8 @@
     },
     /// Shows which version each daemon has in force.
     Status,
+    /// Checks a routing configuration before it is sent: whether the control API would reject it, and what can't be meant.
+    Check(ConfigCheck),
 }
 
 impl ConfigCommand {
@@ -33,6 +36,7 @@
             ConfigCommand::History => history(client, json),
             ConfigCommand::Diff { from, to } => diff(client, from, to),
             ConfigCommand::Status => status(client, json),
+            ConfigCommand::Check(check) => check.run(json),
         }
     }
 }
--- a/crates/bilberryctl/src/commands/mod.rs
+++ b/crates/bilberryctl/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one per file.
 
 pub mod config;
+pub mod config_check;
 pub mod data;
 pub mod explain;
 pub mod members;
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -18,6 +18,7 @@
 use bilberryloft_daemon::view_sync::confirmation_request;
 use bilberryloft_protocol::wire;
 use bilberryloft_protocol::wire::Body;
+use bilberryloft_routing::document::Document;
 use bilberryloft_routing::targets::TargetInfo;
 use bilberryloft_state::document::DocumentPatch;
 use bilberryloft_state::document::StoredDocument;
@@ -75,10 +76,8 @@
 }
 
 async fn put_document(state: &RelayState, body: &Bytes) -> Response {
-    let document = match state.dialect.decode_document(body).and_then(|it| {
-        it.check()?;
-        Ok(it)
-    }) {
+    let decoded = state.dialect.decode_document(body);
+    let document = match decoded.and_then(Document::checked) {
         Ok(document) => document,
         Err(fault) => {
             log_event!(warn, Event::DocumentDecided, outcome = "invalid", %fault);
--- a/crates/bilberryloft-routing/src/document.rs
+++ b/crates/bilberryloft-routing/src/document.rs
@@ -259,6 +259,12 @@
 }
 
 impl Document {
+    /// Returns the document if it is valid, and otherwise the first error found.
+    pub fn checked(self) -> Result<Document, DocumentError> {
+        self.check()?;
+        Ok(self)
+    }
+
     /// Validates the document; returns the first error found.
     pub fn check(&self) -> Result<(), DocumentError> {
         let mut services = BTreeSet::new();
--- a/crates/bilberryloft-routing/src/lib.rs
+++ b/crates/bilberryloft-routing/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod batch_limit;
 pub mod document;
+pub mod document_check;
 pub mod event_stream;
 pub mod failing;
 pub mod group_health;
