--- a/crates/bilberryloft-relay/src/room/mod.rs
+++ b/crates/bilberryloft-relay/src/room/mod.rs
@@ -10,12 +10,12 @@
 use bilberryloft_daemon::events::Event;
 use bilberryloft_daemon::log_event;
 use bilberryloft_daemon::metrics::Metrics;
-use bilberryloft_routing::document::Engine;
 use bilberryloft_routing::load_exchange::ReportedDemand;
 use bilberryloft_routing::room::Applicant;
 use bilberryloft_routing::room::GroupLoad;
 use bilberryloft_routing::room::Inputs;
 use bilberryloft_routing::room::Room;
+use bilberryloft_routing::room::configuration::configurations;
 use bilberryloft_routing::room::demand::Demand;
 use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_transport::clock::monotonic_ms;
@@ -57,13 +57,6 @@
     metrics: Arc<Metrics>,
 }
 
-/// What of a document decides on admission to a group.
-struct RoomConfiguration {
-    service: String,
-    engine: Engine,
-    gap_objective_ms: f64,
-}
-
 impl Rooms {
     /// Creates a state without groups.
     pub fn new(metrics: Arc<Metrics>) -> Rooms {
@@ -213,19 +206,6 @@
     }
 }
 
-/// Returns the services with an engine whose routes have an objective for pauses and more than one priority.
-fn configurations(routes: &RouteTable) -> Vec<RoomConfiguration> {
-    let with_engine = routes.services().filter_map(|it| Some((it, it.engine?)));
-    let configurations = with_engine.filter_map(|(service, engine)| {
-        let of_service = || routes.routes_to(&service.name);
-        let priorities: BTreeSet<u8> = of_service().map(|it| it.priority).collect();
-        let gap_objective_ms = of_service().filter_map(|it| it.gap_objective_ms).min()? as f64;
-        let service = service.name.clone();
-        (priorities.len() > 1).then_some(RoomConfiguration { service, engine, gap_objective_ms })
-    });
-    configurations.collect()
-}
-
 /// Returns what of a request decides on its admission. Its caller may have tried before, which shows in the time that it
 /// has left.
 fn applicant(request: &RelayRequest) -> Applicant {
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -41,7 +41,7 @@
     shared_parts: Arc<[PromptPart]>,
     picked: Box<PickedTarget>,
     /// Counts the request as running, if its service is admitted by priority.
-    room_run: Option<RoomRun>,
+    room_run: Option<Box<RoomRun>>,
     started: Instant,
     has_head: AtomicBool,
     first_answer: OnceLock<Instant>,
@@ -76,7 +76,7 @@
             fingerprint: request.fingerprint,
             shared_parts: request.shared_parts.clone(),
             picked: Box::new(picked),
-            room_run: RoomRun::start(&services.rooms, request),
+            room_run: RoomRun::start(&services.rooms, request).map(Box::new),
             started: Instant::now(),
             has_head: AtomicBool::new(false),
             first_answer: OnceLock::new(),
@@ -116,7 +116,7 @@
     /// the request.
     pub fn record_answer(&self) {
         let first_answer = self.first_answer.get_or_init(|| {
-            self.room_run.iter().for_each(RoomRun::record_first_event);
+            self.room_run.iter().for_each(|it| it.record_first_event());
             Instant::now()
         });
         if first_answer.elapsed() >= SURVIVAL_TIME {
@@ -146,7 +146,7 @@
             AttemptOutcome::Success => {
                 self.record_survived();
                 self.record_survived_parts();
-                self.room_run.iter_mut().for_each(RoomRun::complete);
+                self.room_run.iter_mut().for_each(|it| it.complete());
             }
             AttemptOutcome::Failed => self.record_survived(),
             AttemptOutcome::Full
--- a/crates/bilberryloft-routing/src/room/bound.rs
+++ b/crates/bilberryloft-routing/src/room/bound.rs
@@ -24,10 +24,18 @@
 const RISE_SHARE_PER_S: f64 = 1.5;
 /// Share of the slots by which the proven bound rises in a second while ranks are loaded up to it.
 const PROVEN_RISE_SHARE_PER_S: f64 = 0.02;
+/// Share of the slots from which the proven bound starts.
+const PROVEN_START_SHARE: f64 = 0.8;
 /// Share of the objective from which a pass lowers the proven bound.
-const NEAR_SHARE: f64 = 0.9;
+const NEAR_SHARE: f64 = 0.87;
 /// Factor by which such a pass lowers it.
 const DECREASE: f64 = 0.95;
+/// Share of the slots below which a pass near the objective does not lower the proven bound. Passes that need a lower one
+/// are long for another reason as well.
+const PROVEN_FLOOR_SHARE: f64 = 0.6;
+/// Requests at each target by which the bound falls below what runs: what ends within some passes. A lower bound would
+/// reject requests without making passes shorter.
+const FALL_MAX: f64 = 1.0;
 /// Share of the window's pauses that may ask for a lower bound than the one in force, so that a single stream with a slow
 /// caller does not decide.
 const IGNORED_SHARE: f64 = 0.1;
@@ -65,7 +73,7 @@
             objective_ms,
             samples: VecDeque::new(),
             bound: FLOOR_SHARE * engine.slots as f64,
-            proven: engine.slots as f64,
+            proven: PROVEN_START_SHARE * engine.slots as f64,
             lowered_ms: 0,
             updated_ms: 0,
             left_out_ms: None,
@@ -110,6 +118,7 @@
                 let proven_rise = rise * PROVEN_RISE_SHARE_PER_S / RISE_SHARE_PER_S;
                 self.proven = (self.proven + proven_rise).min(self.slots());
                 self.lower_proven(mean_load, now_ms);
+                let allowed = allowed.max(mean_load - FALL_MAX).max(self.floor());
                 self.proven.min(allowed).min(self.bound + rise)
             }
             None if self.is_disturbed(now_ms) => self.bound,
@@ -122,9 +131,13 @@
     fn lower_proven(&mut self, mean_load: f64, now_ms: u64) {
         let near_ms = NEAR_SHARE * self.objective_ms;
         let is_near = self.long_pause_ms(now_ms).is_some_and(|it| it.0 > near_ms);
-        if is_near && self.lowered_ms + WINDOW_MS <= now_ms {
+        if is_near
+            && mean_load >= FULL_SHARE * self.slots()
+            && self.lowered_ms + WINDOW_MS <= now_ms
+        {
             self.lowered_ms = now_ms;
-            self.proven = (self.proven.min(mean_load) * DECREASE).max(self.floor());
+            self.proven =
+                (self.proven.min(mean_load) * DECREASE).max(PROVEN_FLOOR_SHARE * self.slots());
         }
     }
 
--- a/crates/bilberryloft-routing/src/room/mod.rs
+++ b/crates/bilberryloft-routing/src/room/mod.rs
@@ -7,6 +7,7 @@
 //! moment late and would fill it together.
 
 pub mod bound;
+pub mod configuration;
 pub mod demand;
 mod pace;
 mod queue;
@@ -301,7 +302,7 @@
             self.rate_left_per_ms(rank, now_ms) / self.group.entries.max(1) as f64;
         let interval_ms = 1.0 / own_rate_per_ms.max(1e-3);
         self.next_return_ms.insert(rank, return_ms + interval_ms);
-        (return_ms - now + interval_ms * draw()) as u64
+        (return_ms - now + interval_ms * draw()).ceil() as u64
     }
 
     /// Returns the order of a request among the others.
