--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -43,7 +43,7 @@
     shared_parts: Arc<[PromptPart]>,
     picked: Box<PickedTarget>,
     /// Counts the request as running, if its service is admitted by priority.
-    room_run: Option<RoomRun>,
+    room_run: Option<Box<RoomRun>>,
     started: Instant,
     has_head: AtomicBool,
     first_answer: OnceLock<Instant>,
@@ -96,7 +96,7 @@
             request_bytes: request.body.len(),
             shared_parts: request.shared_parts.clone(),
             picked: Box::new(picked),
-            room_run: RoomRun::start(&services.rooms, request),
+            room_run: RoomRun::start(&services.rooms, request).map(Box::new),
             started: Instant::now(),
             has_head: AtomicBool::new(false),
             first_answer: OnceLock::new(),
@@ -136,7 +136,7 @@
     /// the request.
     pub fn record_answer(&self) {
         let first_answer = self.first_answer.get_or_init(|| {
-            self.room_run.iter().for_each(RoomRun::record_first_event);
+            self.room_run.iter().for_each(|it| it.record_first_event());
             Instant::now()
         });
         if first_answer.elapsed() >= SURVIVAL_TIME {
@@ -166,7 +166,7 @@
             AttemptOutcome::Success => {
                 self.record_survived();
                 self.record_survived_parts();
-                self.room_run.iter_mut().for_each(RoomRun::complete);
+                self.room_run.iter_mut().for_each(|it| it.complete());
             }
             AttemptOutcome::Failed => self.record_survived(),
             AttemptOutcome::Full
