Connections are read before they are closed; load reports of made-up entries are bounded

A process that was stalled read what had arrived only after its timeouts had closed the connections. Now a connection is read first. A new connection that finds none that can give way is told so at once (503) and does not wait, so that unread bytes don't pile up in the backlog. Load reports are kept of at most 1,024 entries.

--- a/crates/bilberryloft-relay/src/memory/connection_table.rs
+++ b/crates/bilberryloft-relay/src/memory/connection_table.rs
@@ -73,8 +73,8 @@
             if let Some(guard) = self.try_add(address) {
                 return Some(guard);
             }
-            self.close_one();
-            if tokio::time::timeout_at(until, left).await.is_err() {
+            // Without one that can close, the client is told at once.
+            if !self.close_one() || tokio::time::timeout_at(until, left).await.is_err() {
                 return None;
             }
         }
--- a/crates/bilberryloft-relay/src/memory/serve.rs
+++ b/crates/bilberryloft-relay/src/memory/serve.rs
@@ -136,15 +136,12 @@
         .header_read_timeout(None)
         .max_buf_size(limits.header_bytes_max + HEAD_BYTES_SPARE)
         .serve_connection(TokioIo::new(WatchedStream::new(stream, connection.clone())), service);
-    let timeouts = ConnectionTimeouts {
-        head: Duration::from_millis(limits.header_timeout_ms),
-        idle: Duration::from_millis(limits.idle_timeout_ms),
-    };
-    let interval = (timeouts.head / 4).clamp(CHECK_INTERVAL_MIN, CHECK_INTERVAL_MAX);
     tokio::pin!(http, closing);
     let mut is_closing = false;
     let cause = loop {
         tokio::select! {
+            // What has arrived is read first, so that a process that was stalled closes nothing that is in use.
+            biased;
             ended = http.as_mut() => {
                 if let Err(error) = ended {
                     tracing::debug!(%error, "a client's connection ended with an error");
@@ -155,14 +152,27 @@
                 is_closing = true;
                 http.as_mut().graceful_shutdown();
             }
-            cause = connection.wait_for_close() => break cause,
-            () = tokio::time::sleep(interval) => {
-                if let Some(cause) = connection.overdue(&timeouts) {
-                    break cause;
-                }
-            }
+            cause = wait_for_end(&connection, limits) => break cause,
         }
     };
     let client = connection.address.to_string();
     memory.report.record_closed(cause, &client, guard.connections());
 }
+
+/// Waits until a connection outlives its timeouts or has to give way.
+async fn wait_for_end(connection: &CallerConnection, limits: &Limits) -> CloseCause {
+    let timeouts = ConnectionTimeouts {
+        head: Duration::from_millis(limits.header_timeout_ms),
+        idle: Duration::from_millis(limits.idle_timeout_ms),
+    };
+    let interval = (timeouts.head / 4).clamp(CHECK_INTERVAL_MIN, CHECK_INTERVAL_MAX);
+    loop {
+        tokio::select! {
+            cause = connection.wait_for_close() => return cause,
+            () = tokio::time::sleep(interval) => {}
+        }
+        if let Some(cause) = connection.overdue(&timeouts) {
+            return cause;
+        }
+    }
+}
--- a/crates/bilberryloft-relay/src/request.rs
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bilberryloft_routing::document::Route;
+use bilberryloft_routing::document::TeamKeys;
 use bilberryloft_routing::routes::Caller;
 use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_routing::routes::pick_share;
@@ -16,6 +17,7 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header;
+use hyper::http::request::Parts;
 use tokio::time::Instant;
 
 use crate::answer::Refusal;
@@ -92,29 +94,18 @@
         return Err(Refusal::NoDocument);
     }
     let (parts, body) = request.into_parts();
-    let host = match parts.uri.host() {
-        Some(host) => host,
-        None => headers::text(&parts.headers, &header::HOST).unwrap_or_default(),
-    };
+    let host = host(&parts);
     let route = routes.find(host, parts.uri.path()).ok_or(Refusal::NoRoute)?;
     let key = authorization_key(&parts.headers, dialect.authorization_scheme());
-    let caller = if route.is_public { Caller::Anonymous } else { routes.caller(key) };
-    let team = match caller {
-        Caller::Anonymous => None,
-        Caller::Team(team) => Some(team),
-        Caller::Unknown => return Err(Refusal::UnknownKey),
-    };
+    let team = find_team(route, routes, key)?;
     let names = dialect.headers();
     let wait_ms = headers::text(&parts.headers, &names.time_left).and_then(|it| it.parse().ok());
     let wait_ms = wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = arrived + Duration::from_millis(wait_ms);
     let team_name = team.map_or("", |it| it.name.as_str());
-    let limits = BodyLimits {
-        bytes_max: routes.limits().body_bytes_max,
-        deadline,
-        purpose: Purpose::Body,
-        holder: Holder { address: caller_connection.address, name: team_name.to_string() },
-    };
+    let holder = Holder { address: caller_connection.address, name: team_name.to_string() };
+    let bytes_max = routes.limits().body_bytes_max;
+    let limits = BodyLimits { bytes_max, deadline, purpose: Purpose::Body, holder };
     let body = read_body(state, body, limits).await?;
     let service = pick_share(route, fastrand::f64()).ok_or(Refusal::NoTarget)?;
     let prompt_parts = headers::text(&parts.headers, &names.prompt_parts).unwrap_or_default();
@@ -140,6 +131,27 @@
     })
 }
 
+fn host(parts: &Parts) -> &str {
+    match parts.uri.host() {
+        Some(host) => host,
+        None => headers::text(&parts.headers, &header::HOST).unwrap_or_default(),
+    }
+}
+
+/// Returns the team that a key belongs to; none on a public route.
+fn find_team<'a>(
+    route: &Route,
+    routes: &'a RouteTable,
+    key: Option<&str>,
+) -> Result<Option<&'a TeamKeys>, Refusal> {
+    let caller = if route.is_public { Caller::Anonymous } else { routes.caller(key) };
+    match caller {
+        Caller::Anonymous => Ok(None),
+        Caller::Team(team) => Ok(Some(team)),
+        Caller::Unknown => Err(Refusal::UnknownKey),
+    }
+}
+
 /// Returns a digest of what names the request (host, team, method, path) and of its body.
 fn fingerprint(names: [&str; 4], body: &[u8]) -> i64 {
     let names = names.map(str::as_bytes);
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -317,9 +317,8 @@
     }
     let Answered { response, connection, address } = *answered;
     let (parts, body) = response.into_parts();
-    let reservation = state.memory.open(Purpose::Answer);
-    let (bytes_max, deadline) = (BUFFERED_ANSWER_BYTES_MAX, request.deadline);
-    match connection.read_held_body(body, bytes_max, reservation, deadline).await {
+    let held = state.memory.open(Purpose::Answer);
+    match connection.read_held_body(body, BUFFERED_ANSWER_BYTES_MAX, held, request.deadline).await {
         Ok(bytes) => {
             state.pool.give_back(&address, connection, &parts.headers);
             let body = AnswerContent::Buffered(bytes);
@@ -327,15 +326,8 @@
         }
         Err(error) => {
             let detail = Some(error.to_string());
-            (
-                AttemptSummary {
-                    name: "cut",
-                    outcome: AttemptOutcome::Lost,
-                    did_run: DidRun::Unknown,
-                    detail,
-                },
-                None,
-            )
+            let (outcome, did_run) = (AttemptOutcome::Lost, DidRun::Unknown);
+            (AttemptSummary { name: "cut", outcome, did_run, detail }, None)
         }
     }
 }
--- a/crates/bilberryloft-routing/src/load_exchange/mod.rs
+++ b/crates/bilberryloft-routing/src/load_exchange/mod.rs
@@ -50,6 +50,9 @@
 /// Largest number of reports in one datagram.
 pub const DATAGRAM_REPORTS_MAX: usize = 64;
 
+/// Entries whose reports are kept, so that made-up names take no memory without end; the largest planned fleet has 320.
+pub const ENTRIES_MAX: usize = 1_024;
+
 /// Reports that are to be sent in one datagram.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Outgoing {
@@ -160,7 +163,7 @@
             .received
             .values()
             .any(|it| it.report.address == sender && it.received_ms + PEER_EXPIRY_MS > now_ms);
-        if !is_known {
+        if !is_known && self.newcomers.len() < ENTRIES_MAX {
             self.newcomers.insert(sender);
         }
         reports.into_iter().filter(|it| self.record(it, now_ms)).collect()
@@ -177,7 +180,8 @@
         });
         // An old report that still goes around must not bring an entry back that has ended.
         let is_repeated = before.is_some_and(|it| it.report.number == report.number);
-        if !is_news || is_repeated {
+        let is_beyond_bound = before.is_none() && self.received.len() >= ENTRIES_MAX;
+        if !is_news || is_repeated || is_beyond_bound {
             return false;
         }
         self.changes += 1;
--- a/crates/bilberryloft-routing/tests/load_exchange.rs
+++ b/crates/bilberryloft-routing/tests/load_exchange.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use bilberryloft_routing::load_exchange::ENTRIES_MAX;
 use bilberryloft_routing::load_exchange::EntryReport;
 use bilberryloft_routing::load_exchange::LoadExchange;
 use bilberryloft_routing::load_exchange::OwnEntry;
@@ -299,3 +300,24 @@
     let limit = &entry.reports["entry-54"].targets.limits["target"];
     assert!(heard_ms - observed_ms - limit.age_ms <= TICK_MS, "{limit:?}");
 }
+
+/// Guards against datagrams with ever new names of entries, each of which took memory for ten seconds.
+#[test]
+fn reports_of_entries_beyond_the_bound_are_ignored() {
+    let mut receiver = LoadExchange::new(own_entry(0));
+    let contacts = BTreeSet::from([address(0)]);
+    let mut kept = 0;
+    for idx in 1..=ENTRIES_MAX + 50 {
+        let mut sender = LoadExchange::new(own_entry(idx));
+        sender.set_own(ReportedTargets::default(), 0, 1_000);
+        let outgoing = sender.due(&contacts, 1_000, || 0.5);
+        let reports = outgoing.into_iter().flat_map(|it| it.reports).collect();
+        kept += receiver.receive(address(idx), reports, 1_000).len();
+    }
+    assert_eq!(kept, ENTRIES_MAX);
+}
+
+fn own_entry(idx: usize) -> OwnEntry {
+    let (entry, data_center) = (format!("entry-{idx}"), "hall-a".to_string());
+    OwnEntry { entry, data_center, address: address(idx), incarnation: 1 }
+}
