--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -114,10 +114,10 @@
     StreamBroken = 516,
     /// A stream ended normally.
     StreamEnded = 517,
-    /// A target sent events that don't follow those forwarded before; they were not forwarded.
-    EventsRejected = 519,
     /// A retry was taken out of the retry budget, or denied.
     RetryDecided = 518,
+    /// A target sent events that don't follow those forwarded before; they were not forwarded.
+    EventsRejected = 519,
     /// A document from an operator was accepted or refused.
     DocumentDecided = 520,
     /// A target's announcement was refused.
@@ -162,16 +162,24 @@
     ColdRefused = 556,
     /// This entry's share of the bound of cold targets, or its contact with the quorum, changed.
     ColdShareChanged = 557,
-    /// Requests of a service begin to be sent to far data centres.
-    AwayBegan = 580,
-    /// Requests of a service are no longer sent to far data centres.
-    AwayEnded = 581,
     /// The bound on the running requests of a group changed.
     RoomBoundChanged = 560,
     /// A request was rejected because its group has no room for its priority.
     RoomDecided = 561,
     /// Requests of a priority begin to be rejected, or are served again.
     PriorityOverloaded = 562,
+    /// A body was dropped or refused because memory is short.
+    MemoryShort = 570,
+    /// A body did not end by its deadline.
+    BodyLate = 571,
+    /// A client's connection was closed because it was slow, unread or needed by another client.
+    ConnectionClosed = 572,
+    /// A client was turned away because all connections were in use.
+    ConnectionsFull = 573,
+    /// Requests of a service begin to be sent to far data centres.
+    AwayBegan = 580,
+    /// Requests of a service are no longer sent to far data centres.
+    AwayEnded = 581,
 }
 
 impl Event {
@@ -182,7 +190,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 84] = [
+pub const EVENTS: [Event; 88] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -262,11 +270,15 @@
     Event::TargetsCold,
     Event::ColdRefused,
     Event::ColdShareChanged,
-    Event::AwayBegan,
-    Event::AwayEnded,
     Event::RoomBoundChanged,
     Event::RoomDecided,
     Event::PriorityOverloaded,
+    Event::MemoryShort,
+    Event::BodyLate,
+    Event::ConnectionClosed,
+    Event::ConnectionsFull,
+    Event::AwayBegan,
+    Event::AwayEnded,
 ];
 
 /// Logs an event at the given level with its number and fields.
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -65,6 +65,8 @@
     pub configuration_version: IntGauge,
     /// Admission to lock-step groups by priority.
     pub room: RoomMetrics,
+    /// Memory and connections that clients make the process hold.
+    pub memory: MemoryMetrics,
     quorum: QuorumGauges,
     refusals: RefusalCounters,
     log_lines_dropped: IntCounter,
@@ -203,6 +205,70 @@
     }
 }
 
+/// Memory and connections that clients make the process hold.
+#[derive(Debug)]
+pub struct MemoryMetrics {
+    total_bytes: IntGauge,
+    held_bytes: IntGaugeVec,
+    connections: IntGaugeVec,
+    refused: IntGaugeVec,
+    closed: IntGaugeVec,
+}
+
+impl MemoryMetrics {
+    fn register(new: &Registrar) -> prometheus::Result<MemoryMetrics> {
+        Ok(MemoryMetrics {
+            total_bytes: new
+                .gauge("bilberryloft_memory_bytes", "Memory that clients may make it hold.")?,
+            held_bytes: new.gauges(
+                "bilberryloft_memory_held_bytes",
+                "Memory that is held for clients.",
+                &["purpose"],
+            )?,
+            connections: new.gauges(
+                "bilberryloft_connections",
+                "Connections that clients have open.",
+                &["listener"],
+            )?,
+            refused: new.gauges(
+                "bilberryloft_bodies_refused",
+                "Bodies refused since the start.",
+                &["cause"],
+            )?,
+            closed: new.gauges(
+                "bilberryloft_connections_closed",
+                "Connections of clients closed since the start.",
+                &["cause"],
+            )?,
+        })
+    }
+
+    /// Sets the memory that clients may make the process hold.
+    pub fn set_total(&self, bytes: u64) {
+        self.total_bytes.set(bytes as i64);
+    }
+
+    /// Sets the memory that is held for a purpose.
+    pub fn set_held(&self, purpose: &str, bytes: u64) {
+        self.held_bytes.with_label_values(&[purpose]).set(bytes as i64);
+    }
+
+    /// Sets the connections of a listener.
+    pub fn set_connections(&self, listener: &str, connections: usize) {
+        self.connections.with_label_values(&[listener]).set(connections as i64);
+    }
+
+    /// Sets the number of bodies refused for a cause.
+    pub fn set_refused(&self, cause: &str, bodies: u64) {
+        self.refused.with_label_values(&[cause]).set(bodies as i64);
+    }
+
+    /// Sets the number of connections closed for a cause.
+    pub fn set_closed(&self, cause: &str, connections: u64) {
+        self.closed.with_label_values(&[cause]).set(connections as i64);
+    }
+}
+
 /// Creates metrics and registers them; each call fails only if two have the same name.
 #[derive(Debug, Default)]
 struct Registrar {
@@ -303,6 +369,7 @@
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
             room: RoomMetrics::register(&new)?,
+            memory: MemoryMetrics::register(&new)?,
             quorum: QuorumGauges::register(&new)?,
             refusals: RefusalCounters::register(&new)?,
             log_lines_dropped: new.counter(
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -9,6 +9,7 @@
 use bilberryloft_routing::selection::PickedTarget;
 use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_routing::targets::AttemptOutcome;
+use bilberryloft_transport::account::Purpose;
 use bilberryloft_transport::clock::monotonic_ms;
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -324,7 +325,8 @@
     }
     let Answered { response, connection, address } = *answered;
     let (parts, body) = response.into_parts();
-    match connection.read_body(body, BUFFERED_ANSWER_BYTES_MAX).await {
+    let held = state.memory.open(Purpose::Answer);
+    match connection.read_held_body(body, BUFFERED_ANSWER_BYTES_MAX, held, request.deadline).await {
         Ok(bytes) => {
             state.pool.give_back(&address, connection, &parts.headers);
             let body = AnswerContent::Buffered(bytes);
@@ -332,15 +334,8 @@
         }
         Err(error) => {
             let detail = Some(error.to_string());
-            (
-                AttemptSummary {
-                    name: "cut",
-                    outcome: AttemptOutcome::Lost,
-                    did_run: DidRun::Unknown,
-                    detail,
-                },
-                None,
-            )
+            let (outcome, did_run) = (AttemptOutcome::Lost, DidRun::Unknown);
+            (AttemptSummary { name: "cut", outcome, did_run, detail }, None)
         }
     }
 }
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -31,6 +31,7 @@
 use crate::evacuation::EvacuationTracker;
 use crate::lifecycle::Lifecycle;
 use crate::limits::LimitTracker;
+use crate::memory::Memory;
 use crate::pool::Pool;
 use crate::request::RelayRequest;
 use crate::retries::Retries;
@@ -84,6 +85,8 @@
     pub cold: ColdTracker,
     /// Retry budgets of this entry.
     pub retries: Retries,
+    /// Memory and connections that clients make this process hold.
+    pub memory: Arc<Memory>,
     /// Open requests and shutdown.
     pub lifecycle: Arc<Lifecycle>,
     routes: RwLock<Arc<RouteTable>>,
@@ -95,6 +98,7 @@
         daemon: Arc<Shared>,
         settings: RelaySettings,
         dialect: Arc<dyn Dialect>,
+        memory: Arc<Memory>,
     ) -> RelayState {
         let limits = BudgetLimits {
             window_ms: settings.retry_window_ms,
@@ -131,6 +135,7 @@
             limits,
             cold,
             retries,
+            memory,
             lifecycle: Arc::default(),
             routes: RwLock::default(),
         }
--- a/crates/bilberryloft-routing/src/lib.rs
+++ b/crates/bilberryloft-routing/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod batch_limit;
 pub mod cold_targets;
 pub mod document;
+pub mod document_check;
 pub mod event_stream;
 pub mod failing;
 pub mod group_health;
