--- a/crates/bilberryloft-relay/tests/load_datagrams.rs
+++ b/crates/bilberryloft-relay/tests/load_datagrams.rs
@@ -78,6 +78,17 @@
     assert!(wire::encode(&[report])[0].len() < 200);
 }
 
+/// Each entry sends its demand with every report, so it must stay small.
+#[test]
+fn demand_of_a_service_takes_less_than_50_bytes() {
+    let with = report(1, 15, 0);
+    let mut without = with.clone();
+    without.targets.demand.clear();
+    let bytes = |it: &EntryReport| wire::encode(std::slice::from_ref(it))[0].len();
+    assert!(bytes(&with) - bytes(&without) < 50, "{}", bytes(&with) - bytes(&without));
+    println!("demand: {} bytes", bytes(&with) - bytes(&without));
+}
+
 /// A datagram holds 64 KB at most, and many limits do not fit into one.
 #[test]
 fn reports_with_many_limits_are_split() {
--- a/crates/bilberryloft-routing/src/room/mod.rs
+++ b/crates/bilberryloft-routing/src/room/mod.rs
@@ -340,7 +340,7 @@
         let reserve = self.reserve(rank, &total, age_ms, now_ms);
         let waiting: u32 = total.range(..=rank.priority).map(|it| it.1.waiting).sum();
         let mut inputs = Inputs {
-            bound: bound / part as f64,
+            bound: (bound / part as f64).max(1.0),
             running: self.group.running,
             reserve: reserve / part as f64,
             expected_ms: 0.0,
