Cold targets: entries that were frozen or cut off doubt all targets for 3 s

Cause: all entries were frozen while a target restarted, so no attempt was lost, and its heartbeat was late; and the sides of a partition that began before the entries knew each other each had the whole plan. Change: an entry that was away counts all targets as cold for 3 s; one that is cut off sends at most one request to a target in 1.25 s; a target with lost attempts stays cold until the cold time after its next answer.

--- a/crates/bilberryloft-routing/src/cold_targets/mod.rs
+++ b/crates/bilberryloft-routing/src/cold_targets/mod.rs
@@ -112,6 +112,8 @@
     is_announced: bool,
     version: u64,
     cold_until_ms: u64,
+    /// Whether attempts there were lost and none has been answered since, so that it may restart at any time.
+    is_lost: bool,
     /// Time at which this entry last lost an attempt there.
     lost_ms: Option<u64>,
     /// Times at which this entry sent its latest requests; at most as many as all entries plan to send in a second.
@@ -121,6 +123,10 @@
 }
 
 impl ColdTarget {
+    fn is_cold(&self, now_ms: u64) -> bool {
+        self.is_lost || self.cold_until_ms > now_ms
+    }
+
     fn set_cold(&mut self, for_ms: u64, now_ms: u64) -> bool {
         let was_cold = self.cold_until_ms > now_ms;
         self.cold_until_ms = self.cold_until_ms.max(now_ms + for_ms);
@@ -154,6 +160,8 @@
     view: ColdView,
     view_number: u64,
     viewed_ms: u64,
+    /// Time until which all targets count as cold, because this entry was frozen or cut off.
+    doubt_until_ms: u64,
 }
 
 impl Default for ColdTargets {
@@ -164,6 +172,7 @@
             view: ColdView { share: ColdShare::NoPart, is_current: false },
             view_number: 0,
             viewed_ms: 0,
+            doubt_until_ms: 0,
         }
     }
 }
@@ -189,6 +198,11 @@
         if self.view.share != view.share {
             self.view_number += 1;
         }
+        // While it was away, targets may have restarted without its notice, and their announcements may be late.
+        let was_away = now_ms > self.viewed_ms + VIEW_VALID_MS || !self.view.is_current;
+        if self.viewed_ms > 0 && was_away {
+            self.doubt_until_ms = now_ms + LOST_MARGIN_MS;
+        }
         self.view = view;
         self.viewed_ms = now_ms;
     }
@@ -213,6 +227,7 @@
             is_announced: record.is_announced,
             version: record.version,
             cold_until_ms: 0,
+            is_lost: false,
             lost_ms: None,
             sent: VecDeque::new(),
             allowance: Cell::new(None),
@@ -263,10 +278,22 @@
     /// Records that this entry or another one loses attempts at a target.
     pub fn record_failing(&mut self, key: TargetKey, now_ms: u64) {
         if let Some(target) = self.by_key.get_mut(&key) {
+            target.is_lost = true;
             target.set_cold(target.bound.duration_ms + LOST_MARGIN_MS, now_ms);
         }
     }
 
+    /// Records that a target has answered this entry. If it has restarted since an attempt there was lost, it did so before
+    /// now.
+    pub fn record_answer(&mut self, key: TargetKey, now_ms: u64) {
+        if let Some(target) = self.by_key.get_mut(&key)
+            && target.is_lost
+        {
+            target.is_lost = false;
+            target.set_cold(target.bound.duration_ms, now_ms);
+        }
+    }
+
     /// Returns the targets at which this entry has lost an attempt a moment ago. The others have to know: without requests
     /// of their own there, they would take it for warm until its announcement has arrived.
     pub fn lost_lately(&self, now_ms: u64) -> impl Iterator<Item = TargetKey> {
@@ -281,18 +308,23 @@
             return ColdState::Warm;
         };
         let is_current = self.view.is_current && now_ms <= self.viewed_ms + VIEW_VALID_MS;
-        if is_current && target.cold_until_ms <= now_ms {
+        let is_doubtful = self.doubt_until_ms > now_ms;
+        if is_current && !is_doubtful && !target.is_cold(now_ms) {
             return ColdState::Warm;
         }
-        let allowance = target.allowance(&self.view, self.view_number);
+        // The sides of a partition that began before all entries knew each other would each have the whole plan.
+        let allowance_max = if self.view.is_current { usize::MAX } else { 1 };
+        let allowance = target.allowance(&self.view, self.view_number).min(allowance_max);
         let wait_ms = match allowance {
             0 => NO_PART_WAIT_MS,
             allowance => target.wait_ms(allowance, now_ms),
         };
         // The target may be warm before this entry may send the next request.
         let wait_ms = match is_current {
-            true => wait_ms.min(target.cold_until_ms - now_ms),
-            false => wait_ms,
+            true if !target.is_lost => {
+                wait_ms.min(target.cold_until_ms.max(self.doubt_until_ms) - now_ms)
+            }
+            _ => wait_ms,
         };
         ColdState::Cold { wait_ms, rate_per_s: allowance as f64 * 1_000.0 / WINDOW_MS as f64 }
     }
@@ -317,6 +349,6 @@
 
     /// Returns the number of targets that count as cold.
     pub fn cold_targets(&self, now_ms: u64) -> usize {
-        self.by_key.values().filter(|it| it.cold_until_ms > now_ms).count()
+        self.by_key.values().filter(|it| it.is_cold(now_ms)).count()
     }
 }
--- a/crates/bilberryloft-routing/src/targets/mod.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -425,6 +425,7 @@
         }
         match outcome {
             AttemptOutcome::Success | AttemptOutcome::Failed => {
+                self.cold.record_answer(key, now_ms);
                 target.last_answer_ms = Some(now_ms);
                 target.consecutive_losses = 0;
                 target.consecutive_refusals = 0;
--- a/crates/bilberryloft-routing/tests/cold_targets.rs
+++ b/crates/bilberryloft-routing/tests/cold_targets.rs
@@ -279,6 +279,7 @@
     let mut table = warm_table(1);
     table.record_evacuation_end("a", START_MS);
     let late_ms = START_MS + COLD_MS - 200;
+    (START_MS..late_ms).step_by(100).for_each(|it| table.cold.set_view(view(18, true), it));
     assert_eq!(burst(&mut table, late_ms - 100), 1);
     table.cold.set_view(view(18, true), late_ms);
     assert_eq!(table.cold_wait("writer", late_ms).map(|it| it.first_ms), Some(200));
