--- a/crates/bilberryloft-daemon/src/evacuation.rs
+++ b/crates/bilberryloft-daemon/src/evacuation.rs
@@ -19,7 +19,7 @@
 /// Time for which an order may be decided; operators wait for one second.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause before an order is proposed. An operator that has given up closes its connection, which ends the call. A daemon
-/// that was frozen would otherwise propose an order after later ones.
+/// that was frozen could otherwise propose an order after later ones.
 const ABANDONED_PAUSE: Duration = Duration::from_millis(5);
 /// Age up to which the daemon's list of targets decides that a data centre is unknown, in milliseconds.
 const KNOWLEDGE_AGE_MAX_MS: u64 = 3_000;
