--- a/crates/bilberryloft-routing/tests/room.rs
+++ b/crates/bilberryloft-routing/tests/room.rs
@@ -15,24 +15,24 @@
 /// its load for 5 s.
 fn overload() -> Scenario {
     let bursts = vec![(6_000, 20_000, 2, 9.0), (11_000, 16_000, 0, 2.5)];
-    Scenario { bursts, ..Scenario::usual(28_000) }
+    Scenario { bursts, ..Scenario::usual(33_000) }
 }
 
 /// The two bursts of the specification.
 fn two_bursts() -> Scenario {
     let bursts = vec![(6_000, 12_000, 2, 2.25), (16_000, 22_000, 0, 1.7)];
-    Scenario { bursts, ..Scenario::usual(28_000) }
+    Scenario { bursts, ..Scenario::usual(33_000) }
 }
 
 /// Demand for experts that shifts every 4 s, which stretches passes for half a second.
 fn shifts() -> Scenario {
     let stretched = (1..6).map(|it| (4_000 * it, 4_000 * it + 500, 1.4)).collect();
-    Scenario { stretched, base: 0.8, ..Scenario::usual(24_000) }
+    Scenario { stretched, base: 0.8, ..Scenario::usual(29_000) }
 }
 
 /// A group that is down for 3 s.
 fn outage() -> Scenario {
-    Scenario { down: Some((6_000, 9_000)), ..Scenario::usual(18_000) }
+    Scenario { down: Some((6_000, 9_000)), ..Scenario::usual(22_000) }
 }
 
 fn run(rule: Rule, scenario: &Scenario, seeds: u64) -> Vec<Group> {
@@ -74,12 +74,12 @@
 fn comparison_of_rules() {
     let of_overload = [(6_000, 11_000), (11_000, 16_000), (16_000, 20_000), (22_000, 26_000)];
     let of_bursts = [(6_000, 12_000), (12_500, 14_500), (16_000, 22_000), (22_500, 26_000)];
-    let half = Scenario { base: 0.85, ..Scenario::usual(24_000) };
+    let lower = Scenario { base: 0.85, ..Scenario::usual(29_000) };
     for rule in [Rule::FirstCome, Rule::Threshold, Rule::FairQueue, Rule::Reserve] {
         print("overload", rule, &overload(), &of_overload);
         print("bursts", rule, &two_bursts(), &of_bursts);
-        print("usual load", rule, &Scenario::usual(24_000), &[(2_000, 22_000)]);
-        print("0.85 of usual", rule, &half, &[(2_000, 22_000)]);
+        print("usual load", rule, &Scenario::usual(29_000), &[(2_000, 22_000)]);
+        print("0.85 of usual", rule, &lower, &[(2_000, 22_000)]);
         print("shifts", rule, &shifts(), &[(2_000, 22_000)]);
         print("outage", rule, &outage(), &[(9_000, 11_000), (11_000, 15_000)]);
     }
@@ -128,7 +128,7 @@
 /// be worse than the rule of before.
 #[test]
 fn lower_load_is_served_as_well_as_before() {
-    let scenario = Scenario { base: 0.7, ..Scenario::usual(14_000) };
+    let scenario = Scenario { base: 0.7, ..Scenario::usual(19_000) };
     let per_s = |rule| mean(&run(rule, &scenario, 2), |it| it.in_aim(None, 2_000, 12_000).1);
     let (new, old) = (per_s(Rule::Reserve), per_s(Rule::FirstCome));
     assert!(new > 0.97 * old, "{new} {old}");
