--- a/crates/bilberryloft-bench/src/fixtures.rs
+++ b/crates/bilberryloft-bench/src/fixtures.rs
@@ -32,6 +32,6 @@
         checks_fencing: true,
         direct: false,
         leaving: false,
-        cold_remaining_ms: 0,
+        cold_for_ms: 0,
     }
 }
--- a/crates/bilberryloft-daemon/src/agent/state.rs
+++ b/crates/bilberryloft-daemon/src/agent/state.rs
@@ -231,7 +231,7 @@
             checks_fencing: target.checks_fencing,
             direct: false,
             leaving: false,
-            cold_remaining_ms: 0,
+            cold_for_ms: 0,
         }
     }
 
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -55,10 +55,8 @@
     pub limited_requests: IntCounter,
     /// Requests refused because all targets had reached their limits.
     pub limit_refusals: IntCounter,
-    /// Evacuated data centres to whose targets this entry sends nothing.
-    pub evacuated_data_centers: IntGauge,
-    /// Requests refused because all targets were in evacuated data centres.
-    pub evacuation_refusals: IntCounter,
+    /// Evacuations of data centres.
+    pub evacuations: EvacuationMetrics,
     /// Cold targets and the memory of targets.
     pub cold: ColdMetrics,
     /// Configuration version in force.
@@ -121,6 +119,28 @@
     }
 }
 
+/// Evacuations of data centres.
+#[derive(Debug)]
+pub struct EvacuationMetrics {
+    /// Evacuated data centres to whose targets this entry sends nothing.
+    pub data_centers: IntGauge,
+    /// Requests refused because all targets were in evacuated data centres.
+    pub refusals: IntCounter,
+}
+
+impl EvacuationMetrics {
+    fn register(new: &Registrar) -> prometheus::Result<EvacuationMetrics> {
+        Ok(EvacuationMetrics {
+            data_centers: new
+                .gauge("bilberryloft_evacuated_data_centers", "Data centres that are evacuated.")?,
+            refusals: new.counter(
+                "bilberryloft_evacuation_refusals_total",
+                "Requests refused as all targets were in evacuated data centres.",
+            )?,
+        })
+    }
+}
+
 /// Requests that leave their data centre.
 #[derive(Debug)]
 pub struct RemoteMetrics {
@@ -136,9 +156,10 @@
                 "bilberryloft_remote_requests_total",
                 "Requests sent to targets in other data centres.",
             )?,
-            shares: new.gauges_by_service(
+            shares: new.gauges(
                 "bilberryloft_remote_share_percent",
                 "Requests that may be sent to far data centres.",
+                &["service"],
             )?,
         })
     }
@@ -309,12 +330,6 @@
         Ok(counters)
     }
 
-    fn gauges_by_service(&self, name: &str, help: &str) -> prometheus::Result<IntGaugeVec> {
-        let gauges = IntGaugeVec::new(Opts::new(name, help), &["service"])?;
-        self.registry.register(Box::new(gauges.clone()))?;
-        Ok(gauges)
-    }
-
     fn histogram(&self, name: &str, help: &str, buckets: &[f64]) -> prometheus::Result<Histogram> {
         let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
         let histogram = Histogram::with_opts(options)?;
@@ -359,12 +374,7 @@
                 "bilberryloft_limit_refusals_total",
                 "Requests refused as all targets had reached their limits.",
             )?,
-            evacuated_data_centers: new
-                .gauge("bilberryloft_evacuated_data_centers", "Data centres that are evacuated.")?,
-            evacuation_refusals: new.counter(
-                "bilberryloft_evacuation_refusals_total",
-                "Requests refused as all targets were in evacuated data centres.",
-            )?,
+            evacuations: EvacuationMetrics::register(&new)?,
             cold: ColdMetrics::register(&new)?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
--- a/crates/bilberryloft-daemon/src/shared.rs
+++ b/crates/bilberryloft-daemon/src/shared.rs
@@ -60,6 +60,10 @@
     is_stopping: AtomicBool,
 }
 
+fn metrics_fault(error: prometheus::Error) -> Error {
+    Error::Json { step: "set up metrics", detail: error.to_string() }
+}
+
 impl Shared {
     /// Creates the state of all roles; fails if two metrics have the same name.
     pub fn new(settings: Settings, incarnation: u64) -> Result<Shared> {
@@ -73,9 +77,7 @@
             true => ControlClient::learning(addresses, daemon, incarnation, place),
             false => ControlClient::new(addresses, daemon, incarnation),
         };
-        let metrics = Metrics::new().map(Arc::new);
-        let metrics =
-            metrics.map_err(|it| Error::Json { step: "set up metrics", detail: it.to_string() })?;
+        let metrics = Metrics::new().map(Arc::new).map_err(metrics_fault)?;
         let entry = settings.entry.clone().map(|it| {
             Arc::new(Entry::new(
                 it,
--- a/crates/bilberryloft-daemon/tests/view.rs
+++ b/crates/bilberryloft-daemon/tests/view.rs
@@ -29,7 +29,7 @@
             checks_fencing: false,
             direct: true,
             leaving: false,
-            cold_remaining_ms: 0,
+            cold_for_ms: 0,
         };
         membership.register(&format!("i-{:x}", number * 7_919), 1_700_000_000_000, description, 1);
     }
--- a/crates/bilberryloft-relay/src/cold/mod.rs
+++ b/crates/bilberryloft-relay/src/cold/mod.rs
@@ -13,6 +13,8 @@
 use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_routing::selection::MemoryNeed;
 use bilberryloft_routing::target_limits::LimitedWait;
+use bilberryloft_state::membership::TargetRecord;
+use bilberryloft_transport::clock::epoch_ms;
 use bilberryloft_transport::clock::monotonic_ms;
 use parking_lot::Mutex;
 
@@ -57,13 +59,15 @@
         self.services.targets.lock().set_cold_bounds(bounds);
     }
 
-    /// Records targets, by id and version of their records, that the quorum has told.
-    pub fn record_targets<'a>(&self, records: impl Iterator<Item = (&'a str, u64)>) {
-        let now_ms = monotonic_ms();
+    /// Records targets that the quorum has told.
+    pub fn record_targets<'a>(&self, records: impl Iterator<Item = &'a TargetRecord>) {
+        let (now_ms, clock_ms) = (monotonic_ms(), epoch_ms());
         let mut cold: BTreeMap<ColdCause, Vec<&str>> = BTreeMap::new();
         let mut targets = self.services.targets.lock();
-        for (id, version) in records {
-            if let Some(cause) = targets.record_cold(id, version, now_ms) {
+        for record in records {
+            let (id, version) = (record.name.as_str(), record.changed_version);
+            let unchanged_ms = clock_ms.saturating_sub(record.changed_at_ms);
+            if let Some(cause) = targets.record_cold(id, version, unchanged_ms, now_ms) {
                 cold.entry(cause).or_default().push(id);
             }
         }
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -282,7 +282,7 @@
         checks_fencing: false,
         direct: true,
         leaving: target.is_leaving,
-        cold_remaining_ms: target.cold_remaining_ms,
+        cold_for_ms: target.cold_for_ms,
     }
 }
 
--- a/crates/bilberryloft-relay/src/evacuation/explain.rs
+++ b/crates/bilberryloft-relay/src/evacuation/explain.rs
@@ -12,7 +12,7 @@
     if refusal != Refusal::Evacuated {
         return;
     }
-    state.daemon.metrics.evacuation_refusals.inc();
+    state.daemon.metrics.evacuations.refusals.inc();
     let view = &state.daemon.view;
     let evacuated = state.services.targets.lock().evacuated().clone();
     let names: Vec<String> = evacuated.into_iter().collect();
--- a/crates/bilberryloft-relay/src/evacuation/mod.rs
+++ b/crates/bilberryloft-relay/src/evacuation/mod.rs
@@ -101,5 +101,5 @@
     let held = state.daemon.view.evacuations();
     let evacuated = held.evacuated().len();
     state.evacuations.apply(held, &state.services, monotonic_ms());
-    state.daemon.metrics.evacuated_data_centers.set(evacuated as i64);
+    state.daemon.metrics.evacuations.data_centers.set(evacuated as i64);
 }
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -178,7 +178,7 @@
             targets.apply(target_info(record));
         }
         drop(targets);
-        self.cold.record_targets(direct().map(|it| (it.name.as_str(), it.changed_version)));
+        self.cold.record_targets(direct());
     }
 
     /// Picks a target for a new request and reserves a slot there.
@@ -353,7 +353,7 @@
         data_center: record.description.data_center.clone(),
         slots: record.description.slots,
         is_leaving: record.description.leaving,
-        cold_remaining_ms: record.description.cold_remaining_ms,
+        cold_for_ms: record.description.cold_for_ms,
         is_announced: record.reachable,
     }
 }
--- a/crates/bilberryloft-relay/tests/lost_runs.rs
+++ b/crates/bilberryloft-relay/tests/lost_runs.rs
@@ -33,7 +33,7 @@
         slots: 1,
         is_leaving: false,
         is_announced: true,
-        cold_remaining_ms: 0,
+        cold_for_ms: 0,
     });
     let limits = PickLimits {
         load_max: None,
--- a/crates/bilberryloft-routing/src/cold_targets/mod.rs
+++ b/crates/bilberryloft-routing/src/cold_targets/mod.rs
@@ -30,6 +30,8 @@
 const LOST_TOLD_MS: u64 = 1_500;
 /// Time after which an entry that has not refreshed its view counts as frozen, in milliseconds.
 const VIEW_VALID_MS: u64 = 1_000;
+/// Time by which clocks of two hosts may differ, in milliseconds, with a wide margin.
+const CLOCK_MARGIN_MS: u64 = 30_000;
 /// Time after which a caller should come back if this entry may not send to cold targets, in milliseconds.
 const NO_PART_WAIT_MS: u64 = 1_000;
 
@@ -79,6 +81,18 @@
     pub remaining_ms: u64,
     /// Version of the record; the remaining time counts from when this entry first sees it.
     pub version: u64,
+    /// Time for which the record has not changed, by this host's clock and that of the leader that changed it, in
+    /// milliseconds.
+    pub unchanged_ms: u64,
+}
+
+impl ColdRecord<'_> {
+    /// Returns whether the target is warm and its last start longer ago than its cold time, so that an entry that has just
+    /// started need not hold back.
+    fn has_been_warm(&self, duration_ms: u64) -> bool {
+        let is_warm = self.is_announced && self.remaining_ms == 0;
+        is_warm && self.unchanged_ms > duration_ms + CLOCK_MARGIN_MS
+    }
 }
 
 /// What an entry knows of its place among the entries, and whether its list of targets is current.
@@ -162,6 +176,8 @@
     viewed_ms: u64,
     /// Time until which all targets count as cold, because this entry was frozen or cut off.
     doubt_until_ms: u64,
+    /// Whether its list of targets was ever current. An entry that has just started doubts single targets only.
+    was_ever_current: bool,
 }
 
 impl Default for ColdTargets {
@@ -173,6 +189,7 @@
             view_number: 0,
             viewed_ms: 0,
             doubt_until_ms: 0,
+            was_ever_current: false,
         }
     }
 }
@@ -200,9 +217,10 @@
         }
         // While it was away, targets may have restarted without its notice, and their announcements may be late.
         let was_away = now_ms > self.viewed_ms + VIEW_VALID_MS || !self.view.is_current;
-        if self.viewed_ms > 0 && was_away {
+        if self.was_ever_current && was_away {
             self.doubt_until_ms = now_ms + LOST_MARGIN_MS;
         }
+        self.was_ever_current |= view.is_current;
         self.view = view;
         self.viewed_ms = now_ms;
     }
@@ -245,6 +263,7 @@
         };
         let started_ms = announced_ms.max(bound.duration_ms);
         let (cause, for_ms) = match known {
+            None if record.has_been_warm(bound.duration_ms) => return None,
             None => (ColdCause::New, started_ms),
             Some((incarnation, ..)) if incarnation != record.incarnation => {
                 (ColdCause::Restarted, started_ms)
--- a/crates/bilberryloft-routing/src/targets/cold.rs
+++ b/crates/bilberryloft-routing/src/targets/cold.rs
@@ -19,9 +19,16 @@
         self.has_cold_services = self.cold.has_bounds();
     }
 
-    /// Records whether a known target may be cold; `version` is that of its record. Returns why it has become cold, if it
+    /// Records whether a known target may be cold; `version` is that of its record, which has not changed for
+    /// `unchanged_ms`. Returns why it has become cold, if it
     /// has.
-    pub fn record_cold(&mut self, id: &str, version: u64, now_ms: u64) -> Option<ColdCause> {
+    pub fn record_cold(
+        &mut self,
+        id: &str,
+        version: u64,
+        unchanged_ms: u64,
+        now_ms: u64,
+    ) -> Option<ColdCause> {
         if !self.has_cold_services && self.cold.is_empty() {
             return None;
         }
@@ -31,8 +38,9 @@
             service: &info.service,
             incarnation: info.incarnation,
             is_announced: info.is_announced,
-            remaining_ms: info.cold_remaining_ms,
+            remaining_ms: info.cold_for_ms,
             version,
+            unchanged_ms,
         };
         self.cold.record(key, id, &record, now_ms)
     }
--- a/crates/bilberryloft-routing/src/targets/data_centers.rs
+++ b/crates/bilberryloft-routing/src/targets/data_centers.rs
@@ -246,7 +246,7 @@
             load.is_known = self.is_load_known(data_center, now_ms);
             let is_usable = target.is_eligible(now_ms)
                 && !target.is_resting(now_ms)
-                && target.info.cold_remaining_ms == 0
+                && target.info.cold_for_ms == 0
                 && !is_ejected(target.failure_rate(now_ms));
             if is_usable {
                 let slowness = target.learned.slowness(target.load() + 1, &usual, now_ms);
--- a/crates/bilberryloft-routing/tests/cold_targets.rs
+++ b/crates/bilberryloft-routing/tests/cold_targets.rs
@@ -58,7 +58,7 @@
 fn record(table: &mut TargetTable, info: TargetInfo, version: u64, now_ms: u64) {
     let id = info.id.clone();
     table.apply(info);
-    table.record_cold(&id, version, now_ms);
+    table.record_cold(&id, version, 0, now_ms);
 }
 
 fn pick(table: &mut TargetTable, now_ms: u64) -> Result<PickedTarget, NoTarget> {
@@ -99,6 +99,22 @@
     }
 }
 
+/// Guards against entries that hold back for seconds when all of them start again and the targets have run all the time.
+#[test]
+fn entry_that_has_just_started_takes_targets_for_warm_that_have_run_for_long() {
+    for (unchanged_ms, cold_for_ms, is_warm) in
+        [(60_000, 0, true), (10_000, 0, false), (60_000, 500, false)]
+    {
+        let mut table = TargetTable::new("a");
+        table.set_cold_bounds(bounds());
+        table.cold.set_view(view(18, false), START_MS);
+        table.apply(TargetInfo { cold_for_ms, ..support::info("r", 0, 1_000) });
+        table.record_cold("r0", 1, unchanged_ms, START_MS);
+        table.cold.set_view(view(18, true), START_MS + 40);
+        assert_eq!(burst(&mut table, START_MS + 50) > 100, is_warm, "{unchanged_ms} {cold_for_ms}");
+    }
+}
+
 /// Guards against more requests than a cold target bears, whatever entries know of each other and of the target: with
 /// token buckets, each entry that wakes up or learns late would add what it has saved.
 #[test]
@@ -186,7 +202,7 @@
 #[test]
 fn announced_remaining_time_counts_once_from_when_it_is_learned() {
     let mut table = warm_table(1);
-    let cold = TargetInfo { cold_remaining_ms: 2_000, ..support::info("r", 0, 1_000) };
+    let cold = TargetInfo { cold_for_ms: 2_000, ..support::info("r", 0, 1_000) };
     record(&mut table, cold.clone(), 2, START_MS);
     let key = pick(&mut table, START_MS).unwrap().key;
     for now_ms in (START_MS..START_MS + 10_000).step_by(100) {
@@ -241,7 +257,7 @@
 fn requests_to_a_target_count_before_it_is_known_to_be_cold() {
     let mut table = warm_table(1);
     pick(&mut table, START_MS).unwrap();
-    let cold = TargetInfo { cold_remaining_ms: 3_000, ..support::info("r", 0, 1_000) };
+    let cold = TargetInfo { cold_for_ms: 3_000, ..support::info("r", 0, 1_000) };
     record(&mut table, cold, 2, START_MS + 10);
     assert_eq!(burst(&mut table, START_MS + 20), 0);
 }
@@ -310,7 +326,7 @@
     let mut other = TargetTable::new("a");
     other.set_cold_bounds(bounds());
     for idx in 0..8 {
-        let info = TargetInfo { cold_remaining_ms: 3_000, ..support::info("r", idx, 10) };
+        let info = TargetInfo { cold_for_ms: 3_000, ..support::info("r", idx, 10) };
         record(&mut other, TargetInfo { service: "other".to_string(), ..info }, 1, START_MS);
     }
     assert!(other.cold.is_empty());
--- a/crates/bilberryloft-routing/tests/evacuations.rs
+++ b/crates/bilberryloft-routing/tests/evacuations.rs
@@ -33,7 +33,7 @@
         slots: SLOTS,
         is_leaving: false,
         is_announced: true,
-        cold_remaining_ms: 0,
+        cold_for_ms: 0,
     }
 }
 
--- a/crates/bilberryloft-routing/tests/support/cold_fleet.rs
+++ b/crates/bilberryloft-routing/tests/support/cold_fleet.rs
@@ -203,11 +203,8 @@
         target.up_from_ms = now_ms + down_ms;
         target.cold_until_ms = target.up_from_ms + COLD_MS;
         let last = target.pending.back().map_or(&target.record.info, |it| &it.1);
-        let info = TargetInfo {
-            incarnation: last.incarnation + 1,
-            cold_remaining_ms: COLD_MS,
-            ..last.clone()
-        };
+        let info =
+            TargetInfo { incarnation: last.incarnation + 1, cold_for_ms: COLD_MS, ..last.clone() };
         target.pending.push_back((target.up_from_ms + late_ms, info));
     }
 
@@ -264,7 +261,7 @@
             if entry.applied.get(&info.id) != Some(version) {
                 entry.applied.insert(info.id.clone(), *version);
                 entry.table.apply(info.clone());
-                entry.table.record_cold(&info.id, *version, now_ms);
+                entry.table.record_cold(&info.id, *version, 0, now_ms);
             }
         }
     }
--- a/crates/bilberryloft-routing/tests/support/data_centers.rs
+++ b/crates/bilberryloft-routing/tests/support/data_centers.rs
@@ -187,7 +187,7 @@
             slots: SLOTS,
             is_leaving: number >= self.conditions.targets_up[data_center],
             is_announced: true,
-            cold_remaining_ms: if is_cold { 3_000 } else { 0 },
+            cold_for_ms: if is_cold { 3_000 } else { 0 },
         }
     }
 
--- a/crates/bilberryloft-routing/tests/support/mod.rs
+++ b/crates/bilberryloft-routing/tests/support/mod.rs
@@ -17,7 +17,7 @@
         slots,
         is_leaving: false,
         is_announced: true,
-        cold_remaining_ms: 0,
+        cold_for_ms: 0,
     }
 }
 
--- a/crates/bilberryloft-routing/tests/target_leaving.rs
+++ b/crates/bilberryloft-routing/tests/target_leaving.rs
@@ -26,7 +26,7 @@
         slots: 6,
         is_leaving,
         is_announced: true,
-        cold_remaining_ms: 0,
+        cold_for_ms: 0,
     }
 }
 
--- a/crates/bilberryloft-routing/tests/target_rest.rs
+++ b/crates/bilberryloft-routing/tests/target_rest.rs
@@ -20,7 +20,7 @@
         slots: 6,
         is_leaving: false,
         is_announced: true,
-        cold_remaining_ms: 0,
+        cold_for_ms: 0,
     }
 }
 
--- a/crates/bilberryloft-state/src/membership.rs
+++ b/crates/bilberryloft-state/src/membership.rs
@@ -39,7 +39,7 @@
     /// Time for which the target stays cold, as of its announcement, in milliseconds. Absent from records of targets
     /// that are not cold, so that daemons of an earlier version can read them.
     #[serde(default, skip_serializing_if = "is_zero")]
-    pub cold_remaining_ms: u64,
+    pub cold_for_ms: u64,
 }
 
 fn is_zero(value: &u64) -> bool {
@@ -83,11 +83,11 @@
     fn differs(&self, description: &TargetDescription, at_ms: u64) -> bool {
         let known = &self.description;
         let as_recorded =
-            TargetDescription { cold_remaining_ms: known.cold_remaining_ms, ..description.clone() };
+            TargetDescription { cold_for_ms: known.cold_for_ms, ..description.clone() };
         if as_recorded != *known {
             return true;
         }
-        match (known.cold_remaining_ms, description.cold_remaining_ms) {
+        match (known.cold_for_ms, description.cold_for_ms) {
             (0, 0) => false,
             (0, _) | (_, 0) => true,
             // The clock of a new leader may be behind that of the one before.
@@ -204,7 +204,7 @@
         let record = TargetRecord {
             name: name.to_string(),
             incarnation,
-            cold_at_ms: if description.cold_remaining_ms > 0 { at_ms } else { 0 },
+            cold_at_ms: if description.cold_for_ms > 0 { at_ms } else { 0 },
             description,
             reachable: true,
             changed_version: self.version,
--- a/crates/bilberryloft-state/tests/state_machine.rs
+++ b/crates/bilberryloft-state/tests/state_machine.rs
@@ -400,7 +400,7 @@
         checks_fencing: false,
         direct: false,
         leaving: false,
-        cold_remaining_ms: 0,
+        cold_for_ms: 0,
     }
 }
 
@@ -439,7 +439,7 @@
 }
 
 fn cold(remaining_ms: u64) -> TargetDescription {
-    TargetDescription { cold_remaining_ms: remaining_ms, ..description() }
+    TargetDescription { cold_for_ms: remaining_ms, ..description() }
 }
 
 /// Guards against a log entry for each announcement of a cold target, whose remaining time is smaller each time.
@@ -468,5 +468,5 @@
     // The clock of another leader may be behind.
     assert!(membership.is_change("a", 1, &cold(3_000), 5_000));
     membership.register("a", 1, description(), 15_000);
-    assert_eq!(membership.targets()["a"].description.cold_remaining_ms, 0);
+    assert_eq!(membership.targets()["a"].description.cold_for_ms, 0);
 }
