--- a/crates/bilberryloft-relay/src/memory/serve.rs
+++ b/crates/bilberryloft-relay/src/memory/serve.rs
@@ -143,10 +143,7 @@
             // What has arrived is read first, so that a process that was stalled closes nothing that is in use.
             biased;
             ended = http.as_mut() => {
-                if let Err(error) = ended {
-                    tracing::debug!(%error, "a client's connection ended with an error");
-                }
-                return;
+                return drop(ended.inspect_err(|error| tracing::debug!(%error, "connection failed")));
             }
             () = closing.as_mut(), if !is_closing => {
                 is_closing = true;
