--- a/crates/bilberryloft-routing/src/room/mod.rs
+++ b/crates/bilberryloft-routing/src/room/mod.rs
@@ -64,7 +64,7 @@
 /// What decides on a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Applicant {
-    /// Priority, from 0 (most urgent) to 9.
+    /// Order of the request: ten times its priority, plus that of its route; the lowest first.
     pub priority: u8,
     /// Objective for the first event, in milliseconds.
     pub objective_ms: f64,
--- a/crates/bilberryloft-routing/src/room/queue.rs
+++ b/crates/bilberryloft-routing/src/room/queue.rs
@@ -6,7 +6,7 @@
 /// first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
-    /// Priority, from 0 (most urgent) to 9.
+    /// Order of the request: ten times its priority, plus that of its route; the lowest first.
     pub priority: u8,
     /// Whether the request has missed its objective, in an earlier attempt of its caller.
     pub is_late: bool,
