--- a/crates/bilberryctl/src/commands/config.rs
+++ b/crates/bilberryctl/src/commands/config.rs
@@ -25,7 +25,7 @@
     },
     /// Shows which version each daemon has in force.
     Status,
-    /// Checks a routing configuration before it is sent: whether the control API would reject it, and what can't be meant.
+    /// Checks a routing configuration before it is sent: whether the control API would reject it, and what is probably a mistake.
     Check(ConfigCheck),
 }
 
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -174,7 +174,7 @@
     BodyLate = 571,
     /// A client's connection was closed because it was slow, unread or needed by another client.
     ConnectionClosed = 572,
-    /// A client was turned away because all connections were in use.
+    /// A client was rejected because all connections were in use.
     ConnectionsFull = 573,
     /// Requests of a service begin to be sent to far data centres.
     AwayBegan = 580,
--- a/crates/bilberryloft-relay/src/memory/connection_table.rs
+++ b/crates/bilberryloft-relay/src/memory/connection_table.rs
@@ -1,4 +1,4 @@
-//! Connections of one listener. If there are too many, idle and unfinished ones give way to new ones.
+//! Connections of one listener. If there are too many, idle and unfinished ones are closed for new ones.
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -20,7 +20,7 @@
 /// milliseconds. Those of ordinary callers take less.
 const UNFINISHED_MS: u64 = 1_000;
 
-/// Order in which connections give way.
+/// Order in which connections are closed to make room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Claim {
     /// No whole head has arrived on it.
--- a/crates/bilberryloft-relay/src/memory/serve.rs
+++ b/crates/bilberryloft-relay/src/memory/serve.rs
@@ -104,7 +104,7 @@
     }
 }
 
-/// Serves requests on a connection until it ends, outlives its timeouts or has to give way. Once `closing` ends, it
+/// Serves requests on a connection until it ends, outlives its timeouts or is closed to make room. Once `closing` ends, it
 /// closes after the answer that is being sent.
 pub async fn serve_connection<S, F, B>(
     stream: TcpStream,
@@ -156,7 +156,7 @@
     memory.report.record_closed(cause, &client, guard.connections());
 }
 
-/// Waits until a connection outlives its timeouts or has to give way.
+/// Waits until a connection outlives its timeouts or is closed to make room.
 async fn wait_for_end(connection: &CallerConnection, limits: &Limits) -> CloseCause {
     let timeouts = ConnectionTimeouts {
         head: Duration::from_millis(limits.header_timeout_ms),
--- a/crates/bilberryloft-relay/src/settings.rs
+++ b/crates/bilberryloft-relay/src/settings.rs
@@ -73,7 +73,7 @@
 }
 
 /// Limits on the requests that a cold target gets in one second, over all entries: `overshoot` times the rate that it
-/// bears, and `slack` more.
+/// can handle, and `slack` more.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ColdLimits {
--- a/crates/bilberryloft-routing/src/cold_targets/mod.rs
+++ b/crates/bilberryloft-routing/src/cold_targets/mod.rs
@@ -1,4 +1,4 @@
-//! Cold targets: which targets bear only few requests a second for some time, and how many of those this entry may send.
+//! Cold targets: which targets can handle only few requests a second for some time, and how many of those this entry may send.
 //!
 //! The bound holds in every second over all entries, so an entry does not save up tokens: it counts what it has sent within
 //! the last [`WINDOW_MS`]. The entries plan with half of the bound. The other half covers entries that don't know of each
@@ -35,7 +35,7 @@
 /// Time after which a caller should come back if this entry may not send to cold targets, in milliseconds.
 const NO_PART_WAIT_MS: u64 = 1_000;
 
-/// What the targets of a service bear while they are cold.
+/// What the targets of a service can handle while they are cold.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdBound {
     /// Time for which a target is cold after its start, in milliseconds.
@@ -88,7 +88,7 @@
 
 impl ColdRecord<'_> {
     /// Returns whether the target is warm and its last start longer ago than its cold time, so that an entry that has just
-    /// started need not hold back.
+    /// started can use it without a limit.
     fn has_been_warm(&self, duration_ms: u64) -> bool {
         let is_warm = self.is_announced && self.remaining_ms == 0;
         is_warm && self.unchanged_ms > duration_ms + CLOCK_MARGIN_MS
@@ -175,7 +175,7 @@
     view_number: u64,
     viewed_ms: u64,
     /// Time until which all targets count as cold, because this entry was frozen or cut off.
-    doubt_until_ms: u64,
+    uncertain_until_ms: u64,
     /// Whether its list of targets was ever current. An entry that has just started doubts single targets only.
     was_ever_current: bool,
 }
@@ -188,7 +188,7 @@
             view: ColdView { share: ColdShare::NoPart, is_current: false },
             view_number: 0,
             viewed_ms: 0,
-            doubt_until_ms: 0,
+            uncertain_until_ms: 0,
             was_ever_current: false,
         }
     }
@@ -218,7 +218,7 @@
         // While it was away, targets may have restarted without its notice, and their announcements may be late.
         let was_away = now_ms > self.viewed_ms + VIEW_VALID_MS || !self.view.is_current;
         if self.was_ever_current && was_away {
-            self.doubt_until_ms = now_ms + LOST_MARGIN_MS;
+            self.uncertain_until_ms = now_ms + LOST_MARGIN_MS;
         }
         self.was_ever_current |= view.is_current;
         self.view = view;
@@ -327,8 +327,8 @@
             return ColdState::Warm;
         };
         let is_current = self.view.is_current && now_ms <= self.viewed_ms + VIEW_VALID_MS;
-        let is_doubtful = self.doubt_until_ms > now_ms;
-        if is_current && !is_doubtful && !target.is_cold(now_ms) {
+        let is_uncertain = self.uncertain_until_ms > now_ms;
+        if is_current && !is_uncertain && !target.is_cold(now_ms) {
             return ColdState::Warm;
         }
         // The sides of a partition that began before all entries knew each other would each have the whole plan.
@@ -341,7 +341,7 @@
         // The target may be warm before this entry may send the next request.
         let wait_ms = match is_current {
             true if !target.is_lost => {
-                wait_ms.min(target.cold_until_ms.max(self.doubt_until_ms) - now_ms)
+                wait_ms.min(target.cold_until_ms.max(self.uncertain_until_ms) - now_ms)
             }
             _ => wait_ms,
         };
--- a/crates/bilberryloft-routing/src/document.rs
+++ b/crates/bilberryloft-routing/src/document.rs
@@ -112,12 +112,12 @@
     }
 }
 
-/// What the targets of a service bear after they have started.
+/// What the targets of a service can handle after they have started.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ColdStart {
     /// Time for which a target is cold after its start, in milliseconds.
     pub duration_ms: u64,
-    /// Requests a second that a cold target bears, from all entries together.
+    /// Requests a second that a cold target can handle, from all entries together.
     pub requests_per_s: f64,
 }
 
@@ -141,7 +141,7 @@
     pub connections_max: usize,
     /// Model engine of the targets; absent for a plain service.
     pub engine: Option<Engine>,
-    /// What a cold target bears; absent if targets are never cold.
+    /// What a cold target can handle; absent if targets are never cold.
     pub cold_start: Option<ColdStart>,
     /// Known delays between data centres.
     pub distances: Vec<Distance>,
--- a/crates/bilberryloft-routing/src/document_check/mod.rs
+++ b/crates/bilberryloft-routing/src/document_check/mod.rs
@@ -39,7 +39,7 @@
     OldVersion,
 }
 
-/// One thing that is wrong, or that can't be meant.
+/// One thing that is wrong, or that is probably a mistake.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Finding {
     /// What it is about.
--- a/crates/bilberryloft-routing/src/targets/mod.rs
+++ b/crates/bilberryloft-routing/src/targets/mod.rs
@@ -108,7 +108,7 @@
     evacuated: EvacuatedDataCenters,
     /// Limits that targets name on their requests.
     pub limits: TargetLimits,
-    /// Targets that bear only few requests a second.
+    /// Targets that can handle only few requests a second.
     pub cold: ColdTargets,
     has_cold_services: bool,
     /// Tokens of this entry's requests by target, of services whose targets have a known memory.
--- a/crates/bilberryloft-routing/tests/cold_targets.rs
+++ b/crates/bilberryloft-routing/tests/cold_targets.rs
@@ -99,7 +99,7 @@
     }
 }
 
-/// Guards against entries that hold back for seconds when all of them start again and the targets have run all the time.
+/// Guards against entries that limit themselves for seconds when all of them start again and the targets have run all the time.
 #[test]
 fn entry_that_has_just_started_takes_targets_for_warm_that_have_run_for_long() {
     for (unchanged_ms, cold_for_ms, is_warm) in
@@ -115,7 +115,7 @@
     }
 }
 
-/// Guards against more requests than a cold target bears, whatever entries know of each other and of the target: with
+/// Guards against more requests than a cold target can handle, whatever entries know of each other and of the target: with
 /// token buckets, each entry that wakes up or learns late would add what it has saved.
 #[test]
 fn bound_is_kept_in_any_second_by_any_entries() {
@@ -166,7 +166,7 @@
     }
 }
 
-/// Guards against a share that stays unused: all entries press on one target that is cold for long.
+/// Guards against a share that stays unused: all entries send to one target that is cold for long.
 #[test]
 fn settled_entries_use_most_of_the_planned_rate() {
     for entries in [1, 4, 18, 40] {
--- a/crates/bilberryloft-routing/tests/remote.rs
+++ b/crates/bilberryloft-routing/tests/remote.rs
@@ -18,9 +18,9 @@
 use support::data_centers::World;
 
 const PRICE: RemotePrice = RemotePrice { ms_per_mb: 400.0, ms_per_mb_between_regions: None };
-/// Demand that a data centre bears alone, in requests a second.
+/// Demand that a data centre can handle alone, in requests a second.
 const USUAL_PER_S: f64 = 700.0;
-/// Demand over what a data centre bears.
+/// Demand over what a data centre can handle.
 const OVER_PER_S: f64 = 2_200.0;
 const LIMITS: PickLimits = PickLimits {
     load_max: None,
@@ -87,7 +87,7 @@
     );
 }
 
-/// Load: 1,000 a second everywhere; then 4 of the 8 targets of one data centre are lost, which bear 800.
+/// Load: 1,000 a second everywhere; then 4 of the 8 targets of one data centre are lost, which can handle 800.
 #[test]
 fn data_center_that_is_half_lost_sends_the_rest_away() {
     let mut world = world([1_000.0; 3]);
@@ -169,7 +169,7 @@
     assert_eq!(seen.refused.iter().sum::<u32>(), 0);
 }
 
-/// Load: 2,600 a second in one data centre, 1,300 in the others, more than all bear together. Guards against callers of
+/// Load: 2,600 a second in one data centre, 1,300 in the others, more than all can handle together. Guards against callers of
 /// a full data centre that lose their places to others.
 #[test]
 fn own_callers_of_a_busy_data_center_come_first() {
--- a/crates/bilberryloft-routing/tests/remote_comparison.rs
+++ b/crates/bilberryloft-routing/tests/remote_comparison.rs
@@ -1,7 +1,7 @@
 //! Compares four ways to decide which requests leave a data centre, at two sizes, without a network: bytes between data
 //! centres and regions, and requests that are late or refused. The table in docs/design/leaving-a-data-center.md is the output.
 //!
-//! Load: each data centre is asked for 0.6 of what it bears; for 4 of every 5 seconds one of them, in turn, for 1.5. A
+//! Load: each data centre is asked for 0.6 of what it can handle; for 4 of every 5 seconds one of them, in turn, for 1.5. A
 //! target has 8 slots, a request takes 200 to 600 ms, longer when it shares a slot, and is late after 1 s. Loads are 60
 //! to 100 ms old.
 #![allow(clippy::unwrap_used)]
