Refuse a request that exceeds every target's memory with 503

A proper request with more tokens than any target can hold got 413 `over_memory`.

The status is now 503; reason and `run` are unchanged.

--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -143,6 +143,7 @@
             | Refusal::TargetsLimited { .. }
             | Refusal::TargetsResting { .. }
             | Refusal::TargetsCold { .. }
+            | Refusal::OverMemory
             | Refusal::GroupDown
             | Refusal::SuspectTrial
             | Refusal::TrialPending { .. }
@@ -151,7 +152,7 @@
             Refusal::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
-            Refusal::TooLarge | Refusal::OverMemory => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BadBody => StatusCode::BAD_REQUEST,
             Refusal::RunUnknown => StatusCode::BAD_GATEWAY,
             Refusal::TimeoutSent => StatusCode::GATEWAY_TIMEOUT,
