Count unframed answers in the residence time of a group

Admission by priority estimates waits from the time that requests run. An answer without a length and without chunks ended in release_closed, which recorded no residence time, so a group whose targets stream that way had no estimate. A whole answer of this kind is recorded now, one that is truncated or broken is not.

--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -166,7 +166,7 @@
             AttemptOutcome::Success => {
                 self.record_survived();
                 self.record_survived_parts();
-                self.room_run.iter_mut().for_each(|it| it.complete());
+                self.record_residence();
             }
             AttemptOutcome::Failed => self.record_survived(),
             AttemptOutcome::Full
@@ -193,11 +193,19 @@
             self.check_target();
         }
         let outcome = self.record_whole(answer);
+        if outcome == AttemptOutcome::Success {
+            self.record_residence();
+        }
         self.is_released = true;
         self.services.finish(&self.service, self.picked.key, outcome);
         outcome == AttemptOutcome::Truncated
     }
 
+    /// Records how long the request has run, for the admission of others.
+    fn record_residence(&mut self) {
+        self.room_run.iter_mut().for_each(|it| it.complete());
+    }
+
     fn record_whole(&self, answer: WholeAnswer) -> AttemptOutcome {
         let (is_stream, answer_bytes) = match answer {
             WholeAnswer::Plain { bytes } => (false, bytes),
