--- a/crates/bilberryloft-daemon/src/admin/evacuations.rs
+++ b/crates/bilberryloft-daemon/src/admin/evacuations.rs
@@ -3,7 +3,6 @@
 use axum::Json;
 use axum::extract::Path;
 use axum::extract::State;
-use axum::http::StatusCode;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use bilberryloft_protocol::api::DaemonStatus;
@@ -74,15 +73,7 @@
 ) -> Response {
     let result = order(&admin.shared, &data_center, request.is_evacuated).await;
     match &result {
-        OrderResult::InForce(state) => (StatusCode::OK, Json(*state)).into_response(),
-        OrderResult::UnknownDataCenter => {
-            error_response(StatusCode::NOT_FOUND, &result.text(&data_center))
-        }
-        OrderResult::Uninformed
-        | OrderResult::Superseded(_)
-        | OrderResult::EarlierMember
-        | OrderResult::Unknown { .. } => {
-            error_response(StatusCode::SERVICE_UNAVAILABLE, &result.text(&data_center))
-        }
+        OrderResult::InForce(state) => Json(*state).into_response(),
+        _ => error_response(result.status(), &result.text(&data_center)),
     }
 }
--- a/crates/bilberryloft-daemon/src/evacuation.rs
+++ b/crates/bilberryloft-daemon/src/evacuation.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use axum::http::StatusCode;
 use bilberryloft_state::evacuation::Evacuation;
 use bilberryloft_state::evacuation::EvacuationOrder;
 use bilberryloft_state::evacuation::ListedEvacuation;
@@ -106,6 +107,18 @@
         }
     }
 
+    /// Returns the status of the response to the operator.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            OrderResult::InForce(_) => StatusCode::OK,
+            OrderResult::UnknownDataCenter => StatusCode::NOT_FOUND,
+            OrderResult::Uninformed
+            | OrderResult::Superseded(_)
+            | OrderResult::EarlierMember
+            | OrderResult::Unknown { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
     /// Returns the text for operators.
     pub fn text(&self, data_center: &str) -> String {
         match self {
--- a/crates/bilberryloft-relay/src/admission.rs
+++ b/crates/bilberryloft-relay/src/admission.rs
@@ -76,11 +76,7 @@
 ) -> Result<Option<TargetSlot>, Refusal> {
     let slot = match state.pick(request, &[]) {
         Ok(slot) => slot,
-        Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
-        Err(NoTarget::Evacuated) => return Err(Refusal::Evacuated),
-        Err(NoTarget::Resting { wait_ms }) => return Err(refuse_resting(wait_ms)),
-        Err(NoTarget::Cold(wait)) => return Err(state.cold.refuse(state, request, wait)),
-        Err(NoTarget::Full | NoTarget::Limited(_)) => return Ok(None),
+        Err(cause) => return refuse_at_once(state, request, cause).map_or(Ok(None), Err),
     };
     let Some(limit) = slot.picked().limit else {
         return Ok(Some(slot));
@@ -144,14 +140,9 @@
         }
         match state.pick(request, &[]) {
             Ok(slot) => return Ok(slot),
-            Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
-            Err(NoTarget::Evacuated) => return Err(Refusal::Evacuated),
-            Err(NoTarget::Resting { wait_ms }) => return Err(refuse_resting(wait_ms)),
-            Err(NoTarget::Cold(wait)) => return Err(state.cold.refuse(state, request, wait)),
-            Err(NoTarget::Full) => {}
-            Err(NoTarget::Limited(wait)) => {
-                if !wait.has_part || Instant::now() + Duration::from_millis(wait.first_ms) > until {
-                    return Err(refuse_limited(state, request, wait));
+            Err(cause) => {
+                if let Some(refusal) = refuse_in_queue(state, request, cause, until) {
+                    return Err(refusal);
                 }
             }
         }
@@ -162,6 +153,33 @@
     })
 }
 
+/// Returns the refusal of a request for which no target was picked; `None` if it may wait for one.
+fn refuse_at_once(state: &RelayState, request: &RelayRequest, cause: NoTarget) -> Option<Refusal> {
+    match cause {
+        NoTarget::Absent => Some(Refusal::NoTarget),
+        NoTarget::Evacuated => Some(Refusal::Evacuated),
+        NoTarget::Resting { wait_ms } => Some(refuse_resting(wait_ms)),
+        NoTarget::Cold(wait) => Some(state.cold.refuse(state, request, wait)),
+        NoTarget::Full | NoTarget::Limited(_) => None,
+    }
+}
+
+/// Returns the refusal of a request that waits until a given time and for which no target was picked; `None` if it may go
+/// on waiting.
+pub fn refuse_in_queue(
+    state: &RelayState,
+    request: &RelayRequest,
+    cause: NoTarget,
+    until: Instant,
+) -> Option<Refusal> {
+    let NoTarget::Limited(wait) = cause else {
+        return refuse_at_once(state, request, cause);
+    };
+    let is_in_time = Instant::now() + Duration::from_millis(wait.first_ms) <= until;
+    let may_wait = wait.has_part && is_in_time;
+    (!may_wait).then(|| refuse_limited(state, request, wait))
+}
+
 /// Refuses a request because all targets rest. Callers come back at different times after the first rest.
 pub fn refuse_resting(wait_ms: u64) -> Refusal {
     let spread_ms = fastrand::u64(0..=RESTED_SPREAD_MS);
--- a/crates/bilberryloft-relay/src/evacuation/explain.rs
+++ b/crates/bilberryloft-relay/src/evacuation/explain.rs
@@ -16,6 +16,10 @@
     let view = &state.daemon.view;
     let evacuated = state.services.targets.lock().evacuated().clone();
     let names: Vec<String> = evacuated.into_iter().collect();
+    let confirmed = match view.confirmed_age_ms() {
+        Some(age_ms) => format!("confirmed {age_ms} ms ago"),
+        None => "never confirmed".to_string(),
+    };
     let record = DecisionRecord {
         request_id: request.id.clone(),
         daemon: state.daemon.settings.daemon.clone(),
@@ -27,11 +31,10 @@
         membership_version: view.membership().version(),
         candidates: Vec::new(),
         rule: format!(
-            "all targets of service {} are in evacuated data centres: {}; order {}, confirmed {:?} ms ago",
+            "all targets of service {} are in evacuated data centres: {}; order {}, {confirmed}",
             request.service,
             names.join(", "),
             state.evacuations.version(),
-            view.confirmed_age_ms().unwrap_or_default(),
         ),
         outcome: refusal.name().to_string(),
     };
--- a/crates/bilberryloft-relay/src/evacuation/orders.rs
+++ b/crates/bilberryloft-relay/src/evacuation/orders.rs
@@ -1,6 +1,5 @@
 //! Orders of operators to the control API.
 
-use axum::http::StatusCode;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use bilberryloft_daemon::evacuation::OrderResult;
@@ -15,17 +14,11 @@
     // An operator that gave up while this process was frozen may have sent later orders to other entries.
     state.lifecycle.wait_after_stall().await;
     let result = order(&state.daemon, data_center, is_evacuated).await;
-    let status = match &result {
-        OrderResult::InForce(it) => {
-            let version = it.version;
-            let body = json!({"data_center": data_center, "is_evacuated": is_evacuated, "version": version});
-            return axum::Json(body).into_response();
+    let body = match &result {
+        OrderResult::InForce(state) => {
+            json!({"data_center": data_center, "is_evacuated": is_evacuated, "version": state.version})
         }
-        OrderResult::UnknownDataCenter => StatusCode::NOT_FOUND,
-        OrderResult::Uninformed
-        | OrderResult::Superseded(_)
-        | OrderResult::EarlierMember
-        | OrderResult::Unknown { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        _ => json!({"error": result.text(data_center)}),
     };
-    (status, axum::Json(json!({"error": result.text(data_center)}))).into_response()
+    (result.status(), axum::Json(body)).into_response()
 }
--- a/crates/bilberryloft-relay/src/memory/connection_table.rs
+++ b/crates/bilberryloft-relay/src/memory/connection_table.rs
@@ -22,7 +22,7 @@
 
 /// Order in which connections are closed to make room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Claim {
+enum CloseOrder {
     /// No whole head has arrived on it.
     Headless,
     /// A body takes long to arrive.
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Closes the connection with the least claim and waits until a connection has closed; returns whether one has.
+    /// Closes the connection that is first in the order and waits until a connection has closed; returns whether one has.
     pub async fn close_one_and_wait(&self, until: Instant) -> bool {
         let left = self.left.notified();
         tokio::pin!(left);
@@ -100,7 +100,7 @@
         Some(ConnectionGuard { table: self.clone(), id, connection })
     }
 
-    /// Closes the connection with the least claim, unless one is closing already; returns whether one is.
+    /// Closes the connection that is first in the order, unless one is closing already; returns whether one is.
     pub fn close_one(&self) -> bool {
         let records = self.records.lock();
         let connections = &records.connections;
@@ -108,19 +108,19 @@
             return true;
         }
         let now_ms = monotonic_ms();
-        let claims: Vec<(Claim, &Arc<CallerConnection>)> =
-            connections.values().filter_map(|it| Some((claim(it, now_ms)?, it))).collect();
-        let Some(least) = claims.iter().map(|it| it.0).min() else {
+        let closable: Vec<(CloseOrder, &Arc<CallerConnection>)> =
+            connections.values().filter_map(|it| Some((close_order(it, now_ms)?, it))).collect();
+        let Some(first) = closable.iter().map(|it| it.0).min() else {
             return false;
         };
         let mut counts: BTreeMap<IpAddr, usize> = BTreeMap::new();
-        for (_, connection) in claims.iter().filter(|it| it.0 == least) {
+        for (_, connection) in closable.iter().filter(|it| it.0 == first) {
             *counts.entry(connection.address).or_default() += 1;
         }
         // Of the address with the most such connections, the one that has been so for longest.
         // The last of equals is taken, so the order is reversed.
-        let of_least = claims.iter().rev().filter(|it| it.0 == least).map(|it| it.1);
-        let victim = of_least.max_by_key(|it| (counts[&it.address], u64::MAX - it.since_ms()));
+        let of_first = closable.iter().rev().filter(|it| it.0 == first).map(|it| it.1);
+        let victim = of_first.max_by_key(|it| (counts[&it.address], u64::MAX - it.since_ms()));
         if let Some(victim) = victim {
             victim.close(CloseCause::Crowded);
         }
@@ -140,15 +140,15 @@
     }
 }
 
-/// Returns the claim of a connection to stay; none if it must.
-fn claim(connection: &CallerConnection, now_ms: u64) -> Option<Claim> {
+/// Returns when a connection is closed to make room; `None` if it stays open.
+fn close_order(connection: &CallerConnection, now_ms: u64) -> Option<CloseOrder> {
     let age_ms = now_ms.saturating_sub(connection.since_ms());
     let is_unread = connection.unread_ms(now_ms).is_some_and(|it| it >= UNFINISHED_MS);
     match connection.phase() {
-        Phase::Opened | Phase::Head => Some(Claim::Headless),
-        Phase::Body if age_ms >= UNFINISHED_MS => Some(Claim::SlowBody),
-        _ if is_unread => Some(Claim::Unread),
-        Phase::Idle => Some(Claim::Idle),
+        Phase::Opened | Phase::Head => Some(CloseOrder::Headless),
+        Phase::Body if age_ms >= UNFINISHED_MS => Some(CloseOrder::SlowBody),
+        _ if is_unread => Some(CloseOrder::Unread),
+        Phase::Idle => Some(CloseOrder::Idle),
         Phase::Body | Phase::Serving => None,
     }
 }
--- a/crates/bilberryloft-relay/src/memory/serve.rs
+++ b/crates/bilberryloft-relay/src/memory/serve.rs
@@ -34,8 +34,8 @@
 
 /// Size of the read buffer beyond the document's limit on request heads, in bytes.
 const HEAD_BYTES_SPARE: usize = 16 << 10;
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Pause after a failed accept, usually for want of descriptors.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Bounds on the interval at which timeouts are checked.
 const CHECK_INTERVAL_MIN: Duration = Duration::from_millis(50);
 const CHECK_INTERVAL_MAX: Duration = Duration::from_millis(1_000);
@@ -87,9 +87,13 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     loop {
-        let Ok((stream, client)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let (stream, client) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                tracing::warn!(%error, "failed to accept a connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         // Without the option, the connection is slower but still works.
         let _ = stream.set_nodelay(true);
--- a/crates/bilberryloft-relay/src/room/wait.rs
+++ b/crates/bilberryloft-relay/src/room/wait.rs
@@ -9,7 +9,6 @@
 use bilberryloft_routing::room::Decision;
 use bilberryloft_routing::room::Inputs;
 use bilberryloft_routing::room::RoomTicket;
-use bilberryloft_routing::selection::NoTarget;
 use bilberryloft_transport::clock::monotonic_ms;
 use tokio::time::Instant;
 
@@ -97,14 +96,9 @@
         }
         match state.pick(request, &[]) {
             Ok(slot) => return Ok(Some(slot)),
-            Err(NoTarget::Absent) => return Err(Refusal::NoTarget),
-            Err(NoTarget::Evacuated) => return Err(Refusal::Evacuated),
-            Err(NoTarget::Cold(wait)) => return Err(state.cold.refuse(state, request, wait)),
-            Err(NoTarget::Resting { wait_ms }) => return Err(admission::refuse_resting(wait_ms)),
-            Err(NoTarget::Full) => {}
-            Err(NoTarget::Limited(wait)) => {
-                if !wait.has_part || Instant::now() + Duration::from_millis(wait.first_ms) > until {
-                    return Err(admission::refuse_limited(state, request, wait));
+            Err(cause) => {
+                if let Some(refusal) = admission::refuse_in_queue(state, request, cause, until) {
+                    return Err(refusal);
                 }
             }
         }
--- a/crates/bilberryloft-relay/src/server.rs
+++ b/crates/bilberryloft-relay/src/server.rs
@@ -1,7 +1,6 @@
 //! HTTP server for callers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bilberryloft_state::error::Result;
 use hyper::Response;
@@ -14,13 +13,12 @@
 use crate::answer::AnswerBody;
 use crate::forward;
 use crate::memory::connection_table::ConnectionGuard;
+use crate::memory::serve::ACCEPT_PAUSE;
 use crate::memory::serve::admit;
 use crate::memory::serve::listen;
 use crate::memory::serve::serve_connection;
 use crate::state::RelayState;
 
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Stage of the server's shutdown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
--- a/crates/bilberryloft-routing/src/cold_targets/mod.rs
+++ b/crates/bilberryloft-routing/src/cold_targets/mod.rs
@@ -137,6 +137,31 @@
 }
 
 impl ColdTarget {
+    fn new(id: &str, bound: ColdBound, record: &ColdRecord) -> ColdTarget {
+        ColdTarget {
+            id: id.to_string(),
+            bound,
+            incarnation: record.incarnation,
+            is_announced: record.is_announced,
+            version: record.version,
+            cold_until_ms: 0,
+            is_lost: false,
+            lost_ms: None,
+            sent: VecDeque::new(),
+            allowance: Cell::new(None),
+        }
+    }
+
+    fn update(&mut self, bound: ColdBound, record: &ColdRecord) {
+        if self.bound != bound {
+            self.bound = bound;
+            self.allowance.set(None);
+        }
+        self.incarnation = record.incarnation;
+        self.is_announced = record.is_announced;
+        self.version = record.version;
+    }
+
     fn is_cold(&self, now_ms: u64) -> bool {
         self.is_lost || self.cold_until_ms > now_ms
     }
@@ -238,25 +263,8 @@
             return None;
         };
         let known = self.by_key.get(&key).map(|it| (it.incarnation, it.is_announced, it.version));
-        let target = self.by_key.entry(key).or_insert_with(|| ColdTarget {
-            id: id.to_string(),
-            bound,
-            incarnation: record.incarnation,
-            is_announced: record.is_announced,
-            version: record.version,
-            cold_until_ms: 0,
-            is_lost: false,
-            lost_ms: None,
-            sent: VecDeque::new(),
-            allowance: Cell::new(None),
-        });
-        if target.bound != bound {
-            target.bound = bound;
-            target.allowance.set(None);
-        }
-        target.incarnation = record.incarnation;
-        target.is_announced = record.is_announced;
-        target.version = record.version;
+        let target = self.by_key.entry(key).or_insert_with(|| ColdTarget::new(id, bound, record));
+        target.update(bound, record);
         let announced_ms = match record.remaining_ms {
             0 => 0,
             remaining_ms => remaining_ms + REMAINING_MARGIN_MS,
--- a/crates/bilberryloft-routing/src/learned/answer_sizes.rs
+++ b/crates/bilberryloft-routing/src/learned/answer_sizes.rs
@@ -8,8 +8,7 @@
 /// Answers after which the mean is used. Streams differ in length by themselves.
 const SAMPLES_MIN: u32 = 16;
 /// Part of the usual size below which answers count as truncated. For exponentially distributed sizes, the mean of a
-/// sound target is 4.9 standard deviations above it. The mean of logarithms, whose distribution has a long lower end,
-/// gave 15 false results in 25,000 streams.
+/// sound target is 4.9 standard deviations above it.
 const TRUNCATED_SHARE: f64 = 0.3;
 
 /// Smoothed mean of the square roots of a target's answer sizes. A few long answers would dominate the plain mean.
--- a/crates/bilberryloft-routing/src/targets/cold.rs
+++ b/crates/bilberryloft-routing/src/targets/cold.rs
@@ -20,8 +20,7 @@
     }
 
     /// Records whether a known target may be cold; `version` is that of its record, which has not changed for
-    /// `unchanged_ms`. Returns why it has become cold, if it
-    /// has.
+    /// `unchanged_ms`. Returns why it has become cold, if it has.
     pub fn record_cold(
         &mut self,
         id: &str,
