Rename the types of admission by priority

A reader met `Room`, `Rooms`, `RoomRun` and `RoomTicket` without knowing that they are the state of admission by priority, `Applicant` for a request to be admitted, and `Rank` for the order of starts beside the ranks of an engine. They are PriorityAdmission, PriorityAdmissions, AdmittedRun, AdmissionTicket, AdmissionRequest and StartOrder now, in the folders priority_admission/.

No change of behaviour.

--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -163,9 +163,9 @@
     /// This entry's share of the bound of cold targets, or its contact with the quorum, changed.
     ColdShareChanged = 557,
     /// The bound on the running requests of a group changed.
-    RoomBoundChanged = 560,
+    AdmissionBoundChanged = 560,
     /// A request was rejected because its group has no room for its priority.
-    RoomDecided = 561,
+    AdmissionDecided = 561,
     /// Requests of a priority begin to be rejected, or are served again.
     PriorityOverloaded = 562,
     /// A body was dropped or refused because memory is short.
@@ -270,8 +270,8 @@
     Event::TargetsCold,
     Event::ColdRefused,
     Event::ColdShareChanged,
-    Event::RoomBoundChanged,
-    Event::RoomDecided,
+    Event::AdmissionBoundChanged,
+    Event::AdmissionDecided,
     Event::PriorityOverloaded,
     Event::MemoryShort,
     Event::BodyLate,
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -62,7 +62,7 @@
     /// Configuration version in force.
     pub configuration_version: IntGauge,
     /// Admission to lock-step groups by priority.
-    pub room: RoomMetrics,
+    pub admission: AdmissionMetrics,
     /// Memory and connections that clients make the process hold.
     pub memory: MemoryMetrics,
     quorum: QuorumGauges,
@@ -173,7 +173,7 @@
 
 /// Requests of this entry to lock-step groups, by service and priority, and the bounds by service.
 #[derive(Debug)]
-pub struct RoomMetrics {
+pub struct AdmissionMetrics {
     /// Requests that run.
     pub running: IntGaugeVec,
     /// Requests that wait for room.
@@ -184,19 +184,23 @@
     pub bound: IntGaugeVec,
 }
 
-impl RoomMetrics {
-    fn register(new: &Registrar) -> prometheus::Result<RoomMetrics> {
+impl AdmissionMetrics {
+    fn register(new: &Registrar) -> prometheus::Result<AdmissionMetrics> {
         let labels = ["service", "priority"];
-        Ok(RoomMetrics {
-            running: new.gauges("bilberryloft_room_running", "Requests that run.", &labels)?,
-            waiting: new.gauges("bilberryloft_room_waiting", "Requests that wait.", &labels)?,
+        Ok(AdmissionMetrics {
+            running: new.gauges("bilberryloft_admission_running", "Requests that run.", &labels)?,
+            waiting: new.gauges(
+                "bilberryloft_admission_waiting",
+                "Requests that wait.",
+                &labels,
+            )?,
             rejected: new.counters(
-                "bilberryloft_room_rejected_total",
+                "bilberryloft_admission_rejected_total",
                 "Requests rejected as their group had no room.",
                 &labels,
             )?,
             bound: new.gauges(
-                "bilberryloft_room_bound",
+                "bilberryloft_admission_bound",
                 "Bound on the running requests of all entries.",
                 &labels[..1],
             )?,
@@ -378,7 +382,7 @@
             cold: ColdMetrics::register(&new)?,
             configuration_version: new
                 .gauge("bilberryloft_configuration_version", "Configuration in force.")?,
-            room: RoomMetrics::register(&new)?,
+            admission: AdmissionMetrics::register(&new)?,
             memory: MemoryMetrics::register(&new)?,
             quorum: QuorumGauges::register(&new)?,
             refusals: RefusalCounters::register(&new)?,
--- a/crates/bilberryloft-relay/src/admission.rs
+++ b/crates/bilberryloft-relay/src/admission.rs
@@ -12,8 +12,8 @@
 
 use crate::answer::Refusal;
 use crate::cold;
+use crate::priority_admission;
 use crate::request::RelayRequest;
-use crate::room;
 use crate::state::RelayState;
 use crate::target_slot::TargetSlot;
 
@@ -55,8 +55,8 @@
     if let Some(wait_ms) = state.services.rest_wait_ms(service) {
         return Err(refuse_resting(wait_ms));
     }
-    if state.services.rooms.has(service) {
-        return room::wait_for_room(state, request).await;
+    if state.services.admissions.has(service) {
+        return priority_admission::wait_for_admission(state, request).await;
     }
     if state.services.with_queue(service, |it| it.is_empty())
         && let Some(slot) = pick_at_once(state, request)?
--- a/crates/bilberryloft-relay/src/loads/mod.rs
+++ b/crates/bilberryloft-relay/src/loads/mod.rs
@@ -103,7 +103,7 @@
             monotonic_ms(),
         );
         self.state.limits.record_reports(&entry, &targets.limits);
-        self.state.services.rooms.record_report(&entry, &targets.demand, monotonic_ms());
+        self.state.services.admissions.record_report(&entry, &targets.demand, monotonic_ms());
         for (id, incarnation) in &targets.leaving {
             leaving::record(&self.state, id, *incarnation, LeavingSource::Entry(&entry));
         }
@@ -121,7 +121,7 @@
         self.state.limits.refresh();
         self.state.cold.refresh();
         self.state.services.update_remote(&self.state.daemon);
-        self.state.services.rooms.report(|it| self.state.group_load(it), now_ms);
+        self.state.services.admissions.report(|it| self.state.group_load(it), now_ms);
         self.exchange.set_own(targets, self.state.entries.heard_count(), now_ms);
         for outgoing in self.exchange.due(&self.contacts(), now_ms, fastrand::f64) {
             self.send(&outgoing).await;
@@ -130,7 +130,7 @@
 
     /// Returns what this entry reports, and the number of active entries.
     fn own_targets(&self, now_ms: u64) -> (ReportedTargets, usize) {
-        let demand = self.state.services.rooms.own_demand(now_ms);
+        let demand = self.state.services.admissions.own_demand(now_ms);
         let mut targets = self.state.services.targets.lock();
         let reported = ReportedTargets {
             loads: targets.own_loads(),
--- a/crates/bilberryloft-relay/src/services.rs
+++ b/crates/bilberryloft-relay/src/services.rs
@@ -23,14 +23,14 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::room::Rooms;
+use crate::priority_admission::PriorityAdmissions;
 
 /// Targets, queues, pauses and groups of all services.
 pub struct Services {
     /// Load and health of the targets.
     pub targets: Mutex<TargetTable>,
     /// Admission by priority to lock-step groups.
-    pub rooms: Arc<Rooms>,
+    pub admissions: Arc<PriorityAdmissions>,
     pauses: Mutex<BTreeMap<String, PauseMeter>>,
     queues: Mutex<BTreeMap<String, WaitQueue>>,
     slow_ranks_changes: watch::Sender<()>,
@@ -42,7 +42,7 @@
     pub fn new(data_center: &str, metrics: Arc<Metrics>) -> Services {
         Services {
             targets: Mutex::new(TargetTable::new(data_center)),
-            rooms: Arc::new(Rooms::new(metrics)),
+            admissions: Arc::new(PriorityAdmissions::new(metrics)),
             pauses: Mutex::default(),
             queues: Mutex::default(),
             slow_ranks_changes: watch::Sender::default(),
@@ -81,7 +81,7 @@
     /// Records a pause between two events of a stream.
     pub fn record_pause(&self, service: &str, pause: Duration) {
         let pause_ms = pause.as_secs_f64() * 1_000.0;
-        self.rooms.with(service, |it| it.record_pause(pause_ms, monotonic_ms()));
+        self.admissions.with(service, |it| it.record_pause(pause_ms, monotonic_ms()));
         let mut pauses = self.pauses.lock();
         if !pauses.contains_key(service) {
             pauses.insert(service.to_string(), PauseMeter::default());
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -8,9 +8,9 @@
 use bilberryloft_daemon::shared::Shared;
 use bilberryloft_routing::batch_limit::batch_limit;
 use bilberryloft_routing::document::Engine;
+use bilberryloft_routing::priority_admission::GroupLoad;
 use bilberryloft_routing::retry_budget::BudgetLimits;
 use bilberryloft_routing::retry_budget::RetryPurpose;
-use bilberryloft_routing::room::GroupLoad;
 use bilberryloft_routing::routes::RouteTable;
 use bilberryloft_routing::selection::NoMigration;
 use bilberryloft_routing::selection::NoTarget;
@@ -159,7 +159,7 @@
                 self.services.targets.lock().places_mut().set_distances(decoded.services.iter());
                 let routes_in_force = Arc::new(RouteTable::new(decoded));
                 self.cold.set_routes(&routes_in_force);
-                self.services.rooms.configure(&routes_in_force);
+                self.services.admissions.configure(&routes_in_force);
                 *self.routes.write() = routes_in_force;
                 log_event!(info, Event::RoutesInForce, version = document.version, before, routes);
             }
@@ -188,8 +188,8 @@
         tried: &[TargetKey],
     ) -> Result<TargetSlot, NoTarget> {
         let now_ms = monotonic_ms();
-        let of_room = self.services.rooms.with(&request.service, |it| it.load_max(now_ms));
-        let load_max = of_room.or_else(|| self.load_max(request, now_ms));
+        let by_priority = self.services.admissions.with(&request.service, |it| it.load_max(now_ms));
+        let load_max = by_priority.or_else(|| self.load_max(request, now_ms));
         let picked = self.pick_limited(request, tried, load_max, now_ms)?;
         Ok(TargetSlot::new(&self.services, &self.suspects, request, picked))
     }
--- a/crates/bilberryloft-relay/src/target_slot.rs
+++ b/crates/bilberryloft-relay/src/target_slot.rs
@@ -14,9 +14,9 @@
 
 use crate::lost_runs::RunProgress;
 use crate::lost_runs::TargetRun;
+use crate::priority_admission::AdmittedRun;
 use crate::prompt_part::PromptPart;
 use crate::request::RelayRequest;
-use crate::room::RoomRun;
 use crate::services::Services;
 use crate::suspects::SuspectTracker;
 
@@ -43,7 +43,7 @@
     shared_parts: Arc<[PromptPart]>,
     picked: Box<PickedTarget>,
     /// Counts the request as running, if its service is admitted by priority.
-    room_run: Option<Box<RoomRun>>,
+    admitted_run: Option<Box<AdmittedRun>>,
     started: Instant,
     has_head: AtomicBool,
     first_answer: OnceLock<Instant>,
@@ -96,7 +96,7 @@
             request_bytes: request.body.len(),
             shared_parts: request.shared_parts.clone(),
             picked: Box::new(picked),
-            room_run: RoomRun::start(&services.rooms, request).map(Box::new),
+            admitted_run: AdmittedRun::start(&services.admissions, request).map(Box::new),
             started: Instant::now(),
             has_head: AtomicBool::new(false),
             first_answer: OnceLock::new(),
@@ -136,7 +136,7 @@
     /// the request.
     pub fn record_answer(&self) {
         let first_answer = self.first_answer.get_or_init(|| {
-            self.room_run.iter().for_each(|it| it.record_first_event());
+            self.admitted_run.iter().for_each(|it| it.record_first_event());
             Instant::now()
         });
         if first_answer.elapsed() >= SURVIVAL_TIME {
@@ -203,7 +203,7 @@
 
     /// Records how long the request has run, for the admission of others.
     fn record_residence(&mut self) {
-        self.room_run.iter_mut().for_each(|it| it.complete());
+        self.admitted_run.iter_mut().for_each(|it| it.complete());
     }
 
     fn record_whole(&self, answer: WholeAnswer) -> AttemptOutcome {
--- a/crates/bilberryloft-relay/tests/load_datagrams.rs
+++ b/crates/bilberryloft-relay/tests/load_datagrams.rs
@@ -10,7 +10,7 @@
 use bilberryloft_routing::load_exchange::ReportedDemand;
 use bilberryloft_routing::load_exchange::ReportedTargets;
 use bilberryloft_routing::load_exchange::TargetTag;
-use bilberryloft_routing::room::demand::PriorityDemand;
+use bilberryloft_routing::priority_admission::demand::PriorityDemand;
 use bilberryloft_routing::target_limits::LimitReport;
 use bilberryloft_state::suspect::LostPart;
 use bilberryloft_state::suspect::LostRun;
--- a/crates/bilberryloft-routing/src/load_exchange/report.rs
+++ b/crates/bilberryloft-routing/src/load_exchange/report.rs
@@ -6,7 +6,7 @@
 use bilberryloft_state::key::digest;
 use bilberryloft_state::suspect::LostRun;
 
-use crate::room::demand::Demand;
+use crate::priority_admission::demand::Demand;
 use crate::target_limits::LimitReport;
 
 /// Short form of a target's name in reports.
--- a/crates/bilberryloft-routing/src/room/mod.rs
+++ b/crates/bilberryloft-routing/src/priority_admission/mod.rs
@@ -9,21 +9,21 @@
 pub mod bound;
 pub mod configuration;
 pub mod demand;
-mod pace;
 mod queue;
+mod smoothed_time;
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
-pub use queue::Rank;
-pub use queue::RoomTicket;
+pub use queue::AdmissionTicket;
+pub use queue::StartOrder;
 
 use crate::document::Engine;
-use crate::room::bound::LoadBound;
-use crate::room::demand::Demand;
-use crate::room::demand::DemandTable;
-use crate::room::pace::SmoothedTime;
-use crate::room::queue::RoomQueue;
+use crate::priority_admission::bound::LoadBound;
+use crate::priority_admission::demand::Demand;
+use crate::priority_admission::demand::DemandTable;
+use crate::priority_admission::queue::AdmissionQueue;
+use crate::priority_admission::smoothed_time::SmoothedTime;
 
 /// Standard deviations of the arrivals for which room is kept in addition to their mean.
 const RESERVE_DEVIATIONS: f64 = 1.0;
@@ -63,7 +63,7 @@
 
 /// What decides on a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Applicant {
+pub struct AdmissionRequest {
     /// Order of the request: ten times its priority, plus that of its route; the lowest first.
     pub priority: u8,
     /// Objective for the first event, in milliseconds.
@@ -95,7 +95,7 @@
     pub bound: f64,
     /// Running requests of all entries.
     pub running: u32,
-    /// Room kept for requests that go first.
+    /// PriorityAdmission kept for requests that go first.
     pub reserve: f64,
     /// Expected wait in milliseconds; infinite if nothing is left for the priority.
     pub expected_ms: f64,
@@ -109,12 +109,12 @@
 
 /// Admission to one service's group at one entry.
 #[derive(Clone, Debug)]
-pub struct Room {
+pub struct PriorityAdmission {
     engine: Engine,
     bound: LoadBound,
     group: GroupLoad,
     demand: DemandTable,
-    queue: RoomQueue,
+    queue: AdmissionQueue,
     /// Time from the start of a request to its end.
     residence: SmoothedTime,
     /// Time from the start of a request to its first event.
@@ -123,20 +123,20 @@
     starts: VecDeque<(u64, u8)>,
     last_start_ms: BTreeMap<u8, u64>,
     /// Time from which the next rejected caller may come back.
-    next_return_ms: BTreeMap<Rank, f64>,
+    next_return_ms: BTreeMap<StartOrder, f64>,
     /// Number in 0..1 that decides whether a part of a request is rounded up, and until when it holds.
     rounding: (f64, u64),
 }
 
-impl Room {
+impl PriorityAdmission {
     /// Creates the state for a group without requests.
-    pub fn new(engine: Engine, gap_objective_ms: f64) -> Room {
-        Room {
+    pub fn new(engine: Engine, gap_objective_ms: f64) -> PriorityAdmission {
+        PriorityAdmission {
             engine,
             bound: LoadBound::new(engine, gap_objective_ms),
             group: GroupLoad::default(),
             demand: DemandTable::default(),
-            queue: RoomQueue::default(),
+            queue: AdmissionQueue::default(),
             residence: SmoothedTime::default(),
             first_event: SmoothedTime::default(),
             starts: VecDeque::new(),
@@ -235,16 +235,16 @@
     /// Decides on a new request. `draw` returns a number in 0..1.
     pub fn decide(
         &mut self,
-        applicant: &Applicant,
+        admission_request: &AdmissionRequest,
         now_ms: u64,
         draw: impl FnOnce() -> f64,
     ) -> (Decision, Inputs) {
-        let rank = self.rank(applicant);
-        let inputs = self.inputs(rank, now_ms);
-        if !self.queue.has_before(rank) && self.has_room(rank, &inputs, now_ms, draw) {
+        let order = self.start_order(admission_request);
+        let inputs = self.inputs(order, now_ms);
+        if !self.queue.has_before(order) && self.has_room(order, &inputs, now_ms, draw) {
             return (Decision::Start, inputs);
         }
-        let max_ms = self.wait_max_ms(applicant);
+        let max_ms = self.wait_max_ms(admission_request);
         let decision = match inputs.expected_ms <= max_ms {
             true => Decision::Wait { max_ms },
             false => Decision::Reject,
@@ -253,92 +253,94 @@
     }
 
     /// Adds a request to the queue.
-    pub fn join(&mut self, applicant: &Applicant) -> RoomTicket {
-        self.demand.update(applicant.priority, |it| it.waiting += 1);
-        self.queue.join(self.rank(applicant))
+    pub fn join(&mut self, admission_request: &AdmissionRequest) -> AdmissionTicket {
+        self.demand.update(admission_request.priority, |it| it.waiting += 1);
+        self.queue.join(self.start_order(admission_request))
     }
 
     /// Removes a request from the queue.
-    pub fn leave(&mut self, ticket: RoomTicket) {
-        self.demand.update(ticket.rank().priority, |it| it.waiting = it.waiting.saturating_sub(1));
+    pub fn leave(&mut self, ticket: AdmissionTicket) {
+        self.demand
+            .update(ticket.start_order().priority, |it| it.waiting = it.waiting.saturating_sub(1));
         self.queue.leave(ticket);
     }
 
     /// Returns whether a request in the queue may start.
     pub fn may_start(
         &mut self,
-        ticket: RoomTicket,
+        ticket: AdmissionTicket,
         now_ms: u64,
         draw: impl FnOnce() -> f64,
     ) -> bool {
         if !self.queue.is_first(ticket) {
             return false;
         }
-        let inputs = self.inputs(ticket.rank(), now_ms);
-        self.has_room(ticket.rank(), &inputs, now_ms, draw)
+        let inputs = self.inputs(ticket.start_order(), now_ms);
+        self.has_room(ticket.start_order(), &inputs, now_ms, draw)
     }
 
     /// Returns the time after which the caller of a rejected request should come back, in milliseconds.
     ///
-    /// Callers of one rank get times one after the other at the rate that is left for them. Where that is later than
+    /// Callers of one order get times one after the other at the rate that is left for them. Where that is later than
     /// callers honour, the times are spread over the last half of what they do.
     pub fn retry_after_ms(
         &mut self,
-        applicant: &Applicant,
+        admission_request: &AdmissionRequest,
         inputs: &Inputs,
         now_ms: u64,
         draw: impl FnOnce() -> f64,
     ) -> u64 {
-        let rank = self.rank(applicant);
-        let honoured_ms = HONOURED_SHARE * applicant.time_left_ms;
+        let order = self.start_order(admission_request);
+        let honoured_ms = HONOURED_SHARE * admission_request.time_left_ms;
         let latest_ms = honoured_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
         let now = now_ms as f64;
-        let next_ms = self.next_return_ms.get(&rank).copied().unwrap_or(0.0);
+        let next_ms = self.next_return_ms.get(&order).copied().unwrap_or(0.0);
         let return_ms = next_ms.max(now + inputs.expected_ms.max(RETRY_AFTER_MIN_MS));
         if return_ms > now + latest_ms {
             return (latest_ms * (0.5 + 0.5 * draw())) as u64;
         }
         let own_rate_per_ms =
-            self.rate_left_per_ms(rank, now_ms) / self.group.entries.max(1) as f64;
+            self.rate_left_per_ms(order, now_ms) / self.group.entries.max(1) as f64;
         let interval_ms = 1.0 / own_rate_per_ms.max(1e-3);
-        self.next_return_ms.insert(rank, return_ms + interval_ms);
+        self.next_return_ms.insert(order, return_ms + interval_ms);
         (return_ms - now + interval_ms * draw()).ceil() as u64
     }
 
     /// Returns the order of a request among the others.
-    fn rank(&self, applicant: &Applicant) -> Rank {
+    fn start_order(&self, admission_request: &AdmissionRequest) -> StartOrder {
         let first_event_ms = self.first_event.mean_ms().unwrap_or(0.0);
-        let is_late = applicant.elapsed_ms + first_event_ms > applicant.objective_ms;
-        Rank { priority: applicant.priority, is_late }
+        let is_late =
+            admission_request.elapsed_ms + first_event_ms > admission_request.objective_ms;
+        StartOrder { priority: admission_request.priority, is_late }
     }
 
     /// Returns the longest wait after which the first event can still come within the objective. A request that has
     /// missed it may wait as long as one that has just arrived.
-    pub fn wait_max_ms(&self, applicant: &Applicant) -> f64 {
+    pub fn wait_max_ms(&self, admission_request: &AdmissionRequest) -> f64 {
         let first_event_ms =
-            self.first_event.usual_max_ms().unwrap_or(0.5 * applicant.objective_ms);
-        let elapsed_ms = match self.rank(applicant).is_late {
+            self.first_event.usual_max_ms().unwrap_or(0.5 * admission_request.objective_ms);
+        let elapsed_ms = match self.start_order(admission_request).is_late {
             true => 0.0,
-            false => applicant.elapsed_ms,
+            false => admission_request.elapsed_ms,
         };
-        let wait_ms = applicant.objective_ms - elapsed_ms - first_event_ms;
-        wait_ms.min(applicant.time_left_ms).max(0.0)
+        let wait_ms = admission_request.objective_ms - elapsed_ms - first_event_ms;
+        wait_ms.min(admission_request.time_left_ms).max(0.0)
     }
 
     /// Returns the inputs of a decision on a request.
-    pub fn inputs_for(&mut self, applicant: &Applicant, now_ms: u64) -> Inputs {
-        self.inputs(self.rank(applicant), now_ms)
+    pub fn inputs_for(&mut self, admission_request: &AdmissionRequest, now_ms: u64) -> Inputs {
+        self.inputs(self.start_order(admission_request), now_ms)
     }
 
-    /// Returns the inputs of a decision on a request of a rank.
-    fn inputs(&mut self, rank: Rank, now_ms: u64) -> Inputs {
+    /// Returns the inputs of a decision on a request of an order.
+    fn inputs(&mut self, order: StartOrder, now_ms: u64) -> Inputs {
         self.demand.expire(now_ms);
         let total = self.demand.total(now_ms);
         let (age_ms, hears_others) = (self.demand.age_ms(now_ms), self.demand.hears_others());
         let bound = self.bound.at(self.group.mean(), now_ms) * self.group.targets as f64;
         let part = if hears_others { 1 } else { self.group.entries.max(1) };
-        let reserve = self.reserve(rank, &total, age_ms, now_ms);
-        let waiting: u32 = total.range(..=rank.priority).map(|it| it.1.waiting).sum();
+        let reserve = self.reserve(order, &total, age_ms, now_ms);
+        let waiting: u32 = total.range(..=order.priority).map(|it| it.1.waiting).sum();
         let mut inputs = Inputs {
             bound: (bound / part as f64).max(1.0),
             running: self.group.running,
@@ -348,47 +350,47 @@
             age_ms,
             hears_others,
         };
-        inputs.expected_ms = self.expected_ms(rank, &inputs, now_ms);
+        inputs.expected_ms = self.expected_ms(order, &inputs, now_ms);
         inputs
     }
 
-    /// Returns the room that is kept for requests that go before one of this rank: those that arrive until slots are free
+    /// Returns the room that is kept for requests that go before one of this order: those that arrive until slots are free
     /// again and this entry knows of it, and those that wait.
-    fn reserve(&self, rank: Rank, total: &Demand, age_ms: f64, now_ms: u64) -> f64 {
+    fn reserve(&self, order: StartOrder, total: &Demand, age_ms: f64, now_ms: u64) -> f64 {
         let pass_ms = self.bound.long_pause_ms(now_ms).map_or(0.0, |it| it.0);
         let period_s = (pass_ms + age_ms) / 1_000.0;
-        let first = total.iter().filter(|it| goes_first(*it.0, rank));
+        let first = total.iter().filter(|it| goes_first(*it.0, order));
         let arrivals = first.map(|it| f64::from(it.1.arrivals_per_s)).sum::<f64>() * period_s;
-        let waiting: f64 = total.range(..rank.priority).map(|it| f64::from(it.1.waiting)).sum();
+        let waiting: f64 = total.range(..order.priority).map(|it| f64::from(it.1.waiting)).sum();
         arrivals + RESERVE_DEVIATIONS * arrivals.sqrt() + waiting
     }
 
-    /// Returns the rate at which requests of this rank can be started at all entries.
-    fn rate_left_per_ms(&mut self, rank: Rank, now_ms: u64) -> f64 {
+    /// Returns the rate at which requests of this order can be started at all entries.
+    fn rate_left_per_ms(&mut self, order: StartOrder, now_ms: u64) -> f64 {
         let Some(residence_ms) = self.residence.mean_ms() else {
             return 0.0;
         };
         let rate_per_ms = f64::from(self.group.running) / residence_ms.max(1.0);
         let total = self.demand.total(now_ms);
-        let first = total.iter().filter(|it| goes_first(*it.0, rank));
+        let first = total.iter().filter(|it| goes_first(*it.0, order));
         let first_per_ms = first.map(|it| f64::from(it.1.arrivals_per_s)).sum::<f64>() / 1_000.0;
         let left_per_ms = rate_per_ms - first_per_ms;
         if left_per_ms < RATE_SHARE_MIN * rate_per_ms { 0.0 } else { left_per_ms }
     }
 
-    fn expected_ms(&mut self, rank: Rank, inputs: &Inputs, now_ms: u64) -> f64 {
+    fn expected_ms(&mut self, order: StartOrder, inputs: &Inputs, now_ms: u64) -> f64 {
         if self.residence.mean_ms().is_none() {
             return 0.0;
         }
         let excess = f64::from(inputs.running) + inputs.reserve - inputs.bound;
-        let before = excess.max(0.0) + self.queue.before(rank).max(inputs.waiting as usize) as f64;
-        (before + 1.0) / self.rate_left_per_ms(rank, now_ms).max(f64::MIN_POSITIVE)
+        let before = excess.max(0.0) + self.queue.before(order).max(inputs.waiting as usize) as f64;
+        (before + 1.0) / self.rate_left_per_ms(order, now_ms).max(f64::MIN_POSITIVE)
     }
 
     /// Returns whether a request may start.
     fn has_room(
         &mut self,
-        rank: Rank,
+        order: StartOrder,
         inputs: &Inputs,
         now_ms: u64,
         draw: impl FnOnce() -> f64,
@@ -397,7 +399,7 @@
         if running + 1.0 > inputs.bound {
             return false;
         }
-        if self.is_starved(rank.priority, now_ms) {
+        if self.is_starved(order.priority, now_ms) {
             return true;
         }
         if !inputs.hears_others {
@@ -413,15 +415,15 @@
         if now_ms >= self.rounding.1 {
             self.rounding = (draw(), now_ms + window_ms as u64);
         }
-        let part = room * self.share(rank, window_ms, now_ms, room);
+        let part = room * self.share(order, window_ms, now_ms, room);
         recent + 1.0 <= part.floor() + f64::from(u8::from(self.rounding.0 < part.fract()))
     }
 
     /// Returns the share of the room that this entry may use before the others know of it: all of it if there is enough for
     /// all entries, otherwise by demand.
-    fn share(&mut self, rank: Rank, window_ms: f64, now_ms: u64, room: f64) -> f64 {
+    fn share(&mut self, order: StartOrder, window_ms: f64, now_ms: u64, room: f64) -> f64 {
         let claim = |demand: &Demand| -> f64 {
-            let claims = demand.range(..=rank.priority).map(|it| {
+            let claims = demand.range(..=order.priority).map(|it| {
                 f64::from(it.1.waiting) + f64::from(it.1.arrivals_per_s) * window_ms / 1_000.0
             });
             claims.sum()
@@ -436,7 +438,7 @@
     }
 }
 
-/// Returns whether requests of a priority go before those of a rank; of the same priority, those that are not late do.
-fn goes_first(priority: u8, rank: Rank) -> bool {
-    priority < rank.priority || (rank.is_late && priority == rank.priority)
+/// Returns whether requests of a priority go before those of an order; of the same priority, those that are not late do.
+fn goes_first(priority: u8, order: StartOrder) -> bool {
+    priority < order.priority || (order.is_late && priority == order.priority)
 }
--- a/crates/bilberryloft-routing/tests/room_decisions.rs
+++ b/crates/bilberryloft-routing/tests/priority_decisions.rs
@@ -9,13 +9,13 @@
 use bilberryloft_routing::document::Route;
 use bilberryloft_routing::document::Service;
 use bilberryloft_routing::document::Share;
-use bilberryloft_routing::room::Applicant;
-use bilberryloft_routing::room::Decision;
-use bilberryloft_routing::room::GroupLoad;
-use bilberryloft_routing::room::Room;
-use bilberryloft_routing::room::bound::LoadBound;
-use bilberryloft_routing::room::configuration::configurations;
-use bilberryloft_routing::room::demand::PriorityDemand;
+use bilberryloft_routing::priority_admission::AdmissionRequest;
+use bilberryloft_routing::priority_admission::Decision;
+use bilberryloft_routing::priority_admission::GroupLoad;
+use bilberryloft_routing::priority_admission::PriorityAdmission;
+use bilberryloft_routing::priority_admission::bound::LoadBound;
+use bilberryloft_routing::priority_admission::configuration::configurations;
+use bilberryloft_routing::priority_admission::demand::PriorityDemand;
 use bilberryloft_routing::routes::RouteTable;
 
 const SLOTS: usize = 10;
@@ -106,25 +106,25 @@
     assert!((bound.at(7.0, 200) - 8.0).abs() < 1e-9);
 }
 
-fn applicant(priority: u8, elapsed_ms: f64) -> Applicant {
+fn admission_request(priority: u8, elapsed_ms: f64) -> AdmissionRequest {
     let objective_ms = if priority == 2 { 1_000.0 } else { 500.0 };
-    Applicant { priority, objective_ms, elapsed_ms, time_left_ms: 6_000.0 - elapsed_ms }
+    AdmissionRequest { priority, objective_ms, elapsed_ms, time_left_ms: 6_000.0 - elapsed_ms }
 }
 
 /// Returns a room with 72 targets, a settled bound, and known times of requests.
-fn room(running: u32, now_ms: u64) -> Room {
-    let mut room = Room::new(engine(), OBJECTIVE_MS);
-    room.set_group(GroupLoad { targets: 72, running: 430, entries: 18 });
+fn admission(running: u32, now_ms: u64) -> PriorityAdmission {
+    let mut admission = PriorityAdmission::new(engine(), OBJECTIVE_MS);
+    admission.set_group(GroupLoad { targets: 72, running: 430, entries: 18 });
     for at_ms in (0..=now_ms).step_by(100) {
-        (0..20).for_each(|_| room.record_pause(100.0, at_ms));
-        room.bound(at_ms);
+        (0..20).for_each(|_| admission.record_pause(100.0, at_ms));
+        admission.bound(at_ms);
     }
-    room.record_first_event(200.0);
-    room.record_start(0, now_ms - 900);
-    room.record_end(0, Some(1_900.0));
-    room.record_report("other", BTreeMap::new(), now_ms);
-    room.set_group(GroupLoad { targets: 72, running, entries: 18 });
-    room
+    admission.record_first_event(200.0);
+    admission.record_start(0, now_ms - 900);
+    admission.record_end(0, Some(1_900.0));
+    admission.record_report("other", BTreeMap::new(), now_ms);
+    admission.set_group(GroupLoad { targets: 72, running, entries: 18 });
+    admission
 }
 
 fn demand(waiting: u32, arrivals_per_s: u32) -> PriorityDemand {
@@ -136,12 +136,13 @@
 /// Guards against slots that go to whoever asks first, so that urgent requests find none.
 #[test]
 fn room_is_kept_for_urgent_requests_that_arrive_elsewhere() {
-    let mut room = room(550, NOW_MS);
-    let bound = room.inputs_for(&applicant(0, 0.0), NOW_MS).bound;
-    room.set_group(GroupLoad { targets: 72, running: bound as u32 - 15, entries: 18 });
+    let mut admission = admission(550, NOW_MS);
+    let bound = admission.inputs_for(&admission_request(0, 0.0), NOW_MS).bound;
+    admission.set_group(GroupLoad { targets: 72, running: bound as u32 - 15, entries: 18 });
     let reports = BTreeMap::from([(0, demand(0, 92)), (1, demand(0, 121)), (2, demand(0, 40))]);
-    room.record_report("other", reports, NOW_MS);
-    let starts = [0, 1, 2].map(|it| room.decide(&applicant(it, 0.0), NOW_MS, || 0.0).0);
+    admission.record_report("other", reports, NOW_MS);
+    let starts =
+        [0, 1, 2].map(|it| admission.decide(&admission_request(it, 0.0), NOW_MS, || 0.0).0);
     assert_eq!(starts[0], Decision::Start);
     assert_ne!(starts[2], Decision::Start);
 }
@@ -149,65 +150,70 @@
 /// Guards against an entry that starts less urgent requests while urgent ones wait elsewhere.
 #[test]
 fn less_urgent_request_does_not_start_while_urgent_ones_wait_elsewhere() {
-    let mut room = room(450, NOW_MS);
-    assert_eq!(room.decide(&applicant(2, 0.0), NOW_MS, || 0.0).0, Decision::Start);
-    room.record_report("other", BTreeMap::from([(0, demand(200, 0))]), NOW_MS);
-    assert_ne!(room.decide(&applicant(2, 0.0), NOW_MS, || 0.0).0, Decision::Start);
+    let mut admission = admission(450, NOW_MS);
+    assert_eq!(admission.decide(&admission_request(2, 0.0), NOW_MS, || 0.0).0, Decision::Start);
+    admission.record_report("other", BTreeMap::from([(0, demand(200, 0))]), NOW_MS);
+    assert_ne!(admission.decide(&admission_request(2, 0.0), NOW_MS, || 0.0).0, Decision::Start);
 }
 
 /// Guards against a queue in which a waiting request holds up a more urgent one.
 #[test]
 fn waiting_request_does_not_hold_up_more_urgent_ones() {
-    let mut room = room(400, NOW_MS);
-    let waiting = room.join(&applicant(2, 0.0));
-    assert_eq!(room.decide(&applicant(0, 0.0), NOW_MS, || 0.0).0, Decision::Start);
-    let urgent = room.join(&applicant(0, 0.0));
-    assert!(!room.may_start(waiting, NOW_MS, || 0.0));
-    assert!(room.may_start(urgent, NOW_MS, || 0.0));
-    room.leave(urgent);
-    assert!(room.may_start(waiting, NOW_MS, || 0.0));
+    let mut admission = admission(400, NOW_MS);
+    let waiting = admission.join(&admission_request(2, 0.0));
+    assert_eq!(admission.decide(&admission_request(0, 0.0), NOW_MS, || 0.0).0, Decision::Start);
+    let urgent = admission.join(&admission_request(0, 0.0));
+    assert!(!admission.may_start(waiting, NOW_MS, || 0.0));
+    assert!(admission.may_start(urgent, NOW_MS, || 0.0));
+    admission.leave(urgent);
+    assert!(admission.may_start(waiting, NOW_MS, || 0.0));
 }
 
 /// Guards against requests that have missed their objective going before those that can still meet it.
 #[test]
 fn late_request_waits_behind_those_of_its_priority_in_time() {
-    let mut room = room(400, NOW_MS);
-    let late = room.join(&applicant(1, 2_500.0));
-    let timely = room.join(&applicant(1, 0.0));
-    let next = room.join(&applicant(2, 0.0));
-    assert!(room.may_start(timely, NOW_MS, || 0.0) && !room.may_start(late, NOW_MS, || 0.0));
-    room.leave(timely);
-    assert!(room.may_start(late, NOW_MS, || 0.0) && !room.may_start(next, NOW_MS, || 0.0));
+    let mut admission = admission(400, NOW_MS);
+    let late = admission.join(&admission_request(1, 2_500.0));
+    let timely = admission.join(&admission_request(1, 0.0));
+    let next = admission.join(&admission_request(2, 0.0));
+    assert!(
+        admission.may_start(timely, NOW_MS, || 0.0) && !admission.may_start(late, NOW_MS, || 0.0)
+    );
+    admission.leave(timely);
+    assert!(
+        admission.may_start(late, NOW_MS, || 0.0) && !admission.may_start(next, NOW_MS, || 0.0)
+    );
 }
 
 /// Guards against waits after which the first event is late, and against longer waits of a class with a longer objective
 /// while it goes last.
 #[test]
 fn request_waits_only_if_it_can_still_meet_its_objective() {
-    let mut room = room(720, NOW_MS);
+    let mut admission = admission(720, NOW_MS);
     let all = BTreeMap::from([(0, demand(0, 92)), (1, demand(0, 121)), (2, demand(0, 360))]);
-    room.record_report("other", all, NOW_MS);
+    admission.record_report("other", all, NOW_MS);
     for priority in [0, 1, 2] {
-        let (decision, inputs) = room.decide(&applicant(priority, 0.0), NOW_MS, || 0.0);
-        let max_ms = room.wait_max_ms(&applicant(priority, 0.0));
-        assert!(max_ms <= applicant(priority, 0.0).objective_ms - 200.0, "{max_ms}");
+        let (decision, inputs) =
+            admission.decide(&admission_request(priority, 0.0), NOW_MS, || 0.0);
+        let max_ms = admission.wait_max_ms(&admission_request(priority, 0.0));
+        assert!(max_ms <= admission_request(priority, 0.0).objective_ms - 200.0, "{max_ms}");
         assert_eq!(decision == Decision::Reject, inputs.expected_ms > max_ms, "{inputs:?}");
     }
-    assert_eq!(room.decide(&applicant(2, 0.0), NOW_MS, || 0.0).0, Decision::Reject);
+    assert_eq!(admission.decide(&admission_request(2, 0.0), NOW_MS, || 0.0).0, Decision::Reject);
 }
 
 /// Guards against callers that all come back at once, before there is room, or later than they honour.
 #[test]
 fn rejected_callers_come_back_spread_by_priority() {
-    let mut room = room(600, NOW_MS);
+    let mut admission = admission(600, NOW_MS);
     let all = BTreeMap::from([(0, demand(0, 92)), (1, demand(0, 121)), (2, demand(0, 360))]);
-    room.record_report("other", all, NOW_MS);
+    admission.record_report("other", all, NOW_MS);
     let mut mean_ms = [0.0; 3];
     for priority in [0, 1, 2] {
-        let caller = applicant(priority, 0.0);
-        let inputs = room.inputs_for(&caller, NOW_MS);
+        let caller = admission_request(priority, 0.0);
+        let inputs = admission.inputs_for(&caller, NOW_MS);
         let times: Vec<u64> = (0..40)
-            .map(|it| room.retry_after_ms(&caller, &inputs, NOW_MS, || f64::from(it) / 40.0))
+            .map(|it| admission.retry_after_ms(&caller, &inputs, NOW_MS, || f64::from(it) / 40.0))
             .collect();
         let (first, last) = (*times.iter().min().unwrap(), *times.iter().max().unwrap());
         assert!(last - first > 200 && last <= 2_000, "{times:?}");
@@ -215,34 +221,34 @@
         mean_ms[usize::from(priority)] = times.iter().sum::<u64>() as f64 / 40.0;
     }
     assert!(mean_ms[0] <= mean_ms[2], "{mean_ms:?}");
-    let hurried = Applicant { time_left_ms: 900.0, ..applicant(2, 0.0) };
-    let inputs = room.inputs_for(&hurried, NOW_MS);
-    assert!(room.retry_after_ms(&hurried, &inputs, NOW_MS, || 0.99) <= 300);
+    let hurried = AdmissionRequest { time_left_ms: 900.0, ..admission_request(2, 0.0) };
+    let inputs = admission.inputs_for(&hurried, NOW_MS);
+    assert!(admission.retry_after_ms(&hurried, &inputs, NOW_MS, || 0.99) <= 300);
 }
 
 /// Guards against a priority that gets nothing as long as more urgent requests fill the group.
 #[test]
 fn starved_priority_gets_a_turn() {
-    let mut room = room(450, NOW_MS);
-    room.record_arrival(2, NOW_MS);
-    room.record_report("other", BTreeMap::from([(0, demand(300, 90))]), NOW_MS);
-    assert_ne!(room.decide(&applicant(2, 0.0), NOW_MS, || 0.0).0, Decision::Start);
+    let mut admission = admission(450, NOW_MS);
+    admission.record_arrival(2, NOW_MS);
+    admission.record_report("other", BTreeMap::from([(0, demand(300, 90))]), NOW_MS);
+    assert_ne!(admission.decide(&admission_request(2, 0.0), NOW_MS, || 0.0).0, Decision::Start);
     let later_ms = NOW_MS + 2_000;
-    (0..20).for_each(|_| room.record_pause(100.0, later_ms));
-    room.record_report("other", BTreeMap::from([(0, demand(300, 90))]), later_ms);
-    assert_eq!(room.decide(&applicant(2, 0.0), later_ms, || 0.0).0, Decision::Start);
-    room.record_start(2, later_ms);
-    assert_ne!(room.decide(&applicant(2, 0.0), later_ms, || 0.0).0, Decision::Start);
+    (0..20).for_each(|_| admission.record_pause(100.0, later_ms));
+    admission.record_report("other", BTreeMap::from([(0, demand(300, 90))]), later_ms);
+    assert_eq!(admission.decide(&admission_request(2, 0.0), later_ms, || 0.0).0, Decision::Start);
+    admission.record_start(2, later_ms);
+    assert_ne!(admission.decide(&admission_request(2, 0.0), later_ms, || 0.0).0, Decision::Start);
 }
 
 /// Guards against an entry that is frozen, cut off or has just started and fills the group on its own.
 #[test]
 fn entry_that_hears_nobody_uses_its_part_of_the_bound() {
-    let mut room = Room::new(engine(), OBJECTIVE_MS);
+    let mut admission = PriorityAdmission::new(engine(), OBJECTIVE_MS);
     let mut started = 0;
     loop {
-        room.set_group(GroupLoad { targets: 72, running: started, entries: 16 });
-        if room.decide(&applicant(0, 0.0), 100, || 0.0).0 != Decision::Start {
+        admission.set_group(GroupLoad { targets: 72, running: started, entries: 16 });
+        if admission.decide(&admission_request(0, 0.0), 100, || 0.0).0 != Decision::Start {
             break;
         }
         started += 1;
--- a/crates/bilberryloft-routing/tests/support/lock_step_group.rs
+++ b/crates/bilberryloft-routing/tests/support/lock_step_group.rs
@@ -11,11 +11,11 @@
 
 use bilberryloft_routing::batch_limit::PauseMeter;
 use bilberryloft_routing::document::Engine;
-use bilberryloft_routing::room::GroupLoad;
-use bilberryloft_routing::room::Room;
-use bilberryloft_routing::room::RoomTicket;
-use bilberryloft_routing::room::bound::LoadBound;
-use bilberryloft_routing::room::demand::Demand;
+use bilberryloft_routing::priority_admission::AdmissionTicket;
+use bilberryloft_routing::priority_admission::GroupLoad;
+use bilberryloft_routing::priority_admission::PriorityAdmission;
+use bilberryloft_routing::priority_admission::bound::LoadBound;
+use bilberryloft_routing::priority_admission::demand::Demand;
 use bilberryloft_routing::wait_queue::Ticket;
 use bilberryloft_routing::wait_queue::WaitQueue;
 
@@ -95,7 +95,7 @@
     caller: usize,
     until_ms: u64,
     ticket: Option<Ticket>,
-    room_ticket: Option<RoomTicket>,
+    admission_ticket: Option<AdmissionTicket>,
     start_tag: f64,
 }
 
@@ -107,7 +107,7 @@
     meter: PauseMeter,
     queue: WaitQueue,
     bound: LoadBound,
-    room: Room,
+    admission: PriorityAdmission,
     virtual_time: f64,
     finish_tags: [f64; 3],
 }
@@ -159,7 +159,7 @@
             meter: PauseMeter::default(),
             queue: WaitQueue::default(),
             bound: LoadBound::new(engine(), GAP_OBJECTIVE_MS),
-            room: Room::new(engine(), GAP_OBJECTIVE_MS),
+            admission: PriorityAdmission::new(engine(), GAP_OBJECTIVE_MS),
             virtual_time: 0.0,
             finish_tags: [0.0; 3],
         }
@@ -205,7 +205,7 @@
         for idx in 0..ENTRIES {
             if (now_ms + 2 * idx as u64).is_multiple_of(REPORT_INTERVAL_MS) {
                 let entry = &mut self.entries[idx];
-                let demand = entry.room.own_demand(now_ms);
+                let demand = entry.admission.own_demand(now_ms);
                 entry.sent.push_back((now_ms + REPORT_DELAY_MS, entry.loads.clone(), demand));
             }
             while self.entries[idx].sent.front().is_some_and(|it| it.0 <= now_ms) {
@@ -216,8 +216,8 @@
                 }
                 self.entries[idx].reported = loads;
                 for other in (0..ENTRIES).filter(|it| *it != idx) {
-                    let room = &mut self.entries[other].room;
-                    room.record_report(&format!("e{idx}"), demand.clone(), now_ms);
+                    let admission = &mut self.entries[other].admission;
+                    admission.record_report(&format!("e{idx}"), demand.clone(), now_ms);
                 }
             }
         }
@@ -352,7 +352,7 @@
             if caller.first_event_ms.is_none() {
                 caller.first_event_ms = Some(now_ms);
                 let started_ms = caller.started_ms.unwrap();
-                entry.room.record_first_event((now_ms - started_ms) as f64);
+                entry.admission.record_first_event((now_ms - started_ms) as f64);
             } else {
                 let pause_ms = end_ms - caller.last_event_ms;
                 caller.longest_pause_ms = caller.longest_pause_ms.max(pause_ms);
@@ -362,8 +362,8 @@
                 let mean = f64::from(total - entry.reported.iter().sum::<u32>()) / RANKS as f64;
                 entry.bound.record(pause_ms, mean, now_ms);
                 let running = (mean * RANKS as f64) as u32;
-                entry.room.set_group(GroupLoad { targets: RANKS, running, entries: ENTRIES });
-                entry.room.record_pause(pause_ms, now_ms);
+                entry.admission.set_group(GroupLoad { targets: RANKS, running, entries: ENTRIES });
+                entry.admission.record_pause(pause_ms, now_ms);
             }
             caller.last_event_ms = end_ms;
             caller.events_left = caller.events_left.saturating_sub(1);
@@ -381,6 +381,6 @@
         let entry = &mut self.entries[caller.entry];
         entry.loads[caller.rank] -= 1;
         entry.queue.record_finished(now_ms);
-        entry.room.record_end(caller.priority as u8, after_ms);
+        entry.admission.record_end(caller.priority as u8, after_ms);
     }
 }
--- a/crates/bilberryloft-routing/tests/support/lock_step_rules.rs
+++ b/crates/bilberryloft-routing/tests/support/lock_step_rules.rs
@@ -1,9 +1,9 @@
 //! Rules by which the entries of the model admit requests.
 
 use bilberryloft_routing::batch_limit::batch_limit;
-use bilberryloft_routing::room::Applicant;
-use bilberryloft_routing::room::Decision;
-use bilberryloft_routing::room::RoomTicket;
+use bilberryloft_routing::priority_admission::AdmissionRequest;
+use bilberryloft_routing::priority_admission::AdmissionTicket;
+use bilberryloft_routing::priority_admission::Decision;
 use bilberryloft_routing::wait_queue::Ticket;
 
 use super::ENTRIES;
@@ -21,10 +21,10 @@
 const QUEUE_MAX: u32 = 4;
 
 impl Group {
-    fn applicant(&self, caller: usize, now_ms: u64) -> Applicant {
+    fn admission_request(&self, caller: usize, now_ms: u64) -> AdmissionRequest {
         let caller = &self.callers[caller];
         let elapsed_ms = (now_ms - caller.arrived_ms) as f64;
-        Applicant {
+        AdmissionRequest {
             priority: caller.priority as u8,
             objective_ms: OBJECTIVES_MS[caller.priority],
             elapsed_ms,
@@ -42,7 +42,7 @@
             return self.refuse(caller, after_ms, now_ms);
         }
         match self.rule {
-            Rule::Reserve => self.apply_to_room(caller, now_ms),
+            Rule::Reserve => self.apply_for_admission(caller, now_ms),
             Rule::FirstCome => {
                 let priority = self.callers[caller].priority;
                 if self.entries[entry].queue.is_empty() && self.start_first_come(caller, now_ms) {
@@ -74,40 +74,41 @@
         }
     }
 
-    fn apply_to_room(&mut self, caller: usize, now_ms: u64) {
+    fn apply_for_admission(&mut self, caller: usize, now_ms: u64) {
         let entry = self.callers[caller].entry;
-        let applicant = self.applicant(caller, now_ms);
+        let admission_request = self.admission_request(caller, now_ms);
         let group = self.group_load(entry);
         let mut rng = self.rng.fork();
-        let room = &mut self.entries[entry].room;
-        room.record_arrival(applicant.priority, now_ms);
-        room.set_group(group);
-        let (decision, inputs) = room.decide(&applicant, now_ms, || rng.f64());
+        let admission = &mut self.entries[entry].admission;
+        admission.record_arrival(admission_request.priority, now_ms);
+        admission.set_group(group);
+        let (decision, inputs) = admission.decide(&admission_request, now_ms, || rng.f64());
         match decision {
-            Decision::Start if self.start_in_room(caller, now_ms) => {}
+            Decision::Start if self.start_if_admitted(caller, now_ms) => {}
             Decision::Start => {
-                let ticket = self.entries[entry].room.join(&applicant);
+                let ticket = self.entries[entry].admission.join(&admission_request);
                 self.wait(caller, now_ms + 200, None, Some(ticket), 0.0);
             }
             Decision::Wait { max_ms } => {
-                let ticket = self.entries[entry].room.join(&applicant);
+                let ticket = self.entries[entry].admission.join(&admission_request);
                 self.wait(caller, now_ms + max_ms as u64, None, Some(ticket), 0.0);
             }
             Decision::Reject => {
-                let room = &mut self.entries[entry].room;
-                let after_ms = room.retry_after_ms(&applicant, &inputs, now_ms, || rng.f64());
+                let admission = &mut self.entries[entry].admission;
+                let after_ms =
+                    admission.retry_after_ms(&admission_request, &inputs, now_ms, || rng.f64());
                 self.refuse(caller, after_ms, now_ms);
             }
         }
     }
 
-    fn start_in_room(&mut self, caller: usize, now_ms: u64) -> bool {
+    fn start_if_admitted(&mut self, caller: usize, now_ms: u64) -> bool {
         let entry = self.callers[caller].entry;
-        let load_max = self.entries[entry].room.load_max(now_ms);
+        let load_max = self.entries[entry].admission.load_max(now_ms);
         let is_started = self.start(caller, load_max, now_ms);
         if is_started {
             let priority = self.callers[caller].priority as u8;
-            self.entries[entry].room.record_start(priority, now_ms);
+            self.entries[entry].admission.record_start(priority, now_ms);
         }
         is_started
     }
@@ -163,11 +164,11 @@
         caller: usize,
         until_ms: u64,
         ticket: Option<Ticket>,
-        room_ticket: Option<RoomTicket>,
+        admission_ticket: Option<AdmissionTicket>,
         start_tag: f64,
     ) {
         let entry = self.callers[caller].entry;
-        let waiting = Waiting { caller, until_ms, ticket, room_ticket, start_tag };
+        let waiting = Waiting { caller, until_ms, ticket, admission_ticket, start_tag };
         self.entries[entry].waiting.push(waiting);
     }
 
@@ -187,7 +188,7 @@
                 Rule::FairQueue => self.poll_fair(entry, now_ms),
                 Rule::Threshold | Rule::Constant(_) => self.poll_threshold(entry, now_ms),
                 Rule::FirstCome => self.poll_first_come(entry, now_ms),
-                Rule::Reserve => self.poll_room(entry, now_ms),
+                Rule::Reserve => self.poll_admissions(entry, now_ms),
             }
             self.give_up(entry, now_ms);
         }
@@ -239,23 +240,23 @@
         }
     }
 
-    fn poll_room(&mut self, entry: usize, now_ms: u64) {
+    fn poll_admissions(&mut self, entry: usize, now_ms: u64) {
         let group = self.group_load(entry);
-        self.entries[entry].room.set_group(group);
-        let mut tickets: Vec<(RoomTicket, usize)> = self.entries[entry]
+        self.entries[entry].admission.set_group(group);
+        let mut tickets: Vec<(AdmissionTicket, usize)> = self.entries[entry]
             .waiting
             .iter()
-            .map(|it| (it.room_ticket.unwrap(), it.caller))
+            .map(|it| (it.admission_ticket.unwrap(), it.caller))
             .collect();
         tickets.sort_unstable();
         for (ticket, caller) in tickets {
             let mut rng = self.rng.fork();
-            if !self.entries[entry].room.may_start(ticket, now_ms, || rng.f64())
-                || !self.start_in_room(caller, now_ms)
+            if !self.entries[entry].admission.may_start(ticket, now_ms, || rng.f64())
+                || !self.start_if_admitted(caller, now_ms)
             {
                 return;
             }
-            self.entries[entry].room.leave(ticket);
+            self.entries[entry].admission.leave(ticket);
             self.entries[entry].waiting.retain(|it| it.caller != caller);
         }
     }
@@ -269,13 +270,13 @@
                 self.entries[entry].queue.leave(ticket);
             }
             let mut after_ms = self.rng.u64(250..900);
-            if let Some(ticket) = waiting.room_ticket {
-                let applicant = self.applicant(waiting.caller, now_ms);
+            if let Some(ticket) = waiting.admission_ticket {
+                let admission_request = self.admission_request(waiting.caller, now_ms);
                 let draw = self.rng.f64();
-                let room = &mut self.entries[entry].room;
-                room.leave(ticket);
-                let inputs = room.inputs_for(&applicant, now_ms);
-                after_ms = room.retry_after_ms(&applicant, &inputs, now_ms, || draw);
+                let admission = &mut self.entries[entry].admission;
+                admission.leave(ticket);
+                let inputs = admission.inputs_for(&admission_request, now_ms);
+                after_ms = admission.retry_after_ms(&admission_request, &inputs, now_ms, || draw);
             }
             self.refuse(waiting.caller, after_ms, now_ms);
         }
