--- a/crates/bilberryloft-relay/tests/pool.rs
+++ b/crates/bilberryloft-relay/tests/pool.rs
@@ -22,6 +22,7 @@
     }
 }
 
+/// Guards against connections that are kept for ever, or overflow a timer, because a target names such a time.
 #[test]
 fn idle_time_is_bounded() {
     let ten_minutes = Duration::from_secs(600);
--- a/crates/bilberryloft-routing/tests/document_check.rs
+++ b/crates/bilberryloft-routing/tests/document_check.rs
@@ -1,4 +1,5 @@
-//! Checks of documents beyond those for which the control API rejects them, one test for each finding.
+//! Checks of documents beyond those for which the control API rejects them, one test for each finding, which guards
+//! against a flaw of that kind that is not shown.
 #![allow(clippy::unwrap_used)]
 
 use bilberryloft_routing::document::Document;
--- a/crates/bilberryloft-routing/tests/priority_decisions.rs
+++ b/crates/bilberryloft-routing/tests/priority_decisions.rs
@@ -111,7 +111,7 @@
     AdmissionRequest { priority, objective_ms, elapsed_ms, time_left_ms: 6_000.0 - elapsed_ms }
 }
 
-/// Returns a room with 72 targets, a settled bound, and known times of requests.
+/// Returns the state of a group with 72 targets, a settled bound, and known times of requests.
 fn admission(running: u32, now_ms: u64) -> PriorityAdmission {
     let mut admission = PriorityAdmission::new(engine(), OBJECTIVE_MS);
     admission.set_group(GroupLoad { targets: 72, running: 430, entries: 18 });
--- a/crates/bilberryloft-routing/tests/remote.rs
+++ b/crates/bilberryloft-routing/tests/remote.rs
@@ -87,7 +87,8 @@
     );
 }
 
-/// Load: 1,000 a second everywhere; then 4 of the 8 targets of one data centre are lost, which can handle 800.
+/// Load: 1,000 a second everywhere; then 4 of the 8 targets of one data centre are lost, so that the others can handle 800.
+/// Guards against slow answers and refusals there beside idle targets.
 #[test]
 fn data_center_that_is_half_lost_sends_the_rest_away() {
     let mut world = world([1_000.0; 3]);
--- a/crates/bilberryloft-routing/tests/support/lock_step_group.rs
+++ b/crates/bilberryloft-routing/tests/support/lock_step_group.rs
@@ -44,7 +44,7 @@
     Threshold,
     /// Start-time fair queueing at each entry, under the bound.
     FairQueue,
-    /// `room`.
+    /// Room kept for higher priorities, as `priority_admission` does it.
     Reserve,
     /// A constant bound, in tenths of a request at each rank, by exact loads: what can be achieved at best.
     Constant(u32),
--- a/crates/bilberryloft-transport/src/account.rs
+++ b/crates/bilberryloft-transport/src/account.rs
@@ -124,15 +124,15 @@
     is_evicted: bool,
 }
 
-/// What is held at the moment.
+/// What an account holds.
 #[derive(Debug, Default)]
-struct Books {
+struct AccountState {
     held: [u64; Purpose::ALL.len()],
     unfinished: BTreeMap<u64, Unfinished>,
     next_id: u64,
 }
 
-impl Books {
+impl AccountState {
     fn held_bytes(&self) -> u64 {
         self.held.iter().sum()
     }
@@ -140,9 +140,9 @@
     /// Chooses who is dropped so that `bytes` are released, as if `own` had grown by them. Fails if that is `own` itself.
     fn make_room(&mut self, own: Option<u64>, bytes: u64) -> Result<u64, Shortage> {
         let mut evicted = 0;
-        let mut coming: u64 =
+        let mut releasing: u64 =
             self.unfinished.values().filter(|it| it.is_evicted).map(|it| it.bytes).sum();
-        while coming < bytes {
+        while releasing < bytes {
             let Some(id) = self.largest(own, bytes) else {
                 return Ok(evicted);
             };
@@ -152,7 +152,7 @@
             if let Some(victim) = self.unfinished.get_mut(&id) {
                 victim.is_evicted = true;
                 victim.eviction.evict();
-                coming += victim.bytes;
+                releasing += victim.bytes;
                 evicted += 1;
             }
         }
@@ -180,7 +180,7 @@
 #[derive(Debug)]
 pub struct Account {
     total_bytes: u64,
-    books: Mutex<Books>,
+    state: Mutex<AccountState>,
     released: Notify,
     waiting: AtomicU64,
     dropped: AtomicU64,
@@ -191,7 +191,7 @@
     pub fn new(total_bytes: u64) -> Arc<Account> {
         Arc::new(Account {
             total_bytes,
-            books: Mutex::default(),
+            state: Mutex::default(),
             released: Notify::new(),
             waiting: AtomicU64::new(0),
             dropped: AtomicU64::new(0),
@@ -205,12 +205,12 @@
 
     /// Returns the bytes that are held for a purpose.
     pub fn held_bytes(&self, purpose: Purpose) -> u64 {
-        self.books.lock().held[purpose as usize]
+        self.state.lock().held[purpose as usize]
     }
 
     /// Returns the number of unfinished bodies and frames.
     pub fn unfinished(&self) -> usize {
-        self.books.lock().unfinished.len()
+        self.state.lock().unfinished.len()
     }
 
     /// Returns whether somebody waits for room.
@@ -232,27 +232,27 @@
     pub fn open_unfinished(self: &Arc<Self>, purpose: Purpose, holder: Holder) -> Reservation {
         let eviction = Arc::new(Eviction::default());
         let entry = Unfinished { holder, bytes: 0, eviction: eviction.clone(), is_evicted: false };
-        let mut books = self.books.lock();
-        books.next_id += 1;
-        let id = books.next_id;
-        books.unfinished.insert(id, entry);
+        let mut state = self.state.lock();
+        state.next_id += 1;
+        let id = state.next_id;
+        state.unfinished.insert(id, entry);
         Reservation { account: self.clone(), purpose, bytes: 0, unfinished: Some((id, eviction)) }
     }
 
     /// Adds bytes to a reservation, or makes room for them; returns whether they were added.
     fn try_add(&self, reservation: &Reservation, bytes: u64) -> Result<bool, Shortage> {
-        let mut books = self.books.lock();
+        let mut state = self.state.lock();
         let ceiling = reservation.purpose.ceiling(reservation.bytes + bytes, self.total_bytes);
         let own = reservation.unfinished.as_ref().map(|it| it.0);
-        let wanted = books.held_bytes() + bytes;
+        let wanted = state.held_bytes() + bytes;
         if wanted > ceiling {
-            let dropped = books.make_room(own, bytes.min(wanted - ceiling));
+            let dropped = state.make_room(own, bytes.min(wanted - ceiling));
             // The reservation itself counts as dropped if it is the one.
             self.dropped.fetch_add(dropped.unwrap_or(1), Ordering::Relaxed);
             return dropped.map(|_| false);
         }
-        books.held[reservation.purpose as usize] += bytes;
-        if let Some(entry) = own.and_then(|it| books.unfinished.get_mut(&it)) {
+        state.held[reservation.purpose as usize] += bytes;
+        if let Some(entry) = own.and_then(|it| state.unfinished.get_mut(&it)) {
             entry.bytes += bytes;
         }
         Ok(true)
@@ -309,19 +309,19 @@
     /// Marks a body as whole, after which it is not dropped any more.
     pub fn finish(&mut self) {
         if let Some((id, _)) = self.unfinished.take() {
-            self.account.books.lock().unfinished.remove(&id);
+            self.account.state.lock().unfinished.remove(&id);
         }
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let mut books = self.account.books.lock();
-        books.held[self.purpose as usize] -= self.bytes;
+        let mut state = self.account.state.lock();
+        state.held[self.purpose as usize] -= self.bytes;
         if let Some((id, _)) = self.unfinished.take() {
-            books.unfinished.remove(&id);
+            state.unfinished.remove(&id);
         }
-        drop(books);
+        drop(state);
         self.account.released.notify_waiters();
     }
 }
