Requests that this process cuts off, and what members hold, are told in the log

What callers saw: a connection that ended without an answer. No line said where an acknowledged configuration stands in the log and who holds it, nor what a member found in its folder at its start.

- 513 RequestCut: this process ended the connection of a request before its answer was complete, with the request's id, the cause (process_end, crowded, unread) and how far it was (not_sent, sent, answering); counted in bilberryloft_requests_cut{cause,progress}. 514 is written for callers that left only.
- 207 MemberRecovered, 208 VoteRegained, 219 ChangeCommitted: what a member starts with, when it may vote again after the loss of its disk, and where a document or an evacuation stands in the log and which members hold it.

No change of what is decided.

--- a/crates/bilberryloft-coordination/src/raft/leader.rs
+++ b/crates/bilberryloft-coordination/src/raft/leader.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Returns the members that hold the log up to an index durably, as far as this leader knows.
+    pub fn holders(&self, index: u64) -> Vec<u32> {
+        let others = self.progress.iter().filter(|(_, it)| it.match_index >= index);
+        let own = (self.durable_index >= index).then_some(self.member);
+        own.into_iter().chain(others.map(|(member, _)| *member)).collect()
+    }
+
     /// Whether a majority of the voters is in contact.
     fn has_quorum_contact(&self) -> bool {
         let members = self.members();
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -14,6 +14,7 @@
 use bilberryloft_coordination::raft::Role;
 use bilberryloft_state::compression;
 use bilberryloft_state::error::Result;
+use bilberryloft_state::evacuation::OrderOutcome;
 use bilberryloft_state::key::digest;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::snapshot::Snapshot;
@@ -411,9 +412,24 @@
             return;
         };
         let is_own = pending.term == entry.term;
+        if is_own {
+            self.log_committed(&entry, &outcome);
+        }
         pending.reply.finish(if is_own { Ok(outcome) } else { Err(ProposeError::Lost) });
     }
 
+    /// Logs where a document or an evacuation stands in the log, and which members hold it.
+    fn log_committed(&self, entry: &LogEntry, outcome: &Outcome) {
+        let (change, version) = match outcome {
+            Outcome::Document { version } => ("document", *version),
+            Outcome::Evacuation(OrderOutcome::InForce(it)) => ("evacuation", it.version),
+            _ => return,
+        };
+        let LogEntry { term, index, .. } = entry;
+        let holders = self.raft.holders(*index);
+        log_event!(info, Event::ChangeCommitted, change, version, term, index, ?holders);
+    }
+
     /// Publishes the applied versions and the quorum status to their watchers, if they have changed.
     fn publish_status(&mut self) {
         let applied = {
@@ -435,6 +451,9 @@
         let may_vote = self.raft.may_vote();
         let has_changed = {
             let old = self.status.borrow();
+            if may_vote && !old.may_vote && old.term > 0 {
+                log_event!(info, Event::VoteRegained, term, commit_index);
+            }
             (old.term, old.commit_index, old.leads, old.may_vote)
                 != (term, commit_index, leads, may_vote)
                 || old.leader_address != leader_address
--- a/crates/bilberryloft-daemon/src/control/recovery.rs
+++ b/crates/bilberryloft-daemon/src/control/recovery.rs
@@ -9,7 +9,9 @@
 use bilberryloft_state::error::Result;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::state_machine::StateMachine;
+use bilberryloft_state::storage::RecoveredState;
 use bilberryloft_state::storage::Storage;
+use bilberryloft_state::wal::HardState;
 use bilberryloft_transport::clock::monotonic_ms;
 
 use crate::events::Event;
@@ -36,6 +38,7 @@
         if recovered.torn_bytes > 0 {
             log_event!(warn, Event::TornTailCut, bytes = recovered.torn_bytes);
         }
+        log_recovered(settings.member, &recovered);
         let machine = match &recovered.snapshot {
             Some(snapshot) => decode_machine(&settings.data_folder, &snapshot.data)?,
             None => StateMachine::default(),
@@ -67,6 +70,25 @@
     }
 }
 
+/// Logs what a member has found in its data folder, so that a later loss can be told from an earlier one.
+fn log_recovered(member: u32, recovered: &RecoveredState) {
+    let snapshot_index = recovered.snapshot.as_ref().map_or(0, |it| it.last_index);
+    let snapshot_term = recovered.snapshot.as_ref().map_or(0, |it| it.last_term);
+    let last = recovered.entries.last();
+    let HardState { term, vote } = recovered.hard_state;
+    log_event!(
+        info,
+        Event::MemberRecovered,
+        member,
+        term,
+        vote,
+        may_vote = recovered.may_vote,
+        snapshot_index,
+        last_index = last.map_or(snapshot_index, |it| it.index),
+        last_term = last.map_or(snapshot_term, |it| it.term)
+    );
+}
+
 fn decode_machine(folder: &Path, data: &[u8]) -> Result<StateMachine> {
     StateMachine::from_snapshot(data).map_err(|error| Error::Damaged {
         path: folder.to_path_buf(),
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -48,6 +48,10 @@
     SnapshotInstalled = 205,
     /// A snapshot could not be written; the log is kept.
     SnapshotFailed = 206,
+    /// The member has read its data folder and takes part from there.
+    MemberRecovered = 207,
+    /// The member may vote again after the loss of its disk.
+    VoteRegained = 208,
     /// Targets lost their leases.
     TargetsLost = 210,
     /// A target was registered.
@@ -66,6 +70,8 @@
     QuorumLeft = 217,
     /// The number of voters that may be lost at this moment changed, as the leader knows it.
     LossToleranceChanged = 218,
+    /// The leader has committed a document or an evacuation, which is acknowledged from now on.
+    ChangeCommitted = 219,
     /// The target announced itself.
     TargetAnnounced = 300,
     /// The target stopped announcing itself.
@@ -106,6 +112,8 @@
     AttemptEnded = 511,
     /// A request was answered.
     RequestAnswered = 512,
+    /// This process ended the connection of a request before its answer was complete.
+    RequestCut = 513,
     /// The caller disconnected before its answer was complete.
     CallerLeft = 514,
     /// A stream is resumed at another target.
@@ -190,7 +198,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 88] = [
+pub const EVENTS: [Event; 92] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -213,6 +221,8 @@
     Event::SnapshotWritten,
     Event::SnapshotInstalled,
     Event::SnapshotFailed,
+    Event::MemberRecovered,
+    Event::VoteRegained,
     Event::TargetsLost,
     Event::TargetRegistered,
     Event::MembersChanged,
@@ -222,6 +232,7 @@
     Event::MemberLeaving,
     Event::QuorumLeft,
     Event::LossToleranceChanged,
+    Event::ChangeCommitted,
     Event::TargetAnnounced,
     Event::TargetSilent,
     Event::TargetCrashed,
@@ -242,6 +253,7 @@
     Event::AttemptSent,
     Event::AttemptEnded,
     Event::RequestAnswered,
+    Event::RequestCut,
     Event::CallerLeft,
     Event::StreamResumed,
     Event::StreamBroken,
--- a/crates/bilberryloft-daemon/src/metrics.rs
+++ b/crates/bilberryloft-daemon/src/metrics.rs
@@ -238,6 +238,7 @@
     connections: IntGaugeVec,
     refused: IntGaugeVec,
     closed: IntGaugeVec,
+    cut: IntGaugeVec,
 }
 
 impl MemoryMetrics {
@@ -265,6 +266,11 @@
                 "Connections of clients closed since the start.",
                 &["cause"],
             )?,
+            cut: new.gauges(
+                "bilberryloft_requests_cut",
+                "Requests cut off by this process since the start.",
+                &["cause", "progress"],
+            )?,
         })
     }
 
@@ -292,6 +298,11 @@
     pub fn set_closed(&self, cause: &str, connections: u64) {
         self.closed.with_label_values(&[cause]).set(connections as i64);
     }
+
+    /// Sets the number of requests whose connection was ended for a cause before their answer was complete.
+    pub fn set_cut(&self, cause: &str, progress: &str, requests: u64) {
+        self.cut.with_label_values(&[cause, progress]).set(requests as i64);
+    }
 }
 
 /// Creates metrics and registers them; each call fails only if two have the same name.
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -19,7 +19,6 @@
 use crate::evacuation;
 use crate::headers;
 use crate::memory::caller_connection::CallerConnection;
-use crate::memory::caller_connection::Phase;
 use crate::request;
 use crate::request::RelayRequest;
 use crate::retry_loop::AnswerContent;
@@ -48,8 +47,9 @@
 /// Interval at which the first routing document is checked for.
 const FIRST_DOCUMENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Logs on drop that the caller disconnected, unless the request was answered.
+/// Logs on drop that the caller disconnected, unless the request was answered or this process ended the connection.
 struct CallerGuard<'a> {
+    caller: &'a CallerConnection,
     id: &'a str,
     arrived: Instant,
     is_answered: bool,
@@ -57,7 +57,7 @@
 
 impl Drop for CallerGuard<'_> {
     fn drop(&mut self) {
-        if !self.is_answered {
+        if !self.is_answered && !self.caller.is_ended() {
             let waited_ms = self.arrived.elapsed().as_millis() as u64;
             log_event!(info, Event::CallerLeft, request_id = self.id, waited_ms);
         }
@@ -76,7 +76,7 @@
     let names = state.dialect.headers();
     let id = headers::text(request.headers(), &names.request_id).unwrap_or_default().to_string();
     let read = request::read(&state, request, &routes, &caller, arrived).await;
-    caller.set_phase(Phase::Serving);
+    caller.begin_request(&id);
     drop(routes);
     let request = match read {
         Ok(request) => request,
@@ -88,7 +88,7 @@
         return refuse(&id, Refusal::ConnectionsFull, arrived, None);
     }
     state.retries.record_request(&request.service);
-    let mut guard = CallerGuard { id: &id, arrived, is_answered: false };
+    let mut guard = CallerGuard { caller: &caller, id: &id, arrived, is_answered: false };
     let result = run_attempts(&state, &request).await;
     guard.is_answered = true;
     let answer = match result {
--- a/crates/bilberryloft-relay/src/memory/caller_connection.rs
+++ b/crates/bilberryloft-relay/src/memory/caller_connection.rs
@@ -1,12 +1,14 @@
 //! State of one connection of a client, by which it is decided whether and when to close it.
 
 use std::net::IpAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bilberryloft_transport::clock::monotonic_ms;
+use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 use crate::memory::report::CloseCause;
@@ -21,18 +23,39 @@
     Head = 1,
     /// The body of a request is arriving.
     Body = 2,
-    /// A request is served, or its answer is sent.
+    /// A whole request has arrived and was not sent to a target yet.
     Serving = 3,
     /// Kept by its client for the next request.
     Idle = 4,
+    /// A target has the request.
+    Sent = 5,
+    /// The answer to a request is sent.
+    Answering = 6,
 }
 
 impl Phase {
+    const ALL: [Phase; 7] = [
+        Phase::Opened,
+        Phase::Head,
+        Phase::Body,
+        Phase::Serving,
+        Phase::Idle,
+        Phase::Sent,
+        Phase::Answering,
+    ];
+
     fn of(number: u8) -> Phase {
-        [Phase::Opened, Phase::Head, Phase::Body, Phase::Serving, Phase::Idle]
-            .into_iter()
-            .find(|it| *it as u8 == number)
-            .unwrap_or(Phase::Serving)
+        Phase::ALL.into_iter().find(|it| *it as u8 == number).unwrap_or(Phase::Serving)
+    }
+
+    /// Returns how far a whole request without a complete answer has come, for logs and metrics; `None` if there is none.
+    pub fn progress(self) -> Option<&'static str> {
+        match self {
+            Phase::Opened | Phase::Head | Phase::Body | Phase::Idle => None,
+            Phase::Serving => Some("not_sent"),
+            Phase::Sent => Some("sent"),
+            Phase::Answering => Some("answering"),
+        }
     }
 }
 
@@ -57,6 +80,9 @@
     /// Number of the cause for which it is to be closed, plus one.
     closing: AtomicU8,
     closed: Notify,
+    request_id: Mutex<String>,
+    /// Whether this process has ended the connection.
+    is_ended: AtomicBool,
 }
 
 impl CallerConnection {
@@ -69,6 +95,8 @@
             blocked_ms: AtomicU64::new(0),
             closing: AtomicU8::new(0),
             closed: Notify::new(),
+            request_id: Mutex::default(),
+            is_ended: AtomicBool::new(false),
         }
     }
 
@@ -88,6 +116,27 @@
         self.phase.store(phase as u8, Ordering::Relaxed);
     }
 
+    /// Begins to serve a whole request.
+    pub fn begin_request(&self, id: &str) {
+        self.request_id.lock().replace_range(.., id);
+        self.set_phase(Phase::Serving);
+    }
+
+    /// Returns the id of the latest request.
+    pub fn request_id(&self) -> String {
+        self.request_id.lock().clone()
+    }
+
+    /// Records that this process ends the connection.
+    pub fn record_end(&self) {
+        self.is_ended.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether this process has ended the connection.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended.load(Ordering::SeqCst)
+    }
+
     /// Records that bytes have arrived.
     pub fn record_read(&self) {
         if matches!(self.phase(), Phase::Opened | Phase::Idle) {
--- a/crates/bilberryloft-relay/src/memory/connection_table.rs
+++ b/crates/bilberryloft-relay/src/memory/connection_table.rs
@@ -63,6 +63,13 @@
         self.len() == 0
     }
 
+    /// Returns the connections whose whole request has no complete answer yet.
+    pub fn unanswered(&self) -> Vec<Arc<CallerConnection>> {
+        let records = self.records.lock();
+        let connections = records.connections.values();
+        connections.filter(|it| it.phase().progress().is_some()).cloned().collect()
+    }
+
     /// Adds a connection. If there are too many, closes one that is idle or unfinished; returns none if all are in use.
     pub async fn admit(self: &Arc<Self>, address: IpAddr) -> Option<ConnectionGuard> {
         let until = Instant::now() + ADMIT_TIMEOUT;
@@ -149,7 +156,7 @@
         Phase::Body if age_ms >= UNFINISHED_MS => Some(CloseOrder::SlowBody),
         _ if is_unread => Some(CloseOrder::Unread),
         Phase::Idle => Some(CloseOrder::Idle),
-        Phase::Body | Phase::Serving => None,
+        Phase::Body | Phase::Serving | Phase::Sent | Phase::Answering => None,
     }
 }
 
--- a/crates/bilberryloft-relay/src/memory/report.rs
+++ b/crates/bilberryloft-relay/src/memory/report.rs
@@ -1,5 +1,6 @@
 //! Counts and log lines on what is refused and closed. Floods of clients cause few lines.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -7,6 +8,9 @@
 use bilberryloft_daemon::log_event;
 use bilberryloft_daemon::metrics::Metrics;
 use bilberryloft_transport::clock::monotonic_ms;
+use parking_lot::Mutex;
+
+use crate::memory::caller_connection::CallerConnection;
 
 /// Least time between two lines on the same cause, in milliseconds.
 const LINE_INTERVAL_MS: u64 = 1_000;
@@ -122,6 +126,8 @@
 pub struct Report {
     closed: [Tally; CloseCause::ALL.len()],
     faults: [Tally; BodyFault::ALL.len()],
+    /// Requests whose connection this process ended before their answer was complete, by cause and progress.
+    cut: Mutex<BTreeMap<(&'static str, &'static str), u64>>,
 }
 
 impl Report {
@@ -143,6 +149,17 @@
         }
     }
 
+    /// Records that this process ends a connection; logs its request if that has no complete answer.
+    pub fn record_cut(&self, connection: &CallerConnection, cause: &'static str) {
+        let Some(progress) = connection.phase().progress() else {
+            return;
+        };
+        *self.cut.lock().entry((cause, progress)).or_default() += 1;
+        let request_id = connection.request_id();
+        let client = connection.address.to_string();
+        log_event!(warn, Event::RequestCut, request_id, cause, progress, client);
+    }
+
     /// Records that a body was refused, with what is held at the moment.
     pub fn record_fault(&self, fault: BodyFault, client: &str, held_bytes: u64, total_bytes: u64) {
         let Some(count) = self.faults[fault as usize].add() else {
@@ -167,5 +184,8 @@
         for fault in BodyFault::ALL {
             metrics.memory.set_refused(fault.name(), self.faults[fault as usize].count());
         }
+        for ((cause, progress), requests) in self.cut.lock().iter() {
+            metrics.memory.set_cut(cause, progress, *requests);
+        }
     }
 }
--- a/crates/bilberryloft-relay/src/memory/serve.rs
+++ b/crates/bilberryloft-relay/src/memory/serve.rs
@@ -130,7 +130,7 @@
         let (answer, tracked) = (serve(request, served.clone()), served.clone());
         async move {
             let answer = answer.await;
-            tracked.set_phase(Phase::Serving);
+            tracked.set_phase(Phase::Answering);
             Ok::<_, Infallible>(answer.map(|it| TrackedBody::new(it, tracked)))
         }
     });
@@ -156,6 +156,8 @@
             cause = wait_for_end(&connection, limits) => break cause,
         }
     };
+    connection.record_end();
+    memory.report.record_cut(&connection, cause.name());
     let client = connection.address.to_string();
     memory.report.record_closed(cause, &client, guard.connections());
 }
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -34,6 +34,9 @@
 /// Interval between removals of expired idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Cause of requests that the end of the process cuts off, in logs and metrics.
+const PROCESS_END: &str = "process_end";
+
 /// A running relay, which [`Relay::shutdown`] stops.
 pub struct Relay {
     daemon: Daemon,
@@ -79,9 +82,20 @@
         }
         std::thread::sleep(STOP_POLL_INTERVAL);
         self.daemon.wait_for_replacement(leave_deadline_ms);
+        self.log_unanswered();
         log_event!(info, Event::RelayStopped, open = self.state.lifecycle.open_requests());
         drop(self.daemon);
     }
+
+    /// Logs the requests that the end of this process cuts off.
+    fn log_unanswered(&self) {
+        let memory = &self.state.memory;
+        for connection in memory.callers.unanswered() {
+            connection.record_end();
+            memory.report.record_cut(&connection, PROCESS_END);
+        }
+        memory.report.set_metrics(&self.state.daemon.metrics);
+    }
 }
 
 async fn start(state: Arc<RelayState>) -> Result<CallerServer> {
--- a/crates/bilberryloft-relay/src/request.rs
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -38,6 +38,8 @@
 /// A request that may be sent to a target.
 #[derive(Clone, Debug)]
 pub struct RelayRequest {
+    /// Connection on which the request arrived.
+    pub caller: Arc<CallerConnection>,
     /// Caller's id of the attempt; empty if the caller sent none.
     pub id: String,
     /// Time at which the head was read.
@@ -90,7 +92,7 @@
     state: &RelayState,
     request: Request<Incoming>,
     routes: &RouteTable,
-    caller_connection: &CallerConnection,
+    caller: &Arc<CallerConnection>,
     arrived: Instant,
 ) -> Result<RelayRequest, Refusal> {
     let dialect = state.dialect.as_ref();
@@ -108,7 +110,7 @@
     let priority = team.and_then(|it| it.priority).unwrap_or(route.priority).min(PRIORITY_MAX);
     let deadline = arrived + Duration::from_millis(wait_ms);
     let team_name = team.map_or("", |it| it.name.as_str());
-    let holder = Holder { address: caller_connection.address, name: team_name.to_string() };
+    let holder = Holder { address: caller.address, name: team_name.to_string() };
     let bytes_max = routes.limits().body_bytes_max;
     let limits = BodyLimits { bytes_max, deadline, purpose: Purpose::Body, holder };
     let body = read_body(state, body, limits).await?;
@@ -117,6 +119,7 @@
     let shared_parts = shared_parts(prompt_parts, service, dialect);
     let target_path = parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_string();
     Ok(RelayRequest {
+        caller: caller.clone(),
         id: headers::text(&parts.headers, &names.request_id).unwrap_or_default().to_string(),
         arrived,
         deadline,
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -25,6 +25,7 @@
 use crate::attempt::AttemptResult;
 use crate::headers;
 use crate::held_trial::HeldTrial;
+use crate::memory::caller_connection::Phase;
 use crate::prompt_part::part_ids;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
@@ -200,6 +201,7 @@
         tracker.tried.push(slot.picked().key);
         let attempts = tracker.count() + 1;
         log_sent(request, slot.picked(), attempts);
+        request.caller.set_phase(Phase::Sent);
         state.daemon.remote_shares.count(slot.picked().away.is_away);
         state.limits.log_sent(&request.id, slot.picked());
         let Ok((summary, answer)) = run_attempt(state, request, &slot).await else {
--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream.rs
@@ -147,15 +147,7 @@
                     let target_id = slot.picked().id.clone();
                     return self.end(&target_id, slot.release_closed(answer));
                 }
-                BodyEnd::CallerLeft => {
-                    log_event!(
-                        info,
-                        Event::CallerLeft,
-                        request_id = self.request.id,
-                        at = "stream"
-                    );
-                    return;
-                }
+                BodyEnd::CallerLeft => return self.log_caller_left(),
                 BodyEnd::Timeout => return self.abort("timeout").await,
                 BodyEnd::Migrate(replacement) => {
                     slot.release(AttemptOutcome::Unknown);
@@ -202,6 +194,14 @@
         );
     }
 
+    /// Logs that the caller disconnected; where this process ended the connection, another event says so.
+    fn log_caller_left(&self) {
+        if !self.request.caller.is_ended() {
+            let request_id = &self.request.id;
+            log_event!(info, Event::CallerLeft, request_id, at = "stream");
+        }
+    }
+
     fn log_resumed(&self, slot: &TargetSlot, reason: &str, outcome: &str) {
         log_event!(
             info,
