The storage meets its disk through a trait, so that tests can simulate one

ControlNode::spawn_in starts a member on any file system. Evidence: the tests of storage and of bilberryctl data pass as they are.

--- a/crates/bilberryctl/tests/data.rs
+++ b/crates/bilberryctl/tests/data.rs
@@ -4,6 +4,7 @@
 use std::process::Command;
 
 use bilberryloft_state::document::StoredDocument;
+use bilberryloft_state::folder::DataFolder;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::snapshot::Snapshot;
 use bilberryloft_state::state_machine::StateMachine;
@@ -21,7 +22,7 @@
     let data = machine.to_snapshot().unwrap();
     let snapshot = Snapshot { last_index: 5, last_term: 1, members: MemberSet::default(), data };
     let (mut storage, _) = Storage::open(&folder.path).unwrap();
-    write_snapshot(&folder.path, &snapshot).unwrap();
+    write_snapshot(&DataFolder::new(&folder.path), &snapshot).unwrap();
     storage.rotate(5, HardState { term: 1, vote: None }, true, &[]).unwrap();
     drop(storage);
     let output = Command::new(env!("CARGO_BIN_EXE_bilberryctl"))
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -1,7 +1,6 @@
 //! The event loop of a control host: drives Raft, applies committed log entries and replies to callers.
 
 use std::collections::BTreeMap;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +14,7 @@
 use bilberryloft_state::compression;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::evacuation::OrderOutcome;
+use bilberryloft_state::folder::DataFolder;
 use bilberryloft_state::key::digest;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::snapshot::Snapshot;
@@ -81,8 +81,7 @@
     pub(super) settings: ControlSettings,
     seed: u64,
     report_sender: mpsc::UnboundedSender<DiskReport>,
-    pub(super) snapshot_entries: u64,
-    pub(super) data_folder: PathBuf,
+    pub(super) data_folder: DataFolder,
     pub(super) input_sender: mpsc::Sender<Input>,
     pub(super) is_snapshotting: bool,
     /// Payload bytes of the log entries applied since the last snapshot was started.
@@ -106,9 +105,20 @@
         settings: &ControlSettings,
         daemon: &str,
         incarnation: u64,
+    ) -> Result<ControlHandle> {
+        let folder = DataFolder::new(&settings.data_folder);
+        ControlNode::spawn_in(folder, settings, daemon, incarnation)
+    }
+
+    /// Like [`ControlNode::spawn`], with a data folder on any file system.
+    pub fn spawn_in(
+        data_folder: DataFolder,
+        settings: &ControlSettings,
+        daemon: &str,
+        incarnation: u64,
     ) -> Result<ControlHandle> {
         let seed = digest(&[daemon.as_bytes(), &incarnation.to_le_bytes()]) as u64;
-        let recovered = RecoveredMember::open(settings, seed)?;
+        let recovered = RecoveredMember::open(&data_folder, settings, seed)?;
         let (input_sender, inputs) = mpsc::channel(INPUT_QUEUE_MAX);
         let (report_sender, reports) = mpsc::unbounded_channel();
         let (applied, applied_receiver) = watch::channel(AppliedVersions::default());
@@ -134,8 +144,7 @@
             settings: settings.clone(),
             seed,
             report_sender,
-            snapshot_entries: settings.snapshot_entries,
-            data_folder: settings.data_folder.clone(),
+            data_folder,
             input_sender: input_sender.clone(),
             is_snapshotting: false,
             log_bytes: 0,
@@ -186,7 +195,7 @@
         self.fail_pending();
         let recovered = loop {
             self.drop_inputs_for(REOPEN_PAUSE).await;
-            match RecoveredMember::open(&self.settings, self.seed) {
+            match RecoveredMember::open(&self.data_folder, &self.settings, self.seed) {
                 Ok(recovered) => break recovered,
                 Err(error) => log_event!(warn, Event::DiskFailed, %error, step = "reopen"),
             }
--- a/crates/bilberryloft-daemon/src/control/recovery.rs
+++ b/crates/bilberryloft-daemon/src/control/recovery.rs
@@ -7,6 +7,7 @@
 use bilberryloft_coordination::raft::Raft;
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
+use bilberryloft_state::folder::DataFolder;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::state_machine::StateMachine;
 use bilberryloft_state::storage::RecoveredState;
@@ -33,14 +34,18 @@
     /// Reads the data folder, truncates a torn tail of the log and starts Raft from what is left.
     ///
     /// Fails when the folder can't be read, or when the snapshot in it can't be decoded.
-    pub fn open(settings: &ControlSettings, seed: u64) -> Result<RecoveredMember> {
-        let (storage, recovered) = Storage::open(&settings.data_folder)?;
+    pub fn open(
+        folder: &DataFolder,
+        settings: &ControlSettings,
+        seed: u64,
+    ) -> Result<RecoveredMember> {
+        let (storage, recovered) = Storage::open_folder(folder.clone())?;
         if recovered.torn_bytes > 0 {
             log_event!(warn, Event::TornTailCut, bytes = recovered.torn_bytes);
         }
         log_recovered(settings.member, &recovered);
         let machine = match &recovered.snapshot {
-            Some(snapshot) => decode_machine(&settings.data_folder, &snapshot.data)?,
+            Some(snapshot) => decode_machine(folder.path(), &snapshot.data)?,
             None => StateMachine::default(),
         };
         let snapshot_bytes = recovered.snapshot.as_ref().map_or(0, |it| it.data.len());
--- a/crates/bilberryloft-daemon/src/control/snapshots.rs
+++ b/crates/bilberryloft-daemon/src/control/snapshots.rs
@@ -1,9 +1,8 @@
 //! Snapshots of a control node: when they are written, and what is dropped from the log after them.
 
-use std::path::Path;
-
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
+use bilberryloft_state::folder::DataFolder;
 use bilberryloft_state::snapshot::Snapshot;
 use bilberryloft_state::state_machine::StateMachine;
 use bilberryloft_state::storage::write_snapshot;
@@ -22,7 +21,7 @@
     /// small share of all writes. A copy of the machine is encoded and written on a blocking thread.
     pub(super) fn start_snapshot_if_due(&mut self) {
         let log = self.raft.log();
-        let is_due = self.applied_index >= log.snapshot_index() + self.snapshot_entries
+        let is_due = self.applied_index >= log.snapshot_index() + self.settings.snapshot_entries
             && self.log_bytes >= SNAPSHOT_GROWTH_FACTOR * self.snapshot_bytes;
         if !is_due || self.is_snapshotting {
             return;
@@ -77,7 +76,7 @@
 
 /// Encodes the machine as the data of a snapshot and writes the snapshot to the data folder.
 fn write_machine_snapshot(
-    folder: &Path,
+    folder: &DataFolder,
     mut snapshot: Snapshot,
     machine: &StateMachine,
 ) -> Result<Snapshot> {
--- a/crates/bilberryloft-state/src/folder.rs
+++ b/crates/bilberryloft-state/src/folder.rs
@@ -1,42 +1,54 @@
-//! The data folder: locked by one process at a time, with atomic and durable file writes.
+//! The data folder: files that are written as a whole and durably, and the lock of the one process that uses it.
 
-use std::fs::File;
-use std::fs::OpenOptions;
-use std::io::Write;
+use std::fmt::Debug;
+use std::io::ErrorKind;
 use std::path::Path;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::file_system::OpenFile;
+use crate::file_system::OsFileSystem;
+use crate::file_system::SharedFileSystem;
 
-/// A locked data folder; dropping it releases the lock.
-#[derive(Debug)]
+/// A data folder; clones refer to the same one.
+#[derive(Clone, Debug)]
 pub struct DataFolder {
+    file_system: SharedFileSystem,
     path: PathBuf,
-    _lock: File,
+}
+
+/// The lock of a data folder; dropping it releases the lock.
+#[derive(Debug)]
+pub struct FolderLock {
+    _file: Box<dyn Debug + Send>,
 }
 
 impl DataFolder {
+    /// Names a folder of the operating system without touching it.
+    pub fn new(path: &Path) -> DataFolder {
+        DataFolder::on(Arc::new(OsFileSystem), path)
+    }
+
+    /// Names a folder of a file system without touching it.
+    pub fn on(file_system: SharedFileSystem, path: &Path) -> DataFolder {
+        DataFolder { file_system, path: path.to_path_buf() }
+    }
+
     /// Creates the folder if needed and takes its lock.
     ///
     /// Fails with [`Error::FolderInUse`] while another process holds the lock.
-    pub fn open(path: &Path) -> Result<DataFolder> {
-        std::fs::create_dir_all(path).map_err(|it| Error::disk("create", path, it))?;
-        let lock_path = path.join("lock");
-        let lock = OpenOptions::new()
-            .create(true)
-            .truncate(false)
-            .write(true)
-            .open(&lock_path)
-            .map_err(|it| Error::disk("open", &lock_path, it))?;
-        match lock.try_lock() {
-            Ok(()) => Ok(DataFolder { path: path.to_path_buf(), _lock: lock }),
-            Err(std::fs::TryLockError::WouldBlock) => {
-                Err(Error::FolderInUse { path: path.to_path_buf() })
-            }
-            Err(std::fs::TryLockError::Error(source)) => {
-                Err(Error::disk("lock", lock_path, source))
+    pub fn lock(&self) -> Result<FolderLock> {
+        let created = self.file_system.create_folder(&self.path);
+        created.map_err(|it| Error::disk("create", &self.path, it))?;
+        let lock_path = self.file_path("lock");
+        match self.file_system.lock(&lock_path) {
+            Ok(file) => Ok(FolderLock { _file: file }),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                Err(Error::FolderInUse { path: self.path.clone() })
             }
+            Err(error) => Err(Error::disk("lock", lock_path, error)),
         }
     }
 
@@ -45,50 +57,57 @@
         &self.path
     }
 
-    /// Writes and syncs a file under a temporary name, then renames it into place and syncs the folder.
-    pub fn write_atomic(&self, name: &str, bytes: &[u8]) -> Result<()> {
-        write_atomic(&self.path, name, bytes)
+    /// Path of a file of the folder.
+    pub fn file_path(&self, name: &str) -> PathBuf {
+        self.path.join(name)
     }
 
     /// Sorted names of the files with the given prefix and suffix.
     pub fn file_names(&self, prefix: &str, suffix: &str) -> Result<Vec<String>> {
-        list_file_names(&self.path, prefix, suffix)
+        let names = self.file_system.file_names(&self.path);
+        let mut names = names.map_err(|it| Error::disk("list", &self.path, it))?;
+        names.retain(|it| it.starts_with(prefix) && it.ends_with(suffix));
+        names.sort();
+        Ok(names)
     }
 
-    /// Removes a file of the folder.
-    pub fn remove(&self, name: &str) -> Result<()> {
-        let path = self.path.join(name);
-        std::fs::remove_file(&path).map_err(|it| Error::disk("remove", path, it))
+    /// Content of a file.
+    pub fn read(&self, name: &str) -> Result<Vec<u8>> {
+        let path = self.file_path(name);
+        self.file_system.read(&path).map_err(|it| Error::disk("read", path, it))
     }
-}
 
-/// Writes and syncs a file under a temporary name, then renames it into place and syncs the folder.
-///
-/// Does not need the folder's lock.
-pub fn write_atomic(folder: &Path, name: &str, bytes: &[u8]) -> Result<()> {
-    let temporary = folder.join(format!("{name}.tmp"));
-    let mut file = File::create(&temporary).map_err(|it| Error::disk("create", &temporary, it))?;
-    file.write_all(bytes).map_err(|it| Error::disk("write", &temporary, it))?;
-    file.sync_all().map_err(|it| Error::disk("sync", &temporary, it))?;
-    let final_path = folder.join(name);
-    std::fs::rename(&temporary, &final_path)
-        .map_err(|it| Error::disk("rename", &final_path, it))?;
-    // The rename is durable only after the folder itself is synced.
-    let opened = File::open(folder).map_err(|it| Error::disk("open", folder, it))?;
-    opened.sync_all().map_err(|it| Error::disk("sync", folder, it))
-}
+    /// Opens a file for writes at its end.
+    pub fn open_for_append(&self, name: &str) -> Result<Box<dyn OpenFile>> {
+        let path = self.file_path(name);
+        self.file_system.open_for_append(&path).map_err(|it| Error::disk("open", path, it))
+    }
 
-/// Sorted names of the files in a folder with the given prefix and suffix; does not need the folder's lock.
-pub fn list_file_names(path: &Path, prefix: &str, suffix: &str) -> Result<Vec<String>> {
-    let entries = std::fs::read_dir(path).map_err(|it| Error::disk("list", path, it))?;
-    let mut names = Vec::new();
-    for entry in entries {
-        let entry = entry.map_err(|it| Error::disk("list", path, it))?;
-        let name = entry.file_name().to_string_lossy().to_string();
-        if name.starts_with(prefix) && name.ends_with(suffix) {
-            names.push(name);
-        }
+    /// Writes and syncs a file under a temporary name, then renames it into place and syncs the folder.
+    ///
+    /// Does not need the folder's lock.
+    pub fn write_atomic(&self, name: &str, bytes: &[u8]) -> Result<()> {
+        let temporary = self.file_path(&format!("{name}.tmp"));
+        let file = self.file_system.create(&temporary);
+        let mut file = file.map_err(|it| Error::disk("create", &temporary, it))?;
+        file.append(bytes).map_err(|it| Error::disk("write", &temporary, it))?;
+        file.sync_all().map_err(|it| Error::disk("sync", &temporary, it))?;
+        let path = self.file_path(name);
+        let renamed = self.file_system.rename(&temporary, &path);
+        renamed.map_err(|it| Error::disk("rename", &path, it))?;
+        // The rename is durable only after the folder itself is synced.
+        self.sync()
+    }
+
+    /// Makes the names of the folder's files durable.
+    pub fn sync(&self) -> Result<()> {
+        let synced = self.file_system.sync_folder(&self.path);
+        synced.map_err(|it| Error::disk("sync", &self.path, it))
+    }
+
+    /// Removes a file of the folder.
+    pub fn remove(&self, name: &str) -> Result<()> {
+        let path = self.file_path(name);
+        self.file_system.remove(&path).map_err(|it| Error::disk("remove", path, it))
     }
-    names.sort();
-    Ok(names)
 }
--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -1,16 +1,14 @@
 //! Durable storage of one quorum member: log, term and vote, and the latest snapshot.
 
 use std::fs::File;
-use std::fs::OpenOptions;
-use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::file_system::OpenFile;
 use crate::folder::DataFolder;
-use crate::folder::list_file_names;
-use crate::folder::write_atomic;
+use crate::folder::FolderLock;
 use crate::snapshot;
 use crate::snapshot::Snapshot;
 use crate::wal;
@@ -38,7 +36,8 @@
 #[derive(Debug)]
 pub struct Storage {
     folder: DataFolder,
-    file: File,
+    _lock: FolderLock,
+    file: Box<dyn OpenFile>,
     file_path: PathBuf,
     sequence: u64,
     failed: bool,
@@ -50,22 +49,27 @@
     /// Fails with [`Error::FolderInUse`] while another process holds the lock, and with [`Error::Damaged`] if a
     /// stored record or snapshot is damaged.
     pub fn open(path: &Path) -> Result<(Storage, RecoveredState)> {
-        let folder = DataFolder::open(path)?;
-        let sequence = match latest_wal(path)? {
+        Storage::open_folder(DataFolder::new(path))
+    }
+
+    /// Like [`Storage::open`], on any file system.
+    pub fn open_folder(folder: DataFolder) -> Result<(Storage, RecoveredState)> {
+        let lock = folder.lock()?;
+        let sequence = match latest_wal(&folder)? {
             Some(sequence) => sequence,
             None => {
                 folder.write_atomic(&wal_name(1), &wal::encode_file_header(0))?;
                 1
             }
         };
-        let file_path = path.join(wal_name(sequence));
-        let (recovered, valid_bytes) = recover(path, &file_path)?;
-        let file = open_for_append(&file_path)?;
+        let (recovered, valid_bytes) = recover(&folder, sequence)?;
+        let mut file = folder.open_for_append(&wal_name(sequence))?;
+        let file_path = folder.file_path(&wal_name(sequence));
         if recovered.torn_bytes > 0 {
-            file.set_len(valid_bytes).map_err(|it| Error::disk("truncate", &file_path, it))?;
+            file.truncate(valid_bytes).map_err(|it| Error::disk("truncate", &file_path, it))?;
             file.sync_all().map_err(|it| Error::disk("sync", &file_path, it))?;
         }
-        let storage = Storage { folder, file, file_path, sequence, failed: false };
+        let storage = Storage { folder, _lock: lock, file, file_path, sequence, failed: false };
         storage.remove_obsolete_files(recovered.snapshot.as_ref().map(|it| it.last_index))?;
         Ok((storage, recovered))
     }
@@ -76,7 +80,7 @@
         for record in records {
             wal::encode_record(record, &mut bytes);
         }
-        self.run_file_op("write", |file| file.write_all(&bytes))
+        self.run_file_op("write", |file| file.append(&bytes))
     }
 
     /// Syncs everything written so far to disk.
@@ -87,13 +91,13 @@
     fn run_file_op(
         &mut self,
         step: &'static str,
-        action: impl FnOnce(&mut File) -> std::io::Result<()>,
+        action: impl FnOnce(&mut dyn OpenFile) -> std::io::Result<()>,
     ) -> Result<()> {
         if self.failed {
             let source = std::io::Error::other("an earlier write or sync failed");
             return Err(Error::disk(step, &self.file_path, source));
         }
-        let result = action(&mut self.file);
+        let result = action(self.file.as_mut());
         self.failed = result.is_err();
         result.map_err(|it| Error::disk(step, &self.file_path, it))
     }
@@ -101,7 +105,7 @@
     /// Redirects later writes to another file, so that tests can cause disk failures.
     #[doc(hidden)]
     pub fn swap_file_for_test(&mut self, file: File) {
-        self.file = file;
+        self.file = Box::new(file);
     }
 
     /// Writes a snapshot and replaces the log by a new one that holds only the entries after it.
@@ -112,7 +116,7 @@
         may_vote: bool,
         entries: &[LogEntry],
     ) -> Result<()> {
-        let written = write_snapshot(self.folder.path(), snapshot);
+        let written = write_snapshot(&self.folder, snapshot);
         self.failed |= written.is_err();
         written?;
         self.rotate(snapshot.last_index, hard_state, may_vote, entries)
@@ -148,10 +152,8 @@
         }
         let sequence = self.sequence + 1;
         self.folder.write_atomic(&wal_name(sequence), &bytes)?;
-        let file_path = self.folder.path().join(wal_name(sequence));
-        let file = open_for_append(&file_path)?;
-        self.file = file;
-        self.file_path = file_path;
+        self.file = self.folder.open_for_append(&wal_name(sequence))?;
+        self.file_path = self.folder.file_path(&wal_name(sequence));
         self.sequence = sequence;
         self.remove_obsolete_files(Some(snapshot_index))
     }
@@ -176,41 +178,38 @@
 /// Writes a snapshot durably under its own file name.
 ///
 /// Recovery ignores the snapshot until a log file refers to it, so this may run while another thread appends.
-pub fn write_snapshot(folder: &Path, snapshot: &Snapshot) -> Result<()> {
-    write_atomic(folder, &snapshot_name(snapshot.last_index), &snapshot::encode(snapshot))
+pub fn write_snapshot(folder: &DataFolder, snapshot: &Snapshot) -> Result<()> {
+    folder.write_atomic(&snapshot_name(snapshot.last_index), &snapshot::encode(snapshot))
 }
 
 /// Reads the state in a data folder without taking its lock and without changing it.
 pub fn inspect(path: &Path) -> Result<RecoveredState> {
-    match latest_wal(path)? {
-        Some(sequence) => Ok(recover(path, &path.join(wal_name(sequence)))?.0),
+    let folder = DataFolder::new(path);
+    match latest_wal(&folder)? {
+        Some(sequence) => Ok(recover(&folder, sequence)?.0),
         None => Ok(RecoveredState::default()),
     }
 }
 
-fn open_for_append(path: &Path) -> Result<File> {
-    OpenOptions::new().append(true).open(path).map_err(|it| Error::disk("open", path, it))
-}
-
-fn latest_wal(path: &Path) -> Result<Option<u64>> {
-    let names = list_file_names(path, "wal-", ".log")?;
+fn latest_wal(folder: &DataFolder) -> Result<Option<u64>> {
+    let names = folder.file_names("wal-", ".log")?;
     let number = |name: &String| name.strip_prefix("wal-")?.strip_suffix(".log")?.parse().ok();
     Ok(names.iter().filter_map(number).max())
 }
 
-fn recover(folder: &Path, file_path: &Path) -> Result<(RecoveredState, u64)> {
-    let bytes = std::fs::read(file_path).map_err(|it| Error::disk("read", file_path, it))?;
-    let content = wal::decode_file(file_path, &bytes)?;
+fn recover(folder: &DataFolder, sequence: u64) -> Result<(RecoveredState, u64)> {
+    let name = wal_name(sequence);
+    let file_path = folder.file_path(&name);
+    let content = wal::decode_file(&file_path, &folder.read(&name)?)?;
     let valid_bytes = content.valid_bytes;
     let snapshot = match content.snapshot_index {
         0 => None,
         index => {
-            let path = folder.join(snapshot_name(index));
-            let bytes = std::fs::read(&path).map_err(|it| Error::disk("read", &path, it))?;
-            Some(snapshot::decode(&path, &bytes)?)
+            let name = snapshot_name(index);
+            Some(snapshot::decode(&folder.file_path(&name), &folder.read(&name)?)?)
         }
     };
-    let recovered = replay(content, snapshot, file_path)?;
+    let recovered = replay(content, snapshot, &file_path)?;
     Ok((recovered, valid_bytes))
 }
 
