--- /dev/null
+++ b/crates/bilberryloft-state/tests/support/mod.rs
@@ -0,0 +1,4 @@
+//! Support for the tests of the storage.
+
+pub mod member;
+pub mod model;
