--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -44,7 +44,8 @@
 }
 
 impl Storage {
-    /// Opens and locks the data folder, recovers its state, truncates a torn tail and removes obsolete files.
+    /// Opens and locks the data folder, recovers its state, truncates a torn tail, makes what is left durable and then
+    /// removes obsolete files.
     ///
     /// Fails with [`Error::FolderInUse`] while another process holds the lock, and with [`Error::Damaged`] if a
     /// stored record or snapshot is damaged.
@@ -67,8 +68,11 @@
         let file_path = folder.file_path(&wal_name(sequence));
         if recovered.torn_bytes > 0 {
             file.truncate(valid_bytes).map_err(|it| Error::disk("truncate", &file_path, it))?;
-            file.sync_all().map_err(|it| Error::disk("sync", &file_path, it))?;
         }
+        // The caller takes all that was recovered for durable; an earlier process may have left it, or the name of the
+        // file, without a sync.
+        file.sync_all().map_err(|it| Error::disk("sync", &file_path, it))?;
+        folder.sync()?;
         let storage = Storage { folder, _lock: lock, file, file_path, sequence, failed: false };
         storage.remove_obsolete_files(recovered.snapshot.as_ref().map(|it| it.last_index))?;
         Ok((storage, recovered))
--- a/crates/bilberryloft-state/tests/support/member.rs
+++ b/crates/bilberryloft-state/tests/support/member.rs
@@ -57,6 +57,8 @@
     /// The state that was reported durable, then the state after each record that was handed to the disk since.
     states: Vec<Model>,
     is_snapshotting: bool,
+    /// Whether all jobs wait.
+    is_slow: bool,
     /// Number of the latest opening of the folder.
     epoch: u64,
     texts: u64,
@@ -79,6 +81,7 @@
             jobs: VecDeque::new(),
             states: vec![Model::default()],
             is_snapshotting: false,
+            is_slow: false,
             epoch: 0,
             texts: 0,
         };
@@ -109,20 +112,22 @@
             self.open();
             return None;
         }
-        match self.random.u8(0..32) {
-            0..=7 => self.propose(),
-            8 => self.change_term(),
-            9 => self.replace_entries(),
-            10..=17 => self.run_jobs(),
-            18..=20 => self.commit(),
-            21..=23 if may_snapshot => return self.start_snapshot(),
-            24 => self.install(),
-            25 => self.reopen(),
-            26 => self.restart(false),
-            27 => self.restart(true),
-            28 => self.disk.kill_after(self.random.u64(0..12)),
-            29 => self.fill(),
-            _ => self.make_room(),
+        match self.random.u8(0..64) {
+            0..=13 => self.propose(),
+            14 => self.change_term(),
+            15..=16 => self.replace_entries(),
+            17..=32 if !self.is_slow => self.run_jobs(),
+            33..=38 => self.commit(),
+            39..=48 if may_snapshot => return self.start_snapshot(),
+            49 => self.install(),
+            50..=52 => self.is_slow = !self.is_slow,
+            53 => self.reopen(),
+            54 => self.restart(false),
+            55 => self.restart(true),
+            56..=57 => self.disk.kill_after(self.random.u64(0..12)),
+            58 => self.fill(),
+            59..=60 => self.make_room(),
+            _ => {}
         }
         None
     }
@@ -232,7 +237,10 @@
             }
             Err(Error::Disk { .. }) => {
                 drop(storage);
-                self.open();
+                match self.random.bool() {
+                    true => self.restart(true),
+                    false => self.open(),
+                }
             }
             Err(error) => self.fail(&format!("a job failed: {error}")),
         }
