--- a/crates/bilberryloft-daemon/src/control/disk.rs
+++ b/crates/bilberryloft-daemon/src/control/disk.rs
@@ -128,24 +128,22 @@
     }
 }
 
-/// Runs a batch of jobs with one sync; returns the highest persist number and the released messages.
+/// Runs a batch of jobs with one write and one sync; returns the highest persist number and the released messages.
 fn run_jobs(storage: &mut Storage, jobs: Vec<DiskJob>) -> Result<(u64, Vec<Outbound>)> {
     let mut highest = 0;
     let mut released = Vec::new();
-    let mut needs_sync = false;
+    let mut unwritten = Vec::new();
     for job in jobs {
         match job {
             DiskJob::Append { persist_number, records, messages } => {
-                if !records.is_empty() {
-                    storage.append(&records)?;
-                    needs_sync = true;
-                }
+                unwritten.extend(records);
                 highest = highest.max(persist_number);
                 released.extend(messages);
             }
             DiskJob::Rotate { snapshot_index, hard_state, may_vote, entries } => {
+                // The new log holds what the records before it say.
+                unwritten.clear();
                 storage.rotate(snapshot_index, hard_state, may_vote, &entries)?;
-                needs_sync = false;
             }
             DiskJob::Install {
                 persist_number,
@@ -155,14 +153,15 @@
                 entries,
                 messages,
             } => {
+                unwritten.clear();
                 storage.install(&snapshot, hard_state, may_vote, &entries)?;
-                needs_sync = false;
                 highest = highest.max(persist_number);
                 released.extend(messages);
             }
         }
     }
-    if needs_sync {
+    if !unwritten.is_empty() {
+        storage.append(&unwritten)?;
         storage.sync()?;
     }
     Ok((highest, released))
--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -40,6 +40,10 @@
     file: Box<dyn OpenFile>,
     file_path: PathBuf,
     sequence: u64,
+    /// Length of the log file in bytes.
+    length_bytes: u64,
+    /// Whether the last write is not synced.
+    has_unsynced_write: bool,
     failed: bool,
 }
 
@@ -59,7 +63,7 @@
         let sequence = match latest_wal(&folder)? {
             Some(sequence) => sequence,
             None => {
-                folder.write_atomic(&wal_name(1), &wal::encode_file_header(0))?;
+                folder.write_atomic(&wal_name(1), &new_wal(0, &[]))?;
                 1
             }
         };
@@ -73,23 +77,42 @@
         // file, without a sync.
         file.sync_all().map_err(|it| Error::disk("sync", &file_path, it))?;
         folder.sync()?;
-        let storage = Storage { folder, _lock: lock, file, file_path, sequence, failed: false };
+        let storage = Storage {
+            folder,
+            _lock: lock,
+            file,
+            file_path,
+            sequence,
+            length_bytes: valid_bytes,
+            has_unsynced_write: false,
+            failed: false,
+        };
         storage.remove_obsolete_files(recovered.snapshot.as_ref().map(|it| it.last_index))?;
         Ok((storage, recovered))
     }
 
-    /// Appends records to the log without syncing them.
+    /// Appends records to the log in one write without syncing them. An earlier write is synced first, so that a loss of
+    /// power can tear one write only.
     pub fn append(&mut self, records: &[WalRecord]) -> Result<()> {
+        if self.has_unsynced_write {
+            self.sync()?;
+        }
         let mut bytes = Vec::new();
+        wal::encode_write_start(self.length_bytes, &mut bytes);
         for record in records {
             wal::encode_record(record, &mut bytes);
         }
-        self.run_file_op("write", |file| file.append(&bytes))
+        self.run_file_op("write", |file| file.append(&bytes))?;
+        self.length_bytes += bytes.len() as u64;
+        self.has_unsynced_write = true;
+        Ok(())
     }
 
     /// Syncs everything written so far to disk.
     pub fn sync(&mut self) -> Result<()> {
-        self.run_file_op("sync", |file| file.sync_data())
+        self.run_file_op("sync", |file| file.sync_data())?;
+        self.has_unsynced_write = false;
+        Ok(())
     }
 
     fn run_file_op(
@@ -146,19 +169,19 @@
         may_vote: bool,
         entries: &[LogEntry],
     ) -> Result<()> {
-        let mut bytes = wal::encode_file_header(snapshot_index);
-        wal::encode_record(&WalRecord::HardState(hard_state), &mut bytes);
+        let mut records = vec![WalRecord::HardState(hard_state)];
         if may_vote {
-            wal::encode_record(&WalRecord::MayVote, &mut bytes);
-        }
-        for entry in entries {
-            wal::encode_record(&WalRecord::Entry(entry.clone()), &mut bytes);
+            records.push(WalRecord::MayVote);
         }
+        records.extend(entries.iter().cloned().map(WalRecord::Entry));
+        let bytes = new_wal(snapshot_index, &records);
         let sequence = self.sequence + 1;
         self.folder.write_atomic(&wal_name(sequence), &bytes)?;
         self.file = self.folder.open_for_append(&wal_name(sequence))?;
         self.file_path = self.folder.file_path(&wal_name(sequence));
         self.sequence = sequence;
+        self.length_bytes = bytes.len() as u64;
+        self.has_unsynced_write = false;
         self.remove_obsolete_files(Some(snapshot_index))
     }
 
@@ -195,6 +218,16 @@
     }
 }
 
+/// Encodes a log file that is written as a whole.
+fn new_wal(snapshot_index: u64, records: &[WalRecord]) -> Vec<u8> {
+    let mut bytes = wal::encode_file_header(snapshot_index);
+    for record in records {
+        wal::encode_record(record, &mut bytes);
+    }
+    wal::encode_write_start(bytes.len() as u64, &mut bytes);
+    bytes
+}
+
 fn latest_wal(folder: &DataFolder) -> Result<Option<u64>> {
     let names = folder.file_names("wal-", ".log")?;
     let number = |name: &String| name.strip_prefix("wal-")?.strip_suffix(".log")?.parse().ok();
--- a/crates/bilberryloft-state/src/wal.rs
+++ b/crates/bilberryloft-state/src/wal.rs
@@ -3,6 +3,11 @@
 //! A file is the 8-byte magic, the 8-byte index of the snapshot it follows, then records. A record is
 //! its length (4 bytes), a checksum of the length (4), a checksum of the payload (4), the payload, and
 //! one trailer byte. All numbers are little-endian.
+//!
+//! Each write begins with a record that holds its own offset, and is made only when all before it is synced. So a bad
+//! record before such a one is damage. After the last one, a part that a loss of power took reads as zeros, in whole
+//! sectors or up to the end of the file, and is a torn tail; a flipped bit is damage. Files of earlier versions have no
+//! such records.
 
 use std::path::Path;
 
@@ -15,7 +20,17 @@
 /// Size of the file header, which precedes the first record.
 pub const FILE_HEADER_BYTES: usize = 16;
 const RECORD_HEADER_BYTES: usize = 12;
+/// Last byte of each record; not zero, so that a file that ends with a zero has lost its end.
 const TRAILER: u8 = 0xA5;
+/// Kind of the record at the start of each write.
+const WRITE_START: u8 = 6;
+/// Size of that record.
+const WRITE_START_BYTES: usize = RECORD_HEADER_BYTES + WRITE_START_PAYLOAD_BYTES + 1;
+const WRITE_START_PAYLOAD_BYTES: usize = 9;
+/// Size of the length of a record, which is never zero.
+const LENGTH_BYTES: usize = 4;
+/// Smallest part of a file that a disk writes, or loses, as a whole.
+const SECTOR_BYTES: usize = 512;
 
 /// Current term and vote of a member, which Raft must persist.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -94,12 +109,23 @@
 
 /// Encodes one record and appends it to `bytes`.
 pub fn encode_record(record: &WalRecord, bytes: &mut Vec<u8>) {
-    let payload = encode_payload(record);
+    frame_payload(&encode_payload(record), bytes);
+}
+
+/// Encodes the record at the start of a write at an offset of the file, and appends it to `bytes`. Everything before
+/// that offset must be synced when the record is written.
+pub fn encode_write_start(offset: u64, bytes: &mut Vec<u8>) {
+    let mut payload = vec![WRITE_START];
+    payload.extend_from_slice(&offset.to_le_bytes());
+    frame_payload(&payload, bytes);
+}
+
+fn frame_payload(payload: &[u8], bytes: &mut Vec<u8>) {
     let length = (payload.len() as u32).to_le_bytes();
     bytes.extend_from_slice(&length);
     bytes.extend_from_slice(&crc32fast::hash(&length).to_le_bytes());
-    bytes.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
-    bytes.extend_from_slice(&payload);
+    bytes.extend_from_slice(&crc32fast::hash(payload).to_le_bytes());
+    bytes.extend_from_slice(payload);
     bytes.push(TRAILER);
 }
 
@@ -151,14 +177,30 @@
     let mut content =
         WalContent { snapshot_index: read_u64(&bytes[8..16]), ..WalContent::default() };
     let mut offset = FILE_HEADER_BYTES;
+    let mut has_write_starts = false;
     while offset < bytes.len() {
-        match decode_record(&bytes[offset..]) {
+        let fault = match decode_record(bytes, offset) {
             Decoded::Complete { record, length_bytes } => {
                 content.records.push(record);
                 offset += length_bytes;
+                continue;
             }
-            Decoded::Torn => break,
-            Decoded::Damaged(detail) => return Err(damaged(offset, detail)),
+            Decoded::WriteStart => {
+                has_write_starts = true;
+                offset += WRITE_START_BYTES;
+                continue;
+            }
+            Decoded::Torn => None,
+            Decoded::Damaged(detail) => Some(detail),
+        };
+        if has_write_start_after(bytes, offset) {
+            return Err(damaged(offset, fault.unwrap_or("a synced record is cut short")));
+        }
+        match fault {
+            Some(detail) if !has_write_starts || !has_lost_part(bytes, offset) => {
+                return Err(damaged(offset, detail));
+            }
+            _ => break,
         }
     }
     content.valid_bytes = offset as u64;
@@ -166,13 +208,49 @@
     Ok(content)
 }
 
+/// Whether a write after an offset shows that all up to it was synced.
+fn has_write_start_after(bytes: &[u8], offset: usize) -> bool {
+    let last = bytes.len().saturating_sub(WRITE_START_BYTES);
+    (offset + 1..=last).any(|it| is_write_start(bytes, it))
+}
+
+/// Whether bytes from a bad record on are missing as after a loss of power, and not only changed.
+fn has_lost_part(bytes: &[u8], offset: usize) -> bool {
+    let is_zero = |part: &[u8]| part.iter().all(|it| *it == 0);
+    let sector_end = (offset / SECTOR_BYTES + 1) * SECTOR_BYTES;
+    if sector_end >= bytes.len() || bytes.ends_with(&[0]) {
+        return bytes.ends_with(&[0]);
+    }
+    let (first, rest) = bytes[offset..].split_at(sector_end - offset);
+    let has_lost_start = is_zero(first)
+        && (first.len() >= LENGTH_BYTES
+            || rest.starts_with(&write_start_at(offset)[first.len()..]));
+    has_lost_start || rest.chunks(SECTOR_BYTES).any(is_zero)
+}
+
+fn is_write_start(bytes: &[u8], offset: usize) -> bool {
+    bytes[offset..].starts_with(&(WRITE_START_PAYLOAD_BYTES as u32).to_le_bytes())
+        && bytes[offset..].starts_with(&write_start_at(offset))
+}
+
+fn write_start_at(offset: usize) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(WRITE_START_BYTES);
+    encode_write_start(offset as u64, &mut bytes);
+    bytes
+}
+
 enum Decoded {
     Complete { record: WalRecord, length_bytes: usize },
+    WriteStart,
     Torn,
     Damaged(&'static str),
 }
 
-fn decode_record(bytes: &[u8]) -> Decoded {
+fn decode_record(file: &[u8], offset: usize) -> Decoded {
+    let bytes = &file[offset..];
+    if is_write_start(file, offset) {
+        return Decoded::WriteStart;
+    }
     if bytes.len() < RECORD_HEADER_BYTES || bytes.iter().all(|it| *it == 0) {
         return Decoded::Torn;
     }
--- a/crates/bilberryloft-state/tests/storage_power.rs
+++ b/crates/bilberryloft-state/tests/storage_power.rs
@@ -5,14 +5,18 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::folder::DataFolder;
 use bilberryloft_state::storage::RecoveredState;
 use bilberryloft_state::storage::Storage;
 use bilberryloft_state::storage::write_snapshot;
+use bilberryloft_state::wal;
+use bilberryloft_state::wal::FILE_HEADER_BYTES;
 use bilberryloft_state::wal::HardState;
 use bilberryloft_state::wal::LogEntry;
 use bilberryloft_state::wal::WalRecord;
+use bilberryloft_testing::fleet::TempFolder;
 use bilberryloft_testing::memory_disk::MemoryDisk;
 
 use crate::support::model::entry;
@@ -112,6 +116,67 @@
     }
 }
 
+/// Guards against a start that loses synced records: a hole is damage if a later write shows that it was synced.
+#[test]
+fn storage_rejects_a_hole_in_what_a_later_write_shows_to_be_synced() {
+    let folder = TempFolder::create("hole");
+    let (mut storage, _) = Storage::open(&folder.path).unwrap();
+    let mut lengths = Vec::new();
+    let wal = folder.path.join("wal-00000000000000000001.log");
+    for index in 1..=3 {
+        append(&mut storage, &[entry(index, &"a".repeat(700))]);
+        storage.sync().unwrap();
+        lengths.push(std::fs::metadata(&wal).unwrap().len() as usize);
+    }
+    drop(storage);
+    let whole = std::fs::read(&wal).unwrap();
+    for (from, to) in [(lengths[0], lengths[1]), (lengths[0], lengths[1] - 1), (512, 1_024)] {
+        let mut bytes = whole.clone();
+        bytes[from..to].fill(0);
+        std::fs::write(&wal, &bytes).unwrap();
+        let opened = Storage::open(&folder.path);
+        assert!(matches!(opened, Err(Error::Damaged { .. })), "{from} to {to}: {opened:?}");
+    }
+}
+
+/// Guards against a start that drops a record for a flipped bit because the record's data holds zeros.
+#[test]
+fn storage_rejects_flipped_bits_in_a_last_write_of_several_sectors() {
+    let folder = TempFolder::create("flipped-sectors");
+    let (mut storage, _) = Storage::open(&folder.path).unwrap();
+    append(&mut storage, &[entry(1, &"a\0\0\0".repeat(300)), entry(2, "b")]);
+    storage.sync().unwrap();
+    drop(storage);
+    let wal = folder.path.join("wal-00000000000000000001.log");
+    let whole = std::fs::read(&wal).unwrap();
+    for at in FILE_HEADER_BYTES..whole.len() {
+        let mut bytes = whole.clone();
+        bytes[at] ^= 1 << (at % 8);
+        std::fs::write(&wal, &bytes).unwrap();
+        let opened = Storage::open(&folder.path);
+        assert!(matches!(opened, Err(Error::Damaged { .. })), "byte {at}: {opened:?}");
+    }
+}
+
+/// Guards against a member that can't read its folder after an update: earlier versions wrote records alone.
+#[test]
+fn storage_reads_and_continues_a_log_of_an_earlier_version() {
+    let folder = TempFolder::create("earlier-version");
+    let mut bytes = wal::encode_file_header(0);
+    wal::encode_record(&WalRecord::HardState(VOTED), &mut bytes);
+    for entry in entries(3) {
+        wal::encode_record(&WalRecord::Entry(entry), &mut bytes);
+    }
+    std::fs::write(folder.path.join("wal-00000000000000000001.log"), &bytes).unwrap();
+    let (mut storage, recovered) = Storage::open(&folder.path).unwrap();
+    assert_eq!((recovered.entries, recovered.hard_state), (entries(3), VOTED));
+    append(&mut storage, &entries(5)[3..]);
+    storage.sync().unwrap();
+    drop(storage);
+    let (_, recovered) = Storage::open(&folder.path).unwrap();
+    assert_eq!((recovered.entries, recovered.hard_state), (entries(5), VOTED));
+}
+
 /// Guards against a log that refers to a snapshot which an earlier switch, held up by a slow disk, has removed.
 #[test]
 fn storage_keeps_a_snapshot_that_a_later_switch_refers_to() {
