--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -182,9 +182,23 @@
         self.sequence = sequence;
         self.length_bytes = bytes.len() as u64;
         self.has_unsynced_write = false;
-        self.remove_obsolete_files(Some(snapshot_index))
+        self.remove_earlier_files(snapshot_index)
     }
 
+    /// Removes the logs and snapshots before those in use. A later snapshot and temporary files stay: another thread may
+    /// have written or be writing them.
+    fn remove_earlier_files(&self, snapshot_index: u64) -> Result<()> {
+        let (current_wal, current_snapshot) =
+            (wal_name(self.sequence), snapshot_name(snapshot_index));
+        let mut names = self.folder.file_names("wal-", ".log")?;
+        names.retain(|it| *it < current_wal);
+        let mut snapshots = self.folder.file_names("snapshot-", ".bin")?;
+        snapshots.retain(|it| *it < current_snapshot);
+        names.extend(snapshots);
+        names.iter().try_for_each(|it| self.folder.remove(it))
+    }
+
+    /// Removes all files that the log in use does not refer to.
     fn remove_obsolete_files(&self, snapshot_index: Option<u64>) -> Result<()> {
         let current_wal = wal_name(self.sequence);
         let current_snapshot = snapshot_index.map(snapshot_name);
