--- a/crates/bilberryloft-state/tests/storage_power.rs
+++ b/crates/bilberryloft-state/tests/storage_power.rs
@@ -4,6 +4,8 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
@@ -18,6 +20,7 @@
 use bilberryloft_state::wal::WalRecord;
 use bilberryloft_testing::fleet::TempFolder;
 use bilberryloft_testing::memory_disk::MemoryDisk;
+use bilberryloft_testing::memory_disk::Refusal;
 
 use crate::support::model::entry;
 use crate::support::model::snapshot_of;
@@ -217,3 +220,45 @@
     let (_, recovered) = open(&disk).unwrap();
     assert_eq!(recovered.snapshot, Some(snapshot_of(&entries(5))));
 }
+
+/// Guards against a log that refers to a snapshot which another writer of the same index, begun before the folder was
+/// opened again, was overwriting when it took its name.
+#[test]
+fn storage_snapshot_is_whole_beside_another_writer_of_the_same_index() {
+    for calls in 0..5 {
+        let disk = MemoryDisk::default();
+        let folder = DataFolder::on(disk.start_process(), Path::new(FOLDER));
+        let (mut storage, _) = Storage::open_folder(folder.clone()).unwrap();
+        append(&mut storage, &entries(6));
+        let (other_disk, other_folder, made) = (disk.clone(), folder.clone(), AtomicU64::new(0));
+        let view = disk.with_hook(move || {
+            if made.fetch_add(1, Ordering::SeqCst) == calls {
+                other_disk.refuse(Refusal::Writes);
+                write_snapshot(&other_folder, &snapshot_of(&entries(5))).unwrap_err();
+                other_disk.refuse(Refusal::Nothing);
+            }
+        });
+        let view = DataFolder::on(view, Path::new(FOLDER));
+        write_snapshot(&view, &snapshot_of(&entries(5))).unwrap();
+        storage.rotate(5, VOTED, true, &entries(6)[5..]).unwrap();
+        drop(storage);
+        let (_, recovered) = open(&disk).unwrap();
+        assert_eq!(recovered.snapshot, Some(snapshot_of(&entries(5))), "at call {calls}");
+    }
+}
+
+/// Guards against a full disk that stays full: a snapshot that can't be written leaves nothing behind.
+#[test]
+fn storage_removes_what_it_wrote_of_a_snapshot_on_a_full_disk() {
+    let disk = MemoryDisk::default();
+    let folder = DataFolder::on(disk.start_process(), Path::new(FOLDER));
+    let (mut storage, _) = Storage::open_folder(folder.clone()).unwrap();
+    append(&mut storage, &entries(6));
+    storage.sync().unwrap();
+    let paths = disk.paths();
+    disk.set_room(Some(60));
+    write_snapshot(&folder, &snapshot_of(&entries(6))).unwrap_err();
+    assert_eq!(disk.paths(), paths);
+    append(&mut storage, &[entry(7, "a")]);
+    storage.sync().unwrap();
+}
