Each writer of a file has a temporary file of its own, and removes it if it fails

Change: the temporary name has a number of its own, and a failed write removes the file. Why it works: a rename moves only what its own writer has written and synced.

--- a/crates/bilberryloft-state/src/folder.rs
+++ b/crates/bilberryloft-state/src/folder.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use crate::error::Error;
 use crate::error::Result;
@@ -12,6 +14,9 @@
 use crate::file_system::OsFileSystem;
 use crate::file_system::SharedFileSystem;
 
+/// Number in the name of the next temporary file, so that no two writers share one.
+static NEXT_TEMPORARY_FILE: AtomicU64 = AtomicU64::new(0);
+
 /// A data folder; clones refer to the same one.
 #[derive(Clone, Debug)]
 pub struct DataFolder {
@@ -83,20 +88,32 @@
         self.file_system.open_for_append(&path).map_err(|it| Error::disk("open", path, it))
     }
 
-    /// Writes and syncs a file under a temporary name, then renames it into place and syncs the folder.
+    /// Writes and syncs a file under a temporary name, then renames it into place and syncs the folder. Several threads
+    /// may do so at the same time; what a failed call has written is removed.
     ///
     /// Does not need the folder's lock.
     pub fn write_atomic(&self, name: &str, bytes: &[u8]) -> Result<()> {
-        let temporary = self.file_path(&format!("{name}.tmp"));
+        let number = NEXT_TEMPORARY_FILE.fetch_add(1, Ordering::Relaxed);
+        let temporary = format!("{name}.{number}.tmp");
+        let written = self.write_as(&temporary, name, bytes);
+        if written.is_err() {
+            // Fails if the file was not created; the first error tells more.
+            let _ = self.remove(&temporary);
+        }
+        written?;
+        // The rename is durable only after the folder itself is synced.
+        self.sync()
+    }
+
+    fn write_as(&self, temporary: &str, name: &str, bytes: &[u8]) -> Result<()> {
+        let temporary = self.file_path(temporary);
         let file = self.file_system.create(&temporary);
         let mut file = file.map_err(|it| Error::disk("create", &temporary, it))?;
         file.append(bytes).map_err(|it| Error::disk("write", &temporary, it))?;
         file.sync_all().map_err(|it| Error::disk("sync", &temporary, it))?;
         let path = self.file_path(name);
         let renamed = self.file_system.rename(&temporary, &path);
-        renamed.map_err(|it| Error::disk("rename", &path, it))?;
-        // The rename is durable only after the folder itself is synced.
-        self.sync()
+        renamed.map_err(|it| Error::disk("rename", &path, it))
     }
 
     /// Makes the names of the folder's files durable.
