Tests: connections that are closed while a request of theirs is open

- A connection counts as idle once its answer is in this process's buffer, not when it is written: it may be closed for room or as idle in the middle of its answer, and no line tells of it.

--- /dev/null
+++ b/crates/bilberryloft-relay/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Support of the tests of this crate.
+
+pub mod connections;
