A connection is idle once its answer has been written

What callers saw: an answer larger than the sockets' buffers was cut in the middle, when another caller needed the connection or, if its caller read for longer than the idle timeout, as idle. No line told of it: neither 513 nor 514 was written.

Cause: the connection counted as idle when the HTTP library dropped the answer's body, that is when all of it was in this process's buffer. Until it was written, the connection was the first to give way, and left out of what is open at a planned stop.

Change: a phase between the two, Flushing, which ends when the library flushes the connection; it does so once all that it was given is written.

--- a/crates/bilberryloft-relay/src/memory/caller_connection.rs
+++ b/crates/bilberryloft-relay/src/memory/caller_connection.rs
@@ -31,6 +31,8 @@
     Sent,
     /// The answer to a request is sent.
     Answering,
+    /// The whole answer was handed over, and a part of it has not been written yet.
+    Flushing,
     /// Kept by its client for the next request.
     Idle,
 }
@@ -42,7 +44,7 @@
             Phase::Opened | Phase::Head | Phase::Body | Phase::Idle => None,
             Phase::Serving => Some("not_sent"),
             Phase::Sent => Some("sent"),
-            Phase::Answering => Some("answering"),
+            Phase::Answering | Phase::Flushing => Some("answering"),
         }
     }
 }
@@ -97,7 +99,7 @@
             Phase::Body if age_ms >= UNFINISHED_MS => Some(CloseOrder::SlowBody),
             _ if is_unread => Some(CloseOrder::Unread),
             Phase::Idle => Some(CloseOrder::Idle),
-            Phase::Body | Phase::Serving | Phase::Sent | Phase::Answering => None,
+            Phase::Body | Phase::Serving | Phase::Sent | Phase::Answering | Phase::Flushing => None,
         }
     }
 
@@ -194,6 +196,13 @@
         }
     }
 
+    /// Records that everything was written that had been handed over.
+    pub fn record_flushed(&self) {
+        if self.phase() == Phase::Flushing {
+            self.set_phase(Phase::Idle);
+        }
+    }
+
     /// Records whether bytes could be written.
     pub fn record_write(&self, is_blocked: bool) {
         let mut state = self.state.lock();
