A stream keeps its slow rank until another one has taken it over

What callers saw: while a rank was slow, streams on it were aborted in the middle (516, target_broke_off), though the rank was sound and went on: whenever the rank that should take one over refused it, the retry budget was used up, or the last event was older than 1.7 s.

Cause: the connection to the first target was dropped as soon as a slot was reserved elsewhere, before anything was asked there. The rest was the path of a target that broke off, which gives up for good after one attempt that failed.

Change: stream/resume.rs. The other rank is asked while the first connection is kept unread; only its answer ends the first one. Otherwise the stream goes on where it was, and another rank may be asked a second later. A stream whose target did break off: the next try goes to a target that has not been tried; a slot is reserved before the budget is asked, so no budget is spent without one; an attempt that fails is counted, and the next one is made if the route allows it; a caller that is still there after 1.7 s gets one more try; a caller that leaves meanwhile ends the try.

--- a/crates/bilberryloft-relay/src/stream.rs
+++ b/crates/bilberryloft-relay/src/stream/mod.rs
@@ -1,5 +1,7 @@
 //! Forwards a stream of events as they arrive, and resumes it at another target if one disconnects or is too slow.
 
+mod resume;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +9,7 @@
 use bilberryloft_daemon::log_event;
 use bilberryloft_routing::event_stream::EventFramer;
 use bilberryloft_routing::event_stream::StreamFault;
-use bilberryloft_routing::retry_budget::RetryPurpose;
+use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_routing::targets::AttemptOutcome;
 use bilberryloft_transport::account::Purpose;
 use bilberryloft_transport::account::Shortage;
@@ -22,28 +24,21 @@
 
 use crate::answer::AnswerBody;
 use crate::answer::IncompleteAnswer;
-use crate::attempt;
 use crate::attempt::Answered;
-use crate::attempt::AttemptResult;
 use crate::headers;
 use crate::held_trial::HeldTrial;
 use crate::lifecycle::OpenRequest;
 use crate::request::RelayRequest;
-use crate::retry_loop::record_head;
 use crate::state::RelayState;
+use crate::stream::resume::Continuation;
 use crate::target_slot::SILENCE;
 use crate::target_slot::TargetSlot;
 use crate::target_slot::WholeAnswer;
 
 /// Frames that are buffered for a slow caller.
 const QUEUED_FRAMES_MAX: usize = 8;
-/// Longest time since the last event after which an interrupted stream is still resumed; callers disconnect after two
-/// seconds.
-const RESUME_WITHIN: Duration = Duration::from_millis(1_700);
-/// Pause between two attempts to resume.
-const RESUME_PAUSE: Duration = Duration::from_millis(120);
-/// Attempts to resume that may fail without having run, before the stream is aborted.
-const RESUME_REFUSALS_MAX: u32 = 6;
+/// Time after a rank has refused to take over a stream before another one is asked.
+const MIGRATION_PAUSE: Duration = Duration::from_millis(1_000);
 
 type BodyFrame = Result<Frame<Bytes>, IncompleteAnswer>;
 
@@ -55,24 +50,14 @@
     Closed,
     /// The target disconnected before the end or sent an event that is too large.
     Broken,
-    /// The rank slows down its group, and a slot at another rank is reserved.
-    Migrate(TargetSlot),
+    /// Another rank has taken over the stream, because this one slows down its group.
+    Moved(Box<Continuation>),
     /// The caller disconnected.
     CallerLeft,
     /// The request timed out.
     Timeout,
 }
 
-/// Result of asking one target to go on with a stream.
-enum ResumeOutcome {
-    /// The target goes on.
-    Resumed(Box<Answered>, TargetSlot),
-    /// The target did not run the request; another one may.
-    NotRun,
-    /// The request must not be sent to another target.
-    GaveUp,
-}
-
 /// What lasts as long as a stream: it counts as open, and its trial goes on.
 pub struct InFlight {
     /// Counts the stream as open.
@@ -90,7 +75,9 @@
     last_event: Instant,
     longest_gap: Duration,
     bytes_sent: usize,
-    /// Whether the caller has had the first events from an earlier request.
+    /// Attempts that ran or may have run.
+    attempts: u32,
+    /// Whether the caller has had the first events from another target, or from an earlier request.
     is_continuation: bool,
     _in_flight: InFlight,
 }
@@ -116,10 +103,11 @@
         last_event: Instant::now(),
         longest_gap: Duration::ZERO,
         bytes_sent: 0,
+        attempts,
         is_continuation: requested_after.is_some(),
         _in_flight: in_flight,
     };
-    tokio::spawn(relay.run(initial, slot, attempts));
+    tokio::spawn(relay.run(initial, slot));
     let stream = futures_util::stream::poll_fn(move |context| queue.poll_recv(context));
     BodyExt::boxed(StreamBody::new(stream.fuse()))
 }
@@ -130,52 +118,60 @@
     headers::text(&request.headers, name)?.trim().parse().ok()
 }
 
+/// Waits until a stream should move away from its slow rank and a slot at another rank is reserved for it, but for so long
+/// at least.
+async fn wait_for_migration(
+    state: &RelayState,
+    request: &RelayRequest,
+    key: TargetKey,
+    pause: Duration,
+) -> TargetSlot {
+    tokio::time::sleep(pause).await;
+    state.wait_for_migration(request, key).await
+}
+
 impl StreamRelay {
-    async fn run(mut self, initial: Answered, slot: TargetSlot, attempts: u32) {
+    async fn run(mut self, initial: Answered, slot: TargetSlot) {
         let mut answered = initial;
         let mut slot = slot;
-        let mut attempts_made = attempts;
         loop {
-            let replacement = match self.forward_body(answered, &slot, attempts_made).await {
+            let next = match self.forward_body(answered, &slot).await {
                 BodyEnd::Complete => {
-                    let answer = self.whole_answer(attempts_made == attempts);
+                    let answer = self.whole_answer();
                     let target_id = slot.picked().id.clone();
                     return self.end(&target_id, slot.release_answered(answer));
                 }
                 BodyEnd::Closed => {
-                    let answer = self.whole_answer(attempts_made == attempts);
+                    let answer = self.whole_answer();
                     let target_id = slot.picked().id.clone();
                     return self.end(&target_id, slot.release_closed(answer));
                 }
                 BodyEnd::CallerLeft => return self.log_caller_left(),
                 BodyEnd::Timeout => return self.abort("timeout").await,
-                BodyEnd::Migrate(replacement) => {
+                BodyEnd::Moved(next) => {
                     slot.release(AttemptOutcome::Unknown);
-                    Some(replacement)
+                    *next
                 }
                 BodyEnd::Broken => {
+                    let key = slot.picked().key;
                     let ended = slot.release_broken();
                     self.state.suspects.wait_for_check(&self.request, &ended).await;
-                    None
+                    match self.resume(key).await {
+                        Some(next) => next,
+                        None => return self.abort("target_broke_off").await,
+                    }
                 }
             };
-            self.framer.begin_continuation();
-            match self.resume(attempts_made, replacement).await {
-                Some((next, next_slot)) => {
-                    answered = next;
-                    slot = next_slot;
-                    attempts_made += 1;
-                }
-                None => return self.abort("target_broke_off").await,
-            }
+            answered = next.answered;
+            slot = next.slot;
         }
     }
 
     /// Returns what the target that ended the stream has sent of it.
-    fn whole_answer(&self, is_first_target: bool) -> WholeAnswer {
-        match is_first_target && !self.is_continuation {
-            true => WholeAnswer::Stream { bytes: self.bytes_sent },
-            false => WholeAnswer::Continuation,
+    fn whole_answer(&self) -> WholeAnswer {
+        match self.is_continuation {
+            true => WholeAnswer::Continuation,
+            false => WholeAnswer::Stream { bytes: self.bytes_sent },
         }
     }
 
@@ -202,18 +198,6 @@
         }
     }
 
-    fn log_resumed(&self, slot: &TargetSlot, reason: &str, outcome: &str) {
-        log_event!(
-            info,
-            Event::StreamResumed,
-            request_id = self.request.id,
-            target_id = slot.picked().id,
-            reason,
-            outcome,
-            after = self.framer.last_id()
-        );
-    }
-
     fn log_rejected(&self, slot: &TargetSlot, fault: StreamFault) {
         log_event!(
             warn,
@@ -237,25 +221,28 @@
         let _ = self.frames.send(Err(IncompleteAnswer)).await;
     }
 
-    async fn forward_body(
-        &mut self,
-        answered: Answered,
-        slot: &TargetSlot,
-        attempts_made: u32,
-    ) -> BodyEnd {
+    async fn forward_body(&mut self, answered: Answered, slot: &TargetSlot) -> BodyEnd {
         let Answered { response, connection, address } = answered;
         let (parts, mut body) = response.into_parts();
         let is_framed = headers::is_framed(&parts.headers);
         let sent_before = self.bytes_sent;
-        let may_resume = self.may_resume(attempts_made);
         let (state, request) = (self.state.clone(), self.request.clone());
-        let migration = state.wait_for_migration(&request, slot.picked().key);
+        let key = slot.picked().key;
+        let mut may_resume = self.may_resume();
+        let migration = wait_for_migration(&state, &request, key, Duration::ZERO);
         tokio::pin!(migration);
         let mut checked = Instant::now();
         let end = loop {
             let frame = tokio::select! {
                 frame = connection.next_frame(&mut body) => frame,
-                replacement = &mut migration, if may_resume => break BodyEnd::Migrate(replacement),
+                replacement = &mut migration, if may_resume => {
+                    if let Some(next) = self.migrate(replacement).await {
+                        break BodyEnd::Moved(Box::new(next));
+                    }
+                    may_resume = self.may_resume();
+                    migration.set(wait_for_migration(&state, &request, key, MIGRATION_PAUSE));
+                    continue;
+                }
                 () = self.frames.closed() => break BodyEnd::CallerLeft,
                 () = tokio::time::sleep_until(checked.max(self.last_event) + SILENCE) => {
                     checked = Instant::now();
@@ -323,85 +310,4 @@
         held.push(events, self.request.deadline).await?;
         Ok(held.into_bytes())
     }
-
-    fn take_retry(&self) -> bool {
-        self.state.retries.take(&self.request.service, RetryPurpose::Request, &self.request.id)
-    }
-
-    /// Returns whether the stream may be resumed at another target, which a suspect may not.
-    fn may_resume(&self, attempts_made: u32) -> bool {
-        self.request.route.is_resumable
-            && attempts_made < self.request.route.attempts_max
-            && self.state.suspects.may_retry(&self.request)
-    }
-
-    /// Resumes the stream after its last event at another target, before callers disconnect. Tries `replacement` first,
-    /// if there is one.
-    async fn resume(
-        &mut self,
-        attempts_made: u32,
-        replacement: Option<TargetSlot>,
-    ) -> Option<(Answered, TargetSlot)> {
-        if !self.may_resume(attempts_made) {
-            return None;
-        }
-        let reason = if replacement.is_some() { "slow_target" } else { "broke_off" };
-        let mut reserved = replacement;
-        let until = (self.last_event + RESUME_WITHIN).min(self.request.deadline);
-        let mut refused = 0;
-        while Instant::now() < until && refused < RESUME_REFUSALS_MAX {
-            if self.frames.is_closed() {
-                return None;
-            }
-            let candidate = match reserved.take() {
-                None if !self.take_retry() => return None,
-                None => self.state.pick_for_retry(&self.request, &[]).ok(),
-                Some(slot) => Some(slot),
-            };
-            let outcome = match candidate {
-                Some(slot) => self.resume_at(slot, reason, until).await,
-                None => ResumeOutcome::NotRun,
-            };
-            match outcome {
-                ResumeOutcome::Resumed(answered, slot) => return Some((*answered, slot)),
-                ResumeOutcome::GaveUp => return None,
-                ResumeOutcome::NotRun => {
-                    refused += 1;
-                    tokio::time::sleep(RESUME_PAUSE).await;
-                }
-            }
-        }
-        None
-    }
-
-    /// Asks one target to go on after the last event.
-    async fn resume_at(&self, slot: TargetSlot, reason: &str, until: Instant) -> ResumeOutcome {
-        let after = self.framer.last_id();
-        self.state.limits.log_sent(&self.request.id, slot.picked());
-        let attempt = attempt::send(&self.state, &self.request, slot.picked(), after);
-        let Ok(result) = tokio::time::timeout_at(until, attempt).await else {
-            slot.release_broken();
-            return ResumeOutcome::GaveUp;
-        };
-        self.log_resumed(&slot, reason, result.name());
-        record_head(&slot, &result);
-        let outcome = result.outcome();
-        match result {
-            AttemptResult::Answered(it) if it.response.status().is_success() => {
-                ResumeOutcome::Resumed(it, slot)
-            }
-            AttemptResult::Answered(_) => {
-                slot.release(outcome);
-                ResumeOutcome::GaveUp
-            }
-            AttemptResult::Unknown { .. } => {
-                slot.release_broken();
-                ResumeOutcome::GaveUp
-            }
-            AttemptResult::NotRun { .. } | AttemptResult::NotSent { .. } => {
-                slot.release(outcome);
-                ResumeOutcome::NotRun
-            }
-        }
-    }
 }
