--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -274,3 +274,70 @@
     assert!(cluster.raft(lost).unwrap().may_vote());
     assert_eq!(cluster.violation, None);
 }
+
+/// Cuts the leader off, lets the others elect one of them at once, and returns the old leader, the new one and the other.
+fn depose_unnoticed(cluster: &mut Cluster) -> (u32, u32, u32) {
+    let old = cluster.leader().unwrap();
+    cluster.isolate(old);
+    let others: Vec<u32> = (1..=3).filter(|it| *it != old).collect();
+    others.iter().for_each(|it| cluster.report_ended(*it, old));
+    cluster.settle(100);
+    let new = cluster.leader().unwrap();
+    assert_ne!(new, old);
+    let other = others.into_iter().find(|it| *it != new).unwrap();
+    (old, new, other)
+}
+
+// Guards against entries that a deposed leader commits with a member that lost its disk, over those of the next leader.
+#[test]
+fn deposed_leader_commits_nothing_with_a_member_that_lost_its_disk() {
+    for forgets_members in [false, true] {
+        let mut cluster = started(Setup { forgets_members, ..Setup::default() });
+        let (old, new, lost) = depose_unnoticed(&mut cluster);
+        assert!(cluster.propose(new));
+        cluster.settle(30);
+        cluster.empty_disk(lost);
+        cluster.heal();
+        for other in [old, lost] {
+            cluster.cut(new, other);
+            cluster.cut(other, new);
+        }
+        cluster.start(lost);
+        assert!(cluster.propose(old), "the old leader doesn't know yet that it is deposed");
+        cluster.settle(60);
+        assert_eq!(cluster.violation, None);
+        assert!(!cluster.raft(lost).unwrap().may_vote());
+        cluster.check_recovery();
+        assert_eq!(cluster.violation, None);
+    }
+}
+
+// Guards against a second quorum that a member without a log founds with one that lost its disk.
+#[test]
+fn member_that_lost_its_disk_founds_no_second_quorum() {
+    for forgets_members in [false, true] {
+        let mut cluster = Cluster::new(Setup { forgets_members, ..Setup::default() }, 7);
+        cluster.isolate(3);
+        cluster.settle(2_000);
+        let lost = cluster.leader().map_or(1, |it| 3 - it);
+        cluster.empty_disk(lost);
+        cluster.heal();
+        cluster.isolate(3 - lost);
+        cluster.start(lost);
+        cluster.settle(3_000);
+        cluster.check_recovery();
+        assert_eq!(cluster.violation, None);
+    }
+}
+
+// Guards against members that never form a quorum, because all processes end before the first election.
+#[test]
+fn members_that_end_before_the_first_election_found_the_quorum_later() {
+    let mut cluster = Cluster::new(Setup { forgets_members: true, ..Setup::default() }, 7);
+    cluster.settle(20);
+    assert_eq!(cluster.leader(), None);
+    (1..=3).for_each(|it| cluster.crash(it));
+    (1..=3).for_each(|it| cluster.start(it));
+    cluster.check_recovery();
+    assert_eq!(cluster.violation, None);
+}
