A host that can't tell founding from the loss of its disk founds no quorum; a founder's orders are durable

Cause: a member without a log granted its vote to any candidate without a log, whether the system was founded or its disk was lost. What the settings said at the first start (the founding members) was kept in memory until the first entry was durable.

Change: a member that is told to found a quorum (control.first_start, bootstrap on the users' platform) writes the record Founding and syncs it before it takes part (event 220). The record names the members and gives the right to vote. A host that is told that this is no first start has neither and votes for nobody until it has caught up. With settings that stay the same, so that the two can't be told apart, founding needs the votes of all initial members; before, a majority was enough, and one wiped member could be in it.

Why it works: a wiped member has no record and so never helps to elect anybody over a member that has a log; a founder with its record is a voter like any other, so founding is a plain election among voters with empty logs.

--- a/crates/bilberryloft-coordination/src/raft/election.rs
+++ b/crates/bilberryloft-coordination/src/raft/election.rs
@@ -18,7 +18,7 @@
             return;
         }
         self.reset_election_timer();
-        if !self.may_stand() || !(self.may_vote || self.has_empty_log()) {
+        if !self.may_stand() || !(self.may_vote || self.may_found()) {
             return;
         }
         match self.options.pre_vote {
@@ -35,8 +35,16 @@
             || committed.voters.contains_key(&self.member)
     }
 
-    fn has_empty_log(&self) -> bool {
-        self.log.last_index() == 0
+    /// Whether this member may found a quorum with the initial members that it knows, although it can't tell the first
+    /// start from the loss of its disk. It then needs the votes of all of them: one that has a log refuses.
+    fn may_found(&self) -> bool {
+        self.log.last_index() == 0 && self.members().voters.contains_key(&self.member)
+    }
+
+    /// Whether the request founds a quorum with members that can't tell the first start from the loss of their disks.
+    fn may_found_with(&self, request: &VoteRequest) -> bool {
+        let is_initial = self.members().voters.contains_key(&request.candidate);
+        self.may_found() && request.last_index == 0 && is_initial
     }
 
     fn start_pre_vote(&mut self) {
@@ -83,6 +91,7 @@
             self.hard_state.vote = Some(request.candidate);
             self.save_hard_state();
             self.reset_election_timer();
+            self.founding_term = (!self.may_vote).then_some(request.term);
         }
         let term = if granted { request.term } else { self.hard_state.term };
         let reply = Message::VoteReply(VoteReply {
@@ -100,8 +109,7 @@
             return false;
         }
         // A member that lost its disk must not help to elect one that may lack entries it acknowledged before.
-        let both_logs_are_empty = self.has_empty_log() && request.last_index == 0;
-        if !self.may_vote && !both_logs_are_empty {
+        if !self.may_vote && !self.may_found_with(request) {
             return false;
         }
         match request.pre_vote {
@@ -128,7 +136,8 @@
     fn count_votes(&mut self) {
         let members = self.members();
         let count = self.votes.iter().filter(|it| members.voters.contains_key(it)).count();
-        if count < members.majority() {
+        let needed = if self.may_vote { members.majority() } else { members.voters.len() };
+        if count < needed {
             return;
         }
         match self.role {
--- a/crates/bilberryloft-coordination/src/raft/follower.rs
+++ b/crates/bilberryloft-coordination/src/raft/follower.rs
@@ -24,6 +24,7 @@
             }
             None => {
                 let match_index = append.previous_index + append.entries.len() as u64;
+                self.finish_founding(&append);
                 self.store_entries(append.entries);
                 self.commit_index = self.commit_index.max(append.commit_index.min(match_index));
                 self.finish_catch_up(match_index);
@@ -52,12 +53,26 @@
         }
     }
 
+    /// Allows this member to vote if it gets the first entry from the leader for which all initial members have voted
+    /// with empty logs: then none of them has lost anything.
+    fn finish_founding(&mut self, append: &Append) {
+        let is_first =
+            append.entries.first().is_some_and(|it| (it.index, it.term) == (1, append.term));
+        if !self.may_vote && is_first && self.founding_term == Some(append.term) {
+            self.gain_vote();
+        }
+    }
+
+    fn gain_vote(&mut self) {
+        self.may_vote = true;
+        self.output.records.push(WalRecord::MayVote);
+    }
+
     /// Allows this member to vote once its log matches the leader's up to the index that it has to reach.
     fn finish_catch_up(&mut self, match_index: u64) {
         let has_caught_up = self.catch_up.is_some_and(|it| match_index >= it.index);
         if !self.may_vote && has_caught_up {
-            self.may_vote = true;
-            self.output.records.push(WalRecord::MayVote);
+            self.gain_vote();
         }
     }
 
--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -60,7 +60,8 @@
     pub members: MemberSet,
     /// Durable term and vote.
     pub hard_state: HardState,
-    /// Whether the member may vote.
+    /// Whether the member may vote. One that founds a quorum may from the start, if it has recorded durably that it was
+    /// told to.
     pub may_vote: bool,
     /// Durable snapshot.
     pub snapshot: Option<Snapshot>,
@@ -132,6 +133,8 @@
     pub(super) role: Role,
     pub(super) hard_state: HardState,
     pub(super) may_vote: bool,
+    /// Term in which this member has voted with an empty log, without the right to vote otherwise.
+    pub(super) founding_term: Option<u64>,
     /// What this member has to reach before it may vote, if it may not vote yet.
     pub(super) catch_up: Option<CatchUp>,
     pub(super) log: Log,
@@ -169,6 +172,7 @@
             role: Role::Follower,
             hard_state: initial.hard_state,
             may_vote: initial.may_vote || !options.abstain_when_empty,
+            founding_term: None,
             catch_up: None,
             durable_index: log.last_index(),
             log,
--- a/crates/bilberryloft-coordination/tests/support/disk.rs
+++ b/crates/bilberryloft-coordination/tests/support/disk.rs
@@ -1,5 +1,6 @@
 //! Simulated disk: the durable state of one member.
 
+use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::snapshot::Snapshot;
 use bilberryloft_state::wal::HardState;
 use bilberryloft_state::wal::LogEntry;
@@ -9,6 +10,7 @@
 pub struct Disk {
     pub hard_state: HardState,
     pub may_vote: bool,
+    pub founders: Option<MemberSet>,
     pub snapshot: Option<Snapshot>,
     pub entries: Vec<LogEntry>,
 }
@@ -20,6 +22,10 @@
             WalRecord::Entry(entry) => self.entries.push(entry.clone()),
             WalRecord::Truncate { from_index } => self.entries.retain(|it| it.index < *from_index),
             WalRecord::MayVote => self.may_vote = true,
+            WalRecord::Founding(members) => {
+                self.founders = Some(members.clone());
+                self.may_vote = true;
+            }
         }
     }
 }
--- a/crates/bilberryloft-coordination/tests/support/mod.rs
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -34,7 +34,7 @@
     pub loses_disks: bool,
     /// Seed of all members, if they have the same one.
     pub equal_seed: Option<u64>,
-    /// Whether a member that starts with an empty disk later than the others is not told who the first members were.
+    /// Whether members are told who the first members are only at the first start of all, and record it durably then.
     pub forgets_members: bool,
 }
 
@@ -131,16 +131,20 @@
 
     pub fn start(&mut self, member: u32) {
         self.seed += 1;
-        let members = match self.setup.forgets_members && self.now_ms > 0 {
-            true => MemberSet::default(),
-            false => self.initial_members(),
-        };
+        let initial = self.initial_members();
         let (options, now_ms) = (self.setup.options, self.now_ms);
         let seed = self.setup.equal_seed.unwrap_or(self.seed);
         let state = self.members.get_mut(&member).unwrap();
         if state.raft.is_some() {
             return;
         }
+        if self.setup.forgets_members && now_ms == 0 {
+            state.disk.write(&WalRecord::Founding(initial.clone()));
+        }
+        let members = match self.setup.forgets_members {
+            true => state.disk.founders.clone().unwrap_or_default(),
+            false => initial,
+        };
         state.applied_index = state.disk.snapshot.as_ref().map_or(0, |it| it.last_index);
         let start = InitialState {
             member,
@@ -355,6 +359,7 @@
                     let disk = Disk {
                         hard_state: raft.hard_state(),
                         may_vote: raft.may_vote(),
+                        founders: None,
                         entries: raft.log().entries().to_vec(),
                         snapshot: Some(snapshot.clone()),
                     };
@@ -422,6 +427,7 @@
         let disk = Disk {
             hard_state: raft.hard_state(),
             may_vote: raft.may_vote(),
+            founders: None,
             entries: raft.log().entries().to_vec(),
             snapshot: Some(snapshot),
         };
--- a/crates/bilberryloft-daemon/src/control/recovery.rs
+++ b/crates/bilberryloft-daemon/src/control/recovery.rs
@@ -12,6 +12,7 @@
 use bilberryloft_state::storage::RecoveredState;
 use bilberryloft_state::storage::Storage;
 use bilberryloft_state::wal::HardState;
+use bilberryloft_state::wal::WalRecord;
 use bilberryloft_transport::clock::monotonic_ms;
 
 use crate::events::Event;
@@ -34,11 +35,12 @@
     ///
     /// Fails when the folder can't be read, or when the snapshot in it can't be decoded.
     pub fn open(settings: &ControlSettings, seed: u64) -> Result<RecoveredMember> {
-        let (storage, recovered) = Storage::open(&settings.data_folder)?;
+        let (mut storage, mut recovered) = Storage::open(&settings.data_folder)?;
         if recovered.torn_bytes > 0 {
             log_event!(warn, Event::TornTailCut, bytes = recovered.torn_bytes);
         }
         log_recovered(settings.member, &recovered);
+        record_founding(settings, &mut storage, &mut recovered)?;
         let machine = match &recovered.snapshot {
             Some(snapshot) => decode_machine(&settings.data_folder, &snapshot.data)?,
             None => StateMachine::default(),
@@ -52,7 +54,9 @@
         };
         let initial_state = InitialState {
             member: settings.member,
-            members: MemberSet::of_voters(settings.members.clone()),
+            members: recovered
+                .founders
+                .unwrap_or_else(|| MemberSet::of_voters(settings.members.clone())),
             hard_state: recovered.hard_state,
             may_vote: recovered.may_vote,
             snapshot: recovered.snapshot,
@@ -70,6 +74,27 @@
     }
 }
 
+/// Makes durable that this member founds the quorum, if it is told so and its data folder is empty. At later starts
+/// nothing but the record tells such a member from one that has lost its disk.
+fn record_founding(
+    settings: &ControlSettings,
+    storage: &mut Storage,
+    recovered: &mut RecoveredState,
+) -> Result<()> {
+    let is_founder =
+        settings.first_start == Some(true) && settings.members.contains_key(&settings.member);
+    if !is_founder || !recovered.is_empty() {
+        return Ok(());
+    }
+    let members = MemberSet::of_voters(settings.members.clone());
+    storage.append(&[WalRecord::Founding(members.clone())])?;
+    storage.sync()?;
+    log_event!(info, Event::FoundingRecorded, member = settings.member, ?members);
+    recovered.founders = Some(members);
+    recovered.may_vote = true;
+    Ok(())
+}
+
 /// Logs what a member has found in its data folder, so that a later loss can be told from an earlier one.
 fn log_recovered(member: u32, recovered: &RecoveredState) {
     let snapshot_index = recovered.snapshot.as_ref().map_or(0, |it| it.last_index);
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -72,6 +72,8 @@
     LossToleranceChanged = 218,
     /// The leader has committed a document or an evacuation, which is acknowledged from now on.
     ChangeCommitted = 219,
+    /// The member was told at its first start to found a quorum, and has recorded that durably.
+    FoundingRecorded = 220,
     /// The target announced itself.
     TargetAnnounced = 300,
     /// The target stopped announcing itself.
@@ -198,7 +200,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 92] = [
+pub const EVENTS: [Event; 93] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -233,6 +235,7 @@
     Event::QuorumLeft,
     Event::LossToleranceChanged,
     Event::ChangeCommitted,
+    Event::FoundingRecorded,
     Event::TargetAnnounced,
     Event::TargetSilent,
     Event::TargetCrashed,
--- a/crates/bilberryloft-daemon/src/settings.rs
+++ b/crates/bilberryloft-daemon/src/settings.rs
@@ -159,6 +159,11 @@
     pub member: u32,
     /// Peer addresses of the initial members by id; ignored once the log contains a member set.
     pub members: BTreeMap<u32, String>,
+    /// Whether the hosts start for the first time, if this is told at each start: then the initial members found the
+    /// quorum, and at no later start does a host with an empty data folder. If it is not told, the initial members found
+    /// the quorum together, once all of them are there with empty data folders.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub first_start: Option<bool>,
     /// Addresses that this host uses for members instead of those in the log.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub routes: BTreeMap<u32, String>,
--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -11,6 +11,7 @@
 use crate::folder::DataFolder;
 use crate::folder::list_file_names;
 use crate::folder::write_atomic;
+use crate::member_set::MemberSet;
 use crate::snapshot;
 use crate::snapshot::Snapshot;
 use crate::wal;
@@ -30,10 +31,22 @@
     pub entries: Vec<LogEntry>,
     /// Whether the member has caught up with the log since its data folder was empty, and so may vote.
     pub may_vote: bool,
+    /// Members of the quorum that this member was told to found, while neither a snapshot nor the log replaces them.
+    pub founders: Option<MemberSet>,
     /// Length in bytes of the torn tail at the end of the log.
     pub torn_bytes: u64,
 }
 
+impl RecoveredState {
+    /// Returns whether the data folder holds nothing about a quorum, as at a first start or after the loss of a disk.
+    pub fn is_empty(&self) -> bool {
+        self.hard_state == HardState::default()
+            && self.snapshot.is_none()
+            && self.entries.is_empty()
+            && self.founders.is_none()
+    }
+}
+
 /// Open storage of one member. After a failed write or sync, every further append or sync fails.
 #[derive(Debug)]
 pub struct Storage {
@@ -222,6 +235,10 @@
         match record {
             WalRecord::HardState(state) => recovered.hard_state = state,
             WalRecord::MayVote => recovered.may_vote = true,
+            WalRecord::Founding(members) => {
+                recovered.founders = Some(members);
+                recovered.may_vote = true;
+            }
             WalRecord::Truncate { from_index } => {
                 recovered.entries.retain(|it| it.index < from_index)
             }
--- a/crates/bilberryloft-state/src/wal.rs
+++ b/crates/bilberryloft-state/src/wal.rs
@@ -70,6 +70,8 @@
     },
     /// The member may vote: it has caught up with the log since its data folder was empty.
     MayVote,
+    /// The member was told at its first start to found a quorum of these members, and may vote from then on.
+    Founding(MemberSet),
 }
 
 /// Decoded content of a write-ahead log file.
@@ -127,6 +129,10 @@
             payload.extend_from_slice(&from_index.to_le_bytes());
         }
         WalRecord::MayVote => payload.push(5),
+        WalRecord::Founding(members) => {
+            payload.push(6);
+            payload.extend_from_slice(&encode_members(members));
+        }
     }
     payload
 }
@@ -216,6 +222,7 @@
             payload: Payload::Members(serde_json::from_slice(&rest[16..]).ok()?),
         })),
         5 if rest.is_empty() => Some(WalRecord::MayVote),
+        6 => Some(WalRecord::Founding(serde_json::from_slice(rest).ok()?)),
         3 if rest.len() == 8 => Some(WalRecord::Truncate { from_index: read_u64(rest) }),
         _ => None,
     }
--- a/crates/bilberryloft-state/tests/storage.rs
+++ b/crates/bilberryloft-state/tests/storage.rs
@@ -70,6 +70,23 @@
     );
 }
 
+// Guards against a founder that looks like a member without its disk, because it was killed before the first entry.
+#[test]
+fn storage_recovers_what_a_founder_was_told() {
+    let folder = TempFolder::create("founding");
+    let members = MemberSet::of_voters([(1, "10.0.0.1:7400".to_string())].into());
+    {
+        let (mut storage, recovered) = Storage::open(&folder.0).unwrap();
+        assert!(recovered.is_empty());
+        storage.append(&[WalRecord::Founding(members.clone())]).unwrap();
+        storage.sync().unwrap();
+    }
+    let (_, recovered) = Storage::open(&folder.0).unwrap();
+    assert!(!recovered.is_empty());
+    assert!(recovered.may_vote);
+    assert_eq!(recovered.founders, Some(members));
+}
+
 /// A process that stops during a write leaves a record cut off at any byte.
 #[test]
 fn storage_truncates_a_torn_tail_of_any_length() {
--- a/crates/bilberryloft-testing/src/fleet.rs
+++ b/crates/bilberryloft-testing/src/fleet.rs
@@ -113,6 +113,7 @@
     ControlSettings {
         member,
         members: members.clone(),
+        first_start: None,
         routes: BTreeMap::new(),
         data_folder,
         heartbeat_ms: 50,
