A random test of lost power and disks right after an acknowledgement fails, and is listed

losses_random: from the first start on, members are cut from each other, stand still, lose their disks one after the other, meet a deposed leader first, and are replaced; messages are late, lost or come twice. Right after an acknowledgement all processes end, unsynced writes are kept up to a random one, and as many disks as must be tolerated are gone; those left must have a leader that holds all that was acknowledged, and nothing acknowledged may be overwritten. Quorums of 3 and 5, up to 2 spare hosts.

--- a/crates/bilberryloft-coordination/tests/support/mod.rs
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod disk;
 pub mod hosts;
+mod losses;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -36,6 +37,8 @@
     pub equal_seed: Option<u64>,
     /// Whether members are told who the first members are only at the first start of all, and record it durably then.
     pub forgets_members: bool,
+    /// Whether a member that starts with an empty disk is told that this is the first start, each time.
+    pub founds_again: bool,
 }
 
 impl Default for Setup {
@@ -48,6 +51,7 @@
             loses_disks: true,
             equal_seed: None,
             forgets_members: false,
+            founds_again: false,
         }
     }
 }
@@ -73,6 +77,8 @@
     network: Vec<(u32, Outbound)>,
     /// Links that are cut, as sender and receiver.
     cut: BTreeSet<(u32, u32)>,
+    /// Members that stand still.
+    frozen: BTreeSet<u32>,
     now_ms: u64,
     next_command: u64,
     next_ticket: u64,
@@ -98,6 +104,7 @@
             members: BTreeMap::new(),
             network: Vec::new(),
             cut: BTreeSet::new(),
+            frozen: BTreeSet::new(),
             now_ms: 0,
             next_command: 0,
             next_ticket: 0,
@@ -138,7 +145,9 @@
         if state.raft.is_some() {
             return;
         }
-        if self.setup.forgets_members && now_ms == 0 {
+        let is_empty = state.disk.hard_state.term == 0 && state.disk.founders.is_none();
+        let is_told = now_ms == 0 || (self.setup.founds_again && is_empty);
+        if self.setup.forgets_members && is_told {
             state.disk.write(&WalRecord::Founding(initial.clone()));
         }
         let members = match self.setup.forgets_members {
@@ -161,6 +170,7 @@
 
     /// Crashes a member; it loses what it has not synced.
     pub fn crash(&mut self, member: u32) {
+        self.frozen.remove(&member);
         let state = self.members.get_mut(&member).unwrap();
         state.raft = None;
         state.jobs.clear();
@@ -229,7 +239,8 @@
     }
 
     fn running(&self) -> Vec<u32> {
-        self.members.iter().filter(|(_, it)| it.raft.is_some()).map(|(it, _)| *it).collect()
+        let runs = |it: &u32| self.raft(*it).is_some() && !self.frozen.contains(it);
+        self.members.keys().copied().filter(runs).collect()
     }
 
     fn raft_mut(&mut self, member: u32) -> &mut Raft {
@@ -315,6 +326,9 @@
         if is_cut || !runs {
             return;
         }
+        if self.frozen.contains(&outbound.to) {
+            return self.network.push((from, outbound));
+        }
         let now_ms = self.clock_of(outbound.to);
         self.raft_mut(outbound.to).receive(outbound.message, now_ms);
         self.collect(outbound.to);
