--- a/crates/bilberryloft-coordination/tests/support/mod.rs
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod disk;
 pub mod hosts;
+mod losses;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -34,8 +35,10 @@
     pub loses_disks: bool,
     /// Seed of all members, if they have the same one.
     pub equal_seed: Option<u64>,
-    /// Whether a member that starts with an empty disk later than the others is not told who the first members were.
+    /// Whether members are told who the first members are only at the first start of all, and record it durably then.
     pub forgets_members: bool,
+    /// Whether a member that starts with an empty disk is told that this is the first start, each time.
+    pub founds_again: bool,
 }
 
 impl Default for Setup {
@@ -48,6 +51,7 @@
             loses_disks: true,
             equal_seed: None,
             forgets_members: false,
+            founds_again: false,
         }
     }
 }
@@ -73,6 +77,8 @@
     network: Vec<(u32, Outbound)>,
     /// Links that are cut, as sender and receiver.
     cut: BTreeSet<(u32, u32)>,
+    /// Members that stand still.
+    frozen: BTreeSet<u32>,
     now_ms: u64,
     next_command: u64,
     next_ticket: u64,
@@ -98,6 +104,7 @@
             members: BTreeMap::new(),
             network: Vec::new(),
             cut: BTreeSet::new(),
+            frozen: BTreeSet::new(),
             now_ms: 0,
             next_command: 0,
             next_ticket: 0,
@@ -131,16 +138,22 @@
 
     pub fn start(&mut self, member: u32) {
         self.seed += 1;
-        let members = match self.setup.forgets_members && self.now_ms > 0 {
-            true => MemberSet::default(),
-            false => self.initial_members(),
-        };
+        let initial = self.initial_members();
         let (options, now_ms) = (self.setup.options, self.now_ms);
         let seed = self.setup.equal_seed.unwrap_or(self.seed);
         let state = self.members.get_mut(&member).unwrap();
         if state.raft.is_some() {
             return;
         }
+        let is_empty = state.disk.hard_state.term == 0 && state.disk.founders.is_none();
+        let is_told = now_ms == 0 || (self.setup.founds_again && is_empty);
+        if self.setup.forgets_members && is_told {
+            state.disk.write(&WalRecord::Founding(initial.clone()));
+        }
+        let members = match self.setup.forgets_members {
+            true => state.disk.founders.clone().unwrap_or_default(),
+            false => initial,
+        };
         state.applied_index = state.disk.snapshot.as_ref().map_or(0, |it| it.last_index);
         let start = InitialState {
             member,
@@ -157,6 +170,7 @@
 
     /// Crashes a member; it loses what it has not synced.
     pub fn crash(&mut self, member: u32) {
+        self.frozen.remove(&member);
         let state = self.members.get_mut(&member).unwrap();
         state.raft = None;
         state.jobs.clear();
@@ -225,7 +239,8 @@
     }
 
     fn running(&self) -> Vec<u32> {
-        self.members.iter().filter(|(_, it)| it.raft.is_some()).map(|(it, _)| *it).collect()
+        let runs = |it: &u32| self.raft(*it).is_some() && !self.frozen.contains(it);
+        self.members.keys().copied().filter(runs).collect()
     }
 
     fn raft_mut(&mut self, member: u32) -> &mut Raft {
@@ -311,6 +326,9 @@
         if is_cut || !runs {
             return;
         }
+        if self.frozen.contains(&outbound.to) {
+            return self.network.push((from, outbound));
+        }
         let now_ms = self.clock_of(outbound.to);
         self.raft_mut(outbound.to).receive(outbound.message, now_ms);
         self.collect(outbound.to);
@@ -355,6 +373,7 @@
                     let disk = Disk {
                         hard_state: raft.hard_state(),
                         may_vote: raft.may_vote(),
+                        founders: None,
                         entries: raft.log().entries().to_vec(),
                         snapshot: Some(snapshot.clone()),
                     };
@@ -422,6 +441,7 @@
         let disk = Disk {
             hard_state: raft.hard_state(),
             may_vote: raft.may_vote(),
+            founders: None,
             entries: raft.log().entries().to_vec(),
             snapshot: Some(snapshot),
         };
--- a/crates/bilberryloft-state/tests/support/model.rs
+++ b/crates/bilberryloft-state/tests/support/model.rs
@@ -31,7 +31,7 @@
             WalRecord::HardState(state) => self.hard_state = *state,
             WalRecord::Entry(entry) => self.entries.push(entry.clone()),
             WalRecord::Truncate { from_index } => self.entries.retain(|it| it.index < *from_index),
-            WalRecord::MayVote => self.may_vote = true,
+            WalRecord::MayVote | WalRecord::Founding(_) => self.may_vote = true,
         }
     }
 
