A planned stop waits until each answer is written to its last byte

What callers saw: a large answer or the end of a stream cut 2.3 s after SIGTERM, when they read slowly.

Cause: the stop waited for a count of requests that ended when a plain answer was made, and when the last piece of a stream was queued; the process then ended 20 ms later, whatever was still to be written.

Change: the stop counts connections whose whole request has no complete answer. An answer is complete when it has been handed over whole and the stream has been flushed, which the HTTP library does when its own buffer is empty (new phase Flushing between Answering and Idle; a connection in it is not closed as idle either). The count of open requests stays for what it says, the connections to targets that requests may need.

--- a/crates/bilberryloft-relay/src/memory/caller_connection.rs
+++ b/crates/bilberryloft-relay/src/memory/caller_connection.rs
@@ -31,10 +31,12 @@
     Sent = 5,
     /// The answer to a request is sent.
     Answering = 6,
+    /// The whole answer has been handed over, and the last bytes of it are written.
+    Flushing = 7,
 }
 
 impl Phase {
-    const ALL: [Phase; 7] = [
+    const ALL: [Phase; 8] = [
         Phase::Opened,
         Phase::Head,
         Phase::Body,
@@ -42,6 +44,7 @@
         Phase::Idle,
         Phase::Sent,
         Phase::Answering,
+        Phase::Flushing,
     ];
 
     fn of(number: u8) -> Phase {
@@ -54,7 +57,7 @@
             Phase::Opened | Phase::Head | Phase::Body | Phase::Idle => None,
             Phase::Serving => Some("not_sent"),
             Phase::Sent => Some("sent"),
-            Phase::Answering => Some("answering"),
+            Phase::Answering | Phase::Flushing => Some("answering"),
         }
     }
 }
@@ -144,6 +147,13 @@
         }
     }
 
+    /// Records that everything handed over has been written, so that an answer that was handed over whole is complete.
+    pub fn record_flush(&self) {
+        if self.phase() == Phase::Flushing {
+            self.set_phase(Phase::Idle);
+        }
+    }
+
     /// Records whether bytes could be written.
     pub fn record_write(&self, is_blocked: bool) {
         let is_known = self.blocked_ms.load(Ordering::Relaxed) > 0;
--- a/crates/bilberryloft-relay/src/memory/connection_table.rs
+++ b/crates/bilberryloft-relay/src/memory/connection_table.rs
@@ -156,7 +156,7 @@
         Phase::Body if age_ms >= UNFINISHED_MS => Some(CloseOrder::SlowBody),
         _ if is_unread => Some(CloseOrder::Unread),
         Phase::Idle => Some(CloseOrder::Idle),
-        Phase::Body | Phase::Serving | Phase::Sent | Phase::Answering => None,
+        Phase::Body | Phase::Serving | Phase::Sent | Phase::Answering | Phase::Flushing => None,
     }
 }
 
--- a/crates/bilberryloft-relay/src/memory/tracked_body.rs
+++ b/crates/bilberryloft-relay/src/memory/tracked_body.rs
@@ -12,7 +12,7 @@
 use crate::memory::caller_connection::CallerConnection;
 use crate::memory::caller_connection::Phase;
 
-/// Body whose connection becomes idle when it is dropped.
+/// Body that is handed over whole when it is dropped.
 #[derive(Debug)]
 pub struct TrackedBody<B> {
     inner: B,
@@ -48,6 +48,6 @@
 
 impl<B> Drop for TrackedBody<B> {
     fn drop(&mut self) {
-        self.connection.set_phase(Phase::Idle);
+        self.connection.set_phase(Phase::Flushing);
     }
 }
--- a/crates/bilberryloft-relay/src/memory/watched_stream.rs
+++ b/crates/bilberryloft-relay/src/memory/watched_stream.rs
@@ -1,4 +1,4 @@
-//! Stream that records when bytes arrive and when none can be written.
+//! Stream that records when bytes arrive, when none can be written, and when everything has been written.
 
 use std::io;
 use std::pin::Pin;
@@ -71,7 +71,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        // The HTTP library flushes the stream once its own buffer is empty.
+        let polled = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.connection.record_flush();
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -27,7 +27,7 @@
 /// Time for which a stopping relay still accepts connections. The balancer removes it only after two failed readiness
 /// checks, one second apart.
 const CLOSE_NOTICE: Duration = Duration::from_millis(2_300);
-/// Interval at which the number of open requests is checked during shutdown.
+/// Interval at which the number of unanswered requests is checked during shutdown.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
@@ -66,27 +66,32 @@
         log_event!(info, Event::SettingsReloaded, ?seeds);
     }
 
-    /// Shuts down gracefully: reports not ready, then stops accepting connections, then waits for open requests. A voter
-    /// of the quorum also waits until another host votes in its place.
+    /// Shuts down gracefully: reports not ready, then stops accepting connections, then waits until the answers to all
+    /// requests that were read have been written to their last byte. A voter of the quorum also waits until another host
+    /// votes in its place.
     pub fn shutdown(self) {
         let leave_deadline_ms = self.daemon.begin_leave(self.state.settings.stop_within_ms);
         let until = Instant::now() + Duration::from_millis(self.state.settings.stop_within_ms);
         let until = until - EXIT_RESERVE;
-        log_event!(info, Event::RelayStopping, open = self.state.lifecycle.open_requests());
+        log_event!(info, Event::RelayStopping, open = self.unanswered());
         self.state.lifecycle.begin_stop();
         self.callers.set_stage(Stage::Closing);
         std::thread::sleep(CLOSE_NOTICE);
         self.callers.set_stage(Stage::Closed);
-        while self.state.lifecycle.open_requests() > 0 && Instant::now() < until {
+        while self.unanswered() > 0 && Instant::now() < until {
             std::thread::sleep(STOP_POLL_INTERVAL);
         }
-        std::thread::sleep(STOP_POLL_INTERVAL);
         self.daemon.wait_for_replacement(leave_deadline_ms);
         self.log_unanswered();
-        log_event!(info, Event::RelayStopped, open = self.state.lifecycle.open_requests());
+        log_event!(info, Event::RelayStopped, open = self.unanswered());
         drop(self.daemon);
     }
 
+    /// Returns the number of requests that have been read and whose answer has not been written to its last byte.
+    fn unanswered(&self) -> usize {
+        self.state.memory.callers.unanswered().len()
+    }
+
     /// Logs the requests that the end of this process cuts off.
     fn log_unanswered(&self) {
         let memory = &self.state.memory;
