A stopping entry passes on nothing that arrives after it has closed

What callers saw: in a planned stop, requests that came late in the grace were taken, passed on and cut at its end, among them such that may not be repeated; others were reset without an answer.

Cause: from 2.3 s after SIGTERM the entry accepted no connections, but a request whose head or body was arriving then was passed on like any other, however little time was left. The listener was closed with connections still in its queue, and a connection might be closed with a request that had arrived and was not read yet.

Change: the stages of the stop belong to the process's lifecycle. From Closed on, what arrives is refused as not run (reason stopping, 503, Retry-After of 0.15 s at most, as another entry takes it); 0.5 s later also bodies that are still arriving. The stop waits until the listener is closed and each connection is closed, answered or refused; a head that does not come on holds it up 0.5 s at most. Event 506 tells when the entry closed, with what was open.

--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -104,6 +104,8 @@
     RoutesInForce = 504,
     /// A newer document could not be decoded; the routes in force stay.
     RoutesUnreadable = 505,
+    /// The stopping relay takes no more requests.
+    RelayClosed = 506,
     /// The number of active entries changed.
     EntriesChanged = 507,
     /// A request was sent to a target.
@@ -198,7 +200,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 92] = [
+pub const EVENTS: [Event; 93] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -249,6 +251,7 @@
     Event::ReadinessChanged,
     Event::RoutesInForce,
     Event::RoutesUnreadable,
+    Event::RelayClosed,
     Event::EntriesChanged,
     Event::AttemptSent,
     Event::AttemptEnded,
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -30,6 +30,8 @@
 /// Reason for which the relay refuses a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
+    /// The entry stops, and the request would not be answered before its end.
+    Stopping,
     /// No routing document has been received yet.
     NoDocument,
     /// No route matches the request.
@@ -103,6 +105,7 @@
     /// Returns the name used in logs, metrics and the body.
     pub fn name(self) -> &'static str {
         match self {
+            Refusal::Stopping => "stopping",
             Refusal::NoDocument => "no_document",
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
@@ -133,7 +136,8 @@
     /// Returns the status; 408, 429 and 503 guarantee that the request has not run and will not run.
     pub fn status(self) -> StatusCode {
         match self {
-            Refusal::NoDocument
+            Refusal::Stopping
+            | Refusal::NoDocument
             | Refusal::MemoryShort
             | Refusal::ConnectionsFull
             | Refusal::NoTarget
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -18,6 +18,7 @@
 use crate::answer::full_body;
 use crate::evacuation;
 use crate::headers;
+use crate::lifecycle::Stage;
 use crate::memory::caller_connection::CallerConnection;
 use crate::request;
 use crate::request::RelayRequest;
@@ -41,6 +42,8 @@
 const RETRY_AFTER_GROUP_MS: std::ops::RangeInclusive<u64> = 2_200..=2_600;
 /// Range of the `retry-after` delay while the same request runs on trial, in milliseconds: about the time of a run.
 const RETRY_AFTER_TRIAL_MS: std::ops::RangeInclusive<u64> = 1_500..=2_200;
+/// Range of the `retry-after` delay of an entry that stops, in milliseconds. Another entry takes the request at once.
+const RETRY_AFTER_STOPPING_MS: std::ops::RangeInclusive<u64> = 20..=150;
 /// Longest wait for the first routing document after start. It is shorter than the time after which callers give up on
 /// a connection.
 const FIRST_DOCUMENT_WAIT: Duration = Duration::from_millis(700);
@@ -75,7 +78,7 @@
     let routes = wait_for_routes(&state).await;
     let names = state.dialect.headers();
     let id = headers::text(request.headers(), &names.request_id).unwrap_or_default().to_string();
-    let read = request::read(&state, request, &routes, &caller, arrived).await;
+    let read = read_before_closed(&state, request, &routes, &caller, arrived).await;
     caller.begin_request(&id);
     drop(routes);
     let request = match read {
@@ -116,6 +119,21 @@
     }
 }
 
+/// Reads a request. What is not whole when the entry closes is refused, as it could not be answered for certain.
+async fn read_before_closed(
+    state: &Arc<RelayState>,
+    request: Request<Incoming>,
+    routes: &RouteTable,
+    caller: &Arc<CallerConnection>,
+    arrived: Instant,
+) -> Result<RelayRequest, Refusal> {
+    let read = tokio::select! {
+        read = request::read(state, request, routes, caller, arrived) => read?,
+        () = state.lifecycle.wait_for_stage(Stage::Refusing) => return Err(Refusal::Stopping),
+    };
+    if state.lifecycle.stage() >= Stage::Closed { Err(Refusal::Stopping) } else { Ok(read) }
+}
+
 /// Frees the slot of a plain answer that is passed on to the caller.
 fn release_plain(slot: TargetSlot, status: StatusCode, bytes: usize) {
     if status.is_server_error() {
@@ -164,6 +182,7 @@
         | Refusal::TargetsCold { retry_after } => {
             return Some(retry_after);
         }
+        Refusal::Stopping => RETRY_AFTER_STOPPING_MS,
         Refusal::BodyDropped => RETRY_AFTER_MS,
         _ if refusal.status() == StatusCode::SERVICE_UNAVAILABLE => RETRY_AFTER_MS,
         _ => return None,
--- a/crates/bilberryloft-relay/src/lifecycle.rs
+++ b/crates/bilberryloft-relay/src/lifecycle.rs
@@ -1,24 +1,38 @@
-//! Open requests, shutdown and stalls of this process.
+//! Open requests, stages of the stop and stalls of this process.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bilberryloft_transport::clock::boot_ms;
+use tokio::sync::watch;
 
 /// Time between two ticks of this process above which it counts as stalled, in milliseconds.
 const STALL_MS: u64 = 300;
 /// Pause after a stall, in which the other tasks run.
 const STALL_PAUSE: Duration = Duration::from_millis(50);
 
-/// Open requests, shutdown and last tick of the process.
+/// Stage of the stop of this process. Stages follow each other in this order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Connections are accepted and kept open.
+    #[default]
+    Serving,
+    /// Connections are still accepted, but each is closed after its next answer.
+    Closing,
+    /// No connections are accepted, idle ones are closed, and requests that arrive are refused.
+    Closed,
+    /// Requests that are still arriving are refused, and the stop does not wait for the heads of others.
+    Refusing,
+}
+
+/// Open requests, stage of the stop and last tick of the process.
 pub struct Lifecycle {
     last_tick_ms: AtomicU64,
     open_requests: AtomicUsize,
-    is_stopping: AtomicBool,
+    stage: watch::Sender<Stage>,
 }
 
 impl Default for Lifecycle {
@@ -26,7 +40,7 @@
         Lifecycle {
             last_tick_ms: AtomicU64::new(boot_ms()),
             open_requests: AtomicUsize::new(0),
-            is_stopping: AtomicBool::new(false),
+            stage: watch::Sender::default(),
         }
     }
 }
@@ -45,7 +59,8 @@
         }
     }
 
-    /// Counts a request as open until the returned guard is dropped.
+    /// Counts a request as open until the returned guard is dropped. An open request may need a connection to a target;
+    /// its answer may still be on the way to the caller when it is not open any more.
     pub fn track_request(self: &Arc<Self>) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::SeqCst);
         OpenRequest { lifecycle: self.clone() }
@@ -56,14 +71,29 @@
         self.open_requests.load(Ordering::SeqCst)
     }
 
+    /// Returns the stage of the stop.
+    pub fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
     /// Returns whether the relay is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::SeqCst)
+        self.stage() > Stage::Serving
+    }
+
+    /// Advances the stop to a later stage.
+    pub fn set_stage(&self, stage: Stage) {
+        self.stage.send_if_modified(|it| {
+            let is_later = stage > *it;
+            *it = stage.max(*it);
+            is_later
+        });
     }
 
-    /// Marks the relay as shutting down.
-    pub fn begin_stop(&self) {
-        self.is_stopping.store(true, Ordering::SeqCst);
+    /// Waits until the stop has reached a stage.
+    pub async fn wait_for_stage(&self, stage: Stage) {
+        // The sender lives as long as this value, so waiting cannot fail.
+        let _ = self.stage.subscribe().wait_for(|it| *it >= stage).await;
     }
 }
 
--- a/crates/bilberryloft-relay/src/memory/caller_connection.rs
+++ b/crates/bilberryloft-relay/src/memory/caller_connection.rs
@@ -51,6 +51,21 @@
         Phase::ALL.into_iter().find(|it| *it as u8 == number).unwrap_or(Phase::Serving)
     }
 
+    /// Returns whether a stop waits for a connection in this phase: until it is closed, or its request is answered or
+    /// refused. The head of a request may also not arrive at all.
+    pub fn holds_stop(self) -> bool {
+        match self {
+            Phase::Head => false,
+            Phase::Opened
+            | Phase::Body
+            | Phase::Serving
+            | Phase::Idle
+            | Phase::Sent
+            | Phase::Answering
+            | Phase::Flushing => true,
+        }
+    }
+
     /// Returns how far a whole request without a complete answer has come, for logs and metrics; `None` if there is none.
     pub fn progress(self) -> Option<&'static str> {
         match self {
--- a/crates/bilberryloft-relay/src/memory/connection_table.rs
+++ b/crates/bilberryloft-relay/src/memory/connection_table.rs
@@ -63,6 +63,11 @@
         self.len() == 0
     }
 
+    /// Returns the number of connections for which a stop waits.
+    pub fn count_holding_stop(&self) -> usize {
+        self.records.lock().connections.values().filter(|it| it.phase().holds_stop()).count()
+    }
+
     /// Returns the connections whose whole request has no complete answer yet.
     pub fn unanswered(&self) -> Vec<Arc<CallerConnection>> {
         let records = self.records.lock();
--- a/crates/bilberryloft-relay/src/memory/serve.rs
+++ b/crates/bilberryloft-relay/src/memory/serve.rs
@@ -156,8 +156,14 @@
             cause = wait_for_end(&connection, limits) => break cause,
         }
     };
+    record_end(&guard, cause, memory);
+}
+
+/// Records that this process ends a connection.
+fn record_end(guard: &ConnectionGuard, cause: CloseCause, memory: &Memory) {
+    let connection = guard.connection();
     connection.record_end();
-    memory.report.record_cut(&connection, cause.name());
+    memory.report.record_cut(connection, cause.name());
     let client = connection.address.to_string();
     memory.report.record_closed(cause, &client, guard.connections());
 }
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -14,12 +14,12 @@
 use crate::dialect::Dialect;
 use crate::evacuation;
 use crate::expert_planner::spawn_planner;
+use crate::lifecycle::Stage;
 use crate::loads::spawn_load_exchange;
 use crate::memory::Memory;
 use crate::memory::spawn_upkeep;
 use crate::readiness::serve_readiness;
 use crate::server::CallerServer;
-use crate::server::Stage;
 use crate::settings::ProgramSettings;
 use crate::state::RelayState;
 use crate::suspects::spawn_run_reports;
@@ -27,7 +27,9 @@
 /// Time for which a stopping relay still accepts connections. The balancer removes it only after two failed readiness
 /// checks, one second apart.
 const CLOSE_NOTICE: Duration = Duration::from_millis(2_300);
-/// Interval at which the number of unanswered requests is checked during shutdown.
+/// Time for the rest of requests that are arriving when no connections are accepted any more.
+const ARRIVAL_TIME: Duration = Duration::from_millis(500);
+/// Interval at which it is checked during shutdown whether all is answered.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
@@ -74,19 +76,34 @@
         let until = Instant::now() + Duration::from_millis(self.state.settings.stop_within_ms);
         let until = until - EXIT_RESERVE;
         log_event!(info, Event::RelayStopping, open = self.unanswered());
-        self.state.lifecycle.begin_stop();
-        self.callers.set_stage(Stage::Closing);
+        self.state.lifecycle.set_stage(Stage::Closing);
         std::thread::sleep(CLOSE_NOTICE);
-        self.callers.set_stage(Stage::Closed);
-        while self.unanswered() > 0 && Instant::now() < until {
-            std::thread::sleep(STOP_POLL_INTERVAL);
-        }
+        self.close(until);
         self.daemon.wait_for_replacement(leave_deadline_ms);
         self.log_unanswered();
         log_event!(info, Event::RelayStopped, open = self.unanswered());
         drop(self.daemon);
     }
 
+    /// Takes no more requests, and waits until all that was read is answered, at most until the given time.
+    fn close(&self, until: Instant) {
+        let (lifecycle, callers) = (&self.state.lifecycle, &self.state.memory.callers);
+        lifecycle.set_stage(Stage::Closed);
+        let connections = callers.len();
+        log_event!(info, Event::RelayClosed, open = self.unanswered(), connections);
+        let refusing_at = Instant::now() + ARRIVAL_TIME;
+        while Instant::now() < until {
+            if Instant::now() >= refusing_at {
+                lifecycle.set_stage(Stage::Refusing);
+            }
+            let is_answered = self.callers.is_closed() && callers.count_holding_stop() == 0;
+            if is_answered && (callers.is_empty() || lifecycle.stage() == Stage::Refusing) {
+                return;
+            }
+            std::thread::sleep(STOP_POLL_INTERVAL);
+        }
+    }
+
     /// Returns the number of requests that have been read and whose answer has not been written to its last byte.
     fn unanswered(&self) -> usize {
         self.state.memory.callers.unanswered().len()
--- a/crates/bilberryloft-relay/src/request.rs
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -105,10 +105,8 @@
     let key = authorization_key(&parts.headers, dialect.authorization_scheme());
     let team = find_team(route, routes, key)?;
     let names = dialect.headers();
-    let wait_ms = headers::text(&parts.headers, &names.time_left).and_then(|it| it.parse().ok());
-    let wait_ms = wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let deadline = arrived + time_limit(route, headers::text(&parts.headers, &names.time_left));
     let priority = team.and_then(|it| it.priority).unwrap_or(route.priority).min(PRIORITY_MAX);
-    let deadline = arrived + Duration::from_millis(wait_ms);
     let team_name = team.map_or("", |it| it.name.as_str());
     let holder = Holder { address: caller.address, name: team_name.to_string() };
     let bytes_max = routes.limits().body_bytes_max;
@@ -145,6 +143,12 @@
     priority * (PRIORITY_MAX + 1) + route_priority.min(PRIORITY_MAX)
 }
 
+/// Returns the time for the final answer: what the caller names, at most the timeout of the route.
+fn time_limit(route: &Route, named: Option<&str>) -> Duration {
+    let named_ms: Option<u64> = named.and_then(|it| it.parse().ok());
+    Duration::from_millis(named_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms))
+}
+
 fn host(parts: &Parts) -> &str {
     match parts.uri.host() {
         Some(host) => host,
