A member that lost its disk counts only once a leader has committed an entry without it

What callers saw: a configuration was acknowledged and is gone, though no more disks were lost than tolerated (rule LOST): a leader that was deposed and didn't know it yet, and a member that lost its disk and met that leader first, committed together what the newer leader overwrote.

Cause: a wiped member acknowledged entries to any leader of a term that it knew, its own being 0, and those counted towards the majority; having reached that leader's last index, it could vote again, even in a term in which its former self had voted.

Change: a member that may not vote counts for no commit, no read and no contact. Its answers carry a number of this start; the leader appends an empty entry for it, and once that is committed without the member, says so with the number; the member votes again when its log matches up to that entry, and records its vote of the term as given to that leader.

Why it works: whoever still needs the former self's vote lacks the committed entry, which one of its other voters holds; and a deposed leader can't commit one.

--- a/crates/bilberryloft-coordination/src/raft/follower.rs
+++ b/crates/bilberryloft-coordination/src/raft/follower.rs
@@ -9,7 +9,6 @@
 use crate::raft::InstallSnapshot;
 use crate::raft::Message;
 use crate::raft::Raft;
-use crate::raft::node::CatchUp;
 
 impl Raft {
     pub(super) fn on_append(&mut self, append: Append) {
@@ -17,32 +16,29 @@
             self.reply_to_leader(append.leader, false, self.log.last_index(), append.round);
             return;
         }
-        self.follow(append.term, append.leader, append.last_index);
+        self.follow(append.term, append.leader);
         match self.find_mismatch(&append) {
             Some(next_index) => {
                 self.reply_to_leader(append.leader, false, next_index, append.round)
             }
             None => {
                 let match_index = append.previous_index + append.entries.len() as u64;
-                self.finish_founding(&append);
+                let gains_vote = self.gains_vote_by(&append, match_index);
                 self.store_entries(append.entries);
+                if gains_vote {
+                    self.gain_vote(append.leader);
+                }
                 self.commit_index = self.commit_index.max(append.commit_index.min(match_index));
-                self.finish_catch_up(match_index);
                 self.reply_to_leader(append.leader, true, match_index, append.round);
                 self.note_removed_leader(append.leader);
             }
         }
     }
 
-    /// Accepts a leader. A member that may not vote yet has to reach the last index in the first message from a leader
-    /// of the term. Each leader has all committed entries, but the last ones of an earlier leader may be lost.
-    fn follow(&mut self, term: u64, leader: u32, leader_last_index: u64) {
+    /// Accepts a leader.
+    fn follow(&mut self, term: u64, leader: u32) {
         self.become_follower(term, Some(leader));
         self.heard_leader = Some(HeardLeader { member: leader, heard_ms: self.now_ms });
-        let has_goal = self.catch_up.is_some_and(|it| it.term == term);
-        if !self.may_vote && !has_goal {
-            self.catch_up = Some(CatchUp { term, index: leader_last_index });
-        }
     }
 
     /// Starts an election early if the leader has just committed a member set in which it is no voter.
@@ -53,29 +49,6 @@
         }
     }
 
-    /// Allows this member to vote if it gets the first entry from the leader for which all initial members have voted
-    /// with empty logs: then none of them has lost anything.
-    fn finish_founding(&mut self, append: &Append) {
-        let is_first =
-            append.entries.first().is_some_and(|it| (it.index, it.term) == (1, append.term));
-        if !self.may_vote && is_first && self.founding_term == Some(append.term) {
-            self.gain_vote();
-        }
-    }
-
-    fn gain_vote(&mut self) {
-        self.may_vote = true;
-        self.output.records.push(WalRecord::MayVote);
-    }
-
-    /// Allows this member to vote once its log matches the leader's up to the index that it has to reach.
-    fn finish_catch_up(&mut self, match_index: u64) {
-        let has_caught_up = self.catch_up.is_some_and(|it| match_index >= it.index);
-        if !self.may_vote && has_caught_up {
-            self.gain_vote();
-        }
-    }
-
     /// Returns the index that the leader should try next if the entry before the new ones does not match.
     fn find_mismatch(&self, append: &Append) -> Option<u64> {
         if append.previous_index < self.log.snapshot_index() {
@@ -120,7 +93,7 @@
             self.reply_to_leader(install.leader, false, self.log.last_index(), install.round);
             return;
         }
-        self.follow(install.term, install.leader, install.last_index);
+        self.follow(install.term, install.leader);
         let index = install.snapshot.last_index;
         if index > self.commit_index {
             self.log.install(index, install.snapshot.last_term, install.snapshot.members.clone());
@@ -128,7 +101,6 @@
             self.output.install = Some(install.snapshot.clone());
             self.snapshot = Some(install.snapshot);
         }
-        self.finish_catch_up(index);
         self.reply_to_leader(install.leader, true, index, install.round);
     }
 
@@ -140,6 +112,7 @@
             match_index,
             round,
             may_vote: self.may_vote,
+            nonce: self.nonce_if_recovering(),
         });
         match self.nothing_to_persist() {
             true => self.send_now(leader, reply),
--- a/crates/bilberryloft-coordination/src/raft/leader.rs
+++ b/crates/bilberryloft-coordination/src/raft/leader.rs
@@ -7,6 +7,7 @@
 use crate::raft::InstallSnapshot;
 use crate::raft::Message;
 use crate::raft::Raft;
+use crate::raft::Recovery;
 use crate::raft::Role;
 
 /// Maximum number of entries in one message.
@@ -20,12 +21,18 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Progress {
     pub(super) match_index: u64,
+    /// Index up to which the member has acknowledged entries as one that may vote: only this counts towards a majority.
+    counted_index: u64,
     next_index: u64,
+    /// Latest round that the member has answered as one that may vote.
     acked_round: u64,
     heard_ms: u64,
     /// Time of the latest answer that showed all entries committed until then.
     synced_ms: Option<u64>,
-    may_vote: bool,
+    /// Whether the member may vote, by its latest answer.
+    may_vote: Option<bool>,
+    /// What is or will be confirmed to a member that may not vote.
+    pub(super) recovery: Option<Recovery>,
     snapshot_sent_ms: Option<u64>,
 }
 
@@ -37,11 +44,13 @@
         for member in others {
             self.progress.entry(member).or_insert(Progress {
                 match_index: 0,
+                counted_index: 0,
                 next_index: self.log.last_index() + 1,
                 acked_round: 0,
                 heard_ms: self.now_ms,
                 synced_ms: None,
-                may_vote: false,
+                may_vote: None,
+                recovery: None,
                 snapshot_sent_ms: None,
             });
         }
@@ -71,7 +80,7 @@
         match self.progress.get(&member) {
             Some(progress) => {
                 let is_recent = progress.synced_ms.is_some_and(|it| it + timeout_ms > self.now_ms);
-                progress.may_vote && is_recent
+                progress.may_vote == Some(true) && is_recent
             }
             None => member == self.member,
         }
@@ -84,12 +93,15 @@
         own.into_iter().chain(others.map(|(member, _)| *member)).collect()
     }
 
-    /// Whether a majority of the voters is in contact.
+    /// Whether a majority of the voters is in contact and may vote, as far as this leader knows.
     fn has_quorum_contact(&self) -> bool {
         let members = self.members();
         let timeout_ms = self.contact_timeout_ms();
         let is_in_contact = |it: &&u32| match self.progress.get(it) {
-            Some(progress) => progress.heard_ms + timeout_ms > self.now_ms,
+            Some(progress) => {
+                let may_vote = progress.may_vote != Some(false) || !self.options.confirm_recovery;
+                may_vote && progress.heard_ms + timeout_ms > self.now_ms
+            }
             None => **it == self.member,
         };
         members.voters.keys().filter(is_in_contact).count() >= members.majority()
@@ -127,6 +139,7 @@
             commit_index: self.commit_index,
             last_index: self.log.last_index(),
             round: self.round,
+            recovery: self.recovery_of(self.progress.get(&to)),
         });
         self.send_now(to, append);
     }
@@ -195,8 +208,15 @@
             return;
         };
         progress.heard_ms = now_ms;
-        progress.may_vote = reply.may_vote;
-        progress.acked_round = progress.acked_round.max(reply.round);
+        progress.may_vote = Some(reply.may_vote);
+        let counts = reply.may_vote || !self.options.confirm_recovery;
+        if counts {
+            progress.acked_round = progress.acked_round.max(reply.round);
+        }
+        if counts && reply.success {
+            let held_index = reply.match_index.min(last_index);
+            progress.counted_index = progress.counted_index.max(held_index);
+        }
         if reply.success {
             progress.match_index = progress.match_index.max(reply.match_index.min(last_index));
             progress.next_index = progress.next_index.max(progress.match_index + 1);
@@ -209,12 +229,13 @@
             progress.match_index = progress.match_index.min(reply.match_index);
             progress.next_index = (reply.match_index + 1).min(last_index + 1);
         }
+        self.note_recovering(&reply);
         self.advance_commit();
         self.confirm_reads();
     }
 
     pub(super) fn advance_commit(&mut self) {
-        let index = self.reached_by_majority(|it| it.match_index, self.durable_index);
+        let index = self.reached_by_majority(|it| it.counted_index, self.durable_index);
         // Only an entry of the current term is committed by counting replicas; earlier entries are committed with it.
         if index > self.commit_index && self.log.term_at(index) == Some(self.hard_state.term) {
             self.commit_index = index;
--- a/crates/bilberryloft-coordination/src/raft/message.rs
+++ b/crates/bilberryloft-coordination/src/raft/message.rs
@@ -31,6 +31,16 @@
     pub pre_vote: bool,
 }
 
+/// Confirmation of a leader that a member which has lost its disk may vote again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Recovery {
+    /// Number that the start of the member has chosen; 0 if the leader confirms nothing.
+    pub nonce: u64,
+    /// Index up to which the member's log must match the leader's. The entry there was appended after the leader got the
+    /// number, and a majority of the voters that may vote holds it.
+    pub index: u64,
+}
+
 /// New log entries, or none for a heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Append {
@@ -50,6 +60,8 @@
     pub last_index: u64,
     /// Number of the heartbeat round, returned in the answer.
     pub round: u64,
+    /// What the leader confirms to a receiver that may not vote; `None` from leaders of an earlier version.
+    pub recovery: Option<Recovery>,
 }
 
 /// Answer to an [`Append`] or an [`InstallSnapshot`].
@@ -67,6 +79,8 @@
     pub round: u64,
     /// Whether the follower may vote: it may not between the loss of its disk and the end of its catch-up.
     pub may_vote: bool,
+    /// Number of the follower's start, if it may not vote; `None` from followers of an earlier version, too.
+    pub nonce: Option<u64>,
 }
 
 /// Snapshot for a follower that lacks entries which the leader has already compacted.
--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -13,10 +13,12 @@
 
 use crate::raft::Log;
 use crate::raft::Message;
+use crate::raft::Options;
 use crate::raft::Outbound;
 use crate::raft::Output;
 use crate::raft::ReadTicket;
 use crate::raft::leader::Progress;
+use crate::raft::recovery::CatchUp;
 
 /// Fraction of the election timeout, as a divisor, that separates two members that would otherwise request votes at
 /// the same time and split the vote.
@@ -24,33 +26,6 @@
 /// Fraction of the election timeout, as a divisor, within which all members learn that their leader has ended.
 const LEADER_END_PAUSE_DIVISOR: u64 = 20;
 
-/// Timing and safety options. The safety options exist so that tests can show what each safeguard prevents.
-#[derive(Clone, Copy, Debug)]
-pub struct Options {
-    /// Time between heartbeats of a leader in milliseconds.
-    pub heartbeat_ms: u64,
-    /// Shortest election timeout in milliseconds; the longest is twice that.
-    pub election_ms: u64,
-    /// Whether a member holds a pre-vote before it starts an election.
-    pub pre_vote: bool,
-    /// Whether reads wait for a quorum to confirm the leader.
-    pub confirm_reads: bool,
-    /// Whether a member with an empty data folder abstains from voting until it has caught up.
-    pub abstain_when_empty: bool,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Options {
-            heartbeat_ms: 100,
-            election_ms: 500,
-            pre_vote: true,
-            confirm_reads: true,
-            abstain_when_empty: true,
-        }
-    }
-}
-
 /// Initial state of a member.
 #[derive(Debug, Default)]
 pub struct InitialState {
@@ -110,13 +85,6 @@
     pub heard_ms: u64,
 }
 
-/// Index up to which the log must match the one of a term's leader before the member may vote.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct CatchUp {
-    pub term: u64,
-    pub index: u64,
-}
-
 /// A read that waits until a quorum has answered its heartbeat round.
 #[derive(Debug)]
 pub(super) struct PendingRead {
@@ -135,7 +103,9 @@
     pub(super) may_vote: bool,
     /// Term in which this member has voted with an empty log, without the right to vote otherwise.
     pub(super) founding_term: Option<u64>,
-    /// What this member has to reach before it may vote, if it may not vote yet.
+    /// Number that this start of the member has chosen. A leader's confirmation that names it was made after the start.
+    pub(super) nonce: u64,
+    /// What this member has to reach before it may vote, if its leader is of a version that confirms nothing.
     pub(super) catch_up: Option<CatchUp>,
     pub(super) log: Log,
     pub(super) commit_index: u64,
@@ -161,6 +131,7 @@
 impl Raft {
     /// Starts a member as a follower.
     pub fn new(options: Options, initial: InitialState) -> Raft {
+        let nonce = choose_nonce(&initial);
         let (index, term, members) = match &initial.snapshot {
             Some(it) => (it.last_index, it.last_term, it.members.clone()),
             None => (0, 0, initial.members),
@@ -173,6 +144,7 @@
             hard_state: initial.hard_state,
             may_vote: initial.may_vote || !options.abstain_when_empty,
             founding_term: None,
+            nonce,
             catch_up: None,
             durable_index: log.last_index(),
             log,
@@ -487,6 +459,11 @@
     }
 }
 
+/// Returns a number other than 0 that no other start of this member has.
+fn choose_nonce(initial: &InitialState) -> u64 {
+    fastrand::Rng::with_seed(initial.seed ^ member_salt(initial.member) ^ initial.now_ms).u64(1..)
+}
+
 /// Salt for a member's seed that makes its timeouts differ from those of others even when their seeds are equal or
 /// differ in the same way as their ids. Members that always time out together would split every vote.
 fn member_salt(member: u32) -> u64 {
--- a/crates/bilberryloft-coordination/tests/losses_random.rs
+++ b/crates/bilberryloft-coordination/tests/losses_random.rs
@@ -220,6 +220,12 @@
     assert!(find_violation(Setup { options, ..Setup::default() }).is_some());
 }
 
+#[test]
+fn checks_find_a_vote_before_the_goal_is_confirmed() {
+    let options = Options { confirm_recovery: false, ..Setup::default().options };
+    assert!(find_violation(Setup { options, ..Setup::default() }).is_some());
+}
+
 #[test]
 fn checks_find_a_wiped_member_that_helps_to_found() {
     assert!(find_violation(Setup { founds_again: true, ..Setup::default() }).is_some());
--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -266,6 +266,7 @@
         // The leader has ten more entries, which no other member gets.
         last_index: last_index + 10,
         round: 1,
+        recovery: None,
     };
     cluster.crash(leader);
     cluster.inject(leader, lost, Message::Append(heartbeat));
@@ -341,3 +342,36 @@
     cluster.check_recovery();
     assert_eq!(cluster.violation, None);
 }
+
+// Guards against members that never vote again beside members of an earlier version, which confirm no recovery.
+#[test]
+fn members_with_lost_disks_vote_again_beside_an_earlier_version() {
+    for earlier_version in 0..=3 {
+        let mut cluster = started(Setup { earlier_version, ..Setup::default() });
+        for lost in 1..=3 {
+            cluster.empty_disk(lost);
+            cluster.settle(1_000);
+            cluster.start(lost);
+            cluster.settle(1_000);
+            assert!(cluster.raft(lost).unwrap().may_vote(), "{lost} of {earlier_version}");
+        }
+        cluster.check_recovery();
+        assert_eq!(cluster.violation, None, "{earlier_version}");
+    }
+}
+
+// Guards against a quorum that stops for good when as many disks as must be tolerated are lost at once.
+#[test]
+fn two_of_five_members_with_lost_disks_vote_again() {
+    for forgets_members in [false, true] {
+        let mut cluster = started(Setup { members: 5, forgets_members, ..Setup::default() });
+        let leader = cluster.leader().unwrap();
+        let lost = [leader, 1 + leader % 5];
+        lost.iter().for_each(|it| cluster.empty_disk(*it));
+        cluster.settle(1_000);
+        lost.iter().for_each(|it| cluster.start(*it));
+        cluster.check_recovery();
+        assert!(lost.iter().all(|it| cluster.raft(*it).unwrap().may_vote()));
+        assert_eq!(cluster.violation, None);
+    }
+}
--- a/crates/bilberryloft-coordination/tests/support/mod.rs
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -37,6 +37,8 @@
     pub equal_seed: Option<u64>,
     /// Whether members are told who the first members are only at the first start of all, and record it durably then.
     pub forgets_members: bool,
+    /// Number of members, from the first on, that run an earlier version, which confirms no recovery.
+    pub earlier_version: u32,
     /// Whether a member that starts with an empty disk is told that this is the first start, each time.
     pub founds_again: bool,
 }
@@ -51,6 +53,7 @@
             loses_disks: true,
             equal_seed: None,
             forgets_members: false,
+            earlier_version: 0,
             founds_again: false,
         }
     }
@@ -139,7 +142,8 @@
     pub fn start(&mut self, member: u32) {
         self.seed += 1;
         let initial = self.initial_members();
-        let (options, now_ms) = (self.setup.options, self.now_ms);
+        let (mut options, now_ms) = (self.setup.options, self.now_ms);
+        options.confirm_recovery &= member > self.setup.earlier_version;
         let seed = self.setup.equal_seed.unwrap_or(self.seed);
         let state = self.members.get_mut(&member).unwrap();
         if state.raft.is_some() {
--- a/crates/bilberryloft-protocol/src/convert.rs
+++ b/crates/bilberryloft-protocol/src/convert.rs
@@ -6,6 +6,7 @@
 use bilberryloft_coordination::raft::AppendReply;
 use bilberryloft_coordination::raft::InstallSnapshot;
 use bilberryloft_coordination::raft::Message;
+use bilberryloft_coordination::raft::Recovery;
 use bilberryloft_coordination::raft::VoteReply;
 use bilberryloft_coordination::raft::VoteRequest;
 use bilberryloft_state::member_set::MemberSet;
@@ -41,6 +42,8 @@
             commit_index: append.commit_index as i64,
             round: append.round as i64,
             last_index: append.last_index as i64,
+            recovery_nonce: append.recovery.map(|it| it.nonce as i64),
+            recovery_index: append.recovery.map(|it| it.index as i64),
         }),
         Message::AppendReply(reply) => wire::RaftMessage::AppendReply(wire::AppendReply {
             term: reply.term as i64,
@@ -49,6 +52,7 @@
             match_index: reply.match_index as i64,
             round: reply.round as i64,
             may_vote: Some(reply.may_vote),
+            nonce: reply.nonce.map(|it| it as i64),
         }),
         Message::InstallSnapshot(install) => {
             wire::RaftMessage::InstallSnapshot(wire::InstallSnapshot {
@@ -98,6 +102,7 @@
             round: reply.round as u64,
             // Members of an earlier version don't say it.
             may_vote: reply.may_vote.unwrap_or(true),
+            nonce: reply.nonce.map(|it| it as u64),
         }),
         wire::RaftMessage::InstallSnapshot(install) => Message::InstallSnapshot(InstallSnapshot {
             term: install.term as u64,
@@ -116,6 +121,9 @@
 }
 
 fn append_from_wire(append: wire::Append) -> Option<Append> {
+    let nonce_and_index = append.recovery_nonce.zip(append.recovery_index);
+    let recovery =
+        nonce_and_index.map(|(nonce, index)| Recovery { nonce: nonce as u64, index: index as u64 });
     let entries = append.entries.into_iter().map(entry_from_wire).collect::<Option<_>>()?;
     Some(Append {
         term: append.term as u64,
@@ -126,6 +134,7 @@
         commit_index: append.commit_index as u64,
         last_index: append.last_index as u64,
         round: append.round as u64,
+        recovery,
     })
 }
 
--- a/crates/bilberryloft-protocol/src/wire.rs
+++ b/crates/bilberryloft-protocol/src/wire.rs
@@ -3105,10 +3105,12 @@
   pub commit_index: i64,
   pub round: i64,
   pub last_index: i64,
+  pub recovery_nonce: Option<i64>,
+  pub recovery_index: Option<i64>,
 }
 
 impl Append {
-  pub fn new(term: i64, leader: i32, previous_index: i64, previous_term: i64, entries: Vec<LogEntry>, commit_index: i64, round: i64, last_index: i64) -> Append {
+  pub fn new<F9, F10>(term: i64, leader: i32, previous_index: i64, previous_term: i64, entries: Vec<LogEntry>, commit_index: i64, round: i64, last_index: i64, recovery_nonce: F9, recovery_index: F10) -> Append where F9: Into<Option<i64>>, F10: Into<Option<i64>> {
     Append {
       term,
       leader,
@@ -3118,6 +3120,8 @@
       commit_index,
       round,
       last_index,
+      recovery_nonce: recovery_nonce.into(),
+      recovery_index: recovery_index.into(),
     }
   }
 }
@@ -3133,6 +3137,8 @@
     let mut f_6: Option<i64> = None;
     let mut f_7: Option<i64> = None;
     let mut f_8: Option<i64> = None;
+    let mut f_9: Option<i64> = None;
+    let mut f_10: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3178,6 +3184,14 @@
           let val = i_prot.read_i64()?;
           f_8 = Some(val);
         },
+        9 => {
+          let val = i_prot.read_i64()?;
+          f_9 = Some(val);
+        },
+        10 => {
+          let val = i_prot.read_i64()?;
+          f_10 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3202,6 +3216,8 @@
       commit_index: f_6.expect("auto-generated code should have checked for presence of required fields"),
       round: f_7.expect("auto-generated code should have checked for presence of required fields"),
       last_index: f_8.expect("auto-generated code should have checked for presence of required fields"),
+      recovery_nonce: f_9,
+      recovery_index: f_10,
     };
     Ok(ret)
   }
@@ -3236,6 +3252,16 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("last_index", TType::I64, 8))?;
     o_prot.write_i64(self.last_index)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.recovery_nonce {
+      o_prot.write_field_begin(&TFieldIdentifier::new("recovery_nonce", TType::I64, 9))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.recovery_index {
+      o_prot.write_field_begin(&TFieldIdentifier::new("recovery_index", TType::I64, 10))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -3253,10 +3279,11 @@
   pub match_index: i64,
   pub round: i64,
   pub may_vote: Option<bool>,
+  pub nonce: Option<i64>,
 }
 
 impl AppendReply {
-  pub fn new<F6>(term: i64, follower: i32, success: bool, match_index: i64, round: i64, may_vote: F6) -> AppendReply where F6: Into<Option<bool>> {
+  pub fn new<F6, F7>(term: i64, follower: i32, success: bool, match_index: i64, round: i64, may_vote: F6, nonce: F7) -> AppendReply where F6: Into<Option<bool>>, F7: Into<Option<i64>> {
     AppendReply {
       term,
       follower,
@@ -3264,6 +3291,7 @@
       match_index,
       round,
       may_vote: may_vote.into(),
+      nonce: nonce.into(),
     }
   }
 }
@@ -3277,6 +3305,7 @@
     let mut f_4: Option<i64> = None;
     let mut f_5: Option<i64> = None;
     let mut f_6: Option<bool> = None;
+    let mut f_7: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3308,6 +3337,10 @@
           let val = i_prot.read_bool()?;
           f_6 = Some(val);
         },
+        7 => {
+          let val = i_prot.read_i64()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3327,6 +3360,7 @@
       match_index: f_4.expect("auto-generated code should have checked for presence of required fields"),
       round: f_5.expect("auto-generated code should have checked for presence of required fields"),
       may_vote: f_6,
+      nonce: f_7,
     };
     Ok(ret)
   }
@@ -3353,6 +3387,11 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.nonce {
+      o_prot.write_field_begin(&TFieldIdentifier::new("nonce", TType::I64, 7))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/bilberryloft-protocol/tests/frames.rs
+++ b/crates/bilberryloft-protocol/tests/frames.rs
@@ -1,8 +1,11 @@
 //! Encoding and decoding of frames: round trips, malformed input, and the largest snapshot.
 #![allow(clippy::unwrap_used)]
 
+use bilberryloft_coordination::raft::Append;
+use bilberryloft_coordination::raft::AppendReply;
 use bilberryloft_coordination::raft::InstallSnapshot;
 use bilberryloft_coordination::raft::Message;
+use bilberryloft_coordination::raft::Recovery;
 use bilberryloft_protocol::codec::FRAME_HEADER_BYTES;
 use bilberryloft_protocol::codec::FRAME_MAX_BYTES;
 use bilberryloft_protocol::codec::decode_envelope;
@@ -100,3 +103,43 @@
     let Body::Raft(wire) = envelope.body else { panic!("the body is not a Raft message") };
     assert_eq!(raft_from_wire(wire.message), Some(message));
 }
+
+fn round_trip(message: Message) -> Message {
+    let frame = encode_frame(0, Body::Raft(MemberMessage::new(raft_to_wire(message), None)));
+    let envelope = decode_envelope(&frame[FRAME_HEADER_BYTES..], "peer").unwrap();
+    let Body::Raft(wire) = envelope.body else { panic!("the body is not a Raft message") };
+    raft_from_wire(wire.message).unwrap()
+}
+
+// Guards against members that can't tell a leader of an earlier version from one that confirms nothing.
+#[test]
+fn confirmation_of_a_recovery_round_trips_and_may_be_absent() {
+    let confirmations =
+        [None, Some(Recovery::default()), Some(Recovery { nonce: u64::MAX, index: 7 })];
+    for recovery in confirmations {
+        let message = Message::Append(Append {
+            term: 3,
+            leader: 1,
+            previous_index: 0,
+            previous_term: 0,
+            entries: Vec::new(),
+            commit_index: 0,
+            last_index: 9,
+            round: 1,
+            recovery,
+        });
+        assert_eq!(round_trip(message.clone()), message);
+    }
+    for nonce in [None, Some(u64::MAX)] {
+        let message = Message::AppendReply(AppendReply {
+            term: 3,
+            follower: 2,
+            success: true,
+            match_index: 0,
+            round: 1,
+            may_vote: nonce.is_none(),
+            nonce,
+        });
+        assert_eq!(round_trip(message.clone()), message);
+    }
+}
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -270,6 +270,9 @@
   6: required i64 commit_index
   7: required i64 round
   8: required i64 last_index
+  // Confirmation for a receiver that may not vote, by the number of its start, 0 for none; absent from leaders of an earlier version.
+  9: optional i64 recovery_nonce
+  10: optional i64 recovery_index
 }
 
 struct AppendReply {
@@ -280,6 +283,8 @@
   5: required i64 round
   // Whether the follower may vote; absent from members of an earlier version.
   6: optional bool may_vote
+  // Number of the follower's start if it may not vote; absent from members of an earlier version.
+  7: optional i64 nonce
 }
 
 struct InstallSnapshot {
