A voter that was being dropped when all power was lost can't be elected, and is listed

Nobody can be elected over its log, and after a restart it doesn't know that it was a voter by the set before, as it knows of no commit yet. The directed test fails: no leader after healing.

--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -245,6 +245,30 @@
     assert_eq!(cluster.violation, None);
 }
 
+// Guards against the same after a loss of all power, when that member doesn't know any more what was committed.
+#[test]
+fn voter_that_is_being_dropped_can_still_be_elected_after_a_restart() {
+    let mut cluster = started(Setup { members: 4, forgets_members: true, ..Setup::default() });
+    let leader = cluster.leader().unwrap();
+    let dropped = 1 + leader % 4;
+    cluster.empty_disk(dropped);
+    cluster.start(dropped);
+    cluster.settle(1_000);
+    assert!(cluster.raft(dropped).unwrap().may_vote());
+    for other in (1..=4).filter(|it| *it != dropped) {
+        cluster.cut(leader, other);
+    }
+    let mut members = cluster.raft(leader).unwrap().members().clone();
+    let address = members.voters.remove(&dropped).unwrap();
+    members.learners.insert(dropped, address);
+    assert!(cluster.propose_members(leader, members));
+    cluster.settle(20);
+    (1..=4).for_each(|it| cluster.crash(it));
+    cluster.empty_disk(leader);
+    cluster.check_recovery();
+    assert_eq!(cluster.violation, None);
+}
+
 // Guards against a member that never votes again, because it waits for entries that were lost with an earlier leader.
 #[test]
 fn member_with_a_lost_disk_votes_again_under_the_next_leader() {
