--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -269,6 +269,43 @@
     assert_eq!(cluster.violation, None);
 }
 
+// Guards against members that can elect nobody, because the only one that none of them refuses is a learner by its own log.
+#[test]
+fn learner_with_the_latest_entries_can_be_elected() {
+    let mut cluster = started(Setup { forgets_members: true, ..Setup::default() });
+    let old = cluster.leader().unwrap();
+    cluster.add_empty_member(4);
+    let mut members = cluster.raft(old).unwrap().members().clone();
+    members.learners.insert(4, "member-4".to_string());
+    assert!(cluster.propose_members(old, members.clone()));
+    cluster.settle(500);
+    assert!(cluster.raft(old).unwrap().is_in_sync(4));
+    // The leader alone has an entry by which the learner votes.
+    cluster.isolate(old);
+    let address = members.learners.remove(&4).unwrap();
+    members.voters.insert(4, address);
+    assert!(cluster.propose_members(old, members));
+    (0..5).for_each(|_| drop(cluster.propose(old)));
+    cluster.report_ended_to_all(old);
+    while cluster.leader() == Some(old) {
+        cluster.pass_time(1);
+        (1..=4).for_each(|it| cluster.sync(it));
+        cluster.deliver(0);
+    }
+    // The learner alone has the first entry of the next leader, which loses its disk with all power.
+    let new = cluster.leader().unwrap();
+    let other = (1..=3).find(|it| ![old, new].contains(it)).unwrap();
+    cluster.isolate(other);
+    cluster.settle(20);
+    (1..=4).for_each(|it| cluster.crash(it));
+    cluster.empty_disk(new);
+    (1..=4).for_each(|it| cluster.start(it));
+    cluster.heal();
+    cluster.settle(3_000);
+    cluster.check_nothing_is_lost();
+    assert_eq!(cluster.violation, None);
+}
+
 // Guards against a member that never votes again, because it waits for entries that were lost with an earlier leader.
 #[test]
 fn member_with_a_lost_disk_votes_again_under_the_next_leader() {
--- a/crates/bilberryloft-coordination/tests/support/mod.rs
+++ b/crates/bilberryloft-coordination/tests/support/mod.rs
@@ -80,6 +80,8 @@
     network: Vec<(u32, Outbound)>,
     /// Links that are cut, as sender and receiver.
     cut: BTreeSet<(u32, u32)>,
+    /// Members that have lost their disks, including those that have recovered since.
+    lost_disks: BTreeSet<u32>,
     /// Members that stand still.
     frozen: BTreeSet<u32>,
     now_ms: u64,
@@ -107,6 +109,7 @@
             members: BTreeMap::new(),
             network: Vec::new(),
             cut: BTreeSet::new(),
+            lost_disks: BTreeSet::new(),
             frozen: BTreeSet::new(),
             now_ms: 0,
             next_command: 0,
