A member that is no voter by its own log can be elected when nobody else can

What callers saw: no quorum after all power and one disk were lost in the middle of a change of members, for good: no configuration can be read or written any more.

Cause: a member stood for election only if it was a voter by its latest set or by the latest committed one that it knew.

Change: a member stands if it is a voter or learner by its latest set, or was one by the set before, which is committed. One that is no voter waits for four election timeouts, so that the voters come first, and steps down once it has committed.

The other tests of the coordination crate, testing/configuration, platform/founding, planned_replacement and replacement_soak pass.

Why it works: of the members left, one has the greatest last term and index. The others don't refuse it, they are a majority of each set that may be in force, and it stands.

--- a/crates/bilberryloft-coordination/src/raft/election.rs
+++ b/crates/bilberryloft-coordination/src/raft/election.rs
@@ -27,12 +27,14 @@
         }
     }
 
-    /// Whether this member is a voter, or was one until an entry that may not be committed. In the second case it may be
-    /// the only one left that can win an election, although its own vote doesn't count.
+    /// Whether this member may be needed as a leader: it is a member by the latest set, or by the one before. One that is
+    /// no voter may be the only one whom the others elect, although its own vote doesn't count, as entries may be
+    /// nowhere else; it steps down once it has committed them. The set before the latest one is committed, as a leader
+    /// proposes no other change before; after a restart nothing else is known of commits.
     fn may_stand(&self) -> bool {
-        let committed = self.log.members_up_to(self.commit_index).0;
-        self.members().voters.contains_key(&self.member)
-            || committed.voters.contains_key(&self.member)
+        let (members, index) = self.log.members();
+        let before = self.log.members_up_to(index.saturating_sub(1)).0;
+        [members, before].iter().any(|it| it.address(self.member).is_some())
     }
 
     /// Whether this member may found a quorum with the initial members that it knows, although it can't tell the first
--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -25,6 +25,8 @@
 const STAGGER_DIVISOR: u64 = 4;
 /// Fraction of the election timeout, as a divisor, within which all members learn that their leader has ended.
 const LEADER_END_PAUSE_DIVISOR: u64 = 20;
+/// Election timeout of a member that is no voter, as a multiple of that of voters, which should elect one of them first.
+const NON_VOTER_FACTOR: u64 = 4;
 
 /// Initial state of a member.
 #[derive(Debug, Default)]
@@ -431,8 +433,10 @@
             return;
         }
         self.leader = None;
-        let pause_ms = self.options.election_ms / LEADER_END_PAUSE_DIVISOR;
-        self.election_due_ms = self.now_ms + pause_ms + self.stagger_ms(Some(member));
+        if self.is_voter() {
+            let pause_ms = self.options.election_ms / LEADER_END_PAUSE_DIVISOR;
+            self.election_due_ms = self.now_ms + pause_ms + self.stagger_ms(Some(member));
+        }
     }
 
     /// Delay of this member's election that gives precedence to the voters with lower ids, except one that has ended.
@@ -442,20 +446,29 @@
         before * self.options.election_ms / STAGGER_DIVISOR
     }
 
-    /// Sets the first election timeout. A member that starts with a log requests votes early: if there is a live
+    /// Sets the first election timeout. A voter that starts with a log requests votes early: if there is a live
     /// leader, the others refuse, and if all members have just started, there is no leader. A member without a log
     /// waits for the usual timeout so that the others can find each other.
     fn set_first_election_timer(&mut self) {
         self.reset_election_timer();
-        if self.log.last_index() > 0 {
+        if self.is_voter() && self.log.last_index() > 0 {
             let pause_ms = self.options.election_ms / STAGGER_DIVISOR;
             self.election_due_ms = self.now_ms + pause_ms + self.stagger_ms(None);
         }
     }
 
     pub(super) fn reset_election_timer(&mut self) {
-        let jitter_ms = self.random.u64(0..self.options.election_ms.max(1));
-        self.election_due_ms = self.now_ms + self.options.election_ms + jitter_ms;
+        let election_ms = self.options.election_ms;
+        let jitter_ms = self.random.u64(0..election_ms.max(1));
+        let wait_ms = match self.is_voter() {
+            true => election_ms,
+            false => NON_VOTER_FACTOR * election_ms,
+        };
+        self.election_due_ms = self.now_ms + wait_ms + jitter_ms;
+    }
+
+    fn is_voter(&self) -> bool {
+        self.members().voters.contains_key(&self.member)
     }
 }
 
--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -285,7 +285,7 @@
     let address = members.learners.remove(&4).unwrap();
     members.voters.insert(4, address);
     assert!(cluster.propose_members(old, members));
-    (0..5).for_each(|_| drop(cluster.propose(old)));
+    (0..5).for_each(|_| assert!(cluster.propose(old)));
     cluster.report_ended_to_all(old);
     while cluster.leader() == Some(old) {
         cluster.pass_time(1);
