--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -13,43 +13,20 @@
 
 use crate::raft::Log;
 use crate::raft::Message;
+use crate::raft::Options;
 use crate::raft::Outbound;
 use crate::raft::Output;
 use crate::raft::ReadTicket;
 use crate::raft::leader::Progress;
+use crate::raft::recovery::CatchUp;
 
 /// Fraction of the election timeout, as a divisor, that separates two members that would otherwise request votes at
 /// the same time and split the vote.
 const STAGGER_DIVISOR: u64 = 4;
 /// Fraction of the election timeout, as a divisor, within which all members learn that their leader has ended.
 const LEADER_END_PAUSE_DIVISOR: u64 = 20;
-
-/// Timing and safety options. The safety options exist so that tests can show what each safeguard prevents.
-#[derive(Clone, Copy, Debug)]
-pub struct Options {
-    /// Time between heartbeats of a leader in milliseconds.
-    pub heartbeat_ms: u64,
-    /// Shortest election timeout in milliseconds; the longest is twice that.
-    pub election_ms: u64,
-    /// Whether a member holds a pre-vote before it starts an election.
-    pub pre_vote: bool,
-    /// Whether reads wait for a quorum to confirm the leader.
-    pub confirm_reads: bool,
-    /// Whether a member with an empty data folder abstains from voting until it has caught up.
-    pub abstain_when_empty: bool,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Options {
-            heartbeat_ms: 100,
-            election_ms: 500,
-            pre_vote: true,
-            confirm_reads: true,
-            abstain_when_empty: true,
-        }
-    }
-}
+/// Election timeout of a member that is no voter, as a multiple of that of voters, which should elect one of them first.
+const NON_VOTER_FACTOR: u64 = 4;
 
 /// Initial state of a member.
 #[derive(Debug, Default)]
@@ -110,13 +87,6 @@
     pub heard_ms: u64,
 }
 
-/// Index up to which the log must match the one of a term's leader before the member may vote.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct CatchUp {
-    pub term: u64,
-    pub index: u64,
-}
-
 /// A read that waits until a quorum has answered its heartbeat round.
 #[derive(Debug)]
 pub(super) struct PendingRead {
@@ -135,7 +105,9 @@
     pub(super) may_vote: bool,
     /// Term in which this member has voted with an empty log, without the right to vote otherwise.
     pub(super) founding_term: Option<u64>,
-    /// What this member has to reach before it may vote, if it may not vote yet.
+    /// Number that this start of the member has chosen. A leader's confirmation that names it was made after the start.
+    pub(super) nonce: u64,
+    /// What this member has to reach before it may vote, if its leader is of a version that confirms nothing.
     pub(super) catch_up: Option<CatchUp>,
     pub(super) log: Log,
     pub(super) commit_index: u64,
@@ -161,6 +133,7 @@
 impl Raft {
     /// Starts a member as a follower.
     pub fn new(options: Options, initial: InitialState) -> Raft {
+        let nonce = choose_nonce(&initial);
         let (index, term, members) = match &initial.snapshot {
             Some(it) => (it.last_index, it.last_term, it.members.clone()),
             None => (0, 0, initial.members),
@@ -173,6 +146,7 @@
             hard_state: initial.hard_state,
             may_vote: initial.may_vote || !options.abstain_when_empty,
             founding_term: None,
+            nonce,
             catch_up: None,
             durable_index: log.last_index(),
             log,
@@ -459,8 +433,10 @@
             return;
         }
         self.leader = None;
-        let pause_ms = self.options.election_ms / LEADER_END_PAUSE_DIVISOR;
-        self.election_due_ms = self.now_ms + pause_ms + self.stagger_ms(Some(member));
+        if self.is_voter() {
+            let pause_ms = self.options.election_ms / LEADER_END_PAUSE_DIVISOR;
+            self.election_due_ms = self.now_ms + pause_ms + self.stagger_ms(Some(member));
+        }
     }
 
     /// Delay of this member's election that gives precedence to the voters with lower ids, except one that has ended.
@@ -470,21 +446,35 @@
         before * self.options.election_ms / STAGGER_DIVISOR
     }
 
-    /// Sets the first election timeout. A member that starts with a log requests votes early: if there is a live
+    /// Sets the first election timeout. A voter that starts with a log requests votes early: if there is a live
     /// leader, the others refuse, and if all members have just started, there is no leader. A member without a log
     /// waits for the usual timeout so that the others can find each other.
     fn set_first_election_timer(&mut self) {
         self.reset_election_timer();
-        if self.log.last_index() > 0 {
+        if self.is_voter() && self.log.last_index() > 0 {
             let pause_ms = self.options.election_ms / STAGGER_DIVISOR;
             self.election_due_ms = self.now_ms + pause_ms + self.stagger_ms(None);
         }
     }
 
     pub(super) fn reset_election_timer(&mut self) {
-        let jitter_ms = self.random.u64(0..self.options.election_ms.max(1));
-        self.election_due_ms = self.now_ms + self.options.election_ms + jitter_ms;
+        let election_ms = self.options.election_ms;
+        let jitter_ms = self.random.u64(0..election_ms.max(1));
+        let wait_ms = match self.is_voter() {
+            true => election_ms,
+            false => NON_VOTER_FACTOR * election_ms,
+        };
+        self.election_due_ms = self.now_ms + wait_ms + jitter_ms;
     }
+
+    fn is_voter(&self) -> bool {
+        self.members().voters.contains_key(&self.member)
+    }
+}
+
+/// Returns a number other than 0 that no other start of this member has.
+fn choose_nonce(initial: &InitialState) -> u64 {
+    fastrand::Rng::with_seed(initial.seed ^ member_salt(initial.member) ^ initial.now_ms).u64(1..)
 }
 
 /// Salt for a member's seed that makes its timeouts differ from those of others even when their seeds are equal or
--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -245,6 +245,67 @@
     assert_eq!(cluster.violation, None);
 }
 
+// Guards against the same after a loss of all power, when that member doesn't know any more what was committed.
+#[test]
+fn voter_that_is_being_dropped_can_still_be_elected_after_a_restart() {
+    let mut cluster = started(Setup { members: 4, forgets_members: true, ..Setup::default() });
+    let leader = cluster.leader().unwrap();
+    let dropped = 1 + leader % 4;
+    cluster.empty_disk(dropped);
+    cluster.start(dropped);
+    cluster.settle(1_000);
+    assert!(cluster.raft(dropped).unwrap().may_vote());
+    for other in (1..=4).filter(|it| *it != dropped) {
+        cluster.cut(leader, other);
+    }
+    let mut members = cluster.raft(leader).unwrap().members().clone();
+    let address = members.voters.remove(&dropped).unwrap();
+    members.learners.insert(dropped, address);
+    assert!(cluster.propose_members(leader, members));
+    cluster.settle(20);
+    (1..=4).for_each(|it| cluster.crash(it));
+    cluster.empty_disk(leader);
+    cluster.check_recovery();
+    assert_eq!(cluster.violation, None);
+}
+
+// Guards against members that can elect nobody, because the only one that none of them refuses is a learner by its own log.
+#[test]
+fn learner_with_the_latest_entries_can_be_elected() {
+    let mut cluster = started(Setup { forgets_members: true, ..Setup::default() });
+    let old = cluster.leader().unwrap();
+    cluster.add_empty_member(4);
+    let mut members = cluster.raft(old).unwrap().members().clone();
+    members.learners.insert(4, "member-4".to_string());
+    assert!(cluster.propose_members(old, members.clone()));
+    cluster.settle(500);
+    assert!(cluster.raft(old).unwrap().is_in_sync(4));
+    // The leader alone has an entry by which the learner votes.
+    cluster.isolate(old);
+    let address = members.learners.remove(&4).unwrap();
+    members.voters.insert(4, address);
+    assert!(cluster.propose_members(old, members));
+    (0..5).for_each(|_| assert!(cluster.propose(old)));
+    cluster.report_ended_to_all(old);
+    while cluster.leader() == Some(old) {
+        cluster.pass_time(1);
+        (1..=4).for_each(|it| cluster.sync(it));
+        cluster.deliver(0);
+    }
+    // The learner alone has the first entry of the next leader, which loses its disk with all power.
+    let new = cluster.leader().unwrap();
+    let other = (1..=3).find(|it| ![old, new].contains(it)).unwrap();
+    cluster.isolate(other);
+    cluster.settle(20);
+    (1..=4).for_each(|it| cluster.crash(it));
+    cluster.empty_disk(new);
+    (1..=4).for_each(|it| cluster.start(it));
+    cluster.heal();
+    cluster.settle(3_000);
+    cluster.check_nothing_is_lost();
+    assert_eq!(cluster.violation, None);
+}
+
 // Guards against a member that never votes again, because it waits for entries that were lost with an earlier leader.
 #[test]
 fn member_with_a_lost_disk_votes_again_under_the_next_leader() {
@@ -266,6 +327,7 @@
         // The leader has ten more entries, which no other member gets.
         last_index: last_index + 10,
         round: 1,
+        recovery: None,
     };
     cluster.crash(leader);
     cluster.inject(leader, lost, Message::Append(heartbeat));
@@ -341,3 +403,36 @@
     cluster.check_recovery();
     assert_eq!(cluster.violation, None);
 }
+
+// Guards against members that never vote again beside members of an earlier version, which confirm no recovery.
+#[test]
+fn members_with_lost_disks_vote_again_beside_an_earlier_version() {
+    for earlier_version in 0..=3 {
+        let mut cluster = started(Setup { earlier_version, ..Setup::default() });
+        for lost in 1..=3 {
+            cluster.empty_disk(lost);
+            cluster.settle(1_000);
+            cluster.start(lost);
+            cluster.settle(1_000);
+            assert!(cluster.raft(lost).unwrap().may_vote(), "{lost} of {earlier_version}");
+        }
+        cluster.check_recovery();
+        assert_eq!(cluster.violation, None, "{earlier_version}");
+    }
+}
+
+// Guards against a quorum that stops for good when as many disks as must be tolerated are lost at once.
+#[test]
+fn two_of_five_members_with_lost_disks_vote_again() {
+    for forgets_members in [false, true] {
+        let mut cluster = started(Setup { members: 5, forgets_members, ..Setup::default() });
+        let leader = cluster.leader().unwrap();
+        let lost = [leader, 1 + leader % 5];
+        lost.iter().for_each(|it| cluster.empty_disk(*it));
+        cluster.settle(1_000);
+        lost.iter().for_each(|it| cluster.start(*it));
+        cluster.check_recovery();
+        assert!(lost.iter().all(|it| cluster.raft(*it).unwrap().may_vote()));
+        assert_eq!(cluster.violation, None);
+    }
+}
