--- a/crates/bilberryloft-testing/src/lib.rs
+++ b/crates/bilberryloft-testing/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod address;
 pub mod caller;
+pub mod control_hosts;
 pub mod engine;
 pub mod fleet;
 pub mod links;
--- a/crates/bilberryloft-testing/src/memory_disk.rs
+++ b/crates/bilberryloft-testing/src/memory_disk.rs
@@ -31,6 +31,25 @@
     Changes,
 }
 
+/// Whether a sync is, or is to be, held up.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum Hold {
+    #[default]
+    Off,
+    /// The next sync of a path that ends with the text is held up.
+    Armed(String),
+    Holding,
+}
+
+impl Hold {
+    fn takes(&self, path: &Path) -> bool {
+        match self {
+            Hold::Armed(path_end) => path.to_string_lossy().ends_with(path_end.as_str()),
+            Hold::Off | Hold::Holding => false,
+        }
+    }
+}
+
 /// A change of a name that is not durable yet.
 #[derive(Clone, Debug)]
 enum NameChange {
@@ -52,12 +71,9 @@
     refusal: Refusal,
     /// Bytes that all files may hold together, if the disk is small.
     capacity_bytes: Option<usize>,
-    /// Part of the names of files whose calls wait.
-    held: Option<String>,
+    hold: Hold,
     /// Calls until the process is killed.
     calls_left: Option<u64>,
-    /// Calls that have waited since the disk holds.
-    waiting: usize,
 }
 
 /// A simulated disk; clones refer to the same one.
@@ -111,21 +127,20 @@
         state.capacity_bytes = bytes.map(|it| it + state.used_bytes());
     }
 
-    /// Lets each call on files whose names contain a text wait until [`MemoryDisk::release`].
-    pub fn hold(&self, name_part: &str) {
-        let mut state = self.state.lock();
-        state.held = Some(name_part.to_string());
-        state.waiting = 0;
+    /// Holds up the next sync of a file or folder whose path ends with a text, until [`MemoryDisk::release`]. Later
+    /// syncs are not held up.
+    pub fn hold_next_sync(&self, path_end: &str) {
+        self.state.lock().hold = Hold::Armed(path_end.to_string());
     }
 
-    /// Number of calls that have come to wait since [`MemoryDisk::hold`].
-    pub fn waiting(&self) -> usize {
-        self.state.lock().waiting
+    /// Whether a sync is held up.
+    pub fn is_holding(&self) -> bool {
+        self.state.lock().hold == Hold::Holding
     }
 
-    /// Lets the waiting calls go on.
+    /// Lets the sync that is held up go on.
     pub fn release(&self) {
-        self.state.lock().held = None;
+        self.state.lock().hold = Hold::Off;
         self.released.notify_all();
     }
 
@@ -140,27 +155,28 @@
         state.names.get(path).map(|it| state.files[it].content().to_vec())
     }
 
-    /// Begins a call of a process: waits while the disk holds, and fails if the process is gone.
-    fn call<T>(
+    /// Begins a call of a process, which fails if the process is gone.
+    fn call<T>(&self, process: u64, action: impl FnOnce(&mut State) -> Result<T>) -> Result<T> {
+        let mut state = self.state.lock();
+        state.begin_call(process)?;
+        action(&mut state)
+    }
+
+    /// Begins a sync, which may be held up.
+    fn sync_call(
         &self,
         process: u64,
         path: &Path,
-        action: impl FnOnce(&mut State) -> Result<T>,
-    ) -> Result<T> {
+        action: impl FnOnce(&mut State) -> Result<()>,
+    ) -> Result<()> {
         let mut state = self.state.lock();
-        if state.holds(path) {
-            state.waiting += 1;
-        }
-        while state.holds(path) && state.process == process {
-            self.released.wait(&mut state);
-        }
-        if state.calls_left == Some(0) {
-            state.kill();
-        }
-        state.calls_left = state.calls_left.map(|it| it.saturating_sub(1));
-        if state.process != process {
-            return Err(Error::other("the process is gone"));
+        if state.hold.takes(path) {
+            state.hold = Hold::Holding;
+            while state.hold == Hold::Holding && state.process == process {
+                self.released.wait(&mut state);
+            }
         }
+        state.begin_call(process)?;
         action(&mut state)
     }
 }
@@ -172,9 +188,15 @@
         self.locks.clear();
     }
 
-    fn holds(&self, path: &Path) -> bool {
-        let name = path.to_string_lossy();
-        self.held.as_ref().is_some_and(|it| name.contains(it.as_str()))
+    fn begin_call(&mut self, process: u64) -> Result<()> {
+        if self.calls_left == Some(0) {
+            self.kill();
+        }
+        self.calls_left = self.calls_left.map(|it| it.saturating_sub(1));
+        match self.process == process {
+            true => Ok(()),
+            false => Err(Error::other("the process is gone")),
+        }
     }
 
     fn used_bytes(&self) -> usize {
@@ -309,11 +331,20 @@
 }
 
 impl MemoryFileSystem {
-    fn call<T>(&self, path: &Path, action: impl FnOnce(&mut State) -> Result<T>) -> Result<T> {
+    fn call<T>(&self, action: impl FnOnce(&mut State) -> Result<T>) -> Result<T> {
+        self.run_hook();
+        self.disk.call(self.process, action)
+    }
+
+    fn sync_call(&self, path: &Path, action: impl FnOnce(&mut State) -> Result<()>) -> Result<()> {
+        self.run_hook();
+        self.disk.sync_call(self.process, path, action)
+    }
+
+    fn run_hook(&self) {
         if let Some(Hook(before_call)) = &self.before_call {
             before_call();
         }
-        self.disk.call(self.process, path, action)
     }
 
     fn open(&self, path: &Path, file: u64) -> Box<dyn OpenFile> {
@@ -322,12 +353,12 @@
 }
 
 impl FileSystem for MemoryFileSystem {
-    fn create_folder(&self, path: &Path) -> Result<()> {
-        self.call(path, |_| Ok(()))
+    fn create_folder(&self, _path: &Path) -> Result<()> {
+        self.call(|_| Ok(()))
     }
 
     fn lock(&self, path: &Path) -> Result<Box<dyn Debug + Send>> {
-        self.call(path, |state| match state.locks.insert(path.to_path_buf()) {
+        self.call(|state| match state.locks.insert(path.to_path_buf()) {
             true => Ok(()),
             false => Err(ErrorKind::WouldBlock.into()),
         })?;
@@ -337,31 +368,31 @@
 
     fn file_names(&self, folder: &Path) -> Result<Vec<String>> {
         let name = |it: &PathBuf| it.file_name().map(|name| name.to_string_lossy().to_string());
-        self.call(folder, |state| {
+        self.call(|state| {
             let inside = state.names.keys().filter(|it| it.parent() == Some(folder));
             Ok(inside.filter_map(name).collect())
         })
     }
 
     fn read(&self, path: &Path) -> Result<Vec<u8>> {
-        self.call(path, |state| {
+        self.call(|state| {
             let file = state.file(path)?;
             Ok(state.file_mut(file)?.content().to_vec())
         })
     }
 
     fn create(&self, path: &Path) -> Result<Box<dyn OpenFile>> {
-        let file = self.call(path, |state| state.create(path))?;
+        let file = self.call(|state| state.create(path))?;
         Ok(self.open(path, file))
     }
 
     fn open_for_append(&self, path: &Path) -> Result<Box<dyn OpenFile>> {
-        let file = self.call(path, |state| state.file(path))?;
+        let file = self.call(|state| state.file(path))?;
         Ok(self.open(path, file))
     }
 
     fn rename(&self, from: &Path, to: &Path) -> Result<()> {
-        self.call(from, |state| {
+        self.call(|state| {
             let file = state.file(from)?;
             let (from, to) = (from.to_path_buf(), to.to_path_buf());
             state.change_name(NameChange::Renamed { from, to, file })
@@ -369,14 +400,14 @@
     }
 
     fn remove(&self, path: &Path) -> Result<()> {
-        self.call(path, |state| {
+        self.call(|state| {
             state.file(path)?;
             state.change_name(NameChange::Removed { path: path.to_path_buf() })
         })
     }
 
     fn sync_folder(&self, path: &Path) -> Result<()> {
-        self.call(path, |state| state.sync_folder(path))
+        self.sync_call(path, |state| state.sync_folder(path))
     }
 }
 
@@ -390,11 +421,11 @@
 
 impl OpenFile for OpenMemoryFile {
     fn append(&mut self, bytes: &[u8]) -> Result<()> {
-        self.file_system.call(&self.path, |state| state.append(self.file, bytes))
+        self.file_system.call(|state| state.append(self.file, bytes))
     }
 
     fn truncate(&mut self, length_bytes: u64) -> Result<()> {
-        self.file_system.call(&self.path, |state| {
+        self.file_system.call(|state| {
             state.check_changes()?;
             state.file_mut(self.file)?.truncate(length_bytes as usize);
             Ok(())
@@ -402,7 +433,7 @@
     }
 
     fn sync_data(&mut self) -> Result<()> {
-        self.file_system.call(&self.path, |state| state.sync(self.file))
+        self.file_system.sync_call(&self.path, |state| state.sync(self.file))
     }
 
     fn sync_all(&mut self) -> Result<()> {
--- /dev/null
+++ b/crates/bilberryloft-testing/tests/full_disks.rs
@@ -0,0 +1,60 @@
+//! Control hosts whose disks are full for a while: with room again, every one of them acknowledges changes.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use bilberryloft_testing::control_hosts::ControlHosts;
+use bilberryloft_testing::control_hosts::wait_until;
+use bilberryloft_testing::memory_disk::Refusal;
+
+/// Time for a change while a disk is full, which may fail.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Guards against members that stay away after their disks were full in turn, wherever the disk filled up.
+#[tokio::test]
+async fn full_disks_in_turn_leave_every_host_able_to_acknowledge() {
+    let mut hosts = ControlHosts::start(3);
+    hosts.check_each_acknowledges("at the start").await;
+    for round in 0..3_usize {
+        for idx in 0..3 {
+            let disk = hosts.hosts[idx].disk.clone();
+            match (round + idx) % 3 {
+                0 => disk.refuse(Refusal::Writes),
+                1 => disk.refuse(Refusal::Changes),
+                _ => disk.set_room(Some(100 + 2_000 * round)),
+            }
+            for entry in 0..6 {
+                hosts.put(entry % 3, SHORT_TIMEOUT).await;
+            }
+            disk.refuse(Refusal::Nothing);
+            disk.set_room(None);
+            hosts.check_each_acknowledges(&format!("round {round}, host {idx}")).await;
+        }
+    }
+}
+
+/// Guards against a member that takes up a snapshot which it had begun before it opened its folder again: it applies
+/// nothing from then on, or its log names a snapshot that is gone.
+#[tokio::test]
+async fn snapshot_from_before_a_full_disk_leaves_the_host_able_to_acknowledge() {
+    let mut hosts = ControlHosts::start(3);
+    hosts.check_each_acknowledges("at the start").await;
+    let leader = hosts.leader().await;
+    let slow = (leader + 1) % 3;
+    let disk = hosts.hosts[slow].disk.clone();
+    // The snapshot has its name, and waits for the sync of the folder.
+    disk.hold_next_sync("/control");
+    while !disk.is_holding() {
+        assert!(hosts.put(leader, Duration::from_secs(10)).await);
+    }
+    disk.refuse(Refusal::Writes);
+    hosts.put(leader, SHORT_TIMEOUT).await;
+    let index = || hosts.hosts[slow].node().status().commit_index;
+    let before = index();
+    wait_until(|| index() < before, "the member opens its folder again").await;
+    disk.release();
+    disk.refuse(Refusal::Nothing);
+    hosts.check_each_acknowledges("after the full disk").await;
+    hosts.hosts[slow].start().unwrap();
+    hosts.check_each_acknowledges("after a start").await;
+}
