--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -37,7 +37,11 @@
 /// An event or request for the loop of a control node.
 #[derive(Debug)]
 pub(super) enum Input {
-    SnapshotWritten(Result<Snapshot>),
+    SnapshotWritten {
+        /// Value of [`ControlNode::opening`](super::ControlNode) when the snapshot was started.
+        opening: u64,
+        written: Result<Snapshot>,
+    },
     Peer {
         message: Message,
         sender_address: Option<String>,
--- a/crates/bilberryloft-daemon/src/control/mod.rs
+++ b/crates/bilberryloft-daemon/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod node;
 mod peers;
 mod recovery;
+mod reopen;
 mod service;
 pub mod shared_read;
 mod snapshots;
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -54,8 +54,6 @@
 const INPUTS_PER_ITERATION: usize = 1_024;
 /// Capacity of the input queue; when it is full, senders wait (back-pressure).
 const INPUT_QUEUE_MAX: usize = 8_192;
-/// Pause before the data folder is opened again after its disk failed.
-const REOPEN_PAUSE: Duration = Duration::from_millis(300);
 
 /// A proposed log entry that is not applied yet, with the term in which it was proposed.
 pub(super) struct Pending {
@@ -79,11 +77,13 @@
     /// Time of the next assessment of `loss_tolerance`, in milliseconds.
     pub(super) assessment_due_ms: u64,
     pub(super) settings: ControlSettings,
-    seed: u64,
-    report_sender: mpsc::UnboundedSender<DiskReport>,
+    pub(super) seed: u64,
+    pub(super) report_sender: mpsc::UnboundedSender<DiskReport>,
     pub(super) data_folder: DataFolder,
     pub(super) input_sender: mpsc::Sender<Input>,
     pub(super) is_snapshotting: bool,
+    /// Number of times that the data folder was opened again.
+    pub(super) opening: u64,
     /// Payload bytes of the log entries applied since the last snapshot was started.
     pub(super) log_bytes: usize,
     pub(super) snapshot_bytes: usize,
@@ -91,8 +91,8 @@
     pub(super) pending: BTreeMap<u64, Pending>,
     reads: BTreeMap<u64, Reply<u64>>,
     next_read_id: u64,
-    inputs: mpsc::Receiver<Input>,
-    reports: mpsc::UnboundedReceiver<DiskReport>,
+    pub(super) inputs: mpsc::Receiver<Input>,
+    pub(super) reports: mpsc::UnboundedReceiver<DiskReport>,
     applied: watch::Sender<AppliedVersions>,
     status: watch::Sender<QuorumStatus>,
 }
@@ -147,6 +147,7 @@
             data_folder,
             input_sender: input_sender.clone(),
             is_snapshotting: false,
+            opening: 0,
             log_bytes: 0,
             snapshot_bytes: recovered.snapshot_bytes,
             was_leader: false,
@@ -188,35 +189,8 @@
         }
     }
 
-    /// Recovers from the data folder after a disk failure, as a restarted process would; everything that was
-    /// acknowledged is in the folder.
-    async fn reopen(&mut self) {
-        self.disk = DiskWriter::stopped();
-        self.fail_pending();
-        let recovered = loop {
-            self.drop_inputs_for(REOPEN_PAUSE).await;
-            match RecoveredMember::open(&self.data_folder, &self.settings, self.seed) {
-                Ok(recovered) => break recovered,
-                Err(error) => log_event!(warn, Event::DiskFailed, %error, step = "reopen"),
-            }
-        };
-        while self.reports.try_recv().is_ok() {}
-        match DiskWriter::spawn(recovered.storage, self.report_sender.clone()) {
-            Ok(disk) => self.disk = disk,
-            Err(error) => log_event!(error, Event::DiskFailed, %error, step = "reopen"),
-        }
-        self.raft = recovered.raft;
-        *self.lock_machine() = recovered.machine;
-        self.applied_index = recovered.applied_index;
-        self.snapshot_bytes = recovered.snapshot_bytes;
-        self.log_bytes = 0;
-        self.is_snapshotting = false;
-        self.peers.update(&self.raft.members().clone());
-        log_event!(info, Event::DiskReopened, index = self.applied_index);
-    }
-
     /// Fails all pending proposals and reads, so that their callers ask another member.
-    fn fail_pending(&mut self) {
+    pub(super) fn fail_pending(&mut self) {
         for (_, pending) in std::mem::take(&mut self.pending) {
             pending.reply.finish(Err(ProposeError::Lost));
         }
@@ -226,13 +200,6 @@
         self.was_leader = false;
     }
 
-    /// Drops all inputs for the given time; their callers get [`ProposeError::Stopped`].
-    async fn drop_inputs_for(&mut self, pause: Duration) {
-        let until = tokio::time::Instant::now() + pause;
-        while let Ok(Some(_)) = tokio::time::timeout_at(until, self.inputs.recv()).await {}
-        tokio::time::sleep_until(until).await;
-    }
-
     /// Ticks Raft, processes its output until there is none, and runs the work that depends on its state.
     fn advance(&mut self) {
         self.raft.tick(monotonic_ms());
@@ -284,7 +251,7 @@
             Input::Join { member, address, is_leaving, reply } => {
                 self.join(member, address, is_leaving, reply)
             }
-            Input::SnapshotWritten(written) => self.finish_snapshot(written),
+            Input::SnapshotWritten { opening, written } => self.finish_snapshot(opening, written),
             Input::Announce { name, incarnation, description, leaving, reply } => {
                 self.announce(name, incarnation, description, leaving, reply);
             }
--- a/crates/bilberryloft-daemon/src/control/snapshots.rs
+++ b/crates/bilberryloft-daemon/src/control/snapshots.rs
@@ -34,17 +34,21 @@
         let snapshot =
             Snapshot { last_index: self.applied_index, last_term, members, data: Vec::new() };
         let folder = self.data_folder.clone();
-        let inputs = self.input_sender.clone();
+        let (inputs, opening) = (self.input_sender.clone(), self.opening);
         self.is_snapshotting = true;
         self.log_bytes = 0;
         tokio::task::spawn_blocking(move || {
             let written = write_machine_snapshot(&folder, snapshot, &machine);
-            let _ = inputs.blocking_send(Input::SnapshotWritten(written));
+            let _ = inputs.blocking_send(Input::SnapshotWritten { opening, written });
         });
     }
 
-    /// Compacts the log after a snapshot was written; a failed snapshot leaves the log as it is.
-    pub(super) fn finish_snapshot(&mut self, written: Result<Snapshot>) {
+    /// Compacts the log after a snapshot was written; a failed snapshot leaves the log as it is. So does one that was
+    /// started before the folder was opened again: the member may have recovered less than it covers.
+    pub(super) fn finish_snapshot(&mut self, opening: u64, written: Result<Snapshot>) {
+        if opening != self.opening {
+            return;
+        }
         self.is_snapshotting = false;
         let snapshot = match written {
             Ok(snapshot) => snapshot,
