--- a/crates/bilberryloft-testing/tests/full_disks.rs
+++ b/crates/bilberryloft-testing/tests/full_disks.rs
@@ -5,6 +5,7 @@
 
 use bilberryloft_testing::control_hosts::ControlHosts;
 use bilberryloft_testing::control_hosts::wait_until;
+use bilberryloft_testing::memory_disk::MemoryDisk;
 use bilberryloft_testing::memory_disk::Refusal;
 
 /// Time for a change while a disk is full, which may fail.
@@ -58,3 +59,23 @@
     hosts.hosts[slow].start().unwrap();
     hosts.check_each_acknowledges("after a start").await;
 }
+
+/// Guards against a process that ends, with all that it serves, because its disk is full when it starts; a founder would
+/// lose its right to found with that.
+#[tokio::test]
+async fn host_starts_on_a_full_disk_and_takes_part_with_room() {
+    let mut hosts = ControlHosts::start(3);
+    hosts.check_each_acknowledges("at the start").await;
+    for (idx, refusal) in [(0, Refusal::Writes), (1, Refusal::Changes), (2, Refusal::Changes)] {
+        let host = &mut hosts.hosts[idx];
+        host.stop();
+        if idx < 2 {
+            host.disk = MemoryDisk::default();
+        }
+        host.disk.refuse(refusal);
+        host.start().unwrap();
+        assert!(hosts.put((idx + 1) % 3, Duration::from_secs(10)).await);
+        hosts.hosts[idx].disk.refuse(Refusal::Nothing);
+        hosts.check_each_acknowledges(&format!("host {idx} has room")).await;
+    }
+}
