--- a/crates/bilberryloft-daemon/src/control/disk.rs
+++ b/crates/bilberryloft-daemon/src/control/disk.rs
@@ -74,11 +74,15 @@
 }
 
 impl DiskWriter {
-    /// Starts the disk thread, which sends one report per batch of jobs; fails when no thread can be started.
+    /// Starts the disk thread, which sends one report per batch of jobs; fails when no thread can be started. Without
+    /// storage, the writer has no thread and drops all jobs.
     pub fn spawn(
-        storage: Storage,
+        storage: Option<Storage>,
         reports: mpsc::UnboundedSender<DiskReport>,
     ) -> Result<DiskWriter> {
+        let Some(storage) = storage else {
+            return Ok(DiskWriter::stopped());
+        };
         let (jobs, queue) = std::sync::mpsc::channel();
         let thread = std::thread::Builder::new()
             .name("disk".to_string())
@@ -92,6 +96,11 @@
         DiskWriter { jobs: None, thread: None }
     }
 
+    /// Whether the writer has no thread.
+    pub fn is_stopped(&self) -> bool {
+        self.jobs.is_none()
+    }
+
     /// Queues a job; after a failure of the disk the job is dropped.
     pub fn submit(&self, job: DiskJob) {
         if let Some(jobs) = &self.jobs {
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -44,6 +44,7 @@
 use crate::control::handle::Reply;
 use crate::control::peers::Peers;
 use crate::control::recovery::RecoveredMember;
+use crate::control::snapshots::SnapshotProgress;
 use crate::events::Event;
 use crate::log_event;
 use crate::settings::ControlSettings;
@@ -81,12 +82,9 @@
     pub(super) report_sender: mpsc::UnboundedSender<DiskReport>,
     pub(super) data_folder: DataFolder,
     pub(super) input_sender: mpsc::Sender<Input>,
-    pub(super) is_snapshotting: bool,
     /// Number of times that the data folder was opened again.
     pub(super) opening: u64,
-    /// Payload bytes of the log entries applied since the last snapshot was started.
-    pub(super) log_bytes: usize,
-    pub(super) snapshot_bytes: usize,
+    pub(super) snapshots: SnapshotProgress,
     pub(super) was_leader: bool,
     pub(super) pending: BTreeMap<u64, Pending>,
     reads: BTreeMap<u64, Reply<u64>>,
@@ -100,7 +98,8 @@
 impl ControlNode {
     /// Opens the data folder and starts the event loop on the current runtime.
     ///
-    /// Fails when the data folder can't be recovered or the disk thread can't be started.
+    /// Fails when the data folder can't be recovered or the disk thread can't be started. While the disk is full, the
+    /// node runs and opens the folder as soon as there is room.
     pub fn spawn(
         settings: &ControlSettings,
         daemon: &str,
@@ -118,7 +117,7 @@
         incarnation: u64,
     ) -> Result<ControlHandle> {
         let seed = digest(&[daemon.as_bytes(), &incarnation.to_le_bytes()]) as u64;
-        let recovered = RecoveredMember::open(&data_folder, settings, seed)?;
+        let recovered = RecoveredMember::open_or_wait(&data_folder, settings, seed)?;
         let (input_sender, inputs) = mpsc::channel(INPUT_QUEUE_MAX);
         let (report_sender, reports) = mpsc::unbounded_channel();
         let (applied, applied_receiver) = watch::channel(AppliedVersions::default());
@@ -145,11 +144,9 @@
             seed,
             report_sender,
             data_folder,
-            input_sender: input_sender.clone(),
-            is_snapshotting: false,
+            input_sender,
             opening: 0,
-            log_bytes: 0,
-            snapshot_bytes: recovered.snapshot_bytes,
+            snapshots: SnapshotProgress::after(recovered.snapshot_bytes),
             was_leader: false,
             pending: BTreeMap::new(),
             reads: BTreeMap::new(),
@@ -164,6 +161,9 @@
     }
 
     async fn run(mut self) {
+        if self.disk.is_stopped() {
+            self.reopen().await;
+        }
         self.peers.update(&self.raft.members().clone());
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -375,7 +375,7 @@
 
     fn apply(&mut self, entry: LogEntry) {
         self.applied_index = entry.index;
-        self.log_bytes += entry.payload_bytes();
+        self.snapshots.log_bytes += entry.payload_bytes();
         let outcome = match &entry.payload {
             Payload::Command(bytes) => self.lock_machine().apply_bytes(bytes),
             Payload::Members(members) => {
--- a/crates/bilberryloft-daemon/src/control/recovery.rs
+++ b/crates/bilberryloft-daemon/src/control/recovery.rs
@@ -22,7 +22,8 @@
 
 /// A quorum member recovered from its data folder.
 pub(super) struct RecoveredMember {
-    pub storage: Storage,
+    /// Storage, unless the folder could not be opened.
+    pub storage: Option<Storage>,
     pub machine: StateMachine,
     pub raft: Raft,
     /// Index of the last log entry that the machine has applied.
@@ -32,6 +33,28 @@
 }
 
 impl RecoveredMember {
+    /// Reads the data folder as [`RecoveredMember::open`] does. If the disk is full, returns a member of no quorum without
+    /// storage instead, which has to open its folder before it does anything.
+    pub fn open_or_wait(
+        folder: &DataFolder,
+        settings: &ControlSettings,
+        seed: u64,
+    ) -> Result<RecoveredMember> {
+        match RecoveredMember::open(folder, settings, seed) {
+            Err(error) if error.is_full_disk() => {
+                log_event!(warn, Event::DiskFailed, %error, step = "start", help = error.help());
+                Ok(RecoveredMember {
+                    storage: None,
+                    machine: StateMachine::default(),
+                    raft: Raft::new(raft_options(settings), InitialState::default()),
+                    applied_index: 0,
+                    snapshot_bytes: 0,
+                })
+            }
+            other => other,
+        }
+    }
+
     /// Reads the data folder, truncates a torn tail of the log and starts Raft from what is left.
     ///
     /// Fails when the folder can't be read, or when the snapshot in it can't be decoded.
@@ -52,11 +75,6 @@
         };
         let snapshot_bytes = recovered.snapshot.as_ref().map_or(0, |it| it.data.len());
         let applied_index = recovered.snapshot.as_ref().map_or(0, |it| it.last_index);
-        let options = Options {
-            heartbeat_ms: settings.heartbeat_ms,
-            election_ms: settings.election_ms,
-            ..Options::default()
-        };
         let initial_state = InitialState {
             member: settings.member,
             members: recovered
@@ -70,15 +88,23 @@
             now_ms: monotonic_ms(),
         };
         Ok(RecoveredMember {
-            storage,
+            storage: Some(storage),
             machine,
-            raft: Raft::new(options, initial_state),
+            raft: Raft::new(raft_options(settings), initial_state),
             applied_index,
             snapshot_bytes,
         })
     }
 }
 
+fn raft_options(settings: &ControlSettings) -> Options {
+    Options {
+        heartbeat_ms: settings.heartbeat_ms,
+        election_ms: settings.election_ms,
+        ..Options::default()
+    }
+}
+
 /// Makes durable that this member founds the quorum, if it is told so and its data folder is empty. At later starts
 /// nothing but the record tells such a member from one that has lost its disk.
 fn record_founding(
--- a/crates/bilberryloft-daemon/src/control/reopen.rs
+++ b/crates/bilberryloft-daemon/src/control/reopen.rs
@@ -9,6 +9,7 @@
 use crate::control::disk::DiskWriter;
 use crate::control::node::ControlNode;
 use crate::control::recovery::RecoveredMember;
+use crate::control::snapshots::SnapshotProgress;
 use crate::events::Event;
 use crate::log_event;
 
@@ -46,9 +47,7 @@
         self.raft = recovered.raft;
         *self.lock_machine() = recovered.machine;
         self.applied_index = recovered.applied_index;
-        self.snapshot_bytes = recovered.snapshot_bytes;
-        self.log_bytes = 0;
-        self.is_snapshotting = false;
+        self.snapshots = SnapshotProgress::after(recovered.snapshot_bytes);
         self.opening += 1;
         Ok(())
     }
--- a/crates/bilberryloft-daemon/src/control/snapshots.rs
+++ b/crates/bilberryloft-daemon/src/control/snapshots.rs
@@ -16,14 +16,31 @@
 /// Bytes by which the log must grow before the next snapshot, as a multiple of the last snapshot's size.
 const SNAPSHOT_GROWTH_FACTOR: usize = 4;
 
+/// What decides when the next snapshot is due.
+pub(super) struct SnapshotProgress {
+    /// Whether a snapshot is being written.
+    is_running: bool,
+    /// Payload bytes of the log entries applied since the last snapshot was started.
+    pub log_bytes: usize,
+    /// Size of the last snapshot in bytes, 0 without one.
+    last_bytes: usize,
+}
+
+impl SnapshotProgress {
+    /// Progress of a member that has opened its data folder.
+    pub fn after(last_bytes: usize) -> SnapshotProgress {
+        SnapshotProgress { is_running: false, log_bytes: 0, last_bytes }
+    }
+}
+
 impl ControlNode {
     /// Starts a snapshot once the log has grown well beyond the size of the last one, so that snapshots stay a
     /// small share of all writes. A copy of the machine is encoded and written on a blocking thread.
     pub(super) fn start_snapshot_if_due(&mut self) {
         let log = self.raft.log();
         let is_due = self.applied_index >= log.snapshot_index() + self.settings.snapshot_entries
-            && self.log_bytes >= SNAPSHOT_GROWTH_FACTOR * self.snapshot_bytes;
-        if !is_due || self.is_snapshotting {
+            && self.snapshots.log_bytes >= SNAPSHOT_GROWTH_FACTOR * self.snapshots.last_bytes;
+        if !is_due || self.snapshots.is_running {
             return;
         }
         let Some(last_term) = log.term_at(self.applied_index) else {
@@ -35,8 +52,8 @@
             Snapshot { last_index: self.applied_index, last_term, members, data: Vec::new() };
         let folder = self.data_folder.clone();
         let (inputs, opening) = (self.input_sender.clone(), self.opening);
-        self.is_snapshotting = true;
-        self.log_bytes = 0;
+        self.snapshots.is_running = true;
+        self.snapshots.log_bytes = 0;
         tokio::task::spawn_blocking(move || {
             let written = write_machine_snapshot(&folder, snapshot, &machine);
             let _ = inputs.blocking_send(Input::SnapshotWritten { opening, written });
@@ -49,7 +66,7 @@
         if opening != self.opening {
             return;
         }
-        self.is_snapshotting = false;
+        self.snapshots.is_running = false;
         let snapshot = match written {
             Ok(snapshot) => snapshot,
             Err(error) => {
@@ -63,7 +80,7 @@
         }
         let (snapshot_index, bytes) = (snapshot.last_index, snapshot.data.len());
         log_event!(info, Event::SnapshotWritten, index = snapshot_index, bytes);
-        self.snapshot_bytes = bytes;
+        self.snapshots.last_bytes = bytes;
         // Records that Raft has not handed over yet must reach the old log first; otherwise they would be
         // written twice, because the new log starts with all entries after the snapshot.
         let output = self.raft.take_output();
--- a/crates/bilberryloft-state/src/error.rs
+++ b/crates/bilberryloft-state/src/error.rs
@@ -1,5 +1,6 @@
 //! The central error type. Each variant has a help text for operators.
 
+use std::io::ErrorKind;
 use std::path::PathBuf;
 
 /// Result with the central error type.
@@ -112,7 +113,17 @@
     /// Whether the peer's host refused the connection, which means that no process listens there.
     pub fn is_connection_refused(&self) -> bool {
         match self {
-            Error::Network { source, .. } => source.kind() == std::io::ErrorKind::ConnectionRefused,
+            Error::Network { source, .. } => source.kind() == ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+
+    /// Whether the disk had no room.
+    pub fn is_full_disk(&self) -> bool {
+        match self {
+            Error::Disk { source, .. } => {
+                matches!(source.kind(), ErrorKind::StorageFull | ErrorKind::QuotaExceeded)
+            }
             _ => false,
         }
     }
