--- a/crates/bilberryloft-testing/tests/full_disks.rs
+++ b/crates/bilberryloft-testing/tests/full_disks.rs
@@ -3,6 +3,9 @@
 
 use std::time::Duration;
 
+use bilberryloft_coordination::raft::InstallSnapshot;
+use bilberryloft_coordination::raft::Message;
+use bilberryloft_state::snapshot::Snapshot;
 use bilberryloft_testing::control_hosts::ControlHosts;
 use bilberryloft_testing::control_hosts::wait_until;
 use bilberryloft_testing::memory_disk::MemoryDisk;
@@ -79,3 +82,31 @@
         hosts.check_each_acknowledges(&format!("host {idx} has room")).await;
     }
 }
+
+/// Guards against a host that keeps only a part of a snapshot's log, or the snapshot that it can't read, and does not start
+/// again.
+#[tokio::test]
+async fn unreadable_snapshot_from_the_leader_is_not_taken_up() {
+    let mut hosts = ControlHosts::start(3);
+    hosts.check_each_acknowledges("at the start").await;
+    let leader = hosts.leader().await;
+    let host = &hosts.hosts[(leader + 1) % 3];
+    let status = host.node().status();
+    let snapshot = Snapshot {
+        last_index: status.commit_index + 5,
+        last_term: status.term,
+        members: status.members.clone(),
+        data: b"of a later version".to_vec(),
+    };
+    let install = InstallSnapshot {
+        term: status.term,
+        leader: hosts.hosts[leader].settings.member,
+        last_index: snapshot.last_index,
+        snapshot,
+        round: 0,
+    };
+    host.node().receive(Message::InstallSnapshot(install), None).await;
+    hosts.check_each_acknowledges("after the snapshot").await;
+    hosts.hosts[(leader + 1) % 3].start().unwrap();
+    hosts.check_each_acknowledges("after a start").await;
+}
