--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -7,6 +7,7 @@
 use bilberryloft_coordination::leases::LeaseTable;
 use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_coordination::member_planner::MemberPlanner;
+use bilberryloft_coordination::raft::Message;
 use bilberryloft_coordination::raft::Outbound;
 use bilberryloft_coordination::raft::Output;
 use bilberryloft_coordination::raft::Raft;
@@ -236,12 +237,7 @@
 
     fn handle_input(&mut self, input: Input) {
         match input {
-            Input::Peer { message, sender_address } => {
-                if let Some(address) = sender_address {
-                    self.peers.record_address(message.sender(), address);
-                }
-                self.raft.receive(message, monotonic_ms());
-            }
+            Input::Peer { message, sender_address } => self.receive(message, sender_address),
             Input::PeerEnded { member } => self.raft.peer_ended(member, monotonic_ms()),
             Input::Propose { command, reply } => {
                 self.propose(command, PendingReply::Outcome(reply))
@@ -258,6 +254,20 @@
         }
     }
 
+    fn receive(&mut self, message: Message, sender_address: Option<String>) {
+        if let Some(address) = sender_address {
+            self.peers.record_address(message.sender(), address);
+        }
+        // Raft must not go on from a snapshot that this version can't read.
+        if let Message::InstallSnapshot(it) = &message
+            && let Err(error) = StateMachine::from_snapshot(&it.snapshot.data)
+        {
+            log_event!(error, Event::SnapshotFailed, %error, step = "install", sender = it.leader);
+            return;
+        }
+        self.raft.receive(message, monotonic_ms());
+    }
+
     pub(super) fn propose(&mut self, command: Command, reply: PendingReply) {
         if self.raft.role() != Role::Leader {
             return self.reject(reply);
