--- a/crates/bilberryloft-testing/src/control_hosts.rs
+++ b/crates/bilberryloft-testing/src/control_hosts.rs
@@ -19,6 +19,7 @@
 use bilberryloft_state::document::StoredDocument;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::folder::DataFolder;
+use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::state_machine::Command;
 use bilberryloft_state::state_machine::Outcome;
 use bilberryloft_transport::server::Call;
@@ -112,6 +113,11 @@
         }
     }
 
+    /// Whether the process runs.
+    pub fn is_running(&self) -> bool {
+        self.running.is_some()
+    }
+
     /// Handle of the running host.
     ///
     /// # Panics
@@ -186,6 +192,63 @@
         ControlHosts { hosts, version: 0 }
     }
 
+    /// Adds a host that is no member yet, and starts it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not start.
+    pub fn add(&mut self) -> &ControlHost {
+        let member = self.hosts.len() as u32 + 1;
+        let address = format!("{}:{PEER_PORT}", unique_ip());
+        let mut settings = control_settings(member, &BTreeMap::new(), PathBuf::from(FOLDER));
+        settings.snapshot_entries = 1;
+        let disk = MemoryDisk::default();
+        let mut host = ControlHost { disk, settings, address, running: None };
+        host.start().expect("a control host does not start");
+        self.hosts.push(host);
+        &self.hosts[self.hosts.len() - 1]
+    }
+
+    /// Replaces a voter by another host: a learner first, then a voter beside the other, then alone.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a change is not committed in time.
+    pub async fn replace(&self, leaving: usize, successor: usize) {
+        let (leaving, successor) = (&self.hosts[leaving], &self.hosts[successor]);
+        let (old, new) = (leaving.settings.member, successor.settings.member);
+        let address = successor.address.clone();
+        self.change_members(|it| drop(it.learners.insert(new, address.clone()))).await;
+        wait_until(|| successor.node().status().may_vote, "the successor has caught up").await;
+        self.change_members(|it| {
+            it.learners.remove(&new);
+            it.voters.insert(new, address.clone());
+        })
+        .await;
+        self.change_members(|it| {
+            if let Some(address) = it.voters.remove(&old) {
+                it.learners.insert(old, address);
+            }
+        })
+        .await;
+    }
+
+    /// Changes the members at whichever host leads, until all members that it knows are as wanted.
+    async fn change_members(&self, change: impl Fn(&mut MemberSet)) {
+        let deadline = Instant::now() + TIMEOUT;
+        loop {
+            let leader = &self.hosts[self.leader().await];
+            let members = leader.node().status().members;
+            let mut wanted = members.clone();
+            change(&mut wanted);
+            if wanted == members || leader.node().change_members(wanted).await == Ok(true) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "the members were not changed in time");
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Puts a new document at one host alone, and returns whether it was acknowledged in time.
     pub async fn put(&mut self, idx: usize, timeout: Duration) -> bool {
         self.version += 1;
@@ -212,13 +275,13 @@
         }
     }
 
-    /// Waits until one host leads and all follow it, and returns its position.
+    /// Waits until one host leads, and returns its position.
     ///
     /// # Panics
     ///
     /// Panics if that takes too long.
     pub async fn leader(&self) -> usize {
-        let leads = |it: &ControlHost| it.node().status().leads;
+        let leads = |it: &ControlHost| it.is_running() && it.node().status().leads;
         wait_until(|| self.hosts.iter().any(leads), "a host leads").await;
         self.hosts.iter().position(leads).expect("no host leads")
     }
