--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -7,6 +7,7 @@
 use bilberryloft_coordination::leases::LeaseTable;
 use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_coordination::member_planner::MemberPlanner;
+use bilberryloft_coordination::raft::Message;
 use bilberryloft_coordination::raft::Outbound;
 use bilberryloft_coordination::raft::Output;
 use bilberryloft_coordination::raft::Raft;
@@ -44,6 +45,7 @@
 use crate::control::handle::Reply;
 use crate::control::peers::Peers;
 use crate::control::recovery::RecoveredMember;
+use crate::control::snapshots::SnapshotProgress;
 use crate::events::Event;
 use crate::log_event;
 use crate::settings::ControlSettings;
@@ -54,8 +56,6 @@
 const INPUTS_PER_ITERATION: usize = 1_024;
 /// Capacity of the input queue; when it is full, senders wait (back-pressure).
 const INPUT_QUEUE_MAX: usize = 8_192;
-/// Pause before the data folder is opened again after its disk failed.
-const REOPEN_PAUSE: Duration = Duration::from_millis(300);
 
 /// A proposed log entry that is not applied yet, with the term in which it was proposed.
 pub(super) struct Pending {
@@ -79,20 +79,19 @@
     /// Time of the next assessment of `loss_tolerance`, in milliseconds.
     pub(super) assessment_due_ms: u64,
     pub(super) settings: ControlSettings,
-    seed: u64,
-    report_sender: mpsc::UnboundedSender<DiskReport>,
+    pub(super) seed: u64,
+    pub(super) report_sender: mpsc::UnboundedSender<DiskReport>,
     pub(super) data_folder: DataFolder,
     pub(super) input_sender: mpsc::Sender<Input>,
-    pub(super) is_snapshotting: bool,
-    /// Payload bytes of the log entries applied since the last snapshot was started.
-    pub(super) log_bytes: usize,
-    pub(super) snapshot_bytes: usize,
+    /// Number of times that the data folder was opened again.
+    pub(super) opening: u64,
+    pub(super) snapshots: SnapshotProgress,
     pub(super) was_leader: bool,
     pub(super) pending: BTreeMap<u64, Pending>,
     reads: BTreeMap<u64, Reply<u64>>,
     next_read_id: u64,
-    inputs: mpsc::Receiver<Input>,
-    reports: mpsc::UnboundedReceiver<DiskReport>,
+    pub(super) inputs: mpsc::Receiver<Input>,
+    pub(super) reports: mpsc::UnboundedReceiver<DiskReport>,
     applied: watch::Sender<AppliedVersions>,
     status: watch::Sender<QuorumStatus>,
 }
@@ -100,7 +99,8 @@
 impl ControlNode {
     /// Opens the data folder and starts the event loop on the current runtime.
     ///
-    /// Fails when the data folder can't be recovered or the disk thread can't be started.
+    /// Fails when the data folder can't be recovered or the disk thread can't be started. While the disk is full, the
+    /// node runs and opens the folder as soon as there is room.
     pub fn spawn(
         settings: &ControlSettings,
         daemon: &str,
@@ -118,7 +118,7 @@
         incarnation: u64,
     ) -> Result<ControlHandle> {
         let seed = digest(&[daemon.as_bytes(), &incarnation.to_le_bytes()]) as u64;
-        let recovered = RecoveredMember::open(&data_folder, settings, seed)?;
+        let recovered = RecoveredMember::open_or_wait(&data_folder, settings, seed)?;
         let (input_sender, inputs) = mpsc::channel(INPUT_QUEUE_MAX);
         let (report_sender, reports) = mpsc::unbounded_channel();
         let (applied, applied_receiver) = watch::channel(AppliedVersions::default());
@@ -145,10 +145,9 @@
             seed,
             report_sender,
             data_folder,
-            input_sender: input_sender.clone(),
-            is_snapshotting: false,
-            log_bytes: 0,
-            snapshot_bytes: recovered.snapshot_bytes,
+            input_sender,
+            opening: 0,
+            snapshots: SnapshotProgress::after(recovered.snapshot_bytes),
             was_leader: false,
             pending: BTreeMap::new(),
             reads: BTreeMap::new(),
@@ -163,6 +162,9 @@
     }
 
     async fn run(mut self) {
+        if self.disk.is_stopped() {
+            self.reopen().await;
+        }
         self.peers.update(&self.raft.members().clone());
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -188,35 +190,8 @@
         }
     }
 
-    /// Recovers from the data folder after a disk failure, as a restarted process would; everything that was
-    /// acknowledged is in the folder.
-    async fn reopen(&mut self) {
-        self.disk = DiskWriter::stopped();
-        self.fail_pending();
-        let recovered = loop {
-            self.drop_inputs_for(REOPEN_PAUSE).await;
-            match RecoveredMember::open(&self.data_folder, &self.settings, self.seed) {
-                Ok(recovered) => break recovered,
-                Err(error) => log_event!(warn, Event::DiskFailed, %error, step = "reopen"),
-            }
-        };
-        while self.reports.try_recv().is_ok() {}
-        match DiskWriter::spawn(recovered.storage, self.report_sender.clone()) {
-            Ok(disk) => self.disk = disk,
-            Err(error) => log_event!(error, Event::DiskFailed, %error, step = "reopen"),
-        }
-        self.raft = recovered.raft;
-        *self.lock_machine() = recovered.machine;
-        self.applied_index = recovered.applied_index;
-        self.snapshot_bytes = recovered.snapshot_bytes;
-        self.log_bytes = 0;
-        self.is_snapshotting = false;
-        self.peers.update(&self.raft.members().clone());
-        log_event!(info, Event::DiskReopened, index = self.applied_index);
-    }
-
     /// Fails all pending proposals and reads, so that their callers ask another member.
-    fn fail_pending(&mut self) {
+    pub(super) fn fail_pending(&mut self) {
         for (_, pending) in std::mem::take(&mut self.pending) {
             pending.reply.finish(Err(ProposeError::Lost));
         }
@@ -226,13 +201,6 @@
         self.was_leader = false;
     }
 
-    /// Drops all inputs for the given time; their callers get [`ProposeError::Stopped`].
-    async fn drop_inputs_for(&mut self, pause: Duration) {
-        let until = tokio::time::Instant::now() + pause;
-        while let Ok(Some(_)) = tokio::time::timeout_at(until, self.inputs.recv()).await {}
-        tokio::time::sleep_until(until).await;
-    }
-
     /// Ticks Raft, processes its output until there is none, and runs the work that depends on its state.
     fn advance(&mut self) {
         self.raft.tick(monotonic_ms());
@@ -269,12 +237,7 @@
 
     fn handle_input(&mut self, input: Input) {
         match input {
-            Input::Peer { message, sender_address } => {
-                if let Some(address) = sender_address {
-                    self.peers.record_address(message.sender(), address);
-                }
-                self.raft.receive(message, monotonic_ms());
-            }
+            Input::Peer { message, sender_address } => self.receive(message, sender_address),
             Input::PeerEnded { member } => self.raft.peer_ended(member, monotonic_ms()),
             Input::Propose { command, reply } => {
                 self.propose(command, PendingReply::Outcome(reply))
@@ -284,13 +247,27 @@
             Input::Join { member, address, is_leaving, reply } => {
                 self.join(member, address, is_leaving, reply)
             }
-            Input::SnapshotWritten(written) => self.finish_snapshot(written),
+            Input::SnapshotWritten { opening, written } => self.finish_snapshot(opening, written),
             Input::Announce { name, incarnation, description, leaving, reply } => {
                 self.announce(name, incarnation, description, leaving, reply);
             }
         }
     }
 
+    fn receive(&mut self, message: Message, sender_address: Option<String>) {
+        if let Some(address) = sender_address {
+            self.peers.record_address(message.sender(), address);
+        }
+        // Raft must not go on from a snapshot that this version can't read.
+        if let Message::InstallSnapshot(it) = &message
+            && let Err(error) = StateMachine::from_snapshot(&it.snapshot.data)
+        {
+            log_event!(error, Event::SnapshotFailed, %error, step = "install", sender = it.leader);
+            return;
+        }
+        self.raft.receive(message, monotonic_ms());
+    }
+
     pub(super) fn propose(&mut self, command: Command, reply: PendingReply) {
         if self.raft.role() != Role::Leader {
             return self.reject(reply);
@@ -408,7 +385,7 @@
 
     fn apply(&mut self, entry: LogEntry) {
         self.applied_index = entry.index;
-        self.log_bytes += entry.payload_bytes();
+        self.snapshots.log_bytes += entry.payload_bytes();
         let outcome = match &entry.payload {
             Payload::Command(bytes) => self.lock_machine().apply_bytes(bytes),
             Payload::Members(members) => {
