What still waits at the end of a stop gets a final, truthful answer

What callers saw: requests at a silent target, or waiting for a slot, were cut without an answer at the end of a planned stop; streams were broken off by the end of the process.

Cause: only the process's end ended them. Nothing else knew of the time that was left.

Change: the lifecycle knows the times of the stop (stop_times.rs) and has two more stages. From SIGTERM on nothing is begun, neither a first attempt nor a retry, that usually takes longer than what is left, as far as the time of the service's requests is known: it is refused at once instead.

--- a/crates/bilberryloft-relay/src/admission.rs
+++ b/crates/bilberryloft-relay/src/admission.rs
@@ -132,6 +132,9 @@
     let position = QueueGuard { state, service, ticket };
     while Instant::now() < until {
         tokio::time::sleep(POLL_INTERVAL).await;
+        if !state.has_time_for(service) {
+            return Err(Refusal::Stopping);
+        }
         if state.services.is_evacuated(service) {
             return Err(Refusal::Evacuated);
         }
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -99,6 +99,8 @@
     },
     /// The request timed out after it was sent to a target.
     TimeoutSent,
+    /// The entry stops, and the target to which the request was sent has not answered.
+    StoppingSent,
 }
 
 impl Refusal {
@@ -130,6 +132,7 @@
             Refusal::SuspectTrial => "suspect_trial",
             Refusal::TrialPending { .. } => "trial_pending",
             Refusal::TimeoutSent => "timeout_sent",
+            Refusal::StoppingSent => "stopping_sent",
         }
     }
 
@@ -159,14 +162,14 @@
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BadBody => StatusCode::BAD_REQUEST,
             Refusal::RunUnknown => StatusCode::BAD_GATEWAY,
-            Refusal::TimeoutSent => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::TimeoutSent | Refusal::StoppingSent => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
     /// Builds the answer, with a `retry-after` header if a delay is given.
     pub fn answer(self, retry_after: Option<Duration>) -> Response<AnswerBody> {
         let run = match self {
-            Refusal::RunUnknown | Refusal::TimeoutSent => "unknown",
+            Refusal::RunUnknown | Refusal::TimeoutSent | Refusal::StoppingSent => "unknown",
             _ => "not_run",
         };
         let body = json!({"reason": self.name(), "run": run}).to_string();
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod services;
 pub mod settings;
 pub mod state;
+pub mod stop_times;
 pub mod stream;
 pub mod survived_parts;
 pub mod suspects;
--- a/crates/bilberryloft-relay/src/lifecycle.rs
+++ b/crates/bilberryloft-relay/src/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Open requests, stages of the stop and stalls of this process.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -9,6 +10,8 @@
 use bilberryloft_transport::clock::boot_ms;
 use tokio::sync::watch;
 
+use crate::stop_times::StopTimes;
+
 /// Time between two ticks of this process above which it counts as stalled, in milliseconds.
 const STALL_MS: u64 = 300;
 /// Pause after a stall, in which the other tasks run.
@@ -26,6 +29,10 @@
     Closed,
     /// Requests that are still arriving are refused, and the stop does not wait for the heads of others.
     Refusing,
+    /// Requests that still wait for a slot or an answer of a target get a final answer.
+    Answering,
+    /// Streams are broken off.
+    Breaking,
 }
 
 /// Open requests, stage of the stop and last tick of the process.
@@ -33,6 +40,7 @@
     last_tick_ms: AtomicU64,
     open_requests: AtomicUsize,
     stage: watch::Sender<Stage>,
+    stop_times: OnceLock<StopTimes>,
 }
 
 impl Default for Lifecycle {
@@ -41,6 +49,7 @@
             last_tick_ms: AtomicU64::new(boot_ms()),
             open_requests: AtomicUsize::new(0),
             stage: watch::Sender::default(),
+            stop_times: OnceLock::new(),
         }
     }
 }
@@ -81,6 +90,18 @@
         self.stage() > Stage::Serving
     }
 
+    /// Begins the stop.
+    pub fn begin_stop(&self, times: StopTimes) {
+        // Setting them fails only for a second stop; a process stops once.
+        let _ = self.stop_times.set(times);
+        self.set_stage(Stage::Closing);
+    }
+
+    /// Returns the times of the stop, once it has begun.
+    pub fn stop_times(&self) -> Option<&StopTimes> {
+        self.stop_times.get()
+    }
+
     /// Advances the stop to a later stage.
     pub fn set_stage(&self, stage: Stage) {
         self.stage.send_if_modified(|it| {
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -22,17 +22,13 @@
 use crate::server::CallerServer;
 use crate::settings::ProgramSettings;
 use crate::state::RelayState;
+use crate::stop_times::StopTimes;
 use crate::suspects::spawn_run_reports;
 
-/// Time for which a stopping relay still accepts connections. The balancer removes it only after two failed readiness
-/// checks, one second apart.
-const CLOSE_NOTICE: Duration = Duration::from_millis(2_300);
 /// Time for the rest of requests that are arriving when no connections are accepted any more.
 const ARRIVAL_TIME: Duration = Duration::from_millis(500);
 /// Interval at which it is checked during shutdown whether all is answered.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time reserved for the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(400);
 /// Interval between removals of expired idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -73,31 +69,35 @@
     /// votes in its place.
     pub fn shutdown(self) {
         let leave_deadline_ms = self.daemon.begin_leave(self.state.settings.stop_within_ms);
-        let until = Instant::now() + Duration::from_millis(self.state.settings.stop_within_ms);
-        let until = until - EXIT_RESERVE;
+        let within = Duration::from_millis(self.state.settings.stop_within_ms);
+        let times = StopTimes::new(Instant::now(), within);
         log_event!(info, Event::RelayStopping, open = self.unanswered());
-        self.state.lifecycle.set_stage(Stage::Closing);
-        std::thread::sleep(CLOSE_NOTICE);
-        self.close(until);
+        self.state.lifecycle.begin_stop(times);
+        std::thread::sleep(times.closed.saturating_duration_since(Instant::now()));
+        self.close(&times);
         self.daemon.wait_for_replacement(leave_deadline_ms);
         self.log_unanswered();
         log_event!(info, Event::RelayStopped, open = self.unanswered());
         drop(self.daemon);
     }
 
-    /// Takes no more requests, and waits until all that was read is answered, at most until the given time.
-    fn close(&self, until: Instant) {
+    /// Takes no more requests, and waits until all that was read is answered.
+    fn close(&self, times: &StopTimes) {
         let (lifecycle, callers) = (&self.state.lifecycle, &self.state.memory.callers);
         lifecycle.set_stage(Stage::Closed);
         let connections = callers.len();
         log_event!(info, Event::RelayClosed, open = self.unanswered(), connections);
-        let refusing_at = Instant::now() + ARRIVAL_TIME;
-        while Instant::now() < until {
-            if Instant::now() >= refusing_at {
-                lifecycle.set_stage(Stage::Refusing);
-            }
+        let stages = [
+            (Instant::now() + ARRIVAL_TIME, Stage::Refusing),
+            (times.answering, Stage::Answering),
+            (times.breaking, Stage::Breaking),
+        ];
+        while Instant::now() < times.end {
+            let now = Instant::now();
+            let reached = stages.iter().filter(|it| it.0 <= now);
+            reached.for_each(|it| lifecycle.set_stage(it.1));
             let is_answered = self.callers.is_closed() && callers.count_holding_stop() == 0;
-            if is_answered && (callers.is_empty() || lifecycle.stage() == Stage::Refusing) {
+            if is_answered && (callers.is_empty() || lifecycle.stage() >= Stage::Refusing) {
                 return;
             }
             std::thread::sleep(STOP_POLL_INTERVAL);
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -15,7 +15,6 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
-use tokio::time::error::Elapsed;
 
 use crate::admission;
 use crate::answer::AnswerBody;
@@ -25,6 +24,7 @@
 use crate::attempt::AttemptResult;
 use crate::headers;
 use crate::held_trial::HeldTrial;
+use crate::lifecycle::Stage;
 use crate::memory::caller_connection::Phase;
 use crate::prompt_part::part_ids;
 use crate::request::RelayRequest;
@@ -116,6 +116,33 @@
         self.ran + self.refused
     }
 
+    /// Picks the target of the next attempt and reserves a slot there, unless the process ends before an answer.
+    async fn pick_in_time(
+        &mut self,
+        state: &Arc<RelayState>,
+        request: &RelayRequest,
+    ) -> Result<TargetSlot, Refusal> {
+        if !state.has_time_for(&request.service) {
+            return Err(self.refuse_stopping());
+        }
+        let picked = tokio::select! {
+            biased;
+            () = state.lifecycle.wait_for_stage(Stage::Answering) => None,
+            picked = self.pick(state, request) => Some(picked?),
+        };
+        match picked {
+            Some(slot) if state.has_time_for(&request.service) => return Ok(slot),
+            Some(slot) => slot.cancel(),
+            None => {}
+        }
+        Err(self.refuse_stopping())
+    }
+
+    /// Refuses a request that is not sent any more because this process ends.
+    fn refuse_stopping(&self) -> Refusal {
+        if self.ran == 0 { Refusal::Stopping } else { Refusal::RunUnknown }
+    }
+
     /// Picks the target of the next attempt and reserves a slot there.
     async fn pick(
         &mut self,
@@ -197,17 +224,25 @@
 ) -> Result<FinalAnswer, Refusal> {
     let mut tracker = AttemptTracker::new();
     loop {
-        let slot = tracker.pick(state, request).await?;
+        let slot = tracker.pick_in_time(state, request).await?;
         tracker.tried.push(slot.picked().key);
         let attempts = tracker.count() + 1;
         log_sent(request, slot.picked(), attempts);
         request.caller.set_phase(Phase::Sent);
         state.daemon.remote_shares.count(slot.picked().away.is_away);
         state.limits.log_sent(&request.id, slot.picked());
-        let Ok((summary, answer)) = run_attempt(state, request, &slot).await else {
-            log_ended(request, slot.picked(), "timeout", None);
-            slot.release_broken();
-            return Err(Refusal::TimeoutSent);
+        let (summary, answer) = match run_attempt(state, request, &slot).await {
+            AttemptEnd::Ended(summary, answer) => (summary, answer),
+            AttemptEnd::Timeout => {
+                log_ended(request, slot.picked(), "timeout", None);
+                slot.release_broken();
+                return Err(Refusal::TimeoutSent);
+            }
+            AttemptEnd::Stopping => {
+                log_ended(request, slot.picked(), "stopping", None);
+                slot.release(AttemptOutcome::Unknown);
+                return Err(Refusal::StoppingSent);
+            }
         };
         log_ended(request, slot.picked(), summary.name, summary.detail.as_deref());
         let rank = slot.picked().key;
@@ -231,19 +266,33 @@
     }
 }
 
-/// Sends the request to one target and reads its answer; fails when the request times out.
+/// How one attempt ended.
+enum AttemptEnd {
+    /// The target answered, or failed to.
+    Ended(AttemptSummary, Option<ReceivedAnswer>),
+    /// The request timed out.
+    Timeout,
+    /// This process ends before the target has answered.
+    Stopping,
+}
+
+/// Sends the request to one target and reads its answer.
 async fn run_attempt(
     state: &Arc<RelayState>,
     request: &RelayRequest,
     slot: &TargetSlot,
-) -> Result<(AttemptSummary, Option<ReceivedAnswer>), Elapsed> {
+) -> AttemptEnd {
     let attempt = tokio::time::timeout_at(request.deadline, async {
         let result = attempt::send(state, request, slot.picked(), None).await;
         record_head(slot, &result);
         read_answer(state, request, result).await
     });
     tokio::select! {
-        ended = attempt => ended,
+        ended = attempt => match ended {
+            Ok((summary, answer)) => AttemptEnd::Ended(summary, answer),
+            Err(_) => AttemptEnd::Timeout,
+        },
+        () = state.lifecycle.wait_for_stage(Stage::Answering) => AttemptEnd::Stopping,
         never = slot.watch_silence() => match never {},
     }
 }
@@ -266,7 +315,10 @@
         DidRun::No => slot.release(summary.outcome),
         DidRun::Unknown => {
             let ended = slot.release_broken();
-            state.suspects.wait_for_check(request, &ended).await;
+            tokio::select! {
+                () = state.suspects.wait_for_check(request, &ended) => {}
+                () = state.lifecycle.wait_for_stage(Stage::Answering) => {}
+            }
         }
     }
 }
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -23,6 +23,7 @@
 use bilberryloft_state::membership::TargetRecord;
 use bilberryloft_transport::clock::monotonic_ms;
 use parking_lot::RwLock;
+use tokio::time::Instant;
 
 use crate::cold::ColdTracker;
 use crate::cold::memory_need;
@@ -338,6 +339,17 @@
         })
     }
 
+    /// Returns whether a request to a service that is sent now may be answered before this process ends, as far as its
+    /// usual time is known.
+    pub fn has_time_for(&self, service: &str) -> bool {
+        let Some(times) = self.lifecycle.stop_times() else {
+            return true;
+        };
+        let left = times.answering.saturating_duration_since(Instant::now());
+        let usual_ms = self.services.targets.lock().usual_ms(service, monotonic_ms());
+        left.as_secs_f64() * 1_000.0 > usual_ms.unwrap_or(0.0)
+    }
+
     /// Returns whether new requests are served.
     pub fn is_ready(&self) -> bool {
         !self.lifecycle.is_stopping() && self.routes().version() > 0
--- a/crates/bilberryloft-routing/src/targets/data_centers.rs
+++ b/crates/bilberryloft-routing/src/targets/data_centers.rs
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Returns the usual time of a request at the targets of a service, in milliseconds, if it is known.
+    pub fn usual_ms(&mut self, service: &str, now_ms: u64) -> Option<f64> {
+        self.refresh_usual(service, now_ms);
+        self.learned.get(service)?.usual.mean_ms
+    }
+
     /// Returns the part of a target's score that depends on its load: the time of a pass for ranks, and otherwise its
     /// requests, by the time that they take there.
     pub(super) fn load_score(
