What targets send is in the account of memory until it is taken

What callers saw: the process that had called faulty targets was ended for its memory, and the requests of all other callers with it.

Cause: the account held answers and events that were read, but not what the HTTP library keeps of a head or a piece of a body (up to 128 KB a connection), a piece or an unfinished event in the hands of its reader, nor what the process reads on its own behalf (up to 1 MB of each rank at once). And the connections of a host were bounded by its descriptors only: with 4,100 of them and 112 MB, requests that are open take more than there is, at some 80 KB each.

Change: read_hold.rs reserves what a connection has read and nobody has taken, above 16 KiB, before it is read, in a part of 2/8 of the account; who has the most of it loses its largest, for another target or for a caller, and event 574 tells it (at most once a second). Reads of reports, lists and counts are held there too, and are bounded by what they are (64 KiB, 1 MiB for counts). Answers are held in blocks of three sizes. Connections of callers and to targets are bounded by 2/8 of the memory at 48 KiB each: 853 on 160 MB.

Unit tests: unread_bytes_of_targets_have_a_part_and_give_way, blocks_hold_what_was_pushed. bad_answers, untrusted_answers, serving, maps and the tests of relay, transport and routing pass.

--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -188,6 +188,8 @@
     ConnectionClosed = 572,
     /// A client was rejected because all connections were in use.
     ConnectionsFull = 573,
+    /// A connection to a target was dropped because memory is short and the target's unread answers hold the most of it.
+    TargetReadDropped = 574,
     /// Requests of a service begin to be sent to far data centres.
     AwayBegan = 580,
     /// Requests of a service are no longer sent to far data centres.
@@ -202,7 +204,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 94] = [
+pub const EVENTS: [Event; 95] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -295,6 +297,7 @@
     Event::BodyLate,
     Event::ConnectionClosed,
     Event::ConnectionsFull,
+    Event::TargetReadDropped,
     Event::AwayBegan,
     Event::AwayEnded,
 ];
--- a/crates/bilberryloft-relay/src/answer.rs
+++ b/crates/bilberryloft-relay/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bilberryloft_transport::held_blocks::HeldBlocks;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -188,3 +189,8 @@
 pub fn full_body(bytes: Bytes) -> AnswerBody {
     Full::new(bytes).map_err(|never| match never {}).boxed()
 }
+
+/// Returns a body of bytes that are held in the account.
+pub fn held_body(held: HeldBlocks) -> AnswerBody {
+    held.into_body().map_err(|never| match never {}).boxed()
+}
--- a/crates/bilberryloft-relay/src/attempt.rs
+++ b/crates/bilberryloft-relay/src/attempt.rs
@@ -123,7 +123,7 @@
                     return AttemptResult::Unknown { error: error.into_error().to_string() };
                 }
                 // The connection was closed before any byte of the request was written.
-                match Connection::open(&picked.address).await {
+                match state.pool.open(&picked.address).await {
                     Ok(fresh) => next = Some(fresh),
                     Err(error) => return AttemptResult::NotSent { error: error.to_string() },
                 }
@@ -148,7 +148,7 @@
             // The new connection and those in use also count against the share.
             let share = state.connection_share(&request.service);
             state.pool.trim(&picked.address, share.saturating_sub(picked.own_load as usize + 1));
-            Connection::open(&picked.address).await
+            state.pool.open(&picked.address).await
         }
     }
 }
--- a/crates/bilberryloft-relay/src/connection.rs
+++ b/crates/bilberryloft-relay/src/connection.rs
@@ -5,6 +5,7 @@
 //! without a head or a piece of a body are counted.
 
 use std::io;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -12,12 +13,14 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
+use bilberryloft_transport::account::Account;
 use bilberryloft_transport::account::Reservation;
-use bilberryloft_transport::held_bytes::HeldBytes;
+use bilberryloft_transport::account::Shortage;
+use bilberryloft_transport::held_blocks::HeldBlocks;
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
@@ -35,6 +38,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::memory::report::Report;
+use crate::read_hold::ReadHold;
+
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest head of an answer, and the most that is read ahead of the reader of a body, in bytes.
@@ -42,42 +48,67 @@
 /// Largest number of bytes that arrive without a head or a piece of a body.
 const BYTES_WITHOUT_PROGRESS_MAX: usize = 4 * BUFFER_BYTES_MAX;
 
-/// Counts the bytes that arrive without progress of the answer.
+/// Counts the bytes of the answer that arrive without progress, and those that its reader has not taken.
 #[derive(Debug, Default)]
 struct Progress {
     bytes: AtomicUsize,
+    /// Includes the framing of a body, which nobody takes, so it is a little too high.
+    untaken_bytes: AtomicUsize,
     is_answer_due: AtomicBool,
 }
 
 impl Progress {
     /// Begins to wait for an answer.
     fn begin(&self) {
-        self.record();
+        self.record_head();
         self.is_answer_due.store(true, Ordering::Relaxed);
     }
 
-    /// Records that a head or a piece of a body has arrived.
+    /// Records that a head has arrived.
+    fn record_head(&self) {
+        self.record();
+        self.untaken_bytes.store(0, Ordering::Relaxed);
+    }
+
+    /// Records that a piece of a body has arrived.
     fn record(&self) {
         self.bytes.store(0, Ordering::Relaxed);
     }
 
+    /// Records that the reader of the answer no longer holds so many bytes.
+    fn record_taken(&self, bytes: usize) {
+        let untaken_bytes = self.untaken_bytes.load(Ordering::Relaxed);
+        self.untaken_bytes.store(untaken_bytes.saturating_sub(bytes), Ordering::Relaxed);
+    }
+
     /// Records that the answer is complete.
     fn end(&self) {
         self.is_answer_due.store(false, Ordering::Relaxed);
     }
 
+    /// Returns the bytes of an answer that is due that nobody has taken, with `more`.
+    fn untaken_with(&self, more: usize) -> usize {
+        match self.is_answer_due.load(Ordering::Relaxed) {
+            true => self.untaken_bytes.load(Ordering::Relaxed) + more,
+            false => 0,
+        }
+    }
+
     /// Counts bytes; returns whether they are too many.
     fn add(&self, bytes: usize) -> bool {
+        self.untaken_bytes.fetch_add(bytes, Ordering::Relaxed);
         let before = self.bytes.fetch_add(bytes, Ordering::Relaxed);
         let is_due = self.is_answer_due.load(Ordering::Relaxed);
         is_due && before + bytes > BYTES_WITHOUT_PROGRESS_MAX
     }
 }
 
-/// Stream that fails when too many bytes arrive without progress of the answer.
+/// Stream that fails when too many bytes arrive without progress of the answer, and reads only what the account has room
+/// for.
 struct LimitedStream {
     stream: TcpStream,
     progress: Arc<Progress>,
+    hold: ReadHold,
 }
 
 impl AsyncRead for LimitedStream {
@@ -86,6 +117,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        // What the buffer has room for is allocated already.
+        let untaken_bytes = self.progress.untaken_with(buffer.remaining());
+        ready!(self.hold.poll_room(context, untaken_bytes))?;
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         let bytes = buffer.filled().len() - before;
@@ -131,18 +165,26 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    peer: IpAddr,
     progress: Arc<Progress>,
     requests_sent: u64,
 }
 
 impl Connection {
-    /// Opens a connection; fails if that takes longer than 400 ms.
-    pub async fn open(address: &str) -> io::Result<Connection> {
+    /// Opens a connection; fails if that takes longer than 400 ms. What arrives on it is held in the account.
+    pub async fn open(
+        address: &str,
+        account: &Arc<Account>,
+        report: &Arc<Report>,
+    ) -> io::Result<Connection> {
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, async {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
             let progress = Arc::new(Progress::default());
-            let limited = TokioIo::new(LimitedStream { stream, progress: progress.clone() });
+            let peer = stream.peer_addr()?.ip();
+            let hold = ReadHold::new(account.clone(), report.clone(), peer);
+            let limited = LimitedStream { stream, progress: progress.clone(), hold };
+            let limited = TokioIo::new(limited);
             let handshake =
                 http1::Builder::new().max_buf_size(BUFFER_BYTES_MAX).handshake(limited).await;
             let (sender, connection) = handshake.map_err(io::Error::other)?;
@@ -150,7 +192,7 @@
                 // A request on the connection gets the error itself.
                 let _ = connection.await;
             });
-            Ok(Connection { sender, progress, requests_sent: 0 })
+            Ok(Connection { sender, peer, progress, requests_sent: 0 })
         });
         opened.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
@@ -163,10 +205,15 @@
         self.progress.begin();
         self.requests_sent += 1;
         let result = self.sender.try_send_request(request).await;
-        self.progress.record();
+        self.progress.record_head();
         result
     }
 
+    /// Records that so many bytes of pieces are no longer held, or are held in the account elsewhere.
+    pub fn record_taken(&self, bytes: usize) {
+        self.progress.record_taken(bytes);
+    }
+
     /// Waits for the next piece of the body of an answer on this connection; `None` at its end.
     pub async fn next_frame(&self, body: &mut Incoming) -> Option<hyper::Result<Frame<Bytes>>> {
         let frame = body.frame().await;
@@ -177,40 +224,37 @@
         frame
     }
 
-    /// Reads the body of an answer on this connection; fails if it is larger than `bytes_max`.
-    pub async fn read_body(&self, mut body: Incoming, bytes_max: usize) -> io::Result<Bytes> {
-        let mut bytes = BytesMut::new();
-        while let Some(frame) = self.next_frame(&mut body).await {
-            let Ok(piece) = frame.map_err(io::Error::other)?.into_data() else {
-                continue;
-            };
-            if bytes.len() + piece.len() > bytes_max {
-                return Err(io::Error::other("the answer is too large"));
-            }
-            bytes.extend_from_slice(&piece);
-        }
-        Ok(bytes.freeze())
-    }
-
-    /// Reads the body of an answer like [`Connection::read_body`], into memory of an account. Waits for room until the
-    /// deadline.
+    /// Reads the body of an answer on this connection into memory of an account; fails if it is larger than `bytes_max`.
+    /// Waits for room until the deadline.
     pub async fn read_held_body(
         &self,
         mut body: Incoming,
         bytes_max: usize,
         reservation: Reservation,
         deadline: Instant,
-    ) -> io::Result<Bytes> {
+    ) -> io::Result<HeldBlocks> {
         let expected = body.size_hint().exact().map_or(bytes_max, |it| it as usize);
-        let mut held = HeldBytes::new(reservation, expected.min(bytes_max));
-        while let Some(frame) = self.next_frame(&mut body).await {
+        let mut held = HeldBlocks::new(reservation, expected.min(bytes_max));
+        loop {
+            let frame = tokio::select! {
+                () = held.reservation().evicted() => return Err(io::Error::other(Shortage::Dropped)),
+                frame = self.next_frame(&mut body) => frame,
+            };
+            let Some(frame) = frame else {
+                return Ok(held);
+            };
             let piece = frame.map_err(io::Error::other)?.into_data().unwrap_or_default();
             if held.len() + piece.len() > bytes_max {
                 return Err(io::Error::other("the answer is too large"));
             }
             held.push(&piece, deadline).await.map_err(io::Error::other)?;
+            self.record_taken(piece.len());
         }
-        Ok(held.into_bytes())
+    }
+
+    /// Returns the address of the target's host.
+    pub fn peer(&self) -> IpAddr {
+        self.peer
     }
 
     /// Returns whether at most one request has been sent on this connection.
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -15,7 +15,7 @@
 
 use crate::answer::AnswerBody;
 use crate::answer::Refusal;
-use crate::answer::full_body;
+use crate::answer::held_body;
 use crate::evacuation;
 use crate::headers;
 use crate::lifecycle::Stage;
@@ -106,10 +106,10 @@
     log_answered(&request, &answer);
     let (slot, received) = (answer.slot, answer.received);
     match received.body {
-        AnswerContent::Buffered(bytes) => {
+        AnswerContent::Buffered(held) => {
             state.daemon.metrics.answers.inc();
-            release_plain(slot, received.head.status, bytes.len());
-            received.head.into_response(full_body(bytes))
+            release_plain(slot, received.head.status, held.len());
+            received.head.into_response(held_body(held))
         }
         AnswerContent::Stream(streamed) => {
             let in_flight = InFlight { _open: open, _trial: answer.trial };
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod priority_admission;
 pub mod prompt_part;
 pub mod ranks;
+pub mod read_hold;
 pub mod readiness;
 pub mod relay;
 pub mod request;
--- a/crates/bilberryloft-relay/src/memory/plan.rs
+++ b/crates/bilberryloft-relay/src/memory/plan.rs
@@ -9,6 +9,10 @@
 /// Part of the host's memory that the account gets, in eighths. The process itself, the buffers of connections and
 /// unread bytes in sockets take the rest.
 const ACCOUNT_EIGHTHS: u64 = 3;
+/// Part of the host's memory for the connections of callers and to targets, with what serves them, in eighths.
+const CONNECTION_EIGHTHS: u64 = 2;
+/// Memory of one such connection with half of an open request, in bytes: buffers of the HTTP library, heads and tasks.
+const CONNECTION_BYTES: u64 = 48 << 10;
 /// Part of the host's memory for unread bytes in the sockets of callers, as a divisor.
 const SOCKETS_DIVISOR: u64 = 8;
 /// Bounds on the socket buffers of a connection, in bytes. Less makes bodies slow on links between data centres.
@@ -59,7 +63,10 @@
         let readiness_connections = part(READINESS_HUNDREDTHS);
         let peer_connections = part(PEER_HUNDREDTHS);
         let others = control_connections + readiness_connections + peer_connections;
-        let traffic = sockets.saturating_sub(OWN_SOCKETS + others as u64).max(2);
+        let by_memory =
+            limits.memory_bytes.map(|it| it / 8 * CONNECTION_EIGHTHS / CONNECTION_BYTES);
+        let traffic = sockets.saturating_sub(OWN_SOCKETS + others as u64);
+        let traffic = traffic.min(by_memory.unwrap_or(u64::MAX)).max(2);
         let caller_connections = (traffic * CALLER_HUNDREDTHS / 100).max(1) as usize;
         let socket_buffer_bytes = limits.memory_bytes.map(|it| {
             let each = it / SOCKETS_DIVISOR / caller_connections as u64;
--- a/crates/bilberryloft-relay/src/memory/report.rs
+++ b/crates/bilberryloft-relay/src/memory/report.rs
@@ -1,6 +1,7 @@
 //! Counts and log lines on what is refused and closed. Floods of clients cause few lines.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -124,6 +125,7 @@
 /// Counts and log lines.
 #[derive(Debug, Default)]
 pub struct Report {
+    targets_dropped: Tally,
     closed: [Tally; CloseCause::ALL.len()],
     faults: [Tally; BodyFault::ALL.len()],
     /// Requests whose connection this process ended before their answer was complete, by cause and progress.
@@ -160,6 +162,15 @@
         log_event!(warn, Event::RequestCut, request_id, cause, progress, client);
     }
 
+    /// Records that a connection to a target was dropped because memory is short and the target holds the most of it.
+    pub fn record_target_dropped(&self, target: IpAddr, held_bytes: u64) {
+        let Some(count) = self.targets_dropped.add() else {
+            return;
+        };
+        let target = target.to_string();
+        log_event!(warn, Event::TargetReadDropped, target, held_bytes, count);
+    }
+
     /// Records that a body was refused, with what is held at the moment.
     pub fn record_fault(&self, fault: BodyFault, client: &str, held_bytes: u64, total_bytes: u64) {
         let Some(count) = self.faults[fault as usize].add() else {
--- a/crates/bilberryloft-relay/src/pool.rs
+++ b/crates/bilberryloft-relay/src/pool.rs
@@ -1,9 +1,11 @@
 //! Pool of idle connections to targets.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bilberryloft_transport::account::Account;
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use parking_lot::Mutex;
@@ -11,6 +13,7 @@
 
 use crate::connection::Connection;
 use crate::headers;
+use crate::memory::report::Report;
 
 /// Largest number of idle connections to one target.
 const IDLE_MAX: usize = 16;
@@ -27,14 +30,31 @@
 }
 
 /// Idle connections by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
+    account: Arc<Account>,
+    report: Arc<Report>,
     idle: Mutex<BTreeMap<String, Vec<IdleConnection>>>,
     /// Each idle connection holds a reference, by which they are counted.
     idle_mark: Arc<()>,
 }
 
 impl Pool {
+    /// Creates an empty pool. What arrives on its connections is held in the account.
+    pub fn new(account: Arc<Account>, report: Arc<Report>) -> Pool {
+        Pool { account, report, idle: Mutex::default(), idle_mark: Arc::default() }
+    }
+
+    /// Returns the account.
+    pub fn account(&self) -> &Arc<Account> {
+        &self.account
+    }
+
+    /// Opens a connection, which is not in the pool.
+    pub async fn open(&self, address: &str) -> io::Result<Connection> {
+        Connection::open(address, &self.account, &self.report).await
+    }
+
     /// Returns the number of idle connections.
     pub fn idle_count(&self) -> usize {
         // One of the references is the pool's own.
--- a/crates/bilberryloft-relay/src/ranks/agent.rs
+++ b/crates/bilberryloft-relay/src/ranks/agent.rs
@@ -14,7 +14,6 @@
 use bilberryloft_transport::server::Call;
 use bilberryloft_transport::server::Handler;
 use bilberryloft_transport::server::Server;
-use hyper::Method;
 use parking_lot::Mutex;
 
 use crate::dialect::Dialect;
@@ -27,6 +26,9 @@
 use crate::ranks::state::to_wire;
 use crate::settings::ProcessLimits;
 use crate::target_call;
+use crate::target_call::COUNTS_BYTES_MAX;
+use crate::target_call::EXPERTS_BYTES_MAX;
+use crate::target_call::REPORT_BYTES_MAX;
 
 /// Timeout for one read from the target.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
@@ -65,14 +67,15 @@
         settings: &RankAgentSettings,
         dialect: Arc<dyn Dialect>,
     ) -> Result<RankAgent> {
+        let memory = Memory::new(&settings.process_limits);
         let service = Arc::new(AgentService {
             own_address: settings.listen_address,
             dialect,
-            pool: Pool::default(),
+            pool: Pool::new(memory.account.clone(), memory.report.clone()),
             readings: Mutex::default(),
         });
         let address = settings.listen_address.to_string();
-        let limits = Memory::new(&settings.process_limits).peer_limits();
+        let limits = memory.peer_limits();
         let (daemon, incarnation) = (&settings.daemon, epoch_ms());
         let server =
             Server::bind_within(&address, daemon, incarnation, None, service, limits).await?;
@@ -112,7 +115,9 @@
         self.check_target("target_read", &read.target_address)?;
         let mut bodies = Vec::with_capacity(read.paths.len());
         for path in &read.paths {
-            bodies.push(self.read("target_read", &read.target_address, path).await?);
+            bodies.push(
+                self.read("target_read", &read.target_address, path, EXPERTS_BYTES_MAX).await?,
+            );
         }
         Ok(bodies)
     }
@@ -123,10 +128,10 @@
         let address = read.target_address.as_str();
         self.check_target(STEP, address)?;
         let invalid = |detail: String| Error::protocol(STEP, address, detail);
-        let report = self.read(STEP, address, self.dialect.report_path()).await?;
+        let report = self.read(STEP, address, self.dialect.report_path(), REPORT_BYTES_MAX).await?;
         let report = self.dialect.decode_report(&report).map_err(invalid)?;
         let report = report.ok_or_else(|| invalid("the target is not a rank".to_string()))?;
-        let counts = self.read(STEP, address, self.dialect.counts_path()).await?;
+        let counts = self.read(STEP, address, self.dialect.counts_path(), COUNTS_BYTES_MAX).await?;
         let counts = self.dialect.decode_counts(&counts).map_err(invalid)?;
         let (step, epoch) = (counts.step, counts.epoch);
         let since_step = read.since_step.map(|it| it as u64);
@@ -146,16 +151,9 @@
         let (version, epoch) = (order.version as u64, order.epoch as u64);
         let body = self.dialect.encode_order(&RankOrder::Prepare { version, epoch, map: &map });
         let path = self.dialect.order_path();
-        let call = target_call::call(
-            &self.pool,
-            address,
-            Method::POST,
-            path,
-            body.into(),
-            PREPARE_TIMEOUT,
-        );
-        let status = match call.await {
-            Ok((status, _)) => i32::from(status.as_u16()),
+        let order = target_call::order(&self.pool, address, path, body.into(), PREPARE_TIMEOUT);
+        let status = match order.await {
+            Ok(status) => i32::from(status.as_u16()),
             Err(error) => {
                 tracing::debug!(%error, version, "no answer to an order to copy experts");
                 NO_STATUS
@@ -164,8 +162,14 @@
         Ok(wire::RankPrepared::new(status))
     }
 
-    async fn read(&self, step: &'static str, address: &str, path: &str) -> Result<Vec<u8>> {
-        let read = target_call::read(&self.pool, address, path, READ_TIMEOUT).await;
+    async fn read(
+        &self,
+        step: &'static str,
+        address: &str,
+        path: &str,
+        bytes_max: usize,
+    ) -> Result<Vec<u8>> {
+        let read = target_call::read(&self.pool, address, path, bytes_max, READ_TIMEOUT).await;
         let body = read.map_err(|it| Error::protocol(step, address, it.to_string()))?;
         Ok(body.to_vec())
     }
--- a/crates/bilberryloft-relay/src/ranks/client.rs
+++ b/crates/bilberryloft-relay/src/ranks/client.rs
@@ -7,7 +7,6 @@
 use bilberryloft_protocol::wire;
 use bilberryloft_protocol::wire::Body;
 use bilberryloft_transport::client::Client;
-use hyper::Method;
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -19,6 +18,8 @@
 use crate::ranks::state::RankChoices;
 use crate::ranks::state::from_wire;
 use crate::target_call;
+use crate::target_call::EXPERTS_BYTES_MAX;
+use crate::target_call::REPORT_BYTES_MAX;
 
 /// Timeout for reading from a rank.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
@@ -115,7 +116,7 @@
             *self.counted_step.lock() = choices.as_ref().map(|it| it.step);
             return Ok((report, choices));
         }
-        let report = self.read_direct(pool, dialect.report_path()).await?;
+        let report = self.read_direct(pool, dialect.report_path(), REPORT_BYTES_MAX).await?;
         let report =
             dialect.decode_report(&report)?.ok_or("the target is not a rank of a group")?;
         Ok((report, None))
@@ -127,7 +128,7 @@
         let read = wire::TargetRead::new(self.address.clone(), vec![path.to_string()]);
         let body = match self.call_agent(Body::TargetRead(read), READ_TIMEOUT).await {
             Some(Body::TargetBodies(mut read)) => read.bodies.pop().ok_or("no answer")?,
-            _ => self.read_direct(pool, path).await?,
+            _ => self.read_direct(pool, path, EXPERTS_BYTES_MAX).await?,
         };
         dialect.decode_experts(&body)
     }
@@ -164,10 +165,8 @@
     ) -> OrderOutcome {
         let body = dialect.encode_order(order);
         let path = dialect.order_path();
-        let answered =
-            target_call::call(pool, &self.address, Method::POST, path, body.into(), timeout);
-        match answered.await {
-            Ok((status, _)) => OrderOutcome::from_status(i32::from(status.as_u16())),
+        match target_call::order(pool, &self.address, path, body.into(), timeout).await {
+            Ok(status) => OrderOutcome::from_status(i32::from(status.as_u16())),
             Err(error) => {
                 tracing::debug!(%error, target_id = self.id, "no answer to an order");
                 OrderOutcome::Unknown
@@ -179,8 +178,13 @@
         self.agent_skipped_until.lock().is_some_and(|it| it > Instant::now())
     }
 
-    async fn read_direct(&self, pool: &Pool, path: &str) -> Result<Vec<u8>, String> {
-        let read = target_call::read(pool, &self.address, path, READ_TIMEOUT).await;
+    async fn read_direct(
+        &self,
+        pool: &Pool,
+        path: &str,
+        bytes_max: usize,
+    ) -> Result<Vec<u8>, String> {
+        let read = target_call::read(pool, &self.address, path, bytes_max, READ_TIMEOUT).await;
         read.map(|it| it.to_vec()).map_err(|it| it.to_string())
     }
 
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -11,7 +11,7 @@
 use bilberryloft_routing::targets::AttemptOutcome;
 use bilberryloft_transport::account::Purpose;
 use bilberryloft_transport::clock::monotonic_ms;
-use bytes::Bytes;
+use bilberryloft_transport::held_blocks::HeldBlocks;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
@@ -60,7 +60,7 @@
 /// Body of a target's answer.
 pub enum AnswerContent {
     /// The whole body.
-    Buffered(Bytes),
+    Buffered(HeldBlocks),
     /// A stream whose body has not been read yet.
     Stream(Box<Answered>),
 }
@@ -329,9 +329,9 @@
     let (parts, body) = response.into_parts();
     let held = state.memory.open(Purpose::Answer);
     match connection.read_held_body(body, BUFFERED_ANSWER_BYTES_MAX, held, request.deadline).await {
-        Ok(bytes) => {
+        Ok(held) => {
             state.pool.give_back(&address, connection, &parts.headers);
-            let body = AnswerContent::Buffered(bytes);
+            let body = AnswerContent::Buffered(held);
             (summary, Some(ReceivedAnswer { head, body }))
         }
         Err(error) => {
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -121,7 +121,7 @@
         let limits = LimitTracker::new(&daemon, services.clone(), entries.clone());
         let cold_limits = settings.cold_limits;
         let cold = ColdTracker::new(cold_limits, &daemon, services.clone(), entries.clone());
-        let pool = Arc::new(Pool::default());
+        let pool = Arc::new(Pool::new(memory.account.clone(), memory.report.clone()));
         let suspects = Arc::new(SuspectTracker::new(&daemon, services.clone(), pool.clone()));
         RelayState {
             daemon,
--- a/crates/bilberryloft-relay/src/stream/mod.rs
+++ b/crates/bilberryloft-relay/src/stream/mod.rs
@@ -25,6 +25,7 @@
 use crate::answer::AnswerBody;
 use crate::answer::IncompleteAnswer;
 use crate::attempt::Answered;
+use crate::connection::Connection;
 use crate::headers;
 use crate::held_trial::HeldTrial;
 use crate::lifecycle::OpenRequest;
@@ -258,7 +259,7 @@
                 None => break BodyEnd::Closed,
                 Some(Err(_)) => break BodyEnd::Broken,
                 Some(Ok(frame)) => {
-                    if let Some(end) = self.forward_frame(frame, slot).await {
+                    if let Some(end) = self.forward_counted(frame, slot, &connection).await {
                         break end;
                     }
                 }
@@ -270,6 +271,19 @@
         end
     }
 
+    /// Forwards a frame, and tells the connection what is no longer held of it.
+    async fn forward_counted(
+        &mut self,
+        frame: Frame<Bytes>,
+        slot: &TargetSlot,
+        connection: &Connection,
+    ) -> Option<BodyEnd> {
+        let held_bytes = frame.data_ref().map_or(0, Bytes::len) + self.framer.partial_bytes();
+        let end = self.forward_frame(frame, slot).await;
+        connection.record_taken(held_bytes.saturating_sub(self.framer.partial_bytes()));
+        end
+    }
+
     async fn forward_frame(&mut self, frame: Frame<Bytes>, slot: &TargetSlot) -> Option<BodyEnd> {
         let Ok(bytes) = frame.into_data() else {
             return None;
--- a/crates/bilberryloft-relay/src/target_call.rs
+++ b/crates/bilberryloft-relay/src/target_call.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bilberryloft_transport::account::Purpose;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Method;
@@ -9,12 +10,19 @@
 use hyper::StatusCode;
 use hyper::client::conn::TrySendError;
 use hyper::header;
+use tokio::time::Instant;
 
-use crate::connection::Connection;
 use crate::pool::Pool;
+use crate::read_hold::target_holder;
 
-/// Largest answer body that is read, in bytes.
-const ANSWER_BYTES_MAX: usize = 1 << 20;
+/// Largest answer to an order, in bytes; only its status is used.
+const ORDER_ANSWER_BYTES_MAX: usize = 16 << 10;
+/// Largest report of a target, in bytes; they have some hundred.
+pub const REPORT_BYTES_MAX: usize = 64 << 10;
+/// Largest list of the experts of a rank, in bytes; of 100 sets it has a few thousand.
+pub const EXPERTS_BYTES_MAX: usize = 64 << 10;
+/// Largest counts of chosen experts, in bytes; of 10 sets of 384 experts they have 20 thousand.
+pub const COUNTS_BYTES_MAX: usize = 1 << 20;
 
 /// Error of a call without an answer; it is unknown whether the target carried it out.
 #[derive(Debug)]
@@ -31,30 +39,40 @@
     }
 }
 
-/// Calls a target and returns the status and body of its answer.
-pub async fn call(
+/// A call to a target, and what is read of its answer.
+struct TargetCall<'a> {
+    address: &'a str,
+    method: Method,
+    path: &'a str,
+    body: Bytes,
+    /// Largest answer body.
+    answer_bytes_max: usize,
+}
+
+/// Sends an order to a target and returns the status of its answer.
+pub async fn order(
     pool: &Pool,
     address: &str,
-    method: Method,
     path: &str,
     body: Bytes,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), CallError> {
-    let answered = tokio::time::timeout(timeout, exchange(pool, address, method, path, body)).await;
-    let fail = |detail: String| CallError { address: address.to_string(), detail };
-    let result =
-        answered.map_err(|_| fail(format!("timed out after {} ms", timeout.as_millis())))?;
-    result.map_err(|error| fail(error.to_string()))
+) -> Result<StatusCode, CallError> {
+    let answer_bytes_max = ORDER_ANSWER_BYTES_MAX;
+    let call = TargetCall { address, method: Method::POST, path, body, answer_bytes_max };
+    Ok(exchange_within(pool, call, timeout).await?.0)
 }
 
-/// Reads the body at a path; any status other than a success is an error.
+/// Reads the body at a path; any status other than a success, and a larger body than allowed, is an error.
 pub async fn read(
     pool: &Pool,
     address: &str,
     path: &str,
+    answer_bytes_max: usize,
     timeout: Duration,
 ) -> Result<Bytes, CallError> {
-    let (status, body) = call(pool, address, Method::GET, path, Bytes::new(), timeout).await?;
+    let (method, body) = (Method::GET, Bytes::new());
+    let call = TargetCall { address, method, path, body, answer_bytes_max };
+    let (status, body) = exchange_within(pool, call, timeout).await?;
     match status.is_success() {
         true => Ok(body),
         false => {
@@ -63,28 +81,47 @@
     }
 }
 
+async fn exchange_within(
+    pool: &Pool,
+    call: TargetCall<'_>,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let address = call.address.to_string();
+    let deadline = Instant::now() + timeout;
+    let answered = tokio::time::timeout_at(deadline, exchange(pool, call, deadline)).await;
+    let timed_out = || format!("timed out after {} ms", timeout.as_millis());
+    let result = match answered {
+        Ok(result) => result.map_err(|it| it.to_string()),
+        Err(_) => Err(timed_out()),
+    };
+    result.map_err(|detail| CallError { address, detail })
+}
+
 async fn exchange(
     pool: &Pool,
-    address: &str,
-    method: Method,
-    path: &str,
-    body: Bytes,
+    call: TargetCall<'_>,
+    deadline: Instant,
 ) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error + Send + Sync>> {
+    let address = call.address;
     let mut connection = match pool.take(address) {
         Some(connection) => connection,
-        None => Connection::open(address).await?,
+        None => pool.open(address).await?,
     };
-    let mut request = Request::new(Full::new(body.clone()));
-    *request.method_mut() = method;
-    *request.uri_mut() = path.parse()?;
+    let has_body = !call.body.is_empty();
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = call.path.parse()?;
     let headers = request.headers_mut();
     headers.insert(header::HOST, address.parse()?);
-    if !body.is_empty() {
+    if has_body {
         headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
     }
     let response = connection.send(request).await.map_err(TrySendError::into_error)?;
     let (parts, body) = response.into_parts();
-    let bytes = connection.read_body(body, ANSWER_BYTES_MAX).await?;
+    let holder = target_holder(connection.peer());
+    let reservation = pool.account().open_unfinished(Purpose::Reading, holder);
+    let bytes_max = call.answer_bytes_max;
+    let bytes = connection.read_held_body(body, bytes_max, reservation, deadline).await?;
     pool.give_back(address, connection, &parts.headers);
-    Ok((parts.status, bytes))
+    Ok((parts.status, bytes.into_bytes()))
 }
--- a/crates/bilberryloft-relay/src/target_probe.rs
+++ b/crates/bilberryloft-relay/src/target_probe.rs
@@ -6,7 +6,6 @@
 use bilberryloft_coordination::target_end::ProbeResult;
 use hyper::HeaderMap;
 
-use crate::connection::Connection;
 use crate::pool::Pool;
 
 /// Time for which a new connection must stay open. A target that is ending may still accept connections.
@@ -14,7 +13,7 @@
 
 /// Opens a connection to a target; a connection that stays open goes to the pool.
 pub async fn probe_target(pool: &Pool, address: &str) -> ProbeResult {
-    let connection = match Connection::open(address).await {
+    let connection = match pool.open(address).await {
         Ok(connection) => connection,
         Err(error) => return classify(error.kind()),
     };
@@ -27,7 +26,7 @@
         return ProbeResult::Connected;
     }
     // A target with too many connections resets new ones, too, but goes on accepting them.
-    match Connection::open(address).await {
+    match pool.open(address).await {
         Ok(_) => ProbeResult::Connected,
         Err(error) => classify(error.kind()),
     }
--- a/crates/bilberryloft-relay/tests/memory.rs
+++ b/crates/bilberryloft-relay/tests/memory.rs
@@ -18,6 +18,8 @@
 use bilberryloft_transport::account::Holder;
 use bilberryloft_transport::account::Purpose;
 use bilberryloft_transport::account::SMALL_BYTES;
+use bilberryloft_transport::account::Shortage;
+use bilberryloft_transport::held_blocks::HeldBlocks;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -173,6 +175,59 @@
     check_empty(&account);
 }
 
+/// Guards against answers of faulty targets that take the room of callers, or of each other without bound.
+#[tokio::test]
+async fn unread_bytes_of_targets_have_a_part_and_give_way() {
+    let account = Account::new(16 * MIB as u64);
+    let open = |number| account.open_unfinished(Purpose::Reading, holder(number, "target"));
+    let mut faulty = vec![open(1), open(1), open(1)];
+    let mut sound = open(2);
+    for reservation in &mut faulty {
+        assert_eq!(reservation.try_grow(MIB as u64), Ok(true));
+    }
+    assert_eq!(sound.try_grow(MIB as u64), Ok(true));
+    assert_eq!(sound.try_grow(1), Ok(false), "beyond the part of targets");
+    faulty[0].evicted().await;
+    assert_eq!(faulty[1].try_grow(2 * MIB as u64), Err(Shortage::Dropped));
+    drop(faulty.remove(0));
+    let mut bodies = Vec::new();
+    for number in 3..10 {
+        let read = spawn_read(&account, holder(number, ""), body(MIB, 1, Ending::Never));
+        bodies.push(read);
+        wait_held(&account, u64::from(number - 2) * MIB as u64).await;
+    }
+    assert_eq!(account.unfinished(), 10, "a target made a body give way");
+    let mut more = account.open_unfinished(Purpose::Body, holder(10, ""));
+    assert_eq!(more.try_grow(MIB as u64), Ok(false));
+    faulty[0].evicted().await;
+    bodies.iter().for_each(JoinHandle::abort);
+}
+
+/// Guards against answers in blocks that are not what the target sent.
+#[tokio::test]
+async fn blocks_hold_what_was_pushed() {
+    let account = Account::new(16 * MIB as u64);
+    let sent: Vec<u8> = (0..300_000_u32).map(|it| (it % 251) as u8).collect();
+    for piece_bytes in [1_000, 70_000, 300_000] {
+        for expected in [100, 300_000, MIB] {
+            let read = || async {
+                let mut held = HeldBlocks::new(account.open(Purpose::Answer), expected);
+                for piece in sent.chunks(piece_bytes) {
+                    held.push(piece, Instant::now() + PLENTY).await.unwrap();
+                }
+                held
+            };
+            let body = read().await.into_body();
+            assert_eq!(hyper::body::Body::size_hint(&body).exact(), Some(sent.len() as u64));
+            assert_eq!(body.collect().await.unwrap().to_bytes(), sent);
+            let bytes = read().await.into_bytes();
+            assert!(account.held_bytes(Purpose::Answer) >= sent.len() as u64);
+            assert_eq!(bytes, sent);
+        }
+    }
+    check_empty(&account);
+}
+
 /// Guards against closing connections in use, or those that callers keep, before those on which nothing was ever sent.
 #[tokio::test]
 async fn connections_without_a_request_give_way_first() {
--- a/crates/bilberryloft-routing/src/event_stream.rs
+++ b/crates/bilberryloft-routing/src/event_stream.rs
@@ -56,6 +56,11 @@
         self.needs_id = self.last_id.is_some();
     }
 
+    /// Returns the size of the incomplete event at the end of the stream.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether the stream ends in an incomplete event.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/bilberryloft-transport/src/account.rs
+++ b/crates/bilberryloft-transport/src/account.rs
@@ -21,6 +21,8 @@
 const BODY_EIGHTHS: u64 = 5;
 /// Part of the account that answers may fill as well, in eighths; the rest is for small reservations.
 const ANSWER_EIGHTHS: u64 = 7;
+/// Part of the account that unread bytes of targets may fill, in eighths.
+const READING_EIGHTHS: u64 = 2;
 
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -37,17 +39,20 @@
     Heartbeat,
     /// Frame from another daemon.
     Frame,
+    /// What targets send and nobody has taken yet, and answers that are read on the process's own behalf.
+    Reading,
 }
 
 impl Purpose {
     /// All purposes.
-    pub const ALL: [Purpose; 6] = [
+    pub const ALL: [Purpose; 7] = [
         Purpose::Body,
         Purpose::Answer,
         Purpose::Stream,
         Purpose::Document,
         Purpose::Heartbeat,
         Purpose::Frame,
+        Purpose::Reading,
     ];
 
     /// Returns the name used in logs and metrics.
@@ -59,6 +64,7 @@
             Purpose::Document => "document",
             Purpose::Heartbeat => "heartbeat",
             Purpose::Frame => "frame",
+            Purpose::Reading => "reading",
         }
     }
 
@@ -67,6 +73,8 @@
         match self {
             // Their number is bounded by that of their connections, and targets and the quorum depend on them.
             Purpose::Heartbeat | Purpose::Frame if bytes <= SMALL_BYTES => u64::MAX,
+            // Also small ones, as there are many.
+            Purpose::Reading => total / 8 * READING_EIGHTHS,
             _ if bytes <= SMALL_BYTES => total,
             Purpose::Answer | Purpose::Stream => total / 8 * ANSWER_EIGHTHS,
             Purpose::Body | Purpose::Document | Purpose::Heartbeat | Purpose::Frame => {
@@ -118,12 +126,23 @@
 
 #[derive(Debug)]
 struct Unfinished {
+    purpose: Purpose,
     holder: Holder,
     bytes: u64,
     eviction: Arc<Eviction>,
     is_evicted: bool,
 }
 
+impl Unfinished {
+    /// Returns whether it may be dropped for bytes of a purpose. Those of targets give way to all, and nobody to them.
+    fn may_give_way_to(&self, purpose: Purpose) -> bool {
+        match self.purpose {
+            Purpose::Reading => self.bytes > 0,
+            _ => purpose != Purpose::Reading,
+        }
+    }
+}
+
 /// What an account holds.
 #[derive(Debug, Default)]
 struct AccountState {
@@ -137,13 +156,27 @@
         self.held.iter().sum()
     }
 
+    /// Returns the bytes that count towards the ceiling of a purpose.
+    fn counted_bytes(&self, purpose: Purpose) -> u64 {
+        match purpose {
+            Purpose::Reading => self.held[Purpose::Reading as usize],
+            _ => self.held_bytes(),
+        }
+    }
+
     /// Chooses who is dropped so that `bytes` are released, as if `own` had grown by them. Fails if that is `own` itself.
-    fn make_room(&mut self, own: Option<u64>, bytes: u64) -> Result<u64, Shortage> {
+    fn make_room(
+        &mut self,
+        purpose: Purpose,
+        own: Option<u64>,
+        bytes: u64,
+    ) -> Result<u64, Shortage> {
         let mut evicted = 0;
+        let releasing = self.unfinished.values().filter(|it| it.is_evicted);
         let mut releasing: u64 =
-            self.unfinished.values().filter(|it| it.is_evicted).map(|it| it.bytes).sum();
+            releasing.filter(|it| it.may_give_way_to(purpose)).map(|it| it.bytes).sum();
         while releasing < bytes {
-            let Some(id) = self.largest(own, bytes) else {
+            let Some(id) = self.largest(purpose, own, bytes) else {
                 return Ok(evicted);
             };
             if own == Some(id) {
@@ -160,9 +193,12 @@
     }
 
     /// Returns the largest unfinished body of the largest holder, the oldest of equals; none if only `own` is left.
-    fn largest(&self, own: Option<u64>, bytes: u64) -> Option<u64> {
+    fn largest(&self, purpose: Purpose, own: Option<u64>, bytes: u64) -> Option<u64> {
         let size = |id: u64, it: &Unfinished| it.bytes + if own == Some(id) { bytes } else { 0 };
-        let candidates = || self.unfinished.iter().filter(|(_, it)| !it.is_evicted);
+        let candidates = || {
+            let left = self.unfinished.iter().filter(|(_, it)| !it.is_evicted);
+            left.filter(|(id, it)| own == Some(**id) || it.may_give_way_to(purpose))
+        };
         if candidates().all(|(id, _)| own == Some(*id)) {
             return None;
         }
@@ -231,7 +267,8 @@
     /// Opens an empty reservation for a body or frame whose end has not arrived, which may be dropped.
     pub fn open_unfinished(self: &Arc<Self>, purpose: Purpose, holder: Holder) -> Reservation {
         let eviction = Arc::new(Eviction::default());
-        let entry = Unfinished { holder, bytes: 0, eviction: eviction.clone(), is_evicted: false };
+        let entry =
+            Unfinished { purpose, holder, bytes: 0, eviction: eviction.clone(), is_evicted: false };
         let mut state = self.state.lock();
         state.next_id += 1;
         let id = state.next_id;
@@ -244,9 +281,11 @@
         let mut state = self.state.lock();
         let ceiling = reservation.purpose.ceiling(reservation.bytes + bytes, self.total_bytes);
         let own = reservation.unfinished.as_ref().map(|it| it.0);
-        let wanted = state.held_bytes() + bytes;
-        if wanted > ceiling {
-            let dropped = state.make_room(own, bytes.min(wanted - ceiling));
+        let counted = state.counted_bytes(reservation.purpose) + bytes;
+        let all = state.held_bytes() + bytes;
+        let excess = counted.saturating_sub(ceiling);
+        if excess > 0 || (reservation.purpose == Purpose::Reading && all > self.total_bytes) {
+            let dropped = state.make_room(reservation.purpose, own, bytes.min(excess));
             // The reservation itself counts as dropped if it is the one.
             self.dropped.fetch_add(dropped.unwrap_or(1), Ordering::Relaxed);
             return dropped.map(|_| false);
@@ -298,6 +337,27 @@
         Ok(())
     }
 
+    /// Adds bytes if there is room for them now; returns whether there was. Otherwise room is being made, if it can be.
+    pub fn try_grow(&mut self, bytes: u64) -> Result<bool, Shortage> {
+        let account = self.account.clone();
+        let is_added = account.try_add(self, bytes)?;
+        if is_added {
+            self.bytes += bytes;
+        }
+        Ok(is_added)
+    }
+
+    /// Returns a future that ends when this unfinished body must be dropped, and does not borrow the reservation.
+    pub fn when_evicted(&self) -> impl Future<Output = ()> + Send + 'static {
+        let eviction = self.unfinished.as_ref().map(|it| it.1.clone());
+        async move {
+            match eviction {
+                Some(eviction) => eviction.wait().await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
     /// Waits until this unfinished body must be dropped; for ever if it is whole.
     pub async fn evicted(&self) {
         match &self.unfinished {
--- a/crates/bilberryloft-transport/src/lib.rs
+++ b/crates/bilberryloft-transport/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod clock;
 pub mod frame;
+pub mod held_blocks;
 pub mod held_bytes;
 pub mod http;
 pub mod server;
