--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -11,7 +11,7 @@
 use bilberryloft_routing::targets::AttemptOutcome;
 use bilberryloft_transport::account::Purpose;
 use bilberryloft_transport::clock::monotonic_ms;
-use bytes::Bytes;
+use bilberryloft_transport::held_blocks::HeldBlocks;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
@@ -60,7 +60,7 @@
 /// Body of a target's answer.
 pub enum AnswerContent {
     /// The whole body.
-    Buffered(Bytes),
+    Buffered(HeldBlocks),
     /// A stream whose body has not been read yet.
     Stream(Box<Answered>),
 }
@@ -232,7 +232,7 @@
         state.daemon.remote_shares.count(slot.picked().away.is_away);
         state.limits.log_sent(&request.id, slot.picked());
         let (summary, answer) = match run_attempt(state, request, &slot).await {
-            AttemptEnd::Ended(summary, answer) => (summary, answer),
+            AttemptEnd::Ended(summary, answer) => (summary, answer.map(|it| *it)),
             AttemptEnd::Timeout => {
                 log_ended(request, slot.picked(), "timeout", None);
                 slot.release_broken();
@@ -269,7 +269,7 @@
 /// How one attempt ended.
 enum AttemptEnd {
     /// The target answered, or failed to.
-    Ended(AttemptSummary, Option<ReceivedAnswer>),
+    Ended(AttemptSummary, Option<Box<ReceivedAnswer>>),
     /// The request timed out.
     Timeout,
     /// This process ends before the target has answered.
@@ -289,7 +289,7 @@
     });
     tokio::select! {
         ended = attempt => match ended {
-            Ok((summary, answer)) => AttemptEnd::Ended(summary, answer),
+            Ok((summary, answer)) => AttemptEnd::Ended(summary, answer.map(Box::new)),
             Err(_) => AttemptEnd::Timeout,
         },
         () = state.lifecycle.wait_for_stage(Stage::Answering) => AttemptEnd::Stopping,
@@ -381,9 +381,9 @@
     let (parts, body) = response.into_parts();
     let held = state.memory.open(Purpose::Answer);
     match connection.read_held_body(body, BUFFERED_ANSWER_BYTES_MAX, held, request.deadline).await {
-        Ok(bytes) => {
+        Ok(held) => {
             state.pool.give_back(&address, connection, &parts.headers);
-            let body = AnswerContent::Buffered(bytes);
+            let body = AnswerContent::Buffered(held);
             (summary, Some(ReceivedAnswer { head, body }))
         }
         Err(error) => {
