--- a/crates/bilberryloft-relay/src/stream/mod.rs
+++ b/crates/bilberryloft-relay/src/stream/mod.rs
@@ -28,6 +28,7 @@
 use crate::headers;
 use crate::held_trial::HeldTrial;
 use crate::lifecycle::OpenRequest;
+use crate::lifecycle::Stage;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
 use crate::stream::resume::Continuation;
@@ -56,6 +57,8 @@
     CallerLeft,
     /// The request timed out.
     Timeout,
+    /// This process ends before the stream.
+    Stopping,
 }
 
 /// What lasts as long as a stream: it counts as open, and its trial goes on.
@@ -148,6 +151,7 @@
                 }
                 BodyEnd::CallerLeft => return self.log_caller_left(),
                 BodyEnd::Timeout => return self.abort("timeout").await,
+                BodyEnd::Stopping => return self.abort("stopping").await,
                 BodyEnd::Moved(next) => {
                     slot.release(AttemptOutcome::Unknown);
                     *next
@@ -230,7 +234,8 @@
         let key = slot.picked().key;
         let mut may_resume = self.may_resume();
         let migration = wait_for_migration(&state, &request, key, Duration::ZERO);
-        tokio::pin!(migration);
+        let stopping = state.lifecycle.wait_for_stage(Stage::Breaking);
+        tokio::pin!(migration, stopping);
         let mut checked = Instant::now();
         let end = loop {
             let frame = tokio::select! {
@@ -250,6 +255,7 @@
                     continue;
                 }
                 () = tokio::time::sleep_until(self.request.deadline) => break BodyEnd::Timeout,
+                () = &mut stopping => break BodyEnd::Stopping,
             };
             match frame {
                 None if self.framer.has_partial() => break BodyEnd::Broken,
--- a/crates/bilberryloft-relay/src/stream/resume.rs
+++ b/crates/bilberryloft-relay/src/stream/resume.rs
@@ -108,7 +108,9 @@
 
     fn resume_until(&self) -> Instant {
         let until = (self.last_event + RESUME_WITHIN).max(Instant::now() + RESUME_TIME_MIN);
-        until.min(self.request.deadline)
+        let until = until.min(self.request.deadline);
+        let stop_times = self.state.lifecycle.stop_times();
+        stop_times.map_or(until, |it| until.min(it.breaking))
     }
 
     /// Reserves a slot at a target that has not been tried, or at any if all have been.
