--- a/crates/bilberryloft-daemon/src/control/snapshots.rs
+++ b/crates/bilberryloft-daemon/src/control/snapshots.rs
@@ -15,6 +15,8 @@
 
 /// Bytes by which the log must grow before the next snapshot, as a multiple of the last snapshot's size.
 const SNAPSHOT_GROWTH_FACTOR: usize = 4;
+/// Pause before a snapshot that failed is tried again, in milliseconds.
+const SNAPSHOT_RETRY_PAUSE_MS: u64 = 1_000;
 
 /// What decides when the next snapshot is due.
 pub(super) struct SnapshotProgress {
@@ -22,14 +24,24 @@
     is_running: bool,
     /// Payload bytes of the log entries applied since the last snapshot was started.
     pub log_bytes: usize,
+    /// Value of `log_bytes` when the snapshot that is being written was started.
+    started_log_bytes: usize,
     /// Size of the last snapshot in bytes, 0 without one.
     last_bytes: usize,
+    /// Time before which no snapshot is started, in milliseconds.
+    not_before_ms: u64,
 }
 
 impl SnapshotProgress {
     /// Progress of a member that has opened its data folder.
     pub fn after(last_bytes: usize) -> SnapshotProgress {
-        SnapshotProgress { is_running: false, log_bytes: 0, last_bytes }
+        SnapshotProgress {
+            is_running: false,
+            log_bytes: 0,
+            started_log_bytes: 0,
+            last_bytes,
+            not_before_ms: 0,
+        }
     }
 }
 
@@ -40,7 +52,8 @@
         let log = self.raft.log();
         let is_due = self.applied_index >= log.snapshot_index() + self.settings.snapshot_entries
             && self.snapshots.log_bytes >= SNAPSHOT_GROWTH_FACTOR * self.snapshots.last_bytes;
-        if !is_due || self.snapshots.is_running {
+        let is_paused = self.raft.now_ms() < self.snapshots.not_before_ms;
+        if !is_due || is_paused || self.snapshots.is_running {
             return;
         }
         let Some(last_term) = log.term_at(self.applied_index) else {
@@ -53,15 +66,15 @@
         let folder = self.data_folder.clone();
         let (inputs, opening) = (self.input_sender.clone(), self.opening);
         self.snapshots.is_running = true;
-        self.snapshots.log_bytes = 0;
+        self.snapshots.started_log_bytes = std::mem::take(&mut self.snapshots.log_bytes);
         tokio::task::spawn_blocking(move || {
             let written = write_machine_snapshot(&folder, snapshot, &machine);
             let _ = inputs.blocking_send(Input::SnapshotWritten { opening, written });
         });
     }
 
-    /// Compacts the log after a snapshot was written; a failed snapshot leaves the log as it is. So does one that was
-    /// started before the folder was opened again: the member may have recovered less than it covers.
+    /// Compacts the log after a snapshot was written. A failed one leaves the log as it is and is tried again. One that
+    /// was started before the folder was opened again is dropped: the member may have recovered less than it covers.
     pub(super) fn finish_snapshot(&mut self, opening: u64, written: Result<Snapshot>) {
         if opening != self.opening {
             return;
@@ -70,8 +83,9 @@
         let snapshot = match written {
             Ok(snapshot) => snapshot,
             Err(error) => {
-                // The log is not compacted; the next snapshot is tried when the log has grown further.
                 log_event!(error, Event::SnapshotFailed, %error);
+                self.snapshots.log_bytes += self.snapshots.started_log_bytes;
+                self.snapshots.not_before_ms = self.raft.now_ms() + SNAPSHOT_RETRY_PAUSE_MS;
                 return;
             }
         };
