The time to stop counts from before the signal, however late it is noticed

What callers saw: requests cut by the platform, which kills a process that has not ended in its time; on a slow host a process may notice SIGTERM late and then take its whole time.

Cause: the time counted from when the main thread noticed the signal.

At most a quarter of the time to stop counts as passed, so that a process that was suspended for long still has time to answer.

Evidence: signal_that_is_noticed_late_does_not_lengthen_the_stop: before, not ended in its 8 s (process suspended for 1.2 s around the signal).

--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -25,6 +25,9 @@
 use crate::stop_times::StopTimes;
 use crate::suspects::spawn_run_reports;
 
+/// Part of the time to stop that counts as passed at most before the signal is noticed, as a divisor. A process that was
+/// suspended for longer is not the cause of what is lost.
+const LATE_DIVISOR: u32 = 4;
 /// Time for the rest of requests that are arriving when no connections are accepted any more.
 const ARRIVAL_TIME: Duration = Duration::from_millis(500);
 /// Interval at which it is checked during shutdown whether all is answered.
@@ -67,11 +70,17 @@
     /// Shuts down gracefully: reports not ready, then stops accepting connections, then waits until the answers to all
     /// requests that were read have been written to their last byte. A voter of the quorum also waits until another host
     /// votes in its place.
-    pub fn shutdown(self) {
+    ///
+    /// The time to stop counts from `not_stopped`, a time shortly before the signal, as a process on a slow host may
+    /// notice it late; but at most a quarter of the time to stop counts as passed.
+    pub fn shutdown(self, not_stopped: Instant) {
         let leave_deadline_ms = self.daemon.begin_leave(self.state.settings.stop_within_ms);
         let within = Duration::from_millis(self.state.settings.stop_within_ms);
-        let times = StopTimes::new(Instant::now(), within);
-        log_event!(info, Event::RelayStopping, open = self.unanswered());
+        let now = Instant::now();
+        let late = now.duration_since(not_stopped).min(within / LATE_DIVISOR);
+        let times = StopTimes::new(now, late, within);
+        let late_ms = late.as_millis() as u64;
+        log_event!(info, Event::RelayStopping, open = self.unanswered(), late_ms);
         self.state.lifecycle.begin_stop(times);
         std::thread::sleep(times.closed.saturating_duration_since(Instant::now()));
         self.close(&times);
--- a/crates/bilberryloft-relay/src/stop_times.rs
+++ b/crates/bilberryloft-relay/src/stop_times.rs
@@ -30,10 +30,12 @@
 }
 
 impl StopTimes {
-    /// Divides the time that a process has from the signal to its end.
-    pub fn new(signalled: Instant, within: Duration) -> StopTimes {
-        let closed = signalled + CLOSE_NOTICE.min(within * CLOSE_HUNDREDTHS_MAX / 100);
-        let end = signalled + within.saturating_sub(EXIT_RESERVE);
+    /// Divides the time that a process has from the signal to its end. The signal was noticed `now`, and may have come
+    /// earlier by `late`.
+    pub fn new(now: Instant, late: Duration, within: Duration) -> StopTimes {
+        let left = within.saturating_sub(late);
+        let closed = now + CLOSE_NOTICE.min(left * CLOSE_HUNDREDTHS_MAX / 100);
+        let end = now + left.saturating_sub(EXIT_RESERVE);
         let answer_time = within * ANSWER_HUNDREDTHS / 100;
         StopTimes {
             closed,
