Tests of full disks hold up the sync that they mean

snapshot_that_a_full_disk_refused_is_written_with_room failed once of five runs, beside a load average of 28 ("assertion failed" at the change that waits for the hold): the test held up the next sync of any temporary file, and could meet the one of the log's switch, with the disk thread behind it. What they check is as it was.

--- a/crates/bilberryloft-testing/src/control_hosts.rs
+++ b/crates/bilberryloft-testing/src/control_hosts.rs
@@ -36,6 +36,8 @@
 const FOLDER: &str = "/data/control";
 /// Time limit of each wait and change.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which a host that is due to begin a snapshot has begun it.
+const SETTLE_TIME: Duration = Duration::from_millis(100);
 /// Time between two looks at what a test waits for.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -133,6 +135,23 @@
         self.disk.paths().iter().filter_map(name).collect()
     }
 
+    /// Waits until the host's log has been switched to its last snapshot, and no other is being written.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that takes too long.
+    pub async fn settle(&self) {
+        let is_settled = || {
+            let names = self.file_names();
+            let is_switched =
+                names.iter().any(|it| it.starts_with("wal-") && !it.ends_with("0001.log"));
+            is_switched && names.len() == 2
+        };
+        wait_until(is_settled, "the log is switched to the snapshot").await;
+        tokio::time::sleep(SETTLE_TIME).await;
+        wait_until(is_settled, "the log is switched to the snapshot").await;
+    }
+
     /// Proposes a document to this host alone; `None` if it isn't acknowledged in time.
     pub async fn put_document(&self, version: u64, text: &str, timeout: Duration) -> Option<u64> {
         let client = ControlClient::new(std::slice::from_ref(&self.address), "test", 1);
--- a/crates/bilberryloft-testing/src/memory_disk.rs
+++ b/crates/bilberryloft-testing/src/memory_disk.rs
@@ -36,7 +36,7 @@
 enum Hold {
     #[default]
     Off,
-    /// The next sync of a path that ends with the text is held up.
+    /// The next sync of a file or folder whose name starts with the text is held up.
     Armed(String),
     Holding,
 }
@@ -44,7 +44,10 @@
 impl Hold {
     fn takes(&self, path: &Path) -> bool {
         match self {
-            Hold::Armed(path_end) => path.to_string_lossy().ends_with(path_end.as_str()),
+            Hold::Armed(start) => {
+                let name = path.file_name().map(|it| it.to_string_lossy());
+                name.is_some_and(|it| it.starts_with(start.as_str()))
+            }
             Hold::Off | Hold::Holding => false,
         }
     }
@@ -127,10 +130,10 @@
         state.capacity_bytes = bytes.map(|it| it + state.used_bytes());
     }
 
-    /// Holds up the next sync of a file or folder whose path ends with a text, until [`MemoryDisk::release`]. Later
+    /// Holds up the next sync of a file or folder whose name starts with a text, until [`MemoryDisk::release`]. Later
     /// syncs are not held up.
-    pub fn hold_next_sync(&self, path_end: &str) {
-        self.state.lock().hold = Hold::Armed(path_end.to_string());
+    pub fn hold_next_sync(&self, name_start: &str) {
+        self.state.lock().hold = Hold::Armed(name_start.to_string());
     }
 
     /// Whether a sync is held up.
--- a/crates/bilberryloft-testing/tests/full_disks.rs
+++ b/crates/bilberryloft-testing/tests/full_disks.rs
@@ -51,7 +51,8 @@
     let slow = (leader + 1) % 3;
     let disk = hosts.hosts[slow].disk.clone();
     // The snapshot has its name, and waits for the sync of the folder.
-    disk.hold_next_sync("/control");
+    hosts.hosts[slow].settle().await;
+    disk.hold_next_sync("control");
     while !disk.is_holding() {
         assert!(hosts.put(leader, Duration::from_secs(10)).await);
     }
@@ -156,7 +157,7 @@
             let idx = random.usize(0..3);
             let disk = hosts.hosts[idx].disk.clone();
             if random.bool() {
-                disk.hold_next_sync(["/control", ".tmp", ".log"][random.usize(0..3)]);
+                disk.hold_next_sync(["control", "snapshot-", "wal-"][random.usize(0..3)]);
             }
             for _ in 0..random.usize(0..8) {
                 hosts.put(random.usize(0..3), SHORT_TIMEOUT).await;
@@ -197,7 +198,8 @@
     let mut hosts = ControlHosts::start(1);
     hosts.check_each_acknowledges("at the start").await;
     let disk = hosts.hosts[0].disk.clone();
-    disk.hold_next_sync(".tmp");
+    hosts.hosts[0].settle().await;
+    disk.hold_next_sync("snapshot-");
     while !disk.is_holding() {
         assert!(hosts.put(0, Duration::from_secs(10)).await);
     }
