The first configuration is refused until the hosts that are there vote

Cause: the quorum is founded by up to three seeds, whatever fault_tolerance says, and the leader adds further voters one after the other. Until then two lost disks take the majority and all holders.

Change: while the quorum has no document and fewer voters than wanted, the leader refuses the first document, and evacuations before it, with the cause (503 at the entry, event 221), while it is new for less than 1.5 s or a host that has reported is no voter yet. A host that never comes delays by 1.5 s, one that reports and never catches up by 10 s.

Why it works: once five vote, a commit is held by three, and an election needs three of those that may vote.

--- a/crates/bilberryloft-coordination/src/member_planner.rs
+++ b/crates/bilberryloft-coordination/src/member_planner.rs
@@ -12,6 +12,9 @@
 pub const MEMBER_TIMEOUT_MS: u64 = 3_000;
 /// Time after an election in which every running host has reported to the new leader, in milliseconds.
 pub const FIRST_REPORTS_MS: u64 = 1_500;
+/// Longest time after an election for which the first hosts are awaited as voters, in milliseconds. A host that reports
+/// but never catches up must not hold up the quorum for good.
+pub const FOUNDING_MAX_MS: u64 = 10_000;
 
 #[derive(Clone, Debug)]
 struct Host {
@@ -95,6 +98,18 @@
         knows_all_hosts && !has_spare && !is_surplus
     }
 
+    /// Returns whether a quorum that has just been founded has the voters that it will have: as many as wanted, or all
+    /// hosts that are there.
+    pub fn is_complete(&self, members: &MemberSet, now_ms: u64) -> bool {
+        let has_enough = members.voters.len() >= self.voters_wanted;
+        if has_enough || now_ms >= self.term_start_ms + FOUNDING_MAX_MS {
+            return true;
+        }
+        let is_spare = |it: &&u32| !members.voters.contains_key(it) && self.stays(**it, now_ms);
+        let knows_all_hosts = now_ms >= self.term_start_ms + FIRST_REPORTS_MS;
+        knows_all_hosts && !self.hosts.keys().any(|it| is_spare(&it))
+    }
+
     /// Returns the next member set, one change away from the current one; `None` when no change is needed.
     ///
     /// `is_in_sync` says whether a member may vote and has all committed entries.
--- a/crates/bilberryloft-coordination/tests/member_planner.rs
+++ b/crates/bilberryloft-coordination/tests/member_planner.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 use bilberryloft_coordination::member_planner::FIRST_REPORTS_MS;
+use bilberryloft_coordination::member_planner::FOUNDING_MAX_MS;
 use bilberryloft_coordination::member_planner::MEMBER_TIMEOUT_MS;
 use bilberryloft_coordination::member_planner::MemberPlanner;
 use bilberryloft_coordination::raft::HeardLeader;
@@ -189,3 +190,29 @@
     planner.start_term(&members, Some(previous_leader), now_ms);
     assert_eq!(planner.next_members(&members, |_| true, now_ms), None);
 }
+
+// Guards against a first configuration that is acknowledged by too few voters, or refused for good.
+#[test]
+fn new_quorum_is_complete_once_all_hosts_that_are_there_vote() {
+    let mut planner = MemberPlanner::new(1, 5);
+    let founders = voters(&[1, 2, 3]);
+    planner.start_term(&founders, None, 0);
+    assert!(
+        !planner.is_complete(&founders, FIRST_REPORTS_MS - 1),
+        "others may not have reported yet"
+    );
+    assert!(planner.is_complete(&founders, FIRST_REPORTS_MS), "no other host is there");
+    planner.note_alive(4, address(4), FIRST_REPORTS_MS);
+    assert!(!planner.is_complete(&founders, FIRST_REPORTS_MS + 1), "4 is no voter yet");
+    assert!(planner.is_complete(&voters(&[1, 2, 3, 4]), FIRST_REPORTS_MS + 1));
+    let away_ms = FIRST_REPORTS_MS + MEMBER_TIMEOUT_MS + 1;
+    assert!(planner.is_complete(&founders, away_ms), "4 has gone");
+    planner.note_alive(4, address(4), FOUNDING_MAX_MS);
+    assert!(!planner.is_complete(&founders, FOUNDING_MAX_MS - 1));
+    assert!(planner.is_complete(&founders, FOUNDING_MAX_MS), "4 never catches up");
+    assert!(planner.is_complete(&voters(&[1, 2, 3, 4, 5]), 0), "there are as many as wanted");
+    assert!(
+        MemberPlanner::new(1, 0).is_complete(&founders, 0),
+        "the members are the operators' matter"
+    );
+}
--- a/crates/bilberryloft-daemon/src/control/handle.rs
+++ b/crates/bilberryloft-daemon/src/control/handle.rs
@@ -27,6 +27,13 @@
     },
     /// The member lost its leadership or its disk before the outcome was known; a proposal may still be committed.
     Lost,
+    /// The quorum has just been founded, and hosts that are there are no voters yet; nothing was proposed.
+    Founding {
+        /// Number of voters.
+        voters: usize,
+        /// Number of voters that the quorum is meant to have.
+        wanted: usize,
+    },
     /// The member has stopped, or is recovering from a disk failure.
     Stopped,
 }
--- a/crates/bilberryloft-daemon/src/control/member_changes.rs
+++ b/crates/bilberryloft-daemon/src/control/member_changes.rs
@@ -2,8 +2,10 @@
 
 use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_coordination::raft::Role;
+use bilberryloft_state::state_machine::Command;
 
 use crate::control::handle::PendingReply;
+use crate::control::handle::ProposeError;
 use crate::control::handle::Reply;
 use crate::control::node::ControlNode;
 use crate::control::node::Pending;
@@ -38,6 +40,30 @@
         let _ = reply.send(Ok(self.may_stop(member)));
     }
 
+    /// Proposes a command, unless it is the first one that operators rely on and the quorum is still being founded: it
+    /// would be lost with as many disks as the quorum tolerates later.
+    pub(super) fn propose_for_caller(&mut self, command: Command, reply: PendingReply) {
+        let is_order = matches!(command, Command::PutDocument(_) | Command::Evacuate(_));
+        if is_order && self.is_being_founded() {
+            let voters = self.raft.members().voters.len();
+            let wanted = self.settings.voters_wanted;
+            if !self.has_held_document {
+                log_event!(info, Event::FirstDocumentHeld, voters, wanted);
+            }
+            self.has_held_document = true;
+            return reply.finish(Err(ProposeError::Founding { voters, wanted }));
+        }
+        self.propose(command, reply);
+    }
+
+    /// Whether this member leads a quorum without a document to which hosts that are there don't belong yet.
+    fn is_being_founded(&self) -> bool {
+        let leads = self.raft.role() == Role::Leader;
+        let is_complete =
+            || self.member_planner.is_complete(self.raft.members(), self.raft.now_ms());
+        leads && self.lock_machine().document.document().version == 0 && !is_complete()
+    }
+
     /// Assesses periodically how many losses the quorum tolerates, if this member leads it, and logs each change.
     pub(super) fn assess_loss_tolerance(&mut self) {
         if self.raft.role() != Role::Leader {
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -78,6 +78,8 @@
     pub(super) loss_tolerance: Option<LossTolerance>,
     /// Time of the next assessment of `loss_tolerance`, in milliseconds.
     pub(super) assessment_due_ms: u64,
+    /// Whether this member has refused a first document in its term.
+    pub(super) has_held_document: bool,
     pub(super) settings: ControlSettings,
     seed: u64,
     report_sender: mpsc::UnboundedSender<DiskReport>,
@@ -141,6 +143,7 @@
             member_planner: MemberPlanner::new(settings.member, settings.voters_wanted),
             loss_tolerance: None,
             assessment_due_ms: 0,
+            has_held_document: false,
             settings: settings.clone(),
             seed,
             report_sender,
@@ -277,7 +280,7 @@
             }
             Input::PeerEnded { member } => self.raft.peer_ended(member, monotonic_ms()),
             Input::Propose { command, reply } => {
-                self.propose(command, PendingReply::Outcome(reply))
+                self.propose_for_caller(command, PendingReply::Outcome(reply))
             }
             Input::ChangeMembers { members, reply } => self.change_members(members, reply),
             Input::Read { reply } => self.read(reply),
--- a/crates/bilberryloft-daemon/src/control/service.rs
+++ b/crates/bilberryloft-daemon/src/control/service.rs
@@ -188,7 +188,7 @@
     ) {
         let leader = match error {
             ProposeError::NotLeader { leader_address: Some(address) } if !was_forwarded => address,
-            other => return responder.fail(step, format!("{other:?}")).await,
+            other => return responder.fail(step, describe(&other)).await,
         };
         match self.leader_client(&leader).call(body, FORWARD_TIMEOUT).await {
             Ok(response) => drop(responder.send(response).await),
@@ -369,6 +369,15 @@
     }
 }
 
+fn describe(error: &ProposeError) -> String {
+    match error {
+        ProposeError::Founding { voters, wanted } => format!(
+            "the quorum is being founded: {voters} of {wanted} voters, and further hosts may come"
+        ),
+        other => format!("{other:?}"),
+    }
+}
+
 /// Returns the newest version of the document that a watcher knows of.
 fn known_document(watch: &wire::Watch) -> Option<u64> {
     let version = watch.known_document_version.or(watch.document_version)?;
--- a/crates/bilberryloft-daemon/src/control/target_leases.rs
+++ b/crates/bilberryloft-daemon/src/control/target_leases.rs
@@ -59,6 +59,7 @@
             let previous_leader = self.raft.heard_leader();
             let (members, now_ms) = (self.raft.members(), self.raft.now_ms());
             self.member_planner.start_term(members, previous_leader, now_ms);
+            self.has_held_document = false;
         }
         if !leads && self.was_leader {
             log_event!(warn, Event::LeaderSteppedDown, term = self.raft.term());
--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -74,6 +74,8 @@
     ChangeCommitted = 219,
     /// The member was told at its first start to found a quorum, and has recorded that durably.
     FoundingRecorded = 220,
+    /// The leader refuses the first document and first orders until the quorum has its voters.
+    FirstDocumentHeld = 221,
     /// The target announced itself.
     TargetAnnounced = 300,
     /// The target stopped announcing itself.
@@ -202,7 +204,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 94] = [
+pub const EVENTS: [Event; 95] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -238,6 +240,7 @@
     Event::LossToleranceChanged,
     Event::ChangeCommitted,
     Event::FoundingRecorded,
+    Event::FirstDocumentHeld,
     Event::TargetAnnounced,
     Event::TargetSilent,
     Event::TargetCrashed,
