Orders to ranks take no earlier answer for their own

The second copy of a stream's answer was taken for the answer to an order on the same connection; the planner counted the rank as armed.

Cause: orders and reads went over the pooled connections of callers' requests, bear no id, and believed the first answer that came.

Change: an order is sent on a new connection, which is closed after its answer. What the process reads itself has a pool of its own. A change of a map costs one connection for each order.

All five tests of maps pass.

--- a/crates/bilberryloft-relay/src/expert_planner/change.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/change.rs
@@ -70,7 +70,7 @@
         for _ in 0..HOLD_ATTEMPTS_MAX {
             let hold = RankOrder::Hold { step: change.step, epoch: change.epoch };
             let timeout = order_timeout(&hold, 1);
-            match holder.order(&self.state.pool, dialect, &hold, timeout).await {
+            match holder.order(&self.state.call_pool, dialect, &hold, timeout).await {
                 OrderOutcome::Accepted => return Some(change),
                 // The pass has already started.
                 OrderOutcome::Conflict => change.step += 1,
@@ -162,7 +162,7 @@
     /// Returns whether the group has failed or formed again, which resets all prepared maps, armed ranks and holds.
     async fn has_group_ended(&self, ranks: &[RankSnapshot]) -> bool {
         let dialect = self.state.dialect.as_ref();
-        let reads = ranks.iter().map(|it| it.client.read(&self.state.pool, dialect));
+        let reads = ranks.iter().map(|it| it.client.read(&self.state.call_pool, dialect));
         let epoch = ranks[0].report.epoch;
         let reports = join_all(reads).await.into_iter().flatten();
         reports.into_iter().any(|(report, _)| !report.is_open || report.epoch != epoch)
@@ -175,7 +175,7 @@
         let go = RankOrder::Go { step };
         let timeout = order_timeout(&go, 1);
         while Instant::now() < until && self.control.status().leads {
-            let outcome = holder.order(&self.state.pool, dialect, &go, timeout).await;
+            let outcome = holder.order(&self.state.call_pool, dialect, &go, timeout).await;
             if outcome != OrderOutcome::Unknown {
                 return;
             }
@@ -188,7 +188,7 @@
         ranks: &[&RankSnapshot],
         order: &RankOrder<'_>,
     ) -> Vec<OrderOutcome> {
-        let (pool, dialect) = (&self.state.pool, self.state.dialect.as_ref());
+        let (pool, dialect) = (&self.state.call_pool, self.state.dialect.as_ref());
         let timeout = order_timeout(order, ranks.len());
         join_all(ranks.iter().map(|it| it.client.order(pool, dialect, order, timeout))).await
     }
@@ -201,7 +201,7 @@
         epoch: u64,
         map: &[ExpertSetMap],
     ) -> Vec<OrderOutcome> {
-        let (pool, dialect) = (&self.state.pool, self.state.dialect.as_ref());
+        let (pool, dialect) = (&self.state.call_pool, self.state.dialect.as_ref());
         let order = RankOrder::Prepare { version, epoch, map };
         let compact = map_codec::encode(map);
         let timeout = order_timeout(&order, ranks.len());
--- a/crates/bilberryloft-relay/src/expert_planner/mod.rs
+++ b/crates/bilberryloft-relay/src/expert_planner/mod.rs
@@ -149,7 +149,7 @@
     async fn read_ranks(&self, clients: Vec<Arc<RankClient>>) -> Vec<RankSnapshot> {
         let (state, dialect) = (&self.state, self.state.dialect.as_ref());
         let reads = clients.into_iter().map(|client| async move {
-            match client.read(&state.pool, dialect).await {
+            match client.read(&state.call_pool, dialect).await {
                 Ok((report, choices)) => {
                     Some(RankSnapshot { client, read_at: Instant::now(), report, choices })
                 }
@@ -388,7 +388,7 @@
     version: u64,
 ) -> Option<Vec<ExpertSetMap>> {
     let dialect = state.dialect.as_ref();
-    let reads = ranks.iter().map(|it| it.client.experts(&state.pool, dialect));
+    let reads = ranks.iter().map(|it| it.client.experts(&state.call_pool, dialect));
     let mut map = vec![vec![Vec::new(); ranks.len()]; experts.sets];
     for (rank, read) in join_all(reads).await.into_iter().enumerate() {
         let read = read.ok().filter(|it| it.version == version && it.sets.len() == experts.sets)?;
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -86,7 +86,7 @@
         Err(refusal) => return refuse(&id, refusal, arrived, None),
     };
     let open = state.lifecycle.track_request();
-    let open_requests = state.lifecycle.open_requests();
+    let open_requests = state.lifecycle.open_requests() + state.call_pool.idle_count();
     if !state.memory.make_connection_room(&state.pool, open_requests, 0).await {
         return refuse(&id, Refusal::ConnectionsFull, arrived, None);
     }
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -156,6 +156,7 @@
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
             state.pool.sweep();
+            state.call_pool.sweep();
         }
     });
 }
--- a/crates/bilberryloft-relay/src/server.rs
+++ b/crates/bilberryloft-relay/src/server.rs
@@ -51,7 +51,7 @@
         match accepted {
             Ok((stream, client)) => {
                 let memory = &state.memory;
-                let open = state.lifecycle.open_requests();
+                let open = state.lifecycle.open_requests() + state.call_pool.idle_count();
                 memory.make_connection_room(&state.pool, open, 1).await;
                 if let Some((stream, guard)) = admit(stream, client, &memory.callers, memory).await
                 {
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -69,8 +69,10 @@
     pub dialect: Arc<dyn Dialect>,
     /// Settings of the relay.
     pub settings: RelaySettings,
-    /// Idle connections to targets.
+    /// Idle connections to targets for callers' requests.
     pub pool: Arc<Pool>,
+    /// Idle connections to targets for what this process reads itself.
+    pub call_pool: Pool,
     /// Targets, queues, pauses and groups of all services.
     pub services: Arc<Services>,
     /// Requests under which targets ended.
@@ -121,13 +123,15 @@
         let limits = LimitTracker::new(&daemon, services.clone(), entries.clone());
         let cold_limits = settings.cold_limits;
         let cold = ColdTracker::new(cold_limits, &daemon, services.clone(), entries.clone());
-        let pool = Arc::new(Pool::new(memory.account.clone(), memory.report.clone()));
+        let new_pool = || Pool::new(memory.account.clone(), memory.report.clone());
+        let (pool, call_pool) = (Arc::new(new_pool()), new_pool());
         let suspects = Arc::new(SuspectTracker::new(&daemon, services.clone(), pool.clone()));
         RelayState {
             daemon,
             dialect,
             settings,
             pool,
+            call_pool,
             services,
             suspects,
             entries,
--- a/crates/bilberryloft-relay/src/target_call.rs
+++ b/crates/bilberryloft-relay/src/target_call.rs
@@ -47,9 +47,12 @@
     body: Bytes,
     /// Largest answer body.
     answer_bytes_max: usize,
+    /// Whether it may be sent on a connection that has been used before.
+    may_reuse: bool,
 }
 
-/// Sends an order to a target and returns the status of its answer.
+/// Sends an order to a target, on a connection that has carried nothing else, and returns the status of its answer. Orders and
+/// their answers bear no id, so on any other connection an earlier answer could be taken for this one.
 pub async fn order(
     pool: &Pool,
     address: &str,
@@ -57,8 +60,9 @@
     body: Bytes,
     timeout: Duration,
 ) -> Result<StatusCode, CallError> {
+    let (method, may_reuse) = (Method::POST, false);
     let answer_bytes_max = ORDER_ANSWER_BYTES_MAX;
-    let call = TargetCall { address, method: Method::POST, path, body, answer_bytes_max };
+    let call = TargetCall { address, method, path, body, answer_bytes_max, may_reuse };
     Ok(exchange_within(pool, call, timeout).await?.0)
 }
 
@@ -70,8 +74,8 @@
     answer_bytes_max: usize,
     timeout: Duration,
 ) -> Result<Bytes, CallError> {
-    let (method, body) = (Method::GET, Bytes::new());
-    let call = TargetCall { address, method, path, body, answer_bytes_max };
+    let (method, body, may_reuse) = (Method::GET, Bytes::new(), true);
+    let call = TargetCall { address, method, path, body, answer_bytes_max, may_reuse };
     let (status, body) = exchange_within(pool, call, timeout).await?;
     match status.is_success() {
         true => Ok(body),
@@ -103,7 +107,8 @@
     deadline: Instant,
 ) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error + Send + Sync>> {
     let address = call.address;
-    let mut connection = match pool.take(address) {
+    let kept = if call.may_reuse { pool.take(address) } else { None };
+    let mut connection = match kept {
         Some(connection) => connection,
         None => pool.open(address).await?,
     };
@@ -122,6 +127,8 @@
     let reservation = pool.account().open_unfinished(Purpose::Reading, holder);
     let bytes_max = call.answer_bytes_max;
     let bytes = connection.read_held_body(body, bytes_max, reservation, deadline).await?;
-    pool.give_back(address, connection, &parts.headers);
+    if call.may_reuse {
+        pool.give_back(address, connection, &parts.headers);
+    }
     Ok((parts.status, bytes.into_bytes()))
 }
