--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -206,7 +206,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 95] = [
+pub const EVENTS: [Event; 96] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
--- a/crates/bilberryloft-relay/src/relay.rs
+++ b/crates/bilberryloft-relay/src/relay.rs
@@ -165,6 +165,7 @@
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
             state.pool.sweep();
+            state.call_pool.sweep();
         }
     });
 }
