--- a/crates/bilberryloft-testing/tests/drain_and_shutdown.rs
+++ b/crates/bilberryloft-testing/tests/drain_and_shutdown.rs
@@ -6,7 +6,9 @@
 use bilberryloft_state::configuration::ChangeKind;
 use bilberryloft_state::configuration::ChangeOutcome;
 use bilberryloft_state::refusal::Reason;
+use bilberryloft_state::refusal::RunState;
 use bilberryloft_testing::caller::Caller;
+use bilberryloft_testing::caller::Reply;
 use bilberryloft_testing::engine::expected_answer;
 use bilberryloft_testing::fleet::Fleet;
 use bilberryloft_testing::links::Links;
@@ -212,3 +214,41 @@
         "a request that runs at a drained target must finish"
     );
 }
+
+/// Stops an entry whose time to stop is shorter than a request takes, and returns what its caller got.
+async fn reply_of_stopped_entry(name: &str, is_streamed: bool) -> Reply {
+    let mut fleet = Fleet::plan(name, 1, 1, 1);
+    let engine = fleet.engine_settings_mut("engine-1");
+    engine.tokens = TOKENS;
+    engine.token_ms = 1_000;
+    fleet.settings_mut("entry-1").shutdown_max_ms = 2_000;
+    start_fleet(&mut fleet).await;
+    let entry = fleet.entry_address(0);
+    let request = tokio::spawn(async move {
+        let caller = Caller::new("depot-token").with_header("bilberryloft-deadline-ms", "60000");
+        caller.request_completion(&entry, "long", is_streamed).await
+    });
+    fleet.wait_for("the request to run", async || runs_at(&fleet, 1) == 1).await;
+    fleet.processes["entry-1"].signal("TERM");
+    let reply = request.await.unwrap();
+    let mut process = fleet.processes.remove("entry-1").unwrap();
+    assert_eq!(process.wait(Duration::from_secs(20)), Some(true));
+    reply
+}
+
+/// Guards against a request that is cut off without an answer when the time of a stopping entry is over.
+#[tokio::test]
+async fn request_that_outlasts_the_stop_is_told_that_it_may_have_run() {
+    let reply = reply_of_stopped_entry("stop-outlasting", false).await;
+    let problem = reply.problem.unwrap_or_else(|| panic!("cut off: {:?}", reply.error));
+    assert_eq!((reply.status, problem.run), (504, RunState::Unknown));
+}
+
+/// Guards against a stream that is cut off without a final event when the time of a stopping entry is over.
+#[tokio::test]
+async fn stream_that_outlasts_the_stop_ends_with_an_error_event() {
+    let reply = reply_of_stopped_entry("stop-outlasting-stream", true).await;
+    assert!(!reply.is_complete);
+    let problem = reply.problem.unwrap_or_else(|| panic!("cut off: {:?}", reply.error));
+    assert_eq!(problem.run, RunState::Unknown);
+}
