--- a/crates/bilberryloft-testing/tests/full_disks.rs
+++ b/crates/bilberryloft-testing/tests/full_disks.rs
@@ -175,6 +175,7 @@
                 if random.bool() {
                     disk.lose_power(&mut random, false);
                 }
+                disk.release();
                 // A full disk may prevent the start; the process is then started again with room.
                 let _ = hosts.hosts[idx].start();
             }
@@ -214,3 +215,20 @@
     disk.refuse(Refusal::Nothing);
     wait_until(|| snapshots() != before, "a snapshot is written with room").await;
 }
+
+/// Guards against a process that serves nothing while its disk hangs at its start.
+#[tokio::test]
+async fn host_starts_while_its_disk_hangs_and_takes_part_afterwards() {
+    let mut hosts = ControlHosts::start(3);
+    hosts.check_each_acknowledges("at the start").await;
+    for (idx, name) in [(0, "wal-"), (1, "control")] {
+        let disk = hosts.hosts[idx].disk.clone();
+        hosts.hosts[idx].stop();
+        disk.hold_next_sync(name);
+        hosts.hosts[idx].start().unwrap();
+        assert!(hosts.put((idx + 1) % 3, Duration::from_secs(10)).await);
+        assert!(disk.is_holding());
+        disk.release();
+        hosts.check_each_acknowledges(&format!("the disk of host {idx} works")).await;
+    }
+}
