--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -44,7 +44,8 @@
 use crate::control::handle::QuorumStatus;
 use crate::control::handle::Reply;
 use crate::control::peers::Peers;
-use crate::control::recovery::RecoveredMember;
+use crate::control::recovery::FolderOpening;
+use crate::control::reopen::open_at_start;
 use crate::control::snapshots::SnapshotProgress;
 use crate::events::Event;
 use crate::log_event;
@@ -85,6 +86,8 @@
     pub(super) report_sender: mpsc::UnboundedSender<DiskReport>,
     pub(super) data_folder: DataFolder,
     pub(super) input_sender: mpsc::Sender<Input>,
+    /// Opening of the data folder that was begun at the start and is not finished.
+    pub(super) first_opening: Option<FolderOpening>,
     /// Number of times that the data folder was opened again.
     pub(super) opening: u64,
     pub(super) snapshots: SnapshotProgress,
@@ -101,8 +104,8 @@
 impl ControlNode {
     /// Opens the data folder and starts the event loop on the current runtime.
     ///
-    /// Fails when the data folder can't be recovered or the disk thread can't be started. While the disk is full, the
-    /// node runs and opens the folder as soon as there is room.
+    /// Fails when the data folder can't be recovered or the disk thread can't be started. While the disk is full or
+    /// hangs, the node runs and opens the folder as soon as it can.
     pub fn spawn(
         settings: &ControlSettings,
         daemon: &str,
@@ -120,7 +123,7 @@
         incarnation: u64,
     ) -> Result<ControlHandle> {
         let seed = digest(&[daemon.as_bytes(), &incarnation.to_le_bytes()]) as u64;
-        let recovered = RecoveredMember::open_or_wait(&data_folder, settings, seed)?;
+        let (recovered, first_opening) = open_at_start(&data_folder, settings, seed)?;
         let (input_sender, inputs) = mpsc::channel(INPUT_QUEUE_MAX);
         let (report_sender, reports) = mpsc::unbounded_channel();
         let (applied, applied_receiver) = watch::channel(AppliedVersions::default());
@@ -149,6 +152,7 @@
             report_sender,
             data_folder,
             input_sender,
+            first_opening,
             opening: 0,
             snapshots: SnapshotProgress::after(recovered.snapshot_bytes),
             was_leader: false,
--- a/crates/bilberryloft-daemon/src/control/recovery.rs
+++ b/crates/bilberryloft-daemon/src/control/recovery.rs
@@ -1,6 +1,9 @@
 //! Recovery of a quorum member: reads its data folder and starts Raft from it.
 
 use std::path::Path;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::TryRecvError;
+use std::time::Duration;
 
 use bilberryloft_coordination::raft::InitialState;
 use bilberryloft_coordination::raft::Options;
@@ -20,6 +23,9 @@
 use crate::log_event;
 use crate::settings::ControlSettings;
 
+/// Time between two looks at an opening that is not finished.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// A quorum member recovered from its data folder.
 pub(super) struct RecoveredMember {
     /// Storage, unless the folder could not be opened.
@@ -33,25 +39,14 @@
 }
 
 impl RecoveredMember {
-    /// Reads the data folder as [`RecoveredMember::open`] does. If the disk is full, returns a member of no quorum without
-    /// storage instead, which has to open its folder before it does anything.
-    pub fn open_or_wait(
-        folder: &DataFolder,
-        settings: &ControlSettings,
-        seed: u64,
-    ) -> Result<RecoveredMember> {
-        match RecoveredMember::open(folder, settings, seed) {
-            Err(error) if error.is_full_disk() => {
-                log_event!(warn, Event::DiskFailed, %error, step = "start", help = error.help());
-                Ok(RecoveredMember {
-                    storage: None,
-                    machine: StateMachine::default(),
-                    raft: Raft::new(raft_options(settings), InitialState::default()),
-                    applied_index: 0,
-                    snapshot_bytes: 0,
-                })
-            }
-            other => other,
+    /// A member of no quorum without storage, which has to open its folder before it does anything.
+    pub fn absent(settings: &ControlSettings) -> RecoveredMember {
+        RecoveredMember {
+            storage: None,
+            machine: StateMachine::default(),
+            raft: Raft::new(raft_options(settings), InitialState::default()),
+            applied_index: 0,
+            snapshot_bytes: 0,
         }
     }
 
@@ -97,6 +92,50 @@
     }
 }
 
+/// An opening of a data folder on a thread of its own, since the disk may hang.
+pub(super) struct FolderOpening {
+    result: Receiver<Result<RecoveredMember>>,
+}
+
+impl FolderOpening {
+    /// Begins to open the folder; fails when no thread can be started.
+    pub fn begin(
+        folder: &DataFolder,
+        settings: &ControlSettings,
+        seed: u64,
+    ) -> Result<FolderOpening> {
+        let (sender, result) = std::sync::mpsc::channel();
+        let (path, folder, settings) =
+            (folder.path().to_path_buf(), folder.clone(), settings.clone());
+        let open = move || {
+            // Sending fails only when the node has stopped.
+            let _ = sender.send(RecoveredMember::open(&folder, &settings, seed));
+        };
+        let thread = std::thread::Builder::new().name("open".to_string()).spawn(open);
+        thread.map_err(|it| Error::disk("start the thread to open", path, it))?;
+        Ok(FolderOpening { result })
+    }
+
+    /// Waits for the result, at most for a given time; afterwards, [`FolderOpening::finish`] waits for the rest.
+    pub fn wait(&self, longest: Duration) -> Option<Result<RecoveredMember>> {
+        self.result.recv_timeout(longest).ok()
+    }
+
+    /// Waits for the result without a thread that the end of the process would wait for.
+    pub async fn finish(self) -> Result<RecoveredMember> {
+        loop {
+            match self.result.try_recv() {
+                Ok(result) => return result,
+                Err(TryRecvError::Empty) => tokio::time::sleep(POLL_INTERVAL).await,
+                Err(TryRecvError::Disconnected) => {
+                    let error = std::io::Error::other("the thread has ended");
+                    return Err(Error::disk("open", "the data folder", error));
+                }
+            }
+        }
+    }
+}
+
 fn raft_options(settings: &ControlSettings) -> Options {
     Options {
         heartbeat_ms: settings.heartbeat_ms,
--- a/crates/bilberryloft-daemon/src/control/reopen.rs
+++ b/crates/bilberryloft-daemon/src/control/reopen.rs
@@ -3,19 +3,46 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
+use bilberryloft_state::folder::DataFolder;
 
 use crate::control::disk::DiskWriter;
 use crate::control::node::ControlNode;
+use crate::control::recovery::FolderOpening;
 use crate::control::recovery::RecoveredMember;
 use crate::control::snapshots::SnapshotProgress;
 use crate::events::Event;
 use crate::log_event;
+use crate::settings::ControlSettings;
 
 /// Pause before the data folder is opened again after its disk failed.
 const REOPEN_PAUSE: Duration = Duration::from_millis(300);
 
+/// Longest time for which a start waits until the data folder is open.
+const START_WAIT: Duration = Duration::from_millis(500);
+
+/// Opens the data folder for a node that starts. If the disk is full or hangs, returns a member of no quorum and the
+/// opening that goes on; any other fault ends the start.
+pub(super) fn open_at_start(
+    folder: &DataFolder,
+    settings: &ControlSettings,
+    seed: u64,
+) -> Result<(RecoveredMember, Option<FolderOpening>)> {
+    let opening = FolderOpening::begin(folder, settings, seed)?;
+    match opening.wait(START_WAIT) {
+        Some(Err(error)) if error.is_full_disk() => {
+            log_event!(warn, Event::DiskFailed, %error, step = "start", help = error.help());
+            Ok((RecoveredMember::absent(settings), None))
+        }
+        Some(opened) => Ok((opened?, None)),
+        None => {
+            let waited_ms = START_WAIT.as_millis() as u64;
+            log_event!(warn, Event::DiskFailed, step = "start", error = "slow", waited_ms);
+            Ok((RecoveredMember::absent(settings), Some(opening)))
+        }
+    }
+}
+
 impl ControlNode {
     /// Recovers from the data folder after a disk failure, as a restarted process would; everything that was
     /// acknowledged is in the folder.
@@ -23,7 +50,9 @@
         self.disk = DiskWriter::stopped();
         self.fail_pending();
         loop {
-            self.drop_inputs_during(tokio::time::sleep(REOPEN_PAUSE)).await;
+            if self.first_opening.is_none() {
+                self.drop_inputs_during(tokio::time::sleep(REOPEN_PAUSE)).await;
+            }
             match self.try_reopen().await {
                 Ok(()) => break,
                 Err(error) => log_event!(warn, Event::DiskFailed, %error, step = "reopen"),
@@ -34,14 +63,11 @@
     }
 
     async fn try_reopen(&mut self) -> Result<()> {
-        let (folder, settings) = (self.data_folder.clone(), self.settings.clone());
-        let seed = self.seed;
-        // A disk that hangs must hold up neither this thread nor the callers of this member.
-        let opened =
-            tokio::task::spawn_blocking(move || RecoveredMember::open(&folder, &settings, seed));
-        let recovered = self.drop_inputs_during(opened).await.map_err(|it| {
-            Error::disk("open", self.data_folder.path(), std::io::Error::other(it))
-        })??;
+        let opening = match self.first_opening.take() {
+            Some(opening) => opening,
+            None => FolderOpening::begin(&self.data_folder, &self.settings, self.seed)?,
+        };
+        let recovered = self.drop_inputs_during(opening.finish()).await?;
         while self.reports.try_recv().is_ok() {}
         self.disk = DiskWriter::spawn(recovered.storage, self.report_sender.clone())?;
         self.raft = recovered.raft;
