A head may have 256 headers, and many of them are in the account

What callers saw: 431 for a request with more than 100 headers, though within max_header_bytes; 502 for a request whose target answered with more than 100, after it had run.

Cause: the HTTP library takes 100 headers unless told otherwise.

Change: 256 on both sides. Each header takes some hundred bytes in each copy, so beyond 100 the account is charged 400 bytes for each: of a request before its body is read (503 memory_short without room), of an answer with what its target has sent. Whole answers keep their headers without a copy. Answers and events now fill 6/8 of the account, as targets' unread bytes have 2/8, and connections count as 56 KiB.

--- a/crates/bilberryloft-relay/src/connection.rs
+++ b/crates/bilberryloft-relay/src/connection.rs
@@ -38,6 +38,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::headers::HEADERS_MAX;
+use crate::headers::charged_bytes;
 use crate::memory::report::Report;
 use crate::read_hold::ReadHold;
 
@@ -60,14 +62,14 @@
 impl Progress {
     /// Begins to wait for an answer.
     fn begin(&self) {
-        self.record_head();
+        self.record_head(0);
         self.is_answer_due.store(true, Ordering::Relaxed);
     }
 
-    /// Records that a head has arrived.
-    fn record_head(&self) {
+    /// Records that a head has arrived, of which so many bytes stay until the answer ends.
+    fn record_head(&self, held_bytes: usize) {
         self.record();
-        self.untaken_bytes.store(0, Ordering::Relaxed);
+        self.untaken_bytes.store(held_bytes, Ordering::Relaxed);
     }
 
     /// Records that a piece of a body has arrived.
@@ -185,8 +187,11 @@
             let hold = ReadHold::new(account.clone(), report.clone(), peer);
             let limited = LimitedStream { stream, progress: progress.clone(), hold };
             let limited = TokioIo::new(limited);
-            let handshake =
-                http1::Builder::new().max_buf_size(BUFFER_BYTES_MAX).handshake(limited).await;
+            let handshake = http1::Builder::new()
+                .max_headers(HEADERS_MAX)
+                .max_buf_size(BUFFER_BYTES_MAX)
+                .handshake(limited)
+                .await;
             let (sender, connection) = handshake.map_err(io::Error::other)?;
             tokio::spawn(async move {
                 // A request on the connection gets the error itself.
@@ -205,7 +210,8 @@
         self.progress.begin();
         self.requests_sent += 1;
         let result = self.sender.try_send_request(request).await;
-        self.progress.record_head();
+        let headers = result.as_ref().map(Response::headers);
+        self.progress.record_head(headers.map_or(0, charged_bytes));
         result
     }
 
--- a/crates/bilberryloft-relay/src/memory/body.rs
+++ b/crates/bilberryloft-relay/src/memory/body.rs
@@ -17,7 +17,7 @@
 
 /// Time for which a body waits for memory, in which what was dropped for it is released. Its client would rather come
 /// back than wait.
-const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
+pub const ROOM_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Limits on a body.
 #[derive(Clone, Debug)]
--- a/crates/bilberryloft-relay/src/memory/plan.rs
+++ b/crates/bilberryloft-relay/src/memory/plan.rs
@@ -12,7 +12,7 @@
 /// Part of the host's memory for the connections of callers and to targets, with what serves them, in eighths.
 const CONNECTION_EIGHTHS: u64 = 2;
 /// Memory of one such connection with half of an open request, in bytes: buffers of the HTTP library, heads and tasks.
-const CONNECTION_BYTES: u64 = 48 << 10;
+const CONNECTION_BYTES: u64 = 56 << 10;
 /// Part of the host's memory for unread bytes in the sockets of callers, as a divisor.
 const SOCKETS_DIVISOR: u64 = 8;
 /// Bounds on the socket buffers of a connection, in bytes. Less makes bodies slow on links between data centres.
--- a/crates/bilberryloft-relay/src/memory/serve.rs
+++ b/crates/bilberryloft-relay/src/memory/serve.rs
@@ -21,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::headers::HEADERS_MAX;
 use crate::memory::Memory;
 use crate::memory::caller_connection::CallerConnection;
 use crate::memory::caller_connection::ConnectionTimeouts;
@@ -134,12 +135,8 @@
             Ok::<_, Infallible>(answer.map(|it| TrackedBody::new(it, tracked)))
         }
     });
-    let http = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // The library's timeout would also close idle connections; heads are timed here instead.
-        .header_read_timeout(None)
-        .max_buf_size(limits.header_bytes_max + HEAD_BYTES_SPARE)
-        .serve_connection(TokioIo::new(WatchedStream::new(stream, connection.clone())), service);
+    let watched = TokioIo::new(WatchedStream::new(stream, connection.clone()));
+    let http = http_builder(limits).serve_connection(watched, service);
     tokio::pin!(http, closing);
     let mut is_closing = false;
     let cause = loop {
@@ -161,6 +158,16 @@
     memory.report.record_closed(cause, &client, guard.connections());
 }
 
+fn http_builder(limits: &Limits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new());
+    // The library's timeout would also close idle connections; heads are timed here instead.
+    builder.header_read_timeout(None);
+    builder.max_headers(HEADERS_MAX);
+    builder.max_buf_size(limits.header_bytes_max + HEAD_BYTES_SPARE);
+    builder
+}
+
 /// Waits until a connection has outlived its timeouts or gives way to another one, and ends it.
 async fn wait_for_end(guard: &ConnectionGuard, limits: &Limits) -> CloseCause {
     let connection = guard.connection();
--- a/crates/bilberryloft-relay/src/pool.rs
+++ b/crates/bilberryloft-relay/src/pool.rs
@@ -85,12 +85,13 @@
         None
     }
 
-    /// Returns a connection to the pool after its answer has been read completely.
-    pub fn give_back(&self, address: &str, connection: Connection, answer: &HeaderMap) {
+    /// Returns a connection to the pool after its answer has been read completely, for the time that its target keeps it
+    /// open.
+    pub fn give_back(&self, address: &str, connection: Connection, idle_time: Option<Duration>) {
         if connection.is_closed() {
             return;
         }
-        let kept = idle_time(answer).unwrap_or(IDLE_TIME_DEFAULT);
+        let kept = idle_time.unwrap_or(IDLE_TIME_DEFAULT);
         let mut idle = self.idle.lock();
         let connections = idle.entry(address.to_string()).or_default();
         if connections.len() < IDLE_MAX {
--- a/crates/bilberryloft-relay/src/request.rs
+++ b/crates/bilberryloft-relay/src/request.rs
@@ -12,6 +12,7 @@
 use bilberryloft_state::key::digest;
 use bilberryloft_transport::account::Holder;
 use bilberryloft_transport::account::Purpose;
+use bilberryloft_transport::account::Reservation;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -22,10 +23,12 @@
 use tokio::time::Instant;
 
 use crate::answer::Refusal;
+use crate::dialect::Dialect;
 use crate::dialect::HeaderNames;
 use crate::dialect::TokenCounts;
 use crate::headers;
 use crate::memory::body::BodyLimits;
+use crate::memory::body::ROOM_TIMEOUT;
 use crate::memory::caller_connection::CallerConnection;
 use crate::memory::report::BodyFault;
 use crate::prompt_part::PromptPart;
@@ -73,6 +76,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Memory of the headers, if they are many.
+    _held_headers: Arc<Reservation>,
 }
 
 impl RelayRequest {
@@ -111,6 +116,7 @@
     let holder = Holder { address: caller.address, name: team_name.to_string() };
     let bytes_max = routes.limits().body_bytes_max;
     let limits = BodyLimits { bytes_max, deadline, purpose: Purpose::Body, holder };
+    let held_headers = hold_headers(state, &parts.headers, deadline).await?;
     let body = read_body(state, body, limits).await?;
     let service = pick_share(route, fastrand::f64()).ok_or(Refusal::NoTarget)?;
     let prompt_parts = headers::text(&parts.headers, &names.prompt_parts).unwrap_or_default();
@@ -128,16 +134,37 @@
         route: route.clone(),
         document_version: routes.version(),
         fingerprint: fingerprint([host, team_name, parts.method.as_str(), &target_path], &body),
-        tokens: headers::text(&parts.headers, &names.token_counts)
-            .and_then(|it| dialect.decode_token_counts(it)),
+        tokens: token_counts(&parts.headers, dialect),
         shared_parts: shared_parts.into(),
         target_path,
         headers: forwarded_headers(&parts.headers, names),
         method: parts.method,
         body,
+        _held_headers: held_headers,
     })
 }
 
+/// Reserves the memory of many headers.
+async fn hold_headers(
+    state: &RelayState,
+    headers: &HeaderMap,
+    deadline: Instant,
+) -> Result<Arc<Reservation>, Refusal> {
+    let mut held = state.memory.open(Purpose::Body);
+    let bytes = headers::charged_bytes(headers) as u64;
+    if bytes > 0 {
+        let until = deadline.min(Instant::now() + ROOM_TIMEOUT);
+        held.grow(bytes, until).await.map_err(|_| Refusal::MemoryShort)?;
+    }
+    Ok(Arc::new(held))
+}
+
+/// Returns the numbers of tokens that a caller names.
+fn token_counts(from: &HeaderMap, dialect: &dyn Dialect) -> Option<TokenCounts> {
+    let text = headers::text(from, &dialect.headers().token_counts)?;
+    dialect.decode_token_counts(text)
+}
+
 /// Returns the order of a request among those with other priorities, or with the same one on other routes.
 fn urgency(priority: u8, route_priority: u8) -> u8 {
     priority * (PRIORITY_MAX + 1) + route_priority.min(PRIORITY_MAX)
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -26,6 +26,7 @@
 use crate::held_trial::HeldTrial;
 use crate::lifecycle::Stage;
 use crate::memory::caller_connection::Phase;
+use crate::pool::idle_time;
 use crate::prompt_part::part_ids;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
@@ -371,18 +372,21 @@
         AttemptResult::Unknown { error } => return (failed(DidRun::Unknown, error), None),
     };
     let status = answered.response.status();
-    let head =
-        AnswerHead { status, headers: headers::copy_end_to_end(answered.response.headers(), &[]) };
     let summary = AttemptSummary { name, outcome, did_run: DidRun::Unknown, detail: None };
     if request.route.kind == RequestKind::Stream && status.is_success() {
+        let headers = headers::copy_end_to_end(answered.response.headers(), &[]);
+        let head = AnswerHead { status, headers };
         return (summary, Some(ReceivedAnswer { head, body: AnswerContent::Stream(answered) }));
     }
     let Answered { response, connection, address } = *answered;
-    let (parts, body) = response.into_parts();
+    let (mut parts, body) = response.into_parts();
+    let idle_time = idle_time(&parts.headers);
+    headers::remove_hop_by_hop(&mut parts.headers);
+    let head = AnswerHead { status, headers: parts.headers };
     let held = state.memory.open(Purpose::Answer);
     match connection.read_held_body(body, BUFFERED_ANSWER_BYTES_MAX, held, request.deadline).await {
         Ok(held) => {
-            state.pool.give_back(&address, connection, &parts.headers);
+            state.pool.give_back(&address, connection, idle_time);
             let body = AnswerContent::Buffered(held);
             (summary, Some(ReceivedAnswer { head, body }))
         }
--- a/crates/bilberryloft-relay/src/stream/mod.rs
+++ b/crates/bilberryloft-relay/src/stream/mod.rs
@@ -30,6 +30,7 @@
 use crate::held_trial::HeldTrial;
 use crate::lifecycle::OpenRequest;
 use crate::lifecycle::Stage;
+use crate::pool::idle_time;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
 use crate::stream::resume::Continuation;
@@ -272,7 +273,7 @@
             }
         };
         if matches!(end, BodyEnd::Complete) {
-            self.state.pool.give_back(&address, connection, &parts.headers);
+            self.state.pool.give_back(&address, connection, idle_time(&parts.headers));
         }
         end
     }
--- a/crates/bilberryloft-relay/src/target_call.rs
+++ b/crates/bilberryloft-relay/src/target_call.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::pool::Pool;
+use crate::pool::idle_time;
 use crate::read_hold::target_holder;
 
 /// Largest answer to an order, in bytes; only its status is used.
@@ -128,7 +129,7 @@
     let bytes_max = call.answer_bytes_max;
     let bytes = connection.read_held_body(body, bytes_max, reservation, deadline).await?;
     if call.may_reuse {
-        pool.give_back(address, connection, &parts.headers);
+        pool.give_back(address, connection, idle_time(&parts.headers));
     }
     Ok((parts.status, bytes.into_bytes()))
 }
--- a/crates/bilberryloft-relay/src/target_probe.rs
+++ b/crates/bilberryloft-relay/src/target_probe.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bilberryloft_coordination::target_end::ProbeResult;
-use hyper::HeaderMap;
 
 use crate::pool::Pool;
 
@@ -22,7 +21,7 @@
         return ProbeResult::Restarted;
     }
     if !connection.is_closed() {
-        pool.give_back(address, connection, &HeaderMap::new());
+        pool.give_back(address, connection, None);
         return ProbeResult::Connected;
     }
     // A target with too many connections resets new ones, too, but goes on accepting them.
--- a/crates/bilberryloft-transport/src/account.rs
+++ b/crates/bilberryloft-transport/src/account.rs
@@ -20,7 +20,7 @@
 /// Part of the account that unfinished and finished bodies may fill, in eighths; answers need the rest to make progress.
 const BODY_EIGHTHS: u64 = 5;
 /// Part of the account that answers may fill as well, in eighths; the rest is for small reservations.
-const ANSWER_EIGHTHS: u64 = 7;
+const ANSWER_EIGHTHS: u64 = 6;
 /// Part of the account that unread bytes of targets may fill, in eighths.
 const READING_EIGHTHS: u64 = 2;
 
