A stream ends at its deadline also if its caller reads nothing

What callers saw: nothing. Where memory was short, the stream ended as 'timeout', and a caller's leaving was noticed only then.

Cause: events were queued for the caller without regard to the deadline; the wait for memory looked at nothing else; and the slot was freed only when the caller had taken the error that ends the stream.

--- a/crates/bilberryloft-relay/src/stream/mod.rs
+++ b/crates/bilberryloft-relay/src/stream/mod.rs
@@ -59,6 +59,8 @@
     CallerLeft,
     /// The request timed out.
     Timeout,
+    /// There was no memory for its events until the request timed out.
+    MemoryShort,
     /// This process ends before the stream.
     Stopping,
 }
@@ -152,8 +154,9 @@
                     return self.end(&target_id, slot.release_closed(answer));
                 }
                 BodyEnd::CallerLeft => return self.log_caller_left(),
-                BodyEnd::Timeout => return self.abort("timeout").await,
-                BodyEnd::Stopping => return self.abort("stopping").await,
+                BodyEnd::Timeout => return self.abort(Some(slot), "timeout").await,
+                BodyEnd::MemoryShort => return self.abort(Some(slot), "memory_short").await,
+                BodyEnd::Stopping => return self.abort(Some(slot), "stopping").await,
                 BodyEnd::Moved(next) => {
                     slot.release(AttemptOutcome::Unknown);
                     *next
@@ -164,7 +167,7 @@
                     self.state.suspects.wait_for_check(&self.request, &ended).await;
                     match self.resume(key).await {
                         Some(next) => next,
-                        None => return self.abort("target_broke_off").await,
+                        None => return self.abort(None, "target_broke_off").await,
                     }
                 }
             };
@@ -215,7 +218,9 @@
         );
     }
 
-    async fn abort(&self, reason: &str) {
+    /// Breaks the stream off for its caller. The slot is freed first, as a caller who reads nothing takes long to notice.
+    async fn abort(&self, slot: Option<TargetSlot>, reason: &str) {
+        drop(slot);
         log_event!(
             warn,
             Event::StreamBroken,
@@ -314,13 +319,22 @@
         self.last_event = Instant::now();
         self.bytes_sent += events.len();
         self.state.daemon.metrics.pieces.inc();
+        self.queue(&events).await.err()
+    }
+
+    /// Queues events until their caller takes them. While there is no room, this waits until the deadline of the request, or
+    /// until the caller disconnects.
+    async fn queue(&self, events: &[u8]) -> Result<(), BodyEnd> {
         // Reserved before the frame is queued, so that callers who don't read hold up their own targets.
-        let Ok(held) = self.hold(&events).await else {
-            return Some(BodyEnd::Timeout);
+        let held = tokio::select! {
+            held = self.hold(events) => held.map_err(|_| BodyEnd::MemoryShort)?,
+            () = self.frames.closed() => return Err(BodyEnd::CallerLeft),
         };
-        match self.frames.send(Ok(Frame::data(held))).await {
-            Ok(()) => None,
-            Err(_) => Some(BodyEnd::CallerLeft),
+        let queued = self.frames.send(Ok(Frame::data(held)));
+        match tokio::time::timeout_at(self.request.deadline, queued).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(BodyEnd::CallerLeft),
+            Err(_) => Err(BodyEnd::Timeout),
         }
     }
 
