--- a/crates/bilberryloft-coordination/tests/raft_cases.rs
+++ b/crates/bilberryloft-coordination/tests/raft_cases.rs
@@ -404,6 +404,28 @@
     assert_eq!(cluster.violation, None);
 }
 
+// Guards against members that never form a quorum, because their first leader steps down before one has its first entry.
+#[test]
+fn first_leader_goes_on_until_its_first_entry_has_arrived() {
+    let mut cluster = Cluster::new(Setup::default(), 7);
+    while cluster.leader().is_none() {
+        cluster.pass_time(1);
+        (1..=3).for_each(|it| cluster.sync(it));
+        cluster.deliver(0);
+    }
+    // Its first heartbeat is answered by members that may not vote yet; then the links fail for less than a timeout.
+    let leader = cluster.leader().unwrap();
+    cluster.lose_entries();
+    while cluster.in_flight() > 0 {
+        cluster.deliver(0);
+        cluster.lose_entries();
+    }
+    cluster.isolate(leader);
+    cluster.pass_time(30);
+    cluster.check_recovery();
+    assert_eq!(cluster.violation, None);
+}
+
 // Guards against members that never vote again beside members of an earlier version, which confirm no recovery.
 #[test]
 fn members_with_lost_disks_vote_again_beside_an_earlier_version() {
--- a/crates/bilberryloft-coordination/tests/support/losses.rs
+++ b/crates/bilberryloft-coordination/tests/support/losses.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use bilberryloft_coordination::raft::Message;
 use bilberryloft_coordination::raft::Raft;
 use bilberryloft_coordination::raft::Role;
 use bilberryloft_state::member_set::MemberSet;
@@ -64,6 +65,13 @@
         members.unwrap_or_else(|| self.initial_members())
     }
 
+    /// Loses all messages with entries that are under way.
+    pub fn lose_entries(&mut self) {
+        let has_entries =
+            |it: &Message| matches!(it, Message::Append(it) if !it.entries.is_empty());
+        self.network.retain(|(_, it)| !has_entries(&it.message));
+    }
+
     /// Makes a member stand still: what is sent to it waits, and its timers don't run.
     pub fn freeze(&mut self, member: u32) {
         if self.raft(member).is_some() {
--- a/crates/bilberryloft-state/tests/storage_power.rs
+++ b/crates/bilberryloft-state/tests/storage_power.rs
@@ -59,6 +59,29 @@
     assert_eq!(recovered.hard_state, acknowledged.hard_state);
 }
 
+/// Guards against a member that takes records for durable whose sync has failed: the system may have given them up and show
+/// them still, and the next sync succeeds.
+#[test]
+fn storage_does_not_recover_what_a_failed_sync_has_given_up() {
+    let disk = MemoryDisk::default();
+    let (mut storage, _) = open(&disk).unwrap();
+    append(&mut storage, &entries(2));
+    storage.sync().unwrap();
+    append(&mut storage, &[entry(3, "given up")]);
+    disk.fail_next_sync();
+    assert!(storage.sync().is_err());
+    drop(storage);
+    let (mut storage, mut acknowledged) = open(&disk).unwrap();
+    let last_index = acknowledged.entries.len() as u64;
+    acknowledged.entries.push(entry(last_index + 1, "advisory"));
+    append(&mut storage, &acknowledged.entries[last_index as usize..]);
+    storage.sync().unwrap();
+    drop(storage);
+    disk.lose_power(&mut fastrand::Rng::with_seed(1), true);
+    let (_, recovered) = open(&disk).unwrap();
+    assert_eq!(recovered.entries, acknowledged.entries);
+}
+
 /// Guards against a member that goes on with a log file whose name may be lost, after it removed the one before.
 #[test]
 fn storage_makes_the_name_of_its_log_durable_before_it_removes_the_last() {
--- a/crates/bilberryloft-testing/src/memory_disk.rs
+++ b/crates/bilberryloft-testing/src/memory_disk.rs
@@ -75,6 +75,8 @@
     /// Bytes that all files may hold together, if the disk is small.
     capacity_bytes: Option<usize>,
     hold: Hold,
+    /// Whether the next sync of a file fails for good.
+    fails_next_sync: bool,
     /// Calls until the process is killed.
     calls_left: Option<u64>,
 }
@@ -136,6 +138,21 @@
         self.state.lock().hold = Hold::Armed(name_start.to_string());
     }
 
+    /// Lets the next sync of a file fail as after an error of the device: what it was to make durable stays in the files as
+    /// processes see them, and no later sync makes it durable.
+    pub fn fail_next_sync(&self) {
+        self.state.lock().fails_next_sync = true;
+    }
+
+    /// Removes all files, as if another, empty disk had taken the place of this one.
+    pub fn wipe(&self) {
+        let mut state = self.state.lock();
+        state.files.clear();
+        state.names.clear();
+        state.durable_names.clear();
+        state.name_changes.clear();
+    }
+
     /// Whether a sync is held up.
     pub fn is_holding(&self) -> bool {
         self.state.lock().hold == Hold::Holding
@@ -278,6 +295,10 @@
     /// Makes a file durable, and its name if the file is new.
     fn sync(&mut self, file: u64) -> Result<()> {
         self.check_changes()?;
+        if std::mem::take(&mut self.fails_next_sync) {
+            self.file_mut(file)?.fail_sync();
+            return Err(Error::other("the device has failed"));
+        }
         self.file_mut(file)?.sync();
         let is_of_file = |it: &NameChange| matches!(it, NameChange::Created { file: other, .. } if *other == file);
         for change in self.name_changes.extract_if(.., |it| is_of_file(it)) {
--- a/crates/bilberryloft-testing/src/memory_file.rs
+++ b/crates/bilberryloft-testing/src/memory_file.rs
@@ -36,9 +36,18 @@
         self.content.resize(length, 0);
     }
 
-    /// Makes the content durable.
+    /// Makes the changes durable.
     pub fn sync(&mut self) {
-        self.durable = self.content.clone();
+        for change in std::mem::take(&mut self.changes) {
+            match change {
+                Change::Write { at, bytes } => write_at(&mut self.durable, at, &bytes),
+                Change::Truncate { length } => self.durable.resize(length, 0),
+            }
+        }
+    }
+
+    /// Gives the changes up: processes see them still, and no later sync makes them durable.
+    pub fn fail_sync(&mut self) {
         self.changes.clear();
     }
 
