--- a/crates/bilberryloft-state/src/storage.rs
+++ b/crates/bilberryloft-state/src/storage.rs
@@ -55,8 +55,8 @@
     sequence: u64,
     /// Length of the log file in bytes.
     length_bytes: u64,
-    /// Whether the last write is not synced.
-    has_unsynced_write: bool,
+    /// Length of what is known to be synced.
+    synced_bytes: u64,
     failed: bool,
 }
 
@@ -97,7 +97,7 @@
             file_path,
             sequence,
             length_bytes: valid_bytes,
-            has_unsynced_write: false,
+            synced_bytes: valid_bytes,
             failed: false,
         };
         storage.remove_obsolete_files(recovered.snapshot.as_ref().map(|it| it.last_index))?;
@@ -107,7 +107,7 @@
     /// Appends records to the log in one write without syncing them. An earlier write is synced first, so that a loss of
     /// power can tear one write only.
     pub fn append(&mut self, records: &[WalRecord]) -> Result<()> {
-        if self.has_unsynced_write {
+        if self.synced_bytes < self.length_bytes {
             self.sync()?;
         }
         let mut bytes = Vec::new();
@@ -117,17 +117,27 @@
         }
         self.run_file_op("write", |file| file.append(&bytes))?;
         self.length_bytes += bytes.len() as u64;
-        self.has_unsynced_write = true;
         Ok(())
     }
 
     /// Syncs everything written so far to disk.
     pub fn sync(&mut self) -> Result<()> {
-        self.run_file_op("sync", |file| file.sync_data())?;
-        self.has_unsynced_write = false;
+        let synced = self.run_file_op("sync", |file| file.sync_data());
+        if synced.is_err() {
+            self.drop_unsynced();
+        }
+        synced?;
+        self.synced_bytes = self.length_bytes;
         Ok(())
     }
 
+    /// Cuts off what a failed sync was to make durable. The system may have given it up, show it still to whoever opens the
+    /// file, and report the next sync as done.
+    fn drop_unsynced(&mut self) {
+        // Fails if the disk takes no changes at all; the first error tells more.
+        let _ = self.file.truncate(self.synced_bytes);
+    }
+
     fn run_file_op(
         &mut self,
         step: &'static str,
@@ -194,7 +204,7 @@
         self.file_path = self.folder.file_path(&wal_name(sequence));
         self.sequence = sequence;
         self.length_bytes = bytes.len() as u64;
-        self.has_unsynced_write = false;
+        self.synced_bytes = self.length_bytes;
         self.remove_earlier_files(snapshot_index)
     }
 
