--- a/crates/bilberryloft-daemon/src/control/reopen.rs
+++ b/crates/bilberryloft-daemon/src/control/reopen.rs
@@ -49,6 +49,7 @@
         self.applied_index = recovered.applied_index;
         self.snapshots = SnapshotProgress::after(recovered.snapshot_bytes);
         self.opening += 1;
+        self.settings.end_first_start();
         Ok(())
     }
 
--- a/crates/bilberryloft-daemon/src/settings.rs
+++ b/crates/bilberryloft-daemon/src/settings.rs
@@ -320,6 +320,15 @@
 }
 
 impl ControlSettings {
+    /// Forgets that the hosts start for the first time, if this was told. To be called once the data folder has been opened:
+    /// if it is empty later, even in the same process, it was lost.
+    pub fn end_first_start(&mut self) {
+        if self.first_start == Some(true) {
+            self.first_start = Some(false);
+            self.members.clear();
+        }
+    }
+
     fn find_faults(&self, faults: &mut Vec<String>) {
         for (member, address) in &self.members {
             check_address(faults, &format!("control.members.{member}"), address);
