--- a/crates/bilberryloft-coordination/src/raft/election.rs
+++ b/crates/bilberryloft-coordination/src/raft/election.rs
@@ -155,6 +155,7 @@
         self.progress.clear();
         self.refresh_progress();
         if !self.may_vote {
+            self.founding_term = Some(self.hard_state.term);
             self.may_vote = true;
             self.output.records.push(WalRecord::MayVote);
         }
--- a/crates/bilberryloft-coordination/src/raft/leader.rs
+++ b/crates/bilberryloft-coordination/src/raft/leader.rs
@@ -93,14 +93,17 @@
         own.into_iter().chain(others.map(|(member, _)| *member)).collect()
     }
 
-    /// Whether a majority of the voters is in contact and may vote, as far as this leader knows.
+    /// Whether a majority of the voters is in contact and may vote, as far as this leader knows. The voters of a quorum that
+    /// this leader founds may not vote yet, and nobody else can give them the entry by which they may.
     fn has_quorum_contact(&self) -> bool {
         let members = self.members();
+        let is_founding = self.founding_term == Some(self.hard_state.term);
+        let needs_vote = self.options.confirm_recovery && !is_founding;
         let timeout_ms = self.contact_timeout_ms();
         let is_in_contact = |it: &&u32| match self.progress.get(it) {
             Some(progress) => {
-                let may_vote = progress.may_vote != Some(false) || !self.options.confirm_recovery;
-                may_vote && progress.heard_ms + timeout_ms > self.now_ms
+                let may_vote = progress.may_vote != Some(false);
+                (may_vote || !needs_vote) && progress.heard_ms + timeout_ms > self.now_ms
             }
             None => **it == self.member,
         };
--- a/crates/bilberryloft-coordination/src/raft/node.rs
+++ b/crates/bilberryloft-coordination/src/raft/node.rs
@@ -103,7 +103,7 @@
     pub(super) role: Role,
     pub(super) hard_state: HardState,
     pub(super) may_vote: bool,
-    /// Term in which this member has voted with an empty log, without the right to vote otherwise.
+    /// Term in which this member has voted with an empty log, or was elected so, without the right to vote otherwise.
     pub(super) founding_term: Option<u64>,
     /// Number that this start of the member has chosen. A leader's confirmation that names it was made after the start.
     pub(super) nonce: u64,
