--- a/crates/bilberryloft-relay/src/connection.rs
+++ b/crates/bilberryloft-relay/src/connection.rs
@@ -49,30 +49,37 @@
 const BYTES_WITHOUT_PROGRESS_MAX: usize = 4 * BUFFER_BYTES_MAX;
 
 /// Counts the bytes of the answer that arrive without progress, and those that its reader has not taken.
+///
+/// The HTTP library reads on in a body only when it has handed over all that it has read of it. So when it reads, the head
+/// so far is untaken, or the pieces that the reader holds.
 #[derive(Debug, Default)]
 struct Progress {
     bytes: AtomicUsize,
-    /// Includes the framing of a body, which nobody takes, so it is a little too high.
     untaken_bytes: AtomicUsize,
     is_answer_due: AtomicBool,
+    /// Whether the head of that answer has arrived.
+    has_head: AtomicBool,
 }
 
 impl Progress {
     /// Begins to wait for an answer.
     fn begin(&self) {
         self.record_head();
+        self.has_head.store(false, Ordering::Relaxed);
         self.is_answer_due.store(true, Ordering::Relaxed);
     }
 
     /// Records that a head has arrived.
     fn record_head(&self) {
-        self.record();
+        self.record_piece(0);
         self.untaken_bytes.store(0, Ordering::Relaxed);
+        self.has_head.store(true, Ordering::Relaxed);
     }
 
-    /// Records that a piece of a body has arrived.
-    fn record(&self) {
+    /// Records that the reader has got a piece of a body.
+    fn record_piece(&self, bytes: usize) {
         self.bytes.store(0, Ordering::Relaxed);
+        self.untaken_bytes.fetch_add(bytes, Ordering::Relaxed);
     }
 
     /// Records that the reader of the answer no longer holds so many bytes.
@@ -96,7 +103,9 @@
 
     /// Counts bytes; returns whether they are too many.
     fn add(&self, bytes: usize) -> bool {
-        self.untaken_bytes.fetch_add(bytes, Ordering::Relaxed);
+        if !self.has_head.load(Ordering::Relaxed) {
+            self.untaken_bytes.fetch_add(bytes, Ordering::Relaxed);
+        }
         let before = self.bytes.fetch_add(bytes, Ordering::Relaxed);
         let is_due = self.is_answer_due.load(Ordering::Relaxed);
         is_due && before + bytes > BYTES_WITHOUT_PROGRESS_MAX
@@ -218,7 +227,8 @@
     pub async fn next_frame(&self, body: &mut Incoming) -> Option<hyper::Result<Frame<Bytes>>> {
         let frame = body.frame().await;
         match &frame {
-            Some(_) => self.progress.record(),
+            Some(Ok(it)) => self.progress.record_piece(it.data_ref().map_or(0, Bytes::len)),
+            Some(Err(_)) => self.progress.record_piece(0),
             None => self.progress.end(),
         }
         frame
