Test: what was acknowledged survives a loss of power of all control hosts

Three control hosts in one process on simulated disks; changes, among them with a disk that hangs or a host that is killed and started; then all lose power, and the disks keep, lose or tear what was not synced. The last acknowledged document is at the next leader, and each host acknowledges a change.

--- a/crates/bilberryloft-state/src/wal.rs
+++ b/crates/bilberryloft-state/src/wal.rs
@@ -224,8 +224,9 @@
 fn has_lost_part(bytes: &[u8], offset: usize) -> bool {
     let is_zero = |part: &[u8]| part.iter().all(|it| *it == 0);
     let sector_end = (offset / SECTOR_BYTES + 1) * SECTOR_BYTES;
-    if sector_end >= bytes.len() || bytes.ends_with(&[0]) {
-        return bytes.ends_with(&[0]);
+    let has_lost_end = bytes.ends_with(&[0]);
+    if has_lost_end || sector_end >= bytes.len() {
+        return has_lost_end;
     }
     let (first, rest) = bytes[offset..].split_at(sector_end - offset);
     let has_lost_start = is_zero(first)
--- /dev/null
+++ b/crates/bilberryloft-testing/tests/lost_power.rs
@@ -0,0 +1,63 @@
+//! Control hosts that all lose power at the same moment: what was acknowledged is there afterwards.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use bilberryloft_testing::control_hosts::ControlHosts;
+use bilberryloft_testing::control_hosts::wait_until;
+
+/// Number of seeds in CI, where `BILBERRYLOFT_SEEDS` is not set, and losses of power of each.
+const SEEDS: u64 = 3;
+const LOSSES: usize = 5;
+/// Time for a change, which may fail while a disk is held up.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Guards against an acknowledged change that some hosts had only written, and against hosts that don't start again.
+#[tokio::test]
+async fn acknowledged_change_survives_a_loss_of_power_of_all_hosts() {
+    let count = std::env::var("BILBERRYLOFT_SEEDS").ok().and_then(|it| it.parse().ok());
+    for seed in 0..count.unwrap_or(SEEDS) {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut hosts = ControlHosts::start(3);
+        hosts.check_each_acknowledges(&format!("seed {seed}, at the start")).await;
+        for loss in 0..LOSSES {
+            let acknowledged = change_at_random(&mut hosts, &mut random).await;
+            for host in &mut hosts.hosts {
+                host.stop();
+                let keep_nothing = random.u8(0..3) == 0;
+                host.disk.lose_power(&mut random, keep_nothing);
+                host.disk.release();
+            }
+            for host in &mut hosts.hosts {
+                host.start().unwrap();
+            }
+            let leader = hosts.leader().await;
+            let version = || hosts.hosts[leader].node().machine().document.document().version;
+            let what = format!("seed {seed}, loss {loss}: version {acknowledged} at the leader");
+            wait_until(|| version() >= acknowledged, &what).await;
+            hosts.check_each_acknowledges(&format!("seed {seed}, after loss {loss}")).await;
+        }
+    }
+}
+
+/// Makes some changes, among them with the sync of one disk held up, with a host killed and started, or with a host that
+/// opens its folder again; returns the last version that was acknowledged.
+async fn change_at_random(hosts: &mut ControlHosts, random: &mut fastrand::Rng) -> u64 {
+    let mut acknowledged = hosts.version;
+    for _ in 0..random.usize(1..8) {
+        let idx = random.usize(0..3);
+        match random.u8(0..4) {
+            0 => hosts.hosts[idx].disk.hold_next_sync("wal-"),
+            1 => {
+                hosts.hosts[idx].stop();
+                hosts.hosts[idx].disk.release();
+                hosts.hosts[idx].start().unwrap();
+            }
+            _ => {}
+        }
+        if hosts.put(random.usize(0..3), TIMEOUT).await {
+            acknowledged = hosts.version;
+        }
+    }
+    acknowledged
+}
