--- a/crates/bilberryloft-daemon/src/control/member_changes.rs
+++ b/crates/bilberryloft-daemon/src/control/member_changes.rs
@@ -15,6 +15,15 @@
 /// Time between two assessments of the losses that the quorum tolerates, in milliseconds.
 const ASSESSMENT_INTERVAL_MS: u64 = 100;
 
+/// Latest assessment of the losses that the quorum tolerates.
+#[derive(Debug, Default)]
+pub(super) struct Assessment {
+    /// The losses, if this member leads the quorum.
+    pub loss_tolerance: Option<LossTolerance>,
+    /// Time of the next assessment, in milliseconds.
+    due_ms: u64,
+}
+
 impl ControlNode {
     /// Records that a host which can become a member is alive or leaving, and replies whether the quorum doesn't need it
     /// any more; only the leader accepts this.
@@ -67,23 +76,23 @@
     /// Assesses periodically how many losses the quorum tolerates, if this member leads it, and logs each change.
     pub(super) fn assess_loss_tolerance(&mut self) {
         if self.raft.role() != Role::Leader {
-            self.loss_tolerance = None;
+            self.assessment.loss_tolerance = None;
             return;
         }
         // Until its first commit, a new leader has not heard from the other members.
         let now_ms = self.raft.now_ms();
-        if !self.raft.has_committed_in_term() || now_ms < self.assessment_due_ms {
+        if !self.raft.has_committed_in_term() || now_ms < self.assessment.due_ms {
             return;
         }
-        self.assessment_due_ms = now_ms + ASSESSMENT_INTERVAL_MS;
+        self.assessment.due_ms = now_ms + ASSESSMENT_INTERVAL_MS;
         let (raft, voters_wanted) = (&self.raft, self.settings.voters_wanted);
         let is_in_sync = |member: u32| raft.is_in_sync(member);
         let found = LossTolerance::assess(raft.members(), voters_wanted, is_in_sync);
-        if self.loss_tolerance.as_ref() == Some(&found) {
+        if self.assessment.loss_tolerance.as_ref() == Some(&found) {
             return;
         }
         log_loss_tolerance(&found);
-        self.loss_tolerance = Some(found);
+        self.assessment.loss_tolerance = Some(found);
     }
 
     /// Whether the process of a leaving host may end, by the committed members.
--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bilberryloft_coordination::leases::LeaseTable;
-use bilberryloft_coordination::loss_tolerance::LossTolerance;
 use bilberryloft_coordination::member_planner::MemberPlanner;
 use bilberryloft_coordination::raft::Message;
 use bilberryloft_coordination::raft::Outbound;
@@ -43,6 +42,7 @@
 use crate::control::handle::ProposeError;
 use crate::control::handle::QuorumStatus;
 use crate::control::handle::Reply;
+use crate::control::member_changes::Assessment;
 use crate::control::peers::Peers;
 use crate::control::recovery::RecoveredMember;
 use crate::control::snapshots::SnapshotProgress;
@@ -74,10 +74,7 @@
     /// Latest membership version whose reachable targets have all been given leases.
     pub(super) leased_version: u64,
     pub(super) member_planner: MemberPlanner,
-    /// Losses that the quorum tolerates, if this member leads it.
-    pub(super) loss_tolerance: Option<LossTolerance>,
-    /// Time of the next assessment of `loss_tolerance`, in milliseconds.
-    pub(super) assessment_due_ms: u64,
+    pub(super) assessment: Assessment,
     /// Whether this member has refused a first document in its term.
     pub(super) has_held_document: bool,
     pub(super) settings: ControlSettings,
@@ -141,8 +138,7 @@
             leases: LeaseTable::new(settings.target_lease_ms),
             leased_version: 0,
             member_planner: MemberPlanner::new(settings.member, settings.voters_wanted),
-            loss_tolerance: None,
-            assessment_due_ms: 0,
+            assessment: Assessment::default(),
             has_held_document: false,
             settings: settings.clone(),
             seed,
@@ -446,11 +442,11 @@
             (old.term, old.commit_index, old.leads, old.may_vote)
                 != (term, commit_index, leads, may_vote)
                 || old.leader_address != leader_address
-                || old.loss_tolerance != self.loss_tolerance
+                || old.loss_tolerance != self.assessment.loss_tolerance
         };
         if has_changed {
             let members = self.raft.members().clone();
-            let loss_tolerance = self.loss_tolerance.clone();
+            let loss_tolerance = self.assessment.loss_tolerance.clone();
             let status = QuorumStatus {
                 leader_address,
                 leads,
