--- a/crates/bilberryloft-testing/src/memory_disk.rs
+++ b/crates/bilberryloft-testing/src/memory_disk.rs
@@ -27,6 +27,8 @@
     Nothing,
     /// Each write.
     Writes,
+    /// Each sync of a file.
+    Syncs,
     /// Each write, each new or changed name and each sync; files can be removed.
     Changes,
 }
@@ -255,7 +257,7 @@
     fn check_changes(&self) -> Result<()> {
         match self.refusal {
             Refusal::Changes => Err(ErrorKind::StorageFull.into()),
-            Refusal::Nothing | Refusal::Writes => Ok(()),
+            Refusal::Nothing | Refusal::Writes | Refusal::Syncs => Ok(()),
         }
     }
 
@@ -277,8 +279,9 @@
 
     /// Writes what there is room for, and fails if that is not all.
     fn append(&mut self, file: u64, bytes: &[u8]) -> Result<()> {
-        if self.refusal != Refusal::Nothing {
-            return Err(ErrorKind::StorageFull.into());
+        match self.refusal {
+            Refusal::Writes | Refusal::Changes => return Err(ErrorKind::StorageFull.into()),
+            Refusal::Nothing | Refusal::Syncs => {}
         }
         let used_bytes = self.used_bytes();
         let room = self.capacity_bytes.map_or(usize::MAX, |it| it.saturating_sub(used_bytes));
@@ -294,6 +297,9 @@
 
     /// Makes a file durable, and its name if the file is new.
     fn sync(&mut self, file: u64) -> Result<()> {
+        if self.refusal == Refusal::Syncs {
+            return Err(ErrorKind::StorageFull.into());
+        }
         self.check_changes()?;
         if std::mem::take(&mut self.fails_next_sync) {
             self.file_mut(file)?.fail_sync();
--- a/crates/bilberryloft-testing/tests/lost_power.rs
+++ b/crates/bilberryloft-testing/tests/lost_power.rs
@@ -5,6 +5,8 @@
 
 use bilberryloft_testing::control_hosts::ControlHosts;
 use bilberryloft_testing::control_hosts::wait_until;
+use bilberryloft_testing::memory_disk::MemoryDisk;
+use bilberryloft_testing::memory_disk::Refusal;
 
 /// Number of seeds in CI, where `BILBERRYLOFT_SEEDS` is not set, and losses of power of each.
 const SEEDS: u64 = 3;
@@ -12,6 +14,9 @@
 /// Time for a change, which may fail while a disk is held up.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for a change in which a host opens its folder several times.
+const REOPENING_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// Guards against an acknowledged change that some hosts had only written, and against hosts that don't start again.
 #[tokio::test]
 async fn acknowledged_change_survives_a_loss_of_power_of_all_hosts() {
@@ -40,6 +45,32 @@
     }
 }
 
+/// Guards against a follower that acknowledges what it finds in its folder when it opens it again after a sync that its
+/// disk refused: with the leader's disk lost and the power of the others, that is gone.
+#[tokio::test]
+async fn change_that_a_refused_sync_left_unsynced_is_not_acknowledged() {
+    let mut hosts = ControlHosts::start(3);
+    hosts.check_each_acknowledges("at the start").await;
+    let leader = hosts.leader().await;
+    let (follower, away) = ((leader + 1) % 3, (leader + 2) % 3);
+    hosts.hosts[away].stop();
+    hosts.hosts[follower].disk.refuse(Refusal::Syncs);
+    let is_acknowledged = hosts.put(leader, REOPENING_TIMEOUT).await;
+    let version = hosts.version;
+    for host in &mut hosts.hosts {
+        host.stop();
+        host.disk.refuse(Refusal::Nothing);
+        host.disk.lose_power(&mut fastrand::Rng::with_seed(1), true);
+    }
+    hosts.hosts[leader].disk = MemoryDisk::default();
+    for host in &mut hosts.hosts {
+        host.start().unwrap();
+    }
+    let leader = hosts.leader().await;
+    let found = hosts.hosts[leader].node().machine().document.document().version;
+    assert!(!is_acknowledged, "{version} was acknowledged, {found} is left");
+}
+
 /// Makes some changes, among them with the sync of one disk held up, with a host killed and started, or with a host that
 /// opens its folder again; returns the last version that was acknowledged.
 async fn change_at_random(hosts: &mut ControlHosts, random: &mut fastrand::Rng) -> u64 {
