A founder notes what it was told before its first sync

Cause: the record of the founding came after the first syncs of the data folder, and on a busy disk one of these took longer than the processes lived. A host that comes back without the record can't tell this from the loss of its disk.

Change: a host that is told to found writes a note (founding.json) into its empty folder before the first sync; a start that finds the note and an empty log makes the record from it.

Why it works: a killed process leaves what it has written to the system; the member speaks only after the synced record, so a loss of power that takes the note takes nothing that others rely on.

--- a/crates/bilberryloft-daemon/src/control/recovery.rs
+++ b/crates/bilberryloft-daemon/src/control/recovery.rs
@@ -8,6 +8,8 @@
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bilberryloft_state::folder::DataFolder;
+use bilberryloft_state::founding::note_founding;
+use bilberryloft_state::founding::noted_founding;
 use bilberryloft_state::member_set::MemberSet;
 use bilberryloft_state::state_machine::StateMachine;
 use bilberryloft_state::storage::RecoveredState;
@@ -63,12 +65,15 @@
         settings: &ControlSettings,
         seed: u64,
     ) -> Result<RecoveredMember> {
+        if let Some(members) = told_founders(settings) {
+            note_founding(folder, &members)?;
+        }
         let (mut storage, mut recovered) = Storage::open_folder(folder.clone())?;
         if recovered.torn_bytes > 0 {
             log_event!(warn, Event::TornTailCut, bytes = recovered.torn_bytes);
         }
         log_recovered(settings.member, &recovered);
-        record_founding(settings, &mut storage, &mut recovered)?;
+        record_founding(folder, settings.member, &mut storage, &mut recovered)?;
         let machine = match &recovered.snapshot {
             Some(snapshot) => decode_machine(folder.path(), &snapshot.data)?,
             None => StateMachine::default(),
@@ -105,22 +110,30 @@
     }
 }
 
-/// Makes durable that this member founds the quorum, if it is told so and its data folder is empty. At later starts
-/// nothing but the record tells such a member from one that has lost its disk.
+/// Returns the members with which this member is told to found a quorum, if it is told so.
+fn told_founders(settings: &ControlSettings) -> Option<MemberSet> {
+    let is_founder =
+        settings.first_start == Some(true) && settings.members.contains_key(&settings.member);
+    is_founder.then(|| MemberSet::of_voters(settings.members.clone()))
+}
+
+/// Makes durable that this member founds the quorum, if it was told so at its first start and the log says nothing yet. At
+/// later starts nothing but the record tells such a member from one that has lost its disk.
 fn record_founding(
-    settings: &ControlSettings,
+    folder: &DataFolder,
+    member: u32,
     storage: &mut Storage,
     recovered: &mut RecoveredState,
 ) -> Result<()> {
-    let is_founder =
-        settings.first_start == Some(true) && settings.members.contains_key(&settings.member);
-    if !is_founder || !recovered.is_empty() {
+    if !recovered.is_empty() {
         return Ok(());
     }
-    let members = MemberSet::of_voters(settings.members.clone());
+    let Some(members) = noted_founding(folder)? else {
+        return Ok(());
+    };
     storage.append(&[WalRecord::Founding(members.clone())])?;
     storage.sync()?;
-    log_event!(info, Event::FoundingRecorded, member = settings.member, ?members);
+    log_event!(info, Event::FoundingRecorded, member, ?members);
     recovered.founders = Some(members);
     recovered.may_vote = true;
     Ok(())
--- a/crates/bilberryloft-state/src/folder.rs
+++ b/crates/bilberryloft-state/src/folder.rs
@@ -45,8 +45,7 @@
     ///
     /// Fails with [`Error::FolderInUse`] while another process holds the lock.
     pub fn lock(&self) -> Result<FolderLock> {
-        let created = self.file_system.create_folder(&self.path);
-        created.map_err(|it| Error::disk("create", &self.path, it))?;
+        self.create()?;
         let lock_path = self.file_path("lock");
         match self.file_system.lock(&lock_path) {
             Ok(file) => Ok(FolderLock { _file: file }),
@@ -57,6 +56,12 @@
         }
     }
 
+    /// Creates the folder if needed.
+    pub fn create(&self) -> Result<()> {
+        let created = self.file_system.create_folder(&self.path);
+        created.map_err(|it| Error::disk("create", &self.path, it))
+    }
+
     /// Path of the folder.
     pub fn path(&self) -> &Path {
         &self.path
@@ -116,6 +121,14 @@
         renamed.map_err(|it| Error::disk("rename", &path, it))
     }
 
+    /// Writes a file without waiting for the disk. It outlives the process; a loss of power may take all or a part of it.
+    pub fn write_unsynced(&self, name: &str, bytes: &[u8]) -> Result<()> {
+        let path = self.file_path(name);
+        let file = self.file_system.create(&path);
+        let mut file = file.map_err(|it| Error::disk("create", &path, it))?;
+        file.append(bytes).map_err(|it| Error::disk("write", &path, it))
+    }
+
     /// Makes the names of the folder's files durable.
     pub fn sync(&self) -> Result<()> {
         let synced = self.file_system.sync_folder(&self.path);
--- a/crates/bilberryloft-state/src/lib.rs
+++ b/crates/bilberryloft-state/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod expert_map_register;
 pub mod file_system;
 pub mod folder;
+pub mod founding;
 pub mod intern;
 pub mod key;
 pub mod member_set;
