A stream looks complete only if its task has said so

Cause: the body of a stream ended in good order whenever the sending end of its queue was dropped, and the error that marks a broken one had to be sent through the queue, past events that nobody read. No case of it was seen.

Change: stream/queue.rs. The task marks the stream as whole; without the mark the body ends with an error when the sender is dropped. Breaking off needs no room in the queue any more.

--- a/crates/bilberryloft-relay/src/stream/mod.rs
+++ b/crates/bilberryloft-relay/src/stream/mod.rs
@@ -1,5 +1,6 @@
 //! Forwards a stream of events as they arrive, and resumes it at another target if one disconnects or is too slow.
 
+pub mod queue;
 mod resume;
 
 use std::sync::Arc;
@@ -15,15 +16,10 @@
 use bilberryloft_transport::account::Shortage;
 use bilberryloft_transport::held_bytes::HeldBytes;
 use bytes::Bytes;
-use futures_util::StreamExt;
-use http_body_util::BodyExt;
-use http_body_util::StreamBody;
 use hyper::body::Frame;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::answer::AnswerBody;
-use crate::answer::IncompleteAnswer;
 use crate::attempt::Answered;
 use crate::connection::Connection;
 use crate::headers;
@@ -33,18 +29,15 @@
 use crate::pool::idle_time;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
+use crate::stream::queue::EventSender;
 use crate::stream::resume::Continuation;
 use crate::target_slot::SILENCE;
 use crate::target_slot::TargetSlot;
 use crate::target_slot::WholeAnswer;
 
-/// Frames that are buffered for a slow caller.
-const QUEUED_FRAMES_MAX: usize = 8;
 /// Time after a rank has refused to take over a stream before another one is asked.
 const MIGRATION_PAUSE: Duration = Duration::from_millis(1_000);
 
-type BodyFrame = Result<Frame<Bytes>, IncompleteAnswer>;
-
 /// How the body of one target's answer ended.
 enum BodyEnd {
     /// The target sent the complete body.
@@ -77,7 +70,7 @@
 struct StreamRelay {
     state: Arc<RelayState>,
     request: Arc<RelayRequest>,
-    frames: mpsc::Sender<BodyFrame>,
+    frames: EventSender,
     framer: EventFramer,
     last_event: Instant,
     longest_gap: Duration,
@@ -98,7 +91,7 @@
     attempts: u32,
     in_flight: InFlight,
 ) -> AnswerBody {
-    let (frames, mut queue) = mpsc::channel(QUEUED_FRAMES_MAX);
+    let (frames, body) = queue::open();
     // A caller may resume its stream itself.
     let requested_after = requested_after(&state, &request);
     let framer = EventFramer::after(requested_after);
@@ -115,8 +108,7 @@
         _in_flight: in_flight,
     };
     tokio::spawn(relay.run(initial, slot));
-    let stream = futures_util::stream::poll_fn(move |context| queue.poll_recv(context));
-    BodyExt::boxed(StreamBody::new(stream.fuse()))
+    body
 }
 
 /// Returns the id of the event after which the caller wants the stream to go on.
@@ -154,9 +146,9 @@
                     return self.end(&target_id, slot.release_closed(answer));
                 }
                 BodyEnd::CallerLeft => return self.log_caller_left(),
-                BodyEnd::Timeout => return self.abort(Some(slot), "timeout").await,
-                BodyEnd::MemoryShort => return self.abort(Some(slot), "memory_short").await,
-                BodyEnd::Stopping => return self.abort(Some(slot), "stopping").await,
+                BodyEnd::Timeout => return self.abort("timeout"),
+                BodyEnd::MemoryShort => return self.abort("memory_short"),
+                BodyEnd::Stopping => return self.abort("stopping"),
                 BodyEnd::Moved(next) => {
                     slot.release(AttemptOutcome::Unknown);
                     *next
@@ -167,7 +159,7 @@
                     self.state.suspects.wait_for_check(&self.request, &ended).await;
                     match self.resume(key).await {
                         Some(next) => next,
-                        None => return self.abort(None, "target_broke_off").await,
+                        None => return self.abort("target_broke_off"),
                     }
                 }
             };
@@ -184,8 +176,9 @@
         }
     }
 
-    /// Counts and logs a stream that its target has ended in good order.
+    /// Ends a stream that its target has ended in good order.
     fn end(&self, target_id: &str, is_truncated: bool) {
+        self.frames.finish();
         self.state.daemon.metrics.answers.inc();
         log_event!(
             info,
@@ -218,9 +211,8 @@
         );
     }
 
-    /// Breaks the stream off for its caller. The slot is freed first, as a caller who reads nothing takes long to notice.
-    async fn abort(&self, slot: Option<TargetSlot>, reason: &str) {
-        drop(slot);
+    /// Logs that the stream breaks off. Its caller sees that when the sender of its events is dropped.
+    fn abort(&self, reason: &str) {
         log_event!(
             warn,
             Event::StreamBroken,
@@ -229,7 +221,6 @@
             bytes = self.bytes_sent,
             last_id = self.framer.last_id()
         );
-        let _ = self.frames.send(Err(IncompleteAnswer)).await;
     }
 
     async fn forward_body(&mut self, answered: Answered, slot: &TargetSlot) -> BodyEnd {
@@ -330,7 +321,7 @@
             held = self.hold(events) => held.map_err(|_| BodyEnd::MemoryShort)?,
             () = self.frames.closed() => return Err(BodyEnd::CallerLeft),
         };
-        let queued = self.frames.send(Ok(Frame::data(held)));
+        let queued = self.frames.send(held);
         match tokio::time::timeout_at(self.request.deadline, queued).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(BodyEnd::CallerLeft),
