--- a/crates/bilberryloft-transport/tests/http.rs
+++ b/crates/bilberryloft-transport/tests/http.rs
@@ -1,6 +1,8 @@
-//! HTTP requests to a target that sends an earlier answer once more.
+//! HTTP requests to targets that send an earlier answer once more, or more than an answer has.
 #![allow(clippy::unwrap_used)]
 
+use std::net::Ipv4Addr;
+
 use bilberryloft_transport::http::HttpClient;
 use http_body_util::Full;
 use hyper::Request;
@@ -63,3 +65,26 @@
 async fn check_finds_a_client_that_uses_connections_again() {
     assert!(count_foreign_answers(&HttpClient::new()).await > 0);
 }
+
+// Guards against an answer that its target goes on with and that fills the memory of the agent beside it.
+#[tokio::test]
+async fn answer_that_is_too_large_is_not_kept() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let body = vec![b'a'; 40 << 20];
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                head.push(stream.read_u8().await.unwrap());
+            }
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await;
+            let _ = stream.write_all(&body).await;
+        }
+    });
+    for client in [HttpClient::without_reuse(), HttpClient::new()] {
+        let request = Request::get(format!("http://{address}/"));
+        let fetched = client.fetch(request.body(Full::default()).unwrap()).await;
+        assert!(fetched.is_err(), "kept {} bytes", fetched.map_or(0, |it| it.1.len()));
+    }
+}
