The agent beside a target keeps no answer beyond 1 MiB

What was seen: a target that went on with the answer to its agent's question for its health or its counts filled the agent's memory, for up to the timeout of the question at the speed of the loopback.

Cause: HttpClient::fetch collected any body.

Change: it reads 1 MiB from a target, 16 MiB from a daemon (documents have up to 8), and heads of 64 KiB.

--- a/crates/bilberryloft-transport/src/http.rs
+++ b/crates/bilberryloft-transport/src/http.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -16,6 +17,12 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+/// Largest head of an answer, in bytes.
+const HEAD_BYTES_MAX: usize = 64 << 10;
+/// Largest body of an answer that is read whole from a target, in bytes.
+const TARGET_ANSWER_BYTES_MAX: usize = 1 << 20;
+/// Largest body of an answer that is read whole from a daemon, in bytes; documents have up to 8 MiB.
+const DAEMON_ANSWER_BYTES_MAX: usize = 16 << 20;
 /// Largest number of idle connections to one host.
 const IDLE_MAX: usize = 1_024;
 
@@ -23,6 +30,8 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     inner: Client<HttpConnector, Full<Bytes>>,
+    /// Largest body that is read whole.
+    answer_bytes_max: usize,
 }
 
 impl Default for HttpClient {
@@ -32,18 +41,19 @@
 }
 
 impl HttpClient {
-    /// Creates a client with an empty connection pool.
+    /// Creates a client with an empty connection pool, which reads answers of up to 16 MiB whole.
     pub fn new() -> HttpClient {
-        HttpClient::build(IDLE_MAX)
+        HttpClient::build(IDLE_MAX, DAEMON_ANSWER_BYTES_MAX)
     }
 
     /// Creates a client that opens a connection for each request. A target in trouble may send an earlier answer once more,
-    /// and one that names no request in its answers would then answer another request with it.
+    /// and one that names no request in its answers would then answer another request with it. Reads answers of up to 1 MiB
+    /// whole.
     pub fn without_reuse() -> HttpClient {
-        HttpClient::build(0)
+        HttpClient::build(0, TARGET_ANSWER_BYTES_MAX)
     }
 
-    fn build(idle_max: usize) -> HttpClient {
+    fn build(idle_max: usize, answer_bytes_max: usize) -> HttpClient {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(std::time::Duration::from_millis(1_000)));
@@ -52,8 +62,9 @@
         let inner = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
             .pool_max_idle_per_host(idle_max)
+            .http1_max_buf_size(HEAD_BYTES_MAX)
             .build(connector);
-        HttpClient { inner }
+        HttpClient { inner, answer_bytes_max }
     }
 
     /// Sends a request and returns the response with its body as a stream.
@@ -71,14 +82,15 @@
 
     /// Sends a request and returns the status and the complete body of the response.
     ///
-    /// Fails with [`Error::Network`] if there is no response or its body can't be read.
+    /// Fails with [`Error::Network`] if there is no response, or its body can't be read or is too large.
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<(u16, Bytes)> {
         let peer = request.uri().authority().map(|it| it.to_string()).unwrap_or_default();
         let to_error =
             |detail: String| Error::network("HTTP request", &peer, std::io::Error::other(detail));
         let response = self.send(request).await.map_err(|it| to_error(it.detail))?;
         let status = response.status().as_u16();
-        let body = response.into_body().collect().await.map_err(|it| to_error(it.to_string()))?;
+        let body = Limited::new(response.into_body(), self.answer_bytes_max);
+        let body = body.collect().await.map_err(|it| to_error(it.to_string()))?;
         Ok((status, body.to_bytes()))
     }
 }
