--- a/crates/bilberryloft-daemon/src/control/node.rs
+++ b/crates/bilberryloft-daemon/src/control/node.rs
@@ -121,10 +121,6 @@
     ) -> Result<ControlHandle> {
         let seed = digest(&[daemon.as_bytes(), &incarnation.to_le_bytes()]) as u64;
         let recovered = RecoveredMember::open_or_wait(&data_folder, settings, seed)?;
-        let mut settings = settings.clone();
-        if recovered.storage.is_some() {
-            settings.end_first_start();
-        }
         let (input_sender, inputs) = mpsc::channel(INPUT_QUEUE_MAX);
         let (report_sender, reports) = mpsc::unbounded_channel();
         let (applied, applied_receiver) = watch::channel(AppliedVersions::default());
@@ -141,14 +137,14 @@
             machine,
             applied_index: recovered.applied_index,
             disk: DiskWriter::spawn(recovered.storage, report_sender.clone())?,
-            peers: Peers::new(daemon, incarnation, &settings, input_sender.clone()),
+            peers: Peers::new(daemon, incarnation, settings, input_sender.clone()),
             leases: LeaseTable::new(settings.target_lease_ms),
             leased_version: 0,
             member_planner: MemberPlanner::new(settings.member, settings.voters_wanted),
             loss_tolerance: None,
             assessment_due_ms: 0,
             has_held_document: false,
-            settings,
+            settings: settings.clone(),
             seed,
             report_sender,
             data_folder,
@@ -169,8 +165,9 @@
     }
 
     async fn run(mut self) {
-        if self.disk.is_stopped() {
-            self.reopen().await;
+        match self.disk.is_stopped() {
+            true => self.reopen().await,
+            false => self.settings.end_first_start(),
         }
         self.peers.update(&self.raft.members().clone());
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
