Test: sound requests are dropped for room that they don't use

A fault of (what targets send is in the account): room is reserved for what the next read may bring, up to 64 KB, also while a request waits for its answer on a connection that has had large ones. With 200 of them in an account of 16 MiB, sound ones are dropped.

--- a/crates/bilberryloft-relay/tests/untaken_answers.rs
+++ b/crates/bilberryloft-relay/tests/untaken_answers.rs
@@ -19,6 +19,8 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Bytes of an event, and of its chunk.
 const EVENT: &[u8; 20] = b"data: {\"token\": 7}\n\n";
@@ -31,6 +33,11 @@
 const FREE_BYTES: usize = 16 << 10;
 const READ_BYTES: usize = 64 << 10;
 
+/// Size of a large answer.
+const LARGE_BYTES: usize = 400 << 10;
+/// Requests that wait for their answer at the same time.
+const WAITING: usize = 200;
+
 /// Answers a request with a stream, some events for each order.
 async fn send_events(mut stream: TcpStream, mut orders: mpsc::Receiver<usize>) {
     let mut head = Vec::new();
@@ -98,3 +105,57 @@
     }
     assert!(account.held_bytes(Purpose::Reading) as usize > FREE_BYTES);
 }
+
+/// Answers each request of a connection: one for `/large` at once, all others when that is allowed.
+async fn serve_large(
+    mut stream: TcpStream,
+    mut allowed: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await?);
+        }
+        let bytes = if head.starts_with(b"GET /large") { LARGE_BYTES } else { 0 };
+        if bytes == 0 {
+            let _ = allowed.wait_for(|it| *it).await;
+        }
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {bytes}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(&vec![b'a'; bytes]).await?;
+    }
+}
+
+/// Guards against dropping sound requests that wait for their answer, on connections that have had large ones, for room that
+/// they don't use.
+#[tokio::test]
+async fn request_that_waits_for_its_answer_holds_nothing() {
+    let account = Account::new(16 << 20);
+    let (allow, allowed) = watch::channel(false);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_large(stream, allowed.clone()));
+        }
+    });
+    let pool = Pool::new(account.clone(), Arc::<Report>::default());
+    let mut waiting = Vec::new();
+    for _ in 0..WAITING {
+        let mut connection = pool.open(&address).await.unwrap();
+        let request = Request::get("/large").body(Full::new(Bytes::new())).unwrap();
+        let body = connection.send(request).await.unwrap().into_body();
+        let (held, deadline) = (account.open(Purpose::Answer), Instant::now() + PLENTY);
+        let answer = connection.read_held_body(body, 1 << 20, held, deadline).await.unwrap();
+        assert_eq!(answer.len(), LARGE_BYTES);
+        waiting.push(tokio::spawn(async move {
+            let request = Request::get("/wait").body(Full::new(Bytes::new())).unwrap();
+            connection.send(request).await.is_ok()
+        }));
+    }
+    allow.send_replace(true);
+    for request in waiting {
+        assert!(request.await.unwrap(), "a request that waited for its answer was dropped");
+    }
+    assert_eq!(account.dropped(), 0);
+}
