Only what a target has sent takes room, and it is read 16 KiB at a time

Cause: before each read, room was reserved for all that it might bring. So a request that waited for its answer held up to 64 KB that nobody had sent, and a few hundred of them on connections with large answers filled the part of the account.

Change: what has arrived is reserved before more is read. So that no more than a little is in a reader's hands before, at most 16 KiB are read at a time: a body of 1 MB takes up to four times as many reads as before.

--- a/crates/bilberryloft-relay/src/connection.rs
+++ b/crates/bilberryloft-relay/src/connection.rs
@@ -47,6 +47,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest head of an answer, and the most that is read ahead of the reader of a body, in bytes.
 const BUFFER_BYTES_MAX: usize = 64 << 10;
+/// Most bytes that are read at once, and so are in the hands of a reader before the account holds them.
+const READ_BYTES_MAX: usize = 16 << 10;
 /// Largest number of bytes that arrive without a head or a piece of a body.
 const BYTES_WITHOUT_PROGRESS_MAX: usize = 4 * BUFFER_BYTES_MAX;
 
@@ -95,10 +97,10 @@
         self.is_answer_due.store(false, Ordering::Relaxed);
     }
 
-    /// Returns the bytes of an answer that is due that nobody has taken, with `more`.
-    fn untaken_with(&self, more: usize) -> usize {
+    /// Returns the bytes of an answer that is due that nobody has taken.
+    fn untaken_bytes(&self) -> usize {
         match self.is_answer_due.load(Ordering::Relaxed) {
-            true => self.untaken_bytes.load(Ordering::Relaxed) + more,
+            true => self.untaken_bytes.load(Ordering::Relaxed),
             false => 0,
         }
     }
@@ -128,12 +130,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        // What the buffer has room for is allocated already.
-        let untaken_bytes = self.progress.untaken_with(buffer.remaining());
+        // What has arrived is held before more is read. A request that waits for its answer holds nothing.
+        let untaken_bytes = self.progress.untaken_bytes();
         ready!(self.hold.poll_room(context, untaken_bytes))?;
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let bytes = buffer.filled().len() - before;
+        let part_bytes = buffer.remaining().min(READ_BYTES_MAX);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(part_bytes));
+        let polled = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let bytes = part.filled().len();
+        buffer.advance(bytes);
         if bytes > 0 && self.progress.add(bytes) {
             let error = "the target sends bytes without end that are no answer";
             return Poll::Ready(Err(io::Error::other(error)));
