An agent that stops cuts off answers that its entry has not got, and a test of it is listed

Not mended here. What is needed: to count the calls that are being answered and the frames that are not written, and to close connections so that what their peers have sent meanwhile doesn't reset them.

--- a/crates/bilberryloft-testing/tests/drain_and_shutdown.rs
+++ b/crates/bilberryloft-testing/tests/drain_and_shutdown.rs
@@ -14,6 +14,10 @@
 
 /// Number of tokens of a long answer.
 const TOKENS: u64 = 50;
+/// An answer of about 16 MB, which no buffer of a connection holds, and the speed of the link that it takes.
+const LARGE_ANSWER_TOKENS: u64 = 16_000;
+const PROMPT_BYTES: usize = 1_000;
+const LINK_BYTES_PER_S: u64 = 8_000_000;
 
 fn drain(target: &str, draining: bool) -> ChangeKind {
     ChangeKind::SetTarget { name: target.to_string(), draining }
@@ -212,3 +216,30 @@
         "a request that runs at a drained target must finish"
     );
 }
+
+/// Guards against an answer that is cut off because its agent counts runs at the target, and not what its entry has still to
+/// get over a slow link.
+#[tokio::test]
+async fn stopping_agent_sends_its_answers_to_their_ends_over_a_slow_link() {
+    let mut fleet = Fleet::plan("stop-agent-slow", 1, 1, 1);
+    let engine = fleet.engine_settings_mut("engine-1");
+    engine.tokens = LARGE_ANSWER_TOKENS;
+    engine.token_ms = 0;
+    let links = Links::interpose(&mut fleet).await;
+    start_fleet(&mut fleet).await;
+    links.set_fault("entries", "agent-1", Fault::BytesPerS(LINK_BYTES_PER_S));
+    let prompt = "p".repeat(PROMPT_BYTES);
+    let (entry, sent) = (fleet.entry_address(0), prompt.clone());
+    let caller = tokio::spawn(async move {
+        Caller::new("depot-token").request_completion(&entry, &sent, false).await
+    });
+    fleet.wait_for("the request to run", async || runs_at(&fleet, 1) == 1).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(!caller.is_finished(), "the link isn't slow");
+    fleet.processes["agent-1"].signal("TERM");
+    let reply = caller.await.unwrap();
+    assert!(reply.is_complete, "{:?} {:?}", reply.error, reply.problem);
+    assert_eq!(reply.text.len(), expected_answer(&prompt, LARGE_ANSWER_TOKENS).len());
+    let mut process = fleet.processes.remove("agent-1").unwrap();
+    assert_eq!(process.wait(Duration::from_secs(20)), Some(true));
+}
