The random test of the storage lets syncs fail for good

The member may not lose what it reported durable, nor fail to start, after a device has failed in a sync. The failures come from random numbers of their own, so that the seeds' other choices stay as they were until one occurs.

A later process can't tell that a sync has failed.

--- a/crates/bilberryloft-state/tests/storage_power.rs
+++ b/crates/bilberryloft-state/tests/storage_power.rs
@@ -68,7 +68,7 @@
     append(&mut storage, &entries(2));
     storage.sync().unwrap();
     append(&mut storage, &[entry(3, "given up")]);
-    disk.fail_next_sync();
+    disk.fail_next_sync(true);
     assert!(storage.sync().is_err());
     drop(storage);
     let (mut storage, mut acknowledged) = open(&disk).unwrap();
--- a/crates/bilberryloft-state/tests/support/member.rs
+++ b/crates/bilberryloft-state/tests/support/member.rs
@@ -25,6 +25,10 @@
 /// Longest text of most entries, and of the few that span several sectors.
 const TEXT_BYTES_MAX: usize = 40;
 const LONG_TEXT_BYTES_MAX: usize = 3_000;
+/// Batches of jobs of which one meets a failing device.
+const BATCHES_PER_FAILURE: u8 = 32;
+/// Salt that keeps these failures apart from the other random choices of a seed.
+const FAILURE_SALT: u64 = 0x5EED;
 
 /// A job that waits for the disk.
 enum Job {
@@ -44,6 +48,8 @@
 pub struct Member {
     seed: u64,
     random: fastrand::Rng,
+    /// Decides which syncs fail for good.
+    failures: fastrand::Rng,
     step: u64,
     steps_left: u64,
     disk: MemoryDisk,
@@ -70,6 +76,7 @@
         let mut member = Member {
             seed,
             random: fastrand::Rng::with_seed(seed),
+            failures: fastrand::Rng::with_seed(seed ^ FAILURE_SALT),
             step: 0,
             steps_left: steps,
             file_system: disk.start_process(),
@@ -229,8 +236,13 @@
         let count = self.random.usize(0..=self.jobs.len());
         let jobs: Vec<Job> = self.jobs.drain(..count).collect();
         let mut storage = self.storage.take().unwrap();
+        // What a failed sync has left stays if the process is killed before it is cut off; nothing tells of it then.
+        let fails = self.failures.u8(0..BATCHES_PER_FAILURE) == 0 && !self.disk.is_kill_due();
+        self.disk.fail_next_sync(fails);
         let result = jobs.into_iter().try_for_each(|it| self.run_job(&mut storage, it));
-        match result.and_then(|()| storage.sync()) {
+        let result = result.and_then(|()| storage.sync());
+        self.disk.fail_next_sync(false);
+        match result {
             Ok(()) => {
                 self.states.drain(..self.states.len() - 1);
                 self.storage = Some(storage);
--- a/crates/bilberryloft-testing/src/memory_disk.rs
+++ b/crates/bilberryloft-testing/src/memory_disk.rs
@@ -114,6 +114,11 @@
         self.state.lock().calls_left = Some(calls);
     }
 
+    /// Whether the running process will be killed after a number of its calls.
+    pub fn is_kill_due(&self) -> bool {
+        self.state.lock().calls_left.is_some()
+    }
+
     /// Ends the running process and decides for each change that is not durable whether it stays. `keep_nothing` loses
     /// them all.
     pub fn lose_power(&self, random: &mut fastrand::Rng, keep_nothing: bool) {
@@ -138,10 +143,10 @@
         self.state.lock().hold = Hold::Armed(name_start.to_string());
     }
 
-    /// Lets the next sync of a file fail as after an error of the device: what it was to make durable stays in the files as
-    /// processes see them, and no later sync makes it durable.
-    pub fn fail_next_sync(&self) {
-        self.state.lock().fails_next_sync = true;
+    /// Says whether the next sync of a file fails as after an error of the device: what it was to make durable stays in the
+    /// files as processes see them, and no later sync makes it durable.
+    pub fn fail_next_sync(&self, fails: bool) {
+        self.state.lock().fails_next_sync = fails;
     }
 
     /// Removes all files, as if another, empty disk had taken the place of this one.
