--- a/crates/bilberryloft-testing/tests/lost_power.rs
+++ b/crates/bilberryloft-testing/tests/lost_power.rs
@@ -14,6 +14,8 @@
 /// Time for a change, which may fail while a disk is held up.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for a change that can't be acknowledged yet, short enough that the leader goes on in its term.
+const HELD_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for a change in which a host opens its folder several times.
 const REOPENING_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -71,6 +73,39 @@
     assert!(!is_acknowledged, "{version} was acknowledged, {found} is left");
 }
 
+/// Guards against a follower that is killed between the write of a record and its sync, and acknowledges the record when it
+/// starts again, as only written: with the leader's disk lost and the power of the others, that is gone.
+#[tokio::test]
+async fn change_that_a_killed_follower_left_unsynced_survives_if_acknowledged() {
+    let mut hosts = ControlHosts::start(3);
+    hosts.check_each_acknowledges("at the start").await;
+    let leader = hosts.leader().await;
+    let (follower, away) = ((leader + 1) % 3, (leader + 2) % 3);
+    for host in &hosts.hosts {
+        host.settle().await;
+    }
+    hosts.hosts[away].stop();
+    hosts.hosts[follower].disk.hold_next_sync("wal-");
+    hosts.put(leader, HELD_TIMEOUT).await;
+    let version = hosts.version;
+    wait_until(|| hosts.hosts[follower].disk.is_holding(), "the follower syncs").await;
+    hosts.hosts[follower].stop();
+    hosts.hosts[follower].start().unwrap();
+    let applied = |idx: usize| hosts.hosts[idx].node().machine().document.document().version;
+    wait_until(|| applied(leader) == version, "the change is committed").await;
+    for host in &mut hosts.hosts {
+        host.stop();
+        host.disk.lose_power(&mut fastrand::Rng::with_seed(1), true);
+    }
+    hosts.hosts[leader].disk = MemoryDisk::default();
+    for host in &mut hosts.hosts {
+        host.start().unwrap();
+    }
+    let leader = hosts.leader().await;
+    let applied = || hosts.hosts[leader].node().machine().document.document().version;
+    wait_until(|| applied() == version, "the change is at the new leader").await;
+}
+
 /// Makes some changes, among them with the sync of one disk held up, with a host killed and started, or with a host that
 /// opens its folder again; returns the last version that was acknowledged.
 async fn change_at_random(hosts: &mut ControlHosts, random: &mut fastrand::Rng) -> u64 {
