Review: format of the stand-ins

Cause: the formatter and the linter had not been run on them. Change: format, one name, one call without effect; what the scripts do is as before.

--- a/review/stands-2/src/bin/case_10.rs
+++ b/review/stands-2/src/bin/case_10.rs
@@ -34,7 +34,9 @@
         routes.push(route("offer", "offers"));
     }
     let service = |name: &str| {
-        format!(r#"{{"name":"{name}","health_path":"/healthz","max_connections":56,"protocol":"h1","tls":false}}"#)
+        format!(
+            r#"{{"name":"{name}","health_path":"/healthz","max_connections":56,"protocol":"h1","tls":false}}"#
+        )
     };
     format!(
         r#"{{"version":{version},"route_table":[{}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
@@ -79,7 +81,10 @@
     let on_added = ask(&fleet, record, "/offer/1");
     record.line(&format!("served: {on_first} of {REQUESTS} on the first route, {on_added} of {REQUESTS} on the added one"));
     let runs = offers.runs.lock().map_err(|_| "a replica panicked")?;
-    record.line(&format!("{REPLICA}, whose own heartbeats say ready and are acknowledged, ran {} requests", runs.len()));
+    record.line(&format!(
+        "{REPLICA}, whose own heartbeats say ready and are acknowledged, ran {} requests",
+        runs.len()
+    ));
     if on_first == 0 {
         return Err("nothing was served on the first route".to_string());
     }
--- a/review/stands-2/src/bin/case_7.rs
+++ b/review/stands-2/src/bin/case_7.rs
@@ -43,13 +43,18 @@
     let replicas = start_replicas(&fleet, &crash, &has_crashed)?;
     // Heartbeats are acknowledged and known everywhere.
     std::thread::sleep(Duration::from_millis(4_000));
-    let streams: Vec<_> = (0..STREAMS).map(|idx| {
-        let address = fleet.frontend(idx % HOSTS);
-        let id = format!("{:016x}", 0x9c41_d07b_e2a3_0000_u64 + idx as u64);
-        std::thread::spawn(move || (id.clone(), request(address, &id)))
-    }).collect();
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|idx| {
+            let address = fleet.frontend(idx % HOSTS);
+            let id = format!("{:016x}", 0x9c41_d07b_e2a3_0000_u64 + idx as u64);
+            std::thread::spawn(move || (id.clone(), request(address, &id)))
+        })
+        .collect();
     // The replica that crashes is down from then on: it accepts no connections and sends no heartbeats.
-    while is_disrupted && !has_crashed.load(Ordering::SeqCst) && !streams.iter().all(|it| it.is_finished()) {
+    while is_disrupted
+        && !has_crashed.load(Ordering::SeqCst)
+        && !streams.iter().all(|it| it.is_finished())
+    {
         std::thread::sleep(Duration::from_millis(1));
     }
     if has_crashed.load(Ordering::SeqCst) {
@@ -62,11 +67,17 @@
         let (id, answer) = stream.join().map_err(|_| "a client panicked")?;
         let ids = event_ids(&answer.body);
         let length = answer.header("content-length").unwrap_or("none").to_string();
-        record.line(&format!("stream {id}: {}, stated length {length}, whole events {ids:?}", answer.describe()));
+        record.line(&format!(
+            "stream {id}: {}, stated length {length}, whole events {ids:?}",
+            answer.describe()
+        ));
         let looks_complete = answer.status == 200 && answer.is_complete;
         complete += usize::from(looks_complete);
         if looks_complete && ids.last() != Some(&EVENTS) {
-            record.line(&format!("stream {id} looks complete, and lacks its last piece: {:?}", String::from_utf8_lossy(&answer.body)));
+            record.line(&format!(
+                "stream {id} looks complete, and lacks its last piece: {:?}",
+                String::from_utf8_lossy(&answer.body)
+            ));
             is_held = false;
         }
     }
@@ -108,9 +119,15 @@
 
 /// Writes a stream with its length. Each event holds some words; how long they are is up to the replica, whose answers are
 /// sampled.
-fn answer(request: &Request, stream: &mut TcpStream, padding: usize, crash: Option<&AtomicBool>) -> bool {
+fn answer(
+    request: &Request,
+    stream: &mut TcpStream,
+    padding: usize,
+    crash: Option<&AtomicBool>,
+) -> bool {
     let last: u64 = request.header("last-event-id").parse().unwrap_or(0);
-    let event = |id: u64| format!("id: {id:02}\ndata: grit the pass road {}\n\n", "x".repeat(padding));
+    let event =
+        |id: u64| format!("id: {id:02}\ndata: grit the pass road {}\n\n", "x".repeat(padding));
     let body: usize = (last + 1..=EVENTS).map(|it| event(it).len()).sum();
     let head = format!(
         "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nReplica-Signature: 3e1b.07.5a2\r\nContent-Type: text/event-stream\r\n\
--- a/review/stands-2/src/bin/case_8.rs
+++ b/review/stands-2/src/bin/case_8.rs
@@ -42,7 +42,9 @@
         routes.push(route("offer", "offers"));
     }
     let service = |name: &str| {
-        format!(r#"{{"name":"{name}","health_path":"/healthz","max_connections":56,"protocol":"h1","tls":false}}"#)
+        format!(
+            r#"{{"name":"{name}","health_path":"/healthz","max_connections":56,"protocol":"h1","tls":false}}"#
+        )
     };
     format!(
         r#"{{"version":{version},"route_table":[{}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
@@ -96,7 +98,7 @@
     others.rotate_left(1);
     second.announce("offers", "zone-1", BORN_MS[1], others);
     std::thread::sleep(Duration::from_millis(500));
-    let before = ask(&fleet, record, "/listing/1", 1, 1).max(0);
+    let before = ask(&fleet, record, "/listing/1", 1, 1);
     if is_disrupted {
         std::thread::sleep(FREEZE.saturating_sub(frozen.elapsed()));
         fleet.thaw(FROZEN);
@@ -115,7 +117,10 @@
     let on_added = ask(&fleet, record, "/offer/1", REQUESTS, 0);
     record.line(&format!("served: {on_first} of {REQUESTS} on the first route, {on_added} of {REQUESTS} on the added one"));
     let runs = second.runs.lock().map_err(|_| "a replica panicked")?;
-    record.line(&format!("the second start of {REPLICA}, which is ready and acknowledged, ran {} requests", runs.len()));
+    record.line(&format!(
+        "the second start of {REPLICA}, which is ready and acknowledged, ran {} requests",
+        runs.len()
+    ));
     if on_first == 0 {
         return Err("nothing was served on the first route".to_string());
     }
@@ -126,7 +131,7 @@
 fn ask(fleet: &Fleet, record: &Record, path: &str, count: usize, from: usize) -> usize {
     let mut served = 0;
     for number in 0..count {
-        let id = format!("{:016x}", fastish(path, number));
+        let id = format!("{:016x}", unique_id(path, number));
         let headers = [
             ("Host", "board.example"),
             ("Attempt-Id", id.as_str()),
@@ -143,8 +148,10 @@
 }
 
 /// Returns an id that no other request of the script has.
-fn fastish(path: &str, number: usize) -> u64 {
-    let seed = path.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |it, byte| (it ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3));
+fn unique_id(path: &str, number: usize) -> u64 {
+    let seed = path.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |it, byte| {
+        (it ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3)
+    });
     seed.wrapping_add(number as u64).wrapping_add(u64::from(std::process::id()) << 20)
 }
 
--- a/review/stands-2/src/bin/case_9.rs
+++ b/review/stands-2/src/bin/case_9.rs
@@ -21,7 +21,9 @@
 /// Returns a configuration with the given routes, and a health path that holds the given bytes.
 fn configuration(version: u64, routes: &[String], health_path: &[u8]) -> Vec<u8> {
     let service = |name: &str, path: &str| {
-        format!(r#"{{"name":"{name}","health_path":"{path}","max_connections":56,"protocol":"h1","tls":false}}"#)
+        format!(
+            r#"{{"name":"{name}","health_path":"{path}","max_connections":56,"protocol":"h1","tls":false}}"#
+        )
     };
     let text = format!(
         r#"{{"version":{version},"route_table":[{}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
@@ -65,7 +67,13 @@
     // An a with two dots, in Latin-1 and in UTF-8.
     let letter: &[u8] = if is_disrupted { b"\xe4" } else { "\u{e4}".as_bytes() };
     let path = [b"/pr", letter, b"sent"].concat();
-    let is_read_back = send_unreadable(&fleet, record, &first, &configuration(12, &[listing()], &path), is_disrupted)?;
+    let is_read_back = send_unreadable(
+        &fleet,
+        record,
+        &first,
+        &configuration(12, &[listing()], &path),
+        is_disrupted,
+    )?;
 
     let host = if is_disrupted { "Board.example" } else { "other.example" };
     let routes = [listing(), route("r-offer", host, "offers")];
@@ -90,7 +98,11 @@
 ) -> Result<bool, String> {
     let answer = fleet.put_configuration(0, sent);
     let is_utf8 = std::str::from_utf8(sent).is_ok();
-    record.line(&format!("version 12, {} bytes, UTF-8: {is_utf8}: {}", sent.len(), answer.describe()));
+    record.line(&format!(
+        "version 12, {} bytes, UTF-8: {is_utf8}: {}",
+        sent.len(),
+        answer.describe()
+    ));
     record.line(&format!("sent      {}", sent.escape_ascii()));
     std::thread::sleep(APPLY);
     let is_acknowledged = answer.status == 200;
@@ -105,7 +117,9 @@
     }
     match is_disrupted {
         true => Ok(is_held && (400..500).contains(&answer.status)),
-        false if !is_acknowledged => Err("the valid configuration was not acknowledged".to_string()),
+        false if !is_acknowledged => {
+            Err("the valid configuration was not acknowledged".to_string())
+        }
         false => Ok(is_held),
     }
 }
--- a/review/stands-2/src/fleet.rs
+++ b/review/stands-2/src/fleet.rs
@@ -61,8 +61,7 @@
             let [high, low] = (net + 1_000).to_be_bytes();
             Ipv4Addr::new(127, high.max(1), low, idx as u8 + 1)
         };
-        let hosts: Vec<Host> =
-            (0..count).map(|it| Host { ip: ip(it), process: None }).collect();
+        let hosts: Vec<Host> = (0..count).map(|it| Host { ip: ip(it), process: None }).collect();
         let ports = free_ports(&hosts)?;
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|it| it.to_string())?;
@@ -214,7 +213,8 @@
     let text = std::fs::read_to_string(path).map_err(|it| format!("{path}: {it}"))?;
     let section = text.split("[roles.entry]").nth(1).unwrap_or_default();
     let line = section.lines().find(|it| it.starts_with("run = "));
-    let command = line.and_then(|it| it.split('"').nth(1)).ok_or("no command in the deploy file")?;
+    let command =
+        line.and_then(|it| it.split('"').nth(1)).ok_or("no command in the deploy file")?;
     Ok(command.split(' ').map(str::to_string).collect())
 }
 
--- a/review/stands-2/src/replica.rs
+++ b/review/stands-2/src/replica.rs
@@ -125,7 +125,8 @@
     let mut bytes = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut bytes) {
         if request.path == "/healthz" {
-            let answer = format!("HTTP/1.1 200 OK\r\nReplica-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            let answer =
+                format!("HTTP/1.1 200 OK\r\nReplica-Id: {id}\r\nContent-Length: 0\r\n\r\n");
             let _ = stream.write_all(answer.as_bytes());
             continue;
         }
