Resumed streams no longer end at the length that their first target stated

Cause: the relay passed on all headers of the first target's answer, the length too, and let another target go on with the body. The HTTP library cuts a body at the stated length without an error.

Why it works: stream/head.rs decides once whether another target may go on with an answer. If so, what describes the bytes is left out, so the body ends in chunks; if not, the answer keeps its head and is never resumed. To callers of HTTP/1.0, who have no chunks, a body that ends early is reset, also where the connection is closed for another reason.

--- a/crates/bilberryloft-relay/src/answer_check.rs
+++ b/crates/bilberryloft-relay/src/answer_check.rs
@@ -103,8 +103,12 @@
         Some(value) => is_event_stream(value.as_bytes()),
         None => true,
     };
-    let is_content = status == StatusCode::OK && !answer.contains_key(header::CONTENT_ENCODING);
-    has_type && (is_content || !sent.is_continuation)
+    has_type && (is_unencoded_content(status, answer) || !sent.is_continuation)
+}
+
+/// Whether the body of an answer is the whole content itself, neither a part of it nor encoded.
+pub fn is_unencoded_content(status: StatusCode, answer: &HeaderMap) -> bool {
+    status == StatusCode::OK && !answer.contains_key(header::CONTENT_ENCODING)
 }
 
 fn is_event_stream(content_type: &[u8]) -> bool {
--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -28,6 +28,7 @@
 use crate::state::LoadSnapshot;
 use crate::state::RelayState;
 use crate::stream;
+use crate::stream::BegunStream;
 use crate::stream::InFlight;
 use crate::target_slot::TargetSlot;
 use crate::target_slot::WholeAnswer;
@@ -111,9 +112,11 @@
             release_plain(slot, received.head.status, held.len());
             received.head.into_response(held_body(held))
         }
-        AnswerContent::Stream(streamed) => {
+        AnswerContent::Stream { first, may_be_continued } => {
             let in_flight = InFlight { _open: open, _trial: answer.trial };
-            let body = stream::spawn(state, request, *streamed, slot, answer.attempts, in_flight);
+            let begun =
+                BegunStream { first: *first, slot, attempts: answer.attempts, may_be_continued };
+            let body = stream::spawn(state, request, begun, in_flight);
             received.head.into_response(body)
         }
     }
--- a/crates/bilberryloft-relay/src/memory/caller_connection.rs
+++ b/crates/bilberryloft-relay/src/memory/caller_connection.rs
@@ -86,6 +86,17 @@
     pub idle: Duration,
 }
 
+/// How the client learns where the answer that is sent ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// From its length or its chunks; or all of it has been written.
+    Marked,
+    /// From the end of the connection, and a part of it has not been handed over.
+    Open,
+    /// From the end of the connection, and all of it has been handed over.
+    HandedOver,
+}
+
 /// What changes in a connection.
 #[derive(Debug)]
 struct ConnectionState {
@@ -98,6 +109,7 @@
     asked: Option<CloseCause>,
     /// Whether this process has ended the connection.
     is_ended: bool,
+    answer_end: AnswerEnd,
 }
 
 impl ConnectionState {
@@ -161,6 +173,7 @@
             blocked_since_ms: None,
             asked: None,
             is_ended: false,
+            answer_end: AnswerEnd::Marked,
         };
         let (state, request_id) = (Mutex::new(state), Mutex::default());
         CallerConnection { address, state, asked: Notify::new(), request_id }
@@ -199,6 +212,16 @@
         self.state.lock().is_ended = true;
     }
 
+    /// Records how the client learns where the answer that is sent ends.
+    pub fn set_answer_end(&self, answer_end: AnswerEnd) {
+        self.state.lock().answer_end = answer_end;
+    }
+
+    /// Returns whether the connection must end with a reset, because its end would make a part of an answer look whole.
+    pub fn must_reset(&self) -> bool {
+        self.state.lock().answer_end != AnswerEnd::Marked
+    }
+
     /// Returns whether this process has ended the connection.
     pub fn is_ended(&self) -> bool {
         self.state.lock().is_ended
@@ -213,8 +236,13 @@
 
     /// Records that everything was written that had been handed over.
     pub fn record_flushed(&self) {
-        if self.phase() == Phase::Flushing {
-            self.set_phase(Phase::Idle);
+        if self.phase() != Phase::Flushing {
+            return;
+        }
+        self.set_phase(Phase::Idle);
+        let mut state = self.state.lock();
+        if state.answer_end == AnswerEnd::HandedOver {
+            state.answer_end = AnswerEnd::Marked;
         }
     }
 
--- a/crates/bilberryloft-relay/src/memory/serve.rs
+++ b/crates/bilberryloft-relay/src/memory/serve.rs
@@ -9,8 +9,10 @@
 use bilberryloft_state::error::Error;
 use bilberryloft_state::error::Result;
 use bytes::Bytes;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -128,11 +130,14 @@
     let served = connection.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         served.set_phase(Phase::Body);
+        // A HEAD request is answered without a body.
+        let may_be_chunked =
+            request.version() >= Version::HTTP_11 || request.method() == Method::HEAD;
         let (answer, tracked) = (serve(request, served.clone()), served.clone());
         async move {
             let answer = answer.await;
             tracked.set_phase(Phase::Answering);
-            Ok::<_, Infallible>(answer.map(|it| TrackedBody::new(it, tracked)))
+            Ok::<_, Infallible>(answer.map(|it| TrackedBody::new(it, tracked, may_be_chunked)))
         }
     });
     let watched = TokioIo::new(WatchedStream::new(stream, connection.clone()));
--- a/crates/bilberryloft-relay/src/memory/tracked_body.rs
+++ b/crates/bilberryloft-relay/src/memory/tracked_body.rs
@@ -9,6 +9,7 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
+use crate::memory::caller_connection::AnswerEnd;
 use crate::memory::caller_connection::CallerConnection;
 use crate::memory::caller_connection::Phase;
 
@@ -17,12 +18,22 @@
 pub struct TrackedBody<B> {
     inner: B,
     connection: Arc<CallerConnection>,
+    /// Whether the client learns only from the end of the connection where the body ends.
+    ends_with_connection: bool,
 }
 
-impl<B> TrackedBody<B> {
-    /// Wraps a body.
-    pub fn new(inner: B, connection: Arc<CallerConnection>) -> TrackedBody<B> {
-        TrackedBody { inner, connection }
+impl<B: Body> TrackedBody<B> {
+    /// Wraps a body; `may_be_chunked` says whether the client's protocol has chunks to mark the end of one without length.
+    pub fn new(
+        inner: B,
+        connection: Arc<CallerConnection>,
+        may_be_chunked: bool,
+    ) -> TrackedBody<B> {
+        let ends_with_connection = !may_be_chunked && inner.size_hint().exact().is_none();
+        if ends_with_connection {
+            connection.set_answer_end(AnswerEnd::Open);
+        }
+        TrackedBody { inner, connection, ends_with_connection }
     }
 }
 
@@ -34,7 +45,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.inner).poll_frame(context)
+        let polled = Pin::new(&mut self.inner).poll_frame(context);
+        if matches!(polled, Poll::Ready(None)) && self.ends_with_connection {
+            self.connection.set_answer_end(AnswerEnd::HandedOver);
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/bilberryloft-relay/src/memory/watched_stream.rs
+++ b/crates/bilberryloft-relay/src/memory/watched_stream.rs
@@ -1,4 +1,5 @@
-//! Stream that records when bytes arrive, when none can be written and when all were.
+//! Stream that records when bytes arrive, when none can be written and when all were, and resets a connection whose answer
+//! would look whole.
 
 use std::io;
 use std::pin::Pin;
@@ -32,6 +33,16 @@
     }
 }
 
+impl Drop for WatchedStream {
+    fn drop(&mut self) {
+        if self.connection.must_reset()
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            tracing::warn!(%error, "a connection whose answer broke off ends without a reset, so the answer looks whole");
+        }
+    }
+}
+
 impl AsyncRead for WatchedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/bilberryloft-relay/src/retry_loop.rs
+++ b/crates/bilberryloft-relay/src/retry_loop.rs
@@ -30,6 +30,7 @@
 use crate::prompt_part::part_ids;
 use crate::request::RelayRequest;
 use crate::state::RelayState;
+use crate::stream;
 use crate::suspects::Permission;
 use crate::target_slot::TargetSlot;
 use crate::trial_slot::wait_for_trial;
@@ -63,7 +64,12 @@
     /// The whole body.
     Buffered(HeldBlocks),
     /// A stream whose body has not been read yet.
-    Stream(Box<Answered>),
+    Stream {
+        /// Answer of the target that begins it.
+        first: Box<Answered>,
+        /// Whether another target may go on with it.
+        may_be_continued: bool,
+    },
 }
 
 /// A target's answer in the form in which it is forwarded to the caller.
@@ -374,9 +380,13 @@
     let status = answered.response.status();
     let summary = AttemptSummary { name, outcome, did_run: DidRun::Unknown, detail: None };
     if request.route.kind == RequestKind::Stream && status.is_success() {
-        let headers = headers::copy_end_to_end(answered.response.headers(), &[]);
+        let response = &answered.response;
+        let may_be_continued =
+            stream::head::may_be_continued(&request.route, &request.method, response);
+        let headers = stream::head::forwarded_headers(response.headers(), may_be_continued);
         let head = AnswerHead { status, headers };
-        return (summary, Some(ReceivedAnswer { head, body: AnswerContent::Stream(answered) }));
+        let body = AnswerContent::Stream { first: answered, may_be_continued };
+        return (summary, Some(ReceivedAnswer { head, body }));
     }
     let Answered { response, connection, address } = *answered;
     let (mut parts, body) = response.into_parts();
--- a/crates/bilberryloft-relay/src/stream/mod.rs
+++ b/crates/bilberryloft-relay/src/stream/mod.rs
@@ -1,5 +1,6 @@
 //! Forwards a stream of events as they arrive, and resumes it at another target if one disconnects or is too slow.
 
+pub mod head;
 pub mod queue;
 mod resume;
 
@@ -66,6 +67,18 @@
     pub _trial: Option<HeldTrial>,
 }
 
+/// A stream whose first target has answered.
+pub struct BegunStream {
+    /// Answer of the target.
+    pub first: Answered,
+    /// Slot at the target.
+    pub slot: TargetSlot,
+    /// Attempts that ran or may have run.
+    pub attempts: u32,
+    /// Whether another target may go on with the stream.
+    pub may_be_continued: bool,
+}
+
 /// State of a stream that is forwarded to its caller.
 struct StreamRelay {
     state: Arc<RelayState>,
@@ -77,6 +90,8 @@
     bytes_sent: usize,
     /// Attempts that ran or may have run.
     attempts: u32,
+    /// Whether another target may go on with the stream.
+    may_be_continued: bool,
     /// Whether the caller has had the first events from another target, or from an earlier request.
     is_continuation: bool,
     _in_flight: InFlight,
@@ -86,15 +101,14 @@
 pub fn spawn(
     state: Arc<RelayState>,
     request: RelayRequest,
-    initial: Answered,
-    slot: TargetSlot,
-    attempts: u32,
+    begun: BegunStream,
     in_flight: InFlight,
 ) -> AnswerBody {
     let (frames, body) = queue::open();
     // A caller may resume its stream itself.
     let requested_after = requested_after(&state, &request);
     let framer = EventFramer::after(requested_after);
+    let BegunStream { first, slot, attempts, may_be_continued } = begun;
     let relay = StreamRelay {
         state,
         request: Arc::new(request),
@@ -104,10 +118,11 @@
         longest_gap: Duration::ZERO,
         bytes_sent: 0,
         attempts,
+        may_be_continued,
         is_continuation: requested_after.is_some(),
         _in_flight: in_flight,
     };
-    tokio::spawn(relay.run(initial, slot));
+    tokio::spawn(relay.run(first, slot));
     body
 }
 
@@ -130,8 +145,8 @@
 }
 
 impl StreamRelay {
-    async fn run(mut self, initial: Answered, slot: TargetSlot) {
-        let mut answered = initial;
+    async fn run(mut self, first: Answered, slot: TargetSlot) {
+        let mut answered = first;
         let mut slot = slot;
         loop {
             let next = match self.forward_body(answered, &slot).await {
--- a/crates/bilberryloft-relay/src/stream/resume.rs
+++ b/crates/bilberryloft-relay/src/stream/resume.rs
@@ -46,7 +46,7 @@
 impl StreamRelay {
     /// Returns whether the stream may be resumed at another target, which a suspect may not.
     pub(super) fn may_resume(&self) -> bool {
-        self.request.route.is_resumable
+        self.may_be_continued
             && self.attempts < self.request.route.attempts_max
             && self.state.suspects.may_retry(&self.request)
     }
