A late call of an earlier start of a target no longer ends the present one

Cause: DELETE names the replica and not its start. The entry proposed a leave of the present incarnation, whichever that was, and a leave is final.

Why it works: the entry names the incarnation that it knows, and the state machine refuses any other; for a target that has started more than once, the entry accepts only a start that it has known for longer than a call can be late, longer still after a stall. All else is answered 503, which the caller takes as a reason to ask again; a late call has no caller. Event 523 tells which start was meant and what that rested on.

--- a/crates/bilberryloft-daemon/src/events.rs
+++ b/crates/bilberryloft-daemon/src/events.rs
@@ -138,6 +138,8 @@
     AnnouncementRefused = 521,
     /// A target announced that it is leaving.
     TargetLeaves = 522,
+    /// It was decided which start of a target a call means that ends its membership, and whether it is accepted.
+    LeaveDecided = 523,
     /// A better expert map is being copied.
     ExpertMapPlanned = 530,
     /// All ranks switch to a new expert map at the same pass.
@@ -206,7 +208,7 @@
 }
 
 /// All events, ordered by number.
-pub const EVENTS: [Event; 96] = [
+pub const EVENTS: [Event; 97] = [
     Event::DaemonStarted,
     Event::ShutdownBegan,
     Event::ShutdownEnded,
@@ -274,6 +276,7 @@
     Event::DocumentDecided,
     Event::AnnouncementRefused,
     Event::TargetLeaves,
+    Event::LeaveDecided,
     Event::ExpertMapPlanned,
     Event::ExpertMapSwitched,
     Event::ExpertMapAbandoned,
--- a/crates/bilberryloft-daemon/src/view_sync.rs
+++ b/crates/bilberryloft-daemon/src/view_sync.rs
@@ -83,6 +83,27 @@
     }
 }
 
+/// Asks control hosts for the newest state until a quorum has confirmed it and the view holds it; returns whether that came
+/// about in time.
+pub async fn confirm_view(
+    view: &View,
+    control: &ControlClient,
+    daemon: &str,
+    peer_address: &str,
+    timeout: Duration,
+) -> bool {
+    let confirm = async {
+        loop {
+            let watch = Watch { wait_ms: 0, ..build_watch(view, daemon, peer_address) };
+            if sync_once(view, control, watch).await {
+                return;
+            }
+            pause_before_retry().await;
+        }
+    };
+    tokio::time::timeout(timeout, confirm).await.is_ok()
+}
+
 /// Sends one watch to a control host and applies its update; returns whether a quorum has confirmed the update.
 async fn sync_once(view: &View, control: &ControlClient, watch: Watch) -> bool {
     let requested_ms = monotonic_ms();
--- a/crates/bilberryloft-relay/src/control_api.rs
+++ b/crates/bilberryloft-relay/src/control_api.rs
@@ -39,6 +39,7 @@
 use crate::memory::serve::accept;
 use crate::memory::serve::listen;
 use crate::state::RelayState;
+use crate::target_leave::leave;
 
 /// Largest document in bytes.
 const DOCUMENT_BYTES_MAX: usize = 8 << 20;
@@ -51,7 +52,7 @@
 /// Time after which a client comes back that was refused for want of memory.
 const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("0.5");
 /// Timeout for committing a document or an announcement; callers wait for one second.
-const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
+pub const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
 /// Patches of a document that are tried before the whole text is proposed.
 const PATCH_ATTEMPTS: usize = 2;
 /// Time to wait for the version in force after a patch was made for an older one.
@@ -262,15 +263,6 @@
     }
 }
 
-async fn leave(state: &RelayState, id: &str) -> Response {
-    log_event!(info, Event::TargetLeaves, target_id = id, at = "end");
-    let command = Command::Leave { name: id.to_string(), incarnation: None };
-    match state.daemon.control.propose(&command, COMMIT_TIMEOUT).await {
-        Ok(_) => axum::Json(json!({})).into_response(),
-        Err(error) => error_response(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
-    }
-}
-
 fn target_description(target: TargetInfo) -> TargetDescription {
     TargetDescription {
         agent_address: target.address,
@@ -286,6 +278,7 @@
     }
 }
 
-fn error_response(status: StatusCode, text: &str) -> Response {
+/// Builds the answer that says why a call was not carried out.
+pub fn error_response(status: StatusCode, text: &str) -> Response {
     (status, axum::Json(json!({"error": text}))).into_response()
 }
--- a/crates/bilberryloft-relay/src/lib.rs
+++ b/crates/bilberryloft-relay/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod survived_parts;
 pub mod suspects;
 pub mod target_call;
+pub mod target_leave;
 pub mod target_notice;
 pub mod target_probe;
 pub mod target_slot;
--- a/crates/bilberryloft-relay/src/lifecycle.rs
+++ b/crates/bilberryloft-relay/src/lifecycle.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bilberryloft_transport::clock::boot_ms;
+use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use crate::stop_times::StopTimes;
@@ -16,6 +17,15 @@
 const STALL_MS: u64 = 300;
 /// Pause after a stall, in which the other tasks run.
 const STALL_PAUSE: Duration = Duration::from_millis(50);
+/// Time after a stall in which calls may still be read that arrived during it, in milliseconds.
+const UNREAD_AFTER_STALL_MS: u64 = 2_000;
+
+/// Time in which the process was stalled, in milliseconds since the host's boot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Stall {
+    began_ms: u64,
+    ended_ms: u64,
+}
 
 /// Stage of the stop of this process. Stages follow each other in this order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,6 +48,7 @@
 /// Open requests, stage of the stop and last tick of the process.
 pub struct Lifecycle {
     last_tick_ms: AtomicU64,
+    last_stall: Mutex<Option<Stall>>,
     open_requests: AtomicUsize,
     stage: watch::Sender<Stage>,
     stop_times: OnceLock<StopTimes>,
@@ -47,6 +58,7 @@
     fn default() -> Self {
         Lifecycle {
             last_tick_ms: AtomicU64::new(boot_ms()),
+            last_stall: Mutex::default(),
             open_requests: AtomicUsize::new(0),
             stage: watch::Sender::default(),
             stop_times: OnceLock::new(),
@@ -57,7 +69,23 @@
 impl Lifecycle {
     /// Records that this process is running, to detect stalls.
     pub fn record_tick(&self) {
-        self.last_tick_ms.store(boot_ms(), Ordering::Relaxed);
+        let ended_ms = boot_ms();
+        let began_ms = self.last_tick_ms.swap(ended_ms, Ordering::Relaxed);
+        if ended_ms.saturating_sub(began_ms) > STALL_MS {
+            *self.last_stall.lock() = Some(Stall { began_ms, ended_ms });
+        }
+    }
+
+    /// Returns for how long a call that is read now may have waited in this host, in milliseconds.
+    pub fn unread_ms(&self) -> u64 {
+        let now_ms = boot_ms();
+        let since_tick_ms = now_ms.saturating_sub(self.last_tick_ms.load(Ordering::Relaxed));
+        if since_tick_ms > STALL_MS {
+            return since_tick_ms;
+        }
+        let stall = self.last_stall.lock();
+        let lately = stall.filter(|it| now_ms.saturating_sub(it.ended_ms) < UNREAD_AFTER_STALL_MS);
+        lately.map_or(0, |it| now_ms.saturating_sub(it.began_ms))
     }
 
     /// Lets the other tasks run first if the process has just been stalled, because callers may have disconnected
--- a/crates/bilberryloft-relay/src/state.rs
+++ b/crates/bilberryloft-relay/src/state.rs
@@ -18,10 +18,13 @@
 use bilberryloft_routing::selection::PickedTarget;
 use bilberryloft_routing::selection::TargetKey;
 use bilberryloft_routing::selection::connection_share;
+use bilberryloft_routing::target_starts::TargetStarts;
 use bilberryloft_routing::targets::AttemptOutcome;
 use bilberryloft_routing::targets::TargetInfo;
 use bilberryloft_state::membership::TargetRecord;
+use bilberryloft_transport::clock::boot_ms;
 use bilberryloft_transport::clock::monotonic_ms;
+use parking_lot::Mutex;
 use parking_lot::RwLock;
 use tokio::time::Instant;
 
@@ -92,6 +95,8 @@
     pub memory: Arc<Memory>,
     /// Open requests and shutdown.
     pub lifecycle: Arc<Lifecycle>,
+    /// Present starts of the targets that have started more than once.
+    pub starts: Mutex<TargetStarts>,
     routes: RwLock<Arc<RouteTable>>,
 }
 
@@ -142,6 +147,7 @@
             retries,
             memory,
             lifecycle: Arc::default(),
+            starts: Mutex::default(),
             routes: RwLock::default(),
         }
     }
@@ -183,6 +189,9 @@
             targets.apply(target_info(record));
         }
         drop(targets);
+        let restarted = direct().filter(|it| it.earlier_incarnation.is_some());
+        let restarted = restarted.map(|it| (it.name.as_str(), it.incarnation));
+        self.starts.lock().record(restarted, boot_ms());
         self.cold.record_targets(direct());
     }
 
--- a/crates/bilberryloft-routing/src/lib.rs
+++ b/crates/bilberryloft-routing/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod slow_ranks;
 mod target;
 pub mod target_limits;
+pub mod target_starts;
 pub mod targets;
 pub mod wait_queue;
--- a/crates/bilberryloft-state/src/membership.rs
+++ b/crates/bilberryloft-state/src/membership.rs
@@ -64,6 +64,9 @@
     /// Membership version at which this incarnation was first recorded.
     #[serde(default)]
     pub joined_version: u64,
+    /// Incarnation before this one, if the target has started again. Absent otherwise, and from records of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub earlier_incarnation: Option<u64>,
     /// Leader's time at which the description's remaining cold time was recorded, in milliseconds since the epoch. Only
     /// leaders compare it; entries count the remaining time from when they learn of it.
     #[serde(default, skip_serializing_if = "is_zero")]
@@ -100,6 +103,14 @@
     }
 }
 
+/// Error of naming an incarnation of a target that is not the present one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the present incarnation is {present}")]
+pub struct OtherStart {
+    /// The present incarnation.
+    pub present: u64,
+}
+
 /// All known targets.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Membership {
@@ -200,7 +211,12 @@
         }
         self.version += 1;
         self.supersede(name, &description, at_ms);
-        let known = self.targets.get(name).filter(|it| it.incarnation == incarnation);
+        let before = self.targets.get(name);
+        let known = before.filter(|it| it.incarnation == incarnation);
+        let earlier_incarnation = match known {
+            Some(known) => known.earlier_incarnation,
+            None => before.map(|it| it.incarnation),
+        };
         let record = TargetRecord {
             name: name.to_string(),
             incarnation,
@@ -210,23 +226,34 @@
             changed_version: self.version,
             changed_at_ms: at_ms,
             joined_version: known.map_or(self.version, |it| it.joined_version),
+            earlier_incarnation,
         };
         self.targets.insert(name.to_string(), record);
     }
 
-    /// Marks a target as leaving; ignores a target that is unknown or already leaving, and any other incarnation than the
-    /// given one.
-    pub fn mark_leaving(&mut self, name: &str, incarnation: Option<u64>, at_ms: u64) {
-        let is_meant =
-            |it: &TargetRecord| incarnation.is_none_or(|number| number == it.incarnation);
-        let record = self.targets.get_mut(name);
-        let Some(record) = record.filter(|it| !it.description.leaving && is_meant(it)) else {
-            return;
+    /// Marks a target as leaving; ignores a target that is unknown or already leaving.
+    ///
+    /// Fails without a change if the given incarnation is not the present one.
+    pub fn mark_leaving(
+        &mut self,
+        name: &str,
+        incarnation: Option<u64>,
+        at_ms: u64,
+    ) -> Result<(), OtherStart> {
+        let Some(record) = self.targets.get_mut(name) else {
+            return Ok(());
         };
+        if incarnation.is_some_and(|it| it != record.incarnation) {
+            return Err(OtherStart { present: record.incarnation });
+        }
+        if record.description.leaving {
+            return Ok(());
+        }
         self.version += 1;
         record.description.leaving = true;
         record.changed_version = self.version;
         record.changed_at_ms = at_ms;
+        Ok(())
     }
 
     /// Marks targets with expired leases as unreachable, all in one version, and removes targets that have been
--- a/crates/bilberryloft-state/src/state_machine.rs
+++ b/crates/bilberryloft-state/src/state_machine.rs
@@ -20,6 +20,7 @@
 use crate::expert_map_register::ExpertMapRegisters;
 use crate::expert_map_register::SettleResult;
 use crate::membership::Membership;
+use crate::membership::OtherStart;
 use crate::membership::TargetDescription;
 use crate::suspect::LostRun;
 use crate::suspect::SurvivedPart;
@@ -89,7 +90,7 @@
     Leave {
         /// Name of the target.
         name: String,
-        /// Incarnation that is leaving; `None` for the present one.
+        /// Incarnation that is leaving. `None`, for the present one, is in the logs of earlier versions only.
         #[serde(default)]
         incarnation: Option<u64>,
     },
@@ -205,6 +206,11 @@
     ExpertMapSettled(SettleResult),
     /// Outcome of [`Command::Evacuate`].
     Evacuation(OrderOutcome),
+    /// The incarnation that [`Command::Leave`] names is not the present one, so nothing was changed.
+    OtherStart {
+        /// The present incarnation.
+        present: u64,
+    },
     /// A member of an earlier version cannot read the command, so it was not proposed.
     EarlierMember,
     /// The command was applied and has no other result.
@@ -310,7 +316,7 @@
             Command::Register { name, incarnation, description } => {
                 self.membership.register(&name, incarnation, description, now_ms);
             }
-            Command::Leave { name, incarnation } => self.leave(&name, incarnation),
+            Command::Leave { name, incarnation } => return self.leave(&name, incarnation),
             Command::Lose { targets } => self.membership.mark_unreachable(&targets, now_ms),
             Command::ReportCrash { target, crash_number, fingerprints } => {
                 self.report_crash(&target, crash_number, &fingerprints);
@@ -363,8 +369,11 @@
         if fits { Outcome::Document { version } } else { Outcome::DocumentBase { version } }
     }
 
-    fn leave(&mut self, name: &str, incarnation: Option<u64>) {
-        self.membership.mark_leaving(name, incarnation, self.now_ms);
+    fn leave(&mut self, name: &str, incarnation: Option<u64>) -> Outcome {
+        match self.membership.mark_leaving(name, incarnation, self.now_ms) {
+            Ok(()) => Outcome::Applied,
+            Err(OtherStart { present }) => Outcome::OtherStart { present },
+        }
     }
 
     fn report_crash(&mut self, target: &str, crash_number: u64, fingerprints: &[i64]) {
--- a/crates/bilberryloft-state/tests/state_machine.rs
+++ b/crates/bilberryloft-state/tests/state_machine.rs
@@ -389,6 +389,34 @@
     assert!(machine.membership.targets()["t"].description.leaving);
 }
 
+/// Guards against taking a target out for a call about an earlier start of it.
+#[test]
+fn leave_that_names_an_earlier_start_changes_nothing() {
+    let mut machine = StateMachine::default();
+    let name = || "t".to_string();
+    let register = |incarnation: u64| Command::Register {
+        name: name(),
+        incarnation,
+        description: description(),
+    };
+    let leave = |incarnation: u64| Command::Leave { name: name(), incarnation: Some(incarnation) };
+    let mut apply = |command: Command| {
+        let outcome = machine.apply(StampedCommand { at_ms: 1, command });
+        (outcome, machine.membership.targets().get("t").cloned())
+    };
+    assert_eq!(apply(leave(1)), (Outcome::Applied, None));
+    assert_eq!(apply(register(1)).1.unwrap().earlier_incarnation, None);
+    let (outcome, record) = apply(leave(1));
+    assert!(outcome == Outcome::Applied && record.unwrap().description.leaving);
+    assert_eq!(apply(register(2)).1.unwrap().earlier_incarnation, Some(1));
+    let (outcome, record) = apply(leave(1));
+    assert_eq!(outcome, Outcome::OtherStart { present: 2 });
+    assert!(!record.unwrap().description.leaving);
+    let (outcome, record) = apply(leave(2));
+    assert!(outcome == Outcome::Applied && record.unwrap().description.leaving);
+    assert_eq!(apply(leave(2)).0, Outcome::Applied, "told twice");
+}
+
 fn description() -> TargetDescription {
     TargetDescription {
         agent_address: "127.0.0.1:1".to_string(),
