Abandoned calls end first after a stall, whoever notices the stall

What callers could see: a request or an order of evacuation that its caller had given up while the host was frozen is carried out as the host wakes.

Cause: wait_after_stall paused only as long as no tick had been recorded. If the task that ticks ran first, the stall was forgotten before the calls that had waited were read.

Why it works: the end of the latest stall is kept, and the pause counts from there.

--- a/crates/bilberryloft-relay/src/lifecycle.rs
+++ b/crates/bilberryloft-relay/src/lifecycle.rs
@@ -91,11 +91,21 @@
     /// Lets the other tasks run first if the process has just been stalled, because callers may have disconnected
     /// meanwhile and their connections have not been read yet.
     pub async fn wait_after_stall(&self) {
-        while boot_ms().saturating_sub(self.last_tick_ms.load(Ordering::Relaxed)) > STALL_MS {
+        while self.was_just_stalled() {
             tokio::time::sleep(STALL_PAUSE).await;
         }
     }
 
+    /// Returns whether the process has been stalled and has noticed it less than a pause ago, or not yet.
+    fn was_just_stalled(&self) -> bool {
+        let now_ms = boot_ms();
+        let since_tick_ms = now_ms.saturating_sub(self.last_tick_ms.load(Ordering::Relaxed));
+        let ended_ms = self.last_stall.lock().map(|it| it.ended_ms);
+        let pause_ms = STALL_PAUSE.as_millis() as u64;
+        let has_just_noticed = ended_ms.is_some_and(|it| now_ms.saturating_sub(it) < pause_ms);
+        since_tick_ms > STALL_MS || has_just_noticed
+    }
+
     /// Counts a request as open until the returned guard is dropped. An open request may need a connection to a target;
     /// its answer may still be on the way to the caller when it is not open any more.
     pub fn track_request(self: &Arc<Self>) -> OpenRequest {
