Answers without a final status are failures, not answers

Cause: the check of answers believed any status that can be represented.

Why it works: one function says which statuses are final (200 to 599, RFC 9110 section 15), and every place that takes an answer of a target asks it. The request may have run, so it counts as such: 502, or another target where that is allowed, and never a promise.

--- a/crates/bilberryloft-daemon/src/entry/response.rs
+++ b/crates/bilberryloft-daemon/src/entry/response.rs
@@ -9,6 +9,7 @@
 use bilberryloft_protocol::wire;
 use bilberryloft_state::refusal::Reason;
 use bilberryloft_transport::clock::epoch_ms;
+use bilberryloft_transport::http::is_final;
 use bytes::Bytes;
 use bytes::BytesMut;
 use tokio::time::Instant;
@@ -117,9 +118,8 @@
 }
 
 fn response_head(context: &ResponseContext, head: &wire::Head) -> axum::http::response::Builder {
-    let status = StatusCode::from_u16(head.status as u16).unwrap_or(StatusCode::BAD_GATEWAY);
     let version = context.entry.view.configuration().version();
-    let mut response = Response::builder().status(status);
+    let mut response = Response::builder().status(answer_status(head.status));
     for header in &head.headers {
         response = response.header(&header.name, &header.value);
     }
@@ -128,6 +128,12 @@
         .header(CONFIGURATION_VERSION_HEADER, version.to_string())
 }
 
+/// Returns the status for the caller of an answer whose agent names the given one.
+fn answer_status(named: i32) -> StatusCode {
+    let status = u16::try_from(named).ok().and_then(|it| StatusCode::from_u16(it).ok());
+    status.filter(|it| is_final(*it)).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
 struct StreamWriter {
     reader: AnswerReader,
     context: ResponseContext,
--- a/crates/bilberryloft-relay/src/answer_check.rs
+++ b/crates/bilberryloft-relay/src/answer_check.rs
@@ -3,6 +3,7 @@
 //! A target in trouble may send an earlier answer once more. Targets repeat the id of a request in their answers, so the id
 //! tells whose answer it is. Without an id, only the first answer on a connection can't be one of an earlier request.
 
+use bilberryloft_transport::http::is_final;
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::header;
@@ -37,6 +38,9 @@
 /// Reason for which an answer is not believed. The request may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Mismatch {
+    /// The status is no final one of HTTP.
+    #[error("status {} is no final status of HTTP", .0.as_u16())]
+    NoFinalStatus(StatusCode),
     /// The answer has the id of another request.
     #[error("the answer belongs to another request")]
     OtherId,
@@ -61,6 +65,9 @@
     answer: &HeaderMap,
     names: &HeaderNames,
 ) -> Result<AnswerKind, Mismatch> {
+    if !is_final(status) {
+        return Err(Mismatch::NoFinalStatus(status));
+    }
     let id = answer.get(&names.request_id);
     match id {
         Some(id) if id.as_bytes() != sent.id.as_bytes() => return Err(Mismatch::OtherId),
--- a/crates/bilberryloft-relay/src/target_call.rs
+++ b/crates/bilberryloft-relay/src/target_call.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bilberryloft_transport::account::Purpose;
+use bilberryloft_transport::http::is_final;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Method;
@@ -124,6 +125,9 @@
     }
     let response = connection.send(request).await.map_err(TrySendError::into_error)?;
     let (parts, body) = response.into_parts();
+    if !is_final(parts.status) {
+        return Err(format!("status {} is no final status of HTTP", parts.status.as_u16()).into());
+    }
     let holder = target_holder(connection.peer());
     let reservation = pool.account().open_unfinished(Purpose::Reading, holder);
     let bytes_max = call.answer_bytes_max;
--- a/crates/bilberryloft-relay/tests/target_calls.rs
+++ b/crates/bilberryloft-relay/tests/target_calls.rs
@@ -55,3 +55,30 @@
         assert_eq!(order.unwrap(), StatusCode::CONFLICT);
     }
 }
+
+/// Guards against taking an answer without a final status for the answer to an order or a read, and against using its
+/// connection again.
+#[tokio::test]
+async fn answer_without_a_final_status_answers_no_call() {
+    for status in ["000", "101", "600", "999"] {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let answer = format!("HTTP/1.1 {status} None\r\ncontent-length: 2\r\n\r\n{{}}");
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    head.push(stream.read_u8().await.unwrap());
+                }
+                stream.write_all(answer.as_bytes()).await.unwrap();
+                tokio::spawn(async move { stream.read_u8().await });
+            }
+        });
+        let pool = Pool::new(Account::new(1 << 24), Arc::<Report>::default());
+        let order = target_call::order(&pool, &address, "/order", Bytes::new(), PLENTY).await;
+        assert!(order.is_err(), "{status}: {order:?}");
+        let read = target_call::read(&pool, &address, "/report", 1_000, PLENTY).await;
+        assert!(read.is_err(), "{status}: {read:?}");
+        assert_eq!(pool.idle_count(), 0, "{status}");
+    }
+}
--- a/crates/bilberryloft-transport/src/http.rs
+++ b/crates/bilberryloft-transport/src/http.rs
@@ -10,6 +10,7 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -69,15 +70,24 @@
 
     /// Sends a request and returns the response with its body as a stream.
     ///
-    /// Fails if there is no response; [`HttpFailure`] says whether a connection was made.
+    /// Fails if there is no response with a final status; [`HttpFailure`] says whether a connection was made.
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
     ) -> std::result::Result<Response<Incoming>, HttpFailure> {
-        self.inner.request(request).await.map_err(|error| HttpFailure {
+        let answered = self.inner.request(request).await;
+        let response = answered.map_err(|error| HttpFailure {
             is_connect: error.is_connect(),
             detail: error_chain(&error),
-        })
+        })?;
+        let status = response.status();
+        match is_final(status) {
+            true => Ok(response),
+            false => Err(HttpFailure {
+                is_connect: false,
+                detail: format!("status {} is no final status of HTTP", status.as_u16()),
+            }),
+        }
     }
 
     /// Sends a request and returns the status and the complete body of the response.
@@ -95,6 +105,12 @@
     }
 }
 
+/// Returns whether a status ends an exchange in HTTP (RFC 9110, section 15). Of an answer with any other one nothing can be
+/// believed; 101 would answer a request to switch protocols, which is never made.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Wraps a listener so that its connections have TCP_NODELAY set and send small writes immediately.
 pub fn with_nodelay(listener: TcpListener) -> TapIo<TcpListener, fn(&mut TcpStream)> {
     listener.tap_io(|stream| {
--- a/crates/bilberryloft-transport/tests/http.rs
+++ b/crates/bilberryloft-transport/tests/http.rs
@@ -88,3 +88,25 @@
         assert!(fetched.is_err(), "kept {} bytes", fetched.map_or(0, |it| it.1.len()));
     }
 }
+
+/// Guards against an agent that takes an answer without a final status for the answer of its target.
+#[tokio::test]
+async fn answer_without_a_final_status_is_no_answer() {
+    for (status, is_final) in [("000", false), ("101", false), ("600", false), ("599", true)] {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let answer = format!("HTTP/1.1 {status} None\r\ncontent-length: 0\r\n\r\n");
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                head.push(stream.read_u8().await.unwrap());
+            }
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            let _ = stream.read_u8().await;
+        });
+        let request = Request::get(format!("http://{address}/")).body(Full::default()).unwrap();
+        let answer = HttpClient::without_reuse().send(request).await;
+        assert_eq!(answer.is_ok(), is_final, "{status}: {answer:?}");
+    }
+}
