Agents' streams have no descriptions of bytes that entries change

What callers saw: a stream of the daemon's own agents with the engine's validator or digest, though the entry had added an id to each event.

Evidence: stream_with_added_ids_has_no_validator_of_its_engine failed before with the engine's etag. Found by reading; nobody has reported it.

Why it works: the list of such headers stands once, in the transport crate, and the agent leaves them out of the head of a stream.

--- a/crates/bilberryloft-daemon/src/agent/run.rs
+++ b/crates/bilberryloft-daemon/src/agent/run.rs
@@ -12,6 +12,7 @@
 use bilberryloft_state::refusal::Reason;
 use bilberryloft_state::refusal::RunState;
 use bilberryloft_transport::clock::monotonic_ms;
+use bilberryloft_transport::http::BODY_DESCRIPTIONS;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -127,8 +128,8 @@
                 return self.failure_outcome(started_ms, RunState::Unknown, failure.detail).await;
             }
         };
-        let head = answer_head(&response);
         let is_stream = is_event_stream(&response);
+        let head = answer_head(&response, is_stream);
         assignment.note_prefilled();
         buffer.set_head(head);
         match forward_body(response, is_stream, buffer).await {
@@ -234,11 +235,14 @@
         .map_err(|it| it.to_string())
 }
 
-fn answer_head(response: &Response<Incoming>) -> AnswerHead {
+/// Returns the head of an answer for its caller. Entries add ids to the events of a stream, so what describes its bytes is left
+/// out.
+fn answer_head(response: &Response<Incoming>, is_stream: bool) -> AnswerHead {
     let mut headers = Vec::new();
     for (name, value) in response.headers() {
         let Ok(value) = value.to_str() else { continue };
-        if !CONNECTION_HEADERS.contains(&name.as_str()) {
+        let is_changed = is_stream && BODY_DESCRIPTIONS.contains(name);
+        if !is_changed && !CONNECTION_HEADERS.contains(&name.as_str()) {
             headers.push(Header::new(name.to_string(), value.to_string()));
         }
     }
--- a/crates/bilberryloft-relay/src/stream/head.rs
+++ b/crates/bilberryloft-relay/src/stream/head.rs
@@ -1,28 +1,15 @@
 //! Head of a stream for its caller: which headers of a target's answer still hold if others go on with its body.
 
 use bilberryloft_routing::document::Route;
+use bilberryloft_transport::http::BODY_DESCRIPTIONS;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Response;
-use hyper::header;
 use hyper::header::HeaderName;
 
 use crate::answer_check::is_unencoded_content;
 use crate::headers;
 
-/// Headers that describe the bytes of one target's answer: their length, range, digest and version.
-static BODY_DESCRIPTIONS: [HeaderName; 9] = [
-    header::CONTENT_LENGTH,
-    header::CONTENT_RANGE,
-    header::ACCEPT_RANGES,
-    header::ETAG,
-    header::LAST_MODIFIED,
-    HeaderName::from_static("content-digest"),
-    HeaderName::from_static("repr-digest"),
-    HeaderName::from_static("digest"),
-    HeaderName::from_static("content-md5"),
-];
-
 /// Returns whether another target may go on with the stream that an answer begins: its route allows it, and the answer is
 /// the content itself, in no other form than that of a continuation.
 pub fn may_be_continued<B>(route: &Route, method: &Method, answer: &Response<B>) -> bool {
--- a/crates/bilberryloft-testing/src/caller.rs
+++ b/crates/bilberryloft-testing/src/caller.rs
@@ -27,6 +27,8 @@
     pub status: u16,
     /// Id of the request, empty if the answer has none.
     pub request_id: String,
+    /// Validator of the answer's bytes; empty without one.
+    pub validator: String,
     /// Text of the completion, or the body if it is no completion.
     pub text: String,
     /// Problem details, if the request was refused or its stream ended with an error event.
@@ -94,6 +96,7 @@
         let reply = Reply {
             status: response.status().as_u16(),
             request_id: header("bilberryloft-request-id"),
+            validator: header("etag"),
             text: String::new(),
             problem: None,
             is_complete: false,
@@ -203,6 +206,7 @@
         Reply {
             status: 0,
             request_id: String::new(),
+            validator: String::new(),
             text: String::new(),
             problem: None,
             is_complete: false,
--- a/crates/bilberryloft-testing/src/engine.rs
+++ b/crates/bilberryloft-testing/src/engine.rs
@@ -64,6 +64,8 @@
     pub first_token_ms: u64,
     /// File to which a line is appended for each request that starts to run.
     pub runs_file: Option<PathBuf>,
+    /// Whether its streams end inside their last event, in chunks of good order.
+    pub ends_inside_event: bool,
     /// Size of the lock-step group of ranks whose endpoints the engine serves, if it has one.
     pub ranks: Option<RankSettings>,
 }
@@ -81,6 +83,7 @@
             token_ms: 1,
             first_token_ms: 1,
             runs_file: None,
+            ends_inside_event: false,
             ranks: None,
         }
     }
@@ -278,7 +281,8 @@
             }
             let event = if index == tokens {
                 run.is_finished = true;
-                "data: [DONE]\n\n".to_string()
+                let blank_line = if shared.settings.ends_inside_event { "" } else { "\n" };
+                format!("data: [DONE]\n{blank_line}")
             } else {
                 let chunk = json!({"choices": [{"index": 0, "delta": {"content": token_text(&prompt, index)}}]});
                 format!("data: {chunk}\n\n")
@@ -286,7 +290,10 @@
             Some((Ok::<Bytes, Infallible>(Bytes::from(event)), (shared, run, prompt, index + 1)))
         },
     );
-    let response = Response::builder().header("content-type", "text/event-stream");
+    let response = Response::builder()
+        .header("content-type", "text/event-stream")
+        // Describes the bytes that the engine sends, to which an entry adds the ids of events.
+        .header("etag", "\"engine\"");
     response.body(Body::from_stream(events)).unwrap_or_default()
 }
 
--- a/crates/bilberryloft-testing/tests/streams.rs
+++ b/crates/bilberryloft-testing/tests/streams.rs
@@ -41,6 +41,18 @@
     caller.open_stream(&fleet.entry_address(0), "POST", "/v1/completions", &body).await.unwrap()
 }
 
+/// Guards against a validator of the engine's bytes with a stream to which ids of events were added.
+#[tokio::test]
+async fn stream_with_added_ids_has_no_validator_of_its_engine() {
+    let mut fleet = Fleet::plan("validators", 1, 1, 1);
+    fleet.start_all();
+    fleet.make_team().await;
+    fleet.wait_until_ready().await;
+    let reply = open_stream(&fleet, "brief").await.finish().await;
+    assert!(reply.is_complete && reply.last_event_id.is_some());
+    assert_eq!(reply.validator, "");
+}
+
 /// Guards against a stream that ends without an error event, or with wrong text, when its engine is killed.
 #[tokio::test]
 async fn stream_ends_with_an_error_event_when_its_engine_is_killed() {
--- a/crates/bilberryloft-transport/src/http.rs
+++ b/crates/bilberryloft-transport/src/http.rs
@@ -12,6 +12,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderName;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -27,6 +29,20 @@
 /// Largest number of idle connections to one host.
 const IDLE_MAX: usize = 1_024;
 
+/// Headers that describe the bytes of an answer's body: their length, range, digest and version. They hold for no body to which
+/// anything is added, or that others go on with.
+pub static BODY_DESCRIPTIONS: [HeaderName; 9] = [
+    header::CONTENT_LENGTH,
+    header::CONTENT_RANGE,
+    header::ACCEPT_RANGES,
+    header::ETAG,
+    header::LAST_MODIFIED,
+    HeaderName::from_static("content-digest"),
+    HeaderName::from_static("repr-digest"),
+    HeaderName::from_static("digest"),
+    HeaderName::from_static("content-md5"),
+];
+
 /// An HTTP client; clones share its pool of connections, if it has one.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
