A stream that ends inside an event is not complete, behind agents either

What callers saw: the part of an event as the last piece of a stream of the daemon's own agents, and then its end in good order, where the engine had ended its body inside an event.

Cause: the agent passed on what was left in its splitter and reported the answer as complete. The relay has long taken such a stream for broken off.

Evidence: stream_that_ends_inside_an_event_ends_with_an_error_event failed before: the stream had no error event.

Why it works: what is left is no event, so the attempt ends as failed after it has run, and the entry ends the stream with an error event.

--- a/crates/bilberryloft-daemon/src/agent/run.rs
+++ b/crates/bilberryloft-daemon/src/agent/run.rs
@@ -211,10 +211,10 @@
             buffer.push(event).await;
         }
     }
-    if let Some(rest) = splitter.finish() {
-        buffer.push(rest).await;
+    match splitter.finish() {
+        Some(_) => Err("the stream ended inside an event".to_string()),
+        None => Ok(()),
     }
-    Ok(())
 }
 
 fn build_request(
--- a/crates/bilberryloft-testing/tests/streams.rs
+++ b/crates/bilberryloft-testing/tests/streams.rs
@@ -41,6 +41,20 @@
     caller.open_stream(&fleet.entry_address(0), "POST", "/v1/completions", &body).await.unwrap()
 }
 
+/// Guards against a stream that ends inside an event and is passed on as complete.
+#[tokio::test]
+async fn stream_that_ends_inside_an_event_ends_with_an_error_event() {
+    let mut fleet = Fleet::plan("inside-event", 1, 1, 1);
+    fleet.engine_settings_mut("engine-1").ends_inside_event = true;
+    fleet.start_all();
+    fleet.make_team().await;
+    fleet.wait_until_ready().await;
+    let reply = open_stream(&fleet, "brief").await.finish().await;
+    assert!(!reply.is_complete);
+    let problem = reply.problem.expect("the stream has no error event");
+    assert_eq!((problem.reason, problem.run), (Reason::TargetFailed, RunState::Ran));
+}
+
 /// Guards against a validator of the engine's bytes with a stream to which ids of events were added.
 #[tokio::test]
 async fn stream_with_added_ids_has_no_validator_of_its_engine() {
