An answer with a length is never reset, and passing an answer on stands by itself

To a caller of HTTP/1.0, a stream whose head states its length was marked as one that ends with its connection, because the size of its body isn't known to the body itself.

--- a/crates/bilberryloft-relay/src/forward.rs
+++ b/crates/bilberryloft-relay/src/forward.rs
@@ -18,6 +18,7 @@
 use crate::answer::held_body;
 use crate::evacuation;
 use crate::headers;
+use crate::lifecycle::OpenRequest;
 use crate::lifecycle::Stage;
 use crate::memory::caller_connection::CallerConnection;
 use crate::request;
@@ -105,6 +106,16 @@
     };
     state.daemon.metrics.first_byte_s.observe(arrived.elapsed().as_secs_f64());
     log_answered(&request, &answer);
+    deliver(state, request, answer, open)
+}
+
+/// Passes a target's answer on to the caller, or begins to if it is a stream.
+fn deliver(
+    state: Arc<RelayState>,
+    request: RelayRequest,
+    answer: FinalAnswer,
+    open: OpenRequest,
+) -> Response<AnswerBody> {
     let (slot, received) = (answer.slot, answer.received);
     match received.body {
         AnswerContent::Buffered(held) => {
--- a/crates/bilberryloft-relay/src/memory/serve.rs
+++ b/crates/bilberryloft-relay/src/memory/serve.rs
@@ -15,6 +15,7 @@
 use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -137,7 +138,8 @@
         async move {
             let answer = answer.await;
             tracked.set_phase(Phase::Answering);
-            Ok::<_, Infallible>(answer.map(|it| TrackedBody::new(it, tracked, may_be_chunked)))
+            let marks_end = may_be_chunked || answer.headers().contains_key(CONTENT_LENGTH);
+            Ok::<_, Infallible>(answer.map(|it| TrackedBody::new(it, tracked, marks_end)))
         }
     });
     let watched = TokioIo::new(WatchedStream::new(stream, connection.clone()));
--- a/crates/bilberryloft-relay/src/memory/tracked_body.rs
+++ b/crates/bilberryloft-relay/src/memory/tracked_body.rs
@@ -23,13 +23,9 @@
 }
 
 impl<B: Body> TrackedBody<B> {
-    /// Wraps a body; `may_be_chunked` says whether the client's protocol has chunks to mark the end of one without length.
-    pub fn new(
-        inner: B,
-        connection: Arc<CallerConnection>,
-        may_be_chunked: bool,
-    ) -> TrackedBody<B> {
-        let ends_with_connection = !may_be_chunked && inner.size_hint().exact().is_none();
+    /// Wraps a body; `marks_end` says whether its end is marked by its head or by chunks, though its size may not be known.
+    pub fn new(inner: B, connection: Arc<CallerConnection>, marks_end: bool) -> TrackedBody<B> {
+        let ends_with_connection = !marks_end && inner.size_hint().exact().is_none();
         if ends_with_connection {
             connection.set_answer_end(AnswerEnd::Open);
         }
