review/11: a planner that wakes from a freeze arms ranks beside its successor, and a pass begins with two maps

Cause: hold() and the first round of order_until_answered() don't look at the leadership; resume_held_change() releases a hold without disarming when the ranks have prepared different versions. Nothing is fixed.

--- a/review/stands-3/src/fleet.rs
+++ b/review/stands-3/src/fleet.rs
@@ -25,6 +25,8 @@
 pub struct Node {
     pub name: String,
     pub ip: String,
+    /// Whether it runs beside a replica and serves no clients.
+    is_side: bool,
     folder: PathBuf,
     process: Option<Child>,
 }
@@ -40,11 +42,13 @@
     pub memory_mb: u64,
     /// Further lines of the settings file.
     pub lines: String,
+    /// Addresses of the machines beside replicas, which come after the others.
+    pub sides: Vec<String>,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { nodes: 3, tolerated: 1, memory_mb: 260, lines: String::new() }
+        Settings { nodes: 3, tolerated: 1, memory_mb: 260, lines: String::new(), sides: Vec::new() }
     }
 }
 
@@ -78,10 +82,18 @@
         let node = |idx: usize| Node {
             name: format!("edge-{}", idx + 1),
             ip: free_ip(),
+            is_side: false,
             folder: folder.join(format!("edge-{}", idx + 1)),
             process: None,
         };
-        let nodes: Vec<Node> = (0..settings.nodes).map(node).collect();
+        let mut nodes: Vec<Node> = (0..settings.nodes).map(node).collect();
+        nodes.extend(settings.sides.iter().enumerate().map(|(idx, ip)| Node {
+            name: format!("side-{}", idx + 1),
+            ip: ip.clone(),
+            is_side: true,
+            folder: folder.join(format!("side-{}", idx + 1)),
+            process: None,
+        }));
         let mut fleet = Fleet { nodes, settings, folder };
         for idx in 0..fleet.nodes.len() {
             std::fs::create_dir_all(&fleet.nodes[idx].folder)?;
@@ -113,6 +125,15 @@
         let zone = zones[idx % zones.len()];
         let seeds: Vec<String> = self.nodes.iter().take(3).map(|it| format!("{}:{CONTROL_PORT}", it.ip)).collect();
         let seeds = seeds.join(",");
+        if node.is_side {
+            return format!(
+                "node_name={name}\nrole=agent\nmachine_class=side\nserves=side\nip={ip}\nzone={zone}\n\
+                 region=bahir-dar\nzones.hall-a=bahir-dar\nzones.hall-b=bahir-dar\nzones.hall-c=bahir-dar\n\
+                 port_range={PEER_PORT},7355\nseed_nodes={seeds}\nbootstrap={is_first}\nin_tolerance=false\n\
+                 limits.cpu_quota=0.15\nlimits.cpu_cores=1\nlimits.memory_mb=128\nlimits.max_fds=2048\n\
+                 discovery=register\nentry=vip\nheartbeat_ms=1200\nfault_tolerance.machines=1\nbounds.grace_s=8\n"
+            );
+        }
         let data = node.folder.join("data");
         let Settings { tolerated, memory_mb, lines, .. } = &self.settings;
         format!(
@@ -146,7 +167,7 @@
 
     /// Returns all addresses for operators and replicas.
     pub fn controls(&self) -> Vec<String> {
-        (0..self.nodes.len()).map(|it| self.control(it)).collect()
+        (0..self.settings.nodes).map(|it| self.control(it)).collect()
     }
 
     /// Returns whether a machine says that it is ready.
@@ -160,7 +181,7 @@
     pub fn wait_ready(&self, within: Duration) -> bool {
         let until = Instant::now() + within;
         while Instant::now() < until {
-            if (0..self.nodes.len()).all(|it| self.is_ready(it)) {
+            if (0..self.settings.nodes).all(|it| self.is_ready(it)) {
                 return true;
             }
             std::thread::sleep(Duration::from_millis(100));
@@ -174,7 +195,7 @@
         let request = http::request("PUT", "/bilberryloft/config", "control", &[], config.as_bytes());
         let mut idx = 0;
         while Instant::now() < until {
-            idx = (idx + 1) % self.nodes.len();
+            idx = (idx + 1) % self.settings.nodes;
             if http::call(&self.control(idx), &request, CALL_TIMEOUT).is_ok_and(|it| it.status() == 200) {
                 return true;
             }
@@ -222,6 +243,22 @@
         line.and_then(|it| it.trim().split(' ').next()?.parse().ok()).unwrap_or(0)
     }
 
+    /// Returns the machine whose log has the election with the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let term = |idx: usize| {
+            let log = self.log(idx);
+            let line = log.lines().rev().find(|it| it.contains("\"LeaderElected\""))?.to_string();
+            let digits = line.split("\"term\":").nth(1)?.chars().take_while(char::is_ascii_digit);
+            digits.collect::<String>().parse::<u64>().ok()
+        };
+        (0..self.settings.nodes).filter_map(|idx| Some((term(idx)?, idx))).max().map(|it| it.1)
+    }
+
+    /// Returns the id of the process of a machine.
+    pub fn process_id(&self, idx: usize) -> u32 {
+        self.nodes[idx].process.as_ref().map_or(0, Child::id)
+    }
+
     /// Returns the folder of the fleet.
     pub fn folder(&self) -> &Path {
         &self.folder
--- a/review/stands-3/src/replica.rs
+++ b/review/stands-3/src/replica.rs
@@ -24,6 +24,11 @@
 /// Answers one request on a connection; returns whether the connection stays open.
 pub type Answer = Arc<dyn Fn(&Replica, &mut Connection, &Message) -> std::io::Result<bool> + Send + Sync>;
 
+fn refuse_call(_: &Replica, connection: &mut Connection, _: &Message) -> std::io::Result<bool> {
+    connection.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")?;
+    Ok(true)
+}
+
 /// What a replica says of itself.
 pub struct Replica {
     pub id: String,
@@ -40,9 +45,21 @@
 }
 
 impl Replica {
-    /// Starts a replica at a free address.
+    /// Starts a replica at a free address, which knows no calls of the system.
     pub fn start(service: &str, zone: &str, slots: u32, controls: Vec<String>, answer: Answer) -> Arc<Replica> {
-        let listener = TcpListener::bind((free_ip(), 0)).expect("a free port");
+        Replica::start_at(&free_ip(), [service, zone], slots, controls, answer, Arc::new(refuse_call))
+    }
+
+    /// Starts a replica of a service in a zone at an address; `calls` answers the calls of the system.
+    pub fn start_at(
+        ip: &str,
+        [service, zone]: [&str; 2],
+        slots: u32,
+        controls: Vec<String>,
+        answer: Answer,
+        calls: Answer,
+    ) -> Arc<Replica> {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("an address").to_string();
         let replica = Arc::new(Replica {
             id: format!("i-{}", &new_id()[..8]),
@@ -57,7 +74,7 @@
             fields: Mutex::default(),
         });
         let (served, announced) = (replica.clone(), replica.clone());
-        std::thread::spawn(move || served.accept(&listener, &answer));
+        std::thread::spawn(move || served.accept(&listener, &answer, &calls));
         std::thread::spawn(move || announced.announce());
         replica
     }
@@ -67,17 +84,17 @@
         self.is_stopped.store(true, Ordering::SeqCst);
     }
 
-    fn accept(self: &Arc<Self>, listener: &TcpListener, answer: &Answer) {
+    fn accept(self: &Arc<Self>, listener: &TcpListener, answer: &Answer, calls: &Answer) {
         for stream in listener.incoming() {
             if self.is_stopped.load(Ordering::SeqCst) {
                 return;
             }
             let Ok(stream) = stream else { continue };
-            let (replica, answer) = (self.clone(), answer.clone());
+            let (replica, answer, calls) = (self.clone(), answer.clone(), calls.clone());
             std::thread::spawn(move || {
                 let Ok(mut connection) = Connection::of(stream, IDLE_TIMEOUT) else { return };
                 while let Ok(request) = connection.read_request() {
-                    if !matches!(replica.serve(&mut connection, &request, &answer), Ok(true)) {
+                    if !matches!(replica.serve(&mut connection, &request, &answer, &calls), Ok(true)) {
                         return;
                     }
                 }
@@ -85,7 +102,13 @@
         }
     }
 
-    fn serve(&self, connection: &mut Connection, request: &Message, answer: &Answer) -> std::io::Result<bool> {
+    fn serve(
+        &self,
+        connection: &mut Connection,
+        request: &Message,
+        answer: &Answer,
+        calls: &Answer,
+    ) -> std::io::Result<bool> {
         let (method, path) = request.method_and_path();
         if method == "GET" && path == "/healthz" {
             let text = format!("HTTP/1.1 200 OK\r\nReplica-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
@@ -93,8 +116,7 @@
             return Ok(true);
         }
         if path.starts_with("/bilberryloft/") {
-            connection.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")?;
-            return Ok(true);
+            return calls(self, connection, request);
         }
         if request.field("expect-replica").is_some_and(|it| it != self.id) {
             connection.write(b"HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")?;
