review/12: a first configuration of version 0 is acknowledged and is nowhere

Cause: 0 stands for "no document" in the state, the control API and the requests, and nothing refuses it. Change: a case (script first_version); what it shares with large_version goes into a module of the stand-ins. The large version is case 13 now, the tenant's name case 14. Nothing is fixed.

--- a/review/stands-3/src/bin/large_version.rs
+++ b/review/stands-3/src/bin/large_version.rs
@@ -2,91 +2,23 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
+use stands_3::fetches::IN_FORCE_AFTER;
+use stands_3::fetches::REQUESTS;
+use stands_3::fetches::answer;
+use stands_3::fetches::config;
+use stands_3::fetches::read_back;
+use stands_3::fetches::send_all;
 use stands_3::fleet::Fleet;
 use stands_3::fleet::Settings;
-use stands_3::http;
 use stands_3::record::Record;
-use stands_3::replica::Answer;
 use stands_3::replica::Replica;
 use stands_3::text::has_trouble;
-use stands_3::text::new_id;
 
-/// Time after an acknowledgement from which a configuration is in force (`config_apply_ms` is 2 s), and some more.
-const IN_FORCE_AFTER: Duration = Duration::from_millis(3_000);
-/// Time for which the configuration is read at the end, longer than `stable_window_ms`.
-const READ_FOR: Duration = Duration::from_millis(5_000);
-/// Requests on each route.
-const REQUESTS: usize = 30;
-const DEADLINE: Duration = Duration::from_millis(4_000);
 /// Version of the second configuration, with the disruption and without it.
 const VERSIONS: [u64; 2] = [1 << 63, (1 << 63) - 1];
 
-fn config(version: u64, prefixes: &[&str]) -> String {
-    let route = |prefix: &&str| {
-        format!(
-            "{{\"name\":\"r{}\",\"host\":\"site.example\",\"path_prefix\":\"{prefix}\",\"kind\":\"safe\",\
-             \"timeout_ms\":4000,\"target_latency_ms\":300,\"priority\":2,\"service\":\"board\",\"max_attempts\":2,\
-             \"public\":true}}",
-            prefix.replace('/', "-")
-        )
-    };
-    let routes: Vec<String> = prefixes.iter().map(route).collect();
-    format!(
-        "{{\"version\":{version},\"route_table\":[{}],\
-         \"services\":[{{\"name\":\"board\",\"health_path\":\"/healthz\",\"max_connections\":56}}],\
-         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
-        routes.join(",")
-    )
-}
-
-fn answer(record: Record) -> Answer {
-    Arc::new(move |replica, connection, request| {
-        let id = request.field("attempt-id").unwrap_or_default();
-        record.line(&format!("{} runs {id} ({})", replica.id, request.first_line));
-        let head = replica.head(request, "200 OK");
-        connection.write(format!("{head}Content-Length: 4\r\n\r\ndone").as_bytes())?;
-        Ok(true)
-    })
-}
-
-/// Sends requests to each entry in turn; returns how many were served and how many were refused with 404.
-fn send_all(fleet: &Fleet, record: &Record, path: &str) -> (usize, usize) {
-    let (mut served, mut unknown) = (0, 0);
-    for number in 0..REQUESTS {
-        let id = new_id();
-        let fields = [("Attempt-Id", id.as_str()), ("Deadline-Ms", "4000")];
-        let request = http::request("GET", path, "site.example", &fields, b"");
-        let answered = http::call(&fleet.frontend(number % fleet.nodes.len()), &request, DEADLINE);
-        let status = answered.map_or(0, |it| it.status());
-        record.line(&format!("GET {path} {id}: {status}"));
-        served += usize::from(status == 200);
-        unknown += usize::from(status == 404);
-    }
-    (served, unknown)
-}
-
-/// Reads the configuration at one machine after another; returns whether it comes as it was sent.
-fn read_back(fleet: &Fleet, record: &Record, sent: &str) -> bool {
-    let until = Instant::now() + READ_FOR;
-    let request = http::request("GET", "/bilberryloft/config", "control", &[], b"");
-    let mut idx = 0;
-    while Instant::now() < until {
-        if let Ok(it) = http::call(&fleet.control(idx), &request, Duration::from_secs(1)) {
-            record.line(&format!("GET configuration at edge-{}: {}", idx + 1, it.status()));
-            if it.status() == 200 && it.body == sent.as_bytes() {
-                return true;
-            }
-        }
-        idx = (idx + 1) % fleet.nodes.len();
-        std::thread::sleep(Duration::from_millis(200));
-    }
-    false
-}
-
 fn run() -> Result<bool, String> {
     let folder = PathBuf::from(std::env::args().nth(1).ok_or("the folder of the case is missing")?);
     let record = Record::create(&folder).map_err(|it| it.to_string())?;
